--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 LDFLAGS += $(SANFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lpthread -lm
 
-GENERATED = $(wildcard peer/*.pb-c.c query/*.tab.c query/*.lex.c)
+GENERATED = $(wildcard peer/*.pb-c.c request/*.pb-c.c query/*.tab.c \
+              query/*.lex.c)
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 DAEMON_SRC = $(wildcard daemon/*.c)
 TOOL_SRC = $(wildcard kumquatrack.c builtin/*.c)
