--- /dev/null
+++ b/config/document.h
@@ -0,0 +1,82 @@
+/** @file
+ * The configuration document that operators publish: its parsed form and
+ * the check against its schema.
+ */
+#ifndef KQ_CONFIG_DOCUMENT_H
+#define KQ_CONFIG_DOCUMENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/name.h"
+#include "core/event.h"
+
+/** Longest document in bytes. */
+#define KQ_CONFIG_MAX_BYTES 1048576
+
+/** A fixed set of workers of one availability zone: the unit of ownership. */
+struct kq_config_shard
+{
+  struct kq_name name;
+  struct kq_name zone;
+  struct kq_name *workers;
+  size_t worker_count;
+};
+
+/** A latency-critical service. */
+struct kq_config_service
+{
+  struct kq_name name;
+  int32_t importance;  /**< 0 (least) to 9; 5 when absent */
+  int32_t deadline_ms; /**< when the caller gives none; 1000 when absent */
+  bool idempotent;     /**< all of its requests are idempotent */
+  struct kq_name *workers;
+  size_t worker_count; /**< 0: every worker serves it */
+};
+
+/** A team that submits jobs. */
+struct kq_config_team
+{
+  struct kq_name name;
+  int32_t importance;   /**< 0 (least) to 9; 5 when absent */
+  struct kq_size quota; /**< what its tasks may occupy together; a field
+                           that is absent is INT32_MAX: unbounded */
+};
+
+/** How the users' three measures weigh against each other, 0 to 100. */
+struct kq_config_policy
+{
+  int32_t tail_latency_weight;     /**< 34 when absent */
+  int32_t batch_throughput_weight; /**< 33 when absent */
+  int32_t eviction_weight;         /**< 33 when absent */
+};
+
+struct kq_config_document
+{
+  struct kq_config_shard *shards;
+  size_t shard_count;
+  struct kq_config_service *services;
+  size_t service_count;
+  struct kq_config_team *teams;
+  size_t team_count;
+  struct kq_config_policy policy;
+};
+
+/** Where a document breaks its schema, such as "services[2].importance". */
+struct kq_config_error
+{
+  char path[160];
+};
+
+/** Parses and checks TEXT.
+ *  @param error filled on failure; may be NULL.
+ *  @return 0 with *DOCUMENT set, KQ_ECONFIG_SCHEMA, or KQ_ENOMEM.  Malformed
+ *  JSON is KQ_ECONFIG_SCHEMA with the path "line L, column C".  */
+int kq_config_document_parse (const char *text,
+                              struct kq_config_document **document,
+                              struct kq_config_error *error);
+
+void kq_config_document_free (struct kq_config_document *document);
+
+#endif
