config: find duplicate names with a library set

The linter takes a deletion loop of uthash for a use after free. Ruled out: silencing the check, and a sorted copy of the names. The set is a jansson object now, which is shorter as well; the leak checker found the set of a list that is no array, which is made later now.

--- a/config/document.c
+++ b/config/document.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 #include "base/err.h"
 
@@ -32,13 +31,6 @@
   size_t count_offset; /* FIELD_NAMES: of its count */
 };
 
-/* One name that was seen, to find duplicates. */
-struct seen
-{
-  struct kq_name name;
-  UT_hash_handle hh;
-};
-
 struct parser
 {
   struct kq_config_error *error;
@@ -120,34 +112,14 @@
   parser->path[length] = '\0';
 }
 
-/* Adds NAME to *SET.  Returns 0, KQ_EEXIST or KQ_ENOMEM. */
+/* Adds NAME to SET.  Returns 0, KQ_EEXIST or KQ_ENOMEM. */
 static int
-see (struct seen **set, const struct kq_name *name)
+see (json_t *set, const struct kq_name *name)
 {
-  struct seen *item;
-
-  HASH_FIND_STR (*set, name->text, item);
-  if (item != NULL)
+  if (json_object_get (set, name->text) != NULL)
     return KQ_EEXIST;
-  item = calloc (1, sizeof *item);
-  if (item == NULL)
-    return KQ_ENOMEM;
-  item->name = *name;
-  HASH_ADD_STR (*set, name.text, item);
-  return 0;
-}
-
-static void
-forget (struct seen **set)
-{
-  struct seen *item;
-  struct seen *next;
-
-  HASH_ITER (hh, *set, item, next)
-  {
-    HASH_DEL (*set, item);
-    free (item);
-  }
+  return json_object_set_new (set, name->text, json_true ()) == 0 ? 0
+                                                                  : KQ_ENOMEM;
 }
 
 static int
@@ -268,7 +240,7 @@
 parse_list (struct parser *parser, const struct list *list,
             const json_t *array, void **items, size_t *count)
 {
-  struct seen *names = NULL;
+  json_t *names;
   int err = 0;
 
   if (!json_is_array (array))
@@ -276,6 +248,7 @@
   *items = calloc (json_array_size (array) + 1, list->item_size);
   if (*items == NULL)
     return KQ_ENOMEM;
+  names = json_object ();
   for (size_t i = 0; err == 0 && i < json_array_size (array); i++)
     {
       char *item = (char *)*items + i * list->item_size;
@@ -286,7 +259,7 @@
       err = parse_fields (parser, json_array_get (array, i), list->fields,
                           item);
       if (err == 0)
-        err = see (&names, (const struct kq_name *)item);
+        err = see (names, (const struct kq_name *)item);
       if (err == KQ_EEXIST)
         {
           enter (parser, ".name");
@@ -295,7 +268,7 @@
       if (err == 0)
         leave (parser, mark);
     }
-  forget (&names);
+  json_decref (names);
   return err;
 }
 
@@ -303,13 +276,13 @@
 static int
 check_shards (struct parser *parser, const struct kq_config_document *document)
 {
-  struct seen *workers = NULL;
+  json_t *workers = json_object ();
   int err = 0;
 
   for (size_t i = 0; err == 0 && i < document->shard_count; i++)
     for (size_t k = 0; err == 0 && k < document->shards[i].worker_count; k++)
       {
-        err = see (&workers, &document->shards[i].workers[k]);
+        err = see (workers, &document->shards[i].workers[k]);
         if (err == KQ_EEXIST)
           {
             leave (parser, 0);
@@ -317,7 +290,7 @@
             err = fail (parser);
           }
       }
-  forget (&workers);
+  json_decref (workers);
   return err;
 }
 
