core: mend holes of the ownership contract

Read against delayed and repeated messages the contract had holes: a restarted host took its earlier incarnation's lease, whose late starts then were valid; a minority holder's acquires kept a lost worker's tasks alive past the successor's wait; attempt numbers by worker term repeat on another worker; nothing bounded how late a request is taken.

Heartbeats carry epoch and largest task of each shard;

Ruled out: a counter that must be the last plus one, which hosts that start after retention cannot judge.

--- a/base/err.h
+++ b/base/err.h
@@ -36,6 +36,7 @@
   X (KQ_EJOB_NEVER_FITS, -301, "no worker can ever carry the task")           \
   X (KQ_EJOB_QUOTA, -302, "the team's quota is used up")                      \
   X (KQ_EJOB_CANCELLED, -303, "the job is cancelled")                         \
+  X (KQ_EJOB_FAILED, -304, "the task failed on several healthy workers")      \
   /* config */                                                                \
   X (KQ_ECONFIG_CONFLICT, -400, "a newer revision is in force")               \
   X (KQ_ECONFIG_SCHEMA, -401, "the configuration breaks its schema")          \
@@ -44,6 +45,7 @@
   X (KQ_ELOG_DOWN, -500, "the log does not answer")                           \
   X (KQ_ELOG_BUSY, -501, "the log refuses appends for now")                   \
   X (KQ_ELOG_RETENTION, -502, "the offset is older than the log keeps")       \
+  X (KQ_ELOG_UNKNOWN, -503, "no answer; the log may have the record")         \
   /* request */                                                               \
   X (KQ_EREQ_NO_SERVICE, -600, "no such service")                             \
   X (KQ_EREQ_NO_ENDPOINT, -601, "no endpoint can take the request")           \
--- a/core/event.h
+++ b/core/event.h
@@ -38,6 +38,9 @@
   KQ_TASK_SERVICE
 };
 
+/** Attempts that can be started under one epoch of a shard. */
+#define KQ_ATTEMPTS_PER_EPOCH (INT64_C (1) << 24)
+
 /** How an attempt stands in a worker's table. */
 enum kq_attempt_state
 {
@@ -52,8 +55,8 @@
 struct kq_attempt_row
 {
   struct kq_task_id task;
-  int64_t attempt;    /**< unique in the task: the term it was started under
-                         in the high 32 bits, a serial in the low 32 */
+  int64_t attempt;    /**< unique: the shard's epoch it was started under
+                         times KQ_ATTEMPTS_PER_EPOCH, plus a serial */
   int64_t binding;    /**< offset of the bind record it was started for */
   int64_t checkpoint; /**< progress saved so far, in run milliseconds */
   enum kq_attempt_state state;
@@ -83,7 +86,8 @@
   kq_usec sent_at; /**< when this host sent the request, by its own clock */
   int err;         /**< 0, KQ_ELEASE_HELD, KQ_ELEASE_TERM, KQ_EWORKER_SILENT */
   uint64_t term;   /**< the current term at the worker */
-  struct kq_name holder;        /**< the current holder, empty if none */
+  struct kq_name holder;        /**< the current holder, empty if none; see
+                                   kq_core_holder() */
   kq_usec left;                 /**< time until the holder's lease lapses */
   struct kq_worker_table table; /**< valid when err is not SILENT */
 };
@@ -133,14 +137,27 @@
 
 enum kq_record_kind
 {
-  KQ_REC_CONFIG,  /**< a configuration an operator published */
-  KQ_REC_JOB,     /**< a submitted job */
-  KQ_REC_CANCEL,  /**< a cancelled job */
-  KQ_REC_BIND,    /**< tasks bound to a shard */
-  KQ_REC_EPOCH,   /**< a host became owner of a shard */
-  KQ_REC_RELEASE, /**< tasks given back by a shard's owner */
-  KQ_REC_END,     /**< tasks that have ended */
-  KQ_REC_DRAIN,   /**< a worker or host is drained, or undrained */
+  KQ_REC_CONFIG,   /**< a configuration an operator published */
+  KQ_REC_JOB,      /**< a submitted job */
+  KQ_REC_CANCEL,   /**< a cancelled job */
+  KQ_REC_BIND,     /**< tasks bound to a shard */
+  KQ_REC_EPOCH,    /**< a host became owner of a shard */
+  KQ_REC_RELEASE,  /**< tasks given back by a shard's owner */
+  KQ_REC_END,      /**< tasks that have ended */
+  KQ_REC_DRAIN,    /**< a worker or host is drained, or undrained */
+  KQ_REC_SNAPSHOT, /**< a live job, re-appended before retention removes the
+                      records that it was made from */
+};
+
+/** Tasks of a job that stand alike, in a snapshot. */
+struct kq_task_range
+{
+  int32_t first;
+  int32_t count;
+  bool ended;
+  int64_t binding;      /**< 0 = bound to no shard */
+  int64_t checkpoint;   /**< resume from here */
+  struct kq_name shard; /**< empty = bound to no shard */
 };
 
 /** A record of the platform's log, decoded. */
@@ -161,20 +178,29 @@
     struct
     {
       struct kq_name shard;
-      uint64_t epoch; /**< the shard's term, see KQ_REC_EPOCH */
+      uint64_t epoch; /**< the shard's epoch, see KQ_REC_EPOCH */
       const struct kq_task_ref *tasks;
       size_t count;
     } tasks; /**< BIND, RELEASE, END */
     struct
     {
       struct kq_name shard;
-      uint64_t epoch; /**< must be the last one in the log plus one */
+      uint64_t epoch; /**< the one before; for information only: the epoch
+                         of a shard is the offset of its last EPOCH record */
     } epoch;
     struct
     {
       struct kq_name name;
       bool on;
     } drain;
+    struct
+    {
+      struct kq_job job;
+      int64_t as_of; /**< last offset that the snapshot includes */
+      bool cancelled;
+      const struct kq_task_range *ranges;
+      size_t count;
+    } snapshot;
   } u;
 };
 
@@ -191,6 +217,14 @@
   char endpoint[64]; /**< workers: requests; entry hosts: request hop */
 };
 
+/** A shard as its owner tells it to the other entry hosts. */
+struct kq_shard_state
+{
+  struct kq_name name;
+  uint64_t epoch;         /**< 0 while the owner has none */
+  struct kq_size largest; /**< largest task that a worker can ever carry */
+};
+
 /** Messages between entry hosts about ownership. */
 enum kq_peer_kind
 {
@@ -208,7 +242,7 @@
   uint64_t view;        /**< hash of the membership the sender sees */
   int64_t offset;       /**< HEARTBEAT: last offset seen; RECORD: its offset */
   int64_t revision;     /**< configuration in force at the sender */
-  const struct kq_name *shards; /**< HEARTBEAT: shards the sender owns */
+  const struct kq_shard_state *shards; /**< HEARTBEAT: what the sender owns */
   size_t shard_count;
   const struct kq_record *record; /**< RECORD only */
 };
@@ -302,7 +336,8 @@
       struct kq_name worker;
       uint64_t term; /**< the term expected at the worker */
       kq_usec ttl;
-      kq_usec task_ttl; /**< every running attempt lives this much longer */
+      kq_usec task_ttl; /**< every running attempt lives at least this much
+                           longer; 0 leaves the end of each as it is */
     } lease;
     struct
     {
