--- /dev/null
+++ b/core/core.c
@@ -0,0 +1,327 @@
+#include "core/core.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/internal.h"
+
+/* Defaults of the settings. */
+#define LEASE_TTL (2 * KQ_USEC_PER_SEC)
+#define TASK_TTL (10 * KQ_USEC_PER_SEC)
+#define RENEW_EVERY (500 * KQ_USEC_PER_MSEC)
+#define CLOCK_RATE_PPM 10000
+
+/* Least time between two passes over everything. */
+#define TICK_MIN (20 * KQ_USEC_PER_MSEC)
+
+/* Least time between two views. */
+#define VIEW_MIN (100 * KQ_USEC_PER_MSEC)
+
+/* After the last release, requests to workers get this long to arrive. */
+#define GOODBYE_AFTER (300 * KQ_USEC_PER_MSEC)
+
+void
+kq_core_settings_default (struct kq_core_settings *settings)
+{
+  settings->lease_ttl = LEASE_TTL;
+  settings->task_ttl = TASK_TTL;
+  settings->renew_every = RENEW_EVERY;
+  settings->clock_rate_ppm = CLOCK_RATE_PPM;
+}
+
+struct kq_core *
+kq_core_create (const struct kq_core_settings *settings)
+{
+  struct kq_core *core = calloc (1, sizeof *core);
+
+  if (core == NULL)
+    return NULL;
+  core->settings = *settings;
+  snprintf (core->terms.holder.text, sizeof core->terms.holder.text,
+            "%.30s/%" PRIx64, settings->host.text, settings->incarnation);
+  core->terms.ttl = settings->lease_ttl;
+  core->terms.task_ttl = settings->task_ttl;
+  core->terms.clock_rate_ppm = settings->clock_rate_ppm;
+  core->config = kq_config_create ();
+  core->jobs = kq_jobs_create ();
+  if (core->config != NULL && core->jobs != NULL)
+    return core;
+  kq_core_destroy (core);
+  return NULL;
+}
+
+void
+kq_core_destroy (struct kq_core *core)
+{
+  struct kq_member *member;
+  struct kq_member *next;
+  struct kq_drain *drain;
+  struct kq_drain *next_drain;
+
+  if (core == NULL)
+    return;
+  kq_append_destroy_all (core);
+  kq_shard_destroy_all (core);
+  HASH_ITER (hh, core->members, member, next)
+  {
+    HASH_DEL (core->members, member);
+    free (member);
+  }
+  HASH_ITER (hh, core->drains, drain, next_drain)
+  {
+    HASH_DEL (core->drains, drain);
+    free (drain);
+  }
+  kq_config_destroy (core->config);
+  kq_jobs_destroy (core->jobs);
+  free (core);
+}
+
+const struct kq_name *
+kq_core_holder (const struct kq_core *core)
+{
+  return &core->terms.holder;
+}
+
+bool
+kq_core_drained (const struct kq_core *core, const struct kq_name *name)
+{
+  const struct kq_drain *drain;
+
+  HASH_FIND_STR (core->drains, name->text, drain);
+  return drain != NULL;
+}
+
+static int
+apply_drain (struct kq_core *core, int64_t offset,
+             const struct kq_record *record)
+{
+  struct kq_drain *drain;
+
+  HASH_FIND_STR (core->drains, record->u.drain.name.text, drain);
+  if (!record->u.drain.on)
+    {
+      if (drain != NULL)
+        {
+          HASH_DEL (core->drains, drain);
+          free (drain);
+        }
+      return 0;
+    }
+  if (drain == NULL)
+    {
+      drain = calloc (1, sizeof *drain);
+      if (drain == NULL)
+        return KQ_ENOMEM;
+      drain->name = record->u.drain.name;
+      HASH_ADD_STR (core->drains, name.text, drain);
+    }
+  drain->offset = offset;
+  return 0;
+}
+
+static int
+apply_config (struct kq_core *core, int64_t offset,
+              const struct kq_record *record)
+{
+  int err = kq_config_apply (core->config, offset, record->u.config.base,
+                             &record->host, record->u.config.text, NULL);
+
+  if (err == 0)
+    kq_shard_configure (core);
+  /* A peer brought it before the log did. */
+  if (err == KQ_EEXIST && offset == kq_config_revision (core->config))
+    err = 0;
+  return err;
+}
+
+static int
+apply_record (struct kq_core *core, int64_t offset,
+              const struct kq_record *record)
+{
+  int err;
+
+  switch (record->kind)
+    {
+    case KQ_REC_CONFIG:
+      return apply_config (core, offset, record);
+    case KQ_REC_DRAIN:
+      return apply_drain (core, offset, record);
+    case KQ_REC_EPOCH:
+      err = kq_jobs_apply (core->jobs, offset, record);
+      kq_shard_epoch_read (core, offset, record);
+      return err;
+    case KQ_REC_JOB:
+    case KQ_REC_CANCEL:
+    case KQ_REC_BIND:
+    case KQ_REC_RELEASE:
+    case KQ_REC_END:
+    case KQ_REC_SNAPSHOT:
+      err = kq_jobs_apply (core->jobs, offset, record);
+      kq_task_sync_record (core, record);
+      return err;
+    }
+  return KQ_EINVAL;
+}
+
+static int
+take_record (struct kq_core *core, const struct kq_event *event)
+{
+  int64_t offset = event->u.record.offset;
+  int err;
+
+  if (event->u.record.record == NULL)
+    return KQ_EINVAL;
+  if (offset <= core->offset)
+    return 0;
+  if (core->offset != 0 && offset != core->offset + 1)
+    return KQ_EINVAL;
+  core->offset = offset;
+  err = apply_record (core, offset, event->u.record.record);
+  kq_append_landed (core, offset, event->u.record.record, err);
+  return 0;
+}
+
+/* Records were removed before they were read: what they said is rebuilt
+   from the snapshots that follow, and every claim on it begins anew. */
+static void
+take_gap (struct kq_core *core, int64_t first)
+{
+  struct kq_shard *shard;
+  struct kq_shard *next;
+
+  if (first <= core->offset + 1)
+    return;
+  core->offset = first - 1;
+  HASH_ITER (hh, core->shards, shard, next)
+  kq_task_unload (core, shard);
+  kq_jobs_gap (core->jobs, first);
+  kq_append_gap (core, first);
+  HASH_ITER (hh, core->shards, shard, next)
+  if (shard->owner)
+    kq_shard_renew_epoch (core, shard);
+}
+
+static void
+take_log_end (struct kq_core *core, const struct kq_event *event)
+{
+  /* Only an end that was reached record by record says that all is read. */
+  if (event->u.log.offset != core->offset + 1)
+    {
+      if (event->u.log.offset > core->offset + 1)
+        return;
+    }
+  if (!kq_jobs_is_complete (core->jobs))
+    kq_jobs_complete (core->jobs);
+  kq_append_log_end (core, event->u.log.sent_at);
+}
+
+static void
+tick_stop (struct kq_core *core)
+{
+  const struct kq_shard *shard;
+  struct kq_effect effect = { .kind = KQ_FX_STOPPED };
+
+  if (!core->stopping || core->stopped)
+    return;
+  for (shard = core->shards; shard != NULL; shard = shard->hh.next)
+    if (shard->owner)
+      return;
+  if (core->released_at == 0)
+    {
+      core->released_at = core->now;
+      kq_member_goodbye (core);
+    }
+  if (core->now < core->released_at + GOODBYE_AFTER)
+    return;
+  core->stopped = true;
+  kq_effects_add (core->out, &effect);
+}
+
+static void
+tick (struct kq_core *core)
+{
+  struct kq_effect effect = { .kind = KQ_FX_VIEW };
+
+  if (core->stopped)
+    return;
+  kq_member_tick (core);
+  kq_shard_tick (core);
+  kq_bind_tick (core);
+  kq_refresh_tick (core);
+  kq_append_tick (core);
+  tick_stop (core);
+  if (core->view_dirty && core->now >= core->view_at + VIEW_MIN)
+    {
+      core->view_dirty = false;
+      core->view_at = core->now;
+      kq_effects_add (core->out, &effect);
+    }
+}
+
+static int
+take (struct kq_core *core, const struct kq_event *event)
+{
+  switch (event->kind)
+    {
+    case KQ_EV_TICK:
+      return 0;
+    case KQ_EV_LEASE:
+      kq_shard_lease_answer (core, &event->u.lease);
+      return 0;
+    case KQ_EV_TASK:
+      kq_task_answer (core, &event->u.task);
+      return 0;
+    case KQ_EV_RECORD:
+      return take_record (core, event);
+    case KQ_EV_APPENDED:
+      kq_append_answer (core, event);
+      return 0;
+    case KQ_EV_LOG_END:
+      take_log_end (core, event);
+      return 0;
+    case KQ_EV_LOG_GAP:
+      take_gap (core, event->u.log.offset);
+      return 0;
+    case KQ_EV_HOSTS:
+      kq_member_hosts (core, event->u.hosts.entries, event->u.hosts.count);
+      return 0;
+    case KQ_EV_PEER:
+      kq_member_heard (core, &event->u.peer);
+      return 0;
+    case KQ_EV_COMMAND:
+      return kq_command_take (core, &event->u.command);
+    case KQ_EV_STOP:
+      if (!core->stopping)
+        core->stop_at = core->now;
+      core->stopping = true;
+      return 0;
+    }
+  return KQ_EINVAL;
+}
+
+int
+kq_core_step (struct kq_core *core, kq_usec now, const struct kq_event *event,
+              struct kq_effects *out)
+{
+  int err;
+
+  /* Zero means "never" in many places. */
+  if (event == NULL || now <= 0)
+    return KQ_EINVAL;
+  core->now = now;
+  core->out = out;
+  kq_shard_expire (core);
+  err = take (core, event);
+  if (err == 0 && (core->now >= core->tick_at || core->now < core->step_at))
+    {
+      core->tick_at = core->now + TICK_MIN;
+      tick (core);
+    }
+  core->step_at = core->now;
+  core->out = NULL;
+  return err;
+}
--- /dev/null
+++ b/core/internal.h
@@ -0,0 +1,227 @@
+/** @file
+ * What the files of the decision core share.  Not for use outside core/.
+ */
+#ifndef KQ_CORE_INTERNAL_H
+#define KQ_CORE_INTERNAL_H
+
+#include <uthash.h>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "job/job.h"
+#include "job/run.h"
+#include "lease/lease.h"
+#include "worker/worker.h"
+
+/** An entry host counts as live this long after its last heartbeat. */
+#define KQ_MEMBER_TTL (1500 * KQ_USEC_PER_MSEC)
+
+/** Between two heartbeats. */
+#define KQ_HEARTBEAT_EVERY (400 * KQ_USEC_PER_MSEC)
+
+/** Tasks in one BIND, RELEASE or END record. */
+#define KQ_BATCH_MAX 256
+
+/** A record that this host wants in the log. */
+struct kq_append
+{
+  struct kq_record *record;
+  uint64_t command; /**< reply to it; 0 = nobody waits */
+  bool has_command;
+  kq_usec deadline; /**< of the command */
+  kq_usec sent_at;  /**< last sent; 0 = not yet */
+  kq_usec lost_at;  /**< answer lost then; look before a retry */
+  kq_usec retry_at; /**< refused; not before then */
+  int retries;
+  int64_t offset;          /**< where the log says it is; 0 = not known */
+  struct kq_append **slot; /**< where its owner keeps it, or NULL */
+  struct kq_append *prev, *next;
+};
+
+/** An entry host as heartbeats and the host list show it. */
+struct kq_member
+{
+  struct kq_name name;
+  struct kq_name zone;
+  uint64_t incarnation;
+  kq_usec heard_at;   /**< last heartbeat; 0 = never */
+  kq_usec live_since; /**< heartbeats without a break since then */
+  kq_usec pushed_at;  /**< configuration last sent to it */
+  int64_t revision;
+  int64_t offset;
+  bool left;    /**< said goodbye in this incarnation */
+  bool leaving; /**< the host list or a drain says so */
+  char hop[64];
+  UT_hash_handle hh;
+};
+
+struct kq_shard;
+
+/** A worker of the configuration. */
+struct kq_node
+{
+  struct kq_name name;
+  struct kq_worker *worker;
+  struct kq_lease *lease;
+  struct kq_shard *shard;
+  bool known; /**< its table was read under an unbroken claim */
+  bool listed_leaving;
+  struct kq_name zone, region, rack;
+  char endpoint[64];
+  int32_t reserved_slots;
+  kq_usec reserved_until;
+  UT_hash_handle hh;
+};
+
+/** A shard of the configuration. */
+struct kq_shard
+{
+  struct kq_name name;
+  struct kq_name zone;
+  struct kq_node **nodes;
+  struct kq_lease **leases; /**< of the nodes */
+  size_t count;
+  bool owner;
+  kq_usec owner_since;
+  uint64_t epoch;   /**< this host's own, 0 until its record was read */
+  kq_usec epoch_at; /**< when that was */
+  struct kq_append *epoch_append, *bind, *release, *end;
+  bool all_clear;      /**< no unlisted attempt of its tasks can be alive */
+  kq_usec seeks_since; /**< tries to get a majority since then; 0 = no */
+  kq_usec rests_until; /**< no try before then */
+  kq_usec unclaimed_since;
+  struct kq_name claimed_by; /**< by its heartbeats */
+  kq_usec claimed_at;
+  struct kq_size largest; /**< largest task a worker can carry, last known */
+  bool largest_known;
+  struct kq_run *runs;
+  UT_hash_handle hh;
+};
+
+struct kq_drain
+{
+  struct kq_name name;
+  int64_t offset;
+  UT_hash_handle hh;
+};
+
+struct kq_core
+{
+  struct kq_core_settings settings;
+  struct kq_lease_terms terms;
+  struct kq_config *config;
+  int64_t config_applied; /**< revision that shards were made from */
+  struct kq_jobs *jobs;
+  struct kq_member *members;
+  struct kq_node *nodes;
+  struct kq_shard *shards;
+  struct kq_run *runs;
+  struct kq_drain *drains;
+  struct kq_append *appends;
+  int64_t offset; /**< last record read */
+  kq_usec log_ok_at, log_down_at;
+  uint64_t serial;
+  uint32_t attempt_serial;
+  kq_usec heartbeat_at;
+  kq_usec tick_at;
+  bool view_dirty;
+  kq_usec view_at;
+  kq_usec refresh_at;
+  bool stopping, stopped;
+  kq_usec stop_at;
+  kq_usec released_at;    /**< all shards handed over in a planned stop */
+  kq_usec step_at;        /**< of the step before */
+  kq_usec now;            /**< of the step */
+  struct kq_effects *out; /**< of the step */
+};
+
+/* effects.c */
+void kq_effects_add (struct kq_effects *effects,
+                     const struct kq_effect *effect);
+/** Copies SIZE bytes; the copy lives until kq_effects_clear(). */
+void *kq_effects_keep (struct kq_effects *effects, const void *bytes,
+                       size_t size);
+struct kq_record *kq_effects_keep_record (struct kq_effects *effects,
+                                          const struct kq_record *record);
+
+/* append.c */
+/** Wants RECORD, a copy of which is kept, in the log; sets its id and host.
+ *  Returns NULL when out of memory.  */
+struct kq_append *kq_append_want (struct kq_core *core,
+                                  struct kq_record *record);
+void kq_append_answer (struct kq_core *core, const struct kq_event *event);
+/** Takes the end of a read that began at SENT_AT and found all records. */
+void kq_append_log_end (struct kq_core *core, kq_usec sent_at);
+/** Ends the append that RECORD, just read, fulfils, and replies. */
+void kq_append_landed (struct kq_core *core, int64_t offset,
+                       const struct kq_record *record, int err);
+/** Settles the appends whose records were removed before FIRST unread. */
+void kq_append_gap (struct kq_core *core, int64_t first);
+void kq_append_tick (struct kq_core *core);
+/** Drops the append *SLOT if any: it is not sent again. */
+void kq_append_drop (struct kq_core *core, struct kq_append **slot);
+void kq_append_destroy_all (struct kq_core *core);
+
+/* member.c */
+void kq_member_heard (struct kq_core *core,
+                      const struct kq_peer_message *message);
+void kq_member_hosts (struct kq_core *core,
+                      const struct kq_host_entry *entries, size_t count);
+void kq_member_tick (struct kq_core *core);
+void kq_member_goodbye (struct kq_core *core);
+bool kq_member_live (const struct kq_core *core,
+                     const struct kq_member *member);
+/** Rank of this host among those that may own SHARD, 0 = preferred. */
+int kq_member_rank (const struct kq_core *core, const struct kq_shard *shard);
+/** Whether this host is the one of all live ones that looks after NAME. */
+bool kq_member_keeper (const struct kq_core *core, const char *name);
+uint64_t kq_member_hash (const char *a, const char *b);
+
+/* shard.c */
+void kq_shard_configure (struct kq_core *core);
+void kq_shard_tick (struct kq_core *core);
+void kq_shard_lease_answer (struct kq_core *core,
+                            const struct kq_lease_answer *answer);
+/** Ends ownership that has run out by now; called before anything else. */
+void kq_shard_expire (struct kq_core *core);
+void kq_shard_lose (struct kq_core *core, struct kq_shard *shard);
+void kq_shard_give_up (struct kq_core *core, struct kq_shard *shard);
+/** Begins a new epoch of an owned shard. */
+void kq_shard_renew_epoch (struct kq_core *core, struct kq_shard *shard);
+void kq_shard_destroy_all (struct kq_core *core);
+void kq_shard_epoch_read (struct kq_core *core, int64_t offset,
+                          const struct kq_record *record);
+
+/* task.c */
+/** Makes the runs of TASK agree with the log. */
+void kq_task_sync (struct kq_core *core, const struct kq_task_id *id);
+void kq_task_sync_record (struct kq_core *core,
+                          const struct kq_record *record);
+void kq_task_table (struct kq_core *core, struct kq_node *node,
+                    const struct kq_lease_answer *answer);
+void kq_task_answer (struct kq_core *core,
+                     const struct kq_task_answer *answer);
+void kq_task_tick (struct kq_core *core, struct kq_shard *shard);
+void kq_task_load (struct kq_core *core, struct kq_shard *shard);
+void kq_task_unload (struct kq_core *core, struct kq_shard *shard);
+void kq_task_drop_node (struct kq_core *core, struct kq_node *node);
+struct kq_run *kq_task_run (const struct kq_core *core,
+                            const struct kq_task_id *id);
+
+/* start.c */
+void kq_start_tick (struct kq_core *core, struct kq_shard *shard);
+
+/* bind.c */
+void kq_bind_tick (struct kq_core *core);
+
+/* refresh.c */
+void kq_refresh_tick (struct kq_core *core);
+
+/* command.c */
+int kq_command_take (struct kq_core *core, const struct kq_command *command);
+void kq_command_reply (struct kq_core *core, uint64_t id, int err,
+                       int64_t revision);
+
+bool kq_core_drained (const struct kq_core *core, const struct kq_name *name);
+
+#endif
--- /dev/null
+++ b/core/member.c
@@ -0,0 +1,318 @@
+/* The entry hosts as heartbeats and the platform's list show them. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "core/internal.h"
+
+/* Between two sendings of the configuration to the same host. */
+#define PUSH_EVERY (500 * KQ_USEC_PER_MSEC)
+
+uint64_t
+kq_member_hash (const char *a, const char *b)
+{
+  return XXH64 (a, strlen (a), XXH64 (b, strlen (b), 0));
+}
+
+static struct kq_member *
+need (struct kq_core *core, const struct kq_name *name)
+{
+  struct kq_member *member;
+
+  HASH_FIND_STR (core->members, name->text, member);
+  if (member != NULL)
+    return member;
+  member = calloc (1, sizeof *member);
+  if (member == NULL)
+    return NULL;
+  member->name = *name;
+  HASH_ADD_STR (core->members, name.text, member);
+  return member;
+}
+
+bool
+kq_member_live (const struct kq_core *core, const struct kq_member *member)
+{
+  return member->heard_at != 0 && !member->left
+         && core->now < member->heard_at + KQ_MEMBER_TTL;
+}
+
+static bool
+is_self (const struct kq_core *core, const struct kq_member *member)
+{
+  return kq_name_eq (&member->name, &core->settings.host);
+}
+
+/* Whether MEMBER may own shards: live and not on its way out. */
+static bool
+may_own (const struct kq_core *core, const struct kq_member *member)
+{
+  return kq_member_live (core, member) && !member->leaving
+         && !kq_core_drained (core, &member->name);
+}
+
+int
+kq_member_rank (const struct kq_core *core, const struct kq_shard *shard)
+{
+  const struct kq_member *member;
+  const struct kq_member *next;
+  struct kq_member *self;
+  uint64_t mine = kq_member_hash (shard->name.text, core->settings.host.text);
+  bool self_out;
+  int rank = 0;
+
+  HASH_FIND_STR (core->members, core->settings.host.text, self);
+  self_out = (self != NULL && self->leaving)
+             || kq_core_drained (core, &core->settings.host);
+  for (member = core->members; member != NULL; member = next)
+    {
+      next = member->hh.next;
+      if (is_self (core, member) || !may_own (core, member)
+          || !kq_name_eq (&member->zone, &shard->zone))
+        continue;
+      if (self_out
+          || kq_member_hash (shard->name.text, member->name.text) > mine)
+        rank++;
+    }
+  return rank;
+}
+
+bool
+kq_member_keeper (const struct kq_core *core, const char *name)
+{
+  const struct kq_member *member;
+  uint64_t mine = kq_member_hash (name, core->settings.host.text);
+
+  for (member = core->members; member != NULL; member = member->hh.next)
+    if (!is_self (core, member) && may_own (core, member)
+        && kq_member_hash (name, member->name.text) > mine)
+      return false;
+  return true;
+}
+
+static void
+take_claims (struct kq_core *core, const struct kq_peer_message *message)
+{
+  struct kq_shard *shard;
+  struct kq_shard *next;
+
+  HASH_ITER (hh, core->shards, shard, next)
+  if (kq_name_eq (&shard->claimed_by, &message->from))
+    shard->claimed_at = 0;
+  for (size_t i = 0; i < message->shard_count; i++)
+    {
+      const struct kq_shard_state *state = &message->shards[i];
+
+      HASH_FIND_STR (core->shards, state->name.text, shard);
+      if (shard == NULL)
+        continue;
+      shard->claimed_by = message->from;
+      shard->claimed_at = core->now;
+      shard->largest = state->largest;
+      shard->largest_known = true;
+    }
+}
+
+/* Sends the configuration in force to TO, to all when it is empty. */
+static void
+push_config (struct kq_core *core, const struct kq_name *to)
+{
+  struct kq_effect effect = { .kind = KQ_FX_PEER };
+  struct kq_peer_message *message = &effect.u.peer.message;
+  struct kq_record record = { .kind = KQ_REC_CONFIG };
+
+  record.host = *kq_config_host (core->config);
+  record.id = record.host;
+  record.u.config.base = kq_config_base (core->config);
+  record.u.config.text = kq_config_text (core->config);
+  if (to != NULL)
+    effect.u.peer.to = *to;
+  message->kind = KQ_PEER_RECORD;
+  message->from = core->settings.host;
+  message->zone = core->settings.zone;
+  message->incarnation = core->settings.incarnation;
+  message->offset = kq_config_revision (core->config);
+  message->revision = message->offset;
+  message->record = kq_effects_keep_record (core->out, &record);
+  if (message->record != NULL)
+    kq_effects_add (core->out, &effect);
+}
+
+static void
+take_heartbeat (struct kq_core *core, struct kq_member *member,
+                const struct kq_peer_message *message)
+{
+  if (!kq_member_live (core, member))
+    member->live_since = core->now;
+  member->left = false;
+  member->heard_at = core->now;
+  member->zone = message->zone;
+  member->revision = message->revision;
+  member->offset = message->offset;
+  take_claims (core, message);
+  if (message->revision < kq_config_revision (core->config)
+      && core->now >= member->pushed_at + PUSH_EVERY)
+    {
+      member->pushed_at = core->now;
+      push_config (core, &member->name);
+    }
+}
+
+static void
+take_config (struct kq_core *core, const struct kq_peer_message *message)
+{
+  const struct kq_record *record = message->record;
+
+  if (record == NULL || record->kind != KQ_REC_CONFIG
+      || record->u.config.text == NULL)
+    return;
+  if (kq_config_restore (core->config, message->offset, record->u.config.base,
+                         &record->host, record->u.config.text)
+      == 0)
+    kq_shard_configure (core);
+}
+
+void
+kq_member_heard (struct kq_core *core, const struct kq_peer_message *message)
+{
+  struct kq_member *member;
+
+  if (kq_name_eq (&message->from, &core->settings.host))
+    return;
+  member = need (core, &message->from);
+  if (member == NULL || message->incarnation < member->incarnation)
+    return;
+  if (message->incarnation > member->incarnation)
+    {
+      member->incarnation = message->incarnation;
+      member->left = false;
+    }
+  switch (message->kind)
+    {
+    case KQ_PEER_HEARTBEAT:
+      /* One that was overtaken by the goodbye changes nothing. */
+      if (!member->left)
+        take_heartbeat (core, member, message);
+      break;
+    case KQ_PEER_RECORD:
+      take_config (core, message);
+      break;
+    case KQ_PEER_GOODBYE:
+      member->left = true;
+      take_claims (core, message);
+      break;
+    }
+}
+
+static void
+take_worker_entry (struct kq_core *core, const struct kq_host_entry *entry)
+{
+  struct kq_node *node;
+
+  HASH_FIND_STR (core->nodes, entry->name.text, node);
+  if (node == NULL)
+    return;
+  node->listed_leaving = entry->leaving;
+  node->zone = entry->zone;
+  node->region = entry->region;
+  node->rack = entry->rack;
+  memcpy (node->endpoint, entry->endpoint, sizeof node->endpoint);
+}
+
+void
+kq_member_hosts (struct kq_core *core, const struct kq_host_entry *entries,
+                 size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct kq_member *member;
+
+      if (entries[i].worker)
+        {
+          take_worker_entry (core, &entries[i]);
+          continue;
+        }
+      member = need (core, &entries[i].name);
+      if (member == NULL)
+        continue;
+      member->leaving = entries[i].leaving;
+      if (kq_name_empty (&member->zone))
+        member->zone = entries[i].zone;
+      memcpy (member->hop, entries[i].endpoint, sizeof member->hop);
+    }
+  core->view_dirty = true;
+}
+
+/* Hash of the names of the live entry hosts, in any order. */
+static uint64_t
+view_hash (const struct kq_core *core)
+{
+  const struct kq_member *member;
+  uint64_t hash = kq_member_hash (core->settings.host.text, "");
+
+  for (member = core->members; member != NULL; member = member->hh.next)
+    if (!is_self (core, member) && kq_member_live (core, member))
+      hash += kq_member_hash (member->name.text, "");
+  return hash;
+}
+
+static void
+send_to_all (struct kq_core *core, enum kq_peer_kind kind,
+             const struct kq_shard_state *states, size_t count)
+{
+  struct kq_effect effect = { .kind = KQ_FX_PEER };
+  struct kq_peer_message *message = &effect.u.peer.message;
+
+  message->kind = kind;
+  message->from = core->settings.host;
+  message->zone = core->settings.zone;
+  message->incarnation = core->settings.incarnation;
+  message->view = view_hash (core);
+  message->offset = core->offset;
+  message->revision = kq_config_revision (core->config);
+  message->shards
+      = kq_effects_keep (core->out, states, count * sizeof *states);
+  message->shard_count = message->shards == NULL ? 0 : count;
+  kq_effects_add (core->out, &effect);
+}
+
+static void
+send_heartbeat (struct kq_core *core)
+{
+  struct kq_shard_state *states;
+  struct kq_shard *shard;
+  struct kq_shard *next;
+  size_t count = 0;
+
+  states = calloc (HASH_COUNT (core->shards) + 1, sizeof *states);
+  if (states == NULL)
+    return;
+  HASH_ITER (hh, core->shards, shard, next)
+  if (shard->owner)
+    {
+      states[count].name = shard->name;
+      states[count].epoch = shard->epoch;
+      states[count++].largest = shard->largest;
+    }
+  send_to_all (core, KQ_PEER_HEARTBEAT, states, count);
+  free (states);
+}
+
+void
+kq_member_tick (struct kq_core *core)
+{
+  if (core->stopping || core->now < core->heartbeat_at)
+    return;
+  core->heartbeat_at = core->now + KQ_HEARTBEAT_EVERY;
+  send_heartbeat (core);
+}
+
+void
+kq_member_goodbye (struct kq_core *core)
+{
+  send_to_all (core, KQ_PEER_GOODBYE, NULL, 0);
+}
--- /dev/null
+++ b/core/task.c
@@ -0,0 +1,496 @@
+/* Tasks of owned shards: their attempts at workers from start to end. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/err.h"
+#include "core/internal.h"
+
+/* Between two sendings of the same action for the same attempt. */
+#define ACT_EVERY (500 * KQ_USEC_PER_MSEC)
+
+/* A task that is moved has this long to save a checkpoint. */
+#define CHECKPOINT_MAX (3 * KQ_USEC_PER_SEC)
+
+/* First delay after a failed attempt; it doubles with each. */
+#define FAILURE_DELAY KQ_USEC_PER_SEC
+#define FAILURE_DELAY_MAX (60 * KQ_USEC_PER_SEC)
+
+static struct kq_task_id
+canonical (const struct kq_task_id *id)
+{
+  struct kq_task_id key;
+
+  memset (&key, 0, sizeof key);
+  strcpy (key.job.text, id->job.text);
+  key.index = id->index;
+  return key;
+}
+
+struct kq_run *
+kq_task_run (const struct kq_core *core, const struct kq_task_id *id)
+{
+  struct kq_task_id key = canonical (id);
+  struct kq_run *run;
+
+  HASH_FIND (hh, core->runs, &key, sizeof key, run);
+  return run;
+}
+
+static void
+remove_run (struct kq_core *core, struct kq_run *run)
+{
+  struct kq_shard *shard = run->owner;
+
+  HASH_DEL (core->runs, run);
+  DL_DELETE (shard->runs, run);
+  kq_run_destroy (run);
+}
+
+static void
+delay_after_failure (struct kq_core *core, struct kq_run *run)
+{
+  kq_usec delay = FAILURE_DELAY << (run->tries < 6 ? run->tries : 6);
+
+  run->tries++;
+  if (delay > FAILURE_DELAY_MAX)
+    delay = FAILURE_DELAY_MAX;
+  run->starts_after = core->now + delay;
+}
+
+/* Takes what ATTEMPT's row says; HAS_ENDED when it was live before. */
+static void
+note_row (struct kq_core *core, struct kq_attempt *attempt, bool has_ended)
+{
+  enum kq_attempt_state state = attempt->row.state;
+  struct kq_run *run = attempt->run;
+  bool failed = state == KQ_ATTEMPT_FAILED;
+
+  if (run != NULL)
+    kq_run_note (run, attempt,
+                 has_ended && kq_worker_proven (attempt->worker));
+  if (!has_ended)
+    return;
+  if (run != NULL)
+    run->waits_since = core->now;
+  if (failed || state == KQ_ATTEMPT_DONE)
+    kq_worker_note_end (attempt->worker, &attempt->row.task, failed,
+                        core->now);
+  if (failed && run != NULL)
+    delay_after_failure (core, run);
+}
+
+static void
+attach_if_same (struct kq_run *run, struct kq_attempt *attempt)
+{
+  if (run != NULL && attempt->run == NULL
+      && run->binding == attempt->row.binding)
+    kq_run_attach (run, attempt);
+}
+
+static void
+attach_known (struct kq_core *core, struct kq_shard *shard, struct kq_run *run)
+{
+  for (size_t i = 0; i < shard->count; i++)
+    {
+      struct kq_attempt *attempt
+          = kq_worker_attempts (shard->nodes[i]->worker);
+
+      for (; attempt != NULL; attempt = attempt->next)
+        if (attempt->row.task.index == run->id.index
+            && kq_name_eq (&attempt->row.task.job, &run->id.job)
+            && attempt->run == NULL)
+          {
+            attach_if_same (run, attempt);
+            if (attempt->run != NULL)
+              note_row (core, attempt, false);
+          }
+    }
+}
+
+static void
+create_run (struct kq_core *core, struct kq_shard *shard,
+            const struct kq_task_id *id, const struct kq_job_state *job,
+            const struct kq_job_task *task)
+{
+  struct kq_task_id key = canonical (id);
+  struct kq_run *run = kq_run_create (&key, &job->job);
+
+  if (run == NULL)
+    return;
+  run->binding = task->binding;
+  run->checkpoint = task->checkpoint;
+  run->owner = shard;
+  run->waits_since = core->now;
+  /* Bound under this host's own epoch: nobody else started it. */
+  run->tracked
+      = shard->all_clear
+        || (shard->epoch != 0 && task->binding > (int64_t)shard->epoch);
+  HASH_ADD (hh, core->runs, id, sizeof run->id, run);
+  DL_APPEND (shard->runs, run);
+  attach_known (core, shard, run);
+}
+
+void
+kq_task_sync (struct kq_core *core, const struct kq_task_id *id)
+{
+  const struct kq_job_task *task = kq_jobs_task (core->jobs, id);
+  struct kq_run *run = kq_task_run (core, id);
+  struct kq_shard *shard = NULL;
+
+  if (task != NULL && task->shard != NULL)
+    HASH_FIND_STR (core->shards, task->shard->name.text, shard);
+  if (shard != NULL && !shard->owner)
+    shard = NULL;
+  if (run != NULL
+      && (shard == NULL || run->owner != shard
+          || run->binding != task->binding))
+    {
+      remove_run (core, run);
+      run = NULL;
+    }
+  if (shard != NULL && run == NULL)
+    create_run (core, shard, id, kq_jobs_find (core->jobs, &id->job), task);
+}
+
+static void
+sync_job (struct kq_core *core, const struct kq_name *id)
+{
+  const struct kq_job_state *job = kq_jobs_find (core->jobs, id);
+  struct kq_task_id task = { .job = *id };
+
+  if (job == NULL)
+    return;
+  for (task.index = 0; task.index < job->job.tasks; task.index++)
+    kq_task_sync (core, &task);
+}
+
+void
+kq_task_sync_record (struct kq_core *core, const struct kq_record *record)
+{
+  switch (record->kind)
+    {
+    case KQ_REC_BIND:
+    case KQ_REC_RELEASE:
+    case KQ_REC_END:
+      for (size_t i = 0; i < record->u.tasks.count; i++)
+        kq_task_sync (core, &record->u.tasks.tasks[i].task);
+      break;
+    case KQ_REC_CANCEL:
+      sync_job (core, &record->u.cancel);
+      break;
+    case KQ_REC_SNAPSHOT:
+      sync_job (core, &record->u.snapshot.job.id);
+      break;
+    case KQ_REC_CONFIG:
+    case KQ_REC_JOB:
+    case KQ_REC_EPOCH:
+    case KQ_REC_DRAIN:
+      break;
+    }
+}
+
+void
+kq_task_load (struct kq_core *core, struct kq_shard *shard)
+{
+  const struct kq_job_state *job;
+
+  DL_FOREACH (kq_jobs_live (core->jobs), job)
+  {
+    struct kq_task_id id = { .job = job->job.id };
+
+    if (job->bound == 0)
+      continue;
+    for (id.index = 0; id.index < job->job.tasks; id.index++)
+      {
+        const struct kq_job_task *task = &job->tasks[id.index];
+
+        if (task->shard != NULL
+            && kq_name_eq (&task->shard->name, &shard->name)
+            && kq_task_run (core, &id) == NULL)
+          create_run (core, shard, &id, job, task);
+      }
+  }
+}
+
+void
+kq_task_unload (struct kq_core *core, struct kq_shard *shard)
+{
+  while (shard->runs != NULL)
+    remove_run (core, shard->runs);
+}
+
+void
+kq_task_drop_node (struct kq_core *core, struct kq_node *node)
+{
+  struct kq_attempt *attempt;
+  struct kq_attempt *next;
+
+  for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
+       attempt = next)
+    {
+      next = attempt->next;
+      kq_run_detach (attempt);
+      kq_worker_forget (attempt);
+    }
+}
+
+/* Whether a start of ATTEMPT sent by this host can still arrive at AT. */
+static bool
+start_can_arrive (const struct kq_core *core, const struct kq_attempt *attempt,
+                  kq_usec at)
+{
+  return attempt->started_at != 0
+         && at <= attempt->started_at
+                      + kq_lease_lengthen (&core->terms,
+                                           core->settings.lease_ttl);
+}
+
+static void
+drop_attempt (struct kq_core *core, struct kq_attempt *attempt)
+{
+  if (attempt->run != NULL)
+    attempt->run->waits_since = core->now;
+  kq_run_detach (attempt);
+  kq_worker_forget (attempt);
+}
+
+/* Attempts that the table does not show are not at the worker. */
+static void
+drop_missing (struct kq_core *core, struct kq_node *node, kq_usec sent_at)
+{
+  struct kq_attempt *attempt;
+  struct kq_attempt *next;
+
+  for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
+       attempt = next)
+    {
+      next = attempt->next;
+      if (attempt->seen_at < sent_at
+          && !start_can_arrive (core, attempt, sent_at))
+        drop_attempt (core, attempt);
+    }
+}
+
+void
+kq_task_table (struct kq_core *core, struct kq_node *node,
+               const struct kq_lease_answer *answer)
+{
+  kq_worker_report (node->worker, &answer->table);
+  for (size_t i = 0; i < answer->table.row_count; i++)
+    {
+      const struct kq_attempt_row *row = &answer->table.rows[i];
+      struct kq_attempt *attempt = kq_worker_find (node->worker, row);
+      bool was_live = attempt != NULL && attempt->phase != KQ_PHASE_ENDED;
+
+      attempt = kq_worker_adopt (node->worker, row);
+      if (attempt == NULL)
+        continue;
+      attempt->seen_at = answer->sent_at;
+      if (node->shard->owner)
+        attach_if_same (kq_task_run (core, &row->task), attempt);
+      note_row (core, attempt, was_live && attempt->phase == KQ_PHASE_ENDED);
+    }
+  drop_missing (core, node, answer->sent_at);
+}
+
+void
+kq_task_answer (struct kq_core *core, const struct kq_task_answer *answer)
+{
+  struct kq_attempt_row row = { .task = answer->task };
+  struct kq_attempt *attempt;
+  struct kq_node *node;
+
+  HASH_FIND_STR (core->nodes, answer->worker.text, node);
+  if (node == NULL)
+    return;
+  row.attempt = answer->attempt;
+  attempt = kq_worker_find (node->worker, &row);
+  if (attempt == NULL)
+    return;
+  /* A refused start stays pending: another copy may still arrive. */
+  if (answer->action == KQ_TASK_START && answer->err == 0
+      && attempt->phase == KQ_PHASE_PENDING)
+    {
+      attempt->phase = KQ_PHASE_LIVE;
+      attempt->seen_at = core->now;
+    }
+}
+
+static void
+act (struct kq_core *core, struct kq_attempt *attempt,
+     enum kq_task_action action)
+{
+  struct kq_effect effect = { .kind = KQ_FX_TASK };
+  struct kq_node *node;
+
+  if (attempt->acted_at != 0 && core->now < attempt->acted_at + ACT_EVERY)
+    return;
+  HASH_FIND_STR (core->nodes, kq_worker_name (attempt->worker)->text, node);
+  attempt->acted_at = core->now;
+  effect.u.task.worker = node->name;
+  effect.u.task.term = kq_lease_term (node->lease);
+  effect.u.task.action = action;
+  effect.u.task.row = attempt->row;
+  kq_effects_add (core->out, &effect);
+}
+
+/* Moves a task away: checkpoint first, then stop. */
+static void
+evict (struct kq_core *core, struct kq_attempt *attempt)
+{
+  if (attempt->stop_at == 0)
+    {
+      attempt->stop_at = core->now;
+      attempt->saved = attempt->row.checkpoint;
+    }
+  if (attempt->row.checkpoint > attempt->saved
+      || core->now > attempt->stop_at + CHECKPOINT_MAX)
+    act (core, attempt, KQ_TASK_STOP);
+  else if (attempt->row.state == KQ_ATTEMPT_RUNNING)
+    act (core, attempt, KQ_TASK_CHECKPOINT);
+}
+
+/* A row is acknowledged when nobody needs it and no late copy of its start
+   could run it again. */
+static void
+acknowledge (struct kq_core *core, struct kq_attempt *attempt)
+{
+  if (!start_can_arrive (core, attempt, core->now))
+    act (core, attempt, KQ_TASK_ACK);
+}
+
+static void
+tend_owned (struct kq_core *core, struct kq_attempt *attempt)
+{
+  struct kq_run *run = attempt->run;
+  const struct kq_attempt *live = kq_run_live (run);
+
+  if (attempt->phase == KQ_PHASE_ENDED)
+    {
+      if (live != NULL && live->phase == KQ_PHASE_LIVE
+          && attempt->row.state != KQ_ATTEMPT_DONE
+          && live->row.attempt > attempt->row.attempt)
+        acknowledge (core, attempt);
+      return;
+    }
+  if (attempt->phase == KQ_PHASE_PENDING)
+    return;
+  if (run->done || live != attempt)
+    act (core, attempt, KQ_TASK_STOP);
+  else if (kq_worker_leaving (attempt->worker))
+    evict (core, attempt);
+}
+
+static void
+tend (struct kq_core *core, struct kq_attempt *attempt)
+{
+  if (attempt->run != NULL)
+    {
+      tend_owned (core, attempt);
+      return;
+    }
+  /* The log was not read far enough to judge this row. */
+  if (attempt->row.binding > core->offset)
+    return;
+  if (attempt->phase == KQ_PHASE_ENDED)
+    acknowledge (core, attempt);
+  else if (attempt->phase == KQ_PHASE_LIVE)
+    act (core, attempt, KQ_TASK_STOP);
+}
+
+/* What was last known at a worker that stays silent has lapsed by now. */
+static void
+lapse (struct kq_core *core, struct kq_node *node)
+{
+  struct kq_attempt *attempt;
+  struct kq_attempt *next;
+
+  for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
+       attempt = next)
+    {
+      next = attempt->next;
+      if (attempt->phase != KQ_PHASE_ENDED)
+        drop_attempt (core, attempt);
+    }
+}
+
+static bool
+is_clear (const struct kq_core *core, const struct kq_node *node)
+{
+  return core->now
+         >= kq_lease_clear_at (node->lease, node->shard->owner_since);
+}
+
+static void
+note_all_clear (struct kq_core *core, struct kq_shard *shard)
+{
+  for (size_t i = 0; i < shard->count; i++)
+    if (!shard->nodes[i]->known && !is_clear (core, shard->nodes[i]))
+      return;
+  shard->all_clear = true;
+  for (struct kq_run *run = shard->runs; run != NULL; run = run->next)
+    run->tracked = true;
+}
+
+/* END records carry what has ended, many in one; the rows are kept at the
+   workers until the record was read. */
+static void
+append_ends (struct kq_core *core, struct kq_shard *shard)
+{
+  struct kq_task_ref refs[KQ_BATCH_MAX];
+  struct kq_record record = { .kind = KQ_REC_END };
+  size_t count = 0;
+
+  if (shard->end != NULL)
+    return;
+  for (struct kq_run *run = shard->runs; run != NULL && count < KQ_BATCH_MAX;
+       run = run->next)
+    if (run->done)
+      {
+        refs[count] = (struct kq_task_ref){ .task = run->id };
+        refs[count].binding = run->binding;
+        refs[count++].err = run->end_err;
+      }
+  if (count == 0)
+    return;
+  record.u.tasks.shard = shard->name;
+  record.u.tasks.epoch = shard->epoch;
+  record.u.tasks.tasks = refs;
+  record.u.tasks.count = count;
+  shard->end = kq_append_want (core, &record);
+  if (shard->end != NULL)
+    shard->end->slot = &shard->end;
+}
+
+void
+kq_task_tick (struct kq_core *core, struct kq_shard *shard)
+{
+  bool settled = shard->epoch != 0 && kq_jobs_is_complete (core->jobs);
+
+  for (size_t i = 0; i < shard->count; i++)
+    {
+      struct kq_node *node = shard->nodes[i];
+      struct kq_attempt *attempt;
+
+      kq_worker_set_leaving (node->worker,
+                             node->listed_leaving
+                                 || kq_core_drained (core, &node->name));
+      if (!kq_lease_held (node->lease, core->now))
+        {
+          if (is_clear (core, node))
+            lapse (core, node);
+          continue;
+        }
+      if (!settled)
+        continue;
+      for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
+           attempt = attempt->next)
+        tend (core, attempt);
+    }
+  if (!shard->all_clear)
+    note_all_clear (core, shard);
+  append_ends (core, shard);
+}
--- /dev/null
+++ b/core/topology.c
@@ -0,0 +1,145 @@
+/* Makes shards and workers agree with the configuration in force. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/internal.h"
+
+static void
+destroy_node (struct kq_core *core, struct kq_node *node)
+{
+  kq_task_drop_node (core, node);
+  HASH_DEL (core->nodes, node);
+  kq_worker_destroy (node->worker);
+  kq_lease_destroy (node->lease);
+  free (node);
+}
+
+static void
+destroy_shard (struct kq_core *core, struct kq_shard *shard)
+{
+  for (size_t i = 0; i < shard->count; i++)
+    destroy_node (core, shard->nodes[i]);
+  HASH_DEL (core->shards, shard);
+  free (shard->nodes);
+  free (shard->leases);
+  free (shard);
+}
+
+void
+kq_shard_destroy_all (struct kq_core *core)
+{
+  struct kq_shard *shard;
+  struct kq_shard *next;
+
+  HASH_ITER (hh, core->shards, shard, next)
+  {
+    kq_task_unload (core, shard);
+    destroy_shard (core, shard);
+  }
+}
+
+static bool
+same_workers (const struct kq_shard *shard,
+              const struct kq_config_shard *wanted)
+{
+  if (shard->count != wanted->worker_count)
+    return false;
+  for (size_t i = 0; i < shard->count; i++)
+    if (!kq_name_eq (&shard->nodes[i]->name, &wanted->workers[i]))
+      return false;
+  return kq_name_eq (&shard->zone, &wanted->zone);
+}
+
+static const struct kq_config_shard *
+find_wanted (const struct kq_config_document *document,
+             const struct kq_name *name)
+{
+  for (size_t i = 0; i < document->shard_count; i++)
+    if (kq_name_eq (&document->shards[i].name, name))
+      return &document->shards[i];
+  return NULL;
+}
+
+static struct kq_node *
+create_node (struct kq_core *core, struct kq_shard *shard,
+             const struct kq_name *name)
+{
+  struct kq_node *node = calloc (1, sizeof *node);
+
+  if (node == NULL)
+    return NULL;
+  node->name = *name;
+  node->shard = shard;
+  node->zone = shard->zone;
+  node->worker = kq_worker_create (name);
+  node->lease = kq_lease_create (&core->terms);
+  if (node->worker == NULL || node->lease == NULL)
+    {
+      kq_worker_destroy (node->worker);
+      kq_lease_destroy (node->lease);
+      free (node);
+      return NULL;
+    }
+  HASH_ADD_STR (core->nodes, name.text, node);
+  return node;
+}
+
+static void
+create_shard (struct kq_core *core, const struct kq_config_shard *wanted)
+{
+  struct kq_shard *shard = calloc (1, sizeof *shard);
+
+  if (shard == NULL)
+    return;
+  shard->name = wanted->name;
+  shard->zone = wanted->zone;
+  shard->unclaimed_since = core->now;
+  shard->nodes = calloc (wanted->worker_count, sizeof (struct kq_node *));
+  shard->leases = calloc (wanted->worker_count, sizeof (struct kq_lease *));
+  HASH_ADD_STR (core->shards, name.text, shard);
+  if (shard->nodes == NULL || shard->leases == NULL)
+    return;
+  for (size_t i = 0; i < wanted->worker_count; i++)
+    {
+      struct kq_node *node = create_node (core, shard, &wanted->workers[i]);
+
+      if (node == NULL)
+        return;
+      shard->nodes[shard->count] = node;
+      shard->leases[shard->count++] = node->lease;
+    }
+}
+
+void
+kq_shard_configure (struct kq_core *core)
+{
+  const struct kq_config_document *document
+      = kq_config_document (core->config);
+  struct kq_shard *shard;
+  struct kq_shard *next;
+
+  if (document == NULL
+      || core->config_applied == kq_config_revision (core->config))
+    return;
+  core->config_applied = kq_config_revision (core->config);
+  HASH_ITER (hh, core->shards, shard, next)
+  {
+    const struct kq_config_shard *wanted
+        = find_wanted (document, &shard->name);
+
+    if (wanted != NULL && same_workers (shard, wanted))
+      continue;
+    /* No release: it could arrive after the worker was leased anew. */
+    kq_shard_lose (core, shard);
+    destroy_shard (core, shard);
+  }
+  for (size_t i = 0; i < document->shard_count; i++)
+    {
+      HASH_FIND_STR (core->shards, document->shards[i].name.text, shard);
+      if (shard == NULL)
+        create_shard (core, &document->shards[i]);
+    }
+  core->view_dirty = true;
+}
--- /dev/null
+++ b/job/job.c
@@ -0,0 +1,552 @@
+#include "job/job.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/err.h"
+#include "core/record.h"
+
+/* A record about a job that is not known yet, read after a gap. */
+struct held_record
+{
+  int64_t offset;
+  struct kq_record *record;
+  struct held_record *prev, *next;
+};
+
+struct kq_jobs
+{
+  struct kq_job_state *by_id;
+  struct kq_job_state *live;
+  struct kq_job_state *finished;
+  int finished_count;
+  struct kq_job_shard *shards;
+  bool complete;
+  int64_t first; /* records before it were not read */
+  struct held_record *held;
+};
+
+struct kq_jobs *
+kq_jobs_create (void)
+{
+  return calloc (1, sizeof (struct kq_jobs));
+}
+
+static void
+drop_job (struct kq_jobs *jobs, struct kq_job_state *job)
+{
+  HASH_DEL (jobs->by_id, job);
+  free (job->tasks);
+  free (job);
+}
+
+static void
+drop_held (struct kq_jobs *jobs)
+{
+  struct held_record *held;
+  struct held_record *next;
+
+  DL_FOREACH_SAFE (jobs->held, held, next)
+  {
+    DL_DELETE (jobs->held, held);
+    kq_record_free (held->record);
+    free (held);
+  }
+}
+
+static void
+drop_all (struct kq_jobs *jobs)
+{
+  struct kq_job_state *job;
+  struct kq_job_state *next;
+  struct kq_job_shard *shard;
+  struct kq_job_shard *next_shard;
+
+  HASH_ITER (hh, jobs->by_id, job, next)
+  drop_job (jobs, job);
+  HASH_ITER (hh, jobs->shards, shard, next_shard)
+  {
+    HASH_DEL (jobs->shards, shard);
+    free (shard);
+  }
+  drop_held (jobs);
+  jobs->live = NULL;
+  jobs->finished = NULL;
+  jobs->finished_count = 0;
+}
+
+void
+kq_jobs_destroy (struct kq_jobs *jobs)
+{
+  if (jobs == NULL)
+    return;
+  drop_all (jobs);
+  free (jobs);
+}
+
+void
+kq_jobs_gap (struct kq_jobs *jobs, int64_t first)
+{
+  drop_all (jobs);
+  jobs->complete = false;
+  jobs->first = first;
+}
+
+void
+kq_jobs_complete (struct kq_jobs *jobs)
+{
+  jobs->complete = true;
+  drop_held (jobs);
+}
+
+bool
+kq_jobs_is_complete (const struct kq_jobs *jobs)
+{
+  return jobs->complete;
+}
+
+struct kq_job_state *
+kq_jobs_find (const struct kq_jobs *jobs, const struct kq_name *id)
+{
+  struct kq_job_state *job;
+
+  HASH_FIND_STR (jobs->by_id, id->text, job);
+  return job;
+}
+
+struct kq_job_task *
+kq_jobs_task (const struct kq_jobs *jobs, const struct kq_task_id *id)
+{
+  struct kq_job_state *job = kq_jobs_find (jobs, &id->job);
+
+  if (job == NULL || job->tasks == NULL || id->index < 0
+      || id->index >= job->job.tasks)
+    return NULL;
+  return &job->tasks[id->index];
+}
+
+struct kq_job_state *
+kq_jobs_live (const struct kq_jobs *jobs)
+{
+  return jobs->live;
+}
+
+struct kq_job_state *
+kq_jobs_finished (const struct kq_jobs *jobs)
+{
+  return jobs->finished;
+}
+
+static struct kq_job_shard *
+find_shard (const struct kq_jobs *jobs, const struct kq_name *name)
+{
+  struct kq_job_shard *shard;
+
+  HASH_FIND_STR (jobs->shards, name->text, shard);
+  return shard;
+}
+
+static struct kq_job_shard *
+need_shard (struct kq_jobs *jobs, const struct kq_name *name)
+{
+  struct kq_job_shard *shard = find_shard (jobs, name);
+
+  if (shard != NULL)
+    return shard;
+  shard = calloc (1, sizeof *shard);
+  if (shard == NULL)
+    return NULL;
+  shard->name = *name;
+  HASH_ADD_STR (jobs->shards, name.text, shard);
+  return shard;
+}
+
+uint64_t
+kq_jobs_epoch (const struct kq_jobs *jobs, const struct kq_name *shard)
+{
+  const struct kq_job_shard *found = find_shard (jobs, shard);
+
+  return found == NULL ? 0 : found->epoch;
+}
+
+int32_t
+kq_jobs_bound (const struct kq_jobs *jobs, const struct kq_name *shard)
+{
+  const struct kq_job_shard *found = find_shard (jobs, shard);
+
+  return found == NULL ? 0 : found->bound;
+}
+
+int
+kq_job_check (const struct kq_job *job)
+{
+  if (kq_name_empty (&job->id) || job->tasks < 1
+      || job->tasks > KQ_JOB_MAX_TASKS || job->importance < 0
+      || job->importance > 9 || job->run_ms < 0)
+    return KQ_ERANGE;
+  if (job->size.cpu_milli < 0 || job->size.memory_mb < 0
+      || job->size.accelerators < 0)
+    return KQ_ERANGE;
+  return 0;
+}
+
+static struct kq_job_state *
+add_job (struct kq_jobs *jobs, int64_t offset, const struct kq_job *body)
+{
+  struct kq_job_state *job = calloc (1, sizeof *job);
+
+  if (job == NULL)
+    return NULL;
+  job->tasks = calloc ((size_t)body->tasks, sizeof *job->tasks);
+  if (job->tasks == NULL)
+    {
+      free (job);
+      return NULL;
+    }
+  job->job = *body;
+  job->offset = offset;
+  job->changed = offset;
+  HASH_ADD_STR (jobs->by_id, job.id.text, job);
+  DL_APPEND (jobs->live, job);
+  return job;
+}
+
+static void
+finish_job (struct kq_jobs *jobs, struct kq_job_state *job)
+{
+  struct kq_job_state *oldest;
+
+  DL_DELETE (jobs->live, job);
+  free (job->tasks);
+  job->tasks = NULL;
+  DL_APPEND (jobs->finished, job);
+  if (++jobs->finished_count <= KQ_JOB_MAX_FINISHED)
+    return;
+  oldest = jobs->finished;
+  DL_DELETE (jobs->finished, oldest);
+  jobs->finished_count--;
+  drop_job (jobs, oldest);
+}
+
+static void
+unbind (struct kq_job_state *job, struct kq_job_task *task)
+{
+  if (task->shard == NULL)
+    return;
+  task->shard->bound--;
+  job->bound--;
+  task->shard = NULL;
+  task->binding = 0;
+}
+
+static void
+bind (struct kq_job_state *job, struct kq_job_task *task,
+      struct kq_job_shard *shard, int64_t offset)
+{
+  task->shard = shard;
+  task->binding = offset;
+  shard->bound++;
+  job->bound++;
+}
+
+static void
+end_task (struct kq_jobs *jobs, struct kq_job_state *job,
+          struct kq_job_task *task, int err)
+{
+  unbind (job, task);
+  task->ended = true;
+  job->ended++;
+  if (err != 0)
+    {
+      job->failed++;
+      job->last_err = err;
+    }
+  if (job->ended == job->job.tasks)
+    finish_job (jobs, job);
+}
+
+static int
+apply_job (struct kq_jobs *jobs, int64_t offset, const struct kq_job *body)
+{
+  if (kq_job_check (body) != 0)
+    return KQ_ERANGE;
+  if (kq_jobs_find (jobs, &body->id) != NULL)
+    return KQ_EEXIST;
+  return add_job (jobs, offset, body) == NULL ? KQ_ENOMEM : 0;
+}
+
+static int
+apply_cancel (struct kq_jobs *jobs, int64_t offset, const struct kq_name *id)
+{
+  struct kq_job_state *job = kq_jobs_find (jobs, id);
+
+  if (job == NULL)
+    return KQ_EJOB_UNKNOWN;
+  if (job->tasks == NULL)
+    return 0;
+  job->cancelled = true;
+  job->changed = offset;
+  for (int32_t i = 0; i < job->job.tasks; i++)
+    unbind (job, &job->tasks[i]);
+  finish_job (jobs, job);
+  return 0;
+}
+
+static int
+apply_ref (struct kq_jobs *jobs, int64_t offset,
+           const struct kq_record *record, const struct kq_task_ref *ref)
+{
+  struct kq_job_state *job = kq_jobs_find (jobs, &ref->task.job);
+  struct kq_job_task *task = kq_jobs_task (jobs, &ref->task);
+
+  if (job == NULL || task == NULL)
+    return KQ_EJOB_UNKNOWN;
+  if (task->ended)
+    return 0;
+  if (record->kind == KQ_REC_BIND)
+    {
+      struct kq_job_shard *shard = need_shard (jobs, &record->u.tasks.shard);
+
+      if (shard == NULL)
+        return KQ_ENOMEM;
+      if (task->shard == NULL)
+        bind (job, task, shard, offset);
+    }
+  else if (record->kind == KQ_REC_END)
+    end_task (jobs, job, task, ref->err);
+  else if (task->binding == ref->binding)
+    {
+      unbind (job, task);
+      if (ref->checkpoint > task->checkpoint)
+        task->checkpoint = ref->checkpoint;
+    }
+  job->changed = offset;
+  return 0;
+}
+
+/* Applies a record of tasks, to those of job ONLY unless it is NULL. */
+static int
+apply_tasks (struct kq_jobs *jobs, int64_t offset,
+             const struct kq_record *record, const struct kq_name *only)
+{
+  int err = 0;
+
+  /* A held record was judged when it was read. */
+  if (only == NULL && record->kind != KQ_REC_END
+      && record->u.tasks.epoch < kq_jobs_epoch (jobs, &record->u.tasks.shard))
+    return KQ_ELEASE_TERM;
+  for (size_t i = 0; i < record->u.tasks.count; i++)
+    {
+      const struct kq_task_ref *ref = &record->u.tasks.tasks[i];
+      int result;
+
+      if (only != NULL && !kq_name_eq (only, &ref->task.job))
+        continue;
+      result = apply_ref (jobs, offset, record, ref);
+      if (result == KQ_ENOMEM)
+        return result;
+      if (result != 0)
+        err = result;
+    }
+  return err;
+}
+
+static int
+apply_epoch (struct kq_jobs *jobs, int64_t offset, const struct kq_name *name)
+{
+  struct kq_job_shard *shard = need_shard (jobs, name);
+
+  if (shard == NULL)
+    return KQ_ENOMEM;
+  shard->epoch = (uint64_t)offset;
+  return 0;
+}
+
+static int
+fill_from_ranges (struct kq_jobs *jobs, struct kq_job_state *job,
+                  const struct kq_record *record)
+{
+  for (size_t i = 0; i < record->u.snapshot.count; i++)
+    {
+      const struct kq_task_range *range = &record->u.snapshot.ranges[i];
+      struct kq_job_shard *shard = NULL;
+
+      if (range->first < 0 || range->count < 0
+          || range->count > job->job.tasks - range->first)
+        return KQ_ERANGE;
+      if (!kq_name_empty (&range->shard))
+        shard = need_shard (jobs, &range->shard);
+      for (int32_t k = range->first; k < range->first + range->count; k++)
+        {
+          job->tasks[k].checkpoint = range->checkpoint;
+          job->tasks[k].ended = range->ended;
+          job->ended += range->ended;
+          if (shard != NULL && !range->ended)
+            bind (job, &job->tasks[k], shard, range->binding);
+        }
+    }
+  return 0;
+}
+
+/* Applies what was read about job ID after the snapshot was taken. */
+static void
+replay_held (struct kq_jobs *jobs, const struct kq_name *id, int64_t as_of)
+{
+  struct held_record *held;
+
+  DL_FOREACH (jobs->held, held)
+  {
+    if (held->offset <= as_of)
+      continue;
+    if (held->record->kind == KQ_REC_CANCEL)
+      {
+        if (kq_name_eq (&held->record->u.cancel, id))
+          apply_cancel (jobs, held->offset, id);
+      }
+    else
+      apply_tasks (jobs, held->offset, held->record, id);
+  }
+}
+
+static int
+apply_snapshot (struct kq_jobs *jobs, int64_t offset,
+                const struct kq_record *record)
+{
+  const struct kq_job *body = &record->u.snapshot.job;
+  struct kq_job_state *job = kq_jobs_find (jobs, &body->id);
+  int err;
+
+  if (job != NULL)
+    {
+      job->offset = offset;
+      return 0;
+    }
+  if (kq_job_check (body) != 0 || record->u.snapshot.as_of < jobs->first - 1)
+    return KQ_ERANGE;
+  /* A host that missed nothing knows that the job has finished. */
+  if (jobs->complete || jobs->first == 0)
+    return KQ_EJOB_UNKNOWN;
+  job = add_job (jobs, offset, body);
+  if (job == NULL)
+    return KQ_ENOMEM;
+  job->changed = record->u.snapshot.as_of;
+  err = fill_from_ranges (jobs, job, record);
+  if (job->ended == job->job.tasks)
+    finish_job (jobs, job);
+  replay_held (jobs, &body->id, record->u.snapshot.as_of);
+  return err;
+}
+
+static int
+hold_record (struct kq_jobs *jobs, int64_t offset,
+             const struct kq_record *record)
+{
+  struct held_record *held = calloc (1, sizeof *held);
+
+  if (held == NULL)
+    return KQ_ENOMEM;
+  held->record = kq_record_copy (record);
+  held->offset = offset;
+  DL_APPEND (jobs->held, held);
+  return 0;
+}
+
+int
+kq_jobs_apply (struct kq_jobs *jobs, int64_t offset,
+               const struct kq_record *record)
+{
+  int err;
+
+  switch (record->kind)
+    {
+    case KQ_REC_JOB:
+      return apply_job (jobs, offset, &record->u.job);
+    case KQ_REC_CANCEL:
+      err = apply_cancel (jobs, offset, &record->u.cancel);
+      break;
+    case KQ_REC_EPOCH:
+      return apply_epoch (jobs, offset, &record->u.epoch.shard);
+    case KQ_REC_BIND:
+    case KQ_REC_RELEASE:
+    case KQ_REC_END:
+      err = apply_tasks (jobs, offset, record, NULL);
+      break;
+    case KQ_REC_SNAPSHOT:
+      return apply_snapshot (jobs, offset, record);
+    default:
+      return 0;
+    }
+  if (err == KQ_EJOB_UNKNOWN && jobs->first > 0 && !jobs->complete)
+    hold_record (jobs, offset, record);
+  return err;
+}
+
+int
+kq_job_unbound (struct kq_job_state *job, struct kq_task_ref *refs, int max)
+{
+  int found = 0;
+  int32_t left = job->job.tasks;
+
+  if (job->tasks == NULL || job->bound + job->ended == job->job.tasks)
+    return 0;
+  while (left-- > 0 && found < max)
+    {
+      const struct kq_job_task *task = &job->tasks[job->cursor];
+
+      if (task->shard == NULL && !task->ended)
+        {
+          refs[found] = (struct kq_task_ref){ .task.index = job->cursor };
+          refs[found++].task.job = job->job.id;
+        }
+      job->cursor = (job->cursor + 1) % job->job.tasks;
+    }
+  return found;
+}
+
+static bool
+stand_alike (const struct kq_job_task *a, const struct kq_job_task *b)
+{
+  return a->shard == b->shard && a->binding == b->binding
+         && a->checkpoint == b->checkpoint && a->ended == b->ended;
+}
+
+struct kq_task_range *
+kq_job_ranges (const struct kq_job_state *job, size_t *count)
+{
+  size_t used = 0;
+  size_t size = 8;
+  struct kq_task_range *ranges = malloc (size * sizeof *ranges);
+
+  for (int32_t i = 0; i < job->job.tasks && ranges != NULL; i++)
+    {
+      const struct kq_job_task *task = &job->tasks[i];
+      struct kq_task_range *range;
+
+      if (i > 0 && stand_alike (task, task - 1))
+        {
+          ranges[used - 1].count++;
+          continue;
+        }
+      if (used == size)
+        {
+          size *= 2;
+          range = realloc (ranges, size * sizeof *ranges);
+          if (range == NULL)
+            free (ranges);
+          ranges = range;
+        }
+      if (ranges == NULL)
+        return NULL;
+      range = &ranges[used++];
+      *range = (struct kq_task_range){ .first = i, .count = 1 };
+      range->ended = task->ended;
+      range->binding = task->binding;
+      range->checkpoint = task->checkpoint;
+      if (task->shard != NULL)
+        range->shard = task->shard->name;
+    }
+  *count = used;
+  return ranges;
+}
--- /dev/null
+++ b/job/run.c
@@ -0,0 +1,104 @@
+#include "job/run.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "base/err.h"
+
+struct kq_run *
+kq_run_create (const struct kq_task_id *id, const struct kq_job *job)
+{
+  struct kq_run *run = calloc (1, sizeof *run);
+
+  if (run == NULL)
+    return NULL;
+  run->id = *id;
+  run->kind = job->kind;
+  run->size = job->size;
+  run->run_ms = job->run_ms;
+  run->importance = job->importance;
+  return run;
+}
+
+void
+kq_run_destroy (struct kq_run *run)
+{
+  while (run->attempts != NULL)
+    kq_run_detach (run->attempts);
+  free (run);
+}
+
+void
+kq_run_attach (struct kq_run *run, struct kq_attempt *attempt)
+{
+  if (attempt->phase == KQ_PHASE_PENDING && kq_run_live (run) != NULL)
+    abort ();
+  attempt->run = run;
+  DL_APPEND2 (run->attempts, attempt, run_prev, run_next);
+}
+
+void
+kq_run_detach (struct kq_attempt *attempt)
+{
+  if (attempt->run == NULL)
+    return;
+  DL_DELETE2 (attempt->run->attempts, attempt, run_prev, run_next);
+  attempt->run = NULL;
+}
+
+struct kq_attempt *
+kq_run_live (const struct kq_run *run)
+{
+  struct kq_attempt *attempt;
+  struct kq_attempt *newest = NULL;
+
+  DL_FOREACH2 (run->attempts, attempt, run_next)
+  if (attempt->phase != KQ_PHASE_ENDED
+      && (newest == NULL || attempt->row.attempt > newest->row.attempt))
+    newest = attempt;
+  return newest;
+}
+
+bool
+kq_run_failed_on (const struct kq_run *run, const struct kq_name *name)
+{
+  for (int i = 0; i < run->failures; i++)
+    if (kq_name_eq (&run->failed_on[i], name))
+      return true;
+  return false;
+}
+
+static void
+note_failure (struct kq_run *run, const struct kq_name *worker)
+{
+  if (run->failures == KQ_RUN_MAX_FAILURES || kq_run_failed_on (run, worker))
+    return;
+  run->failed_on[run->failures++] = *worker;
+  if (run->failures < KQ_RUN_MAX_FAILURES || run->done)
+    return;
+  run->done = true;
+  run->end_err = KQ_EJOB_FAILED;
+}
+
+void
+kq_run_note (struct kq_run *run, struct kq_attempt *attempt, bool judged)
+{
+  if (attempt->row.checkpoint > run->checkpoint)
+    run->checkpoint = attempt->row.checkpoint;
+  switch (attempt->row.state)
+    {
+    case KQ_ATTEMPT_DONE:
+      run->done = true;
+      run->end_err = 0;
+      break;
+    case KQ_ATTEMPT_FAILED:
+      if (judged)
+        note_failure (run, kq_worker_name (attempt->worker));
+      break;
+    case KQ_ATTEMPT_RUNNING:
+    case KQ_ATTEMPT_CHECKPOINTING:
+    case KQ_ATTEMPT_EVICTED:
+      break;
+    }
+}
