t/standin: never move the end of an attempt nearer

The formats now say that a renewal with task_ttl_ms 0 leaves the end of each attempt as it is, and that an end never moves nearer; the stand-in set every end anew. A start also takes its share from the request.

Ruled out: giving a start under a lease without task_ttl no time at all; it would lapse on arrival, which no real worker is assumed to do, so it lives at least until that lease ends.

--- a/t/standin/si-worker.c
+++ b/t/standin/si-worker.c
@@ -153,19 +153,21 @@
       "throttled", worker->throttled, "tasks", rows_json (worker));
 }
 
-/* Acquires or renews; only a renewal extends the running attempts. */
+/* Acquires or renews.  The end of an attempt never moves nearer. */
 static void
-extend (struct si_worker *worker, const json_t *body, bool renew)
+extend (struct si_worker *worker, const json_t *body)
 {
   kq_usec now = kq_clock_now ();
+  kq_usec task_until
+      = now + si_number (body, "task_ttl_ms", 0) * KQ_USEC_PER_MSEC;
   struct si_attempt *attempt;
 
   worker->lease_until = now + si_number (body, "ttl_ms", 0) * KQ_USEC_PER_MSEC;
-  worker->task_until
-      = now + si_number (body, "task_ttl_ms", 0) * KQ_USEC_PER_MSEC;
-  if (renew)
-    DL_FOREACH (worker->attempts, attempt)
-  attempt->until = worker->task_until;
+  if (task_until > worker->task_until)
+    worker->task_until = task_until;
+  DL_FOREACH (worker->attempts, attempt)
+  if (task_until > attempt->until)
+    attempt->until = task_until;
 }
 
 void
@@ -190,14 +192,14 @@
           if (si_number (body, "ttl_ms", 0) == 0)
             worker->lease_until = now;
           else
-            extend (worker, body, true);
+            extend (worker, body);
         }
       else if (!held && si_number (body, "ttl_ms", 0) > 0)
         {
           status = MHD_HTTP_OK;
           snprintf (worker->holder, sizeof worker->holder, "%s", holder);
           worker->term++;
-          extend (worker, body, false);
+          extend (worker, body);
           si_fact_count ("acquires");
         }
     }
@@ -274,7 +276,7 @@
   row->size.cpu_milli = (int32_t)si_number (body, "cpu_milli", 0);
   row->size.memory_mb = (int32_t)si_number (body, "memory_mb", 0);
   row->size.accelerators = (int32_t)si_number (body, "accelerators", 0);
-  row->share_milli = PERMILLE;
+  row->share_milli = (int32_t)si_number (body, "share_milli", PERMILLE);
   if (exceeds (worker, &row->size))
     {
       si_fact_count ("refused_full");
@@ -292,6 +294,8 @@
   attempt->run_ms = si_number (body, "run_ms", 0);
   attempt->progress = (double)row->checkpoint;
   attempt->until = worker->task_until;
+  if (attempt->until < worker->lease_until)
+    attempt->until = worker->lease_until;
   DL_APPEND (worker->attempts, attempt);
   check_start (worker, attempt);
   worker->starts++;
