query, builtin: add the operators' language and the command-line tool

One grammar (bison and flex, reentrant, no global state) reads show, why, trace, submit, cancel, drain, undrain and configure for the tool, standard input and HTTP. Tokens carry places instead of strings, so that any bytes can be parsed without allocation; a failure names column, word and what could stand there. LAC is on: without it a default reduction reported a missing "team" where a wrong word was the cause.

The tool tries several entry hosts. A change goes on to the next host only while no byte of it was sent; after that its outcome is unknown (exit status 4) and it is never sent twice.

Found by the tests: the summary of "why job" counted tasks into the job's own row when both had the same state; groups are now told apart by kind.

--- a/base/err.h
+++ b/base/err.h
@@ -56,6 +56,11 @@
   X (KQ_EPEER_UNKNOWN, -701, "the peer is not a member")                      \
   /* query */                                                                 \
   X (KQ_EQUERY_WORD, -800, "a word of the command is not understood")         \
+  X (KQ_EQUERY_END, -801, "the command ends too early")                       \
+  X (KQ_EQUERY_TWICE, -802, "the field is given twice")                       \
+  X (KQ_EQUERY_NUMBER, -803, "a number is expected")                          \
+  X (KQ_EQUERY_UNIT, -804, "the unit does not fit the number")                \
+  X (KQ_EQUERY_FIELD, -805, "the table has no such field")                    \
   /* settings */                                                              \
   X (KQ_ESETTING, -900, "a setting is missing or wrong")
 
--- /dev/null
+++ b/builtin/cancel.c
@@ -0,0 +1,14 @@
+/* kumquatrack cancel */
+
+#include "builtin/builtin.h"
+
+int
+kq_cmd_cancel (int argc, char **argv)
+{
+  static const struct kq_tool_usage usage = {
+    "cancel", "job ID",
+    "Cancels a job: tasks that wait never start, running ones are stopped.\n"
+  };
+
+  return kq_tool_main (argc, argv, &usage);
+}
--- /dev/null
+++ b/builtin/options.c
@@ -0,0 +1,196 @@
+/* Flags and words of a subcommand. */
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "builtin/builtin.h"
+
+#define TIMEOUT_DEFAULT_SEC 5.0
+#define TIMEOUT_LEAST_SEC 0.1
+#define TIMEOUT_MOST_SEC 600.0
+#define WATCH_LEAST_SEC 0.1
+#define WATCH_MOST_SEC 3600.0
+#define FLAG_ERRORS_MAX 4
+
+/** The flags as argtable reads them. */
+struct flags
+{
+  struct arg_str *admin;
+  struct arg_lit *json;
+  struct arg_dbl *watch;
+  struct arg_dbl *timeout;
+  struct arg_lit *help;
+  struct arg_str *words;
+  struct arg_end *end;
+};
+
+#define FLAG_COUNT (sizeof (struct flags) / sizeof (void *))
+
+static void
+flags_init (struct flags *flags)
+{
+  flags->admin = arg_strn (NULL, "admin", "URL", 0, KQ_TOOL_URLS_MAX,
+                           "entry host to ask, such as http://10.0.0.1:7071");
+  flags->json = arg_lit0 (NULL, "json", "print the answer as JSON");
+  flags->watch = arg_dbl0 (NULL, "watch", "SECONDS",
+                           "ask again every so often, 0.1 to 3600");
+  flags->timeout
+      = arg_dbl0 (NULL, "timeout", "SECONDS",
+                  "wait this long for each entry host, 0.1 to 600 (5)");
+  flags->help = arg_lit0 ("h", "help", "print this text");
+  flags->words
+      = arg_strn (NULL, NULL, "WORD", 0, KQ_TOOL_WORDS_MAX, "the command");
+  flags->end = arg_end (FLAG_ERRORS_MAX);
+}
+
+void
+kq_tool_print_statuses (void)
+{
+  puts ("\nExit status:\n"
+        "  0  answered, or the change was accepted\n"
+        "  1  refused by the system; nothing was changed\n"
+        "  2  a flag or a word of the command is wrong; nothing was sent\n"
+        "  3  nobody answered; nothing was changed\n"
+        "  4  the outcome is unknown: the change may have taken effect");
+}
+
+static void
+print_help (const struct kq_tool_usage *usage, struct flags *flags)
+{
+  printf ("Usage: kumquatrack %s [FLAG]... %s\n\n%s\n", usage->name,
+          usage->words, usage->text);
+  arg_print_glossary (stdout, (void **)flags, "  %-20s %s\n");
+  puts ("\nSeveral --admin are tried in turn; without one, the addresses in\n"
+        "KUMQUATRACK_ADMIN are, separated by commas.");
+  kq_tool_print_statuses ();
+}
+
+/** Takes addresses from the flags, or else from the environment. */
+static enum kq_status
+read_urls (const struct flags *flags, struct kq_tool_options *options)
+{
+  const char *list = getenv ("KUMQUATRACK_ADMIN");
+  char *rest;
+  char *url;
+
+  for (int i = 0; i < flags->admin->count; i++)
+    options->urls[options->url_count++] = flags->admin->sval[i];
+  if (options->url_count > 0 || list == NULL)
+    return KQ_STATUS_OK;
+  options->url_list = strdup (list);
+  if (options->url_list == NULL)
+    return KQ_STATUS_USAGE;
+  url = strtok_r (options->url_list, ", ", &rest);
+  while (url != NULL && options->url_count < KQ_TOOL_URLS_MAX)
+    {
+      options->urls[options->url_count++] = url;
+      url = strtok_r (NULL, ", ", &rest);
+    }
+  return KQ_STATUS_OK;
+}
+
+/** Reads a flag of seconds; an absent one leaves *VALUE. */
+static enum kq_status
+read_seconds (const char *name, const struct arg_dbl *flag, double least,
+              double most, double *value)
+{
+  if (flag->count == 0)
+    return KQ_STATUS_OK;
+  if (!(flag->dval[0] >= least && flag->dval[0] <= most))
+    {
+      fprintf (stderr, "kumquatrack: --%s %g: allowed are %g to %g seconds\n",
+               name, flag->dval[0], least, most);
+      return KQ_STATUS_USAGE;
+    }
+  *value = flag->dval[0];
+  return KQ_STATUS_OK;
+}
+
+static bool
+needs_quotes (const char *word)
+{
+  return *word == '\0' || strpbrk (word, " \t\n") != NULL;
+}
+
+/** Joins NAME and the words into a new string; NULL out of memory. */
+static char *
+join_words (const char *name, const struct arg_str *words)
+{
+  size_t size = strlen (name) + 1;
+  char *text;
+  char *at;
+
+  for (int i = 0; i < words->count; i++)
+    size += strlen (words->sval[i]) + 3;
+  text = malloc (size);
+  if (text == NULL)
+    return NULL;
+  at = stpcpy (text, name);
+  for (int i = 0; i < words->count; i++)
+    {
+      const char *word = words->sval[i];
+      /* A document is sent as it is. */
+      const char *quote = *word != '{' && needs_quotes (word) ? "\"" : "";
+
+      at = stpcpy (at, " ");
+      at = stpcpy (at, quote);
+      at = stpcpy (at, word);
+      at = stpcpy (at, quote);
+    }
+  return text;
+}
+
+static enum kq_status
+read_flags (int argc, char **argv, const struct kq_tool_usage *usage,
+            struct flags *flags, struct kq_tool_options *options, char **text)
+{
+  int errors = arg_parse (argc, argv, (void **)flags);
+
+  if (flags->help->count > 0)
+    {
+      print_help (usage, flags);
+      return KQ_STATUS_OK;
+    }
+  if (errors > 0)
+    {
+      arg_print_errors (stderr, flags->end, "kumquatrack");
+      return KQ_STATUS_USAGE;
+    }
+  options->json = flags->json->count > 0;
+  if (read_seconds ("watch", flags->watch, WATCH_LEAST_SEC, WATCH_MOST_SEC,
+                    &options->watch_sec)
+          != KQ_STATUS_OK
+      || read_seconds ("timeout", flags->timeout, TIMEOUT_LEAST_SEC,
+                       TIMEOUT_MOST_SEC, &options->timeout_sec)
+             != KQ_STATUS_OK
+      || read_urls (flags, options) != KQ_STATUS_OK)
+    return KQ_STATUS_USAGE;
+  *text = join_words (usage->name, flags->words);
+  return *text ? KQ_STATUS_OK : KQ_STATUS_USAGE;
+}
+
+enum kq_status
+kq_tool_parse (int argc, char **argv, const struct kq_tool_usage *usage,
+               struct kq_tool_options *options, char **text)
+{
+  struct flags flags;
+  enum kq_status status = KQ_STATUS_USAGE;
+
+  memset (options, 0, sizeof (*options));
+  options->timeout_sec = TIMEOUT_DEFAULT_SEC;
+  *text = NULL;
+  flags_init (&flags);
+  if (arg_nullcheck ((void **)&flags) == 0)
+    status = read_flags (argc, argv, usage, &flags, options, text);
+  arg_freetable ((void **)&flags, FLAG_COUNT);
+  return status;
+}
+
+void
+kq_tool_options_clear (struct kq_tool_options *options)
+{
+  free (options->url_list);
+  memset (options, 0, sizeof (*options));
+}
--- /dev/null
+++ b/builtin/output.c
@@ -0,0 +1,199 @@
+/* Prints answers for people. */
+
+#include "builtin/output.h"
+
+#include <ctype.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COLUMNS_MAX 32
+
+struct column
+{
+  const char *field;
+  int width;
+};
+
+/** Returns CELL as a new string that is safe on a terminal. */
+static char *
+cell_text (const json_t *cell)
+{
+  char *text;
+
+  if (cell == NULL || json_is_null (cell))
+    text = strdup ("-");
+  else if (json_is_string (cell))
+    text = strdup (json_string_value (cell));
+  else
+    text = json_dumps (cell, JSON_ENCODE_ANY | JSON_COMPACT);
+  if (text == NULL)
+    return NULL;
+  if (*text == '\0')
+    {
+      free (text);
+      return strdup ("-");
+    }
+  for (char *at = text; *at != '\0'; at++)
+    if (iscntrl ((unsigned char)*at))
+      *at = '?';
+  return text;
+}
+
+static int
+cell_width (const json_t *cell)
+{
+  char *text = cell_text (cell);
+  int width = text ? (int)strlen (text) : 0;
+
+  free (text);
+  return width;
+}
+
+/** Place of FIELD among the columns: smaller stands further left. */
+static int
+rank (const char *field)
+{
+  static const char *const first[] = { "kind", "name", "state" };
+
+  for (int i = 0; i < 3; i++)
+    if (strcmp (field, first[i]) == 0)
+      return i;
+  return strcmp (field, "reason") == 0 ? 4 : 3;
+}
+
+/** Adds FIELD to the COUNT columns unless it is there; returns its place, or
+ *  -1 when there are too many.  */
+static int
+column_of (struct column *columns, int *count, const char *field)
+{
+  int place;
+
+  for (int i = 0; i < *count; i++)
+    if (strcmp (columns[i].field, field) == 0)
+      return i;
+  if (*count == COLUMNS_MAX)
+    return -1;
+  for (place = *count; place > 0; place--)
+    {
+      if (rank (columns[place - 1].field) <= rank (field))
+        break;
+      columns[place] = columns[place - 1];
+    }
+  columns[place].field = field;
+  columns[place].width = (int)strlen (field);
+  (*count)++;
+  return place;
+}
+
+static int
+find_columns (const json_t *rows, struct column *columns)
+{
+  int count = 0;
+  size_t index;
+  const char *field;
+  json_t *row;
+  json_t *cell;
+
+  json_array_foreach (rows, index, row) json_object_foreach (row, field, cell)
+  {
+    int place = column_of (columns, &count, field);
+    int width = cell_width (cell);
+
+    if (place >= 0 && columns[place].width < width)
+      columns[place].width = width;
+  }
+  return count;
+}
+
+static void
+print_cell (const json_t *cell, int width, bool last)
+{
+  char *text = cell_text (cell);
+
+  if (json_is_number (cell))
+    printf ("%*s", width, text ? text : "");
+  else if (last)
+    fputs (text ? text : "", stdout);
+  else
+    printf ("%-*s", width, text ? text : "");
+  fputs (last ? "\n" : "  ", stdout);
+  free (text);
+}
+
+static void
+print_heading (const struct column *columns, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      for (const char *at = columns[i].field; *at != '\0'; at++)
+        putchar (toupper ((unsigned char)*at));
+      if (i + 1 < count)
+        printf ("%*s", columns[i].width + 2 - (int)strlen (columns[i].field),
+                "");
+    }
+  putchar ('\n');
+}
+
+void
+kq_output_table (const json_t *rows)
+{
+  struct column columns[COLUMNS_MAX];
+  int count = find_columns (rows, columns);
+  size_t index;
+  json_t *row;
+
+  if (json_array_size (rows) == 0)
+    {
+      puts ("(none)");
+      return;
+    }
+  print_heading (columns, count);
+  json_array_foreach (rows, index, row) for (int i = 0; i < count; i++)
+      print_cell (json_object_get (row, columns[i].field), columns[i].width,
+                  i + 1 == count);
+}
+
+void
+kq_output_list (const json_t *rows)
+{
+  size_t index;
+  const char *field;
+  json_t *row;
+  json_t *cell;
+
+  json_array_foreach (rows, index, row)
+  {
+    const char *kind = json_string_value (json_object_get (row, "kind"));
+    const char *name = json_string_value (json_object_get (row, "name"));
+
+    printf ("%s %s\n", kind ? kind : "-", name ? name : "-");
+    json_object_foreach (row, field, cell)
+    {
+      char *text;
+
+      if (strcmp (field, "kind") == 0 || strcmp (field, "name") == 0)
+        continue;
+      text = cell_text (cell);
+      printf ("  %-16s %s\n", field, text ? text : "");
+      free (text);
+    }
+  }
+}
+
+void
+kq_output_coverage (const json_t *answer)
+{
+  const json_t *coverage = json_object_get (answer, "coverage");
+  const char *host = json_string_value (json_object_get (coverage, "host"));
+  const json_t *owned = json_object_get (coverage, "owned_shards");
+
+  printf (
+      "revision %lld, age %lld ms, answered by %s, which owns %zu of "
+      "%lld shards\n",
+      (long long)json_integer_value (json_object_get (answer, "revision")),
+      (long long)json_integer_value (json_object_get (answer, "age_ms")),
+      host ? host : "-", json_array_size (owned),
+      (long long)json_integer_value (json_object_get (coverage, "shards")));
+}
--- /dev/null
+++ b/builtin/trace.c
@@ -0,0 +1,13 @@
+/* kumquatrack trace */
+
+#include "builtin/builtin.h"
+
+int
+kq_cmd_trace (int argc, char **argv)
+{
+  static const struct kq_tool_usage usage
+      = { "trace", "ID",
+          "Shows a span for each hop of one request or task.\n" };
+
+  return kq_tool_main (argc, argv, &usage);
+}
--- /dev/null
+++ b/query/answer.c
@@ -0,0 +1,314 @@
+/* Answers to queries, and outcomes of commands, as JSON. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "query/filter.h"
+#include "query/query.h"
+
+static json_t *
+rows_of (const struct kq_query_provider *provider, enum kq_table table)
+{
+  json_t *rows = provider->rows ? provider->rows (provider->ctx, table) : NULL;
+
+  return rows ? rows : json_array ();
+}
+
+static const char *
+text_of (const json_t *row, const char *field)
+{
+  const char *text = json_string_value (json_object_get (row, field));
+
+  return text ? text : "";
+}
+
+/** Which shards the answering host owns: what it says of their workers and
+ *  tasks is first hand; the rest it knows from the log and from peers.  */
+static json_t *
+coverage (const struct kq_query_provider *provider)
+{
+  json_t *rows = rows_of (provider, KQ_TABLE_SHARDS);
+  json_t *owned = json_array ();
+  const char *host = provider->host ? provider->host : "";
+  json_int_t shards = (json_int_t)json_array_size (rows);
+  size_t index;
+  json_t *row;
+
+  json_array_foreach (
+      rows, index, row) if (strcmp (text_of (row, "owner"), host) == 0
+                            || strcmp (text_of (row, "state"), "owned") == 0)
+      json_array_append (owned, json_object_get (row, "name"));
+  json_decref (rows);
+  return json_pack ("{s:s, s:o, s:I}", "host", host, "owned_shards", owned,
+                    "shards", shards);
+}
+
+static int64_t
+revision_of (const json_t *config)
+{
+  return json_integer_value (json_object_get (config, "revision"));
+}
+
+static json_t *
+config_of (const struct kq_query_provider *provider)
+{
+  return provider->config ? provider->config (provider->ctx) : NULL;
+}
+
+/** Wraps ROWS, which it takes over, into an answer. */
+static json_t *
+answer_with (const struct kq_query_provider *provider, json_t *rows)
+{
+  json_t *config = config_of (provider);
+  json_t *answer = json_pack ("{s:I, s:I, s:o, s:o}", "revision",
+                              (json_int_t)revision_of (config), "age_ms",
+                              (json_int_t)provider->age_ms, "coverage",
+                              coverage (provider), "rows", rows);
+
+  json_decref (config);
+  return answer;
+}
+
+/** Says that a query is refused with ERR about WORD at COLUMN (0: none). */
+static json_t *
+refusal (const struct kq_query_provider *provider, int err, const char *word,
+         int column)
+{
+  json_t *config = config_of (provider);
+  json_t *answer = json_pack (
+      "{s:s, s:s, s:i, s:s, s:s, s:i, s:I, s:I}", "result", "refused", "error",
+      kq_err_name (err), "number", err, "reason", kq_err_text (err), "word",
+      word, "column", column, "revision", (json_int_t)revision_of (config),
+      "age_ms", (json_int_t)provider->age_ms);
+
+  json_decref (config);
+  return answer;
+}
+
+static json_t *
+answer_show (const struct kq_query *query,
+             const struct kq_query_provider *provider)
+{
+  json_t *rows = rows_of (provider, query->u.show.table);
+  const struct kq_query_filter *unknown
+      = kq_query_filter_unknown (query, rows);
+  json_t *kept;
+  size_t index;
+  json_t *row;
+
+  if (unknown != NULL)
+    {
+      json_decref (rows);
+      return refusal (provider, KQ_EQUERY_FIELD, unknown->field.text,
+                      unknown->column);
+    }
+  kept = json_array ();
+  json_array_foreach (rows, index, row)
+  {
+    bool match = true;
+
+    for (int i = 0; match && i < query->u.show.filter_count; i++)
+      match = kq_query_filter_match (&query->u.show.filters[i], row);
+    if (match)
+      json_array_append (kept, row);
+  }
+  json_decref (rows);
+  return answer_with (provider, kept);
+}
+
+static json_t *
+answer_configuration (const struct kq_query_provider *provider)
+{
+  json_t *rows = json_array ();
+  json_t *config = config_of (provider);
+
+  if (config == NULL)
+    {
+      json_decref (rows);
+      return refusal (provider, KQ_ECONFIG_NONE, "configuration", 0);
+    }
+  json_array_append_new (rows, config);
+  return answer_with (provider, rows);
+}
+
+/** Appends to OUT a copy of the row of TABLE called NAME, with the table's
+ *  name as "kind".  @return the copy, owned by OUT, or NULL.  */
+static json_t *
+append_named (json_t *out, const struct kq_query_provider *provider,
+              enum kq_table table, const char *kind, const char *name)
+{
+  json_t *rows = rows_of (provider, table);
+  json_t *found = NULL;
+  size_t index;
+  json_t *row;
+
+  json_array_foreach (rows, index,
+                      row) if (found == NULL
+                               && strcmp (text_of (row, "name"), name) == 0)
+  {
+    found = json_pack ("{s:s}", "kind", kind);
+    json_object_update (found, row);
+    json_array_append_new (out, found);
+  }
+  json_decref (rows);
+  return found;
+}
+
+/** A task, the worker that it is on and the job that it belongs to. */
+static json_t *
+answer_why_task (const struct kq_task_id *task,
+                 const struct kq_query_provider *provider)
+{
+  json_t *rows = json_array ();
+  char name[KQ_NAME_SIZE + 16];
+  json_t *found;
+  json_t *job;
+
+  snprintf (name, sizeof (name), "%s/%d", task->job.text, task->index);
+  found = append_named (rows, provider, KQ_TABLE_TASKS, "task", name);
+  if (found != NULL && *text_of (found, "worker") != '\0')
+    append_named (rows, provider, KQ_TABLE_WORKERS, "worker",
+                  text_of (found, "worker"));
+  job = append_named (rows, provider, KQ_TABLE_JOBS, "job", task->job.text);
+  if (found != NULL || job != NULL)
+    return answer_with (provider, rows);
+  json_decref (rows);
+  return refusal (provider, KQ_EJOB_UNKNOWN, name, 0);
+}
+
+/** Counts ROW in the group of SUMMARY with the same state and reason. */
+static void
+count_task (json_t *summary, const json_t *row)
+{
+  const char *state = text_of (row, "state");
+  const char *reason = text_of (row, "reason");
+  json_int_t count;
+  size_t index;
+  json_t *group;
+
+  json_array_foreach (
+      summary, index,
+      group) if (strcmp (text_of (group, "kind"), "tasks") == 0
+                 && strcmp (text_of (group, "state"), state) == 0
+                 && strcmp (text_of (group, "reason"), reason) == 0)
+  {
+    count = json_integer_value (json_object_get (group, "tasks"));
+    json_object_set_new (group, "tasks", json_integer (count + 1));
+    return;
+  }
+  json_array_append_new (
+      summary, json_pack ("{s:s, s:s, s:s, s:i, s:s}", "kind", "tasks", "name",
+                          text_of (row, "name"), "state", state, "tasks", 1,
+                          "reason", reason));
+}
+
+/** A job, and its tasks counted by state and reason. */
+static json_t *
+answer_why_job (const struct kq_name *id,
+                const struct kq_query_provider *provider)
+{
+  json_t *rows = json_array ();
+  size_t length = strlen (id->text);
+  json_t *tasks;
+  size_t index;
+  json_t *row;
+
+  if (append_named (rows, provider, KQ_TABLE_JOBS, "job", id->text) == NULL)
+    {
+      json_decref (rows);
+      return refusal (provider, KQ_EJOB_UNKNOWN, id->text, 0);
+    }
+  tasks = rows_of (provider, KQ_TABLE_TASKS);
+  json_array_foreach (tasks, index, row)
+  {
+    const char *name = text_of (row, "name");
+
+    if (strncmp (name, id->text, length) == 0 && name[length] == '/')
+      count_task (rows, row);
+  }
+  json_decref (tasks);
+  return answer_with (provider, rows);
+}
+
+static json_t *
+answer_trace (const struct kq_name *id,
+              const struct kq_query_provider *provider)
+{
+  json_t *spans
+      = provider->trace ? provider->trace (provider->ctx, id->text) : NULL;
+
+  if (json_array_size (spans) > 0)
+    return answer_with (provider, spans);
+  json_decref (spans);
+  return refusal (provider, KQ_ENOENT, id->text, 0);
+}
+
+json_t *
+kq_query_answer (const struct kq_query *query,
+                 const struct kq_query_provider *provider)
+{
+  switch (query->kind)
+    {
+    case KQ_QUERY_SHOW:
+      return answer_show (query, provider);
+    case KQ_QUERY_CONFIGURATION:
+      return answer_configuration (provider);
+    case KQ_QUERY_WHY_TASK:
+      return answer_why_task (&query->u.task, provider);
+    case KQ_QUERY_WHY_JOB:
+      return answer_why_job (&query->u.name, provider);
+    case KQ_QUERY_WHY_REQUEST:
+    case KQ_QUERY_TRACE:
+      return answer_trace (&query->u.name, provider);
+    case KQ_QUERY_COMMAND:
+      break;
+    }
+  return refusal (provider, KQ_EINVAL, "", 0);
+}
+
+/** Whether a command that ended with ERR may have taken effect. */
+static bool
+outcome_unknown (int err)
+{
+  return err == KQ_ELOG_DOWN || err == KQ_ETIMEDOUT || err == KQ_ECLOSED;
+}
+
+static const char *
+command_word (enum kq_command_kind kind)
+{
+  switch (kind)
+    {
+    case KQ_CMD_SUBMIT:
+      return "submit";
+    case KQ_CMD_CANCEL:
+      return "cancel";
+    case KQ_CMD_DRAIN:
+      return "drain";
+    case KQ_CMD_UNDRAIN:
+      return "undrain";
+    case KQ_CMD_CONFIGURE:
+      return "configure";
+    }
+  return "";
+}
+
+json_t *
+kq_query_reply (const struct kq_query *query, int err, int64_t revision)
+{
+  const struct kq_command *command = &query->u.command;
+  const char *result = "accepted";
+  json_t *reply;
+
+  if (err != 0)
+    result = outcome_unknown (err) ? "unknown" : "refused";
+  reply = json_pack ("{s:s, s:s, s:s, s:I}", "result", result, "command",
+                     command_word (command->kind), "name", command->name.text,
+                     "revision", (json_int_t)revision);
+  if (reply == NULL || err == 0)
+    return reply;
+  json_object_set_new (reply, "error", json_string (kq_err_name (err)));
+  json_object_set_new (reply, "number", json_integer (err));
+  json_object_set_new (reply, "reason", json_string (kq_err_text (err)));
+  return reply;
+}
