--- a/core/append.c
+++ b/core/append.c
@@ -204,9 +204,8 @@
   {
     if (expire_command (core, append))
       continue;
-    if (append->sent_at == 0)
-      send (core, append);
-    else if (append->retry_at != 0 && core->now >= append->retry_at)
+    if (append->sent_at == 0
+        || (append->retry_at != 0 && core->now >= append->retry_at))
       send (core, append);
     else if (append->retry_at == 0 && append->lost_at == 0
              && append->offset == 0
--- a/core/bind.c
+++ b/core/bind.c
@@ -126,7 +126,7 @@
     if (job->waits_since != 0 && count < JOBS_MAX)
       waiting[count++] = job;
   }
-  qsort (waiting, count, sizeof waiting[0], by_importance);
+  qsort (waiting, count, sizeof (void *), by_importance);
   return count;
 }
 
--- a/core/core.c
+++ b/core/core.c
@@ -53,28 +53,46 @@
   return NULL;
 }
 
+/* HASH_CLEAR frees the table and leaves the items linked. */
+static void
+destroy_members (struct kq_core *core)
+{
+  struct kq_member *member = core->members;
+
+  HASH_CLEAR (hh, core->members);
+  while (member != NULL)
+    {
+      struct kq_member *next = member->hh.next;
+
+      free (member);
+      member = next;
+    }
+}
+
+static void
+destroy_drains (struct kq_core *core)
+{
+  struct kq_drain *drain = core->drains;
+
+  HASH_CLEAR (hh, core->drains);
+  while (drain != NULL)
+    {
+      struct kq_drain *next = drain->hh.next;
+
+      free (drain);
+      drain = next;
+    }
+}
+
 void
 kq_core_destroy (struct kq_core *core)
 {
-  struct kq_member *member;
-  struct kq_member *next;
-  struct kq_drain *drain;
-  struct kq_drain *next_drain;
-
   if (core == NULL)
     return;
   kq_append_destroy_all (core);
   kq_shard_destroy_all (core);
-  HASH_ITER (hh, core->members, member, next)
-  {
-    HASH_DEL (core->members, member);
-    free (member);
-  }
-  HASH_ITER (hh, core->drains, drain, next_drain)
-  {
-    HASH_DEL (core->drains, drain);
-    free (drain);
-  }
+  destroy_members (core);
+  destroy_drains (core);
   kq_config_destroy (core->config);
   kq_jobs_destroy (core->jobs);
   free (core);
--- a/core/rows.c
+++ b/core/rows.c
@@ -193,7 +193,7 @@
 static void
 add_jobs (const struct kq_core *core, json_t *rows)
 {
-  const struct kq_job_state *job = kq_jobs_finished (core->jobs);
+  const struct kq_job_state *job;
   int shown = 0;
 
   DL_FOREACH (kq_jobs_live (core->jobs), job)
--- a/core/shard.c
+++ b/core/shard.c
@@ -333,8 +333,8 @@
     }
   if (core->now < shard->rests_until)
     return false;
-  return core->now
-         >= shard->unclaimed_since + rank * 2 * core->settings.lease_ttl;
+  return core->now >= shard->unclaimed_since
+                          + (kq_usec)2 * rank * core->settings.lease_ttl;
 }
 
 static void
--- a/core/task.c
+++ b/core/task.c
@@ -44,8 +44,10 @@
 {
   struct kq_shard *shard = run->owner;
 
+  /* NOLINTBEGIN(clang-analyzer-core.NullDereference): the lists' macros */
   HASH_DEL (core->runs, run);
   DL_DELETE (shard->runs, run);
+  /* NOLINTEND(clang-analyzer-core.NullDereference) */
   kq_run_destroy (run);
 }
 
@@ -329,6 +331,8 @@
   if (attempt->acted_at != 0 && core->now < attempt->acted_at + ACT_EVERY)
     return;
   HASH_FIND_STR (core->nodes, kq_worker_name (attempt->worker)->text, node);
+  if (node == NULL)
+    return;
   attempt->acted_at = core->now;
   effect.u.task.worker = node->name;
   effect.u.task.term = kq_lease_term (node->lease);
--- a/core/topology.c
+++ b/core/topology.c
@@ -112,6 +112,15 @@
     }
 }
 
+static bool
+has_shard (const struct kq_core *core, const struct kq_name *name)
+{
+  const struct kq_shard *shard;
+
+  HASH_FIND_STR (core->shards, name->text, shard);
+  return shard != NULL;
+}
+
 void
 kq_shard_configure (struct kq_core *core)
 {
@@ -137,9 +146,10 @@
   }
   for (size_t i = 0; i < document->shard_count; i++)
     {
-      HASH_FIND_STR (core->shards, document->shards[i].name.text, shard);
-      if (shard == NULL)
-        create_shard (core, &document->shards[i]);
+      const struct kq_config_shard *wanted = &document->shards[i];
+
+      if (!has_shard (core, &wanted->name))
+        create_shard (core, wanted);
     }
   core->view_dirty = true;
 }
--- a/job/job.c
+++ b/job/job.c
@@ -45,32 +45,50 @@
 static void
 drop_held (struct kq_jobs *jobs)
 {
-  struct held_record *held;
-  struct held_record *next;
+  struct held_record *held = jobs->held;
 
-  DL_FOREACH_SAFE (jobs->held, held, next)
-  {
-    DL_DELETE (jobs->held, held);
-    kq_record_free (held->record);
-    free (held);
-  }
+  jobs->held = NULL;
+  while (held != NULL)
+    {
+      struct held_record *next = held->next;
+
+      kq_record_free (held->record);
+      free (held);
+      held = next;
+    }
+}
+
+static void
+drop_shards (struct kq_jobs *jobs)
+{
+  struct kq_job_shard *shard = jobs->shards;
+
+  /* Frees the table and leaves the items linked. */
+  HASH_CLEAR (hh, jobs->shards);
+  while (shard != NULL)
+    {
+      struct kq_job_shard *next = shard->hh.next;
+
+      free (shard);
+      shard = next;
+    }
 }
 
 static void
 drop_all (struct kq_jobs *jobs)
 {
-  struct kq_job_state *job;
-  struct kq_job_state *next;
-  struct kq_job_shard *shard;
-  struct kq_job_shard *next_shard;
+  struct kq_job_state *job = jobs->by_id;
 
-  HASH_ITER (hh, jobs->by_id, job, next)
-  drop_job (jobs, job);
-  HASH_ITER (hh, jobs->shards, shard, next_shard)
-  {
-    HASH_DEL (jobs->shards, shard);
-    free (shard);
-  }
+  HASH_CLEAR (hh, jobs->by_id);
+  while (job != NULL)
+    {
+      struct kq_job_state *next = job->hh.next;
+
+      free (job->tasks);
+      free (job);
+      job = next;
+    }
+  drop_shards (jobs);
   drop_held (jobs);
   jobs->live = NULL;
   jobs->finished = NULL;
--- a/worker/worker.c
+++ b/worker/worker.c
@@ -32,10 +32,18 @@
 void
 kq_worker_destroy (struct kq_worker *worker)
 {
+  struct kq_attempt *attempt;
+
   if (worker == NULL)
     return;
-  while (worker->attempts != NULL)
-    kq_worker_forget (worker->attempts);
+  attempt = worker->attempts;
+  while (attempt != NULL)
+    {
+      struct kq_attempt *next = attempt->next;
+
+      free (attempt);
+      attempt = next;
+    }
   free (worker);
 }
 
