--- a/core/core.c
+++ b/core/core.c
@@ -13,6 +13,7 @@
 #define TASK_TTL (10 * KQ_USEC_PER_SEC)
 #define RENEW_EVERY (500 * KQ_USEC_PER_MSEC)
 #define CLOCK_RATE_PPM 10000
+#define REFRESH_EVERY (600 * KQ_USEC_PER_SEC)
 
 /* Least time between two passes over everything. */
 #define TICK_MIN (20 * KQ_USEC_PER_MSEC)
@@ -30,6 +31,7 @@
   settings->task_ttl = TASK_TTL;
   settings->renew_every = RENEW_EVERY;
   settings->clock_rate_ppm = CLOCK_RATE_PPM;
+  settings->refresh_every = REFRESH_EVERY;
 }
 
 struct kq_core *
--- a/core/core.h
+++ b/core/core.h
@@ -25,6 +25,8 @@
   kq_usec task_ttl;       /**< of a running attempt */
   kq_usec renew_every;    /**< between renewals of a lease */
   int32_t clock_rate_ppm; /**< bound on clock rate error, parts a million */
+  kq_usec refresh_every;  /**< what still counts is appended again when it is
+                             older; at most a third of what the log keeps */
 };
 
 /** Fills SETTINGS with defaults except host, zone, region, incarnation. */
--- /dev/null
+++ b/t/test-soak.c
@@ -0,0 +1,544 @@
+/* A randomised run of several decision cores with small fakes and a seeded
+   schedule of faults.  Without arguments a short one of a few seeds for CI;
+   "soak SEED STEPS" is what make soak calls.  */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "t/kqtest.h"
+#include "t/lib-fake.h"
+
+#define QUIET_SHARE 0.8 /* of the steps, then faults stop */
+#define QUIET_MAX 400.0 /* seconds in which everything must finish */
+#define REFUSED_MAX 100000
+
+enum fault
+{
+  FAULT_KILL,
+  FAULT_PAUSE,
+  FAULT_CUT,
+  FAULT_LOG_DOWN,
+  FAULT_LOG_ANSWERS,
+  FAULT_MESSAGES,
+  FAULT_WORKER_DOWN,
+  FAULT_WORKER_BAD,
+  FAULT_LEAVING,
+  FAULT_STOP,
+  FAULT_ZONE,
+  FAULT_CANCELS,
+  FAULT_CONFIGURE,
+  FAULT_DRAIN,
+  FAULT_COUNT
+};
+
+enum undo
+{
+  UNDO_HOST,
+  UNDO_CUTS,
+  UNDO_LOG,
+  UNDO_MESSAGES,
+  UNDO_WORKER,
+  UNDO_RESTARTED_WORKER,
+  UNDO_DRAIN
+};
+
+static uint64_t refused[REFUSED_MAX];
+static size_t refused_count;
+static struct fake_world *running;
+
+static struct fake_item *
+undo_later (struct fake_world *world, double after, enum undo what, int which)
+{
+  struct fake_item *item
+      = fake_schedule (world, world->now + after, FAKE_UNDO, -1);
+
+  item->what = (int)what;
+  item->worker = which;
+  return item;
+}
+
+static int
+live_host (struct fake_world *world)
+{
+  int first = fake_pick (world, FAKE_HOSTS);
+
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      const struct fake_host *host = &world->hosts[(first + i) % FAKE_HOSTS];
+
+      if (host->core != NULL && host->paused_until <= world->now
+          && !host->stopping)
+        return (first + i) % FAKE_HOSTS;
+    }
+  return -1;
+}
+
+static void
+command (struct fake_world *world, int host, struct kq_command *command)
+{
+  struct kq_event event = { .kind = KQ_EV_COMMAND };
+
+  if (host < 0)
+    return;
+  command->id = ++world->commands;
+  if (command->kind == KQ_CMD_SUBMIT)
+    snprintf (command->job.id.text, sizeof command->job.id.text, "j%lu",
+              (unsigned long)command->id);
+  event.u.command = *command;
+  fake_give (world, host, &event);
+}
+
+static void
+configure (struct fake_world *world, int host)
+{
+  static char text[4096];
+  struct kq_command configure = { .kind = KQ_CMD_CONFIGURE };
+  int length = snprintf (text, sizeof text, "{\"shards\":[");
+
+  for (int s = 0; s < FAKE_SHARDS; s++)
+    length += snprintf (
+        text + length, sizeof text - (size_t)length,
+        "%s{\"name\":\"s%d\",\"zone\":\"z%d\",\"workers\":[\"w%d\",\"w%d\","
+        "\"w%d\"]}",
+        s == 0 ? "" : ",", s, s % FAKE_ZONES, 3 * s, 3 * s + 1, 3 * s + 2);
+  snprintf (text + length, sizeof text - (size_t)length,
+            "],\"services\":[{\"name\":\"x%d\"}]}", fake_pick (world, 1000));
+  configure.text = text;
+  configure.base = kq_config_revision (world->config);
+  command (world, host, &configure);
+}
+
+static bool
+is_refusal (int err)
+{
+  return err == KQ_ELOG_BUSY || err == KQ_ELOG_DOWN || err == KQ_ESTOPPING
+         || err == KQ_ERANGE;
+}
+
+void
+fake_reply (struct fake_world *world, int host, const struct kq_effect *effect)
+{
+  struct kq_name name = { "" };
+
+  (void)host;
+  snprintf (name.text, sizeof name.text, "j%lu",
+            (unsigned long)effect->u.reply.id);
+  fake_trace (world, "reply to %s: %s", name.text,
+              kq_err_name (effect->u.reply.err));
+  if (is_refusal (effect->u.reply.err) && refused_count < REFUSED_MAX)
+    refused[refused_count++] = effect->u.reply.id;
+}
+
+static void
+submit (struct fake_world *world)
+{
+  struct kq_command submit = { .kind = KQ_CMD_SUBMIT };
+  struct kq_job *job = &submit.job;
+
+  strcpy (job->team.text, "team");
+  job->tasks = 1 + fake_pick (world, 12);
+  job->importance = fake_pick (world, 10);
+  job->run_ms = 300 + fake_pick (world, 15000);
+  job->size.cpu_milli = 500 + fake_pick (world, 3000);
+  job->size.memory_mb = 100 + fake_pick (world, 3000);
+  if (fake_chance (world, 0.03))
+    job->size.cpu_milli = 99000;
+  if (fake_chance (world, 0.3))
+    snprintf (job->zone.text, sizeof job->zone.text, "z%d",
+              fake_pick (world, FAKE_ZONES));
+  world->submits++;
+  command (world, live_host (world), &submit);
+}
+
+static void
+load (struct fake_world *world)
+{
+  if (kq_config_revision (world->config) == 0)
+    configure (world, live_host (world));
+  submit (world);
+  fake_schedule (world, world->now + fake_uniform (world, 0.5, 4.0), FAKE_LOAD,
+                 -1);
+}
+
+static void
+cut (struct fake_world *world)
+{
+  int a = fake_pick (world, FAKE_ZONES + 1);
+  int b = fake_pick (world, FAKE_ZONES + 1);
+  bool both = fake_chance (world, 0.5);
+
+  /* A zone may also be cut from itself, as when a switch fails. */
+  world->faults.cut[a][b] = true;
+  if (both)
+    world->faults.cut[b][a] = true;
+  if (fake_chance (world, 0.2))
+    for (int i = 0; i <= FAKE_ZONES; i++)
+      if (i != a)
+        world->faults.cut[a][i] = world->faults.cut[i][a] = true;
+  fake_trace (world, "cut %d to %d%s", a, b, both ? " and back" : "");
+  undo_later (world, fake_uniform (world, 1, 30), UNDO_CUTS, 0);
+}
+
+static void
+cancel_some (struct fake_world *world)
+{
+  const struct kq_job_state *job = kq_jobs_live (world->jobs);
+
+  for (int i = 0; i < 40 && job != NULL; i++, job = job->next)
+    {
+      struct kq_command cancel = { .kind = KQ_CMD_CANCEL };
+
+      cancel.name = job->job.id;
+      if (fake_chance (world, 0.3))
+        command (world, live_host (world), &cancel);
+    }
+}
+
+static void
+drain (struct fake_world *world, int worker, bool on)
+{
+  struct kq_command drain = { .kind = on ? KQ_CMD_DRAIN : KQ_CMD_UNDRAIN };
+
+  drain.name = world->workers[worker].name;
+  command (world, live_host (world), &drain);
+}
+
+static void
+fault_host (struct fake_world *world, enum fault fault, int host)
+{
+  struct kq_event stop = { .kind = KQ_EV_STOP };
+
+  if (fault == FAULT_PAUSE && world->hosts[host].paused_until <= world->now)
+    {
+      world->hosts[host].paused_until = -fake_uniform (world, 0.1, 12);
+      fake_trace (world, "%s pauses", world->hosts[host].name.text);
+      return;
+    }
+  if (fault == FAULT_STOP && world->hosts[host].paused_until <= world->now)
+    {
+      world->hosts[host].stopping = true;
+      fake_give (world, host, &stop);
+    }
+  else
+    fake_kill_host (world, host);
+  undo_later (world, fake_uniform (world, 0.2, 20), UNDO_HOST, host);
+}
+
+static void
+fault_worker (struct fake_world *world, enum fault fault, int which)
+{
+  struct fake_worker *worker = &world->workers[which];
+  bool restarts = fake_chance (world, 0.5);
+
+  fake_trace (world, "fault %d at %s", (int)fault, worker->name.text);
+  if (fault == FAULT_WORKER_DOWN)
+    worker->down = true;
+  if (fault == FAULT_WORKER_BAD)
+    worker->bad = true;
+  if (fault == FAULT_LEAVING && !worker->leaving)
+    {
+      worker->leaving = true;
+      worker->leaving_since = world->now;
+    }
+  undo_later (world, fake_uniform (world, 1, 40),
+              restarts && fault == FAULT_WORKER_DOWN ? UNDO_RESTARTED_WORKER
+                                                     : UNDO_WORKER,
+              which);
+}
+
+static void
+fault_log (struct fake_world *world, enum fault fault)
+{
+  fake_trace (world, "log fault %d", (int)fault);
+  if (fault == FAULT_LOG_DOWN)
+    {
+      world->faults.log_down_until = world->now + fake_uniform (world, 1, 40);
+      return;
+    }
+  world->faults.log_refuse = fake_uniform (world, 0, 0.6);
+  world->faults.log_lose_answer = fake_uniform (world, 0, 0.6);
+  undo_later (world, 15, UNDO_LOG, 0);
+}
+
+static void
+fault_messages (struct fake_world *world)
+{
+  world->faults.drop = fake_uniform (world, 0, 0.3);
+  world->faults.duplicate = fake_uniform (world, 0, 0.3);
+  world->faults.late = fake_uniform (world, 0, 0.5);
+  undo_later (world, 10, UNDO_MESSAGES, 0);
+}
+
+static void
+fault (struct fake_world *world)
+{
+  enum fault kind = (enum fault)fake_pick (world, FAULT_COUNT);
+
+  switch (kind)
+    {
+    case FAULT_KILL:
+    case FAULT_PAUSE:
+    case FAULT_STOP:
+      fault_host (world, kind, fake_pick (world, FAKE_HOSTS));
+      break;
+    case FAULT_ZONE:
+      {
+        int zone = fake_pick (world, FAKE_ZONES);
+
+        for (int i = zone; i < FAKE_HOSTS; i += FAKE_ZONES)
+          fault_host (world, FAULT_KILL, i);
+        break;
+      }
+    case FAULT_CUT:
+      cut (world);
+      break;
+    case FAULT_LOG_DOWN:
+    case FAULT_LOG_ANSWERS:
+      fault_log (world, kind);
+      break;
+    case FAULT_MESSAGES:
+      fault_messages (world);
+      break;
+    case FAULT_WORKER_DOWN:
+    case FAULT_WORKER_BAD:
+    case FAULT_LEAVING:
+      fault_worker (world, kind, fake_pick (world, FAKE_WORKERS));
+      break;
+    case FAULT_CANCELS:
+      cancel_some (world);
+      break;
+    case FAULT_CONFIGURE:
+      configure (world, live_host (world));
+      configure (world, live_host (world));
+      break;
+    case FAULT_DRAIN:
+      {
+        int worker = fake_pick (world, FAKE_WORKERS);
+
+        drain (world, worker, true);
+        undo_later (world, 20, UNDO_DRAIN, worker);
+        break;
+      }
+    case FAULT_COUNT:
+      break;
+    }
+  fake_schedule (world, world->now + fake_uniform (world, 0.5, 5), FAKE_FAULT,
+                 -1);
+}
+
+static void
+undo (struct fake_world *world, const struct fake_item *item)
+{
+  struct fake_faults *faults = &world->faults;
+
+  switch ((enum undo)item->what)
+    {
+    case UNDO_HOST:
+      fake_start_host (world, item->worker);
+      break;
+    case UNDO_CUTS:
+      memset (faults->cut, 0, sizeof faults->cut);
+      break;
+    case UNDO_LOG:
+      faults->log_refuse = faults->log_lose_answer = 0;
+      break;
+    case UNDO_MESSAGES:
+      faults->drop = faults->duplicate = faults->late = 0;
+      break;
+    case UNDO_RESTARTED_WORKER:
+      fake_worker_restart (world, item->worker);
+      /* fall through */
+    case UNDO_WORKER:
+      world->workers[item->worker].down = false;
+      world->workers[item->worker].bad = false;
+      world->workers[item->worker].leaving = false;
+      break;
+    case UNDO_DRAIN:
+      drain (world, item->worker, false);
+      break;
+    }
+}
+
+static void
+stop_faults (struct fake_world *world)
+{
+  world->quiet = true;
+  fake_trace (world, "faults stop");
+  memset (&world->faults, 0, sizeof world->faults);
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    if (!world->hosts[i].stopping)
+      fake_start_host (world, i);
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    {
+      world->workers[i].down = false;
+      world->workers[i].bad = false;
+      world->workers[i].leaving = false;
+      undo_later (world, 20, UNDO_DRAIN, i);
+    }
+}
+
+/* Jobs that can never run stay parked; they are cancelled to end the run. */
+static bool
+all_finished (struct fake_world *world)
+{
+  const struct kq_job_state *job;
+
+  for (job = kq_jobs_live (world->jobs); job != NULL; job = job->next)
+    if (job->job.size.cpu_milli < 99000)
+      return false;
+  return true;
+}
+
+static void
+check_end (struct fake_world *world)
+{
+  int64_t revision = kq_config_revision (world->config);
+
+  if (!all_finished (world))
+    fake_violation (world, "job %s is not finished %g s after the faults",
+                    kq_jobs_live (world->jobs)->job.id.text, QUIET_MAX);
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    if (world->hosts[i].core != NULL && world->hosts[i].revision != revision)
+      fake_violation (world, "%s has revision %ld, accepted is %ld",
+                      world->hosts[i].name.text,
+                      (long)world->hosts[i].revision, (long)revision);
+  for (size_t i = 0; i < refused_count; i++)
+    {
+      struct kq_name name = { "" };
+
+      snprintf (name.text, sizeof name.text, "j%lu",
+                (unsigned long)refused[i]);
+      if (kq_jobs_find (world->jobs, &name) != NULL)
+        fake_violation (world, "%s was refused and is in the log", name.text);
+    }
+}
+
+static void
+run_item (struct fake_world *world, struct fake_item *item)
+{
+  switch (item->kind)
+    {
+    case FAKE_FAULT:
+      if (!world->quiet)
+        fault (world);
+      break;
+    case FAKE_LOAD:
+      if (!world->quiet)
+        load (world);
+      break;
+    case FAKE_UNDO:
+      undo (world, item);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+run (struct fake_world *world, uint64_t seed, int64_t steps)
+{
+  double quiet_at = 0;
+
+  fake_init (world, seed);
+  world->steps = steps;
+  refused_count = 0;
+  running = world;
+  fake_schedule (world, world->now + 1, FAKE_LOAD, -1);
+  fake_schedule (world, world->now + 8, FAKE_FAULT, -1);
+  while (world->violations == 0)
+    {
+      struct fake_item *item;
+
+      if (!world->quiet && (double)world->step >= QUIET_SHARE * (double)steps)
+        {
+          stop_faults (world);
+          quiet_at = world->now;
+        }
+      if (world->quiet && world->step >= steps && world->now > quiet_at + 30
+          && (all_finished (world) || world->now > quiet_at + QUIET_MAX))
+        break;
+      item = fake_next (world);
+      run_item (world, item);
+      fake_item_free (item);
+    }
+  if (world->violations == 0)
+    check_end (world);
+}
+
+static void
+print_trace (const struct fake_world *world)
+{
+  int64_t first = world->traced > FAKE_TRACE ? world->traced - FAKE_TRACE : 0;
+
+  for (int64_t i = first; i < world->traced; i++)
+    printf ("%s\n", world->trace[i % FAKE_TRACE]);
+  printf ("violation: %s\n", world->violation);
+  printf ("soak: seed %lu, steps %ld, violations %d\n",
+          (unsigned long)world->seed, (long)world->step, world->violations);
+  fflush (stdout);
+}
+
+/* An invariant of the program itself did not hold. */
+static void
+on_abort (int number)
+{
+  (void)number;
+  fake_violation (running, "an assertion inside the core failed");
+  print_trace (running);
+  _exit (1);
+}
+
+static int
+soak (uint64_t seed, int64_t steps)
+{
+  static struct fake_world world;
+  int status;
+
+  signal (SIGABRT, on_abort);
+  run (&world, seed, steps);
+  status = world.violations > 0;
+  if (status != 0)
+    print_trace (&world);
+  else
+    {
+      printf ("virtual seconds %.0f, submits %ld, starts %ld, resumes %ld, "
+              "ends %ld, evictions %ld, host ends %ld, log records %ld\n",
+              world.now, (long)world.submits, (long)world.starts,
+              (long)world.resumes, (long)world.ends, (long)world.evictions,
+              (long)world.kills, (long)world.log_count);
+      printf ("soak: seed %lu, steps %ld, violations 0\n", (unsigned long)seed,
+              (long)steps);
+    }
+  fake_free (&world);
+  return status;
+}
+
+static void
+test_short_runs (void)
+{
+  static struct fake_world world;
+
+  for (uint64_t seed = 1; seed <= 6; seed++)
+    {
+      run (&world, seed, 20000);
+      if (world.violations > 0)
+        print_trace (&world);
+      CU_ASSERT_EQUAL (world.violations, 0);
+      CU_ASSERT_TRUE (world.ends > 0);
+      fake_free (&world);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct kq_test tests[] = { { "short runs", test_short_runs } };
+
+  if (argc == 4 && strcmp (argv[1], "soak") == 0)
+    return soak (strtoull (argv[2], NULL, 10), strtoll (argv[3], NULL, 10));
+  return kq_test_main ("soak", tests, 1);
+}
