core: keep starts without answer when a lease is lost

The attempts had been forgotten with the lease.

Ruled out: raising the term on each regain, because a renewal within the lease keeps it.

--- a/core/start.c
+++ b/core/start.c
@@ -64,7 +64,7 @@
   attempt = kq_worker_admit (node->worker, row, core->now);
   if (attempt == NULL)
     return;
-  kq_run_attach (run, attempt);
+  kq_run_start (run, attempt);
   kq_lease_note_start (node->lease, core->now);
   effect.u.task.worker = node->name;
   effect.u.task.term = kq_lease_term (node->lease);
--- a/core/task.c
+++ b/core/task.c
@@ -106,7 +106,7 @@
             && attempt->run == NULL)
           {
             attach_if_same (run, attempt);
-            if (attempt->run != NULL)
+            if (attempt->run != NULL && attempt->phase != KQ_PHASE_PENDING)
               note_row (core, attempt, false);
           }
     }
@@ -235,7 +235,9 @@
     {
       next = attempt->next;
       kq_run_detach (attempt);
-      kq_worker_forget (attempt);
+      /* A start may still arrive if the lease goes on under its term. */
+      if (attempt->phase != KQ_PHASE_PENDING)
+        kq_worker_forget (attempt);
     }
 }
 
--- a/job/run.c
+++ b/job/run.c
@@ -32,12 +32,18 @@
 void
 kq_run_attach (struct kq_run *run, struct kq_attempt *attempt)
 {
-  if (attempt->phase == KQ_PHASE_PENDING && kq_run_live (run) != NULL)
-    abort ();
   attempt->run = run;
   DL_APPEND2 (run->attempts, attempt, run_prev, run_next);
 }
 
+void
+kq_run_start (struct kq_run *run, struct kq_attempt *attempt)
+{
+  if (kq_run_live (run) != NULL)
+    abort ();
+  kq_run_attach (run, attempt);
+}
+
 void
 kq_run_detach (struct kq_attempt *attempt)
 {
--- a/job/run.h
+++ b/job/run.h
@@ -48,8 +48,11 @@
 /** Frees RUN; its attempts lose their task and are to be ended. */
 void kq_run_destroy (struct kq_run *run);
 
-/** Makes ATTEMPT one of RUN.  Ends the process when it would be the second
- *  live one that this host started.  */
+/** Makes ATTEMPT, which is being started, one of RUN.  Ends the process when
+ *  RUN has another that runs or may run.  */
+void kq_run_start (struct kq_run *run, struct kq_attempt *attempt);
+
+/** Makes ATTEMPT, which was found at its worker, one of RUN. */
 void kq_run_attach (struct kq_run *run, struct kq_attempt *attempt);
 
 /** Takes ATTEMPT out of its run, if it has one. */
