core: re-append what counts before retention removes it

A host that starts after retention has to rebuild live jobs, bindings, drains and the configuration from what the log still holds. After a gap CONFIG records are judged only at the log's end, because the first one read may be void.

Attempts that this host started stay listed until a later table does not show them or nothing can be alive there.

--- a/core/command.c
+++ b/core/command.c
@@ -115,6 +115,10 @@
 
   if (err == 0 && core->stopping)
     err = KQ_ESTOPPING;
+  /* Before the log was read a base can't be compared. */
+  if (err == 0 && command->kind == KQ_CMD_CONFIGURE
+      && !kq_jobs_is_complete (core->jobs))
+    err = KQ_ELOG_DOWN;
   if (err == 0 && log_is_down (core))
     err = KQ_ELOG_DOWN;
   if (err != 0)
--- a/core/core.c
+++ b/core/core.c
@@ -92,6 +92,7 @@
   if (core == NULL)
     return;
   kq_append_destroy_all (core);
+  kq_catchup_drop (core);
   kq_shard_destroy_all (core);
   destroy_members (core);
   destroy_drains (core);
@@ -112,34 +113,39 @@
   const struct kq_drain *drain;
 
   HASH_FIND_STR (core->drains, name->text, drain);
-  return drain != NULL;
+  return drain != NULL && drain->on;
+}
+
+static struct kq_drain *
+create_drain (struct kq_core *core, const struct kq_name *name)
+{
+  struct kq_drain *drain = calloc (1, sizeof *drain);
+
+  if (drain == NULL)
+    return NULL;
+  drain->name = *name;
+  HASH_ADD_STR (core->drains, name.text, drain);
+  return drain;
 }
 
 static int
 apply_drain (struct kq_core *core, int64_t offset,
              const struct kq_record *record)
 {
+  int64_t base = record->u.drain.base;
   struct kq_drain *drain;
 
   HASH_FIND_STR (core->drains, record->u.drain.name.text, drain);
-  if (!record->u.drain.on)
-    {
-      if (drain != NULL)
-        {
-          HASH_DEL (core->drains, drain);
-          free (drain);
-        }
-      return 0;
-    }
+  /* A copy made before retention must not undo an operator's command. */
+  if (base != 0 && drain != NULL && (!drain->on || drain->offset != base))
+    return KQ_ECONFIG_CONFLICT;
   if (drain == NULL)
-    {
-      drain = calloc (1, sizeof *drain);
-      if (drain == NULL)
-        return KQ_ENOMEM;
-      drain->name = record->u.drain.name;
-      HASH_ADD_STR (core->drains, name.text, drain);
-    }
+    drain = create_drain (core, &record->u.drain.name);
+  if (drain == NULL)
+    return KQ_ENOMEM;
+  drain->on = record->u.drain.on;
   drain->offset = offset;
+  drain->noted_at = core->now;
   return 0;
 }
 
@@ -147,11 +153,18 @@
 apply_config (struct kq_core *core, int64_t offset,
               const struct kq_record *record)
 {
-  int err = kq_config_apply (core->config, offset, record->u.config.base,
-                             &record->host, record->u.config.text, NULL);
+  int err;
+
+  if (core->gap_end != 0)
+    return kq_catchup_keep (core, offset, record);
+  err = kq_config_apply (core->config, offset, record->u.config.base,
+                         &record->host, record->u.config.text, NULL);
 
   if (err == 0)
-    kq_shard_configure (core);
+    {
+      core->config_at = core->now;
+      kq_shard_configure (core);
+    }
   /* A peer brought it before the log did. */
   if (err == KQ_EEXIST && offset == kq_config_revision (core->config))
     err = 0;
@@ -216,6 +229,10 @@
   if (first <= core->offset + 1)
     return;
   core->offset = first - 1;
+  core->caught_up_at = INT64_MAX;
+  core->gap_end = first;
+  kq_catchup_drop (core);
+  destroy_drains (core);
   HASH_ITER (hh, core->shards, shard, next)
   kq_task_unload (core, shard);
   kq_jobs_gap (core->jobs, first);
@@ -235,7 +252,12 @@
         return;
     }
   if (!kq_jobs_is_complete (core->jobs))
-    kq_jobs_complete (core->jobs);
+    {
+      kq_jobs_complete (core->jobs);
+      core->caught_up_at = core->offset;
+      kq_catchup_end (core);
+      kq_refresh_caught_up (core);
+    }
   kq_append_log_end (core, event->u.log.sent_at);
 }
 
--- a/core/event.h
+++ b/core/event.h
@@ -192,6 +192,8 @@
     {
       struct kq_name name;
       bool on;
+      int64_t base; /**< 0: an operator's; otherwise void unless the record at
+                       this offset is in force or nothing is known */
     } drain;
     struct
     {
--- a/core/internal.h
+++ b/core/internal.h
@@ -56,6 +56,7 @@
 };
 
 struct kq_shard;
+struct kq_late_config;
 
 /** A worker of the configuration. */
 struct kq_node
@@ -101,7 +102,9 @@
 struct kq_drain
 {
   struct kq_name name;
-  int64_t offset;
+  int64_t offset;   /**< of the record in force */
+  bool on;          /**< false: undrained; remembered */
+  kq_usec noted_at; /**< when that record was read */
   UT_hash_handle hh;
 };
 
@@ -118,7 +121,12 @@
   struct kq_run *runs;
   struct kq_drain *drains;
   struct kq_append *appends;
-  int64_t offset; /**< last record read */
+  int64_t offset;       /**< last record read */
+  int64_t caught_up_at; /**< offset when the log was first read to its end */
+  kq_usec config_at;    /**< when the configuration in force was learned */
+  struct kq_append *config_append;
+  int64_t gap_end; /**< first offset after a gap, until all is read; or 0 */
+  struct kq_late_config *late_configs;
   kq_usec log_ok_at, log_down_at;
   uint64_t serial;
   uint32_t attempt_serial;
@@ -214,7 +222,17 @@
 /* bind.c */
 void kq_bind_tick (struct kq_core *core);
 
+/* catchup.c */
+/** Keeps a CONFIG record that was read after a gap. */
+int kq_catchup_keep (struct kq_core *core, int64_t offset,
+                     const struct kq_record *record);
+/** Judges the kept records now that the log was read to its end. */
+void kq_catchup_end (struct kq_core *core);
+void kq_catchup_drop (struct kq_core *core);
+
 /* refresh.c */
+/** Marks what was learned so far as old: its age is not known. */
+void kq_refresh_caught_up (struct kq_core *core);
 void kq_refresh_tick (struct kq_core *core);
 
 /* command.c */
--- a/core/member.c
+++ b/core/member.c
@@ -172,8 +172,10 @@
     return;
   if (kq_config_restore (core->config, message->offset, record->u.config.base,
                          &record->host, record->u.config.text)
-      == 0)
-    kq_shard_configure (core);
+      != 0)
+    return;
+  core->config_at = core->now;
+  kq_shard_configure (core);
 }
 
 void
--- a/core/shard.c
+++ b/core/shard.c
@@ -122,6 +122,18 @@
   shard->seeks_since = 0;
 }
 
+static void
+expire_node (struct kq_core *core, struct kq_node *node)
+{
+  if (kq_lease_held (node->lease, core->now))
+    return;
+  if (kq_worker_attempts (node->worker) != NULL)
+    kq_task_drop_node (core, node);
+  if (node->known)
+    core->view_dirty = true;
+  node->known = false;
+}
+
 void
 kq_shard_expire (struct kq_core *core)
 {
@@ -134,13 +146,7 @@
         && core->now >= kq_lease_majority_until (shard->leases, shard->count))
       kq_shard_lose (core, shard);
     for (size_t i = 0; i < shard->count && !shard->owner; i++)
-      if (shard->nodes[i]->known
-          && !kq_lease_held (shard->leases[i], core->now))
-        {
-          shard->nodes[i]->known = false;
-          kq_task_drop_node (core, shard->nodes[i]);
-          core->view_dirty = true;
-        }
+      expire_node (core, shard->nodes[i]);
   }
 }
 
--- a/core/task.c
+++ b/core/task.c
@@ -235,8 +235,10 @@
     {
       next = attempt->next;
       kq_run_detach (attempt);
-      /* A start may still arrive if the lease goes on under its term. */
-      if (attempt->phase != KQ_PHASE_PENDING)
+      /* The lease may go on under the same term, and a table that was read
+         before the start arrived may come after this. */
+      if (attempt->started_at == 0 || attempt->phase == KQ_PHASE_ENDED
+          || core->now >= kq_lease_clear_at (node->lease, 0))
         kq_worker_forget (attempt);
     }
 }
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -268,9 +268,18 @@
   fake_workers_advance (world);
   if (!fits (worker, &start->size) || worker->row_count == FAKE_ROWS)
     {
-      fake_violation (world, "%s is given more than it can carry: %s/%d",
-                      worker->name.text, start->task.job.text,
-                      start->task.index);
+      for (int i = 0; i < worker->row_count; i++)
+        fake_trace (
+            world, "%s has %s/%d as %ld, state %d, cpu %d", worker->name.text,
+            worker->rows[i].row.task.job.text, worker->rows[i].row.task.index,
+            (long)worker->rows[i].row.attempt, (int)worker->rows[i].row.state,
+            worker->rows[i].row.size.cpu_milli);
+      fake_violation (world,
+                      "%s of %d is given more than it can carry: %s/%d as "
+                      "%ld, cpu %d",
+                      worker->name.text, worker->capacity.cpu_milli,
+                      start->task.job.text, start->task.index,
+                      (long)start->attempt, start->size.cpu_milli);
       return KQ_EWORKER_FULL;
     }
   check_start (world, worker, item, start);
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -393,6 +393,37 @@
   return true;
 }
 
+/* Every host knows the live jobs as the whole log says them. */
+static void
+check_jobs (struct fake_world *world, int host)
+{
+  struct fake_host *self = &world->hosts[host];
+  json_t *rows
+      = kq_core_rows (self->core, KQ_TABLE_JOBS, fake_clock (world, self));
+  const struct kq_job_state *job;
+  size_t live = 0;
+  size_t known = 0;
+  size_t i;
+  json_t *row;
+
+  for (job = kq_jobs_live (world->jobs); job != NULL; job = job->next)
+    live++;
+  json_array_foreach (rows, i, row)
+  {
+    struct kq_name name = { "" };
+
+    strcpy (name.text, json_string_value (json_object_get (row, "name")));
+    job = kq_jobs_find (world->jobs, &name);
+    if (job != NULL && job->tasks != NULL
+        && json_integer_value (json_object_get (row, "ended")) == job->ended)
+      known++;
+  }
+  json_decref (rows);
+  if (known != live)
+    fake_violation (world, "%s knows %zu of %zu live jobs", self->name.text,
+                    known, live);
+}
+
 static void
 check_end (struct fake_world *world)
 {
@@ -406,6 +437,9 @@
       fake_violation (world, "%s has revision %ld, accepted is %ld",
                       world->hosts[i].name.text,
                       (long)world->hosts[i].revision, (long)revision);
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    if (world->hosts[i].core != NULL)
+      check_jobs (world, i);
   for (size_t i = 0; i < refused_count; i++)
     {
       struct kq_name name = { "" };
