--- a/core/internal.h
+++ b/core/internal.h
@@ -123,6 +123,7 @@
   struct kq_append *appends;
   int64_t offset;       /**< last record read */
   int64_t caught_up_at; /**< offset when the log was first read to its end */
+  kq_usec rebuilt_at;   /**< after a gap, all snapshots have come by then */
   kq_usec config_at;    /**< when the configuration in force was learned */
   struct kq_append *config_append;
   int64_t gap_end; /**< first offset after a gap, until all is read; or 0 */
--- a/core/refresh.c
+++ b/core/refresh.c
@@ -125,6 +125,8 @@
   kq_usec old = core->now - core->settings.refresh_every;
   struct kq_drain *drain;
 
+  core->rebuilt_at
+      = core->now + (ANYONE_AFTER + 1) * core->settings.refresh_every;
   core->config_at = old;
   for (drain = core->drains; drain != NULL; drain = drain->hh.next)
     drain->noted_at = old;
@@ -137,6 +139,8 @@
       || !kq_jobs_is_complete (core->jobs))
     return;
   core->refresh_at = core->now + SEARCH_EVERY;
+  if (core->now >= core->rebuilt_at && kq_jobs_is_rebuilding (core->jobs))
+    kq_jobs_rebuilt (core->jobs);
   refresh_config (core);
   refresh_jobs (core);
   refresh_drains (core);
--- a/core/task.c
+++ b/core/task.c
@@ -401,7 +401,9 @@
       return;
     }
   /* The log was not read far enough to judge this row. */
-  if (attempt->row.binding > core->offset)
+  if (attempt->row.binding > core->offset
+      || (kq_jobs_is_rebuilding (core->jobs)
+          && kq_jobs_find (core->jobs, &attempt->row.task.job) == NULL))
     return;
   if (attempt->phase == KQ_PHASE_ENDED)
     acknowledge (core, attempt);
--- a/job/job.c
+++ b/job/job.c
@@ -116,9 +116,21 @@
 kq_jobs_complete (struct kq_jobs *jobs)
 {
   jobs->complete = true;
+}
+
+void
+kq_jobs_rebuilt (struct kq_jobs *jobs)
+{
+  jobs->first = 0;
   drop_held (jobs);
 }
 
+bool
+kq_jobs_is_rebuilding (const struct kq_jobs *jobs)
+{
+  return jobs->first > 0;
+}
+
 bool
 kq_jobs_is_complete (const struct kq_jobs *jobs)
 {
@@ -444,7 +456,7 @@
   if (kq_job_check (body) != 0 || record->u.snapshot.as_of < jobs->first - 1)
     return KQ_ERANGE;
   /* A host that missed nothing knows that the job has finished. */
-  if (jobs->complete || jobs->first == 0)
+  if (jobs->first == 0)
     return KQ_EJOB_UNKNOWN;
   job = add_job (jobs, offset, body);
   if (job == NULL)
@@ -496,7 +508,7 @@
     default:
       return 0;
     }
-  if (err == KQ_EJOB_UNKNOWN && jobs->first > 0 && !jobs->complete)
+  if (err == KQ_EJOB_UNKNOWN && jobs->first > 0)
     hold_record (jobs, offset, record);
   return err;
 }
--- a/job/job.h
+++ b/job/job.h
@@ -81,9 +81,17 @@
  *  come back by the snapshots that follow.  */
 void kq_jobs_gap (struct kq_jobs *jobs, int64_t first);
 
-/** Says that the log was read to its end: every live job is known now. */
+/** Says that the log was read to its end: every live job is known now, but
+ *  for those whose snapshot an outage has delayed.  */
 void kq_jobs_complete (struct kq_jobs *jobs);
 
+/** Says that after a gap all delayed snapshots have come, too: a snapshot of
+ *  an unknown job is of one that has finished.  */
+void kq_jobs_rebuilt (struct kq_jobs *jobs);
+
+/** Returns whether the table may lack live jobs after a gap. */
+bool kq_jobs_is_rebuilding (const struct kq_jobs *jobs);
+
 /** Returns whether every live job is known. */
 bool kq_jobs_is_complete (const struct kq_jobs *jobs);
 
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -246,8 +246,8 @@
       || world->log[start->binding - 1].record->kind != KQ_REC_BIND)
     fake_violation (world, "task %s/%d starts without a binding",
                     start->task.job.text, start->task.index);
-  if (worker->leaving && host->heard_list_at > worker->leaving_since
-      && world->now > host->heard_list_at + 3.0)
+  if (host->heard_leaving[item->worker] > 0
+      && world->now > host->heard_leaving[item->worker] + 3.0)
     fake_violation (world, "%s starts a task 3 s after it began to leave",
                     worker->name.text);
   if (start->checkpoint > 0)
--- a/t/lib-fake-world.c
+++ b/t/lib-fake-world.c
@@ -317,6 +317,17 @@
   kq_effects_clear (self->effects);
 }
 
+static void
+note_leaving (struct fake_world *world, struct fake_host *host,
+              const struct kq_event *event)
+{
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    if (!event->u.hosts.entries[i].leaving)
+      host->heard_leaving[i] = 0;
+    else if (host->heard_leaving[i] <= 0)
+      host->heard_leaving[i] = world->now;
+}
+
 void
 fake_give (struct fake_world *world, int host, const struct kq_event *event)
 {
@@ -325,6 +336,8 @@
 
   if (self->core == NULL)
     return;
+  if (event->kind == KQ_EV_HOSTS)
+    note_leaving (world, self, event);
   kq_core_step (self->core, fake_clock (world, self), event, self->effects);
   /* A host may be paused between its decision and the sending. */
   if (self->paused_until < 0)
@@ -355,6 +368,7 @@
   self->paused_until = 0;
   self->stopping = false;
   self->stopped = false;
+  memset (self->heard_leaving, 0, sizeof self->heard_leaving);
   fake_trace (world, "%s starts, incarnation %ld", self->name.text,
               (long)self->incarnation);
   fake_schedule (world, world->now, FAKE_TICK, host);
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -14,6 +14,7 @@
 
 #define QUIET_SHARE 0.8 /* of the steps, then faults stop */
 #define QUIET_MAX 400.0 /* seconds in which everything must finish */
+#define LOG_UP_MIN 15.0 /* seconds between two outages of the log */
 #define REFUSED_MAX 100000
 
 enum fault
@@ -46,6 +47,9 @@
   UNDO_DRAIN
 };
 
+/* Longest time between two faults in seconds, by seed. */
+static const double fault_gap[] = { 5, 1.5, 10, 3 };
+
 static uint64_t refused[REFUSED_MAX];
 static size_t refused_count;
 static struct fake_world *running;
@@ -160,7 +164,7 @@
   if (kq_config_revision (world->config) == 0)
     configure (world, live_host (world));
   submit (world);
-  fake_schedule (world, world->now + fake_uniform (world, 0.5, 4.0), FAKE_LOAD,
+  fake_schedule (world, world->now + fake_uniform (world, 0.2, 2.5), FAKE_LOAD,
                  -1);
 }
 
@@ -239,11 +243,8 @@
     worker->down = true;
   if (fault == FAULT_WORKER_BAD)
     worker->bad = true;
-  if (fault == FAULT_LEAVING && !worker->leaving)
-    {
-      worker->leaving = true;
-      worker->leaving_since = world->now;
-    }
+  if (fault == FAULT_LEAVING)
+    worker->leaving = true;
   undo_later (world, fake_uniform (world, 1, 40),
               restarts && fault == FAULT_WORKER_DOWN ? UNDO_RESTARTED_WORKER
                                                      : UNDO_WORKER,
@@ -256,6 +257,9 @@
   fake_trace (world, "log fault %d", (int)fault);
   if (fault == FAULT_LOG_DOWN)
     {
+      /* Outages that follow each other may not outlast retention. */
+      if (world->now < world->faults.log_down_until + LOG_UP_MIN)
+        return;
       world->faults.log_down_until = world->now + fake_uniform (world, 1, 40);
       return;
     }
@@ -326,8 +330,10 @@
     case FAULT_COUNT:
       break;
     }
-  fake_schedule (world, world->now + fake_uniform (world, 0.5, 5), FAKE_FAULT,
-                 -1);
+  fake_schedule (world,
+                 world->now
+                     + fake_uniform (world, 0.2, fault_gap[world->seed % 4]),
+                 FAKE_FAULT, -1);
 }
 
 static void
@@ -393,6 +399,17 @@
   return true;
 }
 
+/* All is done and has had the time to be known everywhere. */
+static bool
+is_settled (struct fake_world *world)
+{
+  int64_t revision = kq_config_revision (world->config);
+
+  return all_finished (world) && world->log_count > 0
+         && world->now > world->log[world->log_count - 1].at + 1
+         && (revision == 0 || world->now > world->log[revision - 1].at + 4);
+}
+
 /* Every host knows the live jobs as the whole log says them. */
 static void
 check_jobs (struct fake_world *world, int host)
@@ -493,7 +510,7 @@
           quiet_at = world->now;
         }
       if (world->quiet && world->step >= steps && world->now > quiet_at + 30
-          && (all_finished (world) || world->now > quiet_at + QUIET_MAX))
+          && (is_settled (world) || world->now > quiet_at + QUIET_MAX))
         break;
       item = fake_next (world);
       run_item (world, item);
