--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
               query/*.lex.c)
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 DAEMON_SRC = $(wildcard daemon/*.c)
+DAEMON_PARTS = $(filter-out daemon/main.c,$(DAEMON_SRC))
 TOOL_SRC = $(wildcard kumquatrack.c builtin/*.c)
 TEST_SRC = $(wildcard t/test-*.c)
 SI_SRC = $(filter-out t/standin/si-%,$(wildcard t/standin/*.c))
@@ -36,7 +37,7 @@
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB = $(BUILD)/libkumquatrack.a
-DAEMON = $(if $(DAEMON_SRC),$(BUILD)/kumquatrackd)
+DAEMON = $(if $(filter daemon/main.c,$(DAEMON_SRC)),$(BUILD)/kumquatrackd)
 TOOL = $(if $(TOOL_SRC),$(BUILD)/kumquatrack)
 TESTS = $(patsubst t/%.c,$(BUILD)/t/%,$(TEST_SRC))
 STANDINS = $(patsubst t/standin/%.c,$(BUILD)/standin/%,$(SI_SRC))
@@ -68,7 +69,13 @@
 $(BUILD)/kumquatrack: $(call obj,$(TOOL_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/t/%: $(BUILD)/t/%.o $(call obj,$(wildcard t/lib-*.c)) $(LIB)
+# The daemon's parts without its main(), for tests and benches.
+$(BUILD)/daemon-parts.a: $(call obj,$(DAEMON_PARTS))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/t/%: $(BUILD)/t/%.o $(call obj,$(wildcard t/lib-*.c)) \
+    $(BUILD)/daemon-parts.a $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -lcunit -lgsl -lgslcblas -o $@
 
 $(BUILD)/standin/%: $(BUILD)/t/standin/%.o $(call obj,$(SI_COMMON)) $(LIB)
@@ -78,7 +85,8 @@
 $(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(call obj,$(wildcard t/lib-*.c)) $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(call obj,$(wildcard t/lib-*.c)) \
+    $(BUILD)/daemon-parts.a $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -lgsl -lgslcblas -o $@
 
 .SECONDARY:
--- /dev/null
+++ b/daemon/front_http.c
@@ -0,0 +1,382 @@
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "daemon/front_impl.h"
+#include "log/log.h"
+
+/** Seconds without a byte before a caller's connection is closed. */
+#define IDLE_SECONDS 30
+/** Memory of a connection for its request line and headers, in bytes. */
+#define CONNECTION_MEMORY ((size_t)32 * 1024)
+#define DEFAULT_CONNECTIONS 8192
+/** A body without a stated length that is too long is read and dropped up
+ *  to this many times the limit, so that the caller sees the refusal.  */
+#define DISCARD_FACTOR 4
+/** Ticks between checks for callers that left. */
+#define CHECK_TICKS 10
+/** Bytes of an answer of the daemon's own. */
+#define OWN_BODY_SIZE 512
+
+static unsigned
+status_of (const struct kq_front_call *call)
+{
+  switch (call->outcome)
+    {
+    case KQ_OUTCOME_ANSWERED:
+      return (unsigned)kq_answer_status (call->answer);
+    case KQ_OUTCOME_INVALID:
+      if (call->err == KQ_ETOOBIG)
+        return MHD_HTTP_CONTENT_TOO_LARGE;
+      if (call->err == KQ_EREQ_KEY_REUSED)
+        return MHD_HTTP_UNPROCESSABLE_CONTENT;
+      return MHD_HTTP_BAD_REQUEST;
+    case KQ_OUTCOME_NOT_RUN:
+      if (call->err == KQ_EREQ_NO_SERVICE)
+        return MHD_HTTP_NOT_FOUND;
+      return MHD_HTTP_SERVICE_UNAVAILABLE;
+    case KQ_OUTCOME_UNKNOWN:
+      if (call->err == KQ_ETIMEDOUT)
+        return MHD_HTTP_GATEWAY_TIMEOUT;
+      if (call->err == KQ_EREQ_KEY_IN_USE || call->err == KQ_EREQ_ANSWER_GONE)
+        return MHD_HTTP_CONFLICT;
+      return MHD_HTTP_BAD_GATEWAY;
+    }
+  return MHD_HTTP_INTERNAL_SERVER_ERROR;
+}
+
+static struct MHD_Response *
+own_response (const struct kq_front_call *call)
+{
+  char trace[KQ_TRACE_ID_SIZE];
+  char body[OWN_BODY_SIZE];
+  struct MHD_Response *response;
+  int length;
+
+  kq_trace_id (&call->trace, trace);
+  length = snprintf (body, sizeof body,
+                     "{\"outcome\":\"%s\",\"error\":\"%s\",\"text\":\"%s\","
+                     "\"trace\":\"%s\"}\n",
+                     kq_outcome_name (call->outcome), kq_err_name (call->err),
+                     kq_err_text (call->err), trace);
+  response = MHD_create_response_from_buffer ((size_t)length, body,
+                                              MHD_RESPMEM_MUST_COPY);
+  if (response == NULL)
+    return NULL;
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  MHD_add_response_header (response, "Kumquatrack-Outcome",
+                           kq_outcome_name (call->outcome));
+  return response;
+}
+
+static void
+free_answer (void *answer)
+{
+  kq_answer_unref (answer);
+}
+
+/* A HEAD answer states the length of the body that it doesn't have. */
+static struct MHD_Response *
+passed_response (const struct kq_front_call *call)
+{
+  size_t length;
+  const char *body = kq_answer_body (call->answer, &length);
+  bool head = strcmp (call->method, "HEAD") == 0;
+  struct MHD_Response *response;
+  size_t position = 0;
+  const char *name;
+  const char *value;
+
+  kq_answer_ref (call->answer);
+  response = MHD_create_response_from_buffer_with_free_callback_cls (
+      length, (void *)body, free_answer, call->answer);
+  if (response == NULL)
+    {
+      kq_answer_unref (call->answer);
+      return NULL;
+    }
+  if (head)
+    MHD_set_response_options (response, MHD_RF_INSANITY_HEADER_CONTENT_LENGTH,
+                              MHD_RO_END);
+  while ((name = kq_answer_header (call->answer, &position, &value)) != NULL)
+    MHD_add_response_header (response, name, value);
+  return response;
+}
+
+static enum MHD_Result
+queue_response (struct kq_front_call *call)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (call->outcome == KQ_OUTCOME_ANSWERED)
+    response = passed_response (call);
+  else
+    response = own_response (call);
+  if (response == NULL)
+    return MHD_NO;
+  if (call->front->stopping)
+    MHD_add_response_header (response, "Connection", "close");
+  result = MHD_queue_response (call->connection, status_of (call), response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+refuse (struct kq_front_call *call, enum kq_outcome outcome, int err)
+{
+  call->replied = true;
+  call->outcome = outcome;
+  call->err = err;
+  return queue_response (call);
+}
+
+static enum MHD_Result
+on_body (struct kq_front_call *call, const char *data, size_t *size)
+{
+  size_t length = *size;
+  int err;
+
+  *size = 0;
+  call->body_bytes += length;
+  if (call->body_bytes > DISCARD_FACTOR * KQ_FRONT_BODY_LIMIT)
+    return MHD_NO;
+  if (call->refusal != 0)
+    return MHD_YES;
+  err = kq_buffer_add (&call->body, data, length);
+  if (err != 0)
+    call->refusal = err;
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_complete (struct kq_front_call *call)
+{
+  if (call->replied)
+    return queue_response (call);
+  if (call->refusal == KQ_ENOMEM)
+    return refuse (call, KQ_OUTCOME_NOT_RUN, call->refusal);
+  if (call->refusal != 0)
+    return refuse (call, KQ_OUTCOME_INVALID, call->refusal);
+  if (call->front->stopping)
+    return refuse (call, KQ_OUTCOME_NOT_RUN, KQ_ESTOPPING);
+  kq_front_headers_key (call);
+  kq_front_call_submit (call);
+  if (call->replied)
+    return queue_response (call);
+  call->suspended = true;
+  MHD_suspend_connection (call->connection);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *context, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **request)
+{
+  struct kq_front_call *call = *request;
+
+  if (call == NULL)
+    return MHD_NO;
+  if (!call->started)
+    {
+      call->started = true;
+      call->connection = connection;
+      kq_front_headers_read (call, method);
+      /* Refused before the body is read; the connection ends then. */
+      if (call->refusal != 0)
+        return refuse (call, KQ_OUTCOME_INVALID, call->refusal);
+      return MHD_YES;
+    }
+  if (*size > 0)
+    return on_body (call, data, size);
+  return on_complete (call);
+}
+
+static void *
+on_uri (void *context, const char *uri, struct MHD_Connection *connection)
+{
+  return kq_front_call_create (context, uri);
+}
+
+static void
+on_completed (void *context, struct MHD_Connection *connection, void **request,
+              enum MHD_RequestTerminationCode code)
+{
+  struct kq_front_call *call = *request;
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE };
+
+  if (call == NULL)
+    return;
+  *request = NULL;
+  call->connection = NULL;
+  call->suspended = false;
+  if (!call->replied)
+    {
+      call->outcome = KQ_OUTCOME_INVALID;
+      call->err = KQ_ECLOSED;
+    }
+  if (!call->replied && call->submitted)
+    {
+      event.u.leave = call->arrival.id;
+      kq_front_feed (call->front, &event);
+    }
+  kq_front_call_done (call);
+}
+
+void
+kq_front_http_reply (struct kq_front_call *call)
+{
+  if (!call->suspended)
+    return;
+  call->suspended = false;
+  MHD_resume_connection (call->connection);
+  call->front->mhd_pending = true;
+}
+
+static bool
+caller_left (const struct kq_front_call *call)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      call->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+
+  return info != NULL
+         && recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+void
+kq_front_http_check (struct kq_front *front)
+{
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE };
+  struct kq_front_call *call;
+  struct kq_front_call *next;
+
+  if (++front->ticks < CHECK_TICKS)
+    return;
+  front->ticks = 0;
+  HASH_ITER (hh, front->calls, call, next)
+  if (call->suspended && caller_left (call))
+    {
+      event.u.leave = call->arrival.id;
+      kq_front_feed (front, &event);
+    }
+}
+
+static void
+set_timer (struct kq_front *front)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+
+  if (MHD_get_timeout (front->mhd, &ms) != MHD_YES)
+    {
+      ev_timer_stop (front->loop, &front->mhd_timer);
+      return;
+    }
+  if (ms == 0)
+    {
+      front->mhd_pending = true;
+      return;
+    }
+  front->mhd_timer.repeat = (double)ms / 1000.;
+  ev_timer_again (front->loop, &front->mhd_timer);
+}
+
+void
+kq_front_http_run (struct kq_front *front)
+{
+  front->mhd_pending = false;
+  MHD_run (front->mhd);
+  set_timer (front);
+}
+
+static void
+on_mhd_io (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  kq_front_http_run (watcher->data);
+}
+
+static void
+on_mhd_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  kq_front_http_run (watcher->data);
+}
+
+static void
+on_log (void *context, const char *format, va_list arguments)
+{
+}
+
+int
+kq_front_http_start (struct kq_front *front)
+{
+  struct sockaddr_storage address;
+  unsigned flags
+      = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+  unsigned limit = front->settings.connections;
+
+  if (kq_front_address (front->settings.listen, &address) != 0)
+    return KQ_EINVAL;
+  if (address.ss_family == AF_INET6)
+    flags |= MHD_USE_IPv6;
+  front->mhd = MHD_start_daemon (
+      flags, 0, NULL, NULL, on_request, front, MHD_OPTION_EXTERNAL_LOGGER,
+      on_log, NULL, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_URI_LOG_CALLBACK, on_uri, front, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, front, MHD_OPTION_CONNECTION_LIMIT,
+      limit != 0 ? limit : DEFAULT_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)IDLE_SECONDS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      CONNECTION_MEMORY, MHD_OPTION_END);
+  return front->mhd != NULL ? 0 : KQ_EIO;
+}
+
+void
+kq_front_http_attach (struct kq_front *front)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (front->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+
+  ev_io_init (&front->mhd_watcher, on_mhd_io, info->epoll_fd, EV_READ);
+  front->mhd_watcher.data = front;
+  ev_io_start (front->loop, &front->mhd_watcher);
+  ev_timer_init (&front->mhd_timer, on_mhd_timer, 0., 0.);
+  front->mhd_timer.data = front;
+}
+
+void
+kq_front_http_quiesce (struct kq_front *front)
+{
+  MHD_socket listener = MHD_quiesce_daemon (front->mhd);
+
+  if (listener != MHD_INVALID_SOCKET)
+    close (listener);
+}
+
+/* Whoever still waits at the end of the drain time is told the truth. */
+static void
+release_callers (struct kq_front *front)
+{
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE };
+  struct kq_front_call *call;
+  struct kq_front_call *next;
+
+  HASH_ITER (hh, front->calls, call, next)
+  {
+    event.u.leave = call->arrival.id;
+    if (!call->replied)
+      kq_front_feed (front, &event);
+  }
+  MHD_run (front->mhd);
+}
+
+void
+kq_front_http_stop (struct kq_front *front)
+{
+  if (front->mhd == NULL)
+    return;
+  release_callers (front);
+  MHD_stop_daemon (front->mhd);
+  front->mhd = NULL;
+}
--- /dev/null
+++ b/request/effects.c
@@ -0,0 +1,78 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "request/request.h"
+
+struct kq_request_effects
+{
+  struct kq_request_effect *items;
+  size_t first; /* next to take */
+  size_t count; /* end of those put */
+  size_t room;
+};
+
+struct kq_request_effects *
+kq_request_effects_create (void)
+{
+  return calloc (1, sizeof (struct kq_request_effects));
+}
+
+void
+kq_request_effects_destroy (struct kq_request_effects *effects)
+{
+  struct kq_request_effect effect;
+
+  if (effects == NULL)
+    return;
+  while (kq_request_effects_take (effects, &effect))
+    if (effect.kind == KQ_REQ_FX_REPLY)
+      kq_answer_unref (effect.u.reply.answer);
+  free (effects->items);
+  free (effects);
+}
+
+bool
+kq_request_effects_take (struct kq_request_effects *effects,
+                         struct kq_request_effect *effect)
+{
+  if (effects->first == effects->count)
+    {
+      effects->first = 0;
+      effects->count = 0;
+      return false;
+    }
+  *effect = effects->items[effects->first++];
+  return true;
+}
+
+void
+kq_request_effects_put (struct kq_request_effects *effects,
+                        const struct kq_request_effect *effect)
+{
+  if (effects->count == effects->room)
+    {
+      effects->room = effects->room > 0 ? effects->room * 2 : 16;
+      effects->items
+          = realloc (effects->items, effects->room * sizeof *effects->items);
+      if (effects->items == NULL)
+        abort ();
+    }
+  effects->items[effects->count++] = *effect;
+}
+
+const char *
+kq_outcome_name (enum kq_outcome outcome)
+{
+  switch (outcome)
+    {
+    case KQ_OUTCOME_ANSWERED:
+      return "answered";
+    case KQ_OUTCOME_NOT_RUN:
+      return "not-run";
+    case KQ_OUTCOME_UNKNOWN:
+      return "unknown";
+    case KQ_OUTCOME_INVALID:
+      return "invalid";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/request/pool.c
@@ -0,0 +1,323 @@
+#include "request/pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "base/err.h"
+
+/** Failures in a row after which an endpoint is ejected. */
+#define EJECT_FAILURES 3
+/** Time of a first ejection; doubled by each that follows. */
+#define EJECT_TIME KQ_USEC_PER_SEC
+#define EJECT_DOUBLINGS 5
+
+static void
+copy_address (char *to, const char *from)
+{
+  memset (to, 0, KQ_REQUEST_ADDRESS_SIZE);
+  memcpy (to, from, strnlen (from, KQ_REQUEST_ADDRESS_SIZE - 1));
+}
+
+static void
+unlist_all (struct kq_pool *pool)
+{
+  for (struct kq_pool_worker *w = pool->workers; w != NULL; w = w->hh.next)
+    w->listed = false;
+  for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
+    {
+      p->listed = false;
+      p->slots = 0;
+    }
+}
+
+/* Attempts in flight keep what they were sent to. */
+static void
+free_unused_workers (struct kq_pool *pool)
+{
+  struct kq_pool_worker *unused = NULL;
+  struct kq_pool_worker *worker;
+  struct kq_pool_worker *next;
+
+  HASH_ITER (hh, pool->workers, worker, next)
+  if (!worker->listed && worker->admitted == 0)
+    {
+      HASH_DEL (pool->workers, worker);
+      LL_PREPEND2 (unused, worker, next_unused);
+    }
+  LL_FOREACH_SAFE2 (unused, worker, next, next_unused)
+  free (worker);
+}
+
+static void
+free_unused_peers (struct kq_pool *pool)
+{
+  struct kq_pool_peer *unused = NULL;
+  struct kq_pool_peer *peer;
+  struct kq_pool_peer *next;
+
+  HASH_ITER (hh, pool->peers, peer, next)
+  if (!peer->listed && peer->sent == 0)
+    {
+      HASH_DEL (pool->peers, peer);
+      LL_PREPEND2 (unused, peer, next_unused);
+    }
+  LL_FOREACH_SAFE2 (unused, peer, next, next_unused)
+  free (peer);
+}
+
+void
+kq_pool_clear (struct kq_pool *pool)
+{
+  unlist_all (pool);
+  for (struct kq_pool_worker *w = pool->workers; w != NULL; w = w->hh.next)
+    w->admitted = 0;
+  for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
+    p->sent = 0;
+  free_unused_workers (pool);
+  free_unused_peers (pool);
+  free (pool->owned);
+  memset (pool, 0, sizeof *pool);
+}
+
+static struct kq_pool_worker *
+find_or_add_worker (struct kq_pool *pool, const struct kq_view_worker *view)
+{
+  struct kq_pool_worker *worker;
+
+  HASH_FIND_STR (pool->workers, view->name.text, worker);
+  if (worker == NULL)
+    {
+      worker = calloc (1, sizeof *worker);
+      if (worker == NULL)
+        return NULL;
+      worker->view = *view;
+      HASH_ADD_STR (pool->workers, view.name.text, worker);
+    }
+  worker->view = *view;
+  worker->listed = true;
+  return worker;
+}
+
+static enum kq_pool_range
+range_of (const struct kq_view_worker *view,
+          const struct kq_request_settings *self)
+{
+  if (kq_name_eq (&view->zone, &self->zone))
+    return KQ_RANGE_ZONE;
+  if (kq_name_eq (&view->region, &self->region))
+    return KQ_RANGE_REGION;
+  return KQ_RANGE_FAR;
+}
+
+static int
+add_to_peer (struct kq_pool *pool, const struct kq_view_worker *view,
+             const struct kq_request_settings *self,
+             struct kq_request_effects *out)
+{
+  struct kq_request_effect effect = { .kind = KQ_REQ_FX_PEER };
+  struct kq_pool_peer *peer;
+
+  if (view->leaving || view->owner_hop[0] == '\0'
+      || kq_name_empty (&view->owner)
+      || kq_name_eq (&view->owner, &self->host))
+    return 0;
+  HASH_FIND_STR (pool->peers, view->owner_hop, peer);
+  if (peer == NULL)
+    {
+      peer = calloc (1, sizeof *peer);
+      if (peer == NULL)
+        return KQ_ENOMEM;
+      copy_address (peer->address, view->owner_hop);
+      HASH_ADD_STR (pool->peers, address, peer);
+      copy_address (effect.u.peer, peer->address);
+      kq_request_effects_put (out, &effect);
+    }
+  peer->name = view->owner;
+  peer->range = range_of (view, self);
+  peer->listed = true;
+  peer->slots += view->slots;
+  return 0;
+}
+
+int
+kq_pool_update (struct kq_pool *pool, const struct kq_view *view,
+                const struct kq_request_settings *self,
+                struct kq_request_effects *out)
+{
+  int err = 0;
+
+  pool->owned_count = 0;
+  free (pool->owned);
+  pool->owned
+      = calloc (view->worker_count + 1, sizeof (struct kq_pool_worker *));
+  if (pool->owned == NULL)
+    return KQ_ENOMEM;
+  unlist_all (pool);
+  for (size_t i = 0; i < view->worker_count && err == 0; i++)
+    {
+      struct kq_pool_worker *worker;
+
+      if (!view->workers[i].owned)
+        {
+          err = add_to_peer (pool, &view->workers[i], self, out);
+          continue;
+        }
+      worker = find_or_add_worker (pool, &view->workers[i]);
+      if (worker == NULL)
+        err = KQ_ENOMEM;
+      else
+        pool->owned[pool->owned_count++] = worker;
+    }
+  free_unused_workers (pool);
+  free_unused_peers (pool);
+  return err;
+}
+
+int32_t
+kq_pool_slots (const struct kq_pool_worker *worker, kq_usec now)
+{
+  const struct kq_view_worker *view = &worker->view;
+  int32_t slots = view->slots;
+
+  if (!worker->listed || !view->owned || view->leaving
+      || now >= view->owned_until)
+    return 0;
+  if (now < view->reserved_until)
+    slots -= view->reserved_slots;
+  if (slots > view->connections)
+    slots = view->connections;
+  return slots > 0 ? slots : 0;
+}
+
+/* An endpoint that comes back from ejection gets one request at first. */
+static int32_t
+open_slots (const struct kq_pool_worker *worker, kq_usec now)
+{
+  int32_t slots = kq_pool_slots (worker, now);
+
+  if (now < worker->full_until || now < worker->ejected_until)
+    return 0;
+  if (worker->ejections > 0 && slots > 1)
+    return 1;
+  return slots;
+}
+
+int64_t
+kq_pool_all_slots (const struct kq_pool *pool, kq_usec now)
+{
+  int64_t sum = 0;
+
+  for (size_t i = 0; i < pool->owned_count; i++)
+    sum += kq_pool_slots (pool->owned[i], now);
+  return sum;
+}
+
+/* Compares admitted/slots of two workers without division. */
+static bool
+less_busy (const struct kq_pool_worker *a, int32_t a_slots,
+           const struct kq_pool_worker *b, int32_t b_slots)
+{
+  return (int64_t)a->admitted * b_slots < (int64_t)b->admitted * a_slots;
+}
+
+struct kq_pool_worker *
+kq_pool_pick (struct kq_pool *pool, kq_usec now,
+              const struct kq_pool_worker *avoid)
+{
+  struct kq_pool_worker *best = NULL;
+  int32_t best_slots = 0;
+
+  if (pool->owned_count == 0)
+    return NULL;
+  pool->cursor = (pool->cursor + 1) % pool->owned_count;
+  for (size_t i = 0; i < pool->owned_count; i++)
+    {
+      size_t at = (pool->cursor + i) % pool->owned_count;
+      struct kq_pool_worker *worker = pool->owned[at];
+      int32_t slots = open_slots (worker, now);
+
+      if (worker == avoid || worker->admitted >= slots)
+        continue;
+      if (best == NULL || less_busy (worker, slots, best, best_slots))
+        {
+          best = worker;
+          best_slots = slots;
+        }
+      if (best->admitted == 0)
+        break;
+    }
+  return best;
+}
+
+struct kq_pool_peer *
+kq_pool_pick_peer (struct kq_pool *pool, kq_usec now, enum kq_pool_range range,
+                   const struct kq_pool_peer *avoid)
+{
+  struct kq_pool_peer *best = NULL;
+
+  for (struct kq_pool_peer *peer = pool->peers; peer != NULL;
+       peer = peer->hh.next)
+    {
+      if (peer == avoid || !peer->listed || peer->range != range
+          || now < peer->closed_until || peer->sent >= peer->slots)
+        continue;
+      if (best == NULL
+          || (int64_t)peer->sent * best->slots
+                 < (int64_t)best->sent * peer->slots)
+        best = peer;
+    }
+  return best;
+}
+
+void
+kq_pool_admit (struct kq_pool_worker *worker, kq_usec now)
+{
+  if (worker->admitted >= kq_pool_slots (worker, now))
+    abort ();
+  worker->admitted++;
+}
+
+void
+kq_pool_release (struct kq_pool_worker *worker)
+{
+  if (worker->admitted <= 0)
+    abort ();
+  worker->admitted--;
+}
+
+/* Half of the workers always stay in use: when more than half fail, the
+   cause is hardly the endpoints.  */
+static bool
+may_eject (const struct kq_pool *pool, kq_usec now)
+{
+  size_t out = 0;
+
+  for (size_t i = 0; i < pool->owned_count; i++)
+    if (now < pool->owned[i]->ejected_until)
+      out++;
+  return (out + 1) * 2 <= pool->owned_count;
+}
+
+void
+kq_pool_fail (struct kq_pool *pool, struct kq_pool_worker *worker, kq_usec now)
+{
+  int32_t doublings = worker->ejections;
+
+  worker->failures++;
+  if (worker->failures < EJECT_FAILURES || now < worker->ejected_until
+      || !may_eject (pool, now))
+    return;
+  if (doublings > EJECT_DOUBLINGS)
+    doublings = EJECT_DOUBLINGS;
+  worker->ejected_until = now + EJECT_TIME * (INT64_C (1) << doublings);
+  worker->ejections++;
+  pool->ejected++;
+}
+
+void
+kq_pool_succeed (struct kq_pool_worker *worker)
+{
+  worker->failures = 0;
+  worker->ejections = 0;
+}
--- /dev/null
+++ b/request/route.c
@@ -0,0 +1,274 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "request/router.h"
+
+/** Price of one added request, in thousandths; see kq_request_router. */
+#define ADDED_COST INT64_C (1000)
+
+/** Wait in the own queue that is preferred to a hop of each range: about
+ *  one round trip.  */
+static const kq_usec hop_cost[KQ_RANGE_COUNT] = {
+  [KQ_RANGE_ZONE] = 0,
+  [KQ_RANGE_REGION] = 2 * KQ_USEC_PER_MSEC,
+  [KQ_RANGE_FAR] = 16 * KQ_USEC_PER_MSEC,
+};
+
+static void
+emit_send (struct kq_step *step, struct kq_request *request,
+           enum kq_request_effect_kind kind, const struct kq_name *name,
+           const char *address, kq_usec max_age)
+{
+  struct kq_request_effect effect = { .kind = kind, .id = request->id };
+
+  effect.attempt = request->attempt_count - 1;
+  effect.u.send.name = *name;
+  memcpy (effect.u.send.address, address, KQ_REQUEST_ADDRESS_SIZE);
+  effect.u.send.deadline = request->deadline;
+  effect.u.send.importance = request->importance;
+  effect.u.send.max_age = max_age;
+  kq_request_effects_put (step->out, &effect);
+}
+
+static struct kq_attempt *
+new_attempt (struct kq_step *step, struct kq_request *request)
+{
+  struct kq_attempt *attempt = &request->attempts[request->attempt_count++];
+
+  memset (attempt, 0, sizeof *attempt);
+  attempt->live = true;
+  attempt->sent_at = step->now;
+  return attempt;
+}
+
+static void
+send_to_worker (struct kq_step *step, struct kq_request *request,
+                struct kq_pool_worker *worker)
+{
+  struct kq_attempt *attempt = new_attempt (step, request);
+  kq_usec max_age = -1;
+
+  kq_pool_admit (worker, step->now);
+  step->router->counts.admitted++;
+  attempt->worker = worker;
+  if (step->now - worker->suspect_before > KQ_REQUEST_CONNECTION_AGE)
+    worker->suspect_before = 0;
+  if (worker->suspect_before != 0)
+    max_age = step->now - worker->suspect_before;
+  attempt->fresh = worker->suspect_before != 0;
+  emit_send (step, request, KQ_REQ_FX_SEND, &worker->view.name,
+             worker->view.endpoint, max_age);
+}
+
+static void
+send_to_peer (struct kq_step *step, struct kq_request *request,
+              struct kq_pool_peer *peer)
+{
+  struct kq_attempt *attempt = new_attempt (step, request);
+
+  peer->sent++;
+  attempt->peer = peer;
+  emit_send (step, request, KQ_REQ_FX_HOP, &peer->name, peer->address, -1);
+}
+
+/* What the last attempt failed on is avoided by the next one. */
+static const struct kq_attempt *
+last_attempt (const struct kq_request *request)
+{
+  static const struct kq_attempt none;
+
+  if (request->attempt_count == 0)
+    return &none;
+  return &request->attempts[request->attempt_count - 1];
+}
+
+/* Time that a request of this importance would wait, at the pace of late. */
+static kq_usec
+estimate_wait (const struct kq_step *step, int32_t importance)
+{
+  const struct kq_request_router *router = step->router;
+  int64_t slots = kq_pool_all_slots (&router->pool, step->now);
+  int64_t ahead = (int64_t)kq_queue_ahead (&router->queue, importance);
+
+  if (slots == 0)
+    return INT64_MAX / 4;
+  return (ahead + 1) * router->service_time / slots;
+}
+
+static bool
+send_to_own (struct kq_step *step, struct kq_request *request)
+{
+  struct kq_pool_worker *worker;
+
+  worker = kq_pool_pick (&step->router->pool, step->now,
+                         last_attempt (request)->worker);
+  if (worker == NULL)
+    return false;
+  send_to_worker (step, request, worker);
+  return true;
+}
+
+static bool
+send_to_any_peer (struct kq_step *step, struct kq_request *request,
+                  kq_usec wait)
+{
+  for (int range = KQ_RANGE_ZONE; range < KQ_RANGE_COUNT; range++)
+    {
+      struct kq_pool_peer *peer;
+
+      if (wait < hop_cost[range])
+        return false;
+      peer = kq_pool_pick_peer (&step->router->pool, step->now,
+                                (enum kq_pool_range)range,
+                                last_attempt (request)->peer);
+      if (peer != NULL)
+        {
+          send_to_peer (step, request, peer);
+          return true;
+        }
+    }
+  return false;
+}
+
+static void
+refuse (struct kq_step *step, struct kq_request *request, int err)
+{
+  enum kq_outcome outcome
+      = request->maybe_run ? KQ_OUTCOME_UNKNOWN : KQ_OUTCOME_NOT_RUN;
+
+  kq_request_finish (step, request, outcome, err, NULL);
+}
+
+static int
+refusal_of (const struct kq_step *step, const struct kq_request *request)
+{
+  const struct kq_pool *pool = &step->router->pool;
+
+  if (request->err != 0)
+    return request->err;
+  if (pool->owned_count == 0 && pool->peers == NULL)
+    return KQ_EREQ_NO_ENDPOINT;
+  return KQ_EREQ_OVERLOAD;
+}
+
+static void
+wait_in_queue (struct kq_step *step, struct kq_request *request, kq_usec wait)
+{
+  struct kq_request_router *router = step->router;
+  struct kq_request *last;
+
+  if (step->now + wait + router->service_time > request->deadline)
+    {
+      refuse (step, request, refusal_of (step, request));
+      return;
+    }
+  if (router->queue.count >= router->settings.queue_limit)
+    {
+      last = kq_queue_last (&router->queue);
+      if (last == NULL || last->importance >= request->importance)
+        {
+          refuse (step, request, KQ_EREQ_OVERLOAD);
+          return;
+        }
+      kq_queue_remove (&router->queue, last);
+      refuse (step, last, KQ_EREQ_OVERLOAD);
+    }
+  kq_queue_add (&router->queue, request);
+}
+
+void
+kq_route_place (struct kq_step *step, struct kq_request *request)
+{
+  kq_usec wait;
+
+  /* Whoever waits was there before, unless this one is more important. */
+  if (kq_queue_ahead (&step->router->queue, request->importance) == 0
+      && send_to_own (step, request))
+    return;
+  wait = estimate_wait (step, request->importance);
+  if (!request->forwarded && send_to_any_peer (step, request, wait))
+    return;
+  wait_in_queue (step, request, wait);
+}
+
+/* Another target is better than the one that failed, and the same one is
+   better than none, unless an attempt is still there.  */
+static bool
+send_elsewhere (struct kq_step *step, struct kq_request *request)
+{
+  struct kq_pool_worker *worker;
+
+  if (send_to_own (step, request)
+      || send_to_any_peer (step, request, INT64_MAX / 4))
+    return true;
+  if (kq_request_live (request))
+    return false;
+  worker = kq_pool_pick (&step->router->pool, step->now, NULL);
+  if (worker == NULL)
+    return false;
+  send_to_worker (step, request, worker);
+  return true;
+}
+
+static bool
+may_add (const struct kq_step *step, const struct kq_request *request)
+{
+  const struct kq_request_router *router = step->router;
+
+  return !request->forwarded && request->attempt_count < KQ_REQUEST_ATTEMPTS
+         && router->budget_milli >= ADDED_COST
+         && step->now + router->service_time <= request->deadline;
+}
+
+static void
+count_added (struct kq_request_router *router)
+{
+  router->budget_milli -= ADDED_COST;
+  router->counts.added++;
+}
+
+bool
+kq_route_again (struct kq_step *step, struct kq_request *request)
+{
+  if (!may_add (step, request) || !send_elsewhere (step, request))
+    return false;
+  count_added (step->router);
+  return true;
+}
+
+bool
+kq_route_wait (struct kq_step *step, struct kq_request *request)
+{
+  struct kq_request_router *router = step->router;
+  kq_usec wait = estimate_wait (step, request->importance);
+
+  if (!may_add (step, request)
+      || router->queue.count >= router->settings.queue_limit
+      || step->now + wait + router->service_time > request->deadline)
+    return false;
+  count_added (router);
+  kq_queue_add (&router->queue, request);
+  return true;
+}
+
+void
+kq_route_drain (struct kq_step *step)
+{
+  struct kq_request_router *router = step->router;
+  struct kq_request *request;
+
+  while ((request = kq_queue_first (&router->queue)) != NULL)
+    {
+      bool late = step->now + router->service_time > request->deadline;
+      if (late)
+        {
+          kq_queue_remove (&router->queue, request);
+          refuse (step, request, KQ_EREQ_OVERLOAD);
+          continue;
+        }
+      if (!send_to_own (step, request))
+        return;
+      kq_queue_remove (&router->queue, request);
+    }
+}
