daemon, peer: run the whole entry host in one process

The parts existed apart: nothing drove the core, carried its effects or told the front of its views. The control thread owns the core, the client of the platform, the ZeroMQ sockets between entry hosts and the operators HTTP; the main thread reads settings, waits for the signal of a planned stop and is the only place that ends the process. Ruled out: a thread for each of them (every event ends in the core, which is not safe for several threads), and publishing a view with every effect (a renewal changes views 130 times a second at 65 workers, by count of the calls), so that a tick of 50 ms publishes what has changed. Not run yet: the path end to end.

--- /dev/null
+++ b/daemon/admin.c
@@ -0,0 +1,484 @@
+#include "daemon/admin.h"
+
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "base/address.h"
+#include "base/err.h"
+#include "log/log.h"
+#include "metrics/metrics.h"
+#include "query/query.h"
+#include "trace/trace.h"
+
+#define MAX_CONNECTIONS 64
+#define CONNECTION_MEMORY ((size_t)16384)
+
+/* An idle or slow connection is closed after this time. */
+#define CONNECTION_TIMEOUT_SEC 20
+
+/* An operator hears after this time that the outcome is unknown. */
+#define COMMAND_TIMEOUT (10 * KQ_USEC_PER_SEC)
+
+#define METRICS_BYTES ((size_t)262144)
+
+/* One request of an operator. */
+struct request
+{
+  char *body;
+  size_t length;
+  bool too_long;
+  /* set while a command waits for the core */
+  struct MHD_Connection *connection;
+  struct kq_query query;
+  uint64_t id; /* 0: no command */
+  bool issued;
+  kq_usec asked_at;
+  bool answered;
+  json_t *reply;
+  struct request *prev;
+  struct request *next;
+};
+
+struct kq_admin
+{
+  struct ev_loop *loop;
+  struct kq_admin_handler handler;
+  struct MHD_Daemon *daemon;
+  ev_io io;
+  ev_timer timer; /* when the daemon wants to run, or a command expires */
+  uint64_t last_id;
+  struct request *waiting;
+  bool kicked;
+  bool stopping;
+};
+
+static struct kq_metric requests_total
+    = { .name = "kq_admin_requests_total", .help = "Requests of operators." };
+static struct kq_metric refused_total
+    = { .name = "kq_admin_refused_total",
+        .help = "Requests of operators that were malformed." };
+
+void
+kq_admin_register_metrics (void)
+{
+  kq_metric_register (&requests_total);
+  kq_metric_register (&refused_total);
+}
+
+static void
+free_request (struct request *request)
+{
+  kq_query_clear (&request->query);
+  json_decref (request->reply);
+  free (request->body);
+  free (request);
+}
+
+static enum MHD_Result
+send_text (struct MHD_Connection *connection, unsigned status,
+           const char *type, char *text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  enum MHD_Result result;
+
+  if (response == NULL)
+    {
+      free (text);
+      return MHD_NO;
+    }
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Takes the reference to ANSWER. */
+static enum MHD_Result
+send_json (struct MHD_Connection *connection, unsigned status, json_t *answer)
+{
+  char *text = json_dumps (answer, JSON_COMPACT);
+
+  json_decref (answer);
+  if (text == NULL)
+    return MHD_NO;
+  return send_text (connection, status, "application/json", text);
+}
+
+static enum MHD_Result
+send_err (struct MHD_Connection *connection, unsigned status, int err)
+{
+  kq_metric_add (&refused_total, 1);
+  return send_json (connection, status,
+                    json_pack ("{s:s,s:s,s:i,s:s}", "result", "refused",
+                               "error", kq_err_name (err), "number", err,
+                               "reason", kq_err_text (err)));
+}
+
+static unsigned
+status_of (const json_t *answer)
+{
+  static const struct
+  {
+    const char *word;
+    unsigned status;
+  } statuses[] = { { "invalid", MHD_HTTP_BAD_REQUEST },
+                   { "refused", MHD_HTTP_CONFLICT },
+                   { "unknown", MHD_HTTP_GATEWAY_TIMEOUT } };
+  const char *result = json_string_value (json_object_get (answer, "result"));
+
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    if (result != NULL && strcmp (result, statuses[i].word) == 0)
+      return statuses[i].status;
+  return MHD_HTTP_OK;
+}
+
+static json_t *
+find_trace (void *arg, const char *id)
+{
+  return kq_trace_find (id);
+}
+
+static enum MHD_Result
+answer_query (struct kq_admin *admin, struct MHD_Connection *connection,
+              const struct kq_query *query)
+{
+  const struct kq_admin_handler *handler = &admin->handler;
+  struct kq_query_provider provider
+      = { .ctx = handler->arg,
+          .rows = handler->rows,
+          .config = handler->config,
+          .trace = find_trace,
+          .host = handler->host,
+          .age_ms = handler->age_ms (handler->arg) };
+  json_t *answer = kq_query_answer (query, &provider);
+
+  return send_json (connection, status_of (answer), answer);
+}
+
+/* Runs the daemon as soon as the loop is back. */
+static void
+kick (struct kq_admin *admin)
+{
+  admin->kicked = true;
+  ev_timer_stop (admin->loop, &admin->timer);
+  ev_timer_set (&admin->timer, 0, 0);
+  ev_timer_start (admin->loop, &admin->timer);
+}
+
+static enum MHD_Result
+wait_for_core (struct kq_admin *admin, struct MHD_Connection *connection,
+               struct request *request)
+{
+  request->connection = connection;
+  request->id = ++admin->last_id;
+  request->query.u.command.id = request->id;
+  request->asked_at = kq_clock_now ();
+  DL_APPEND (admin->waiting, request);
+  MHD_suspend_connection (connection);
+  kick (admin);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+take_command (struct kq_admin *admin, struct MHD_Connection *connection,
+              struct request *request)
+{
+  struct kq_query_error error;
+  json_t *reply = request->reply;
+
+  if (request->answered)
+    {
+      if (reply == NULL)
+        return MHD_NO;
+      request->reply = NULL;
+      return send_json (connection, status_of (reply), reply);
+    }
+  if (request->too_long)
+    return send_err (connection, MHD_HTTP_CONTENT_TOO_LARGE, KQ_ETOOBIG);
+  if (admin->stopping)
+    return send_err (connection, MHD_HTTP_SERVICE_UNAVAILABLE, KQ_ESTOPPING);
+  if (request->body == NULL || strlen (request->body) != request->length)
+    return send_err (connection, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX);
+  if (kq_query_parse (request->body, &request->query, &error) != 0)
+    {
+      kq_metric_add (&refused_total, 1);
+      return send_json (connection, MHD_HTTP_BAD_REQUEST,
+                        kq_query_error_json (&error));
+    }
+  if (request->query.kind == KQ_QUERY_COMMAND)
+    return wait_for_core (admin, connection, request);
+  return answer_query (admin, connection, &request->query);
+}
+
+static enum MHD_Result
+send_metrics (struct MHD_Connection *connection)
+{
+  char *page = malloc (METRICS_BYTES);
+
+  if (page == NULL)
+    return MHD_NO;
+  if (kq_metric_print (page, METRICS_BYTES) < 0)
+    {
+      free (page);
+      return send_err (connection, MHD_HTTP_INTERNAL_SERVER_ERROR, KQ_ETOOBIG);
+    }
+  return send_text (connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
+                    page);
+}
+
+static enum MHD_Result
+send_health (struct kq_admin *admin, struct MHD_Connection *connection)
+{
+  bool serving = false;
+  json_t *health = admin->handler.health (admin->handler.arg, &serving);
+
+  return send_json (connection,
+                    serving ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                    health);
+}
+
+static enum MHD_Result
+send_trace (struct MHD_Connection *connection, const char *id)
+{
+  json_t *spans = kq_trace_find (id);
+
+  if (spans == NULL)
+    return send_err (connection, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX);
+  return send_json (connection, MHD_HTTP_OK,
+                    json_pack ("{s:s,s:o}", "trace", id, "spans", spans));
+}
+
+static enum MHD_Result
+answer_get (struct kq_admin *admin, struct MHD_Connection *connection,
+            const char *path)
+{
+  static const char trace[] = "/trace/";
+
+  if (strcmp (path, "/metrics") == 0)
+    return send_metrics (connection);
+  if (strcmp (path, "/health") == 0)
+    return send_health (admin, connection);
+  if (strncmp (path, trace, strlen (trace)) == 0)
+    return send_trace (connection, path + strlen (trace));
+  return send_err (connection, MHD_HTTP_NOT_FOUND, KQ_ENOENT);
+}
+
+static void
+take_body (struct request *request, const char *data, size_t length)
+{
+  char *grown;
+
+  if (request->too_long || length > KQ_QUERY_TEXT_MAX - request->length)
+    {
+      request->too_long = true;
+      return;
+    }
+  grown = realloc (request->body, request->length + length + 1);
+  if (grown == NULL)
+    {
+      request->too_long = true;
+      return;
+    }
+  memcpy (grown + request->length, data, length);
+  request->body = grown;
+  request->length += length;
+  grown[request->length] = '\0';
+}
+
+static enum MHD_Result
+on_request (void *arg, struct MHD_Connection *connection, const char *path,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **state)
+{
+  struct kq_admin *admin = arg;
+  struct request *request = *state;
+
+  if (request == NULL)
+    {
+      *state = calloc (1, sizeof *request);
+      return *state == NULL ? MHD_NO : MHD_YES;
+    }
+  if (*size > 0)
+    {
+      take_body (request, data, *size);
+      *size = 0;
+      return MHD_YES;
+    }
+  if (!request->answered)
+    kq_metric_add (&requests_total, 1);
+  if (strcmp (method, MHD_HTTP_METHOD_GET) == 0)
+    return answer_get (admin, connection, path);
+  if (strcmp (path, "/command") != 0)
+    return send_err (connection, MHD_HTTP_NOT_FOUND, KQ_ENOENT);
+  if (strcmp (method, MHD_HTTP_METHOD_POST) != 0)
+    return send_err (connection, MHD_HTTP_METHOD_NOT_ALLOWED, KQ_EINVAL);
+  return take_command (admin, connection, request);
+}
+
+static void
+on_completed (void *arg, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  if (*state != NULL)
+    free_request (*state);
+  *state = NULL;
+}
+
+static struct request *
+find_waiting (struct kq_admin *admin, uint64_t id)
+{
+  struct request *request;
+
+  DL_FOREACH (admin->waiting, request)
+  {
+    if (request->id == id)
+      return request;
+  }
+  return NULL;
+}
+
+void
+kq_admin_reply (struct kq_admin *admin, uint64_t id, int err, int64_t revision)
+{
+  struct request *request = find_waiting (admin, id);
+
+  if (request == NULL)
+    return;
+  DL_DELETE (admin->waiting, request);
+  request->answered = true;
+  request->reply = kq_query_reply (&request->query, err, revision);
+  MHD_resume_connection (request->connection);
+  kick (admin);
+}
+
+/* Hands new commands to the core, outside of the daemon's callbacks. */
+static void
+issue_commands (struct kq_admin *admin)
+{
+  struct request *request;
+  struct request *next;
+
+  DL_FOREACH_SAFE (admin->waiting, request, next)
+  {
+    if (request->issued)
+      continue;
+    request->issued = true;
+    admin->handler.command (admin->handler.arg, &request->query.u.command);
+    /* The reply may have come at once, and others with it. */
+    next = admin->waiting;
+  }
+}
+
+static void
+expire_commands (struct kq_admin *admin)
+{
+  kq_usec now = kq_clock_now ();
+
+  while (admin->waiting != NULL
+         && now - admin->waiting->asked_at >= COMMAND_TIMEOUT)
+    kq_admin_reply (admin, admin->waiting->id, KQ_ETIMEDOUT, 0);
+}
+
+static void
+run (struct kq_admin *admin)
+{
+  MHD_UNSIGNED_LONG_LONG wait_ms;
+  double delay = 1.0;
+
+  issue_commands (admin);
+  expire_commands (admin);
+  admin->kicked = false;
+  MHD_run (admin->daemon);
+  issue_commands (admin);
+  if (admin->kicked)
+    delay = 0;
+  else if (MHD_get_timeout (admin->daemon, &wait_ms) == MHD_YES
+           && wait_ms < 1000)
+    delay = (double)wait_ms / 1000.0;
+  ev_timer_stop (admin->loop, &admin->timer);
+  ev_timer_set (&admin->timer, delay, 0);
+  ev_timer_start (admin->loop, &admin->timer);
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  run (io->data);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  run (timer->data);
+}
+
+static struct MHD_Daemon *
+start_daemon (struct kq_admin *admin, const struct sockaddr_storage *address)
+{
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+
+  if (address->ss_family == AF_INET6)
+    flags |= MHD_USE_IPv6;
+  return MHD_start_daemon (
+      flags, 0, NULL, NULL, on_request, admin, MHD_OPTION_SOCK_ADDR, address,
+      MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
+      MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_SEC,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, admin, MHD_OPTION_END);
+}
+
+struct kq_admin *
+kq_admin_start (struct ev_loop *loop, const char *address,
+                const struct kq_admin_handler *handler, int *err)
+{
+  struct sockaddr_storage socket_address;
+  struct kq_admin *admin = calloc (1, sizeof *admin);
+
+  *err = KQ_ENOMEM;
+  if (admin == NULL)
+    return NULL;
+  admin->loop = loop;
+  admin->handler = *handler;
+  *err = KQ_EINVAL;
+  if (kq_address_read (address, &socket_address))
+    {
+      *err = KQ_EIO;
+      admin->daemon = start_daemon (admin, &socket_address);
+    }
+  if (admin->daemon == NULL)
+    {
+      free (admin);
+      return NULL;
+    }
+  *err = 0;
+  ev_io_init (
+      &admin->io, on_io,
+      MHD_get_daemon_info (admin->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd,
+      EV_READ);
+  admin->io.data = admin;
+  ev_init (&admin->timer, on_timer);
+  admin->timer.data = admin;
+  ev_io_start (loop, &admin->io);
+  kick (admin);
+  return admin;
+}
+
+void
+kq_admin_stop (struct kq_admin *admin)
+{
+  if (admin == NULL)
+    return;
+  admin->stopping = true;
+  while (admin->waiting != NULL)
+    kq_admin_reply (admin, admin->waiting->id, KQ_ESTOPPING, 0);
+  MHD_run (admin->daemon);
+  ev_io_stop (admin->loop, &admin->io);
+  ev_timer_stop (admin->loop, &admin->timer);
+  MHD_stop_daemon (admin->daemon);
+  free (admin);
+}
