peer: send nothing to the own address

Every host is given the same list of bootstrap peers, which holds its own. Seen in a trial with four hosts: 111 messages refused in 12 s at one of them, all its own. Ruled out: leaving it to operators to give each host another list.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -318,8 +318,10 @@
   watch_router (peers);
   for (size_t i = 0; i < settings->bootstrap_count; i++)
     {
-      struct kq_peer *peer = kq_peer_at (peers, settings->bootstrap[i]);
+      struct kq_peer *peer = NULL;
 
+      if (strcmp (settings->bootstrap[i], peers->self.address) != 0)
+        peer = kq_peer_at (peers, settings->bootstrap[i]);
       if (peer != NULL)
         peer->bootstrap = true;
     }
