--- a/daemon/front.c
+++ b/daemon/front.c
@@ -120,6 +120,7 @@
       event.u.view = message->view;
       kq_front_feed (front, &event);
       kq_view_free (message->view);
+      kq_front_count_view ();
       return;
     case MESSAGE_STOP:
       front->stopping = true;
--- a/daemon/front_call.c
+++ b/daemon/front_call.c
@@ -32,6 +32,10 @@
     = { .name = "kq_hop_bad_messages_total",
         .help = "Messages of other entry hosts that could not be read." };
 
+static struct kq_metric views_total
+    = { .name = "kq_views_total",
+        .help = "Pictures of ownership that the request path took over." };
+
 void
 kq_front_metrics (void)
 {
@@ -47,6 +51,13 @@
   kq_metric_register (&added_total);
   kq_metric_register (&requests_open);
   kq_metric_register (&bad_messages_total);
+  kq_metric_register (&views_total);
+}
+
+void
+kq_front_count_view (void)
+{
+  kq_metric_add (&views_total, 1);
 }
 
 void
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -198,6 +198,9 @@
 /** Registers the front's counters; called once a process. */
 void kq_front_metrics (void);
 
+/** Counts a view that was taken over. */
+void kq_front_count_view (void);
+
 /** Counts a hop's message that could not be read. */
 void kq_front_count_bad_message (void);
 
--- a/request/key.c
+++ b/request/key.c
@@ -35,12 +35,13 @@
   struct kq_key_entry *entry;
   struct kq_key_entry *next;
 
-  while (table->done != NULL && table->done->expires <= now)
-    {
-      entry = table->done;
-      unlink_entry (table, entry);
-      LL_PREPEND (expired, entry);
-    }
+  DL_FOREACH_SAFE (table->done, entry, next)
+  {
+    if (table->entries == NULL || entry->expires > now)
+      break;
+    unlink_entry (table, entry);
+    LL_PREPEND (expired, entry);
+  }
   LL_FOREACH_SAFE (expired, entry, next)
   free (entry);
 }
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -6,6 +6,7 @@
 
 #include "base/err.h"
 #include "daemon/front.h"
+#include "metrics/metrics.h"
 #include "t/kqtest.h"
 #include "t/lib-endpoint.h"
 #include "t/lib-view.h"
@@ -27,24 +28,59 @@
 
 static void *zmq;
 
-static struct kq_front *
-start_front (int index, const char *name)
+/** An entry host in this process. */
+struct entry
 {
-  char listen[32];
-  char hop[32];
-  struct kq_front_settings settings = { .listen = listen, .hop_listen = hop };
   struct kq_front *front;
+  int port;
+  char hop[32];
+};
+
+/* Each gets ports of its own: ZeroMQ closes its sockets a little later. */
+static struct entry
+start_entry (const char *name, const char *zone)
+{
+  static int index;
+  struct entry entry;
+  char listen[32];
+  struct kq_front_settings settings
+      = { .listen = listen, .hop_listen = entry.hop };
   int err;
 
-  snprintf (listen, sizeof listen, "127.0.0.1:%d", FRONT_PORT + index);
-  snprintf (hop, sizeof hop, "127.0.0.1:%d", HOP_PORT + index);
+  entry.port = FRONT_PORT + index;
+  snprintf (listen, sizeof listen, "127.0.0.1:%d", entry.port);
+  snprintf (entry.hop, sizeof entry.hop, "127.0.0.1:%d", HOP_PORT + index);
+  index++;
   kq_name_set (&settings.host, name);
-  kq_name_set (&settings.zone, "dakar-sandaga");
+  kq_name_set (&settings.zone, zone);
   kq_name_set (&settings.region, "dakar");
   settings.drain = 3 * KQ_USEC_PER_SEC;
-  front = kq_front_start (&settings, zmq, &err);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (front);
-  return front;
+  entry.front = kq_front_start (&settings, zmq, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry.front);
+  return entry;
+}
+
+static long
+metric (const char *name)
+{
+  static char page[65536];
+  char *line;
+
+  kq_metric_print (page, sizeof page);
+  line = strstr (page, name);
+  line = line != NULL ? strchr (line, '\n') : NULL;
+  return line != NULL ? atol (line + 1 + strlen (name)) : -1;
+}
+
+/* Hands VIEW over and waits until it is in force. */
+static void
+publish (struct kq_front *front, struct kq_view *view)
+{
+  long before = metric ("kq_views_total");
+
+  kq_front_publish (front, view);
+  while (metric ("kq_views_total") == before)
+    usleep (1000);
 }
 
 static size_t
@@ -107,31 +143,31 @@
 static void
 test_without_a_view (void)
 {
-  struct kq_front *front = start_front (0, "e1");
-  struct reply reply = call (FRONT_PORT, "GET", "/ok", NULL, PRICE);
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct reply reply = call (entry.port, "GET", "/ok", NULL, PRICE);
 
   CU_ASSERT_EQUAL (reply.status, 503);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
   CU_ASSERT_PTR_NOT_NULL (strstr (reply.body, "KQ_ECONFIG_NONE"));
-  kq_front_stop (front);
+  kq_front_stop (entry.front);
 }
 
 static void
 test_answer_is_passed_on (void)
 {
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start (ENDPOINT_PORT);
-  struct kq_front *front = start_front (0, "e1");
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
   struct reply reply;
 
-  kq_front_publish (front, kq_test_view (1, ENDPOINT_PORT, true, FOREVER, ""));
-  reply = call (FRONT_PORT, "GET", "/ok?a=%20b", NULL, PRICE);
+  publish (entry.front, kq_test_view (1, ENDPOINT_PORT, true, FOREVER, ""));
+  reply = call (entry.port, "GET", "/ok?a=%20b", NULL, PRICE);
   CU_ASSERT_EQUAL (reply.status, 200);
   CU_ASSERT_STRING_EQUAL (reply.body, "/ok?a=%20b");
   CU_ASSERT_STRING_EQUAL (reply.outcome, "");
-  reply = call (FRONT_PORT, "POST", "/echo", "coil stock", BOOK);
+  reply = call (entry.port, "POST", "/echo", "coil stock", BOOK);
   CU_ASSERT_STRING_EQUAL (reply.body, "coil stock");
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 2);
-  kq_front_stop (front);
+  kq_front_stop (entry.front);
   kq_test_endpoint_stop (endpoint);
 }
 
