builtin: add kumquatrack load; t: test stand-ins and load tool

Latency and outcomes must be measured by one tool that counts as a caller sees it.

Ruled out: one thread a connection (a thousand threads on a shared machine).

Conclusion: stand-ins and load tool are ready for the daemon.

--- a/kumquatrack.c
+++ b/kumquatrack.c
@@ -29,6 +29,7 @@
   { "undrain", kq_cmd_undrain, "let a worker or entry host take work again" },
   { "configure", kq_cmd_configure, "publish a configuration" },
   { "shell", kq_cmd_shell, "read commands from standard input" },
+  { "load", kq_cmd_load, "send requests and measure the answers" },
 };
 
 #define SUBCOMMAND_COUNT (sizeof (subcommands) / sizeof (subcommands[0]))
