--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -58,11 +58,11 @@
 
 set_knobs () { get -o /dev/null -d "$2" "$1/knobs"; } # URL JSON
 
-start () { # NAME PROGRAM...: its process id is in $pid_NAME
+start () { # NAME PROGRAM...
   started=$1
   shift
   "$@" >>"$work/$started.log" 2>&1 &
-  eval "pid_$started=$!"
+  echo $! >"$work/$started.pid"
   pids="$pids $!"
 }
 
@@ -85,3 +85,121 @@
 }
 
 fact () { get "$(control 1)/facts" | jq -r "$1"; } # FILTER
+fact_holds () { holds "$(get "$(control 1)/facts")" "$1"; } # FILTER
+
+# Entry hosts.  Host NAME is started as number I of the session; its ports
+# are base + 10 + I for callers, + 30 operators, + 50 peers, + 70 hops.
+front () { echo "http://127.0.0.1:$((base + 10 + $1))"; } # I
+admin () { echo "http://127.0.0.1:$((base + 30 + $1))"; } # I
+
+start_daemon () { # NAME I ZONE REGION PLATFORM-URL FLAG...
+  host=$1
+  i=$2
+  zone=$3
+  region=$4
+  from=$5
+  shift 5
+  start "$host" "$BUILD/kumquatrackd" --host "$host" --zone "$zone" \
+    --region "$region" --listen "127.0.0.1:$((base + 10 + i))" \
+    --admin-listen "127.0.0.1:$((base + 30 + i))" \
+    --peer-listen "127.0.0.1:$((base + 50 + i))" \
+    --hop-listen "127.0.0.1:$((base + 70 + i))" \
+    --platform "$from" --peers "$peers" "$@"
+}
+
+# Sets $peers and $entries for entry hosts "NAME:ZONE:REGION ...", numbered
+# from 1.
+name_hosts () {
+  peers=
+  entries=
+  i=0
+  for spec in "$@"; do
+    i=$((i + 1))
+    peers="$peers${peers:+,}127.0.0.1:$((base + 50 + i))"
+    entries="$entries$(printf '%s\n' "$spec" | jq -cR --arg peer \
+      "127.0.0.1:$((base + 50 + i))" --arg hop "127.0.0.1:$((base + 70 + i))" \
+      'split (":") | {name: .[0], kind: "entry", zone: .[1], region: .[2],
+        rack: "", state: "live", address: $peer, endpoint: $hop}')
+"
+  done
+}
+
+# Publishes the workers and the entry hosts, changed by a jq FILTER, in the
+# platform's list.
+post_hosts () { # [FILTER]
+  { get "$(control 1)/hosts" | jq -c '.hosts[]'; printf '%s' "$entries"; } \
+    | jq -s "{hosts: map (${1:-.})}" \
+    | get -o /dev/null -d @- "$platform/hosts"
+}
+
+tool () { "$BUILD/kumquatrack" --timeout 5 "$@"; } # WORD...
+
+# What entry host I answers to a query, as JSON.
+query () { # I WORD...
+  asked=$(admin "$1")
+  shift
+  tool --admin "$asked" --json "$@"
+}
+
+answers () { # I FILTER WORD...: the answer's rows hold FILTER
+  at=$1
+  filter=$2
+  shift 2
+  holds "$(query "$at" "$@")" ".rows | $filter"
+}
+
+# Sends SIGNAL to process NAME; says whether it is gone.
+signal () { kill "-$2" "$(cat "$work/$1.pid")"; } # NAME SIGNAL
+gone () { ! kill -0 "$(cat "$work/$1.pid")" 2>/dev/null; } # NAME
+
+# The frame of the demo and of most sessions: a platform with one port for
+# each availability zone, 12 workers, four entry hosts, four shards.
+cluster_start () {
+  start_platform 2
+  far=http://127.0.0.1:$((base + 1))
+  start_workers --group dakar-sandaga:dakar:6 --group thies-nord:thies:6 \
+    --service-ms "${service_ms:-5}"
+  name_hosts sandaga-1:dakar-sandaga:dakar sandaga-2:dakar-sandaga:dakar \
+    nord-1:thies-nord:thies nord-2:thies-nord:thies
+  post_hosts .
+  for i in 1 2; do start_daemon sandaga-$i $i dakar-sandaga dakar "$platform"
+  done
+  for i in 1 2; do start_daemon nord-$i $((i + 2)) thies-nord thies "$far"
+  done
+  for i in 1 2 3 4; do
+    check "entry host $i answers" within 10 get -f "$(admin $i)/health"
+  done
+  KUMQUATRACK_ADMIN=$(admin 1),$(admin 3)
+  export KUMQUATRACK_ADMIN
+}
+
+configuration='{"shards": [
+  {"name": "sandaga-a", "zone": "dakar-sandaga", "workers": ["w1", "w2", "w3"]},
+  {"name": "sandaga-b", "zone": "dakar-sandaga", "workers": ["w4", "w5", "w6"]},
+  {"name": "nord-a", "zone": "thies-nord", "workers": ["w7", "w8", "w9"]},
+  {"name": "nord-b", "zone": "thies-nord", "workers": ["w10", "w11", "w12"]}],
+  "services": [{"name": "prices", "importance": 9, "deadline_ms": 1000}],
+  "teams": [{"name": "weavers", "importance": 3}]}'
+
+cluster_configure () {
+  tool configure base 0 "$configuration"
+  check 'the configuration is accepted' [ $? -eq 0 ]
+  for i in 1 2 3 4; do
+    check "entry host $i sees four owned shards" within 15 \
+      answers $i 'map (select (.owner != "")) | length == 4' show shards
+  done
+}
+
+owner_of () { # SHARD [I]: its owner as entry host I sees it
+  query "${2:-1}" show shards \
+    | jq -r --arg shard "$1" '.rows[] | select (.name == $shard).owner'
+}
+
+number_of () { # NAME
+  case $1 in sandaga-1) echo 1 ;; sandaga-2) echo 2 ;; nord-1) echo 3 ;;
+    *) echo 4 ;; esac
+}
+other_than () { # NAME: the number of the other entry host of its zone
+  case $1 in sandaga-1) echo 2 ;; sandaga-2) echo 1 ;; nord-1) echo 4 ;;
+    *) echo 3 ;; esac
+}
