--- a/t/session-tool.sh
+++ b/t/session-tool.sh
@@ -50,6 +50,18 @@
 expect 3 'nobody answered' --admin $nobody show jobs where team = 'a b'
 expect 2 'takes its commands from standard input' shell now
 
+# Every command, flag and unit of the help stands in the manual page.
+page=$(sed 's/\\-/-/g' docs/man/kumquatrack.1)
+for word in $("$tool" --help | sed -n 's/^  \([a-z]*\) .*/\1/p') \
+  $("$tool" show --help | grep -o -- '--[a-z]*' | sed 's/^-//' | sort -u); do
+  if printf '%s' "$page" | grep -qE "(Ic|Fl) $word"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "docs/man/kumquatrack.1 lacks $word"
+  fi
+done
+
 out=$(printf '# comment\n\nshow hots\nshow hosts\n' \
   | "$tool" shell --admin $nobody 2>&1)
 if [ $? -eq 2 ] && printf '%s' "$out" | grep -q 'nobody answered'; then
