--- a/base/err.h
+++ b/base/err.h
@@ -61,6 +61,8 @@
   X (KQ_EQUERY_NUMBER, -803, "a number is expected")                          \
   X (KQ_EQUERY_UNIT, -804, "the unit does not fit the number")                \
   X (KQ_EQUERY_FIELD, -805, "the table has no such field")                    \
+  /* place */                                                                 \
+  X (KQ_EPLACE_PROBE, -1000, "the first tasks of the job are being measured") \
   /* settings */                                                              \
   X (KQ_ESETTING, -900, "a setting is missing or wrong")
 
--- /dev/null
+++ b/place/choose.c
@@ -0,0 +1,181 @@
+/* Choice of a worker for a task. */
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "place/internal.h"
+
+/** Tasks of a job that was never seen that run until it is; more important
+ *  ones than this are not held back.  */
+#define PROBE_TASKS 4
+#define PROBE_IMPORTANCE 8
+
+/** A placement that is weighed. */
+struct option
+{
+  struct place_worker *worker;
+  struct place_load load; /**< of the worker, with the task */
+  double rack_part;       /**< of the rack's limit, with the task */
+};
+
+static bool
+runs_no_task (const struct place_worker *worker)
+{
+  const struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->ended_at == 0)
+      return false;
+  }
+  return true;
+}
+
+/** Whether SIZE as declared fits into the whole of WORKER. */
+static bool
+fits_idle (const struct place_worker *worker, const struct kq_size *size)
+{
+  return size->cpu_milli <= worker->capacity.cpu_milli
+         && size->memory_mb <= worker->capacity.memory_mb
+         && size->accelerators <= worker->capacity.accelerators;
+}
+
+/** Whether room on WORKER is kept for a more important task than TASK. */
+static bool
+room_is_kept (const struct place_worker *worker,
+              const struct kq_place_task *task, kq_usec now)
+{
+  return worker->room_until > now
+         && !place_id_eq (&worker->room_for, &task->id);
+}
+
+/** Whether the processors and the slow-down of OPTION stay within limits.
+ *  A task too big for the limits may have a worker that runs no other.  */
+static bool
+within_speed (const struct kq_place *place, const struct option *option,
+              const struct kq_size *declared)
+{
+  const struct place_worker *worker = option->worker;
+  double limit = place->cpu_limit * worker->capacity.cpu_milli;
+  double slow_limit = worker->slots > 0 ? place->slow_limit : HUGE_VAL;
+
+  if (option->load.cpu <= limit && option->load.slow <= slow_limit)
+    return true;
+  return runs_no_task (worker)
+         && declared->cpu_milli + worker->load.cpu
+                <= worker->capacity.cpu_milli;
+}
+
+/** Fills OPTION and returns whether it is within all limits. */
+static bool
+weigh (const struct kq_place *place, struct place_worker *worker,
+       const struct place_class *class, const struct kq_place_task *task,
+       struct option *option)
+{
+  const struct place_rack *rack = worker->rack;
+  double added;
+
+  option->worker = worker;
+  option->load = worker->load;
+  place_load_add (place, worker, class, &task->size, SHARE_FULL,
+                  &option->load);
+  added = option->load.cpu - worker->load.cpu;
+  option->rack_part
+      = (rack->used + added) / (rack->limit * fmax (rack->capacity, 1));
+  return fits_idle (worker, &task->size)
+         && option->load.accelerators <= worker->capacity.accelerators
+         && option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb
+         && option->rack_part <= 1
+         && within_speed (place, option, &task->size);
+}
+
+bool
+place_within_limits (const struct kq_place *place, struct place_worker *worker,
+                     const struct place_class *class,
+                     const struct kq_place_task *task)
+{
+  struct option option;
+
+  return weigh (place, worker, class, task, &option);
+}
+
+/** Cost of OPTION: services slowed down and racks near their limit weigh
+ *  against processors left over in pieces.  */
+static double
+cost (const struct kq_place *place, const struct option *option)
+{
+  double slow = option->load.slow / place->slow_limit;
+  double left = 1 - option->load.cpu / option->worker->capacity.cpu_milli;
+
+  return place->spread_weight
+             * (slow * slow + option->rack_part * option->rack_part)
+         + left;
+}
+
+static bool
+within_quota (const struct place_class *team, const struct kq_size *size)
+{
+  return (int64_t)team->occupied.cpu_milli + size->cpu_milli
+             <= team->quota.cpu_milli
+         && (int64_t)team->occupied.memory_mb + size->memory_mb
+                <= team->quota.memory_mb
+         && (int64_t)team->occupied.accelerators + size->accelerators
+                <= team->quota.accelerators;
+}
+
+int
+kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
+               kq_usec now, kq_place_usable *usable, void *ctx,
+               struct kq_name *name)
+{
+  const struct place_class *class = place_class_of (place, task);
+  const struct place_worker *best = NULL;
+  struct place_worker *worker;
+  struct option option;
+  double best_cost = HUGE_VAL;
+  bool possible = place->workers == NULL;
+
+  if (class == NULL)
+    return KQ_ENOMEM;
+  if (!within_quota (class->team, &task->size))
+    return KQ_EJOB_QUOTA;
+  if (place_unseen (class) && class->running >= PROBE_TASKS
+      && task->importance <= PROBE_IMPORTANCE)
+    return KQ_EPLACE_PROBE;
+  place_loads_update (place);
+  for (worker = place->workers; worker != NULL; worker = worker->hh.next)
+    {
+      possible = possible || fits_idle (worker, &task->size);
+      if (room_is_kept (worker, task, now)
+          || (usable != NULL && !usable (ctx, &worker->name))
+          || !weigh (place, worker, class, task, &option)
+          || cost (place, &option) >= best_cost)
+        continue;
+      best = worker;
+      best_cost = cost (place, &option);
+    }
+  if (best == NULL)
+    return possible ? KQ_EWORKER_FULL : KQ_EJOB_NEVER_FITS;
+  *name = best->name;
+  return 0;
+}
+
+int
+kq_place_start (struct kq_place *place, const struct kq_name *name,
+                const struct kq_place_task *task, kq_usec now)
+{
+  struct place_worker *worker = place_worker_find (place, name);
+  const struct place_class *class = place_class_of (place, task);
+
+  if (worker == NULL)
+    return KQ_ENOENT;
+  if (class == NULL)
+    return KQ_ENOMEM;
+  place_loads_update (place);
+  if (!place_within_limits (place, worker, class, task)
+      || !within_quota (class->team, &task->size))
+    abort ();
+  worker->room_until = 0;
+  return kq_place_adopt (place, name, task, now);
+}
--- /dev/null
+++ b/place/relieve.c
@@ -0,0 +1,253 @@
+/* Relief of workers under pressure. */
+
+#include <math.h>
+
+#include "place/internal.h"
+
+/** Speed that is given back in one step. */
+#define SHARE_STEP 125
+
+/** How far below the limits a worker is before speed is given back. */
+#define GIVE_BACK_PART 0.9
+
+/** How far above the limits before something is done. */
+#define ACT_PART 1.1
+
+/** A checkpoint that has not freed the worker by then ends in a stop. */
+#define CHECKPOINT_TIMEOUT (10 * KQ_USEC_PER_SEC)
+
+/** How much dearer each earlier move makes another one. */
+#define MOVED_PENALTY 2.0
+
+/** Core seconds that every eviction costs, the work lost excepted. */
+#define EVICTION_CORE_SEC 5.0
+
+double
+place_eviction_cost (const struct place_task *task, kq_usec now)
+{
+  double lost_sec = (double)(now - task->saved_at) / KQ_USEC_PER_SEC;
+  double cores = task->task.size.cpu_milli / 1000.0;
+
+  return (lost_sec * cores + EVICTION_CORE_SEC)
+         * (1 + MOVED_PENALTY * task->task.moved);
+}
+
+void
+place_evict (struct place_worker *worker, struct place_task *task, kq_usec now,
+             struct kq_place_action *action)
+{
+  action->worker = worker->name;
+  action->task = task->task.id;
+  action->action = task->leaving_at == 0 ? KQ_TASK_CHECKPOINT : KQ_TASK_STOP;
+  action->share_milli = 0;
+  task->leaving_at = now;
+  worker->acted_at = now;
+  worker->fresh = false;
+}
+
+static bool
+can_move (const struct place_task *task)
+{
+  return task->ended_at == 0 && task->leaving_at == 0
+         && task->task.kind == KQ_TASK_BATCH;
+}
+
+struct place_task *
+place_victim (const struct place_worker *worker, int32_t importance,
+              kq_usec now)
+{
+  struct place_task *best = NULL;
+  struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (!can_move (task) || task->task.importance >= importance)
+      continue;
+    if (best == NULL || task->task.importance < best->task.importance
+        || (task->task.importance == best->task.importance
+            && place_eviction_cost (task, now)
+                   < place_eviction_cost (best, now)))
+      best = task;
+  }
+  return best;
+}
+
+/** How much TASK weighs in what is too much: slow-down and processors. */
+static double
+pressure_of (const struct place_task *task)
+{
+  return task->task.size.cpu_milli * task->class->cpu.mean
+         * (0.1 + task->class->slow.mean);
+}
+
+struct place_task *
+place_loudest (const struct place_worker *worker, int32_t importance)
+{
+  struct place_task *best = NULL;
+  struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (!can_move (task) || task->share <= SHARE_LEAST
+        || task->task.importance >= importance)
+      continue;
+    if (best == NULL || task->task.importance < best->task.importance
+        || (task->task.importance == best->task.importance
+            && pressure_of (task) > pressure_of (best)))
+      best = task;
+  }
+  return best;
+}
+
+/** Returns the throttled task of WORKER that gets speed back first. */
+static struct place_task *
+slowed_of (const struct place_worker *worker)
+{
+  struct place_task *best = NULL;
+  struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (!can_move (task) || task->share == SHARE_FULL)
+      continue;
+    if (best == NULL || task->task.importance > best->task.importance)
+      best = task;
+  }
+  return best;
+}
+
+void
+place_set_share (struct kq_place *place, struct place_worker *worker,
+                 struct place_task *task, int32_t share, kq_usec now,
+                 struct kq_place_action *action)
+{
+  action->worker = worker->name;
+  action->task = task->task.id;
+  action->action = KQ_TASK_THROTTLE;
+  action->share_milli = share;
+  task->share_before = task->share;
+  task->share = share;
+  task->share_at = now;
+  worker->acted_at = now;
+  worker->fresh = false;
+  place_load_update (place, worker);
+  place_loads_update (place);
+}
+
+/** Memory in use: as reported, corrected by what started or ended since. */
+static double
+memory_now (const struct kq_place *place, const struct place_worker *worker)
+{
+  double memory = worker->usage.used.memory_mb;
+  const struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    bool counted = place_share_at (task, worker->usage.at) > 0;
+    bool runs = task->ended_at == 0;
+
+    if (counted != runs)
+      memory += (runs ? 1 : -1)
+                * place_size (place, task->class, &task->task.size).memory_mb;
+  }
+  return memory;
+}
+
+/** Largest of processors, slow-down and rack in parts of their limits. */
+static double
+pressure (const struct kq_place *place, const struct place_worker *worker)
+{
+  const struct place_rack *own = worker->rack;
+  double rack = own->used / (own->limit * fmax (own->capacity, 1));
+  double cpu = worker->load.cpu
+               / (place->cpu_limit * fmax (worker->capacity.cpu_milli, 1));
+  double slow = worker->slots > 0 ? worker->load.slow / place->slow_limit : 0;
+  double seen
+      = worker->slots > 0 && worker->usage.slow_milli > 0
+            ? (worker->usage.slow_milli / 1000.0 - 1) / place->slow_limit
+            : 0;
+
+  return fmax (fmax (rack, cpu), fmax (slow, seen));
+}
+
+/** One step of relief for WORKER; returns the number of actions, 0 or 1. */
+static int
+relieve_worker (struct kq_place *place, struct place_worker *worker,
+                kq_usec now, struct kq_place_action *action)
+{
+  double now_pressure = pressure (place, worker);
+  struct place_task *task;
+
+  if (memory_now (place, worker) > MEMORY_LIMIT * worker->capacity.memory_mb)
+    task = place_victim (worker, INT32_MAX, now);
+  else if (now_pressure > ACT_PART)
+    {
+      task = place_loudest (worker, INT32_MAX);
+      if (task != NULL)
+        {
+          int32_t share = task->share / 2;
+
+          place_set_share (place, worker, task,
+                           share > SHARE_LEAST ? share : SHARE_LEAST, now,
+                           action);
+          return 1;
+        }
+      task = place_victim (worker, INT32_MAX, now);
+    }
+  else
+    {
+      task = now_pressure < GIVE_BACK_PART ? slowed_of (worker) : NULL;
+      if (task != NULL)
+        place_set_share (place, worker, task,
+                         task->share + SHARE_STEP < SHARE_FULL
+                             ? task->share + SHARE_STEP
+                             : SHARE_FULL,
+                         now, action);
+      return task != NULL;
+    }
+  if (task != NULL)
+    place_evict (worker, task, now, action);
+  return task != NULL;
+}
+
+/** Stops a task of WORKER whose checkpoint took too long. */
+static int
+stop_overdue (struct place_worker *worker, kq_usec now,
+              struct kq_place_action *action)
+{
+  struct place_task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->ended_at != 0 || task->leaving_at == 0
+        || now < task->leaving_at + CHECKPOINT_TIMEOUT)
+      continue;
+    place_evict (worker, task, now, action);
+    return 1;
+  }
+  return 0;
+}
+
+int
+kq_place_relieve (struct kq_place *place, kq_usec now,
+                  struct kq_place_action *actions, int max)
+{
+  struct place_worker *worker;
+  int count = 0;
+
+  place_loads_update (place);
+  for (worker = place->workers; worker != NULL && count < max;
+       worker = worker->hh.next)
+    {
+      int stopped = stop_overdue (worker, now, &actions[count]);
+
+      count += stopped;
+      /* A report from before the last intervention does not show it. */
+      if (stopped > 0 || !worker->fresh
+          || worker->usage.at < worker->acted_at + SETTLE_TIME)
+        continue;
+      count += relieve_worker (place, worker, now, &actions[count]);
+      worker->fresh = false;
+    }
+  return count;
+}
--- /dev/null
+++ b/t/lib-cluster.c
@@ -0,0 +1,716 @@
+/* A small fake of workers in racks; see lib-cluster.h. */
+
+#include "t/lib-cluster.h"
+
+#include <gsl/gsl_histogram.h>
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+
+#define WORKERS_MAX 128
+#define RACKS_MAX 32
+#define TASKS_MAX 64 /* on one worker */
+#define TEAMS 12
+#define SLOTS 8
+#define SLOT_LOAD 0.7
+#define SLOT_MEMORY_MB 200
+#define LAG_MAX 32
+#define JOB_TASKS_LEAST 20
+#define JOB_TASKS_MOST 60
+#define RUN_LEAST_SEC 30
+#define RUN_MOST_SEC 120
+#define CHECKPOINT_EVERY_SEC 60
+#define CHECKPOINT_SEC 2
+#define WAVE_BEGIN_SEC 600
+#define WAVE_END_SEC 800
+#define WAVE_LOAD 0.25
+#define RETRY_SEC 10 /* after a kill by the memory guard */
+#define URGENT_EVERY_SEC 20
+#define URGENT 9
+#define SAMPLES 4 /* of latency, a worker and second */
+#define ACTIONS_MAX 64
+
+/* What is true of a job, and what it declares. */
+struct job
+{
+  struct kq_place_task declared; /* id.index counts */
+  double cpu;                    /* cores */
+  double memory;                 /* MB */
+  double slow; /* slow-down of services with a whole worker */
+  double run_sec;
+  int arrives_sec;
+  int tasks;
+};
+
+struct task
+{
+  struct kq_place_task declared;
+  const struct job *job;
+  double done_sec;
+  double saved_sec;
+  int started_sec;
+  int arrived_sec;
+  int leaving_sec; /* 0: stays */
+  int retry_sec;   /* starts no earlier */
+  double share;
+  int last_turn; /* -1: share was lowered last, 1: raised */
+  bool used;
+  struct task *next; /* waiting */
+};
+
+struct worker
+{
+  struct kq_name name;
+  int rack;
+  struct task *tasks[TASKS_MAX];
+  int count;
+  struct kq_place_usage reports[LAG_MAX];
+  double service_cpu; /* cores */
+};
+
+struct cluster
+{
+  const struct cluster_setup *setup;
+  struct cluster_result *result;
+  struct kq_place *place;
+  gsl_rng *loads;
+  gsl_histogram *latency;
+  struct worker workers[WORKERS_MAX];
+  double budget[RACKS_MAX]; /* part of the rack's cores */
+  double demand[RACKS_MAX]; /* cores */
+  int racks;
+  struct job *jobs;
+  int job_count;
+  int next_job;
+  struct task *waiting[10]; /* by importance, first in first out */
+  struct task **tails[10];
+  struct task *moving; /* scratch */
+  int urgent;
+  int urgent_late;
+  long throttled;
+  long worker_seconds;
+  double given; /* cores that batch was given in this second */
+};
+
+static double
+uniform (gsl_rng *rng, double least, double most)
+{
+  return gsl_ran_flat (rng, least, most);
+}
+
+/* The factor by which a declared size is off: each team has its habit, and
+   its jobs differ from that. */
+static double
+error_factor (const struct cluster_setup *setup, gsl_rng *rng, int team)
+{
+  static const double habit[TEAMS]
+      = { 1, 0.6, 1.5, 1, 2, 0.5, 1, 1.3, 0.8, 1, 0.7, 1.8 };
+
+  if (setup->size_error > 0)
+    return gsl_rng_get (rng) % 2 ? setup->size_error : 1 / setup->size_error;
+  return habit[team] * gsl_ran_lognormal (rng, 0, 0.3);
+}
+
+static void
+make_job (struct cluster *cluster, gsl_rng *rng, int at_sec, bool noisy,
+          struct job *job)
+{
+  static const double slow_of_team[TEAMS]
+      = { 0.03, 0.05, 0.1, 0.05, 0.2, 0.03, 0.25, 0.1, 0.05, 0.8, 0.1, 0.2 };
+  const struct kq_size *most = &cluster->setup->capacity;
+  int team = noisy ? 9 : (int)(gsl_rng_get (rng) % TEAMS);
+  struct kq_size *size = &job->declared.size;
+
+  snprintf (job->declared.team.text, KQ_NAME_SIZE, "team-%d", team);
+  snprintf (job->declared.id.job.text, KQ_NAME_SIZE, "job-%d",
+            cluster->job_count);
+  job->declared.importance = noisy ? 3 : 3 + (int)(gsl_rng_get (rng) % 3);
+  job->cpu = uniform (rng, 0.5, 2.5);
+  job->memory = job->cpu * uniform (rng, 1000, 4000);
+  job->slow = slow_of_team[team] * uniform (rng, 0.7, 1.3);
+  job->run_sec = uniform (rng, RUN_LEAST_SEC, RUN_MOST_SEC);
+  job->arrives_sec = at_sec;
+  job->tasks = JOB_TASKS_LEAST
+               + (int)(gsl_rng_get (rng) % (JOB_TASKS_MOST - JOB_TASKS_LEAST));
+  size->cpu_milli = (int32_t)fmin (
+      job->cpu * 1000 * error_factor (cluster->setup, rng, team),
+      most->cpu_milli / 2.0);
+  size->memory_mb
+      = (int32_t)fmin (job->memory * error_factor (cluster->setup, rng, team),
+                       most->memory_mb / 2.0);
+}
+
+static void
+make_urgent (struct cluster *cluster, int at_sec, struct job *job)
+{
+  struct kq_size size = { 1500, 2000, 0 };
+
+  strcpy (job->declared.team.text, "team-urgent");
+  snprintf (job->declared.id.job.text, KQ_NAME_SIZE, "job-%d",
+            cluster->job_count);
+  job->declared.importance = URGENT;
+  job->declared.size = size;
+  job->cpu = 1.5;
+  job->memory = 2000;
+  job->slow = 0.1;
+  job->run_sec = 20;
+  job->arrives_sec = at_sec;
+  job->tasks = 1;
+}
+
+/* Makes all jobs of the run, by the seed alone. */
+static void
+make_jobs (struct cluster *cluster)
+{
+  const struct cluster_setup *setup = cluster->setup;
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+  double cores = setup->workers * setup->capacity.cpu_milli / 1000.0;
+  double owed = 0;      /* core seconds that are to arrive */
+  double owed_wave = 0; /* the same, of the noisy wave */
+  int most = setup->seconds * 4;
+
+  gsl_rng_set (rng, setup->seed);
+  cluster->jobs = calloc ((size_t)most, sizeof (struct job));
+  for (int at = 0; at < setup->seconds && setup->batch; at++)
+    {
+      owed += setup->batch_load * cores;
+      if (setup->noisy_wave && at >= WAVE_BEGIN_SEC && at < WAVE_END_SEC)
+        owed_wave += WAVE_LOAD * cores;
+      if (at % URGENT_EVERY_SEC == 7 && cluster->job_count < most)
+        make_urgent (cluster, at, &cluster->jobs[cluster->job_count++]);
+      while ((owed > 0 || owed_wave > 0) && cluster->job_count < most)
+        {
+          struct job *job = &cluster->jobs[cluster->job_count];
+          bool noisy = owed_wave > 0;
+
+          make_job (cluster, rng, at, noisy, job);
+          cluster->job_count++;
+          *(noisy ? &owed_wave : &owed)
+              -= job->cpu * job->run_sec * job->tasks;
+        }
+    }
+  gsl_rng_free (rng);
+}
+
+static void
+enqueue (struct cluster *cluster, struct task *task, bool front)
+{
+  int rank = task->declared.importance;
+
+  task->next = NULL;
+  if (front)
+    {
+      task->next = cluster->waiting[rank];
+      cluster->waiting[rank] = task;
+      if (task->next == NULL)
+        cluster->tails[rank] = &task->next;
+      return;
+    }
+  *cluster->tails[rank] = task;
+  cluster->tails[rank] = &task->next;
+}
+
+static void
+arrive (struct cluster *cluster, int now_sec)
+{
+  while (cluster->next_job < cluster->job_count
+         && cluster->jobs[cluster->next_job].arrives_sec <= now_sec)
+    {
+      const struct job *job = &cluster->jobs[cluster->next_job++];
+
+      for (int i = 0; i < job->tasks; i++)
+        {
+          struct task *task = calloc (1, sizeof (*task));
+
+          task->declared = job->declared;
+          task->declared.id.index = i;
+          task->job = job;
+          task->arrived_sec = now_sec;
+          task->share = 1;
+          enqueue (cluster, task, false);
+        }
+    }
+}
+
+/* Takes the task at INDEX off WORKER; it starts again from its checkpoint. */
+static void
+evict (struct cluster *cluster, struct worker *worker, int index, int now_sec)
+{
+  struct task *task = worker->tasks[index];
+
+  cluster->result->evictions++;
+  cluster->result->thrown_away
+      += (task->done_sec - task->saved_sec) * task->job->cpu;
+  task->done_sec = task->saved_sec;
+  task->leaving_sec = 0;
+  task->share = 1;
+  task->declared.moved++;
+  worker->tasks[index] = worker->tasks[--worker->count];
+  if (cluster->place != NULL)
+    kq_place_end (cluster->place, &worker->name, &task->declared.id,
+                  now_sec * KQ_USEC_PER_SEC);
+  enqueue (cluster, task, true);
+}
+
+static struct worker *
+worker_named (struct cluster *cluster, const struct kq_name *name)
+{
+  return &cluster->workers[strtol (name->text + 1, NULL, 10)];
+}
+
+static int
+task_on (const struct worker *worker, const struct kq_task_id *id)
+{
+  for (int i = 0; i < worker->count; i++)
+    if (worker->tasks[i]->declared.id.index == id->index
+        && kq_name_eq (&worker->tasks[i]->declared.id.job, &id->job))
+      return i;
+  return -1;
+}
+
+static void
+run_on (struct cluster *cluster, struct worker *worker, struct task *task,
+        int now_sec)
+{
+  task->started_sec = now_sec;
+  worker->tasks[worker->count++] = task;
+  if (task->declared.importance == URGENT && task->declared.moved == 0)
+    {
+      cluster->urgent++;
+      cluster->urgent_late += now_sec - task->arrived_sec > 1;
+    }
+}
+
+/* Plain baseline: the first worker where declared sizes fit. */
+static bool
+first_fit (struct cluster *cluster, struct task *task, int now_sec)
+{
+  const struct cluster_setup *setup = cluster->setup;
+
+  for (int i = 0; i < setup->workers; i++)
+    {
+      struct worker *worker = &cluster->workers[i];
+      struct kq_size sum = task->declared.size;
+
+      if (setup->services)
+        {
+          sum.cpu_milli += (int32_t)(SLOTS * setup->slot_cores * 1000);
+          sum.memory_mb += SLOTS * SLOT_MEMORY_MB;
+        }
+      for (int t = 0; t < worker->count; t++)
+        {
+          sum.cpu_milli += worker->tasks[t]->declared.size.cpu_milli;
+          sum.memory_mb += worker->tasks[t]->declared.size.memory_mb;
+        }
+      if (sum.cpu_milli > setup->capacity.cpu_milli
+          || sum.memory_mb > setup->capacity.memory_mb
+          || worker->count == TASKS_MAX)
+        continue;
+      run_on (cluster, worker, task, now_sec);
+      return true;
+    }
+  return false;
+}
+
+/* Plain baseline for urgent tasks: the newest tasks of the first worker that
+   runs any leave. */
+static void
+first_evict (struct cluster *cluster, int now_sec)
+{
+  for (int i = 0; i < cluster->setup->workers; i++)
+    for (int t = cluster->workers[i].count - 1; t >= 0; t--)
+      if (cluster->workers[i].tasks[t]->declared.importance < URGENT)
+        {
+          evict (cluster, &cluster->workers[i], t, now_sec);
+          return;
+        }
+}
+
+static void
+apply (struct cluster *cluster, const struct kq_place_action *action,
+       int now_sec)
+{
+  struct worker *worker = worker_named (cluster, &action->worker);
+  int index = task_on (worker, &action->task);
+  struct task *task = index >= 0 ? worker->tasks[index] : NULL;
+
+  if (task == NULL)
+    return;
+  switch (action->action)
+    {
+    case KQ_TASK_THROTTLE:
+      {
+        int turn = action->share_milli / 1000.0 < task->share ? -1 : 1;
+
+        cluster->result->throttles++;
+        cluster->result->turns += task->last_turn == -turn;
+        task->last_turn = turn;
+        task->share = action->share_milli / 1000.0;
+        break;
+      }
+    case KQ_TASK_CHECKPOINT:
+      task->leaving_sec
+          = now_sec
+            + (task->declared.importance == URGENT ? CHECKPOINT_SEC
+                                                   : CHECKPOINT_SEC / 2);
+      break;
+    case KQ_TASK_STOP:
+      evict (cluster, worker, index, now_sec);
+      break;
+    case KQ_TASK_START:
+    case KQ_TASK_ACK:
+      break;
+    }
+}
+
+static bool
+has_row (void *ctx, const struct kq_name *name)
+{
+  return worker_named (ctx, name)->count < TASKS_MAX;
+}
+
+static bool
+place_one (struct cluster *cluster, struct task *task, int now_sec)
+{
+  kq_usec now = now_sec * KQ_USEC_PER_SEC;
+  struct kq_place_action actions[ACTIONS_MAX];
+  struct kq_name name;
+  int count;
+  int err;
+
+  if (cluster->setup->policy == CLUSTER_FIRST_FIT)
+    {
+      if (first_fit (cluster, task, now_sec))
+        return true;
+      if (task->declared.importance == URGENT)
+        first_evict (cluster, now_sec);
+      return false;
+    }
+  err = kq_place_choose (cluster->place, &task->declared, now, has_row, cluster,
+                       &name);
+  if (err == KQ_EWORKER_FULL && task->declared.importance == URGENT)
+    {
+      count = kq_place_make_room (cluster->place, &task->declared, now,
+                                  has_row, cluster, actions, ACTIONS_MAX);
+      for (int i = 0; i < count; i++)
+        apply (cluster, &actions[i], now_sec);
+      err = kq_place_choose (cluster->place, &task->declared, now, has_row,
+                           cluster, &name);
+    }
+  if (err != 0)
+    return false;
+  kq_place_start (cluster->place, &name, &task->declared, now);
+  run_on (cluster, worker_named (cluster, &name), task, now_sec);
+  return true;
+}
+
+/* Starts what can be started; of a job whose task found no place, no other
+   is tried in this second. */
+static void
+place_waiting (struct cluster *cluster, int now_sec)
+{
+  for (int rank = URGENT; rank >= 0; rank--)
+    {
+      struct task *task = cluster->waiting[rank];
+      const struct job *full = NULL;
+
+      cluster->waiting[rank] = NULL;
+      cluster->tails[rank] = &cluster->waiting[rank];
+      while (task != NULL)
+        {
+          struct task *next = task->next;
+
+          if (task->retry_sec > now_sec)
+            enqueue (cluster, task, false);
+          else if (task->job == full || !place_one (cluster, task, now_sec))
+            {
+              full = task->job;
+              enqueue (cluster, task, false);
+            }
+          task = next;
+        }
+    }
+}
+
+/* Memory guard of WORKER: while it is over, the greediest task goes. */
+static void
+guard_memory (struct cluster *cluster, struct worker *worker, int now_sec)
+{
+  for (;;)
+    {
+      double memory = cluster->setup->services ? SLOTS * SLOT_MEMORY_MB : 0;
+      int greediest = 0;
+
+      for (int i = 0; i < worker->count; i++)
+        {
+          const struct task *task = worker->tasks[i];
+          const struct task *other = worker->tasks[greediest];
+
+          memory += task->job->memory;
+          if (task->job->memory - task->declared.size.memory_mb
+              > other->job->memory - other->declared.size.memory_mb)
+            greediest = i;
+        }
+      if (memory <= cluster->setup->capacity.memory_mb || worker->count == 0)
+        return;
+      cluster->result->memory_kills++;
+      worker->tasks[greediest]->retry_sec = now_sec + RETRY_SEC;
+      evict (cluster, worker, greediest, now_sec);
+    }
+}
+
+/* One second of one worker whose rack gives it SPEED. */
+static void
+run_worker (struct cluster *cluster, struct worker *worker, double speed,
+            int now_sec)
+{
+  const struct cluster_setup *setup = cluster->setup;
+  double cores = setup->capacity.cpu_milli / 1000.0;
+  struct kq_place_usage *report = &worker->reports[now_sec % LAG_MAX];
+  double batch = 0;
+  double slow = 1;
+  double memory = setup->services ? SLOTS * SLOT_MEMORY_MB : 0;
+  double squeeze;
+  double demand;
+
+  for (int i = 0; i < worker->count; i++)
+    {
+      const struct task *task = worker->tasks[i];
+
+      batch += task->job->cpu * task->share;
+      memory += task->job->memory;
+      slow += task->job->slow * task->job->cpu * task->share / cores;
+    }
+  demand = batch + worker->service_cpu;
+  squeeze = demand > cores ? (cores - worker->service_cpu) / batch : 1;
+  slow *= 1 + 2 * fmax (demand / cores - 0.9, 0);
+  slow /= speed;
+  for (int i = 0; i < worker->count; i++)
+    {
+      struct task *task = worker->tasks[i];
+
+      task->done_sec += task->share * speed * squeeze;
+      if ((now_sec - task->started_sec) % CHECKPOINT_EVERY_SEC
+          == CHECKPOINT_EVERY_SEC - 1)
+        {
+          task->saved_sec = task->done_sec;
+          if (cluster->place != NULL)
+            kq_place_checkpointed (cluster->place, &worker->name,
+                                   &task->declared.id,
+                                   now_sec * KQ_USEC_PER_SEC);
+        }
+    }
+  if (setup->services)
+    for (int i = 0; i < SAMPLES; i++)
+      gsl_histogram_increment (
+          cluster->latency,
+          slow * gsl_ran_lognormal (cluster->loads, 0, 0.35));
+  report->seq = now_sec + 1;
+  report->at = now_sec * KQ_USEC_PER_SEC + KQ_USEC_PER_SEC / 2;
+  report->used.cpu_milli
+      = (int32_t)(fmin (demand, cores) * speed * 1000
+                  * (1 + gsl_ran_gaussian (cluster->loads, 0.02)));
+  report->used.memory_mb = (int32_t)memory;
+  report->throttled = speed < 1;
+  report->busy_slots
+      = (int32_t)lround (worker->service_cpu / setup->slot_cores);
+  report->slow_milli
+      = setup->services
+            ? (int32_t)(slow * 1000
+                        * (1 + gsl_ran_gaussian (cluster->loads, 0.02)))
+            : 0;
+  cluster->throttled += report->throttled;
+  cluster->worker_seconds++;
+}
+
+/* Tasks of WORKER that are finished, or have saved their checkpoint. */
+static void
+end_tasks (struct cluster *cluster, struct worker *worker, int now_sec)
+{
+  for (int i = worker->count - 1; i >= 0; i--)
+    {
+      struct task *task = worker->tasks[i];
+
+      if (task->done_sec >= task->job->run_sec)
+        {
+          cluster->result->finished++;
+          cluster->result->work += task->job->cpu * task->job->run_sec;
+          worker->tasks[i] = worker->tasks[--worker->count];
+          if (cluster->place != NULL)
+            kq_place_end (cluster->place, &worker->name, &task->declared.id,
+                          now_sec * KQ_USEC_PER_SEC);
+          free (task);
+        }
+      else if (task->leaving_sec != 0 && now_sec >= task->leaving_sec)
+        {
+          task->saved_sec = task->done_sec;
+          evict (cluster, worker, i, now_sec);
+        }
+    }
+}
+
+static void
+run_workers (struct cluster *cluster, int now_sec)
+{
+  const struct cluster_setup *setup = cluster->setup;
+  double cores = setup->capacity.cpu_milli / 1000.0;
+  double wave = 1 + 0.2 * sin (now_sec * 2 * M_PI / 900);
+
+  memset (cluster->demand, 0, sizeof (cluster->demand));
+  for (int i = 0; i < setup->workers; i++)
+    {
+      struct worker *worker = &cluster->workers[i];
+      double demand = 0;
+
+      guard_memory (cluster, worker, now_sec);
+      worker->service_cpu = 0;
+      if (setup->services)
+        worker->service_cpu
+            = setup->slot_cores
+              * gsl_ran_binomial (cluster->loads, SLOT_LOAD * wave, SLOTS);
+      for (int t = 0; t < worker->count; t++)
+        demand += worker->tasks[t]->job->cpu * worker->tasks[t]->share;
+      cluster->demand[worker->rack]
+          += fmin (demand + worker->service_cpu, cores);
+    }
+  for (int i = 0; i < setup->workers; i++)
+    {
+      struct worker *worker = &cluster->workers[i];
+      int in_rack = setup->per_rack;
+      double budget;
+
+      if (worker->rack == cluster->racks - 1)
+        in_rack = setup->workers - worker->rack * setup->per_rack;
+      budget = cluster->budget[worker->rack] * in_rack * cores;
+      run_worker (cluster, worker,
+                  fmin (budget / fmax (cluster->demand[worker->rack], 1), 1),
+                  now_sec);
+      end_tasks (cluster, worker, now_sec);
+    }
+}
+
+/* Hands over the reports that are old enough, and does what is asked. */
+static void
+report_and_relieve (struct cluster *cluster, int now_sec)
+{
+  const struct cluster_setup *setup = cluster->setup;
+  struct kq_place_action actions[WORKERS_MAX];
+  int at_sec = now_sec - setup->lag_sec;
+  kq_usec now = now_sec * KQ_USEC_PER_SEC + KQ_USEC_PER_SEC - 1;
+  int count;
+
+  if (cluster->place == NULL || at_sec < 0)
+    return;
+  for (int i = 0; i < setup->workers; i++)
+    kq_place_report (cluster->place, &cluster->workers[i].name,
+                     &cluster->workers[i].reports[at_sec % LAG_MAX], now);
+  count = kq_place_relieve (cluster->place, now, actions, WORKERS_MAX);
+  for (int i = 0; i < count; i++)
+    apply (cluster, &actions[i], now_sec);
+}
+
+static void
+build (struct cluster *cluster)
+{
+  const struct cluster_setup *setup = cluster->setup;
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+
+  gsl_rng_set (rng, setup->seed + 1);
+  cluster->racks = (setup->workers + setup->per_rack - 1) / setup->per_rack;
+  for (int i = 0; i < cluster->racks; i++)
+    cluster->budget[i] = uniform (rng, 0.70, 0.95);
+  gsl_rng_free (rng);
+  if (setup->policy == CLUSTER_PLACE)
+    cluster->place = kq_place_create (&setup->weights);
+  for (int i = 0; i < setup->workers; i++)
+    {
+      struct worker *worker = &cluster->workers[i];
+      struct kq_name rack;
+
+      worker->rack = i / setup->per_rack;
+      snprintf (worker->name.text, KQ_NAME_SIZE, "w%d", i);
+      snprintf (rack.text, KQ_NAME_SIZE, "rack-%d", worker->rack);
+      if (cluster->place != NULL)
+        kq_place_set_worker (cluster->place, &worker->name, &rack,
+                             &setup->capacity, setup->services ? SLOTS : 0);
+    }
+  for (int i = 0; i <= URGENT; i++)
+    cluster->tails[i] = &cluster->waiting[i];
+  make_jobs (cluster);
+}
+
+static double
+quantile (const gsl_histogram *histogram, double part)
+{
+  double wanted = part * gsl_histogram_sum (histogram);
+  double sum = 0;
+  double low;
+  double high = 0;
+
+  for (size_t i = 0; i < gsl_histogram_bins (histogram) && sum < wanted; i++)
+    {
+      sum += gsl_histogram_get (histogram, i);
+      gsl_histogram_get_range (histogram, i, &low, &high);
+    }
+  return high;
+}
+
+static void
+clean_up (struct cluster *cluster)
+{
+  for (int i = 0; i < cluster->setup->workers; i++)
+    for (int t = 0; t < cluster->workers[i].count; t++)
+      free (cluster->workers[i].tasks[t]);
+  for (int i = 0; i <= URGENT; i++)
+    while (cluster->waiting[i] != NULL)
+      {
+        struct task *next = cluster->waiting[i]->next;
+
+        free (cluster->waiting[i]);
+        cluster->waiting[i] = next;
+      }
+  kq_place_destroy (cluster->place);
+  free (cluster->jobs);
+  gsl_histogram_free (cluster->latency);
+  gsl_rng_free (cluster->loads);
+  free (cluster);
+}
+
+void
+cluster_run (const struct cluster_setup *setup, struct cluster_result *result)
+{
+  struct cluster *cluster = calloc (1, sizeof (*cluster));
+
+  memset (result, 0, sizeof (*result));
+  cluster->setup = setup;
+  cluster->result = result;
+  cluster->loads = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (cluster->loads, setup->seed + 2);
+  cluster->latency = gsl_histogram_alloc (5000);
+  gsl_histogram_set_ranges_uniform (cluster->latency, 0, 50);
+  build (cluster);
+  for (int now = 1; now <= setup->seconds; now++)
+    {
+      arrive (cluster, now);
+      place_waiting (cluster, now);
+      run_workers (cluster, now);
+      report_and_relieve (cluster, now);
+    }
+  if (setup->services)
+    {
+      result->p50 = quantile (cluster->latency, 0.5);
+      result->p99 = quantile (cluster->latency, 0.99);
+    }
+  result->work /= setup->seconds;
+  result->thrown_away /= setup->seconds;
+  result->throttled
+      = (double)cluster->throttled / (double)cluster->worker_seconds;
+  result->urgent_late
+      = cluster->urgent ? (double)cluster->urgent_late / cluster->urgent : 0;
+  clean_up (cluster);
+}
