--- a/base/err.h
+++ b/base/err.h
@@ -53,6 +53,7 @@
   X (KQ_EREQ_CUT, -603, "the endpoint cut its answer short")                  \
   X (KQ_EREQ_KEY_IN_USE, -604, "a request with this key is in progress")      \
   X (KQ_EREQ_KEY_REUSED, -605, "the key belongs to a different request")      \
+  X (KQ_EREQ_ANSWER_GONE, -606, "the stored answer is no longer kept")        \
   /* peer */                                                                  \
   X (KQ_EPEER_VIEW, -700, "the message belongs to an old view")               \
   X (KQ_EPEER_UNKNOWN, -701, "the peer is not a member")                      \
@@ -63,6 +64,8 @@
   X (KQ_EQUERY_NUMBER, -803, "a number is expected")                          \
   X (KQ_EQUERY_UNIT, -804, "the unit does not fit the number")                \
   X (KQ_EQUERY_FIELD, -805, "the table has no such field")                    \
+  /* place */                                                                 \
+  X (KQ_EPLACE_PROBE, -1000, "the first tasks of the job are being measured") \
   /* settings */                                                              \
   X (KQ_ESETTING, -900, "a setting is missing or wrong")
 
