t: extend attempts in the worker stand-in by renewals only

A request of a holder that was paused past its lease arrives as an acquire when nobody else took the worker. If it also extended the attempts there, a successor that waits for a silent worker's tasks to lapse would wait too short a time.

Ruled out: leaving it to the core, which cannot recall a request that is on its way.

--- a/t/standin/si-worker.c
+++ b/t/standin/si-worker.c
@@ -153,9 +153,10 @@
       "throttled", worker->throttled, "tasks", rows_json (worker));
 }
 
-/* Acquires or renews.  The end of an attempt never moves nearer. */
+/* Acquires or renews.  The end of an attempt never moves nearer; only a
+   renewal moves it, so that a late request of a lapsed holder does not. */
 static void
-extend (struct si_worker *worker, const json_t *body)
+extend (struct si_worker *worker, const json_t *body, bool renews)
 {
   kq_usec now = kq_clock_now ();
   kq_usec task_until
@@ -166,7 +167,7 @@
   if (task_until > worker->task_until)
     worker->task_until = task_until;
   DL_FOREACH (worker->attempts, attempt)
-  if (task_until > attempt->until)
+  if (renews && task_until > attempt->until)
     attempt->until = task_until;
 }
 
@@ -192,14 +193,14 @@
           if (si_number (body, "ttl_ms", 0) == 0)
             worker->lease_until = now;
           else
-            extend (worker, body);
+            extend (worker, body, true);
         }
       else if (!held && si_number (body, "ttl_ms", 0) > 0)
         {
           status = MHD_HTTP_OK;
           snprintf (worker->holder, sizeof worker->holder, "%s", holder);
           worker->term++;
-          extend (worker, body);
+          extend (worker, body, false);
           si_fact_count ("acquires");
         }
     }
