lease: hold against late answers, late releases and paused senders

The check on leaving workers counts from when the start was decided, because a paused sender can't know better.

--- a/core/core.c
+++ b/core/core.c
@@ -56,21 +56,6 @@
 }
 
 /* HASH_CLEAR frees the table and leaves the items linked. */
-static void
-destroy_members (struct kq_core *core)
-{
-  struct kq_member *member = core->members;
-
-  HASH_CLEAR (hh, core->members);
-  while (member != NULL)
-    {
-      struct kq_member *next = member->hh.next;
-
-      free (member);
-      member = next;
-    }
-}
-
 static void
 destroy_drains (struct kq_core *core)
 {
@@ -94,7 +79,7 @@
   kq_append_destroy_all (core);
   kq_catchup_drop (core);
   kq_shard_destroy_all (core);
-  destroy_members (core);
+  kq_member_destroy_all (core);
   destroy_drains (core);
   kq_config_destroy (core->config);
   kq_jobs_destroy (core->jobs);
--- a/core/internal.h
+++ b/core/internal.h
@@ -55,6 +55,13 @@
   UT_hash_handle hh;
 };
 
+/** A worker as the host list shows it. */
+struct kq_listed
+{
+  struct kq_host_entry entry;
+  UT_hash_handle hh;
+};
+
 struct kq_shard;
 struct kq_late_config;
 
@@ -66,9 +73,7 @@
   struct kq_lease *lease;
   struct kq_shard *shard;
   bool known; /**< its table was read under an unbroken claim */
-  bool listed_leaving;
-  struct kq_name zone, region, rack;
-  char endpoint[64];
+  const struct kq_listed *listed; /**< NULL: not in the host list yet */
   int32_t reserved_slots;
   kq_usec reserved_until;
   UT_hash_handle hh;
@@ -116,6 +121,7 @@
   int64_t config_applied; /**< revision that shards were made from */
   struct kq_jobs *jobs;
   struct kq_member *members;
+  struct kq_listed *listed;
   struct kq_node *nodes;
   struct kq_shard *shards;
   struct kq_run *runs;
@@ -186,6 +192,14 @@
 bool kq_member_keeper (const struct kq_core *core, const char *name);
 uint64_t kq_member_hash (const char *a, const char *b);
 
+/** Returns the host list's entry of worker NAME, NULL when there is none. */
+const struct kq_listed *kq_member_listed (const struct kq_core *core,
+                                          const struct kq_name *name);
+void kq_member_destroy_all (struct kq_core *core);
+
+/** Whether NODE gets no new work, by host list or drain. */
+bool kq_node_leaving (const struct kq_core *core, const struct kq_node *node);
+
 /* shard.c */
 void kq_shard_configure (struct kq_core *core);
 void kq_shard_tick (struct kq_core *core);
--- a/core/member.c
+++ b/core/member.c
@@ -210,19 +210,43 @@
     }
 }
 
+const struct kq_listed *
+kq_member_listed (const struct kq_core *core, const struct kq_name *name)
+{
+  const struct kq_listed *listed;
+
+  HASH_FIND_STR (core->listed, name->text, listed);
+  return listed;
+}
+
+bool
+kq_node_leaving (const struct kq_core *core, const struct kq_node *node)
+{
+  return (node->listed != NULL && node->listed->entry.leaving)
+         || kq_core_drained (core, &node->name);
+}
+
+/* The list may come before the configuration that names the worker. */
 static void
 take_worker_entry (struct kq_core *core, const struct kq_host_entry *entry)
 {
+  struct kq_listed *listed;
   struct kq_node *node;
 
-  HASH_FIND_STR (core->nodes, entry->name.text, node);
-  if (node == NULL)
+  HASH_FIND_STR (core->listed, entry->name.text, listed);
+  if (listed != NULL)
+    {
+      listed->entry = *entry;
+      return;
+    }
+  listed = calloc (1, sizeof *listed);
+  if (listed == NULL)
     return;
-  node->listed_leaving = entry->leaving;
-  node->zone = entry->zone;
-  node->region = entry->region;
-  node->rack = entry->rack;
-  memcpy (node->endpoint, entry->endpoint, sizeof node->endpoint);
+  listed->entry = *entry;
+  HASH_ADD_STR (core->listed, entry.name.text, listed);
+  HASH_FIND_STR (core->nodes, entry->name.text, node);
+  if (node != NULL)
+    node->listed = listed;
 }
 
 void
@@ -318,3 +342,35 @@
 {
   send_to_all (core, KQ_PEER_GOODBYE, NULL, 0);
 }
+
+/* HASH_CLEAR frees the table and leaves the items linked. */
+static void
+destroy_listed (struct kq_core *core)
+{
+  struct kq_listed *listed = core->listed;
+
+  HASH_CLEAR (hh, core->listed);
+  while (listed != NULL)
+    {
+      struct kq_listed *next = listed->hh.next;
+
+      free (listed);
+      listed = next;
+    }
+}
+
+void
+kq_member_destroy_all (struct kq_core *core)
+{
+  struct kq_member *member = core->members;
+
+  HASH_CLEAR (hh, core->members);
+  while (member != NULL)
+    {
+      struct kq_member *next = member->hh.next;
+
+      free (member);
+      member = next;
+    }
+  destroy_listed (core);
+}
--- a/core/rows.c
+++ b/core/rows.c
@@ -86,7 +86,7 @@
               kq_usec now, int *reason)
 {
   *reason = 0;
-  if (node->listed_leaving || kq_core_drained (core, &node->name))
+  if (kq_node_leaving (core, node))
     {
       *reason = KQ_EWORKER_LEAVING;
       return "leaving";
@@ -123,7 +123,8 @@
       set_reason (row, reason);
       set_text (row, "zone", node->shard->zone.text);
       set_text (row, "shard", node->shard->name.text);
-      set_text (row, "rack", node->rack.text);
+      set_text (row, "rack",
+                node->listed == NULL ? "" : node->listed->entry.rack.text);
       set_text (row, "holder", kq_lease_holder (node->lease)->text);
       set_number (row, "term", (int64_t)kq_lease_term (node->lease));
       set_size (row, &table->capacity);
--- a/core/start.c
+++ b/core/start.c
@@ -31,7 +31,8 @@
   if (!kq_lease_held (node->lease, core->now) || !node->known || err != 0)
     return;
   entry->name = node->name;
-  entry->rack = node->rack;
+  if (node->listed != NULL)
+    entry->rack = node->listed->entry.rack;
   entry->table = kq_worker_table (node->worker);
   entry->capacity = entry->table->capacity;
   entry->free = kq_worker_free (node->worker);
--- a/core/task.c
+++ b/core/task.c
@@ -249,9 +249,7 @@
                   kq_usec at)
 {
   return attempt->started_at != 0
-         && at <= attempt->started_at
-                      + kq_lease_lengthen (&core->terms,
-                                           core->settings.lease_ttl);
+         && at <= attempt->started_at + kq_lease_latest (&core->terms);
 }
 
 static void
@@ -485,9 +483,7 @@
       struct kq_node *node = shard->nodes[i];
       struct kq_attempt *attempt;
 
-      kq_worker_set_leaving (node->worker,
-                             node->listed_leaving
-                                 || kq_core_drained (core, &node->name));
+      kq_worker_set_leaving (node->worker, kq_node_leaving (core, node));
       if (!kq_lease_held (node->lease, core->now))
         {
           if (is_clear (core, node))
--- a/core/topology.c
+++ b/core/topology.c
@@ -72,7 +72,7 @@
     return NULL;
   node->name = *name;
   node->shard = shard;
-  node->zone = shard->zone;
+  node->listed = kq_member_listed (core, name);
   node->worker = kq_worker_create (name);
   node->lease = kq_lease_create (&core->terms);
   if (node->worker == NULL || node->lease == NULL)
--- a/core/view.c
+++ b/core/view.c
@@ -44,17 +44,20 @@
 
   worker->name = node->name;
   worker->zone = node->shard->zone;
-  worker->region = node->region;
   worker->owned = kq_lease_held (node->lease, now);
-  worker->leaving
-      = node->listed_leaving || kq_core_drained (core, &node->name);
+  worker->leaving = kq_node_leaving (core, node);
   worker->owned_until = kq_lease_until (node->lease);
   worker->reserved_until = node->reserved_until;
   worker->reserved_slots
       = now < node->reserved_until ? node->reserved_slots : 0;
   worker->slots = table->slots;
   worker->connections = table->connections;
-  memcpy (worker->endpoint, node->endpoint, sizeof worker->endpoint);
+  if (node->listed != NULL)
+    {
+      worker->region = node->listed->entry.region;
+      memcpy (worker->endpoint, node->listed->entry.endpoint,
+              sizeof worker->endpoint);
+    }
   fill_owner (core, node, now, worker);
 }
 
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -18,6 +18,7 @@
   kq_usec extended_at;   /* last request that lets attempts live on */
   kq_usec released_at;   /* release sent, its arrival not known; 0 = none */
   uint64_t release_term; /* term of that release */
+  kq_usec barrier;       /* answers to what was sent up to then are void */
   kq_usec lapses_at;     /* end of another holder's lease */
 };
 
@@ -33,6 +34,12 @@
   return duration * (PPM + terms->clock_rate_ppm) / PPM + 1;
 }
 
+kq_usec
+kq_lease_latest (const struct kq_lease_terms *terms)
+{
+  return kq_lease_lengthen (terms, 2 * terms->ttl);
+}
+
 struct kq_lease *
 kq_lease_create (const struct kq_lease_terms *terms)
 {
@@ -57,8 +64,7 @@
   /* A raised term makes the late release miss. */
   if (lease->term > lease->release_term)
     return true;
-  return now > lease->released_at
-                   + kq_lease_lengthen (lease->terms, lease->terms->ttl);
+  return now > lease->released_at + kq_lease_latest (lease->terms);
 }
 
 void
@@ -107,7 +113,7 @@
   if (answer->err == KQ_EWORKER_SILENT || answer->sent_at < lease->applied_at
       || answer->term < lease->term)
     return KQ_LEASE_IGNORED;
-  if (lease->released_at != 0 && answer->sent_at <= lease->released_at)
+  if (answer->sent_at <= lease->barrier)
     {
       /* The answer to the release itself, or to something before it. */
       if (answer->sent_at == lease->released_at
@@ -128,6 +134,7 @@
 {
   lease->until = 0;
   lease->released_at = now;
+  lease->barrier = now;
   lease->release_term = lease->term;
   lease->asked_at = now;
 }
@@ -180,8 +187,8 @@
   const struct kq_lease_terms *terms = lease->terms;
   kq_usec from = lease->extended_at > since ? lease->extended_at : since;
 
-  /* A request that was sent at FROM is taken up to a ttl later. */
-  return from + kq_lease_lengthen (terms, terms->ttl + terms->task_ttl);
+  return from + kq_lease_latest (terms)
+         + kq_lease_lengthen (terms, terms->task_ttl);
 }
 
 static int
