--- a/place/choose.c
+++ b/place/choose.c
@@ -10,6 +10,7 @@
  *  ones than this are not held back.  */
 #define PROBE_TASKS 4
 #define PROBE_IMPORTANCE 8
+#define PROBE_COST 10.0
 
 /** A placement that is weighed. */
 struct option
@@ -100,16 +101,34 @@
   return weigh (place, worker, class, task, &option);
 }
 
+/** Returns how many tasks of CLASS run on WORKER. */
+static int
+tasks_of (const struct place_worker *worker, const struct place_class *class)
+{
+  const struct place_task *task;
+  int count = 0;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    count += task->ended_at == 0 && task->class == class;
+  }
+  return count;
+}
+
 /** Cost of OPTION: services slowed down and racks near their limit weigh
- *  against processors left over in pieces.  */
+ *  against processors left over in pieces.  Tasks of a class that was never
+ *  seen are spread, because all of them may be far larger than declared.  */
 static double
-cost (const struct kq_place *place, const struct option *option)
+cost (const struct kq_place *place, const struct place_class *class,
+      const struct option *option)
 {
   double slow = option->load.slow / place->slow_limit;
   double left = 1 - option->load.cpu / option->worker->capacity.cpu_milli;
+  int together = place_unseen (class) ? tasks_of (option->worker, class) : 0;
 
-  return place->spread_weight
-             * (slow * slow + option->rack_part * option->rack_part)
+  return together * PROBE_COST
+         + place->spread_weight
+               * (slow * slow + option->rack_part * option->rack_part)
          + left;
 }
 
@@ -126,8 +145,8 @@
 
 int
 kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
-               kq_usec now, kq_place_usable *usable, void *ctx,
-               struct kq_name *name)
+                 kq_usec now, kq_place_usable *usable, void *ctx,
+                 struct kq_name *name)
 {
   const struct place_class *class = place_class_of (place, task);
   const struct place_worker *best = NULL;
@@ -150,10 +169,10 @@
       if (room_is_kept (worker, task, now)
           || (usable != NULL && !usable (ctx, &worker->name))
           || !weigh (place, worker, class, task, &option)
-          || cost (place, &option) >= best_cost)
+          || cost (place, class, &option) >= best_cost)
         continue;
       best = worker;
-      best_cost = cost (place, &option);
+      best_cost = cost (place, class, &option);
     }
   if (best == NULL)
     return possible ? KQ_EWORKER_FULL : KQ_EJOB_NEVER_FITS;
--- a/place/class.c
+++ b/place/class.c
@@ -38,11 +38,12 @@
 
   if (HASH_COUNT (place->classes) < CLASSES_MAX)
     return;
-  HASH_ITER (hh, place->classes, class, next)
+  DL_FOREACH_SAFE (place->class_list, class, next)
   {
-    if (class->team == NULL || class->tasks > 0)
+    if (place->classes == NULL || class->team == NULL || class->tasks > 0)
       continue;
     HASH_DEL (place->classes, class);
+    DL_DELETE (place->class_list, class);
     free (class);
   }
 }
@@ -62,6 +63,7 @@
   class->slow.mean = SLOW_PRIOR_MEAN;
   class->slow.variance = SLOW_PRIOR_VARIANCE;
   HASH_ADD_STR (place->classes, key, class);
+  DL_APPEND (place->class_list, class);
   return class;
 }
 
--- a/place/internal.h
+++ b/place/internal.h
@@ -43,6 +43,7 @@
   struct kq_size quota;       /**< team: bound on occupied */
   int tasks;                  /**< that run or are remembered */
   int running;                /**< that run */
+  struct place_class *prev, *next; /**< all of them, oldest first */
   UT_hash_handle hh;
 };
 
@@ -110,7 +111,8 @@
   struct kq_estimate slot_cpu;    /**< of a busy slot / SLOT_CPU_MILLI */
   struct kq_estimate slot_memory; /**< of a slot / SLOT_MEMORY_MB */
   bool stale; /**< estimates have changed since loads were computed */
-  struct place_class *classes;
+  struct place_class *classes;    /**< hash by key */
+  struct place_class *class_list; /**< the same, oldest first */
   struct place_worker *workers;
   struct place_rack *racks;
 };
--- a/place/learn.c
+++ b/place/learn.c
@@ -30,6 +30,7 @@
 /* A rack's limit: steps of its learning. */
 #define RACK_DECREASE 0.95
 #define RACK_INCREASE 0.01
+#define RACK_FIRST_INCREASE 0.02 /* while it was never throttled */
 #define RACK_LIMIT_LEAST 0.2
 #define RACK_NEAR_LIMIT 0.1
 #define RACK_PROBE_EVERY (120 * KQ_USEC_PER_SEC)
@@ -168,9 +169,11 @@
             const struct kq_place_usage *usage, kq_usec now)
 {
   double used = rack_reported (place, rack);
+  double step = rack->lowered_at == 0 ? RACK_FIRST_INCREASE : RACK_INCREASE;
   kq_usec pause = RAISE_EVERY;
 
-  if (usage->throttled && usage->at > rack->lowered_at + SETTLE_TIME)
+  if (usage->throttled
+      && (rack->lowered_at == 0 || usage->at > rack->lowered_at + SETTLE_TIME))
     {
       rack->ceiling = used;
       rack->limit
@@ -179,12 +182,12 @@
       rack->raised_at = now;
       return;
     }
-  if (rack->limit + RACK_INCREASE > rack->ceiling * RACK_DECREASE)
+  if (rack->limit + step > rack->ceiling * RACK_DECREASE)
     pause = RACK_PROBE_EVERY;
   if (usage->throttled || usage->at < rack->raised_at + pause
       || used < rack->limit - RACK_NEAR_LIMIT)
     return;
-  rack->limit = fmin (rack->limit + RACK_INCREASE, 1);
+  rack->limit = fmin (rack->limit + step, 1);
   rack->raised_at = now;
 }
 
--- a/place/place.h
+++ b/place/place.h
@@ -26,8 +26,10 @@
   struct kq_task_id id;
   enum kq_task_kind kind;
   int32_t importance;
-  struct kq_size size;
+  struct kq_size size; /**< declared */
   int64_t run_ms;
+  struct kq_name team;
+  int32_t moved; /**< how often it was evicted before */
 };
 
 /** Chooses among COUNT WORKERS; one where the task failed before only when
--- a/place/relieve.c
+++ b/place/relieve.c
@@ -8,7 +8,7 @@
 #define SHARE_STEP 125
 
 /** How far below the limits a worker is before speed is given back. */
-#define GIVE_BACK_PART 0.9
+#define GIVE_BACK_PART 0.95
 
 /** How far above the limits before something is done. */
 #define ACT_PART 1.1
@@ -134,9 +134,11 @@
   place_loads_update (place);
 }
 
-/** Memory in use: as reported, corrected by what started or ended since. */
+/** Memory in use: as reported, corrected by what started or ended since.
+ *  Expected sizes count without their margin: an eviction on a suspicion
+ *  costs more than a report's wait.  */
 static double
-memory_now (const struct kq_place *place, const struct place_worker *worker)
+memory_now (const struct place_worker *worker)
 {
   double memory = worker->usage.used.memory_mb;
   const struct place_task *task;
@@ -145,15 +147,18 @@
   {
     bool counted = place_share_at (task, worker->usage.at) > 0;
     bool runs = task->ended_at == 0;
+    double size = task->task.size.memory_mb * task->class->memory.mean;
 
-    if (counted != runs)
-      memory += (runs ? 1 : -1)
-                * place_size (place, task->class, &task->task.size).memory_mb;
+    if (counted && !runs)
+      memory -= size;
+    if (runs && !counted && !place_unseen (task->class))
+      memory += size;
   }
   return memory;
 }
 
-/** Largest of processors, slow-down and rack in parts of their limits. */
+/** Largest of processors, slow-down and rack, as they are expected to be, in
+ *  parts of their limits.  */
 static double
 pressure (const struct kq_place *place, const struct place_worker *worker)
 {
@@ -162,54 +167,91 @@
   double cpu = worker->load.cpu
                / (place->cpu_limit * fmax (worker->capacity.cpu_milli, 1));
   double slow = worker->slots > 0 ? worker->load.slow / place->slow_limit : 0;
-  double seen
-      = worker->slots > 0 && worker->usage.slow_milli > 0
-            ? (worker->usage.slow_milli / 1000.0 - 1) / place->slow_limit
-            : 0;
 
-  return fmax (fmax (rack, cpu), fmax (slow, seen));
+  return fmax (fmax (rack, cpu), slow);
 }
 
-/** One step of relief for WORKER; returns the number of actions, 0 or 1. */
+/** Slow-down of services as it was reported, in parts of its limit. */
+static double
+slowness (const struct kq_place *place, const struct place_worker *worker)
+{
+  if (worker->slots == 0 || worker->usage.slow_milli == 0)
+    return 0;
+  return (worker->usage.slow_milli / 1000.0 - 1) / place->slow_limit;
+}
+
+/** Halves the speed of one task of WORKER; returns the number of actions. */
 static int
-relieve_worker (struct kq_place *place, struct place_worker *worker,
-                kq_usec now, struct kq_place_action *action)
+slow_down (struct kq_place *place, struct place_worker *worker, kq_usec now,
+           struct kq_place_action *action)
 {
-  double now_pressure = pressure (place, worker);
-  struct place_task *task;
+  struct place_task *task = place_loudest (worker, INT32_MAX);
+  int32_t share;
+
+  if (task == NULL)
+    return 0;
+  share = task->share / 2 > SHARE_LEAST ? task->share / 2 : SHARE_LEAST;
+  place_set_share (place, worker, task, share, now, action);
+  return 1;
+}
+
+/** Gives speed back to one task of WORKER, unless that is expected to bring
+ *  it to its limits again; returns the number of actions.  */
+static int
+give_back (struct kq_place *place, struct place_worker *worker, kq_usec now,
+           struct kq_place_action *action)
+{
+  struct place_task *task = slowed_of (worker);
+  int32_t before;
+  int32_t share;
+  double raised;
+
+  if (task == NULL || slowness (place, worker) > GIVE_BACK_PART)
+    return 0;
+  before = task->share;
+  share = before + SHARE_STEP < SHARE_FULL ? before + SHARE_STEP : SHARE_FULL;
+  task->share = share;
+  place_load_update (place, worker);
+  place_loads_update (place);
+  raised = pressure (place, worker);
+  task->share = before;
+  place_load_update (place, worker);
+  place_loads_update (place);
+  if (raised > GIVE_BACK_PART)
+    return 0;
+  place_set_share (place, worker, task, share, now, action);
+  return 1;
+}
+
+/** Moves one task away from WORKER; returns the number of actions. */
+static int
+move_away (struct place_worker *worker, kq_usec now,
+           struct kq_place_action *action)
+{
+  struct place_task *task = place_victim (worker, INT32_MAX, now);
 
-  if (memory_now (place, worker) > MEMORY_LIMIT * worker->capacity.memory_mb)
-    task = place_victim (worker, INT32_MAX, now);
-  else if (now_pressure > ACT_PART)
-    {
-      task = place_loudest (worker, INT32_MAX);
-      if (task != NULL)
-        {
-          int32_t share = task->share / 2;
-
-          place_set_share (place, worker, task,
-                           share > SHARE_LEAST ? share : SHARE_LEAST, now,
-                           action);
-          return 1;
-        }
-      task = place_victim (worker, INT32_MAX, now);
-    }
-  else
-    {
-      task = now_pressure < GIVE_BACK_PART ? slowed_of (worker) : NULL;
-      if (task != NULL)
-        place_set_share (place, worker, task,
-                         task->share + SHARE_STEP < SHARE_FULL
-                             ? task->share + SHARE_STEP
-                             : SHARE_FULL,
-                         now, action);
-      return task != NULL;
-    }
   if (task != NULL)
     place_evict (worker, task, now, action);
   return task != NULL;
 }
 
+/** One step of relief for WORKER; returns the number of actions, 0 or 1. */
+static int
+relieve_worker (struct kq_place *place, struct place_worker *worker,
+                kq_usec now, struct kq_place_action *action)
+{
+  double expected = pressure (place, worker);
+
+  if (memory_now (worker) > MEMORY_LIMIT * worker->capacity.memory_mb)
+    return move_away (worker, now, action);
+  if (fmax (expected, slowness (place, worker)) <= ACT_PART)
+    return give_back (place, worker, now, action);
+  if (slow_down (place, worker, now, action) > 0)
+    return 1;
+  /* Slowness that batch work doesn't explain is not cured by evictions. */
+  return expected > ACT_PART ? move_away (worker, now, action) : 0;
+}
+
 /** Stops a task of WORKER whose checkpoint took too long. */
 static int
 stop_overdue (struct place_worker *worker, kq_usec now,
--- a/place/state.c
+++ b/place/state.c
@@ -13,8 +13,8 @@
 #define RACK_LIMIT_PRIOR 0.6
 
 /* Limits at the two ends of each weight. */
-#define SLOW_LIMIT_LOOSE 0.24
-#define SLOW_LIMIT_TIGHT 0.10
+#define SLOW_LIMIT_LOOSE 0.28
+#define SLOW_LIMIT_TIGHT 0.14
 #define CPU_LIMIT_LOOSE 0.92
 #define CPU_LIMIT_TIGHT 0.84
 #define MEMORY_MARGIN_LEAST 1.0
@@ -113,11 +113,8 @@
     return;
   while (place->workers != NULL)
     worker_free (place, place->workers);
-  HASH_ITER (hh, place->classes, class, next)
-  {
-    HASH_DEL (place->classes, class);
-    free (class);
-  }
+  HASH_CLEAR (hh, place->classes);
+  DL_FOREACH_SAFE (place->class_list, class, next) { free (class); }
   free (place);
 }
 
--- a/place/state.h
+++ b/place/state.h
@@ -18,6 +18,7 @@
 #define KQ_PLACE_STATE_H
 
 #include "core/event.h"
+#include "place/place.h"
 
 struct kq_place;
 
@@ -29,17 +30,6 @@
   int32_t eviction_weight;
 };
 
-/** A task to place, or one that runs. */
-struct kq_place_task
-{
-  struct kq_task_id id;
-  struct kq_name team;
-  enum kq_task_kind kind;
-  int32_t importance;  /**< 0 (least) to 9 */
-  struct kq_size size; /**< declared */
-  int32_t moved;       /**< how often it was evicted before */
-};
-
 /** A usage report of one worker. */
 struct kq_place_usage
 {
@@ -92,8 +82,8 @@
  *  KQ_EPLACE_PROBE while a job that was never seen runs its first few tasks,
  *  or KQ_EJOB_NEVER_FITS when no known worker could carry it even if idle.  */
 int kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
-                   kq_usec now, kq_place_usable *usable, void *ctx,
-                   struct kq_name *worker);
+                     kq_usec now, kq_place_usable *usable, void *ctx,
+                     struct kq_name *worker);
 
 /** Finds room for TASK, which kq_place_choose() found none for, on one worker:
  *  by slowing down less important batch tasks, or else by moving them away.
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -11,46 +11,25 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "t/lib-jobs.h"
 
 #define WORKERS_MAX 128
 #define RACKS_MAX 32
 #define TASKS_MAX 64 /* on one worker */
-#define TEAMS 12
 #define SLOTS 8
 #define SLOT_LOAD 0.7
 #define SLOT_MEMORY_MB 200
 #define LAG_MAX 32
-#define JOB_TASKS_LEAST 20
-#define JOB_TASKS_MOST 60
-#define RUN_LEAST_SEC 30
-#define RUN_MOST_SEC 120
 #define CHECKPOINT_EVERY_SEC 60
 #define CHECKPOINT_SEC 2
-#define WAVE_BEGIN_SEC 600
-#define WAVE_END_SEC 800
-#define WAVE_LOAD 0.25
 #define RETRY_SEC 10 /* after a kill by the memory guard */
-#define URGENT_EVERY_SEC 20
-#define URGENT 9
-#define SAMPLES 4 /* of latency, a worker and second */
+#define SAMPLES 4    /* of latency, a worker and second */
 #define ACTIONS_MAX 64
 
-/* What is true of a job, and what it declares. */
-struct job
-{
-  struct kq_place_task declared; /* id.index counts */
-  double cpu;                    /* cores */
-  double memory;                 /* MB */
-  double slow; /* slow-down of services with a whole worker */
-  double run_sec;
-  int arrives_sec;
-  int tasks;
-};
-
 struct task
 {
   struct kq_place_task declared;
-  const struct job *job;
+  const struct cluster_job *job;
   double done_sec;
   double saved_sec;
   int started_sec;
@@ -84,119 +63,17 @@
   double budget[RACKS_MAX]; /* part of the rack's cores */
   double demand[RACKS_MAX]; /* cores */
   int racks;
-  struct job *jobs;
+  struct cluster_job *jobs;
   int job_count;
   int next_job;
   struct task *waiting[10]; /* by importance, first in first out */
   struct task **tails[10];
-  struct task *moving; /* scratch */
   int urgent;
   int urgent_late;
   long throttled;
   long worker_seconds;
-  double given; /* cores that batch was given in this second */
 };
 
-static double
-uniform (gsl_rng *rng, double least, double most)
-{
-  return gsl_ran_flat (rng, least, most);
-}
-
-/* The factor by which a declared size is off: each team has its habit, and
-   its jobs differ from that. */
-static double
-error_factor (const struct cluster_setup *setup, gsl_rng *rng, int team)
-{
-  static const double habit[TEAMS]
-      = { 1, 0.6, 1.5, 1, 2, 0.5, 1, 1.3, 0.8, 1, 0.7, 1.8 };
-
-  if (setup->size_error > 0)
-    return gsl_rng_get (rng) % 2 ? setup->size_error : 1 / setup->size_error;
-  return habit[team] * gsl_ran_lognormal (rng, 0, 0.3);
-}
-
-static void
-make_job (struct cluster *cluster, gsl_rng *rng, int at_sec, bool noisy,
-          struct job *job)
-{
-  static const double slow_of_team[TEAMS]
-      = { 0.03, 0.05, 0.1, 0.05, 0.2, 0.03, 0.25, 0.1, 0.05, 0.8, 0.1, 0.2 };
-  const struct kq_size *most = &cluster->setup->capacity;
-  int team = noisy ? 9 : (int)(gsl_rng_get (rng) % TEAMS);
-  struct kq_size *size = &job->declared.size;
-
-  snprintf (job->declared.team.text, KQ_NAME_SIZE, "team-%d", team);
-  snprintf (job->declared.id.job.text, KQ_NAME_SIZE, "job-%d",
-            cluster->job_count);
-  job->declared.importance = noisy ? 3 : 3 + (int)(gsl_rng_get (rng) % 3);
-  job->cpu = uniform (rng, 0.5, 2.5);
-  job->memory = job->cpu * uniform (rng, 1000, 4000);
-  job->slow = slow_of_team[team] * uniform (rng, 0.7, 1.3);
-  job->run_sec = uniform (rng, RUN_LEAST_SEC, RUN_MOST_SEC);
-  job->arrives_sec = at_sec;
-  job->tasks = JOB_TASKS_LEAST
-               + (int)(gsl_rng_get (rng) % (JOB_TASKS_MOST - JOB_TASKS_LEAST));
-  size->cpu_milli = (int32_t)fmin (
-      job->cpu * 1000 * error_factor (cluster->setup, rng, team),
-      most->cpu_milli / 2.0);
-  size->memory_mb
-      = (int32_t)fmin (job->memory * error_factor (cluster->setup, rng, team),
-                       most->memory_mb / 2.0);
-}
-
-static void
-make_urgent (struct cluster *cluster, int at_sec, struct job *job)
-{
-  struct kq_size size = { 1500, 2000, 0 };
-
-  strcpy (job->declared.team.text, "team-urgent");
-  snprintf (job->declared.id.job.text, KQ_NAME_SIZE, "job-%d",
-            cluster->job_count);
-  job->declared.importance = URGENT;
-  job->declared.size = size;
-  job->cpu = 1.5;
-  job->memory = 2000;
-  job->slow = 0.1;
-  job->run_sec = 20;
-  job->arrives_sec = at_sec;
-  job->tasks = 1;
-}
-
-/* Makes all jobs of the run, by the seed alone. */
-static void
-make_jobs (struct cluster *cluster)
-{
-  const struct cluster_setup *setup = cluster->setup;
-  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
-  double cores = setup->workers * setup->capacity.cpu_milli / 1000.0;
-  double owed = 0;      /* core seconds that are to arrive */
-  double owed_wave = 0; /* the same, of the noisy wave */
-  int most = setup->seconds * 4;
-
-  gsl_rng_set (rng, setup->seed);
-  cluster->jobs = calloc ((size_t)most, sizeof (struct job));
-  for (int at = 0; at < setup->seconds && setup->batch; at++)
-    {
-      owed += setup->batch_load * cores;
-      if (setup->noisy_wave && at >= WAVE_BEGIN_SEC && at < WAVE_END_SEC)
-        owed_wave += WAVE_LOAD * cores;
-      if (at % URGENT_EVERY_SEC == 7 && cluster->job_count < most)
-        make_urgent (cluster, at, &cluster->jobs[cluster->job_count++]);
-      while ((owed > 0 || owed_wave > 0) && cluster->job_count < most)
-        {
-          struct job *job = &cluster->jobs[cluster->job_count];
-          bool noisy = owed_wave > 0;
-
-          make_job (cluster, rng, at, noisy, job);
-          cluster->job_count++;
-          *(noisy ? &owed_wave : &owed)
-              -= job->cpu * job->run_sec * job->tasks;
-        }
-    }
-  gsl_rng_free (rng);
-}
-
 static void
 enqueue (struct cluster *cluster, struct task *task, bool front)
 {
@@ -221,7 +98,7 @@
   while (cluster->next_job < cluster->job_count
          && cluster->jobs[cluster->next_job].arrives_sec <= now_sec)
     {
-      const struct job *job = &cluster->jobs[cluster->next_job++];
+      const struct cluster_job *job = &cluster->jobs[cluster->next_job++];
 
       for (int i = 0; i < job->tasks; i++)
         {
@@ -279,7 +156,7 @@
 {
   task->started_sec = now_sec;
   worker->tasks[worker->count++] = task;
-  if (task->declared.importance == URGENT && task->declared.moved == 0)
+  if (task->declared.importance == CLUSTER_URGENT && task->declared.moved == 0)
     {
       cluster->urgent++;
       cluster->urgent_late += now_sec - task->arrived_sec > 1;
@@ -324,7 +201,7 @@
 {
   for (int i = 0; i < cluster->setup->workers; i++)
     for (int t = cluster->workers[i].count - 1; t >= 0; t--)
-      if (cluster->workers[i].tasks[t]->declared.importance < URGENT)
+      if (cluster->workers[i].tasks[t]->declared.importance < CLUSTER_URGENT)
         {
           evict (cluster, &cluster->workers[i], t, now_sec);
           return;
@@ -348,16 +225,16 @@
         int turn = action->share_milli / 1000.0 < task->share ? -1 : 1;
 
         cluster->result->throttles++;
-        cluster->result->turns += task->last_turn == -turn;
+        cluster->result->relapses += turn < 0 && task->last_turn > 0;
         task->last_turn = turn;
         task->share = action->share_milli / 1000.0;
         break;
       }
     case KQ_TASK_CHECKPOINT:
-      task->leaving_sec
-          = now_sec
-            + (task->declared.importance == URGENT ? CHECKPOINT_SEC
-                                                   : CHECKPOINT_SEC / 2);
+      task->leaving_sec = now_sec
+                          + (task->declared.importance == CLUSTER_URGENT
+                                 ? CHECKPOINT_SEC
+                                 : CHECKPOINT_SEC / 2);
       break;
     case KQ_TASK_STOP:
       evict (cluster, worker, index, now_sec);
@@ -387,20 +264,20 @@
     {
       if (first_fit (cluster, task, now_sec))
         return true;
-      if (task->declared.importance == URGENT)
+      if (task->declared.importance == CLUSTER_URGENT)
         first_evict (cluster, now_sec);
       return false;
     }
-  err = kq_place_choose (cluster->place, &task->declared, now, has_row, cluster,
-                       &name);
-  if (err == KQ_EWORKER_FULL && task->declared.importance == URGENT)
+  err = kq_place_choose (cluster->place, &task->declared, now, has_row,
+                         cluster, &name);
+  if (err == KQ_EWORKER_FULL && task->declared.importance == CLUSTER_URGENT)
     {
       count = kq_place_make_room (cluster->place, &task->declared, now,
                                   has_row, cluster, actions, ACTIONS_MAX);
       for (int i = 0; i < count; i++)
         apply (cluster, &actions[i], now_sec);
       err = kq_place_choose (cluster->place, &task->declared, now, has_row,
-                           cluster, &name);
+                             cluster, &name);
     }
   if (err != 0)
     return false;
@@ -414,10 +291,10 @@
 static void
 place_waiting (struct cluster *cluster, int now_sec)
 {
-  for (int rank = URGENT; rank >= 0; rank--)
+  for (int rank = CLUSTER_URGENT; rank >= 0; rank--)
     {
       struct task *task = cluster->waiting[rank];
-      const struct job *full = NULL;
+      const struct cluster_job *full = NULL;
 
       cluster->waiting[rank] = NULL;
       cluster->tails[rank] = &cluster->waiting[rank];
@@ -623,7 +500,7 @@
   gsl_rng_set (rng, setup->seed + 1);
   cluster->racks = (setup->workers + setup->per_rack - 1) / setup->per_rack;
   for (int i = 0; i < cluster->racks; i++)
-    cluster->budget[i] = uniform (rng, 0.70, 0.95);
+    cluster->budget[i] = gsl_ran_flat (rng, 0.70, 0.95);
   gsl_rng_free (rng);
   if (setup->policy == CLUSTER_PLACE)
     cluster->place = kq_place_create (&setup->weights);
@@ -639,9 +516,9 @@
         kq_place_set_worker (cluster->place, &worker->name, &rack,
                              &setup->capacity, setup->services ? SLOTS : 0);
     }
-  for (int i = 0; i <= URGENT; i++)
+  for (int i = 0; i <= CLUSTER_URGENT; i++)
     cluster->tails[i] = &cluster->waiting[i];
-  make_jobs (cluster);
+  cluster->jobs = cluster_make_jobs (setup, &cluster->job_count);
 }
 
 static double
@@ -666,7 +543,7 @@
   for (int i = 0; i < cluster->setup->workers; i++)
     for (int t = 0; t < cluster->workers[i].count; t++)
       free (cluster->workers[i].tasks[t]);
-  for (int i = 0; i <= URGENT; i++)
+  for (int i = 0; i <= CLUSTER_URGENT; i++)
     while (cluster->waiting[i] != NULL)
       {
         struct task *next = cluster->waiting[i]->next;
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -47,8 +47,8 @@
   int evictions;      /**< by the policy or by a worker's memory guard */
   int memory_kills;   /**< the latter alone */
   int throttles;      /**< throttle actions */
-  int turns;          /**< changes between lowering and raising shares, for
-                           the tasks together: high when it oscillates */
+  int relapses;       /**< tasks slowed down again after speed was given
+                           back: high when it oscillates */
   double throttled;   /**< part of worker time slowed by the power guard */
   double urgent_late; /**< part of urgent tasks not started in 1 s */
 };
