request, daemon: pass requests on to owners whose tables are unknown

A host that owns no worker of a service answered KQ_EREQ_OVERLOAD: the view has 0 slots for a worker whose table only its owner has read, so that no owner could be picked. Such a worker now counts 8 slots, which bounds what is passed on; the owner queues or refuses by what the table says. Ruled out: reading tables of workers that others own (calls grow with hosts times workers); slots in heartbeats stay possible. GET /health answers 200 while the process answers, GET /ready says whether it serves: a host without a configuration is healthy, and not ready.

--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -232,13 +232,15 @@
 }
 
 static enum MHD_Result
-send_health (struct kq_admin *admin, struct MHD_Connection *connection)
+send_health (struct kq_admin *admin, struct MHD_Connection *connection,
+             bool must_serve)
 {
   bool serving = false;
   json_t *health = admin->handler.health (admin->handler.arg, &serving);
 
   return send_json (connection,
-                    serving ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                    serving || !must_serve ? MHD_HTTP_OK
+                                           : MHD_HTTP_SERVICE_UNAVAILABLE,
                     health);
 }
 
@@ -262,7 +264,9 @@
   if (strcmp (path, "/metrics") == 0)
     return send_metrics (connection);
   if (strcmp (path, "/health") == 0)
-    return send_health (admin, connection);
+    return send_health (admin, connection, false);
+  if (strcmp (path, "/ready") == 0)
+    return send_health (admin, connection, true);
   if (strncmp (path, trace, strlen (trace)) == 0)
     return send_trace (connection, path + strlen (trace));
   return send_err (connection, MHD_HTTP_NOT_FOUND, KQ_ENOENT);
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -1,6 +1,8 @@
 /** @file
  * The operators' HTTP of the daemon: POST /command, GET /metrics,
- * GET /health and GET /trace/ID.  It runs in the control thread's loop.
+ * GET /trace/ID, GET /health (200 while the process answers) and GET /ready
+ * (503 without a configuration and while the host stops; the body of both
+ * says which).  It runs in the control thread's loop.
  */
 #ifndef KQ_DAEMON_ADMIN_H
 #define KQ_DAEMON_ADMIN_H
--- a/request/pool.c
+++ b/request/pool.c
@@ -11,6 +11,9 @@
 /** Time of a first ejection; doubled by each that follows. */
 #define EJECT_TIME KQ_USEC_PER_SEC
 #define EJECT_DOUBLINGS 5
+/** Slots of a worker whose table only its owner has read.  It bounds what is
+ *  passed on; the owner queues or refuses by what the table says.  */
+#define UNKNOWN_SLOTS 8
 
 static void
 copy_address (char *to, const char *from)
@@ -136,7 +139,7 @@
   peer->name = view->owner;
   peer->range = range_of (view, self);
   peer->listed = true;
-  peer->slots += view->slots;
+  peer->slots += view->slots > 0 ? view->slots : UNKNOWN_SLOTS;
   return 0;
 }
 
