--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,12 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
-$(BUILD)/t/%: $(BUILD)/t/%.o $(call obj,$(wildcard t/lib-*.c)) \
+# Helpers of tests; each test links those that it uses.
+$(BUILD)/test-parts.a: $(call obj,$(wildcard t/lib-*.c))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/t/%: $(BUILD)/t/%.o $(BUILD)/test-parts.a \
     $(BUILD)/daemon-parts.a $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -lcunit -lgsl -lgslcblas -o $@
 
--- /dev/null
+++ b/t/test-platform.c
@@ -0,0 +1,566 @@
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "platform/client.h"
+#include "platform/codec.h"
+#include "t/kqtest.h"
+
+#define TABLE                                                                 \
+  "\"term\":4,\"left_ms\":900,\"capacity\":{\"cpu_milli\":16000,"             \
+  "\"memory_mb\":64,\"accelerators\":1},\"slots\":8,\"connections\":64,"      \
+  "\"busy_slots\":2,\"usage\":{\"seq\":7,\"lag_ms\":3000,\"cpu_milli\":5,"    \
+  "\"memory_mb\":6,\"throttled\":true},\"tasks\":[{\"job\":\"j\",\"index\":"  \
+  "3,\"attempt\":9,\"binding\":2,\"checkpoint\":50,\"state\":\"evicted\","    \
+  "\"cpu_milli\":1,\"memory_mb\":2,\"accelerators\":0,\"share_milli\":500}]}"
+#define TABLE_OF(holder) "{\"holder\":\"" holder "\"," TABLE
+#define JOB                                                                   \
+  "'job':'j','team':'t','zone':'','type':'batch','importance':3,'tasks':2,"   \
+  "'cpu_milli':1,'memory_mb':2,'accelerators':0,'run_ms':9,'host':'h'"
+
+/* Reads JSON in which ' stands for ". */
+static json_t *
+parse (const char *text)
+{
+  char copy[1024];
+
+  snprintf (copy, sizeof copy, "%s", text);
+  for (char *c = copy; *c != '\0'; c++)
+    if (*c == '\'')
+      *c = '"';
+  return json_loads (copy, 0, NULL);
+}
+
+static void
+test_records_round_trip (void)
+{
+  static const char *const records[] = {
+    "{'base':4,'text':'{}','kind':'config','host':'h'}",
+    "{" JOB ",'kind':'job'}",
+    "{'job':'j','kind':'cancel','host':'h'}",
+    "{'shard':'s','epoch':2,'tasks':[['j',1,5,60,0],['j',2,5,0,-301]],'kind':'"
+    "bind','host':'h'}",
+    "{'shard':'s','epoch':2,'kind':'epoch','host':'h'}",
+    "{'shard':'s','epoch':2,'tasks':[],'kind':'release','host':'h'}",
+    "{'shard':'s','epoch':2,'tasks':[['j',1,5,60,0]],'kind':'end','host':'h'}",
+    "{'name':'w','on':true,'kind':'drain','host':'h'}",
+    "{" JOB ",'as_of':8,'cancelled':false,'ranges':[[0,2,true,5,60,'s'],[2,1,"
+    "false,0,0,'']],'kind':'snapshot','host':'h'}",
+  };
+
+  for (size_t i = 0; i < sizeof records / sizeof records[0]; i++)
+    {
+      struct kq_record *record = NULL;
+      json_t *in = parse (records[i]);
+      json_t *out = NULL;
+
+      CU_ASSERT_EQUAL (kq_codec_record_read (in, &record), 0);
+      if (record != NULL)
+        {
+          CU_ASSERT_EQUAL (record->kind, (enum kq_record_kind)i);
+          out = kq_codec_record_write (record);
+        }
+      CU_ASSERT_TRUE (json_equal (in, out));
+      json_decref (in);
+      json_decref (out);
+      free (record);
+    }
+}
+
+static void
+test_malformed_records (void)
+{
+  static const char *const records[] = {
+    "[]",
+    "{}",
+    "{'kind':'other'}",
+    "{'kind':7}",
+    "{'kind':'config','base':1}",
+    "{'kind':'config','base':-1,'text':''}",
+    "{'kind':'job','job':'a b'}",
+    "{'kind':'cancel','job':7}",
+    "{'kind':'drain','name':'w','on':1}",
+    "{'kind':'epoch','shard':'s','epoch':'2'}",
+    "{'kind':'end','shard':'s','epoch':2,'tasks':{}}",
+    "{'kind':'end','shard':'s','epoch':2,'tasks':[['j',1]]}",
+    "{'kind':'end','shard':'s','epoch':2,'tasks':[['j',-1,0,0,0]]}",
+    "{" JOB ",'kind':'snapshot','as_of':1,'cancelled':false,'ranges':[[0,0,"
+    "true,5,60,'s']]}",
+    "{" JOB ",'kind':'snapshot','as_of':1,'cancelled':false,'ranges':[["
+    "2147483647,9,true,5,60,'s']]}",
+  };
+
+  for (size_t i = 0; i < sizeof records / sizeof records[0]; i++)
+    {
+      struct kq_record *record = NULL;
+      json_t *object = parse (records[i]);
+
+      CU_ASSERT_EQUAL (kq_codec_record_read (object, &record), KQ_ESYNTAX);
+      CU_ASSERT_PTR_NULL (record);
+      json_decref (object);
+    }
+}
+
+static void
+test_batches (void)
+{
+  static const struct
+  {
+    const char *text;
+    int err;
+    size_t count;
+  } cases[] = {
+    { "{'first':1,'next':1,'records':[]}", 0, 0 },
+    { "{'first':1,'next':5,'records':[{'offset':2,'id':'a','record':{'kind':'"
+      "cancel','job':'j'}},{'offset':4,'id':'b','record':{'kind':'junk'}}]}",
+      0, 2 },
+    { "{'first':1,'next':5,'records':[{'offset':4,'id':'a','record':{}},{'"
+      "offset':4,'id':'b','record':{}}]}",
+      KQ_ESYNTAX, 0 },
+    { "{'first':1,'next':4,'records':[{'offset':4,'id':'a','record':{}}]}",
+      KQ_ESYNTAX, 0 },
+    { "{'first':1,'next':4,'records':[4]}", KQ_ESYNTAX, 0 },
+    { "{'first':1,'records':[]}", KQ_ESYNTAX, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_codec_batch batch;
+      json_t *object = parse (cases[i].text);
+
+      CU_ASSERT_EQUAL (kq_codec_batch_read (object, &batch), cases[i].err);
+      CU_ASSERT_EQUAL (batch.count, cases[i].count);
+      if (batch.count == 2)
+        {
+          CU_ASSERT_STRING_EQUAL (batch.entries[0].record->id.text, "a");
+          CU_ASSERT_EQUAL (batch.entries[1].offset, 4);
+          CU_ASSERT_PTR_NULL (batch.entries[1].record);
+        }
+      kq_codec_batch_release (&batch);
+      json_decref (object);
+    }
+}
+
+static void
+test_worker_table (void)
+{
+  struct kq_lease_answer answer = { 0 };
+  struct kq_attempt_row *rows = NULL;
+  json_t *object = json_loads (TABLE_OF ("h"), 0, NULL);
+  const char *const fields[] = { "term",       "left_ms", "capacity", "slots",
+                                 "busy_slots", "usage",   "tasks" };
+
+  CU_ASSERT_EQUAL (kq_codec_lease_read (object, &answer, &rows), 0);
+  CU_ASSERT_EQUAL (answer.term, 4);
+  CU_ASSERT_EQUAL (answer.left, 900 * KQ_USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (answer.table.usage_lag, 3 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (answer.table.row_count, 1);
+  CU_ASSERT_EQUAL (answer.table.rows[0].state, KQ_ATTEMPT_EVICTED);
+  CU_ASSERT_EQUAL (answer.table.rows[0].share_milli, 500);
+  free (rows);
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    {
+      json_t *copy = json_copy (object);
+
+      rows = NULL;
+      json_object_set_new (copy, fields[i], json_string ("x"));
+      CU_ASSERT_EQUAL (kq_codec_lease_read (copy, &answer, &rows), KQ_ESYNTAX);
+      CU_ASSERT_PTR_NULL (rows);
+      json_decref (copy);
+    }
+  json_decref (object);
+}
+
+static void
+test_host_list (void)
+{
+  struct kq_host_entry *entries = NULL;
+  size_t count = 0;
+  size_t skipped = 0;
+  json_t *object = parse (
+      "{'hosts':[{'name':'a','kind':'entry','zone':'z','region':'r','state':'"
+      "live','address':'127.0.0.1:1'},{'name':'b','kind':'ghost','zone':'z','"
+      "region':'r','state':'live'},{'name':'w','kind':'worker','zone':'z','"
+      "region':'r','rack':'k','state':'leaving','address':'127.0.0.1:2','"
+      "endpoint':'127.0.0.1:3'}]}");
+
+  CU_ASSERT_EQUAL (kq_codec_hosts_read (object, &entries, &count, &skipped),
+                   0);
+  CU_ASSERT_EQUAL (count, 2);
+  CU_ASSERT_EQUAL (skipped, 1);
+  if (count == 2)
+    {
+      CU_ASSERT_FALSE (entries[0].worker);
+      CU_ASSERT_TRUE (entries[1].worker && entries[1].leaving);
+      CU_ASSERT_STRING_EQUAL (entries[1].endpoint, "127.0.0.1:3");
+    }
+  free (entries);
+  json_decref (object);
+}
+
+/* A server that answers each path in a fixed way. */
+
+struct script
+{
+  const char *path;
+  unsigned status; /* 0: the connection is closed without an answer */
+  const char *body;
+  bool silent;          /* connections fall silent for good */
+  _Atomic int requests; /* how many were read */
+};
+
+struct server
+{
+  struct MHD_Daemon *daemon;
+  char address[64];
+  struct script *scripts;
+  struct MHD_Connection *_Atomic suspended;
+};
+
+static enum MHD_Result
+serve (void *arg, struct MHD_Connection *connection, const char *path,
+       const char *method, const char *version, const char *data, size_t *size,
+       void **state)
+{
+  struct server *server = arg;
+  struct script *script = server->scripts;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  while (script->path != NULL && strcmp (script->path, path) != 0)
+    script++;
+  if (*state == NULL)
+    {
+      *state = server;
+      atomic_fetch_add (&script->requests, 1);
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
+  if (script->silent && atomic_load (&server->suspended) == NULL)
+    {
+      MHD_suspend_connection (connection);
+      atomic_store (&server->suspended, connection);
+      return MHD_YES;
+    }
+  if (script->path == NULL || script->status == 0)
+    return MHD_NO;
+  response = MHD_create_response_from_buffer (
+      strlen (script->body), (void *)script->body, MHD_RESPMEM_PERSISTENT);
+  result = MHD_queue_response (connection, script->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+start_server (struct server *server, struct script *scripts)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  server->scripts = scripts;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+      NULL, serve, server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+  snprintf (
+      server->address, sizeof server->address, "127.0.0.1:%u",
+      MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+}
+
+/* The events that a client under test has reported. */
+
+#define MAX_SEEN 64
+
+struct bench
+{
+  struct ev_loop *loop;
+  struct kq_client *client;
+  struct server server;
+  char hosts[512];
+  size_t wanted;
+  enum kq_event_kind kind;
+  struct kq_event seen[MAX_SEEN]; /* of the wanted kind */
+  size_t count;
+};
+
+static void
+on_event (void *arg, const struct kq_event *event)
+{
+  struct bench *bench = arg;
+
+  if (event->kind != bench->kind || bench->count == MAX_SEEN)
+    return;
+  bench->seen[bench->count++] = *event;
+  if (bench->count >= bench->wanted)
+    ev_break (bench->loop, EVBREAK_ALL);
+}
+
+static void
+on_give_up (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Runs the loop until COUNT events of KIND were seen, for up to 10 s. */
+static size_t
+wait_for (struct bench *bench, enum kq_event_kind kind, size_t count)
+{
+  ev_timer give_up;
+
+  bench->kind = kind;
+  bench->count = 0;
+  bench->wanted = count;
+  ev_timer_init (&give_up, on_give_up, 10, 0);
+  ev_now_update (bench->loop);
+  ev_timer_start (bench->loop, &give_up);
+  ev_run (bench->loop, 0);
+  ev_timer_stop (bench->loop, &give_up);
+  return bench->count;
+}
+
+static void
+start_bench (struct bench *bench, struct script *scripts)
+{
+  struct kq_client_settings settings
+      = { .platform = bench->server.address,
+          .holder = { "h/1" },
+          .worker_timeout = 300 * KQ_USEC_PER_MSEC,
+          .seed = 1 };
+
+  memset (bench, 0, sizeof *bench);
+  bench->loop = ev_loop_new (EVFLAG_AUTO);
+  start_server (&bench->server, scripts);
+  snprintf (bench->hosts, sizeof bench->hosts,
+            "{\"hosts\":[{\"name\":\"w\",\"kind\":\"worker\",\"zone\":\"z\","
+            "\"region\":\"r\",\"state\":\"live\",\"address\":\"%s\"}]}",
+            bench->server.address);
+  for (struct script *script = scripts; script->path != NULL; script++)
+    if (strcmp (script->path, "/hosts") == 0)
+      script->body = bench->hosts;
+  bench->client = kq_client_create (bench->loop, &settings, on_event, bench);
+  kq_client_start (bench->client);
+}
+
+static void
+end_bench (struct bench *bench)
+{
+  kq_client_destroy (bench->client);
+  if (atomic_load (&bench->server.suspended) != NULL)
+    MHD_resume_connection (atomic_load (&bench->server.suspended));
+  MHD_stop_daemon (bench->server.daemon);
+  ev_loop_destroy (bench->loop);
+}
+
+static struct kq_effect
+lease_effect (const char *worker)
+{
+  struct kq_effect effect = { .kind = KQ_FX_LEASE };
+
+  kq_name_set (&effect.u.lease.worker, worker);
+  effect.u.lease.ttl = KQ_USEC_PER_SEC;
+  return effect;
+}
+
+/* What the server answers, and what the client makes of it. */
+struct outcome_case
+{
+  unsigned status;
+  int err;
+  const char *body; /* NULL: the worker is in no host list */
+};
+
+static void
+test_append_outcomes (void)
+{
+  static const struct outcome_case cases[] = {
+    { 200, 0, "{\"offset\":17}" },
+    { 429, KQ_ELOG_BUSY, "{}" },
+    { 429, KQ_ELOG_BUSY, "busy" },
+    { 503, KQ_ELOG_DOWN, "{}" },
+    { 200, KQ_ELOG_DOWN, "{\"offset\":0}" },
+    { 200, KQ_ELOG_DOWN, "no json" },
+    { 0, KQ_ELOG_DOWN, "" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct script scripts[] = { { .path = "/log/append",
+                                    .status = cases[i].status,
+                                    .body = cases[i].body },
+                                  { .path = NULL } };
+      struct kq_record record = { .kind = KQ_REC_CANCEL,
+                                  .id = { "id" },
+                                  .host = { "h" },
+                                  .u.cancel = { "j" } };
+      struct kq_effect effect = { .kind = KQ_FX_APPEND, .u.append = &record };
+      struct bench bench;
+
+      start_bench (&bench, scripts);
+      CU_ASSERT_EQUAL (kq_client_run (bench.client, &effect), 0);
+      CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_APPENDED, 1), 1);
+      CU_ASSERT_EQUAL (bench.seen[0].u.appended.err, cases[i].err);
+      CU_ASSERT_STRING_EQUAL (bench.seen[0].u.appended.id.text, "id");
+      /* An append is never repeated by the client. */
+      CU_ASSERT_EQUAL (atomic_load (&scripts[0].requests), 1);
+      end_bench (&bench);
+    }
+}
+
+static void
+test_lease_outcomes (void)
+{
+  static const struct outcome_case cases[] = {
+    { 200, 0, TABLE_OF ("h/1") },
+    { 409, KQ_ELEASE_HELD, TABLE_OF ("other") },
+    { 409, KQ_ELEASE_TERM, TABLE_OF ("h/1") },
+    { 409, KQ_ELEASE_TERM, TABLE_OF ("") },
+    { 500, KQ_EWORKER_SILENT, TABLE_OF ("") },
+    { 200, KQ_EWORKER_SILENT, "{}" },
+    { 0, KQ_EWORKER_SILENT, "" },
+    { 200, KQ_EWORKER_SILENT, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct script scripts[] = {
+        { .path = "/hosts", .status = 200 },
+        { .path = "/lease", .status = cases[i].status, .body = cases[i].body },
+        { .path = NULL }
+      };
+      const char *worker = cases[i].body == NULL ? "unknown" : "w";
+      struct kq_effect effect = lease_effect (worker);
+      struct bench bench;
+
+      start_bench (&bench, scripts);
+      CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_HOSTS, 1), 1);
+      CU_ASSERT_EQUAL (kq_client_run (bench.client, &effect), 0);
+      CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LEASE, 1), 1);
+      CU_ASSERT_EQUAL (bench.seen[0].u.lease.err, cases[i].err);
+      CU_ASSERT_STRING_EQUAL (bench.seen[0].u.lease.worker.text, worker);
+      CU_ASSERT_TRUE (bench.seen[0].u.lease.sent_at > 0);
+      end_bench (&bench);
+    }
+}
+
+static void
+test_task_outcomes (void)
+{
+  static const struct outcome_case cases[] = {
+    { 200, 0, "{}" },
+    { 409, KQ_ELEASE_TERM, "{\"error\":\"term\"}" },
+    { 409, KQ_ELEASE_LAPSED, "{\"error\":\"lapsed\"}" },
+    { 409, KQ_EEXIST, "{\"error\":\"exists\"}" },
+    { 409, KQ_EWORKER_SILENT, "{\"error\":7}" },
+    { 404, KQ_ENOENT, "{\"error\":\"unknown\"}" },
+    { 507, KQ_EWORKER_FULL, "{\"error\":\"full\"}" },
+    { 500, KQ_EWORKER_SILENT, "{}" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct script scripts[] = {
+        { .path = "/hosts", .status = 200 },
+        { .path = "/task", .status = cases[i].status, .body = cases[i].body },
+        { .path = NULL }
+      };
+      struct kq_effect effect = { .kind = KQ_FX_TASK,
+                                  .u.task = { .worker = { "w" },
+                                              .action = KQ_TASK_START,
+                                              .row.attempt = 5 } };
+      struct bench bench;
+
+      start_bench (&bench, scripts);
+      CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_HOSTS, 1), 1);
+      CU_ASSERT_EQUAL (kq_client_run (bench.client, &effect), 0);
+      CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_TASK, 1), 1);
+      CU_ASSERT_EQUAL (bench.seen[0].u.task.err, cases[i].err);
+      CU_ASSERT_EQUAL (bench.seen[0].u.task.attempt, 5);
+      end_bench (&bench);
+    }
+}
+
+/* A connection that falls silent costs one call: the next one is made on a
+   fresh connection. */
+static void
+test_silent_connection (void)
+{
+  struct script scripts[] = { { .path = "/hosts", .status = 200 },
+                              { .path = "/lease",
+                                .status = 200,
+                                .body = TABLE_OF ("h/1"),
+                                .silent = true },
+                              { .path = NULL } };
+  struct kq_effect effect = lease_effect ("w");
+  struct bench bench;
+
+  start_bench (&bench, scripts);
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_HOSTS, 1), 1);
+  kq_client_run (bench.client, &effect);
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LEASE, 1), 1);
+  CU_ASSERT_EQUAL (bench.seen[0].u.lease.err, KQ_EWORKER_SILENT);
+  scripts[1].silent = false;
+  kq_client_run (bench.client, &effect);
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LEASE, 1), 1);
+  CU_ASSERT_EQUAL (bench.seen[0].u.lease.err, 0);
+  end_bench (&bench);
+}
+
+static void
+test_log_is_read (void)
+{
+  struct script scripts[]
+      = { { .path = "/log/read",
+            .status = 200,
+            .body = "{\"first\":1,\"next\":4,\"records\":[{\"offset\":1,"
+                    "\"id\":\"a\",\"record\":{\"kind\":\"cancel\",\"job\":"
+                    "\"j\"}},{\"offset\":2,\"id\":\"b\",\"record\":7},"
+                    "{\"offset\":3,\"id\":\"c\",\"record\":{\"kind\":"
+                    "\"cancel\",\"job\":\"k\"}}]}" },
+          { .path = NULL } };
+  struct bench bench;
+
+  start_bench (&bench, scripts);
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LOG_END, 1), 1);
+  CU_ASSERT_EQUAL (bench.seen[0].u.log.offset, 4);
+  /* The same batch again brings no record twice. */
+  bench.kind = KQ_EV_RECORD;
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LOG_END, 2), 2);
+  end_bench (&bench);
+
+  scripts[0].status = 410;
+  scripts[0].body = "{\"first\":90}";
+  start_bench (&bench, scripts);
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_LOG_GAP, 1), 1);
+  CU_ASSERT_EQUAL (bench.seen[0].u.log.offset, 90);
+  end_bench (&bench);
+
+  scripts[0].status = 200;
+  start_bench (&bench, scripts);
+  scripts[0].body = "{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,"
+                    "\"id\":\"a\",\"record\":{\"kind\":\"cancel\",\"job\":"
+                    "\"j\"}}]}";
+  CU_ASSERT_EQUAL (wait_for (&bench, KQ_EV_RECORD, 1), 1);
+  CU_ASSERT_EQUAL (bench.seen[0].u.record.offset, 1);
+  end_bench (&bench);
+}
+
+static const struct kq_test tests[] = {
+  { "records round trip", test_records_round_trip },
+  { "malformed records", test_malformed_records },
+  { "batches", test_batches },
+  { "worker table", test_worker_table },
+  { "host list", test_host_list },
+  { "append outcomes", test_append_outcomes },
+  { "lease outcomes", test_lease_outcomes },
+  { "task outcomes", test_task_outcomes },
+  { "silent connection", test_silent_connection },
+  { "log is read", test_log_is_read },
+};
+
+KQ_TEST_MAIN ("platform", tests)
