peer, daemon: test messages between hosts and the settings

Messages: round trip with and without compression, each rule that a frame can break, members and strangers, hosts that learn addresses from each other, junk and too many parts on a live socket. Ruled out: a fake ZeroMQ; its behaviour is what is at stake. Figures: 20 like messages compress to less than half, as the test asserts.

--- /dev/null
+++ b/t/test-peer.c
@@ -0,0 +1,357 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "base/err.h"
+#include "peer/peer.h"
+#include "t/kqtest.h"
+
+static const struct kq_peer_sender sender
+    = { .host = { "a" }, .zone = { "z" }, .incarnation = 7 };
+
+static const struct kq_shard_state shard
+    = { .name = { "s" }, .epoch = 9, .largest = { 1, 2, 3 } };
+
+static const struct kq_record record
+    = { .kind = KQ_REC_CONFIG,
+        .id = { "a/1" },
+        .host = { "a" },
+        .u.config = { .base = 4, .text = "{\"services\":[]}" } };
+
+static const struct kq_peer_message heartbeat = { .kind = KQ_PEER_HEARTBEAT,
+                                                  .view = 11,
+                                                  .offset = 12,
+                                                  .revision = 13,
+                                                  .shards = &shard,
+                                                  .shard_count = 1 };
+
+static const struct kq_peer_message pushed
+    = { .kind = KQ_PEER_RECORD, .offset = 14, .record = &record };
+
+/* Encodes COUNT copies of MESSAGE. */
+static int
+encode (const struct kq_peer_message *message, size_t count, bool compress,
+        uint8_t **frame, size_t *size, size_t *raw_size)
+{
+  Kq__Peer__Message *wires[32];
+  int err;
+
+  for (size_t i = 0; i < count; i++)
+    wires[i] = kq_peer_wire (message);
+  err = kq_peer_encode (&sender, wires, count, compress, frame, size,
+                        raw_size);
+  for (size_t i = 0; i < count; i++)
+    kq__peer__message__free_unpacked (wires[i], NULL);
+  return err;
+}
+
+static void
+test_messages_round_trip (void)
+{
+  const struct kq_peer_message *const messages[] = { &heartbeat, &pushed };
+
+  for (size_t i = 0; i < 4; i++)
+    {
+      struct kq_peer_batch *batch = NULL;
+      uint8_t *frame = NULL;
+      size_t size;
+      size_t raw_size;
+      bool compress = i >= 2;
+
+      CU_ASSERT_EQUAL (
+          encode (messages[i % 2], 20, compress, &frame, &size, &raw_size), 0);
+      /* Twenty like messages shrink to less than half. */
+      CU_ASSERT_TRUE (compress ? size * 2 < raw_size : size >= raw_size);
+      CU_ASSERT_EQUAL (kq_peer_decode (frame, size, &batch), 0);
+      free (frame);
+      if (batch == NULL)
+        continue;
+      CU_ASSERT_EQUAL (batch->count, 20);
+      CU_ASSERT_EQUAL (batch->sender.incarnation, 7);
+      CU_ASSERT_STRING_EQUAL (batch->messages[19].from.text, "a");
+      CU_ASSERT_EQUAL (batch->messages[19].offset, messages[i % 2]->offset);
+      if (i % 2 == 0)
+        {
+          CU_ASSERT_EQUAL (batch->messages[19].shards[0].largest.memory_mb, 2);
+        }
+      else
+        {
+          CU_ASSERT_STRING_EQUAL (batch->messages[19].record->u.config.text,
+                                  record.u.config.text);
+        }
+      kq_peer_batch_free (batch);
+    }
+}
+
+/* The rule that a message breaks. */
+enum spoiled
+{
+  SPOILED_NOTHING,
+  SPOILED_VERSION,
+  SPOILED_RAW_SIZE,
+  SPOILED_COMPRESSION,
+  SPOILED_SENDER,
+  SPOILED_ADDRESS,
+  SPOILED_SIZE,
+  SPOILED_OFFSET,
+  SPOILED_RECORD,
+  SPOILED_KIND
+};
+
+static void
+spoil (enum spoiled what, Kq__Peer__Envelope *envelope, Kq__Peer__Batch *batch)
+{
+  static char long_address[100];
+  Kq__Peer__Message *wire = batch->messages[0];
+
+  memset (long_address, '1', sizeof long_address - 1);
+  switch (what)
+    {
+    case SPOILED_NOTHING:
+      break;
+    case SPOILED_VERSION:
+      envelope->version = 2;
+      break;
+    case SPOILED_RAW_SIZE:
+      envelope->raw_size = UINT32_MAX;
+      break;
+    case SPOILED_COMPRESSION:
+      envelope->raw_size = 100;
+      break;
+    case SPOILED_SENDER:
+      batch->from = (char *)"no name";
+      break;
+    case SPOILED_ADDRESS:
+      batch->address = long_address;
+      break;
+    case SPOILED_SIZE:
+      wire->shards[0]->memory_mb = -1;
+      break;
+    case SPOILED_OFFSET:
+      wire->offset = -1;
+      break;
+    case SPOILED_RECORD:
+      wire->kind = KQ_PEER_RECORD + 1;
+      break;
+    case SPOILED_KIND:
+      wire->kind = 99;
+      break;
+    }
+}
+
+/* Packs a batch that breaks one rule, and decodes it. */
+static int
+decode_spoiled (enum spoiled what)
+{
+  Kq__Peer__Batch batch = KQ__PEER__BATCH__INIT;
+  Kq__Peer__Envelope envelope = KQ__PEER__ENVELOPE__INIT;
+  Kq__Peer__Message *wire = kq_peer_wire (&heartbeat);
+  struct kq_peer_batch *read = NULL;
+  uint8_t raw[1024];
+  uint8_t frame[2048];
+  int err;
+
+  batch.from = (char *)"a";
+  batch.zone = (char *)"z";
+  batch.messages = &wire;
+  batch.n_messages = 1;
+  envelope.version = 1;
+  spoil (what, &envelope, &batch);
+  envelope.batch.len = kq__peer__batch__pack (&batch, raw);
+  envelope.batch.data = raw;
+  err = kq_peer_decode (frame, kq__peer__envelope__pack (&envelope, frame),
+                        &read);
+  kq_peer_batch_free (read);
+  kq__peer__message__free_unpacked (wire, NULL);
+  return err;
+}
+
+static void
+test_malformed_messages (void)
+{
+  static const uint8_t junk[] = { 0xff, 0xff, 0xff, 0x01, 0x02 };
+  static const struct
+  {
+    enum spoiled what;
+    int err;
+  } cases[] = {
+    { SPOILED_NOTHING, 0 },
+    { SPOILED_VERSION, KQ_EINVAL },
+    { SPOILED_RAW_SIZE, KQ_ETOOBIG },
+    { SPOILED_COMPRESSION, KQ_ESYNTAX },
+    { SPOILED_SENDER, KQ_ESYNTAX },
+    { SPOILED_ADDRESS, KQ_ESYNTAX },
+    { SPOILED_SIZE, KQ_ESYNTAX },
+    { SPOILED_OFFSET, KQ_ESYNTAX },
+    { SPOILED_RECORD, KQ_ESYNTAX },
+    /* A kind of a later version is left out. */
+    { SPOILED_KIND, 0 },
+  };
+  struct kq_peer_batch *batch = NULL;
+
+  CU_ASSERT_EQUAL (kq_peer_decode (junk, sizeof junk, &batch), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (kq_peer_decode (junk, 0, &batch), KQ_EINVAL);
+  CU_ASSERT_EQUAL (kq_peer_decode (junk, KQ_PEER_MAX_FRAME + 1, &batch),
+                   KQ_ETOOBIG);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (decode_spoiled (cases[i].what), cases[i].err);
+}
+
+/* Several hosts in one loop. */
+
+struct host
+{
+  struct kq_peers *peers;
+  struct kq_peers_settings settings;
+  struct ev_loop *loop;
+  int received;
+  struct kq_peer_message last;
+};
+
+static void
+on_message (void *arg, const struct kq_peer_message *message)
+{
+  struct host *host = arg;
+
+  host->received++;
+  host->last = *message;
+  ev_break (host->loop, EVBREAK_ALL);
+}
+
+static void
+free_address (char address[64])
+{
+  struct sockaddr_in bound = { .sin_family = AF_INET };
+  socklen_t size = sizeof bound;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  bound.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *)&bound, size) == 0)
+    getsockname (fd, (struct sockaddr *)&bound, &size);
+  snprintf (address, 64, "127.0.0.1:%d", ntohs (bound.sin_port));
+  close (fd);
+}
+
+static void
+start_host (struct host *host, struct ev_loop *loop, void *context,
+            const char *name, const char (*bootstrap)[64])
+{
+  int err;
+
+  memset (host, 0, sizeof *host);
+  host->loop = loop;
+  kq_name_set (&host->settings.self.host, name);
+  kq_name_set (&host->settings.self.zone, name);
+  kq_name_set (&host->settings.region, "r");
+  host->settings.self.incarnation = 5;
+  host->settings.bootstrap = bootstrap;
+  host->settings.bootstrap_count = bootstrap != NULL;
+  free_address (host->settings.self.address);
+  host->peers = kq_peers_create (loop, context, &host->settings, on_message,
+                                 host, &err);
+  CU_ASSERT_EQUAL (err, 0);
+}
+
+/* Sends heartbeats from FROM until TO has COUNT, for up to 5 s. */
+static bool
+heard (struct host *from, struct host *to, int count)
+{
+  static const struct kq_name all;
+
+  for (int tries = 0; to->received < count && tries < 100; tries++)
+    {
+      kq_peers_send (from->peers, &all, &heartbeat);
+      ev_run (from->loop, EVRUN_NOWAIT);
+      usleep (50000);
+      ev_run (from->loop, EVRUN_NOWAIT);
+    }
+  return to->received >= count;
+}
+
+static void
+test_hosts_hear_each_other (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  void *context = zmq_ctx_new ();
+  void *stranger = zmq_socket (context, ZMQ_DEALER);
+  char endpoint[80];
+  struct host a;
+  struct host b;
+  int linger = 0;
+
+  start_host (&b, loop, context, "b", NULL);
+  start_host (&a, loop, context, "a",
+              (const char (*)[64])b.settings.self.address);
+  CU_ASSERT_TRUE (heard (&a, &b, 1));
+  CU_ASSERT_STRING_EQUAL (b.last.from.text, "a");
+  CU_ASSERT_EQUAL (b.last.revision, 13);
+  /* A message of an earlier incarnation of A is refused. */
+  CU_ASSERT_EQUAL (kq_peers_check (b.peers, &a.settings.self), 0);
+  a.settings.self.incarnation--;
+  CU_ASSERT_EQUAL (kq_peers_check (b.peers, &a.settings.self), KQ_EPEER_VIEW);
+  /* B has learned A's address from the message. */
+  CU_ASSERT_TRUE (heard (&b, &a, 1));
+  CU_ASSERT_EQUAL (kq_peers_send (b.peers, &a.settings.self.host, &heartbeat),
+                   0);
+  CU_ASSERT_EQUAL (
+      kq_peers_send (b.peers, &(struct kq_name){ "c" }, &heartbeat),
+      KQ_EPEER_UNKNOWN);
+  /* Junk ends nothing. */
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", b.settings.self.address);
+  zmq_setsockopt (stranger, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_connect (stranger, endpoint);
+  zmq_send (stranger, "junk", 4, 0);
+  zmq_send (stranger, "", 0, ZMQ_SNDMORE);
+  zmq_send (stranger, "three", 5, ZMQ_SNDMORE);
+  zmq_send (stranger, "parts", 5, 0);
+  CU_ASSERT_TRUE (heard (&a, &b, b.received + 2));
+  zmq_close (stranger);
+  kq_peers_destroy (a.peers);
+  kq_peers_destroy (b.peers);
+  zmq_ctx_term (context);
+  ev_loop_destroy (loop);
+}
+
+static void
+test_membership (void)
+{
+  static const char bootstrap[1][64] = { "127.0.0.1:3" };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  void *context = zmq_ctx_new ();
+  struct kq_host_entry listed = { .name = { "b" },
+                                  .zone = { "z" },
+                                  .region = { "r" },
+                                  .address = "127.0.0.1:1" };
+  struct kq_peer_sender self = { .host = { "a" }, .zone = { "a" } };
+  struct kq_peer_sender b
+      = { .host = { "b" }, .zone = { "z" }, .address = "127.0.0.1:1" };
+  struct kq_peer_sender c
+      = { .host = { "c" }, .zone = { "z" }, .address = "127.0.0.1:2" };
+  struct kq_peer_sender d
+      = { .host = { "d" }, .zone = { "z" }, .address = "127.0.0.1:3" };
+  struct host a;
+
+  start_host (&a, loop, context, "a", bootstrap);
+  CU_ASSERT_EQUAL (kq_peers_check (a.peers, &self), KQ_EPEER_UNKNOWN);
+  /* Without a list, any host may be one that has just started. */
+  CU_ASSERT_EQUAL (kq_peers_check (a.peers, &c), 0);
+  kq_peers_take_hosts (a.peers, &listed, 1);
+  CU_ASSERT_EQUAL (kq_peers_check (a.peers, &b), 0);
+  CU_ASSERT_EQUAL (kq_peers_check (a.peers, &c), KQ_EPEER_UNKNOWN);
+  CU_ASSERT_EQUAL (kq_peers_check (a.peers, &d), 0);
+  kq_peers_destroy (a.peers);
+  zmq_ctx_term (context);
+  ev_loop_destroy (loop);
+}
+
+static const struct kq_test tests[] = {
+  { "messages round trip", test_messages_round_trip },
+  { "malformed messages", test_malformed_messages },
+  { "hosts hear each other", test_hosts_hear_each_other },
+  { "membership", test_membership },
+};
+
+KQ_TEST_MAIN ("peer", tests)
--- /dev/null
+++ b/t/test-settings.c
@@ -0,0 +1,116 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "daemon/settings.h"
+#include "t/kqtest.h"
+
+#define MAX_ARGS 12
+
+static struct kq_settings settings;
+static struct kq_settings_error error;
+static char shown[8192];
+
+/* Reads the words of LINE after the settings that must be given. */
+static int
+read_line (const char *line)
+{
+  char copy[512];
+  char *argv[MAX_ARGS] = { "kumquatrackd", "--host=h", "--zone=z",
+                           "--region=r", "--platform=http://127.0.0.1:9" };
+  int argc = 5;
+  FILE *out = fmemopen (shown, sizeof shown, "w");
+  int result;
+
+  snprintf (copy, sizeof copy, "%s", line);
+  for (char *word = strtok (copy, " "); word != NULL && argc < MAX_ARGS;
+       word = strtok (NULL, " "))
+    argv[argc++] = word;
+  result = kq_settings_read (argc, argv, out, &settings, &error);
+  fclose (out);
+  return result;
+}
+
+static void
+test_wrong_settings_are_named (void)
+{
+  static const struct
+  {
+    const char *line;
+    const char *flag;
+    const char *value;
+    const char *allowed;
+  } cases[] = {
+    { "--lease-ttl-ms=7", "--lease-ttl-ms", "7", "500 to 60000 ms" },
+    { "--lease-ttl-ms=2s", "--lease-ttl-ms", "2s", "500 to 60000 ms" },
+    { "--drain-ms=-1", "--drain-ms", "-1", "0 to 600000 ms" },
+    { "--drain-ms=99999999999999999999", "--drain-ms", "99999999999999999999",
+      "0 to 600000 ms" },
+    { "--renew-ms=900", "--renew-ms", "900", "at most a third" },
+    { "--task-ttl-ms=1999", "--task-ttl-ms", "1999", "at least" },
+    { "--listen=localhost:80", "--listen", "localhost:80", "port 1 to 65535" },
+    { "--listen=127.0.0.1:0", "--listen", "127.0.0.1:0", "port 1 to 65535" },
+    { "--listen=127.0.0.1:65536", "--listen", "127.0.0.1:65536", "65535" },
+    { "--listen=::1:80", "--listen", "::1:80", "[IPv6]:PORT" },
+    { "--peers=127.0.0.1:1,x", "--peers", "127.0.0.1:1,x", "up to 64 times" },
+    { "--zone=a/b --zone=a+b", "--zone", "a+b", "letters" },
+    { "--log-level=loud", "--log-level", "loud", "error, warn, info" },
+    { "--nonsense", "--nonsense", "", "--help" },
+    { "stray", "stray", "", "--help" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      CU_ASSERT_EQUAL (read_line (cases[i].line), KQ_ESETTING);
+      CU_ASSERT_STRING_EQUAL (error.flag, cases[i].flag);
+      CU_ASSERT_STRING_EQUAL (error.value, cases[i].value);
+      CU_ASSERT_PTR_NOT_NULL (strstr (error.allowed, cases[i].allowed));
+    }
+}
+
+static void
+test_flag_goes_before_variable (void)
+{
+  setenv ("KUMQUATRACK_LEASE_TTL_MS", "3000", 1);
+  CU_ASSERT_EQUAL (read_line (""), KQ_SETTINGS_RUN);
+  CU_ASSERT_EQUAL (settings.lease_ttl_ms, 3000);
+  CU_ASSERT_EQUAL (read_line ("--lease-ttl-ms=4000"), KQ_SETTINGS_RUN);
+  CU_ASSERT_EQUAL (settings.lease_ttl_ms, 4000);
+  setenv ("KUMQUATRACK_LEASE_TTL_MS", "x", 1);
+  CU_ASSERT_EQUAL (read_line (""), KQ_ESETTING);
+  CU_ASSERT_STRING_EQUAL (error.flag, "--lease-ttl-ms");
+  unsetenv ("KUMQUATRACK_LEASE_TTL_MS");
+}
+
+static void
+test_values_are_taken (void)
+{
+  CU_ASSERT_EQUAL (
+      read_line ("--listen [::1]:80 --peers 127.0.0.1:1,127.0.0.1:2"),
+      KQ_SETTINGS_RUN);
+  CU_ASSERT_STRING_EQUAL (settings.host.text, "h");
+  CU_ASSERT_STRING_EQUAL (settings.platform, "127.0.0.1:9");
+  CU_ASSERT_STRING_EQUAL (settings.listen, "[::1]:80");
+  CU_ASSERT_EQUAL (settings.peer_count, 2);
+  CU_ASSERT_STRING_EQUAL (settings.peers[1], "127.0.0.1:2");
+  CU_ASSERT_EQUAL (settings.log_level, KQ_LOG_INFO);
+}
+
+static void
+test_help_and_version (void)
+{
+  CU_ASSERT_EQUAL (read_line ("--help"), KQ_SETTINGS_SHOWN);
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "KUMQUATRACK_LEASE_TTL_MS"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "500 to 60000 ms"));
+  CU_ASSERT_EQUAL (read_line ("--version"), KQ_SETTINGS_SHOWN);
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "kumquatrackd "));
+}
+
+static const struct kq_test tests[] = {
+  { "wrong settings are named", test_wrong_settings_are_named },
+  { "flag goes before variable", test_flag_goes_before_variable },
+  { "values are taken", test_values_are_taken },
+  { "help and version", test_help_and_version },
+};
+
+KQ_TEST_MAIN ("settings", tests)
