--- a/request/pool.c
+++ b/request/pool.c
@@ -213,6 +213,16 @@
   return sum;
 }
 
+int64_t
+kq_pool_peer_slots (const struct kq_pool *pool)
+{
+  int64_t sum = 0;
+
+  for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
+    sum += p->slots;
+  return sum;
+}
+
 /* Compares admitted/slots of two workers without division. */
 static bool
 less_busy (const struct kq_pool_worker *a, int32_t a_slots,
--- a/request/pool.h
+++ b/request/pool.h
@@ -72,9 +72,12 @@
 /** Returns the slots that WORKER has for this host at NOW, in use or not. */
 int32_t kq_pool_slots (const struct kq_pool_worker *worker, kq_usec now);
 
-/** Returns the slots of all workers that take requests at NOW. */
+/** Returns the slots of all own workers that take requests at NOW. */
 int64_t kq_pool_all_slots (const struct kq_pool *pool, kq_usec now);
 
+/** Returns the slots of the workers that other entry hosts own. */
+int64_t kq_pool_peer_slots (const struct kq_pool *pool);
+
 /** Returns the own worker with the smallest part of its slots in use that
  *  can take a request at NOW and isn't AVOID; NULL when there is none.  */
 struct kq_pool_worker *kq_pool_pick (struct kq_pool *pool, kq_usec now,
--- a/request/request.c
+++ b/request/request.c
@@ -255,6 +255,8 @@
   kq_usec took = step->now - attempt->sent_at;
 
   attempt->live = false;
+  if (end->outcome == KQ_OUTCOME_ANSWERED)
+    router->service_time += (took - router->service_time) / MEAN_WEIGHT;
   if (attempt->peer != NULL)
     {
       attempt->peer->sent--;
@@ -265,10 +267,7 @@
   kq_pool_release (attempt->worker);
   router->counts.admitted--;
   if (end->outcome == KQ_OUTCOME_ANSWERED)
-    {
-      router->service_time += (took - router->service_time) / MEAN_WEIGHT;
-      kq_pool_succeed (attempt->worker);
-    }
+    kq_pool_succeed (attempt->worker);
   else if (end->err == KQ_EREQ_OVERLOAD)
     attempt->worker->full_until = step->now + FULL_TIME;
   else if (!attempt->stalled)
--- a/request/route.c
+++ b/request/route.c
@@ -83,14 +83,18 @@
   return &request->attempts[request->attempt_count - 1];
 }
 
-/* Time that a request of this importance would wait, at the pace of late. */
+/* Time that REQUEST would wait, at the pace of late.  A request that was
+   forwarded waits for own workers alone.  */
 static kq_usec
-estimate_wait (const struct kq_step *step, int32_t importance)
+estimate_wait (const struct kq_step *step, const struct kq_request *request)
 {
   const struct kq_request_router *router = step->router;
   int64_t slots = kq_pool_all_slots (&router->pool, step->now);
-  int64_t ahead = (int64_t)kq_queue_ahead (&router->queue, importance);
+  int64_t ahead
+      = (int64_t)kq_queue_ahead (&router->queue, request->importance);
 
+  if (slots == 0 && !request->forwarded)
+    slots = kq_pool_peer_slots (&router->pool);
   if (slots == 0)
     return INT64_MAX / 4;
   return (ahead + 1) * router->service_time / slots;
@@ -109,10 +113,14 @@
   return true;
 }
 
+/* A hop further than WAIT isn't worth it.  What was forwarded once isn't
+   forwarded again.  */
 static bool
 send_to_any_peer (struct kq_step *step, struct kq_request *request,
                   kq_usec wait)
 {
+  if (request->forwarded)
+    return false;
   for (int range = KQ_RANGE_ZONE; range < KQ_RANGE_COUNT; range++)
     {
       struct kq_pool_peer *peer;
@@ -181,36 +189,44 @@
 kq_route_place (struct kq_step *step, struct kq_request *request)
 {
   kq_usec wait;
+  kq_usec hop_wait;
 
   /* Whoever waits was there before, unless this one is more important. */
   if (kq_queue_ahead (&step->router->queue, request->importance) == 0
       && send_to_own (step, request))
     return;
-  wait = estimate_wait (step, request->importance);
-  if (!request->forwarded && send_to_any_peer (step, request, wait))
+  wait = estimate_wait (step, request);
+  hop_wait = wait;
+  if (kq_pool_all_slots (&step->router->pool, step->now) == 0)
+    hop_wait = INT64_MAX / 4;
+  if (send_to_any_peer (step, request, hop_wait))
     return;
   wait_in_queue (step, request, wait);
 }
 
-/* Another target is better than the one that failed, and the same one is
-   better than none, unless an attempt is still there.  */
+/* The worker that failed is better than none. */
 static bool
-send_elsewhere (struct kq_step *step, struct kq_request *request)
+send_to_same (struct kq_step *step, struct kq_request *request)
 {
-  struct kq_pool_worker *worker;
+  struct kq_pool_worker *worker
+      = kq_pool_pick (&step->router->pool, step->now, NULL);
 
-  if (send_to_own (step, request)
-      || send_to_any_peer (step, request, INT64_MAX / 4))
-    return true;
-  if (kq_request_live (request))
-    return false;
-  worker = kq_pool_pick (&step->router->pool, step->now, NULL);
   if (worker == NULL)
     return false;
   send_to_worker (step, request, worker);
   return true;
 }
 
+/* An attempt that is still there isn't joined by another at its worker. */
+static bool
+send_elsewhere (struct kq_step *step, struct kq_request *request)
+{
+  if (send_to_own (step, request)
+      || send_to_any_peer (step, request, INT64_MAX / 4))
+    return true;
+  return !kq_request_live (request) && send_to_same (step, request);
+}
+
 static bool
 may_add (const struct kq_step *step, const struct kq_request *request)
 {
@@ -241,7 +257,7 @@
 kq_route_wait (struct kq_step *step, struct kq_request *request)
 {
   struct kq_request_router *router = step->router;
-  kq_usec wait = estimate_wait (step, request->importance);
+  kq_usec wait = estimate_wait (step, request);
 
   if (!may_add (step, request)
       || router->queue.count >= router->settings.queue_limit
@@ -267,7 +283,8 @@
           refuse (step, request, KQ_EREQ_OVERLOAD);
           continue;
         }
-      if (!send_to_own (step, request))
+      if (!send_to_own (step, request) && !send_to_same (step, request)
+          && !send_to_any_peer (step, request, INT64_MAX / 4))
         return;
       kq_queue_remove (&router->queue, request);
     }
--- a/t/lib-endpoint.c
+++ b/t/lib-endpoint.c
@@ -26,6 +26,7 @@
 struct kq_test_endpoint
 {
   int listener;
+  int port;
   pthread_t thread;
   struct link links[MAX_LINKS];
   atomic_int link_count;
@@ -83,6 +84,17 @@
   put (fd, body, length);
 }
 
+/* Two megabytes. */
+static void
+answer_large (int fd)
+{
+  static char block[65536];
+
+  answer (fd, "200 OK", 32 * (int)sizeof block, block, sizeof block);
+  for (int i = 1; i < 32; i++)
+    put (fd, block, sizeof block);
+}
+
 static void
 reset (int fd)
 {
@@ -103,10 +115,12 @@
     answer (fd, "503 Full\r\nKumquatrack-Outcome: not-run", 0, "", 0);
   else if (strncmp (path, "/open", 5) == 0)
     put (fd, "HTTP/1.1 200 OK\r\n\r\nopen", 23);
+  else if (strncmp (path, "/large", 6) == 0)
+    answer_large (fd);
   else if (strncmp (path, "/echo", 5) == 0)
     answer (fd, "200 OK", (int)body_length, body, body_length);
-  if (strncmp (path, "/cut", 4) == 0 || strncmp (path, "/close", 6) == 0
-      || strncmp (path, "/open", 5) == 0)
+  if (strncmp (path, "/cut", 4) == 0 || strncmp (path, "/large", 6) == 0
+      || strncmp (path, "/close", 6) == 0 || strncmp (path, "/open", 5) == 0)
     return false;
   if (strncmp (path, "/echo", 5) != 0 && strncmp (path, "/full", 5) != 0)
     answer (fd, "200 OK\r\nX-Test: yes", (int)strcspn (path, " "), path,
@@ -125,6 +139,16 @@
     continue;
 }
 
+/* Requests with the method "DIE" are never read. */
+static bool
+must_die (int fd)
+{
+  char first[5] = "";
+
+  return recv (fd, first, 4, MSG_PEEK | MSG_WAITALL) == 4
+         && strcmp (first, "DIE ") == 0;
+}
+
 static void
 serve_link (struct link *link, char *buffer)
 {
@@ -132,7 +156,8 @@
   const char *body = "";
   size_t length;
 
-  while ((length = read_request (link->fd, buffer, &body)) > 0)
+  while (!must_die (link->fd)
+         && (length = read_request (link->fd, buffer, &body)) > 0)
     {
       const char *path = strchr (buffer, ' ');
       bool stay;
@@ -152,6 +177,7 @@
       if (!stay)
         return;
     }
+  reset (link->fd);
 }
 
 static void *
@@ -159,14 +185,9 @@
 {
   struct link *link = argument;
   char *buffer = malloc (REQUEST_SIZE);
-  char first[5] = "";
 
-  /* "DIE" as method is reset before the rest is read. */
-  if (buffer != NULL && recv (link->fd, first, 4, MSG_PEEK | MSG_WAITALL) == 4
-      && strcmp (first, "DIE ") != 0)
+  if (buffer != NULL)
     serve_link (link, buffer);
-  if (strcmp (first, "DIE ") == 0)
-    reset (link->fd);
   free (buffer);
   shutdown (link->fd, SHUT_RDWR);
   close (link->fd);
@@ -197,28 +218,34 @@
 }
 
 struct kq_test_endpoint *
-kq_test_endpoint_start (int port)
+kq_test_endpoint_start (void)
 {
   struct kq_test_endpoint *endpoint = calloc (1, sizeof *endpoint);
   struct sockaddr_in address = { .sin_family = AF_INET };
-  int one = 1;
+  socklen_t size = sizeof address;
 
-  address.sin_port = htons ((uint16_t)port);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   endpoint->listener = socket (AF_INET, SOCK_STREAM, 0);
-  setsockopt (endpoint->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (bind (endpoint->listener, (struct sockaddr *)&address, sizeof address)
-          != 0
-      || listen (endpoint->listener, 128) != 0)
+  if (bind (endpoint->listener, (struct sockaddr *)&address, size) != 0
+      || listen (endpoint->listener, 128) != 0
+      || getsockname (endpoint->listener, (struct sockaddr *)&address, &size)
+             != 0)
     {
       close (endpoint->listener);
       free (endpoint);
       return NULL;
     }
+  endpoint->port = ntohs (address.sin_port);
   pthread_create (&endpoint->thread, NULL, run_listener, endpoint);
   return endpoint;
 }
 
+int
+kq_test_endpoint_port (struct kq_test_endpoint *endpoint)
+{
+  return endpoint->port;
+}
+
 void
 kq_test_endpoint_stop (struct kq_test_endpoint *endpoint)
 {
--- a/t/lib-endpoint.h
+++ b/t/lib-endpoint.h
@@ -1,10 +1,10 @@
 /** @file
  * A small endpoint for tests: what it does is named by the path's first
- * word.  /ok answers; /slow/MS answers later; /cut, /close and /die answer
- * in part, not at all after reading the request, and reset without reading;
- * /full says not-run; /silent never answers, on a connection's first use
- * or, as /stale, on each but the first; /echo repeats the body; /open ends
- * its answer with the connection.
+ * word.  /slow/MS answers after MS; /cut, /close and /large answer in part,
+ * not at all after reading the request, and with 2 MiB; /open ends its
+ * answer with the connection; /full says not-run; /silent never answers;
+ * /echo repeats the body; all others answer with the path.  A request with
+ * the method DIE is reset before it is read.
  */
 #ifndef KQ_T_LIB_ENDPOINT_H
 #define KQ_T_LIB_ENDPOINT_H
@@ -13,8 +13,10 @@
 
 struct kq_test_endpoint;
 
-/** Listens on 127.0.0.1:PORT; NULL on failure. */
-struct kq_test_endpoint *kq_test_endpoint_start (int port);
+/** Listens on a free port of 127.0.0.1; NULL on failure. */
+struct kq_test_endpoint *kq_test_endpoint_start (void);
+
+int kq_test_endpoint_port (struct kq_test_endpoint *endpoint);
 
 /** Closes all connections and ends all threads. */
 void kq_test_endpoint_stop (struct kq_test_endpoint *endpoint);
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -1,4 +1,6 @@
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -10,10 +12,11 @@
 #include "t/kqtest.h"
 #include "t/lib-endpoint.h"
 #include "t/lib-view.h"
+#include "trace/trace.h"
 
-#define ENDPOINT_PORT 22100
 #define FRONT_PORT 22200
-#define HOP_PORT 22300
+#define HOP_PORT 22400
+#define MAX_ENTRIES 200
 #define FOREVER INT64_MAX
 
 /** What a caller got. */
@@ -36,26 +39,29 @@
   char hop[32];
 };
 
-/* Each gets ports of its own: ZeroMQ closes its sockets a little later. */
+/* Each gets ports of its own: ZeroMQ closes its sockets a little later.
+   Ports that another process has are left out.  */
 static struct entry
 start_entry (const char *name, const char *zone)
 {
   static int index;
-  struct entry entry;
+  struct entry entry = { .front = NULL };
   char listen[32];
   struct kq_front_settings settings
       = { .listen = listen, .hop_listen = entry.hop };
-  int err;
+  int err = KQ_EIO;
 
-  entry.port = FRONT_PORT + index;
-  snprintf (listen, sizeof listen, "127.0.0.1:%d", entry.port);
-  snprintf (entry.hop, sizeof entry.hop, "127.0.0.1:%d", HOP_PORT + index);
-  index++;
   kq_name_set (&settings.host, name);
   kq_name_set (&settings.zone, zone);
   kq_name_set (&settings.region, "dakar");
   settings.drain = 3 * KQ_USEC_PER_SEC;
-  entry.front = kq_front_start (&settings, zmq, &err);
+  for (; err == KQ_EIO && index < MAX_ENTRIES; index++)
+    {
+      entry.port = FRONT_PORT + index;
+      snprintf (listen, sizeof listen, "127.0.0.1:%d", entry.port);
+      snprintf (entry.hop, sizeof entry.hop, "127.0.0.1:%d", HOP_PORT + index);
+      entry.front = kq_front_start (&settings, zmq, &err);
+    }
   CU_ASSERT_PTR_NOT_NULL_FATAL (entry.front);
   return entry;
 }
@@ -155,11 +161,12 @@
 static void
 test_answer_is_passed_on (void)
 {
-  struct kq_test_endpoint *endpoint = kq_test_endpoint_start (ENDPOINT_PORT);
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
   struct entry entry = start_entry ("e1", "dakar-sandaga");
   struct reply reply;
 
-  publish (entry.front, kq_test_view (1, ENDPOINT_PORT, true, FOREVER, ""));
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
   reply = call (entry.port, "GET", "/ok?a=%20b", NULL, PRICE);
   CU_ASSERT_EQUAL (reply.status, 200);
   CU_ASSERT_STRING_EQUAL (reply.body, "/ok?a=%20b");
@@ -171,9 +178,426 @@
   kq_test_endpoint_stop (endpoint);
 }
 
+/* What an endpoint does, and what its caller is told. */
+static void
+test_endpoint_failures (void)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    long status;
+    const char *outcome;
+    const char *error;
+    int runs;
+  } cases[] = {
+    { "POST", "/cut", 502, "unknown", "KQ_EREQ_CUT", 1 },
+    { "POST", "/open", 502, "unknown", "KQ_EREQ_CUT", 1 },
+    { "POST", "/close", 502, "unknown", "KQ_ECLOSED", 1 },
+    { "DELETE", "/close", 502, "unknown", "KQ_ECLOSED", 1 },
+    { "DIE", "/ok", 502, "unknown", "KQ_ECLOSED", 0 },
+    { "POST", "/slow/700", 504, "unknown", "KQ_ETIMEDOUT", 1 },
+    { "POST", "/large", 502, "unknown", "KQ_ETOOBIG", 1 },
+  };
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      int before = kq_test_endpoint_runs (endpoint);
+      struct reply reply
+          = call (entry.port, "GET", "/ok", NULL, BOOK); /* leaves a link */
+
+      CU_ASSERT_EQUAL (reply.status, 200);
+      reply = call (entry.port, cases[i].method, cases[i].path, NULL,
+                    HEADERS ("Kumquatrack-Service: book",
+                             "Kumquatrack-Deadline-Ms: 400"));
+      CU_ASSERT_EQUAL (reply.status, cases[i].status);
+      CU_ASSERT_STRING_EQUAL (reply.outcome, cases[i].outcome);
+      CU_ASSERT_PTR_NOT_NULL (strstr (reply.body, cases[i].error));
+      usleep (400000 * (cases[i].status == 504));
+      CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint),
+                       before + 1 + cases[i].runs);
+    }
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+static void
+test_not_run (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct reply reply;
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  reply = call (entry.port, "POST", "/full", NULL, BOOK);
+  CU_ASSERT_EQUAL (reply.status, 503);
+  CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
+  kq_test_endpoint_stop (endpoint);
+  usleep (50000);
+  reply = call (entry.port, "POST", "/ok", NULL, BOOK);
+  CU_ASSERT_EQUAL (reply.status, 503);
+  CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
+  kq_front_stop (entry.front);
+}
+
+struct caller
+{
+  pthread_t thread;
+  int port;
+  const char *method;
+  char path[32];
+  const char *const *headers;
+  struct reply reply;
+};
+
+static void *
+run_caller (void *argument)
+{
+  struct caller *caller = argument;
+
+  caller->reply = call (caller->port, caller->method, caller->path, NULL,
+                        caller->headers);
+  return NULL;
+}
+
+static void
+start_caller (struct caller *caller, int port, const char *method,
+              const char *const *headers)
+{
+  caller->port = port;
+  caller->method = method;
+  caller->headers = headers;
+  pthread_create (&caller->thread, NULL, run_caller, caller);
+}
+
+/* Callers at two entry hosts, one of which owns the workers. */
+static void
+test_answers_late_and_out_of_order (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry owner = start_entry ("e1", "dakar-sandaga");
+  struct entry other = start_entry ("e2", "dakar-sandaga");
+  struct caller callers[24];
+
+  publish (owner.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  publish (other.front, kq_test_view (1, 1, false, 0, owner.hop));
+  usleep (200000);
+  for (int i = 0; i < 24; i++)
+    {
+      snprintf (callers[i].path, sizeof callers[i].path, "/slow/%d?%d",
+                100 - 10 * (i % 8), i);
+      start_caller (&callers[i], i % 2 ? owner.port : other.port, "GET",
+                    PRICE);
+    }
+  for (int i = 0; i < 24; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      CU_ASSERT_EQUAL (callers[i].reply.status, 200);
+      CU_ASSERT_STRING_EQUAL (callers[i].reply.body, callers[i].path);
+    }
+  CU_ASSERT_TRUE (kq_test_endpoint_peak (endpoint) <= 8);
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 24);
+  kq_front_stop (other.front);
+  kq_front_stop (owner.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+static void
+test_hop (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry owner = start_entry ("e1", "dakar-sandaga");
+  struct entry other = start_entry ("e2", "dakar-sandaga");
+  struct reply reply;
+
+  publish (owner.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  publish (other.front, kq_test_view (1, 1, false, 0, owner.hop));
+  usleep (200000);
+  reply = call (other.port, "POST", "/echo", "milk run", BOOK);
+  CU_ASSERT_EQUAL (reply.status, 200);
+  CU_ASSERT_STRING_EQUAL (reply.body, "milk run");
+  reply = call (other.port, "POST", "/cut", "x", BOOK);
+  CU_ASSERT_EQUAL (reply.status, 502);
+  CU_ASSERT_STRING_EQUAL (reply.outcome, "unknown");
+  kq_front_stop (owner.front);
+  usleep (200000);
+  reply = call (other.port, "POST", "/ok", "x", BOOK);
+  CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 2);
+  kq_front_stop (other.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+static void
+test_keyed_request_runs_once (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct caller callers[8] = { 0 };
+  int answered = 0;
+  const char *const *headers
+      = HEADERS ("Kumquatrack-Service: book", "Idempotency-Key: coil-77");
+
+  publish (entry.front, kq_test_view (2, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  for (int i = 0; i < 8; i++)
+    {
+      strcpy (callers[i].path, "/slow/200");
+      start_caller (&callers[i], entry.port, "POST", headers);
+    }
+  for (int i = 0; i < 8; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      answered += callers[i].reply.status == 200;
+      CU_ASSERT_TRUE (callers[i].reply.status == 200
+                      || strcmp (callers[i].reply.outcome, "unknown") == 0);
+    }
+  CU_ASSERT_TRUE (answered >= 1);
+  CU_ASSERT_EQUAL (
+      call (entry.port, "POST", "/slow/200", NULL, headers).status, 200);
+  CU_ASSERT_EQUAL (call (entry.port, "POST", "/other", NULL, headers).status,
+                   422);
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+/* All open connections go silent, new ones work. */
+static void
+test_silent_connections (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct caller callers[8] = { 0 };
+  int unknown = 0;
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  for (int i = 0; i < 8; i++)
+    {
+      strcpy (callers[i].path, "/slow/100");
+      start_caller (&callers[i], entry.port, "GET", PRICE);
+    }
+  for (int i = 0; i < 8; i++)
+    pthread_join (callers[i].thread, NULL);
+  kq_test_endpoint_silence (endpoint, 0);
+  for (int i = 0; i < 8; i++)
+    {
+      struct reply reply = call (entry.port, "POST", "/ok", NULL,
+                                 HEADERS ("Kumquatrack-Service: book",
+                                          "Kumquatrack-Deadline-Ms: 500"));
+      unknown += strcmp (reply.outcome, "unknown") == 0;
+      CU_ASSERT_TRUE (reply.status == 200 || reply.status == 504);
+    }
+  /* The first stall makes all the others go over new connections. */
+  CU_ASSERT_EQUAL (unknown, 1);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+/* Sends TEXT and returns the status of what comes back: 0 when the
+   connection is closed without an answer.  With SIZE 0 the caller leaves
+   instead.  */
+static int
+raw (int port, const char *text, size_t length, char *answer, size_t size)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct timeval limit = { .tv_sec = 5 };
+  ssize_t got;
+
+  address.sin_port = htons ((uint16_t)port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
+    return -1;
+  while (length > 0)
+    {
+      ssize_t sent = send (fd, text, length, MSG_NOSIGNAL);
+      if (sent <= 0)
+        break;
+      text += sent;
+      length -= (size_t)sent;
+    }
+  if (size == 0)
+    usleep (50000);
+  got = size > 0 ? recv (fd, answer, size - 1, MSG_WAITALL) : 0;
+  if (size > 0)
+    answer[got > 0 ? got : 0] = '\0';
+  close (fd);
+  return size > 0 && got > 12 ? atoi (answer + 9) : 0;
+}
+
+static void
+test_bad_requests (void)
+{
+  static const struct
+  {
+    const char *text;
+    int status;
+    const char *error;
+  } cases[] = {
+    /* libmicrohttpd closes such a connection by itself. */
+    { "nonsense\r\n\r\n", 0, "" },
+    { "GET /ok HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 400,
+      "KQ_EREQ_NO_SERVICE" },
+    { "GET /ok HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Kumquatrack-Service: a b\r\n\r\n",
+      400, "KQ_ESYNTAX" },
+    { "GET /ok HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Kumquatrack-Service: other\r\n\r\n",
+      404, "KQ_EREQ_NO_SERVICE" },
+    { "GET /ok HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Kumquatrack-Service: price\r\nKumquatrack-Deadline-Ms: 0\r\n\r\n",
+      400, "KQ_ERANGE" },
+    { "GET /ok HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Kumquatrack-Service: price\r\nKumquatrack-Importance: 10\r\n\r\n",
+      400, "KQ_ERANGE" },
+    { "POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n"
+      "Kumquatrack-Service: price\r\n\r\nabc",
+      413, "KQ_ETOOBIG" },
+    { "POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n"
+      "Kumquatrack-Service: price\r\n\r\nabc",
+      400, "" },
+  };
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  char answer[2048];
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      CU_ASSERT_EQUAL (raw (entry.port, cases[i].text, strlen (cases[i].text),
+                            answer, sizeof answer),
+                       cases[i].status);
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer, cases[i].error));
+    }
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 0);
+  CU_ASSERT_EQUAL (call (entry.port, "GET", "/ok", NULL, PRICE).status, 200);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+/* Half a request, and a caller that leaves while its request runs. */
+static void
+test_callers_that_leave (void)
+{
+  static const char half[] = "POST /ok HTTP/1.1\r\nHost: a\r\n"
+                             "Content-Length: 10\r\n"
+                             "Kumquatrack-Service: book\r\n\r\nabc";
+  static const char whole[] = "POST /slow/600 HTTP/1.1\r\nHost: a\r\n"
+                              "Content-Length: 0\r\n"
+                              "Kumquatrack-Service: book\r\n\r\n";
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  long unknown = metric ("kq_requests_unknown_total");
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  raw (entry.port, half, sizeof half - 1, NULL, 0);
+  raw (entry.port, whole, sizeof whole - 1, NULL, 0);
+  usleep (400000);
+  CU_ASSERT_EQUAL (metric ("kq_requests_unknown_total"), unknown + 1);
+  CU_ASSERT_EQUAL (metric ("kq_requests_open"), 0);
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+static void
+test_stop_cuts_off_nothing (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct caller callers[12] = { 0 };
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  for (int i = 0; i < 12; i++)
+    {
+      strcpy (callers[i].path, "/slow/300");
+      start_caller (&callers[i], entry.port, "POST", BOOK);
+    }
+  usleep (150000);
+  kq_front_stop (entry.front);
+  for (int i = 0; i < 12; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      CU_ASSERT_EQUAL (callers[i].reply.status, 200);
+    }
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 12);
+  kq_test_endpoint_stop (endpoint);
+}
+
+static void
+test_lost_ownership (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct reply reply;
+
+  publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, kq_clock_now () + 100000, ""));
+  CU_ASSERT_EQUAL (call (entry.port, "POST", "/ok", NULL, BOOK).status, 200);
+  usleep (110000);
+  reply = call (entry.port, "POST", "/ok", NULL, BOOK);
+  CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
+  CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
+/* The spans of a request that crossed two entry hosts of this process. */
+static void
+test_trace (void)
+{
+  static const char id[] = "0af7651916cd43dd8448eb211c80319c";
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry owner = start_entry ("e1", "dakar-sandaga");
+  struct entry other = start_entry ("e2", "dakar-sandaga");
+  const char *const *headers
+      = HEADERS ("Kumquatrack-Service: price",
+                 "traceparent: 00-0af7651916cd43dd8448eb211c80319c-"
+                 "b7ad6b7169203331-01");
+  json_t *spans;
+
+  publish (owner.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
+                                      true, FOREVER, ""));
+  publish (other.front, kq_test_view (1, 1, false, 0, owner.hop));
+  usleep (200000);
+  CU_ASSERT_EQUAL (call (other.port, "GET", "/ok", NULL, headers).status, 200);
+  kq_front_stop (other.front);
+  kq_front_stop (owner.front);
+  spans = kq_trace_find (id);
+  /* request, hop, forwarded, endpoint */
+  CU_ASSERT_EQUAL (json_array_size (spans), 4);
+  json_decref (spans);
+  CU_ASSERT_PTR_NULL (kq_trace_find ("none"));
+  kq_test_endpoint_stop (endpoint);
+}
+
 static const struct kq_test tests[] = {
   { "without a view", test_without_a_view },
   { "answer is passed on", test_answer_is_passed_on },
+  { "endpoint failures", test_endpoint_failures },
+  { "not run", test_not_run },
+  { "answers late and out of order", test_answers_late_and_out_of_order },
+  { "hop", test_hop },
+  { "keyed request runs once", test_keyed_request_runs_once },
+  { "silent connections", test_silent_connections },
+  { "bad requests", test_bad_requests },
+  { "callers that leave", test_callers_that_leave },
+  { "stop cuts off nothing", test_stop_cuts_off_nothing },
+  { "lost ownership", test_lost_ownership },
+  { "trace", test_trace },
 };
 
 int
--- /dev/null
+++ b/t/test-request.c
@@ -0,0 +1,555 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "t/kqtest.h"
+#include "t/lib-router.h"
+#include "t/lib-view.h"
+
+#define FOREVER INT64_MAX
+#define NOTHING ((enum kq_request_effect_kind) - 1)
+#define MS KQ_USEC_PER_MSEC
+
+/* The next effect is a reply with OUTCOME and ERR. */
+static void
+expect_reply (struct kq_test_router *t, uint64_t id, enum kq_outcome outcome,
+              int err)
+{
+  struct kq_request_effect effect = kq_test_router_do (t);
+
+  CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_REPLY);
+  CU_ASSERT_EQUAL (effect.id, id);
+  CU_ASSERT_EQUAL (effect.u.reply.outcome, outcome);
+  CU_ASSERT_EQUAL (effect.u.reply.err, err);
+}
+
+/* The next effect sends attempt ATTEMPT of request ID to an endpoint. */
+static struct kq_request_effect
+expect_send (struct kq_test_router *t, uint64_t id, uint32_t attempt)
+{
+  struct kq_request_effect effect = kq_test_router_do (t);
+
+  CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_SEND);
+  CU_ASSERT_EQUAL (effect.id, id);
+  CU_ASSERT_EQUAL (effect.attempt, attempt);
+  return effect;
+}
+
+static void
+expect_nothing (struct kq_test_router *t)
+{
+  CU_ASSERT_EQUAL (kq_test_router_do (t).kind, NOTHING);
+}
+
+static struct kq_test_router
+router_with (int workers)
+{
+  struct kq_test_router t = kq_test_router_create ();
+
+  kq_test_router_view (&t, kq_test_view (workers, 1000, true, FOREVER, ""));
+  return t;
+}
+
+static void
+test_refusals_without_configuration (void)
+{
+  struct kq_test_router t = kq_test_router_create ();
+  struct kq_view *view = kq_test_view (0, 0, true, 0, "");
+  uint64_t id = kq_test_router_arrive (&t, "price", 0);
+
+  expect_reply (&t, id, KQ_OUTCOME_NOT_RUN, KQ_ECONFIG_NONE);
+  view->revision = 0;
+  kq_test_router_view (&t, view);
+  id = kq_test_router_arrive (&t, "price", 0);
+  expect_reply (&t, id, KQ_OUTCOME_NOT_RUN, KQ_ECONFIG_NONE);
+  kq_test_router_view (&t, kq_test_view (0, 0, true, 0, ""));
+  id = kq_test_router_arrive (&t, "other", 0);
+  expect_reply (&t, id, KQ_OUTCOME_NOT_RUN, KQ_EREQ_NO_SERVICE);
+  id = kq_test_router_arrive (&t, "price", 0);
+  expect_reply (&t, id, KQ_OUTCOME_NOT_RUN, KQ_EREQ_NO_ENDPOINT);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_slots_bound_what_is_sent (void)
+{
+  struct kq_test_router t = router_with (2);
+  struct kq_request_counts counts;
+  uint64_t waiting;
+
+  for (uint64_t id = 1; id <= 16; id++)
+    {
+      kq_test_router_arrive (&t, "price", 0);
+      expect_send (&t, id, 0);
+    }
+  waiting = kq_test_router_arrive (&t, "price", 0);
+  expect_nothing (&t);
+  kq_request_count (t.router, t.now, &counts);
+  CU_ASSERT_EQUAL (counts.admitted, 16);
+  CU_ASSERT_EQUAL (counts.waiting, 1);
+  kq_test_router_end (&t, 3, 0, KQ_OUTCOME_ANSWERED, 0);
+  expect_reply (&t, 3, KQ_OUTCOME_ANSWERED, 0);
+  expect_send (&t, waiting, 0);
+  kq_test_router_destroy (&t);
+}
+
+/* One request each: what its attempts end as, and what its caller is told. */
+static void
+test_outcomes_and_retries (void)
+{
+  static const struct
+  {
+    const char *service;
+    enum kq_outcome ends[3];
+    int count;
+    enum kq_outcome told;
+  } cases[] = {
+    { "book", { KQ_OUTCOME_ANSWERED }, 1, KQ_OUTCOME_ANSWERED },
+    { "book", { KQ_OUTCOME_UNKNOWN }, 1, KQ_OUTCOME_UNKNOWN },
+    { "book",
+      { KQ_OUTCOME_NOT_RUN, KQ_OUTCOME_ANSWERED },
+      2,
+      KQ_OUTCOME_ANSWERED },
+    { "book",
+      { KQ_OUTCOME_NOT_RUN, KQ_OUTCOME_UNKNOWN },
+      2,
+      KQ_OUTCOME_UNKNOWN },
+    { "book",
+      { KQ_OUTCOME_NOT_RUN, KQ_OUTCOME_NOT_RUN, KQ_OUTCOME_NOT_RUN },
+      3,
+      KQ_OUTCOME_NOT_RUN },
+    { "price",
+      { KQ_OUTCOME_UNKNOWN, KQ_OUTCOME_ANSWERED },
+      2,
+      KQ_OUTCOME_ANSWERED },
+    { "price",
+      { KQ_OUTCOME_UNKNOWN, KQ_OUTCOME_NOT_RUN, KQ_OUTCOME_NOT_RUN },
+      3,
+      KQ_OUTCOME_UNKNOWN },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_test_router t = router_with (4);
+      uint64_t id = kq_test_router_arrive (&t, cases[i].service, 0);
+      int err = 0;
+
+      for (int k = 0; k < cases[i].count; k++)
+        {
+          enum kq_outcome end = cases[i].ends[k];
+
+          err = end == KQ_OUTCOME_ANSWERED ? 0 : KQ_EREQ_CUT;
+          expect_send (&t, id, (uint32_t)k);
+          kq_test_router_end (&t, id, (uint32_t)k, end, err);
+        }
+      expect_reply (&t, id, cases[i].told, err);
+      expect_nothing (&t);
+      CU_ASSERT_FALSE (kq_request_busy (t.router));
+      kq_test_router_destroy (&t);
+    }
+}
+
+static void
+test_late_and_doubled_ends (void)
+{
+  struct kq_test_router t = router_with (1);
+  uint64_t first = kq_test_router_arrive (&t, "book", 0);
+  uint64_t second = kq_test_router_arrive (&t, "book", 0);
+
+  expect_send (&t, first, 0);
+  expect_send (&t, second, 0);
+  kq_test_router_pass (&t, 2100 * MS);
+  expect_reply (&t, first, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  expect_reply (&t, second, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  /* The slot stays taken until the attempt has ended. */
+  kq_test_router_end (&t, second, 0, KQ_OUTCOME_ANSWERED, 0);
+  CU_ASSERT_EQUAL (kq_test_router_end (&t, second, 0, KQ_OUTCOME_ANSWERED, 0),
+                   KQ_EINVAL);
+  expect_nothing (&t);
+  kq_test_router_pass (&t, 2100 * MS);
+  CU_ASSERT_EQUAL (kq_test_router_do (&t).kind, KQ_REQ_FX_DROP);
+  kq_test_router_end (&t, first, 0, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  CU_ASSERT_FALSE (kq_request_busy (t.router));
+  kq_test_router_destroy (&t);
+}
+
+/* A key's run ends as END; a repeat is told that and sent AGAIN or not. */
+static void
+test_keys (void)
+{
+  static const struct
+  {
+    enum kq_outcome end;
+    bool again;
+  } cases[] = { { KQ_OUTCOME_ANSWERED, false },
+                { KQ_OUTCOME_UNKNOWN, false },
+                { KQ_OUTCOME_NOT_RUN, true } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_test_router t = router_with (1);
+      uint64_t id = kq_test_router_arrive (&t, "book", 77);
+      uint64_t repeat = kq_test_router_arrive (&t, "book", 77);
+      uint32_t attempt = 0;
+      struct kq_request_effect effect;
+
+      expect_send (&t, id, 0);
+      expect_reply (&t, repeat, KQ_OUTCOME_UNKNOWN, KQ_EREQ_KEY_IN_USE);
+      do
+        {
+          kq_test_router_end (&t, id, attempt++, cases[i].end, KQ_EREQ_CUT);
+          effect = kq_test_router_do (&t);
+        }
+      while (effect.kind == KQ_REQ_FX_SEND);
+      CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_REPLY);
+      CU_ASSERT_EQUAL (effect.u.reply.outcome, cases[i].end);
+      repeat = kq_test_router_arrive (&t, "book", 77);
+      if (cases[i].again)
+        expect_send (&t, repeat, 0);
+      else
+        CU_ASSERT_EQUAL (kq_test_router_do (&t).u.reply.outcome, cases[i].end);
+      kq_test_router_destroy (&t);
+    }
+}
+
+static void
+test_key_of_another_request (void)
+{
+  struct kq_test_router t = router_with (1);
+  struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
+
+  kq_test_router_arrive (&t, "book", 5);
+  kq_test_router_do (&t);
+  event.u.arrive.id = 99;
+  event.u.arrive.keyed = true;
+  event.u.arrive.key.hash[0] = 5;
+  event.u.arrive.key.fingerprint = 1;
+  kq_name_set (&event.u.arrive.service, "book");
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 99, KQ_OUTCOME_INVALID, KQ_EREQ_KEY_REUSED);
+  kq_test_router_destroy (&t);
+}
+
+/* An answer that came after its caller was told "unknown" is kept. */
+static void
+test_late_answer_of_a_key (void)
+{
+  struct kq_test_router t = router_with (1);
+  uint64_t id = kq_test_router_arrive (&t, "book", 5);
+
+  expect_send (&t, id, 0);
+  kq_test_router_pass (&t, 2100 * MS);
+  expect_reply (&t, id, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  kq_test_router_end (&t, id, 0, KQ_OUTCOME_ANSWERED, 0);
+  id = kq_test_router_arrive (&t, "book", 5);
+  expect_reply (&t, id, KQ_OUTCOME_ANSWERED, 0);
+  kq_test_router_pass (&t, 61 * KQ_USEC_PER_SEC);
+  id = kq_test_router_arrive (&t, "book", 5);
+  expect_send (&t, id, 0);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_retry_budget (void)
+{
+  struct kq_test_router t = router_with (8);
+  struct kq_request_counts counts;
+  struct kq_request_effect effect;
+
+  for (int i = 0; i < 2000; i++)
+    {
+      kq_test_router_arrive (&t, "price", 0);
+      while ((effect = kq_test_router_do (&t)).kind != NOTHING)
+        if (effect.kind == KQ_REQ_FX_SEND)
+          kq_test_router_end (&t, effect.id, effect.attempt,
+                              KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+      kq_test_router_pass (&t, 50 * MS);
+    }
+  kq_request_count (t.router, t.now, &counts);
+  CU_ASSERT_EQUAL (counts.arrived, 2000);
+  /* A tenth, and the ten that it starts with. */
+  CU_ASSERT_TRUE (counts.added <= 210);
+  CU_ASSERT_TRUE (counts.added >= 200);
+  kq_test_router_destroy (&t);
+}
+
+/* At 20 ms a request and 8 slots, 400 a second are served. */
+static void
+learn_service_time (struct kq_test_router *t)
+{
+  for (int i = 0; i < 200; i++)
+    {
+      uint64_t id = kq_test_router_arrive (t, "price", 0);
+
+      kq_test_router_do (t);
+      t->now += 20 * MS;
+      kq_test_router_end (t, id, 0, KQ_OUTCOME_ANSWERED, 0);
+      kq_test_router_do (t);
+    }
+}
+
+static void
+test_early_refusal (void)
+{
+  struct kq_test_router t = router_with (1);
+  struct kq_request_effect effect;
+  struct kq_request_counts counts;
+  uint64_t important;
+
+  learn_service_time (&t);
+  for (int i = 0; i < 2000; i++)
+    {
+      kq_test_router_arrive (&t, "price", 0);
+      while ((effect = kq_test_router_do (&t)).kind != NOTHING)
+        if (effect.kind == KQ_REQ_FX_REPLY)
+          {
+            CU_ASSERT_EQUAL (effect.u.reply.outcome, KQ_OUTCOME_NOT_RUN);
+            CU_ASSERT_EQUAL (effect.u.reply.err, KQ_EREQ_OVERLOAD);
+          }
+    }
+  kq_request_count (t.router, t.now, &counts);
+  /* 2 s of deadline are 100 rounds of 8. */
+  CU_ASSERT_TRUE (counts.waiting > 700);
+  CU_ASSERT_TRUE (counts.waiting <= 800);
+  /* What is more important goes first. */
+  important = kq_test_router_arrive (&t, "book", 0);
+  expect_nothing (&t);
+  kq_test_router_end (&t, 201, 0, KQ_OUTCOME_ANSWERED, 0);
+  CU_ASSERT_EQUAL (kq_test_router_do (&t).kind, KQ_REQ_FX_REPLY);
+  expect_send (&t, important, 0);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_queue_ends_at_deadline (void)
+{
+  struct kq_test_router t = router_with (1);
+  uint64_t waiting;
+
+  for (int i = 0; i < 8; i++)
+    {
+      kq_test_router_arrive (&t, "book", 0);
+      kq_test_router_do (&t);
+    }
+  waiting = kq_test_router_arrive (&t, "price", 0);
+  t.now += 2000 * MS;
+  kq_test_router_pass (&t, 10 * MS);
+  for (struct kq_request_effect effect = kq_test_router_do (&t);
+       effect.kind != NOTHING; effect = kq_test_router_do (&t))
+    {
+      CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_REPLY);
+      CU_ASSERT_EQUAL (effect.u.reply.outcome, effect.id == waiting
+                                                   ? KQ_OUTCOME_NOT_RUN
+                                                   : KQ_OUTCOME_UNKNOWN);
+    }
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_authority_and_reserved_slots (void)
+{
+  struct kq_test_router t = kq_test_router_create ();
+  struct kq_view *view = kq_test_view (1, 1000, true, t.now + 100 * MS, "");
+  uint64_t id;
+
+  view->workers[0].reserved_slots = 7;
+  view->workers[0].reserved_until = t.now + 50 * MS;
+  kq_test_router_view (&t, view);
+  id = kq_test_router_arrive (&t, "price", 0);
+  expect_send (&t, id, 0);
+  id = kq_test_router_arrive (&t, "price", 0);
+  expect_nothing (&t);
+  kq_test_router_pass (&t, 50 * MS);
+  expect_send (&t, id, 0);
+  t.now += 50 * MS;
+  id = kq_test_router_arrive (&t, "price", 0);
+  expect_reply (&t, id, KQ_OUTCOME_NOT_RUN, KQ_EREQ_OVERLOAD);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_leaving_worker_gets_nothing (void)
+{
+  struct kq_test_router t = kq_test_router_create ();
+  struct kq_view *view = kq_test_view (2, 1000, true, FOREVER, "");
+
+  view->workers[0].leaving = true;
+  kq_test_router_view (&t, view);
+  for (uint64_t id = 1; id <= 8; id++)
+    {
+      kq_test_router_arrive (&t, "price", 0);
+      CU_ASSERT_STRING_EQUAL (expect_send (&t, id, 0).u.send.name.text, "w1");
+    }
+  kq_test_router_destroy (&t);
+}
+
+static struct kq_view *
+view_of_peers (void)
+{
+  static const char *const places[3][3]
+      = { { "dakar-sandaga", "dakar", "10.0.0.1:1" },
+          { "dakar-pikine", "dakar", "10.0.0.2:1" },
+          { "thies-nord", "thies", "10.0.0.3:1" } };
+  struct kq_view *view = kq_test_view (3, 1000, false, 0, "");
+
+  for (int i = 0; i < 3; i++)
+    {
+      struct kq_view_worker *worker = &view->workers[2 - i];
+
+      kq_name_set (&worker->owner, places[i][2] + 7);
+      kq_name_set (&worker->zone, places[i][0]);
+      kq_name_set (&worker->region, places[i][1]);
+      strcpy (worker->owner_hop, places[i][2]);
+    }
+  return view;
+}
+
+static void
+test_hops_go_to_the_nearest_owner (void)
+{
+  struct kq_test_router t = kq_test_router_create ();
+  struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
+  struct kq_view *view = view_of_peers ();
+
+  for (int i = 0; i < 3; i++)
+    kq_name_set (&view->workers[i].owner, "e2");
+  kq_test_router_view (&t, view);
+  for (int i = 0; i < 24; i++)
+    {
+      struct kq_request_effect effect;
+
+      kq_test_router_arrive (&t, "price", 0);
+      effect = kq_test_router_do (&t);
+      CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_HOP);
+      CU_ASSERT_EQUAL (effect.u.send.address[7], '1' + i / 8);
+    }
+  /* What was forwarded is never forwarded again. */
+  event.u.arrive.id = 1000;
+  event.u.arrive.forwarded = true;
+  kq_name_set (&event.u.arrive.service, "price");
+  kq_test_router_end (&t, 1, 0, KQ_OUTCOME_ANSWERED, 0);
+  expect_reply (&t, 1, KQ_OUTCOME_ANSWERED, 0);
+  kq_request_step (t.router, t.now, &event, t.effects);
+  CU_ASSERT_EQUAL (kq_test_router_do (&t).u.reply.outcome, KQ_OUTCOME_NOT_RUN);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_stall_is_held_against_connections (void)
+{
+  struct kq_test_router t = router_with (1);
+  struct kq_request_counts counts;
+  uint64_t id = kq_test_router_arrive (&t, "book", 0);
+
+  CU_ASSERT_TRUE (expect_send (&t, id, 0).u.send.max_age < 0);
+  kq_test_router_pass (&t, 300 * MS);
+  kq_request_count (t.router, t.now, &counts);
+  CU_ASSERT_EQUAL (counts.suspected, 1);
+  id = kq_test_router_arrive (&t, "book", 0);
+  CU_ASSERT_EQUAL (expect_send (&t, id, 0).u.send.max_age, 300 * MS);
+  CU_ASSERT_EQUAL (counts.ejected, 0);
+  /* Connections from before are too old for use by then. */
+  kq_test_router_end (&t, id, 0, KQ_OUTCOME_ANSWERED, 0);
+  t.now += KQ_REQUEST_CONNECTION_AGE;
+  id = kq_test_router_arrive (&t, "book", 0);
+  kq_test_router_do (&t);
+  CU_ASSERT_TRUE (expect_send (&t, id, 0).u.send.max_age < 0);
+  kq_test_router_destroy (&t);
+}
+
+/* Three failures in a row, or three stalls of new connections, eject an
+   endpoint, and at most half of them are ejected.  */
+static void
+test_outliers_are_ejected (void)
+{
+  struct kq_test_router t = router_with (4);
+  struct kq_request_effect effect;
+  struct kq_request_counts counts;
+  int sent_to_failing = 0;
+
+  for (int i = 0; i < 400; i++)
+    {
+      kq_test_router_arrive (&t, "book", 0);
+      while ((effect = kq_test_router_do (&t)).kind != NOTHING)
+        {
+          bool failing = effect.u.send.name.text[1] != '3';
+
+          if (effect.kind != KQ_REQ_FX_SEND)
+            continue;
+          sent_to_failing += failing;
+          kq_test_router_end (&t, effect.id, effect.attempt,
+                              failing ? KQ_OUTCOME_UNKNOWN
+                                      : KQ_OUTCOME_ANSWERED,
+                              failing ? KQ_ECLOSED : 0);
+        }
+      t.now += MS;
+    }
+  kq_request_count (t.router, t.now, &counts);
+  CU_ASSERT_EQUAL (counts.ejected, 2);
+  /* The third of the failing ones can't be ejected as well. */
+  CU_ASSERT_TRUE (sent_to_failing > 100 && sent_to_failing < 250);
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_hedge_of_a_stalled_request (void)
+{
+  struct kq_test_router t = router_with (2);
+  uint64_t id = kq_test_router_arrive (&t, "price", 0);
+  struct kq_request_effect first = expect_send (&t, id, 0);
+  struct kq_request_effect second;
+
+  kq_test_router_pass (&t, 300 * MS);
+  second = expect_send (&t, id, 1);
+  CU_ASSERT_STRING_NOT_EQUAL (first.u.send.name.text, second.u.send.name.text);
+  kq_test_router_end (&t, id, 1, KQ_OUTCOME_ANSWERED, 0);
+  expect_reply (&t, id, KQ_OUTCOME_ANSWERED, 0);
+  kq_test_router_end (&t, id, 0, KQ_OUTCOME_ANSWERED, 0);
+  expect_nothing (&t);
+  CU_ASSERT_FALSE (kq_request_busy (t.router));
+  kq_test_router_destroy (&t);
+}
+
+static void
+test_caller_leaves (void)
+{
+  struct kq_test_router t = router_with (1);
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE };
+
+  for (int i = 0; i < 9; i++)
+    {
+      kq_test_router_arrive (&t, "price", 0);
+      kq_test_router_do (&t);
+    }
+  event.u.leave = 9;
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 9, KQ_OUTCOME_NOT_RUN, KQ_ECLOSED);
+  event.u.leave = 1;
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 1, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+  kq_test_router_end (&t, 1, 0, KQ_OUTCOME_ANSWERED, 0);
+  expect_nothing (&t);
+  kq_test_router_destroy (&t);
+}
+
+static const struct kq_test tests[] = {
+  { "refusals without configuration", test_refusals_without_configuration },
+  { "slots bound what is sent", test_slots_bound_what_is_sent },
+  { "outcomes and retries", test_outcomes_and_retries },
+  { "late and doubled ends", test_late_and_doubled_ends },
+  { "keys", test_keys },
+  { "key of another request", test_key_of_another_request },
+  { "late answer of a key", test_late_answer_of_a_key },
+  { "retry budget", test_retry_budget },
+  { "early refusal", test_early_refusal },
+  { "queue ends at deadline", test_queue_ends_at_deadline },
+  { "authority and reserved slots", test_authority_and_reserved_slots },
+  { "leaving worker gets nothing", test_leaving_worker_gets_nothing },
+  { "hops go to the nearest owner", test_hops_go_to_the_nearest_owner },
+  { "stall is held against connections",
+    test_stall_is_held_against_connections },
+  { "outliers are ejected", test_outliers_are_ejected },
+  { "hedge of a stalled request", test_hedge_of_a_stalled_request },
+  { "caller leaves", test_caller_leaves },
+};
+
+KQ_TEST_MAIN ("request", tests)
