builtin/load: count the system's own answers by error; t/demo: run it

The load tool told how many requests were not run but not why. It now reads the outcome with curl's header interface (the scanner of its own is gone) and counts the error that each such answer names.

--- a/builtin/load-run.c
+++ b/builtin/load-run.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <unistd.h>
 
 #define TICK_SECONDS 0.001
@@ -18,7 +17,8 @@
   struct curl_slist *headers;
   struct run *run;
   kq_usec due_at;
-  char outcome[16];
+  char body[512]; /* start of the answer's body */
+  size_t body_size;
   struct channel *next; /* in the list of idle ones */
 };
 
@@ -43,51 +43,55 @@
 static size_t
 on_body (char *data, size_t size, size_t count, void *context)
 {
+  struct channel *channel = context;
+  size_t room = sizeof channel->body - channel->body_size;
+  size_t part = size * count < room ? size * count : room;
+
+  memcpy (channel->body + channel->body_size, data, part);
+  channel->body_size += part;
   return size * count;
 }
 
-/* Copies the value of header NAME from LINE, if that is what LINE holds. */
+/* Counts the error that an answer of the system's own names. */
 static void
-take_header (const char *line, size_t length, const char *name, char *value,
-             size_t size)
+count_error (struct channel *channel)
 {
-  size_t skip = strlen (name);
-
-  if (length <= skip || strncasecmp (line, name, skip) != 0)
-    return;
-  while (skip < length && line[skip] == ' ')
-    skip++;
-  length -= skip;
-  while (
-      length > 0
-      && (line[skip + length - 1] == '\r' || line[skip + length - 1] == '\n'))
-    length--;
-  snprintf (value, size, "%.*s", (int)length, line + skip);
+  json_t *errors = channel->run->load->errors;
+  json_t *body = json_loadb (channel->body, channel->body_size, 0, NULL);
+  const char *error = json_string_value (json_object_get (body, "error"));
+
+  if (error)
+    json_object_set_new (
+        errors, error,
+        json_integer (json_integer_value (json_object_get (errors, error))
+                      + 1));
+  json_decref (body);
 }
 
-static size_t
-on_header (char *line, size_t size, size_t count, void *context)
+static enum kq_load_outcome
+answer_outcome (struct channel *channel)
 {
-  struct channel *channel = context;
-
-  take_header (line, size * count, "Kumquatrack-Outcome:", channel->outcome,
-               sizeof channel->outcome);
-  return size * count;
+  struct curl_header *header;
+
+  if (curl_easy_header (channel->easy, "Kumquatrack-Outcome", 0, CURLH_HEADER,
+                        -1, &header)
+      != CURLHE_OK)
+    return KQ_LOAD_ANSWERED;
+  count_error (channel);
+  if (!strcmp (header->value, "not-run"))
+    return KQ_LOAD_NOT_RUN;
+  if (!strcmp (header->value, "invalid"))
+    return KQ_LOAD_INVALID;
+  return KQ_LOAD_UNKNOWN;
 }
 
 static enum kq_load_outcome
-outcome_of (const struct channel *channel, CURLcode code)
+outcome_of (struct channel *channel, CURLcode code)
 {
   switch (code)
     {
     case CURLE_OK:
-      if (!strcmp (channel->outcome, "not-run"))
-        return KQ_LOAD_NOT_RUN;
-      if (!strcmp (channel->outcome, "unknown"))
-        return KQ_LOAD_UNKNOWN;
-      if (!strcmp (channel->outcome, "invalid"))
-        return KQ_LOAD_INVALID;
-      return KQ_LOAD_ANSWERED;
+      return answer_outcome (channel);
     case CURLE_COULDNT_CONNECT:
       return KQ_LOAD_REFUSED;
     case CURLE_OPERATION_TIMEDOUT:
@@ -149,7 +153,7 @@
 
   run->idle = channel->next;
   channel->due_at = due_at;
-  channel->outcome[0] = '\0';
+  channel->body_size = 0;
   run->load->sent++;
   if (run->load->url_count > 1)
     curl_easy_setopt (channel->easy, CURLOPT_URL,
@@ -298,8 +302,6 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, run->load->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, channel);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, channel);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, run->load->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   if (run->load->body_size > 0)
--- a/builtin/load.c
+++ b/builtin/load.c
@@ -57,7 +57,7 @@
 }
 
 static json_t *
-report (const struct kq_load *load)
+report (const struct kq_load *load, bool as_json)
 {
   double seconds = (double)load->took / (double)KQ_USEC_PER_SEC;
   json_t *json = json_pack (
@@ -70,6 +70,10 @@
   for (int i = 0; i < KQ_LOAD_OUTCOMES; i++)
     json_object_set_new (json, outcome_names[i],
                          json_integer (load->outcomes[i]));
+  if (as_json)
+    json_object_set (json, "errors", load->errors);
+  else
+    json_object_update (json, load->errors);
   return json;
 }
 
@@ -160,6 +164,7 @@
           .connections = f->connections->ival[0],
           .seconds = f->seconds->ival[0],
           .timeout_ms = f->deadline->ival[0] + GRACE_MS,
+          .errors = json_object (),
           .keyed_permille = (int64_t)(f->keyed->dval[0] * PERMILLE) };
   char *body = malloc ((size_t)load.body_size + 1);
   int64_t answered;
@@ -175,8 +180,9 @@
   answered = load.outcomes[KQ_LOAD_ANSWERED];
   if (answered > 0)
     qsort (load.latency, (size_t)answered, sizeof *load.latency, by_value);
-  print_report (report (&load), f->json->count > 0);
+  print_report (report (&load, f->json->count > 0), f->json->count > 0);
   curl_slist_free_all (load.headers);
+  json_decref (load.errors);
   free (load.latency);
   free (body);
   return answered > 0 ? KQ_STATUS_OK : KQ_STATUS_SILENT;
--- a/builtin/load.h
+++ b/builtin/load.h
@@ -6,6 +6,7 @@
 #define KQ_BUILTIN_LOAD_H
 
 #include <curl/curl.h>
+#include <jansson.h>
 #include <stdint.h>
 
 #include "base/clock.h"
@@ -39,6 +40,8 @@
 
   int64_t sent;
   int64_t outcomes[KQ_LOAD_OUTCOMES];
+  json_t *errors;    /**< counts by name, of the system's own answers; an
+    object that the caller gives and frees */
   kq_usec took;      /**< from the first request to the last answer */
   uint32_t *latency; /**< microseconds of each answered request; the
                           caller frees it */
--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -5,6 +5,7 @@
 passed=0
 failed=0
 pids=
+running=
 
 session_start () { # NAME BASE-PORT: uses 300 ports from there
   name=$1
@@ -20,10 +21,17 @@
     kill -KILL "$pid" 2>/dev/null
   done
   wait 2>/dev/null
-  rm -rf "$work"
+  if [ -n "${KEEP:-}" ]; then echo "kept: $work"; else rm -rf "$work"; fi
 }
 
 session_end () {
+  for started in $running; do
+    if [ ! -f "$work/$started.signalled" ] && gone "$started"; then
+      wait "$(cat "$work/$started.pid")"
+      check "$started still runs; its status is $?" false
+      tail -n 20 "$work/$started.log"
+    fi
+  done
   echo "$name: $passed passed, $failed failed"
   [ "$failed" -eq 0 ]
   exit
@@ -61,9 +69,11 @@
 start () { # NAME PROGRAM...
   started=$1
   shift
+  rm -f "$work/$started.signalled"
   "$@" >>"$work/$started.log" 2>&1 &
   echo $! >"$work/$started.pid"
   pids="$pids $!"
+  running="$running $started"
 }
 
 start_platform () { # PORTS
@@ -148,8 +158,23 @@
   holds "$(query "$at" "$@")" ".rows | $filter"
 }
 
+# The rows of all entry hosts together; each knows its own shards best.
+all_rows () { # WORD...
+  for each in 1 2 3 4; do
+    query "$each" "$@" 2>/dev/null
+  done | jq -cs '[.[].rows[]]'
+}
+any_holds () { # FILTER WORD...: all of those rows hold FILTER
+  filter=$1
+  shift
+  holds "$(all_rows "$@")" "$filter"
+}
+
 # Sends SIGNAL to process NAME; says whether it is gone.
-signal () { kill "-$2" "$(cat "$work/$1.pid")"; } # NAME SIGNAL
+signal () { # NAME SIGNAL
+  case $2 in KILL | TERM) : >"$work/$1.signalled" ;; esac
+  kill "-$2" "$(cat "$work/$1.pid")"
+}
 gone () { ! kill -0 "$(cat "$work/$1.pid")" 2>/dev/null; } # NAME
 
 # The frame of the demo and of most sessions: a platform with one port for
@@ -167,7 +192,7 @@
   for i in 1 2; do start_daemon nord-$i $((i + 2)) thies-nord thies "$far"
   done
   for i in 1 2 3 4; do
-    check "entry host $i answers" within 10 get -f "$(admin $i)/health"
+    check "entry host $i answers" within 10 get "$(admin $i)/health"
   done
   KUMQUATRACK_ADMIN=$(admin 1),$(admin 3)
   export KUMQUATRACK_ADMIN
