--- a/request/pool.c
+++ b/request/pool.c
@@ -11,6 +11,9 @@
 /** Time of a first ejection; doubled by each that follows. */
 #define EJECT_TIME KQ_USEC_PER_SEC
 #define EJECT_DOUBLINGS 5
+/** Slots of a worker whose table only its owner has read.  It bounds what is
+ *  passed on; the owner queues or refuses by what the table says.  */
+#define UNKNOWN_SLOTS 8
 
 static void
 copy_address (char *to, const char *from)
@@ -136,7 +139,7 @@
   peer->name = view->owner;
   peer->range = range_of (view, self);
   peer->listed = true;
-  peer->slots += view->slots;
+  peer->slots += view->slots > 0 ? view->slots : UNKNOWN_SLOTS;
   return 0;
 }
 
@@ -213,6 +216,16 @@
   return sum;
 }
 
+int64_t
+kq_pool_peer_slots (const struct kq_pool *pool)
+{
+  int64_t sum = 0;
+
+  for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
+    sum += p->slots;
+  return sum;
+}
+
 /* Compares admitted/slots of two workers without division. */
 static bool
 less_busy (const struct kq_pool_worker *a, int32_t a_slots,
