--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,7 @@
 $(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(call obj,$(wildcard t/lib-*.c)) \
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/test-parts.a \
     $(BUILD)/daemon-parts.a $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -lgsl -lgslcblas -o $@
 
--- a/t/test-place.c
+++ b/t/test-place.c
@@ -514,4 +514,4 @@
         { "assertion", test_assertion },
         { "runs", test_runs } };
 
-KQ_TEST_MAIN ("test-place", tests)
+KQ_TEST_MAIN ("place", tests)
--- a/t/test-query.c
+++ b/t/test-query.c
@@ -335,4 +335,4 @@
         { "error texts", test_error_texts },
         { "any bytes", test_any_bytes } };
 
-KQ_TEST_MAIN ("test-query", tests)
+KQ_TEST_MAIN ("query", tests)
