--- a/t/session-tool.sh
+++ b/t/session-tool.sh
@@ -50,7 +50,19 @@
 expect 3 'nobody answered' --admin $nobody show jobs where team = 'a b'
 expect 2 'takes its commands from standard input' shell now
 
-# Every command, flag and unit of the help stands in the manual page.
+# Every command and flag of the help stands in the manual pages, and no flag
+# of the daemon's page is gone from its help.
+for word in $("${BUILD:-build}/kumquatrackd" --help | grep -o -- '^  --[a-z-]*' \
+  | sed 's/^  -//') $(sed -n 's/^\.It Fl \(-[a-z-]*\).*/\1/p' \
+  docs/man/kumquatrackd.8); do
+  if grep -qE "Fl $word( |\$)" docs/man/kumquatrackd.8 \
+    && "${BUILD:-build}/kumquatrackd" --help | grep -qE -- "^  -$word(=|\$)"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "docs/man/kumquatrackd.8 and the help differ about -$word"
+  fi
+done
 page=$(sed 's/\\-/-/g' docs/man/kumquatrack.1)
 for word in $("$tool" --help | sed -n 's/^  \([a-z]*\) .*/\1/p') \
   $("$tool" show --help | grep -o -- '--[a-z]*' | sed 's/^-//' | sort -u); do
