--- a/t/session-tool.sh
+++ b/t/session-tool.sh
@@ -47,6 +47,9 @@
 expect 3 'nobody answered' --admin $nobody show hosts
 expect 3 'nobody answered' --admin $nobody --admin $nobody cancel job j
 expect 3 'nobody answered' --admin $nobody configure base 0 '{"teams": []}'
+for example in docs/examples/*.json; do
+  expect 3 'nobody answered' --admin $nobody configure base 0 "$example"
+done
 expect 3 'nobody answered' --admin $nobody show jobs where team = 'a b'
 expect 2 'takes its commands from standard input' shell now
 
