--- a/daemon/front.c
+++ b/daemon/front.c
@@ -261,6 +261,12 @@
   return NULL;
 }
 
+pthread_t
+kq_front_thread (const struct kq_front *front)
+{
+  return front->thread;
+}
+
 static void
 send_message (struct kq_front *front, const struct message *message)
 {
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -12,6 +12,7 @@
 #ifndef KQ_DAEMON_FRONT_H
 #define KQ_DAEMON_FRONT_H
 
+#include <pthread.h>
 #include <stddef.h>
 
 #include "base/clock.h"
@@ -49,4 +50,7 @@
  *  called kq_front_start() may call this.  */
 void kq_front_publish (struct kq_front *front, struct kq_view *view);
 
+/** Returns the front's thread, whose processor time can be read. */
+pthread_t kq_front_thread (const struct kq_front *front);
+
 #endif
