--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -56,7 +56,6 @@
   struct kq_name holder;
   double lease_ends; /* real time */
   bool down, bad, leaving;
-  double leaving_since;
   struct fake_row rows[FAKE_ROWS];
   int row_count;
 };
@@ -72,8 +71,8 @@
   struct kq_effects *effects;
   double paused_until;
   int64_t next_offset;
-  int64_t revision; /* highest seen, never to decrease */
-  double heard_list_at;
+  int64_t revision;                   /* highest seen, never to decrease */
+  double heard_leaving[FAKE_WORKERS]; /* since when it knows; 0 = not */
   bool stopping, stopped;
 };
 
@@ -113,6 +112,9 @@
   struct kq_config *config;
   struct fake_task *tasks;
   bool quiet; /* faults have stopped */
+  /* Takes the reply of a host's core to an operator's command; or NULL. */
+  void (*reply) (struct fake_world *world, int host,
+                 const struct kq_effect *effect);
   int violations;
   char violation[512];
   char trace[FAKE_TRACE][160];
@@ -203,9 +205,4 @@
 void fake_log_poll (struct fake_world *world, struct fake_item *item);
 void fake_log_retain (struct fake_world *world);
 
-/* test-soak.c */
-/** Takes the reply of HOST's core to an operator's command. */
-void fake_reply (struct fake_world *world, int host,
-                 const struct kq_effect *effect);
-
 #endif
