--- /dev/null
+++ b/t/test-core.c
@@ -0,0 +1,465 @@
+/* The decision core, driven event by event. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/core.h"
+#include "core/record.h"
+#include "t/kqtest.h"
+
+#define MSEC KQ_USEC_PER_MSEC
+#define SEEN_MAX 256
+
+static const char config_text[]
+    = "{\"shards\":[{\"name\":\"s\",\"zone\":\"z\",\"workers\":"
+      "[\"w0\",\"w1\",\"w2\"]}]}";
+
+/* A core, its time and what it asked for last. */
+struct bench
+{
+  struct kq_core *core;
+  struct kq_effects *effects;
+  kq_usec now;
+  int64_t offset;
+  struct kq_effect seen[SEEN_MAX];
+  size_t count;
+};
+
+static void
+give (struct bench *bench, const struct kq_event *event)
+{
+  kq_effects_clear (bench->effects);
+  CU_ASSERT_EQUAL (
+      kq_core_step (bench->core, bench->now, event, bench->effects), 0);
+  bench->count = 0;
+  while (bench->count < SEEN_MAX
+         && kq_effects_take (bench->effects, &bench->seen[bench->count]))
+    bench->count++;
+}
+
+static void
+tick (struct bench *bench, int msec)
+{
+  struct kq_event event = { .kind = KQ_EV_TICK };
+
+  bench->now += msec * MSEC;
+  give (bench, &event);
+}
+
+static void
+log_end (struct bench *bench)
+{
+  struct kq_event event = { .kind = KQ_EV_LOG_END };
+
+  event.u.log.sent_at = bench->now;
+  event.u.log.offset = bench->offset + 1;
+  give (bench, &event);
+}
+
+static void
+read_record (struct bench *bench, const struct kq_record *record)
+{
+  struct kq_event event = { .kind = KQ_EV_RECORD };
+
+  event.u.record.offset = ++bench->offset;
+  event.u.record.record = record;
+  give (bench, &event);
+}
+
+static void
+read_config (struct bench *bench, int64_t base, const char *text)
+{
+  struct kq_record record = { .kind = KQ_REC_CONFIG, .id = { "c" } };
+
+  strcpy (record.host.text, "b");
+  record.u.config.base = base;
+  record.u.config.text = text;
+  read_record (bench, &record);
+}
+
+static struct bench
+open_bench (void)
+{
+  struct kq_core_settings settings
+      = { .host = { "a" }, .zone = { "z" }, .incarnation = 1 };
+  struct bench bench = { .now = 1000 * MSEC };
+
+  kq_core_settings_default (&settings);
+  bench.core = kq_core_create (&settings);
+  bench.effects = kq_effects_create ();
+  return bench;
+}
+
+static void
+close_bench (struct bench *bench)
+{
+  kq_effects_destroy (bench->effects);
+  kq_core_destroy (bench->core);
+}
+
+/* Returns the last effect of KIND, for WORKER unless it is NULL. */
+static const struct kq_effect *
+find (const struct bench *bench, enum kq_effect_kind kind, const char *worker)
+{
+  for (size_t i = bench->count; i > 0; i--)
+    {
+      const struct kq_effect *effect = &bench->seen[i - 1];
+
+      if (effect->kind != kind)
+        continue;
+      if (worker == NULL
+          || (kind == KQ_FX_LEASE
+              && strcmp (effect->u.lease.worker.text, worker) == 0))
+        return effect;
+    }
+  return NULL;
+}
+
+/* WORKER grants under TERM what was asked for now. */
+static void
+grant (struct bench *bench, const char *worker, uint64_t term,
+       const struct kq_attempt_row *row)
+{
+  struct kq_event event = { .kind = KQ_EV_LEASE };
+  struct kq_lease_answer *answer = &event.u.lease;
+
+  strcpy (answer->worker.text, worker);
+  answer->sent_at = bench->now;
+  answer->term = term;
+  answer->holder = *kq_core_holder (bench->core);
+  answer->left = 2000 * MSEC;
+  answer->table.capacity = (struct kq_size){ 4000, 8000, 0 };
+  answer->table.rows = row;
+  answer->table.row_count = row == NULL ? 0 : 1;
+  bench->now += MSEC;
+  give (bench, &event);
+}
+
+static void
+command (struct bench *bench, enum kq_command_kind kind, const char *name)
+{
+  struct kq_event event = { .kind = KQ_EV_COMMAND };
+
+  event.u.command.kind = kind;
+  event.u.command.id = 7;
+  strcpy (event.u.command.name.text, name);
+  strcpy (event.u.command.job.id.text, name);
+  event.u.command.job.tasks = 1;
+  give (bench, &event);
+}
+
+static void
+appended (struct bench *bench, const struct kq_record *record, int err)
+{
+  struct kq_event event = { .kind = KQ_EV_APPENDED };
+
+  event.u.appended.id = record->id;
+  event.u.appended.err = err;
+  event.u.appended.offset = err == 0 ? bench->offset + 1 : 0;
+  give (bench, &event);
+}
+
+/* Owns shard s by w0 and w1, with the epoch read back. */
+static struct bench
+open_owner (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_record *epoch = NULL;
+
+  read_config (&bench, 0, config_text);
+  log_end (&bench);
+  tick (&bench, 100);
+  grant (&bench, "w0", 1, NULL);
+  grant (&bench, "w1", 1, NULL);
+  tick (&bench, 100);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find (&bench, KQ_FX_APPEND, NULL));
+  epoch = kq_record_copy (find (&bench, KQ_FX_APPEND, NULL)->u.append);
+  CU_ASSERT_EQUAL (epoch->kind, KQ_REC_EPOCH);
+  read_record (&bench, epoch);
+  kq_record_free (epoch);
+  return bench;
+}
+
+/* A minority extends no attempt: it would keep alive what the owner, who
+   can't reach the worker, takes for lapsed. */
+static void
+test_minority_extends_nothing (void)
+{
+  struct bench bench = open_bench ();
+
+  read_config (&bench, 0, config_text);
+  tick (&bench, 100);
+  grant (&bench, "w0", 1, NULL);
+  tick (&bench, 600);
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl, 0);
+  grant (&bench, "w0", 1, NULL);
+  grant (&bench, "w1", 1, NULL); /* a majority: extended at once */
+  CU_ASSERT_TRUE (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl > 0);
+  close_bench (&bench);
+}
+
+/* The answers of a silent worker may be lost and its requests not. */
+static void
+test_silent_worker_is_not_extended (void)
+{
+  struct bench bench = open_owner ();
+
+  for (int i = 0; i < 8; i++)
+    {
+      tick (&bench, 500);
+      if (i < 4)
+        grant (&bench, "w2", 1, NULL);
+      grant (&bench, "w0", 1, NULL);
+      grant (&bench, "w1", 1, NULL);
+    }
+  tick (&bench, 600);
+  CU_ASSERT_TRUE (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl > 0);
+  tick (&bench, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      tick (&bench, 500);
+      grant (&bench, "w0", 1, NULL);
+      grant (&bench, "w1", 1, NULL);
+    }
+  tick (&bench, 600);
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w2")->u.lease.task_ttl, 0);
+  close_bench (&bench);
+}
+
+/* A leaving worker stays so when the list came before the configuration. */
+static void
+test_list_before_configuration (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_host_entry entry = { .worker = true, .leaving = true };
+  struct kq_event event = { .kind = KQ_EV_HOSTS };
+  struct kq_view *view;
+
+  strcpy (entry.name.text, "w1");
+  strcpy (entry.endpoint, "127.0.0.1:1");
+  event.u.hosts.entries = &entry;
+  event.u.hosts.count = 1;
+  give (&bench, &event);
+  read_config (&bench, 0, config_text);
+  view = kq_core_view (bench.core, bench.now);
+  for (size_t i = 0; i < view->worker_count; i++)
+    CU_ASSERT_EQUAL (view->workers[i].leaving,
+                     strcmp (view->workers[i].name.text, "w1") == 0);
+  kq_view_free (view);
+  close_bench (&bench);
+}
+
+/* What a submitter is told, by the log's answer. */
+static void
+test_submit_while_the_log_is_away (void)
+{
+  static const struct
+  {
+    int answer;  /* of the log; 1 = none */
+    int outcome; /* told to the operator in the end */
+  } cases[] = { { KQ_ELOG_BUSY, KQ_ELOG_BUSY },
+                { KQ_ELOG_DOWN, KQ_ELOG_UNKNOWN },
+                { 1, KQ_ELOG_UNKNOWN } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct bench bench = open_bench ();
+      const struct kq_effect *reply = NULL;
+
+      command (&bench, KQ_CMD_SUBMIT, "j");
+      for (int k = 0; k < 120 && reply == NULL; k++)
+        {
+          const struct kq_effect *append = find (&bench, KQ_FX_APPEND, NULL);
+          struct kq_record *record
+              = append == NULL ? NULL : kq_record_copy (append->u.append);
+
+          if (record != NULL && cases[i].answer <= 0)
+            appended (&bench, record, cases[i].answer);
+          kq_record_free (record);
+          tick (&bench, 100);
+          reply = find (&bench, KQ_FX_REPLY, NULL);
+        }
+      CU_ASSERT_PTR_NOT_NULL_FATAL (reply);
+      CU_ASSERT_EQUAL (reply->u.reply.err, cases[i].outcome);
+      close_bench (&bench);
+    }
+}
+
+/* After an append without answer a second one is refused at once. */
+static void
+test_submit_when_the_log_is_known_away (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_record *record;
+
+  command (&bench, KQ_CMD_SUBMIT, "j");
+  record = kq_record_copy (find (&bench, KQ_FX_APPEND, NULL)->u.append);
+  appended (&bench, record, KQ_ELOG_DOWN);
+  kq_record_free (record);
+  command (&bench, KQ_CMD_SUBMIT, "k");
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.err,
+                   KQ_ELOG_DOWN);
+  close_bench (&bench);
+}
+
+/* A lost append is looked for before it is sent again, under its id. */
+static void
+test_lost_append_is_looked_for (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_record *record;
+
+  command (&bench, KQ_CMD_SUBMIT, "j");
+  record = kq_record_copy (find (&bench, KQ_FX_APPEND, NULL)->u.append);
+  appended (&bench, record, KQ_ELOG_DOWN);
+  tick (&bench, 1000);
+  log_end (&bench); /* too early: it may still be on its way */
+  tick (&bench, 100);
+  CU_ASSERT_PTR_NULL (find (&bench, KQ_FX_APPEND, NULL));
+  tick (&bench, 2000);
+  CU_ASSERT_PTR_NULL (find (&bench, KQ_FX_APPEND, NULL));
+  log_end (&bench);
+  tick (&bench, 100);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find (&bench, KQ_FX_APPEND, NULL));
+  CU_ASSERT_STRING_EQUAL (find (&bench, KQ_FX_APPEND, NULL)->u.append->id.text,
+                          record->id.text);
+  appended (&bench, record, KQ_ELOG_DOWN);
+  read_record (&bench, record); /* it was appended after all */
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.err, 0);
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.revision,
+                   bench.offset);
+  kq_record_free (record);
+  close_bench (&bench);
+}
+
+static int64_t
+revision (const struct bench *bench)
+{
+  json_t *config = kq_core_config (bench->core);
+  int64_t number = json_integer_value (json_object_get (config, "revision"));
+
+  json_decref (config);
+  return number;
+}
+
+static void
+push_config (struct bench *bench, int64_t offset)
+{
+  struct kq_record record = { .kind = KQ_REC_CONFIG };
+  struct kq_event event = { .kind = KQ_EV_PEER };
+
+  record.u.config.text = config_text;
+  strcpy (record.host.text, "b");
+  strcpy (event.u.peer.from.text, "b");
+  event.u.peer.kind = KQ_PEER_RECORD;
+  event.u.peer.incarnation = 1;
+  event.u.peer.offset = offset;
+  event.u.peer.record = &record;
+  give (bench, &event);
+}
+
+/* A peer brings the configuration while the log is away; an older one never
+   takes its place; a peer that is behind gets it. */
+static void
+test_configuration_between_hosts (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_event event = { .kind = KQ_EV_PEER };
+  const struct kq_effect *push;
+
+  CU_ASSERT_EQUAL (revision (&bench), 0);
+  push_config (&bench, 40);
+  CU_ASSERT_EQUAL (revision (&bench), 40);
+  push_config (&bench, 30);
+  CU_ASSERT_EQUAL (revision (&bench), 40);
+  strcpy (event.u.peer.from.text, "c");
+  event.u.peer.kind = KQ_PEER_HEARTBEAT;
+  event.u.peer.incarnation = 1;
+  event.u.peer.revision = 30;
+  bench.now += 1000 * MSEC;
+  give (&bench, &event);
+  push = find (&bench, KQ_FX_PEER, NULL);
+  for (size_t i = 0; i < bench.count; i++)
+    if (bench.seen[i].kind == KQ_FX_PEER
+        && bench.seen[i].u.peer.message.kind == KQ_PEER_RECORD)
+      push = &bench.seen[i];
+  CU_ASSERT_PTR_NOT_NULL_FATAL (push);
+  CU_ASSERT_EQUAL (push->u.peer.message.kind, KQ_PEER_RECORD);
+  CU_ASSERT_EQUAL (push->u.peer.message.offset, 40);
+  close_bench (&bench);
+}
+
+/* After a gap the first CONFIG record that is read may be a void one. */
+static void
+test_configuration_after_a_gap (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_event gap = { .kind = KQ_EV_LOG_GAP };
+
+  gap.u.log.offset = 50;
+  give (&bench, &gap);
+  bench.offset = 49;
+  read_config (&bench, 30, config_text); /* 50: void, 40 was in force */
+  read_config (&bench, 40, config_text); /* 51: accepted */
+  read_config (&bench, 40, config_text); /* 52: void */
+  CU_ASSERT_EQUAL (revision (&bench), 0);
+  log_end (&bench);
+  CU_ASSERT_EQUAL (revision (&bench), 51);
+  close_bench (&bench);
+}
+
+/* Shards are released, then all are told, then the process may end. */
+static void
+test_planned_stop (void)
+{
+  struct bench bench = open_owner ();
+  struct kq_event stop = { .kind = KQ_EV_STOP };
+  bool goodbye = false;
+
+  give (&bench, &stop);
+  tick (&bench, 50);
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w0")->u.lease.ttl, 0);
+  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w1")->u.lease.ttl, 0);
+  for (size_t i = 0; i < bench.count; i++)
+    goodbye |= bench.seen[i].kind == KQ_FX_PEER
+               && bench.seen[i].u.peer.message.kind == KQ_PEER_GOODBYE;
+  CU_ASSERT_TRUE (goodbye);
+  CU_ASSERT_PTR_NULL (find (&bench, KQ_FX_STOPPED, NULL));
+  tick (&bench, 500);
+  CU_ASSERT_PTR_NOT_NULL (find (&bench, KQ_FX_STOPPED, NULL));
+  close_bench (&bench);
+}
+
+/* Wrong events change nothing and are said so. */
+static void
+test_wrong_events (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_event event = { .kind = KQ_EV_RECORD };
+
+  CU_ASSERT_EQUAL (kq_core_step (bench.core, bench.now, NULL, bench.effects),
+                   KQ_EINVAL);
+  CU_ASSERT_EQUAL (kq_core_step (bench.core, bench.now, &event, bench.effects),
+                   KQ_EINVAL);
+  event.kind = (enum kq_event_kind)99;
+  CU_ASSERT_EQUAL (kq_core_step (bench.core, bench.now, &event, bench.effects),
+                   KQ_EINVAL);
+  close_bench (&bench);
+}
+
+static const struct kq_test tests[]
+    = { { "minority extends nothing", test_minority_extends_nothing },
+        { "silent worker is not extended",
+          test_silent_worker_is_not_extended },
+        { "list before configuration", test_list_before_configuration },
+        { "submit while the log is away", test_submit_while_the_log_is_away },
+        { "submit when the log is known away",
+          test_submit_when_the_log_is_known_away },
+        { "lost append is looked for", test_lost_append_is_looked_for },
+        { "configuration between hosts", test_configuration_between_hosts },
+        { "configuration after a gap", test_configuration_after_a_gap },
+        { "planned stop", test_planned_stop },
+        { "wrong events", test_wrong_events } };
+
+KQ_TEST_MAIN ("core", tests)
