config: refuse to change the workers of a shard that stays

Ownership of a shard is a majority of its workers' leases. Two hosts that know different workers under one name, one of them cut off with an older configuration, could both have a majority of what they know: with {w0,w1,w2} in force before and {w2,w3,w4} now both own s, and a task of w2 runs on while its new owner takes it for lapsed.

Change: such a document is void, KQ_ECONFIG_SCHEMA with the path of the workers, on every host alike, because each compares with the document in force. Ruled out: majorities of both sets, as a stale host knows one; one worker a revision, as two revisions later the majorities are disjoint. A name that was dropped may come back with other workers; that is not proved safe while a host is cut off with the first one.

Also a lease line for an older grant that comes late, which a mutation showed to be missing.

--- a/config/config.c
+++ b/config/config.c
@@ -53,6 +53,13 @@
 
   if (err != 0)
     return err;
+  if (change->base == config->revision && config->document != NULL)
+    err = kq_config_document_follows (config->document, document, error);
+  if (err != 0)
+    {
+      kq_config_document_free (document);
+      return err;
+    }
   copy = strdup (text);
   if (copy == NULL)
     {
--- a/config/document.h
+++ b/config/document.h
@@ -79,4 +79,16 @@
 
 void kq_config_document_free (struct kq_config_document *document);
 
+/** Returns whether A and B are of the same zone and workers, in any order. */
+bool kq_config_shard_same (const struct kq_config_shard *a,
+                           const struct kq_config_shard *b);
+
+/** Checks that DOCUMENT may take the place of BEFORE: the zone and the
+ *  workers of a shard that stays under its name don't change.
+ *  @param error filled on failure; may be NULL.
+ *  @return 0 or KQ_ECONFIG_SCHEMA.  */
+int kq_config_document_follows (const struct kq_config_document *before,
+                                const struct kq_config_document *document,
+                                struct kq_config_error *error);
+
 #endif
--- a/core/command.c
+++ b/core/command.c
@@ -35,10 +35,13 @@
   err = kq_config_document_parse (command->text, &document, NULL);
   if (err != 0)
     return err;
-  kq_config_document_free (document);
   if (command->base != kq_config_revision (core->config))
-    return KQ_ECONFIG_CONFLICT;
-  return 0;
+    err = KQ_ECONFIG_CONFLICT;
+  else if (command->base != 0)
+    err = kq_config_document_follows (kq_config_document (core->config),
+                                      document, NULL);
+  kq_config_document_free (document);
+  return err;
 }
 
 static int
--- a/core/topology.c
+++ b/core/topology.c
@@ -41,14 +41,19 @@
 }
 
 static bool
-same_workers (const struct kq_shard *shard,
+same_workers (const struct kq_core *core, const struct kq_shard *shard,
               const struct kq_config_shard *wanted)
 {
   if (shard->count != wanted->worker_count)
     return false;
   for (size_t i = 0; i < shard->count; i++)
-    if (!kq_name_eq (&shard->nodes[i]->name, &wanted->workers[i]))
-      return false;
+    {
+      const struct kq_node *node;
+
+      HASH_FIND_STR (core->nodes, wanted->workers[i].text, node);
+      if (node == NULL || node->shard != shard)
+        return false;
+    }
   return kq_name_eq (&shard->zone, &wanted->zone);
 }
 
@@ -138,7 +143,7 @@
     const struct kq_config_shard *wanted
         = find_wanted (document, &shard->name);
 
-    if (wanted != NULL && same_workers (shard, wanted))
+    if (wanted != NULL && same_workers (core, shard, wanted))
       continue;
     /* No release: it could arrive after the worker was leased anew. */
     kq_shard_lose (core, shard);
--- a/t/test-config.c
+++ b/t/test-config.c
@@ -136,7 +136,45 @@
   kq_config_destroy (config);
 }
 
+/* Hosts that know different workers under one name could both have a
+   majority of "theirs": {w0, w1} of the first set, {w3, w4} of a later. */
+static void
+test_workers_of_a_shard_stay (void)
+{
+  static const struct
+  {
+    const char *shards;
+    int err;
+  } cases[] = {
+    { "{\"name\":\"s\",\"zone\":\"z\",\"workers\":[\"w1\",\"w0\"]}", 0 },
+    { "{\"name\":\"s\",\"zone\":\"z\",\"workers\":[\"w0\"]}",
+      KQ_ECONFIG_SCHEMA },
+    { "{\"name\":\"s\",\"zone\":\"z\",\"workers\":[\"w0\",\"w2\"]}",
+      KQ_ECONFIG_SCHEMA },
+    { "{\"name\":\"s\",\"zone\":\"y\",\"workers\":[\"w0\",\"w1\"]}",
+      KQ_ECONFIG_SCHEMA },
+    { "{\"name\":\"t\",\"zone\":\"z\",\"workers\":[\"w0\",\"w2\"]}", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_config *config = kq_config_create ();
+      struct kq_config_error error = { "" };
+      char text[256];
+
+      snprintf (text, sizeof text, "{\"shards\":[%s]}", cases[0].shards);
+      CU_ASSERT_EQUAL (kq_config_apply (config, 1, 0, &host, text, NULL), 0);
+      snprintf (text, sizeof text, "{\"shards\":[%s]}", cases[i].shards);
+      CU_ASSERT_EQUAL (kq_config_apply (config, 2, 1, &host, text, &error),
+                       cases[i].err);
+      CU_ASSERT_STRING_EQUAL (error.path,
+                              cases[i].err == 0 ? "" : "shards[0].workers");
+      kq_config_destroy (config);
+    }
+}
+
 static const struct kq_test tests[] = {
+  { "workers of a shard stay", test_workers_of_a_shard_stay },
   { "schema names the field", test_schema_names_the_field },
   { "parsed form", test_parsed_form },
   { "too long document", test_too_long_document },
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -128,6 +128,7 @@
           { 610, ANSWER, 600, 0, 2, "a/1", TTL },
           /* an older answer, a refusal of a second copy, and silence */
           { 620, ANSWER, 100, KQ_ELEASE_HELD, 1, "b/1", 900 },
+          { 625, ANSWER, 100, 0, 2, "a/1", TTL },
           { 630, ANSWER, 600, KQ_ELEASE_HELD, 2, "a/1", 900 },
           { 640, ANSWER, 700, KQ_EWORKER_SILENT, 0, "", 0 },
           { 650, UNTIL, 0, 0, 0, "", 600 + SHORT },
