core: say for each waiting job and worker what holds it up

A job whose shards have no owner was shown as waiting for capacity, and workers of a shard that another host owns as silent. Both now follow the owners' heartbeats. Faults between the worst phases and quick restarts are new in the schedule.

--- a/core/bind.c
+++ b/core/bind.c
@@ -28,9 +28,7 @@
 static bool
 is_claimed (const struct kq_core *core, const struct kq_shard *shard)
 {
-  return shard->owner
-         || (shard->claimed_at != 0
-             && core->now < shard->claimed_at + KQ_MEMBER_TTL);
+  return shard->owner || kq_shard_claimed (shard, core->now);
 }
 
 /* Place of SHARD among the shards that could carry the job. */
@@ -228,20 +226,26 @@
 }
 
 /* Tells why tasks of JOB wait: never fits when each shard that it may use is
-   known to be too small. */
+   known to be too small; silent when none that may carry it has an owner. */
 static void
 judge_job (const struct kq_core *core, struct kq_job_state *job)
 {
   const struct kq_shard *shard;
 
   job->waits = KQ_EJOB_NEVER_FITS;
-  for (shard = core->shards; shard != NULL; shard = shard->hh.next)
-    if (allows (&job->job, shard)
-        && (!shard->largest_known
-            || kq_size_fits (&job->job.size, &shard->largest)))
-      job->waits = KQ_EWORKER_FULL;
   if (core->shards == NULL)
     job->waits = KQ_ECONFIG_NONE;
+  for (shard = core->shards; shard != NULL; shard = shard->hh.next)
+    {
+      if (!allows (&job->job, shard)
+          || (shard->largest_known
+              && !kq_size_fits (&job->job.size, &shard->largest)))
+        continue;
+      if (is_claimed (core, shard))
+        job->waits = KQ_EWORKER_FULL;
+      else if (job->waits != KQ_EWORKER_FULL)
+        job->waits = KQ_EWORKER_SILENT;
+    }
 }
 
 void
--- a/core/internal.h
+++ b/core/internal.h
@@ -201,6 +201,8 @@
 bool kq_node_leaving (const struct kq_core *core, const struct kq_node *node);
 
 /* shard.c */
+/** Whether another host's heartbeats claim SHARD at NOW. */
+bool kq_shard_claimed (const struct kq_shard *shard, kq_usec now);
 void kq_shard_configure (struct kq_core *core);
 void kq_shard_tick (struct kq_core *core);
 void kq_shard_lease_answer (struct kq_core *core,
--- a/core/rows.c
+++ b/core/rows.c
@@ -98,7 +98,8 @@
     }
   if (kq_lease_held (node->lease, now))
     return "owned";
-  if (kq_lease_lapses_at (node->lease) > now)
+  if (kq_lease_lapses_at (node->lease) > now
+      || kq_shard_claimed (node->shard, now))
     return "held";
   if (!kq_name_eq (&node->shard->zone, &core->settings.zone))
     return "remote";
--- a/core/shard.c
+++ b/core/shard.c
@@ -305,6 +305,12 @@
   return false;
 }
 
+bool
+kq_shard_claimed (const struct kq_shard *shard, kq_usec now)
+{
+  return shard->claimed_at != 0 && now < shard->claimed_at + KQ_MEMBER_TTL;
+}
+
 static bool
 claimed_by_other (const struct kq_core *core, const struct kq_shard *shard)
 {
--- a/core/view.c
+++ b/core/view.c
@@ -29,7 +29,7 @@
     worker->owner = core->settings.host;
   else if (kq_lease_lapses_at (node->lease) > now)
     worker->owner = host_of (kq_lease_holder (node->lease));
-  else if (shard->claimed_at != 0 && now < shard->claimed_at + KQ_MEMBER_TTL)
+  else if (kq_shard_claimed (shard, now))
     worker->owner = shard->claimed_by;
   HASH_FIND_STR (core->members, worker->owner.text, member);
   if (member != NULL)
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -229,7 +229,11 @@
     }
   else
     fake_kill_host (world, host);
-  undo_later (world, fake_uniform (world, 0.2, 20), UNDO_HOST, host);
+  /* Some come back before their last messages have arrived. */
+  undo_later (world,
+              fake_chance (world, 0.4) ? fake_uniform (world, 0.01, 0.4)
+                                       : fake_uniform (world, 0.4, 20),
+              UNDO_HOST, host);
 }
 
 static void
@@ -268,6 +272,15 @@
   undo_later (world, 15, UNDO_LOG, 0);
 }
 
+/* Between the worst phases some messages are lost, too. */
+static void
+calm_messages (struct fake_world *world)
+{
+  world->faults.drop = 0.005;
+  world->faults.duplicate = 0.01;
+  world->faults.late = 0.02;
+}
+
 static void
 fault_messages (struct fake_world *world)
 {
@@ -344,7 +357,11 @@
   switch ((enum undo)item->what)
     {
     case UNDO_HOST:
-      fake_start_host (world, item->worker);
+      if (world->hosts[item->worker].core != NULL
+          && world->hosts[item->worker].stopping)
+        undo_later (world, 1, UNDO_HOST, item->worker);
+      else
+        fake_start_host (world, item->worker);
       break;
     case UNDO_CUTS:
       memset (faults->cut, 0, sizeof faults->cut);
@@ -353,7 +370,8 @@
       faults->log_refuse = faults->log_lose_answer = 0;
       break;
     case UNDO_MESSAGES:
-      faults->drop = faults->duplicate = faults->late = 0;
+      if (!world->quiet)
+        calm_messages (world);
       break;
     case UNDO_RESTARTED_WORKER:
       fake_worker_restart (world, item->worker);
@@ -499,6 +517,7 @@
   world->reply = take_reply;
   refused_count = 0;
   running = world;
+  calm_messages (world);
   fake_schedule (world, world->now + 1, FAKE_LOAD, -1);
   fake_schedule (world, world->now + 8, FAKE_FAULT, -1);
   while (world->violations == 0)
@@ -522,6 +541,31 @@
 }
 
 /* NOLINTBEGIN(bugprone-signal-handler): see on_abort() */
+static void
+print_rows (const struct fake_world *world, enum kq_table table)
+{
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      const struct fake_host *host = &world->hosts[i];
+      json_t *rows;
+      json_t *row;
+      size_t k;
+
+      if (host->core == NULL)
+        continue;
+      rows = kq_core_rows (host->core, table, fake_clock (world, host));
+      json_array_foreach (rows, k, row)
+      {
+        char *text = json_dumps (row, JSON_COMPACT);
+
+        if (table != KQ_TABLE_JOBS || strstr (text, "ing\"") != NULL)
+          printf ("%s %s\n", host->name.text, text);
+        free (text);
+      }
+      json_decref (rows);
+    }
+}
+
 static void
 print_trace (const struct fake_world *world)
 {
@@ -529,6 +573,13 @@
 
   for (int64_t i = first; i < world->traced; i++)
     printf ("%s\n", world->trace[i % FAKE_TRACE]);
+  if (world->quiet)
+    {
+      print_rows (world, KQ_TABLE_SHARDS);
+      print_rows (world, KQ_TABLE_WORKERS);
+      print_rows (world, KQ_TABLE_JOBS);
+      print_rows (world, KQ_TABLE_TASKS);
+    }
   printf ("violation: %s\n", world->violation);
   printf ("soak: seed %lu, steps %ld, violations %d\n",
           (unsigned long)world->seed, (long)world->step, world->violations);
