--- a/t/test-core.c
+++ b/t/test-core.c
@@ -431,6 +431,124 @@
   close_bench (&bench);
 }
 
+static void
+read_drain (struct bench *bench, const char *name, bool on, int64_t base)
+{
+  struct kq_record record = { .kind = KQ_REC_DRAIN };
+
+  strcpy (record.u.drain.name.text, name);
+  record.u.drain.on = on;
+  record.u.drain.base = base;
+  read_record (bench, &record);
+}
+
+static bool
+is_leaving (const struct bench *bench, const char *name)
+{
+  struct kq_view *view = kq_core_view (bench->core, bench->now);
+  bool leaving = false;
+
+  for (size_t i = 0; i < view->worker_count; i++)
+    if (strcmp (view->workers[i].name.text, name) == 0)
+      leaving = view->workers[i].leaving;
+  kq_view_free (view);
+  return leaving;
+}
+
+/* A copy made before retention does not undo an operator's command. */
+static void
+test_copies_of_drains (void)
+{
+  struct bench bench = open_bench ();
+
+  read_config (&bench, 0, config_text);
+  read_drain (&bench, "w1", true, 0);
+  read_drain (&bench, "w1", true, 2); /* copy of what is in force */
+  CU_ASSERT_TRUE (is_leaving (&bench, "w1"));
+  read_drain (&bench, "w1", false, 0);
+  read_drain (&bench, "w1", true, 3); /* copy that came too late */
+  CU_ASSERT_FALSE (is_leaving (&bench, "w1"));
+  read_drain (&bench, "w2", true, 1); /* the original was removed */
+  CU_ASSERT_TRUE (is_leaving (&bench, "w2"));
+  close_bench (&bench);
+}
+
+/* Returns whether the row of WORKER is stopped within two seconds. */
+static bool
+is_stopped (struct bench *bench, const struct kq_attempt_row *row)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      tick (bench, 500);
+      for (size_t k = 0; k < bench->count; k++)
+        if (bench->seen[k].kind == KQ_FX_TASK)
+          return true;
+      grant (bench, "w0", 1, row);
+      grant (bench, "w1", 1, NULL);
+    }
+  return false;
+}
+
+/* A row is left alone while the log may still say what it is for. */
+static void
+test_rows_that_are_not_known (void)
+{
+  static const struct
+  {
+    int64_t gap;     /* first offset after a gap, or 0 */
+    int64_t binding; /* of the row */
+    bool stopped;
+  } cases[] = { { 0, 1, true }, { 0, 99, false }, { 60, 1, false } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct bench bench = open_owner ();
+      struct kq_attempt_row row = { .attempt = 5, .task.job = { "x" } };
+      struct kq_event gap = { .kind = KQ_EV_LOG_GAP };
+      const struct kq_effect *append;
+
+      if (cases[i].gap != 0)
+        {
+          struct kq_record *epoch;
+
+          gap.u.log.offset = cases[i].gap;
+          give (&bench, &gap);
+          bench.offset = cases[i].gap - 1;
+          log_end (&bench);
+          tick (&bench, 100);
+          append = find (&bench, KQ_FX_APPEND, NULL);
+          CU_ASSERT_PTR_NOT_NULL_FATAL (append);
+          epoch = kq_record_copy (append->u.append);
+          read_record (&bench, epoch);
+          kq_record_free (epoch);
+        }
+      row.binding = cases[i].binding;
+      grant (&bench, "w0", 1, &row);
+      CU_ASSERT_EQUAL (is_stopped (&bench, &row), cases[i].stopped);
+      close_bench (&bench);
+    }
+}
+
+/* A host that starts again is another holder. */
+static void
+test_holder (void)
+{
+  struct kq_core_settings settings = { .host = { "a" }, .zone = { "z" } };
+  struct kq_name names[2];
+
+  kq_core_settings_default (&settings);
+  for (int i = 0; i < 2; i++)
+    {
+      struct kq_core *core;
+
+      settings.incarnation = (uint64_t)i + 1;
+      core = kq_core_create (&settings);
+      names[i] = *kq_core_holder (core);
+      kq_core_destroy (core);
+    }
+  CU_ASSERT_STRING_NOT_EQUAL (names[0].text, names[1].text);
+}
+
 /* Wrong events change nothing and are said so. */
 static void
 test_wrong_events (void)
@@ -460,6 +578,9 @@
         { "configuration between hosts", test_configuration_between_hosts },
         { "configuration after a gap", test_configuration_after_a_gap },
         { "planned stop", test_planned_stop },
+        { "copies of drains", test_copies_of_drains },
+        { "rows that are not known", test_rows_that_are_not_known },
+        { "holder", test_holder },
         { "wrong events", test_wrong_events } };
 
 KQ_TEST_MAIN ("core", tests)
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -30,6 +30,7 @@
   FAULT_LEAVING,
   FAULT_STOP,
   FAULT_ZONE,
+  FAULT_ALL_HOSTS,
   FAULT_CANCELS,
   FAULT_CONFIGURE,
   FAULT_DRAIN,
@@ -310,6 +311,11 @@
           fault_host (world, FAULT_KILL, i);
         break;
       }
+    case FAULT_ALL_HOSTS:
+      /* What lasts is in the log and at the workers alone. */
+      for (int i = 0; i < FAKE_HOSTS && fake_chance (world, 0.97); i++)
+        fault_host (world, FAULT_KILL, i);
+      break;
     case FAULT_CUT:
       cut (world);
       break;
