core: number attempts by shard, and keep ended ones that could return

The serial is the shard's own now. Ended rows that this host started stay listed while a second copy of the start may come.

Ruled out: rows that a restarted worker has lost, whose start may arrive a second time under the same number; the check allows that.

--- a/core/internal.h
+++ b/core/internal.h
@@ -89,8 +89,9 @@
   size_t count;
   bool owner;
   kq_usec owner_since;
-  uint64_t epoch;   /**< this host's own, 0 until its record was read */
-  kq_usec epoch_at; /**< when that was */
+  uint64_t epoch;          /**< this host's own, 0 until its record was read */
+  uint32_t attempt_serial; /**< of the last start under that epoch */
+  kq_usec epoch_at;        /**< when that was */
   struct kq_append *epoch_append, *bind, *release, *end;
   bool all_clear;      /**< no unlisted attempt of its tasks can be alive */
   kq_usec seeks_since; /**< tries to get a majority since then; 0 = no */
@@ -136,7 +137,6 @@
   struct kq_late_config *late_configs;
   kq_usec log_ok_at, log_down_at;
   uint64_t serial;
-  uint32_t attempt_serial;
   kq_usec heartbeat_at;
   kq_usec tick_at;
   bool view_dirty;
--- a/core/shard.c
+++ b/core/shard.c
@@ -275,7 +275,7 @@
     {
       shard->epoch = (uint64_t)offset;
       shard->epoch_at = core->now;
-      core->attempt_serial = 0;
+      shard->attempt_serial = 0;
       return;
     }
   /* An earlier owner's late record: what was asked for under the epoch that
--- a/core/start.c
+++ b/core/start.c
@@ -41,10 +41,10 @@
 
 /* Makes the attempt number that belongs to no other attempt. */
 static int64_t
-next_attempt (struct kq_core *core, const struct kq_shard *shard)
+next_attempt (struct kq_shard *shard)
 {
   return (int64_t)shard->epoch * KQ_ATTEMPTS_PER_EPOCH
-         + ++core->attempt_serial;
+         + ++shard->attempt_serial;
 }
 
 static void
@@ -96,7 +96,7 @@
       return false;
     }
   run->waits = 0;
-  send_start (core, run, choice->nodes[picked], next_attempt (core, shard));
+  send_start (core, run, choice->nodes[picked], next_attempt (shard));
   choice->workers[picked].free
       = kq_worker_free (choice->nodes[picked]->worker);
   return true;
@@ -143,7 +143,7 @@
   struct start_choice choice = { NULL, NULL, 0 };
 
   if (shard->epoch == 0 || !kq_jobs_is_complete (core->jobs) || core->stopping
-      || core->attempt_serial >= KQ_ATTEMPTS_PER_EPOCH - STARTS_MAX)
+      || shard->attempt_serial >= KQ_ATTEMPTS_PER_EPOCH - STARTS_MAX)
     return;
   choice.workers = calloc (shard->count, sizeof *choice.workers);
   choice.nodes = calloc (shard->count, sizeof (struct kq_node *));
--- a/core/task.c
+++ b/core/task.c
@@ -237,7 +237,7 @@
       kq_run_detach (attempt);
       /* The lease may go on under the same term, and a table that was read
          before the start arrived may come after this. */
-      if (attempt->started_at == 0 || attempt->phase == KQ_PHASE_ENDED
+      if (attempt->started_at == 0
           || core->now >= kq_lease_clear_at (node->lease, 0))
         kq_worker_forget (attempt);
     }
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -157,6 +157,14 @@
   return 0;
 }
 
+/* Whether the answer to ITEM can reach the sender. */
+static bool
+hears (const struct fake_world *world, const struct fake_item *item)
+{
+  return world->hosts[item->host].incarnation == item->incarnation
+         && !world->faults.answers_cut[item->host][item->worker];
+}
+
 static void
 answer_lease (struct fake_world *world, const struct fake_item *item, int err)
 {
@@ -182,7 +190,7 @@
   answer->table.slots = 8;
   answer->table.rows = rows;
   answer->table.row_count = (size_t)worker->row_count;
-  if (world->hosts[item->host].incarnation == item->incarnation)
+  if (hears (world, item))
     fake_send_event (world, shared, worker->zone, item->host);
   fake_unshare (shared);
 }
@@ -233,6 +241,40 @@
          && memory <= worker->capacity.memory_mb;
 }
 
+/* A number names one attempt at one worker, and a second copy of its start
+   must not run what has ended and is forgotten.  (A worker that lost its rows
+   may take it.)  */
+static void
+check_number (struct fake_world *world, struct fake_task *task, int64_t number,
+              int worker)
+{
+  int i;
+
+  for (i = 0; i < FAKE_ATTEMPTS && i < task->attempt_count; i++)
+    if (task->attempts[i].number == number)
+      {
+        if (task->attempts[i].acknowledged
+            || task->attempts[i].worker != worker)
+          fake_violation (world, "attempt %ld of %s/%d starts again",
+                          (long)number, task->id.job.text, task->id.index);
+        return;
+      }
+  i = task->attempt_count++ % FAKE_ATTEMPTS;
+  task->attempts[i].number = number;
+  task->attempts[i].worker = worker;
+  task->attempts[i].acknowledged = false;
+}
+
+static void
+note_acknowledged (struct fake_world *world, const struct fake_row *row)
+{
+  struct fake_task *task = fake_task (world, &row->row.task);
+
+  for (int i = 0; i < FAKE_ATTEMPTS && i < task->attempt_count; i++)
+    if (task->attempts[i].number == row->row.attempt)
+      task->attempts[i].acknowledged = true;
+}
+
 static void
 check_start (struct fake_world *world, struct fake_worker *worker,
              const struct fake_item *item, const struct kq_attempt_row *start)
@@ -261,6 +303,7 @@
                     worker->name.text);
   if (start->checkpoint > 0)
     world->resumes++;
+  check_number (world, task, start->attempt, item->worker);
   task->last_attempt = start->attempt;
   world->starts++;
 }
@@ -348,6 +391,7 @@
       if (is_live (row))
         break;
       check_acknowledged (world, row);
+      note_acknowledged (world, row);
       *row = worker->rows[--worker->row_count];
       break;
     case KQ_TASK_START:
@@ -386,7 +430,7 @@
   answer->attempt = effect->u.task.row.attempt;
   answer->action = effect->u.task.action;
   answer->err = err;
-  if (world->hosts[item->host].incarnation == item->incarnation)
+  if (hears (world, item))
     fake_send_event (world, shared, world->workers[item->worker].zone,
                      item->host);
   fake_unshare (shared);
--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -22,6 +22,7 @@
 #define FAKE_LOG_PLACE FAKE_ZONES /* the log, for cuts */
 #define FAKE_APPEND_TIMEOUT 1.0
 #define FAKE_ROWS 64
+#define FAKE_ATTEMPTS 32
 #define FAKE_TRACE 400
 
 /** A fact about one task that the fakes have seen. */
@@ -33,6 +34,13 @@
   int resumes;      /* starts with a checkpoint */
   int64_t ended_at; /* offset of its first END record, 0 = none */
   int64_t last_attempt;
+  struct
+  {
+    int64_t number;
+    int worker;
+    bool acknowledged;
+  } attempts[FAKE_ATTEMPTS]; /* the newest, a ring */
+  int attempt_count;
   UT_hash_handle hh;
 };
 
@@ -87,7 +95,10 @@
 struct fake_faults
 {
   double drop, duplicate, late;
-  bool cut[FAKE_ZONES + 1][FAKE_ZONES + 1]; /* from, to */
+  bool cut[FAKE_ZONES + 1][FAKE_ZONES + 1];   /* from, to */
+  bool asks_cut[FAKE_HOSTS][FAKE_WORKERS];    /* requests are lost */
+  bool answers_cut[FAKE_HOSTS][FAKE_WORKERS]; /* answers are lost */
+  bool peers_cut[FAKE_HOSTS][FAKE_HOSTS];     /* from, to */
   double log_down_until;
   double log_refuse, log_lose_answer;
 };
--- a/t/test-core.c
+++ b/t/test-core.c
@@ -199,6 +199,24 @@
   close_bench (&bench);
 }
 
+/* A host that was paused past its leases has lost the shard, although the
+   workers grant them again: an epoch may have come and gone meanwhile. */
+static void
+test_pause_past_the_leases (void)
+{
+  struct bench bench = open_owner ();
+  const struct kq_effect *append;
+
+  bench.now += 3000 * MSEC;
+  grant (&bench, "w0", 2, NULL);
+  grant (&bench, "w1", 2, NULL);
+  tick (&bench, 100);
+  append = find (&bench, KQ_FX_APPEND, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (append);
+  CU_ASSERT_EQUAL (append->u.append->kind, KQ_REC_EPOCH);
+  close_bench (&bench);
+}
+
 /* The answers of a silent worker may be lost and its requests not. */
 static void
 test_silent_worker_is_not_extended (void)
@@ -568,6 +586,7 @@
 
 static const struct kq_test tests[]
     = { { "minority extends nothing", test_minority_extends_nothing },
+        { "pause past the leases", test_pause_past_the_leases },
         { "silent worker is not extended",
           test_silent_worker_is_not_extended },
         { "list before configuration", test_list_before_configuration },
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -13,7 +13,7 @@
 #include "t/lib-fake.h"
 
 #define QUIET_SHARE 0.8 /* of the steps, then faults stop */
-#define QUIET_MAX 400.0 /* seconds in which everything must finish */
+#define QUIET_MAX 900.0 /* seconds in which everything must finish */
 #define LOG_UP_MIN 15.0 /* seconds between two outages of the log */
 #define REFUSED_MAX 100000
 
@@ -22,6 +22,7 @@
   FAULT_KILL,
   FAULT_PAUSE,
   FAULT_CUT,
+  FAULT_LINKS,
   FAULT_LOG_DOWN,
   FAULT_LOG_ANSWERS,
   FAULT_MESSAGES,
@@ -41,6 +42,7 @@
 {
   UNDO_HOST,
   UNDO_CUTS,
+  UNDO_LINKS,
   UNDO_LOG,
   UNDO_MESSAGES,
   UNDO_WORKER,
@@ -51,6 +53,9 @@
 /* Longest time between two faults in seconds, by seed. */
 static const double fault_gap[] = { 5, 1.5, 10, 3 };
 
+/* Longest time between two submits in seconds, by seed. */
+static const double load_gap[] = { 2.5, 1.2, 4 };
+
 static uint64_t refused[REFUSED_MAX];
 static size_t refused_count;
 static struct fake_world *running;
@@ -165,8 +170,9 @@
   if (kq_config_revision (world->config) == 0)
     configure (world, live_host (world));
   submit (world);
-  fake_schedule (world, world->now + fake_uniform (world, 0.2, 2.5), FAKE_LOAD,
-                 -1);
+  fake_schedule (
+      world, world->now + fake_uniform (world, 0.2, load_gap[world->seed % 3]),
+      FAKE_LOAD, -1);
 }
 
 static void
@@ -188,6 +194,41 @@
   undo_later (world, fake_uniform (world, 1, 30), UNDO_CUTS, 0);
 }
 
+/* One host loses some workers and peers, each way by itself. */
+static void
+cut_links (struct fake_world *world)
+{
+  int host = fake_pick (world, FAKE_HOSTS);
+  double share = fake_uniform (world, 0.2, 0.9);
+
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    {
+      world->faults.asks_cut[host][i] = fake_chance (world, share);
+      world->faults.answers_cut[host][i] = fake_chance (world, share);
+    }
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      world->faults.peers_cut[host][i] = fake_chance (world, share);
+      world->faults.peers_cut[i][host] = fake_chance (world, share);
+    }
+  fake_trace (world, "%s loses links", world->hosts[host].name.text);
+  undo_later (world, fake_uniform (world, 2, 40), UNDO_LINKS, host);
+}
+
+static void
+heal_links (struct fake_world *world, int host)
+{
+  memset (world->faults.asks_cut[host], 0,
+          sizeof world->faults.asks_cut[host]);
+  memset (world->faults.answers_cut[host], 0,
+          sizeof world->faults.answers_cut[host]);
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      world->faults.peers_cut[host][i] = false;
+      world->faults.peers_cut[i][host] = false;
+    }
+}
+
 static void
 cancel_some (struct fake_world *world)
 {
@@ -319,6 +360,9 @@
     case FAULT_CUT:
       cut (world);
       break;
+    case FAULT_LINKS:
+      cut_links (world);
+      break;
     case FAULT_LOG_DOWN:
     case FAULT_LOG_ANSWERS:
       fault_log (world, kind);
@@ -372,6 +416,9 @@
     case UNDO_CUTS:
       memset (faults->cut, 0, sizeof faults->cut);
       break;
+    case UNDO_LINKS:
+      heal_links (world, item->worker);
+      break;
     case UNDO_LOG:
       faults->log_refuse = faults->log_lose_answer = 0;
       break;
--- a/t/test-worker.c
+++ b/t/test-worker.c
@@ -95,6 +95,7 @@
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       struct kq_worker *worker = new_worker ();
+      struct kq_size size = { 1, 1, 0 };
 
       for (const char *end = cases[i].ends; *end != '\0'; end++)
         {
@@ -105,6 +106,8 @@
         }
       CU_ASSERT_EQUAL (kq_worker_quarantined (worker, 2),
                        cases[i].quarantined);
+      CU_ASSERT_EQUAL (kq_worker_check (worker, &size, 2),
+                       cases[i].quarantined ? KQ_EWORKER_QUARANTINED : 0);
       CU_ASSERT_FALSE (
           kq_worker_quarantined (worker, 2 + KQ_WORKER_QUARANTINE));
       kq_worker_destroy (worker);
