query: say where a refused configuration breaks its schema

An operator whose document was refused saw KQ_ECONFIG_SCHEMA and no path, because the core's reply carries only an error number. The reply now parses the document once more and gives the path as the wrong word, which the tool prints already.

Ruled out: a text field in the core's reply effect, which every driver of the core would have to own and free.

Conclusion: the refusal points at the field; the core is untouched.

--- a/query/answer.c
+++ b/query/answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "config/document.h"
 #include "query/filter.h"
 #include "query/query.h"
 
@@ -293,6 +294,21 @@
   return "";
 }
 
+/** Says in REPLY where the document TEXT breaks its schema. */
+static void
+set_schema_path (json_t *reply, const char *text)
+{
+  struct kq_config_document *document = NULL;
+  struct kq_config_error error;
+
+  if (text == NULL)
+    return;
+  if (kq_config_document_parse (text, &document, &error) == KQ_ECONFIG_SCHEMA)
+    json_object_set_new (reply, "word", json_string (error.path));
+  else
+    kq_config_document_free (document);
+}
+
 json_t *
 kq_query_reply (const struct kq_query *query, int err, int64_t revision)
 {
@@ -310,5 +326,7 @@
   json_object_set_new (reply, "error", json_string (kq_err_name (err)));
   json_object_set_new (reply, "number", json_integer (err));
   json_object_set_new (reply, "reason", json_string (kq_err_text (err)));
+  if (err == KQ_ECONFIG_SCHEMA)
+    set_schema_path (reply, command->text);
   return reply;
 }
--- a/query/query.h
+++ b/query/query.h
@@ -119,8 +119,9 @@
 /** Describes the outcome ERR of a command.  REVISION is the offset of the
  *  accepted record, or the revision that won.
  *  @return an object with "result" ("accepted", "refused" or "unknown"),
- *  "command", "name", "revision", and for a failure "error", "number" and
- *  "reason"; NULL out of memory.  */
+ *  "command", "name", "revision", and for a failure "error", "number",
+ *  "reason" and, where a document breaks its schema, its path as "word";
+ *  NULL out of memory.  */
 json_t *kq_query_reply (const struct kq_query *query, int err,
                         int64_t revision);
 
