peer: give the host list to hosts that start during an outage

It now asks one peer after the other for the host list that they read last, and takes it until its own first read succeeds. Ruled out: lists in every heartbeat (bytes between regions), and addresses in the configuration (they change without operators).

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -153,6 +153,20 @@
   step (arg, &event);
 }
 
+/* A peer's host list stands in for the platform's while that is away. */
+static void
+on_peer_hosts (void *arg, const struct kq_host_entry *entries, size_t count)
+{
+  struct kq_control *control = arg;
+  struct kq_event event = { .kind = KQ_EV_HOSTS };
+
+  event.u.hosts.entries = entries;
+  event.u.hosts.count = count;
+  kq_client_learn_hosts (control->client, entries, count);
+  kq_peers_learn_hosts (control->peers, entries, count);
+  step (control, &event);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -316,12 +330,14 @@
           .region = settings->region,
           .bootstrap = settings->peers,
           .bootstrap_count = settings->peer_count };
+  struct kq_peers_handler handler
+      = { .arg = control, .message = on_message, .hosts = on_peer_hosts };
   int err;
 
   snprintf (peers.self.address, sizeof peers.self.address, "%s",
             settings->peer_listen);
   control->peers = kq_peers_create (control->loop, control->zmq_context,
-                                    &peers, on_message, control, &err);
+                                    &peers, &handler, &err);
   if (err != 0)
     kq_log (KQ_LOG_ERROR, "control", "peer_listen", err, "address",
             settings->peer_listen, NULL);
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -108,25 +108,35 @@
   return 0;
 }
 
+static void
+fill_batch (Kq__Peer__Batch *batch, const struct kq_peer_outgoing *outgoing)
+{
+  batch->from = (char *)outgoing->sender->host.text;
+  batch->zone = (char *)outgoing->sender->zone.text;
+  batch->incarnation = outgoing->sender->incarnation;
+  batch->address = (char *)outgoing->sender->address;
+  batch->messages = outgoing->messages;
+  batch->n_messages = outgoing->count;
+  batch->hosts_wanted = outgoing->hosts_wanted;
+  if (outgoing->hosts == NULL)
+    return;
+  batch->hosts.data = (uint8_t *)outgoing->hosts;
+  batch->hosts.len = strlen (outgoing->hosts);
+}
+
 int
-kq_peer_encode (const struct kq_peer_sender *sender,
-                Kq__Peer__Message **messages, size_t count, bool compress,
-                uint8_t **frame, size_t *size, size_t *raw_size)
+kq_peer_encode (const struct kq_peer_outgoing *outgoing, uint8_t **frame,
+                size_t *size, size_t *raw_size)
 {
   Kq__Peer__Batch batch = KQ__PEER__BATCH__INIT;
   Kq__Peer__Envelope envelope = KQ__PEER__ENVELOPE__INIT;
   int err;
 
-  batch.from = (char *)sender->host.text;
-  batch.zone = (char *)sender->zone.text;
-  batch.incarnation = sender->incarnation;
-  batch.address = (char *)sender->address;
-  batch.messages = messages;
-  batch.n_messages = count;
+  fill_batch (&batch, outgoing);
   *raw_size = kq__peer__batch__get_packed_size (&batch);
   if (*raw_size > KQ_PEER_MAX_BATCH)
     return KQ_ETOOBIG;
-  err = fill_envelope (&envelope, &batch, compress);
+  err = fill_envelope (&envelope, &batch, outgoing->compress);
   if (err != 0)
     return err;
   *size = kq__peer__envelope__get_packed_size (&envelope);
@@ -219,11 +229,31 @@
   return 0;
 }
 
+static int
+read_hosts (const Kq__Peer__Batch *wire, struct kq_peer_batch *batch)
+{
+  size_t skipped;
+  json_t *object;
+  int err;
+
+  batch->hosts_wanted = wire->hosts_wanted;
+  if (wire->hosts.len == 0)
+    return 0;
+  object
+      = json_loadb ((const char *)wire->hosts.data, wire->hosts.len, 0, NULL);
+  err = kq_codec_hosts_read (object, &batch->hosts, &batch->host_count,
+                             &skipped);
+  json_decref (object);
+  return err;
+}
+
 static int
 read_batch (const Kq__Peer__Batch *wire, struct kq_peer_batch *batch)
 {
   int err = read_sender (wire, &batch->sender);
 
+  if (err == 0)
+    err = read_hosts (wire, batch);
   if (err != 0)
     return err;
   if (wire->n_messages > KQ_PEER_MAX_MESSAGES)
@@ -309,5 +339,6 @@
       free ((void *)batch->messages[i].record);
     }
   free (batch->messages);
+  free (batch->hosts);
   free (batch);
 }
--- a/peer/codec.h
+++ b/peer/codec.h
@@ -36,19 +36,31 @@
   struct kq_peer_sender sender;
   struct kq_peer_message *messages;
   size_t count;
+  bool hosts_wanted;           /**< the sender has no host list */
+  struct kq_host_entry *hosts; /**< the sender's host list, or NULL */
+  size_t host_count;
+};
+
+/** A batch to be sent. */
+struct kq_peer_outgoing
+{
+  const struct kq_peer_sender *sender;
+  Kq__Peer__Message **messages;
+  size_t count;
+  bool hosts_wanted;
+  const char *hosts; /**< host list as JSON text, or NULL */
+  bool compress;
 };
 
 /** Returns MESSAGE in its wire form, which the caller frees with
  *  kq__peer__message__free_unpacked(); NULL when out of memory.  */
 Kq__Peer__Message *kq_peer_wire (const struct kq_peer_message *message);
 
-/** Encodes COUNT messages of SENDER into one frame.  The caller frees *FRAME
- *  with free().
+/** Encodes OUTGOING into one frame.  The caller frees *FRAME with free().
  *  @param raw_size set to the bytes before compression.
  *  @return 0, KQ_ETOOBIG or KQ_ENOMEM.  */
-int kq_peer_encode (const struct kq_peer_sender *sender,
-                    Kq__Peer__Message **messages, size_t count, bool compress,
-                    uint8_t **frame, size_t *size, size_t *raw_size);
+int kq_peer_encode (const struct kq_peer_outgoing *outgoing, uint8_t **frame,
+                    size_t *size, size_t *raw_size);
 
 /** Decodes a frame.  Messages of a kind that is not known are left out.
  *  @return 0 with *BATCH set, KQ_ESYNTAX malformed, KQ_EINVAL another version
--- a/peer/peer-internal.h
+++ b/peer/peer-internal.h
@@ -46,12 +46,15 @@
   void *zmq_context;
   struct kq_peer_sender self;
   struct kq_name region;
-  kq_peers_handler *handler;
-  void *arg;
+  struct kq_peers_handler handler;
   void *router;
   ev_io io;
   ev_timer flush_timer;
   kq_usec listed_at; /**< when the host list was last read; 0: never */
+  struct kq_host_entry *hosts; /**< that list */
+  size_t host_count;
+  kq_usec asked_at;  /**< when a peer was last asked for its host list */
+  size_t next_asked; /**< number of the peer that is asked next */
   struct kq_peer *list;
   size_t count;
 };
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -10,10 +10,14 @@
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "peer/peer-internal.h"
+#include "platform/codec.h"
 
 /* What goes to other availability zones waits this long for more. */
 #define COALESCE_SEC 0.02
 
+/* A host without a host list asks this often for one. */
+#define ASK_EVERY KQ_USEC_PER_SEC
+
 #define RECEIVE_QUEUE 10000
 
 /* Messages that are read before other sockets have their turn. */
@@ -53,6 +57,9 @@
 static struct kq_metric received_bytes
     = { .name = "kq_peer_received_bytes_total",
         .help = "Bytes of frames received." };
+static struct kq_metric hosts_bytes
+    = { .name = "kq_peer_hosts_bytes_total",
+        .help = "Bytes of host lists before compression." };
 static struct kq_metric refused
     = { .name = "kq_peer_refused_total",
         .help = "Frames received that were malformed or of no member." };
@@ -68,6 +75,7 @@
   kq_metric_register (&frames_sent);
   kq_metric_register (&frames_dropped);
   kq_metric_register (&received_bytes);
+  kq_metric_register (&hosts_bytes);
   kq_metric_register (&refused);
 }
 
@@ -88,27 +96,70 @@
   peer->outbox_count = 0;
 }
 
-static void
+static int
 send_frame (struct kq_peer *peer, const uint8_t *frame, size_t size)
 {
   if (zmq_send (peer->socket, frame, size, ZMQ_DONTWAIT) < 0)
     {
       kq_metric_add (&frames_dropped, 1);
-      return;
+      return KQ_ECLOSED;
     }
   kq_metric_add (&frames_sent, 1);
   kq_metric_add (&wire_bytes[peer->scope], (int64_t)size);
+  return 0;
 }
 
-void
-kq_peer_flush (struct kq_peers *peers, struct kq_peer *peer)
+static int
+send_batch (struct kq_peers *peers, struct kq_peer *peer,
+            struct kq_peer_outgoing *outgoing)
 {
-  Kq__Peer__Message *messages[KQ_PEER_OUTBOX];
   uint8_t *frame;
   size_t size;
   size_t raw_size;
   int err;
 
+  outgoing->sender = &peers->self;
+  err = kq_peer_encode (outgoing, &frame, &size, &raw_size);
+  if (err != 0)
+    {
+      kq_log (KQ_LOG_ERROR, "peer", "encode_failed", err, "peer",
+              peer->host.text, NULL);
+      return err;
+    }
+  kq_metric_add (&raw_bytes, (int64_t)raw_size);
+  err = send_frame (peer, frame, size);
+  free (frame);
+  return err;
+}
+
+/* A host without a host list asks one peer after the other for theirs.
+   Returns whether it is PEER's turn. */
+static bool
+ask_for_hosts (struct kq_peers *peers, const struct kq_peer *peer)
+{
+  const struct kq_peer *turn = peers->list;
+  kq_usec now = kq_clock_now ();
+
+  if (peers->listed_at != 0 || now - peers->asked_at < ASK_EVERY)
+    return false;
+  for (size_t i = 0; i < peers->next_asked % peers->count; i++)
+    turn = turn->next;
+  if (turn != peer)
+    return false;
+  peers->asked_at = now;
+  peers->next_asked++;
+  return true;
+}
+
+void
+kq_peer_flush (struct kq_peers *peers, struct kq_peer *peer)
+{
+  Kq__Peer__Message *messages[KQ_PEER_OUTBOX];
+  struct kq_peer_outgoing outgoing
+      = { .messages = messages,
+          .count = peer->outbox_count,
+          .compress = peer->scope != KQ_PEER_IN_ZONE };
+
   if (peer->outbox_count == 0)
     return;
   for (size_t i = 0; i < peer->outbox_count; i++)
@@ -119,19 +170,29 @@
       kq_metric_add (&sent_bytes[wire->kind - 1],
                      (int64_t)kq__peer__message__get_packed_size (wire));
     }
-  err = kq_peer_encode (&peers->self, messages, peer->outbox_count,
-                        peer->scope != KQ_PEER_IN_ZONE, &frame, &size,
-                        &raw_size);
+  outgoing.hosts_wanted = ask_for_hosts (peers, peer);
+  if (send_batch (peers, peer, &outgoing) != 0 && outgoing.hosts_wanted)
+    peers->asked_at = 0;
   kq_peer_drop (peer);
-  if (err != 0)
-    {
-      kq_log (KQ_LOG_ERROR, "peer", "encode_failed", err, "peer",
-              peer->host.text, NULL);
-      return;
-    }
-  kq_metric_add (&raw_bytes, (int64_t)raw_size);
-  send_frame (peer, frame, size);
-  free (frame);
+}
+
+static void
+send_hosts (struct kq_peers *peers, const struct kq_name *host)
+{
+  struct kq_peer *peer = kq_peer_named (peers, host);
+  struct kq_peer_outgoing outgoing = { .compress = true };
+  json_t *object;
+  char *text;
+
+  if (peer == NULL || peers->hosts == NULL)
+    return;
+  object = kq_codec_hosts_write (peers->hosts, peers->host_count);
+  text = object == NULL ? NULL : json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  outgoing.hosts = text;
+  if (text != NULL && send_batch (peers, peer, &outgoing) == 0)
+    kq_metric_add (&hosts_bytes, (int64_t)strlen (text));
+  free (text);
 }
 
 static void
@@ -209,8 +270,12 @@
       return;
     }
   kq_peer_learn (peers, &batch->sender);
+  if (batch->hosts_wanted)
+    send_hosts (peers, &batch->sender.host);
+  if (batch->hosts != NULL && peers->listed_at == 0)
+    peers->handler.hosts (peers->handler.arg, batch->hosts, batch->host_count);
   for (size_t i = 0; i < batch->count; i++)
-    peers->handler (peers->arg, &batch->messages[i]);
+    peers->handler.message (peers->handler.arg, &batch->messages[i]);
   kq_peer_batch_free (batch);
 }
 
@@ -294,7 +359,7 @@
 struct kq_peers *
 kq_peers_create (struct ev_loop *loop, void *zmq_context,
                  const struct kq_peers_settings *settings,
-                 kq_peers_handler *handler, void *arg, int *err)
+                 const struct kq_peers_handler *handler, int *err)
 {
   struct kq_peers *peers = calloc (1, sizeof *peers);
 
@@ -305,8 +370,7 @@
                               .zmq_context = zmq_context,
                               .self = settings->self,
                               .region = settings->region,
-                              .handler = handler,
-                              .arg = arg };
+                              .handler = *handler };
   ev_init (&peers->flush_timer, on_flush);
   peers->flush_timer.data = peers;
   *err = bind_router (peers);
@@ -342,5 +406,6 @@
   LL_FOREACH_SAFE (peers->list, peer, next) { kq_peer_remove (peers, peer); }
   if (peers->router != NULL)
     zmq_close (peers->router);
+  free (peers->hosts);
   free (peers);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -27,25 +27,35 @@
   size_t bootstrap_count;
 };
 
-/** Takes a message, from the loop. */
-typedef void kq_peers_handler (void *arg,
-                               const struct kq_peer_message *message);
+/** Takes what arrives, from the loop. */
+struct kq_peers_handler
+{
+  void *arg;
+  void (*message) (void *arg, const struct kq_peer_message *message);
+  /** Takes a peer's host list, on a host that has read none itself.  */
+  void (*hosts) (void *arg, const struct kq_host_entry *entries, size_t count);
+};
 
 /** Binds the socket and connects to the bootstrap peers.
  *  @return NULL with *ERR set: KQ_EIO when the socket can't be bound, or
  *  KQ_ENOMEM.  */
 struct kq_peers *kq_peers_create (struct ev_loop *loop, void *zmq_context,
                                   const struct kq_peers_settings *settings,
-                                  kq_peers_handler *handler, void *arg,
+                                  const struct kq_peers_handler *handler,
                                   int *err);
 
 /** Sends what is still coalesced, closes the sockets and frees PEERS. */
 void kq_peers_destroy (struct kq_peers *peers);
 
-/** Takes the platform's host list: connects to entry hosts that are new. */
+/** Takes the platform's host list: connects to entry hosts that are new, and
+ *  keeps the list for peers that have none.  */
 void kq_peers_take_hosts (struct kq_peers *peers,
                           const struct kq_host_entry *entries, size_t count);
 
+/** Takes a host list that a peer has sent: only connects.  */
+void kq_peers_learn_hosts (struct kq_peers *peers,
+                           const struct kq_host_entry *entries, size_t count);
+
 /** Sends MESSAGE to the host TO, or to all peers when TO is empty.
  *  @return 0, KQ_EPEER_UNKNOWN or KQ_ENOMEM.  */
 int kq_peers_send (struct kq_peers *peers, const struct kq_name *to,
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -393,7 +393,7 @@
   (ProtobufCMessageInit) kq__peer__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq__peer__batch__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kq__peer__batch__field_descriptors[7] =
 {
   {
     "from",
@@ -455,10 +455,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_wanted",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Peer__Batch, hosts_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Peer__Batch, hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq__peer__batch__field_indices_by_name[] = {
   3,   /* field[3] = address */
   0,   /* field[0] = from */
+  6,   /* field[6] = hosts */
+  5,   /* field[5] = hosts_wanted */
   2,   /* field[2] = incarnation */
   4,   /* field[4] = messages */
   1,   /* field[1] = zone */
@@ -466,7 +492,7 @@
 static const ProtobufCIntRange kq__peer__batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor kq__peer__batch__descriptor =
 {
@@ -476,7 +502,7 @@
   "Kq__Peer__Batch",
   "kq.peer",
   sizeof(Kq__Peer__Batch),
-  5,
+  7,
   kq__peer__batch__field_descriptors,
   kq__peer__batch__field_indices_by_name,
   1,  kq__peer__batch__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -81,10 +81,18 @@
   char *address;
   size_t n_messages;
   Kq__Peer__Message **messages;
+  /*
+   * The sender has no host list: it started while the platform was away.
+   */
+  protobuf_c_boolean hosts_wanted;
+  /*
+   * The platform's host list as the sender last read it.
+   */
+  ProtobufCBinaryData hosts;
 };
 #define KQ__PEER__BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq__peer__batch__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL} }
 
 
 /*
--- a/peer/table.c
+++ b/peer/table.c
@@ -219,6 +219,29 @@
     peer->scope = KQ_PEER_IN_ZONE;
 }
 
+void
+kq_peers_learn_hosts (struct kq_peers *peers,
+                      const struct kq_host_entry *entries, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    list_host (peers, &entries[i], kq_clock_now ());
+}
+
+/* Keeps the list for peers that start while the platform is away. */
+static void
+keep_hosts (struct kq_peers *peers, const struct kq_host_entry *entries,
+            size_t count)
+{
+  struct kq_host_entry *copy
+      = realloc (peers->hosts, (count + 1) * sizeof *copy);
+
+  if (copy == NULL)
+    return;
+  memcpy (copy, entries, count * sizeof *copy);
+  peers->hosts = copy;
+  peers->host_count = count;
+}
+
 void
 kq_peers_take_hosts (struct kq_peers *peers,
                      const struct kq_host_entry *entries, size_t count)
@@ -228,9 +251,9 @@
   struct kq_peer *next;
 
   peers->listed_at = now;
+  keep_hosts (peers, entries, count);
   LL_FOREACH (peers->list, peer) { peer->listed = false; }
-  for (size_t i = 0; i < count; i++)
-    list_host (peers, &entries[i], now);
+  kq_peers_learn_hosts (peers, entries, count);
   LL_FOREACH_SAFE (peers->list, peer, next)
   {
     if (!peer->listed && !peer->bootstrap
--- a/t/test-peer.c
+++ b/t/test-peer.c
@@ -41,8 +41,13 @@
 
   for (size_t i = 0; i < count; i++)
     wires[i] = kq_peer_wire (message);
-  err = kq_peer_encode (&sender, wires, count, compress, frame, size,
-                        raw_size);
+  err = kq_peer_encode (&(struct kq_peer_outgoing){ .sender = &sender,
+                                                    .messages = wires,
+                                                    .count = count,
+                                                    .hosts = "{\"hosts\":[]}",
+                                                    .hosts_wanted = compress,
+                                                    .compress = compress },
+                        frame, size, raw_size);
   for (size_t i = 0; i < count; i++)
     kq__peer__message__free_unpacked (wires[i], NULL);
   return err;
@@ -70,6 +75,8 @@
       if (batch == NULL)
         continue;
       CU_ASSERT_EQUAL (batch->count, 20);
+      CU_ASSERT_EQUAL (batch->hosts_wanted, compress);
+      CU_ASSERT_PTR_NOT_NULL (batch->hosts);
       CU_ASSERT_EQUAL (batch->sender.incarnation, 7);
       CU_ASSERT_STRING_EQUAL (batch->messages[19].from.text, "a");
       CU_ASSERT_EQUAL (batch->messages[19].offset, messages[i % 2]->offset);
@@ -208,6 +215,7 @@
   struct kq_peers_settings settings;
   struct ev_loop *loop;
   int received;
+  size_t hosts;
   struct kq_peer_message last;
 };
 
@@ -221,6 +229,14 @@
   ev_break (host->loop, EVBREAK_ALL);
 }
 
+static void
+on_hosts (void *arg, const struct kq_host_entry *entries, size_t count)
+{
+  struct host *host = arg;
+
+  host->hosts = count;
+}
+
 static void
 free_address (char address[64])
 {
@@ -239,6 +255,8 @@
 start_host (struct host *host, struct ev_loop *loop, void *context,
             const char *name, const char (*bootstrap)[64])
 {
+  const struct kq_peers_handler handler
+      = { .arg = host, .message = on_message, .hosts = on_hosts };
   int err;
 
   memset (host, 0, sizeof *host);
@@ -250,8 +268,8 @@
   host->settings.bootstrap = bootstrap;
   host->settings.bootstrap_count = bootstrap != NULL;
   free_address (host->settings.self.address);
-  host->peers = kq_peers_create (loop, context, &host->settings, on_message,
-                                 host, &err);
+  host->peers
+      = kq_peers_create (loop, context, &host->settings, &handler, &err);
   CU_ASSERT_EQUAL (err, 0);
 }
 
@@ -278,6 +296,8 @@
   void *context = zmq_ctx_new ();
   void *stranger = zmq_socket (context, ZMQ_DEALER);
   char endpoint[80];
+  struct kq_host_entry listed_a
+      = { .name = { "a" }, .zone = { "a" }, .region = { "r" } };
   struct host a;
   struct host b;
   int linger = 0;
@@ -285,6 +305,7 @@
   start_host (&b, loop, context, "b", NULL);
   start_host (&a, loop, context, "a",
               (const char (*)[64])b.settings.self.address);
+  memcpy (listed_a.address, a.settings.self.address, 64);
   CU_ASSERT_TRUE (heard (&a, &b, 1));
   CU_ASSERT_STRING_EQUAL (b.last.from.text, "a");
   CU_ASSERT_EQUAL (b.last.revision, 13);
