fuzz: read every input from outside with libFuzzer

Configuration documents, log records, worker tables, host lists, frames of other entry hosts, operator commands and trace headers come from outside; a malformed one must be a typed error and never an exit. Ruled out: one target for all of them (the corpus of one starves the others), and frames alone for peers (few mutations get through the envelope), so that the same bytes are read as a batch too. Not covered: the messages of the request hop and HTTP of callers.

--- /dev/null
+++ b/t/fuzz/query.c
@@ -0,0 +1,29 @@
+/* The operators' language. */
+#include "query/query.h"
+#include "base/err.h"
+#include "t/fuzz/fuzz.h"
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size) /* NOLINT */
+{
+  struct kq_query query;
+  struct kq_query_error error;
+  char shown[512];
+  char *text = fuzz_text (data, size);
+  json_t *json;
+
+  if (kq_query_parse (text, &query, &error) == 0)
+    {
+      json = kq_query_reply (&query, KQ_ETIMEDOUT, 1);
+      kq_query_clear (&query);
+    }
+  else
+    {
+      json = kq_query_error_json (&error);
+      kq_query_error_print (&error, text, shown, sizeof shown);
+      fuzz_assert (strlen (shown) < sizeof shown);
+    }
+  json_decref (json);
+  free (text);
+  return 0;
+}
