--- a/core/task.c
+++ b/core/task.c
@@ -106,7 +106,7 @@
             && attempt->run == NULL)
           {
             attach_if_same (run, attempt);
-            if (attempt->run != NULL)
+            if (attempt->run != NULL && attempt->phase != KQ_PHASE_PENDING)
               note_row (core, attempt, false);
           }
     }
@@ -235,7 +235,11 @@
     {
       next = attempt->next;
       kq_run_detach (attempt);
-      kq_worker_forget (attempt);
+      /* The lease may go on under the same term, and a table that was read
+         before the start arrived may come after this. */
+      if (attempt->started_at == 0 || attempt->phase == KQ_PHASE_ENDED
+          || core->now >= kq_lease_clear_at (node->lease, 0))
+        kq_worker_forget (attempt);
     }
 }
 
@@ -397,7 +401,9 @@
       return;
     }
   /* The log was not read far enough to judge this row. */
-  if (attempt->row.binding > core->offset)
+  if (attempt->row.binding > core->offset
+      || (kq_jobs_is_rebuilding (core->jobs)
+          && kq_jobs_find (core->jobs, &attempt->row.task.job) == NULL))
     return;
   if (attempt->phase == KQ_PHASE_ENDED)
     acknowledge (core, attempt);
