t: measure how long workers stay without an owner

The limit that was set is 3 s.

Ruled out: counting from the successor's first heartbeat, which hides the time until the loss is noticed.

--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -218,4 +218,16 @@
 void fake_log_poll (struct fake_world *world, struct fake_item *item);
 void fake_log_retain (struct fake_world *world);
 
+/* lib-fake-load.c */
+/** Returns a host that runs and takes commands, -1 when there is none. */
+int fake_live_host (struct fake_world *world);
+/** Gives HOST the command, with a new id; a submitted job is named after it.
+ *  HOST -1: nothing happens.  */
+void fake_command (struct fake_world *world, int host,
+                   struct kq_command *command);
+/** Publishes the shards with some service from the revision in force. */
+void fake_configure (struct fake_world *world, int host);
+/** Submits a job of random size. */
+void fake_submit (struct fake_world *world, int host);
+
 #endif
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -71,57 +71,6 @@
   return item;
 }
 
-static int
-live_host (struct fake_world *world)
-{
-  int first = fake_pick (world, FAKE_HOSTS);
-
-  for (int i = 0; i < FAKE_HOSTS; i++)
-    {
-      const struct fake_host *host = &world->hosts[(first + i) % FAKE_HOSTS];
-
-      if (host->core != NULL && host->paused_until <= world->now
-          && !host->stopping)
-        return (first + i) % FAKE_HOSTS;
-    }
-  return -1;
-}
-
-static void
-command (struct fake_world *world, int host, struct kq_command *command)
-{
-  struct kq_event event = { .kind = KQ_EV_COMMAND };
-
-  if (host < 0)
-    return;
-  command->id = ++world->commands;
-  if (command->kind == KQ_CMD_SUBMIT)
-    snprintf (command->job.id.text, sizeof command->job.id.text, "j%lu",
-              (unsigned long)command->id);
-  event.u.command = *command;
-  fake_give (world, host, &event);
-}
-
-static void
-configure (struct fake_world *world, int host)
-{
-  static char text[4096];
-  struct kq_command configure = { .kind = KQ_CMD_CONFIGURE };
-  int length = snprintf (text, sizeof text, "{\"shards\":[");
-
-  for (int s = 0; s < FAKE_SHARDS; s++)
-    length += snprintf (
-        text + length, sizeof text - (size_t)length,
-        "%s{\"name\":\"s%d\",\"zone\":\"z%d\",\"workers\":[\"w%d\",\"w%d\","
-        "\"w%d\"]}",
-        s == 0 ? "" : ",", s, s % FAKE_ZONES, 3 * s, 3 * s + 1, 3 * s + 2);
-  snprintf (text + length, sizeof text - (size_t)length,
-            "],\"services\":[{\"name\":\"x%d\"}]}", fake_pick (world, 1000));
-  configure.text = text;
-  configure.base = kq_config_revision (world->config);
-  command (world, host, &configure);
-}
-
 static bool
 is_refusal (int err)
 {
@@ -143,33 +92,12 @@
     refused[refused_count++] = effect->u.reply.id;
 }
 
-static void
-submit (struct fake_world *world)
-{
-  struct kq_command submit = { .kind = KQ_CMD_SUBMIT };
-  struct kq_job *job = &submit.job;
-
-  strcpy (job->team.text, "team");
-  job->tasks = 1 + fake_pick (world, 12);
-  job->importance = fake_pick (world, 10);
-  job->run_ms = 300 + fake_pick (world, 15000);
-  job->size.cpu_milli = 500 + fake_pick (world, 3000);
-  job->size.memory_mb = 100 + fake_pick (world, 3000);
-  if (fake_chance (world, 0.03))
-    job->size.cpu_milli = 99000;
-  if (fake_chance (world, 0.3))
-    snprintf (job->zone.text, sizeof job->zone.text, "z%d",
-              fake_pick (world, FAKE_ZONES));
-  world->submits++;
-  command (world, live_host (world), &submit);
-}
-
 static void
 load (struct fake_world *world)
 {
   if (kq_config_revision (world->config) == 0)
-    configure (world, live_host (world));
-  submit (world);
+    fake_configure (world, fake_live_host (world));
+  fake_submit (world, fake_live_host (world));
   fake_schedule (
       world, world->now + fake_uniform (world, 0.2, load_gap[world->seed % 3]),
       FAKE_LOAD, -1);
@@ -240,7 +168,7 @@
 
       cancel.name = job->job.id;
       if (fake_chance (world, 0.3))
-        command (world, live_host (world), &cancel);
+        fake_command (world, fake_live_host (world), &cancel);
     }
 }
 
@@ -250,7 +178,7 @@
   struct kq_command drain = { .kind = on ? KQ_CMD_DRAIN : KQ_CMD_UNDRAIN };
 
   drain.name = world->workers[worker].name;
-  command (world, live_host (world), &drain);
+  fake_command (world, fake_live_host (world), &drain);
 }
 
 static void
@@ -379,8 +307,8 @@
       cancel_some (world);
       break;
     case FAULT_CONFIGURE:
-      configure (world, live_host (world));
-      configure (world, live_host (world));
+      fake_configure (world, fake_live_host (world));
+      fake_configure (world, fake_live_host (world));
       break;
     case FAULT_DRAIN:
       {
--- /dev/null
+++ b/t/test-takeover.c
@@ -0,0 +1,125 @@
+/* An owner is killed, or paused past its leases, while the log is up or down:
+   how long its workers stay without an owner, in virtual time, and what
+   becomes of the tasks that run there.  */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-fake.h"
+
+#define LEASED_WITHIN 3.0 /* seconds: the limit that was set */
+
+static void
+run_until (struct fake_world *world, double until)
+{
+  while (world->now < until && world->violations == 0)
+    {
+      struct fake_item *item = fake_next (world);
+
+      fake_item_free (item);
+    }
+}
+
+static bool
+holds (const struct fake_world *world, int host, int worker)
+{
+  const char *holder = world->workers[worker].holder.text;
+  size_t length = strlen (world->hosts[host].name.text);
+
+  return strncmp (holder, world->hosts[host].name.text, length) == 0
+         && holder[length] == '/';
+}
+
+/* Time until all workers in OWNED have an owner other than HOST. */
+static double
+time_until_leased (struct fake_world *world, int host, const bool *owned)
+{
+  double from = world->now;
+  double last = from;
+
+  while (world->now < from + 10)
+    {
+      bool all = true;
+
+      run_until (world, world->now + 0.01);
+      fake_workers_advance (world);
+      for (int i = 0; i < FAKE_WORKERS; i++)
+        if (owned[i]
+            && (holds (world, host, i)
+                || world->workers[i].holder.text[0] == '\0'))
+          all = false;
+      if (all)
+        break;
+      last = world->now;
+    }
+  return last - from;
+}
+
+static void
+open_world (struct fake_world *world, uint64_t seed)
+{
+  fake_init (world, seed);
+  world->log_keeps = 1000;
+  run_until (world, 3);
+  fake_configure (world, 0);
+  run_until (world, 10);
+  for (int i = 0; i < 20; i++)
+    fake_submit (world, fake_live_host (world));
+  run_until (world, 13);
+}
+
+static void
+take_over (uint64_t seed, bool pause, bool log_down, double *longest)
+{
+  static struct fake_world world;
+  bool owned[FAKE_WORKERS] = { false };
+  int64_t evictions;
+  int host = 0;
+  int count = 0;
+  double time;
+
+  open_world (&world, seed);
+  while (host < FAKE_HOSTS && count == 0)
+    {
+      for (int i = 0; i < FAKE_WORKERS; i++)
+        count += owned[i] = holds (&world, host, i);
+      host += count == 0;
+    }
+  CU_ASSERT_TRUE_FATAL (count > 0);
+  evictions = world.evictions;
+  if (log_down)
+    world.faults.log_down_until = world.now + 60;
+  if (pause)
+    world.hosts[host].paused_until = -20;
+  else
+    fake_kill_host (&world, host);
+  time = time_until_leased (&world, host, owned);
+  if (time > *longest)
+    *longest = time;
+  run_until (&world, world.now + 30);
+  CU_ASSERT_TRUE (time <= LEASED_WITHIN);
+  CU_ASSERT_EQUAL (world.violations, 0);
+  /* The running tasks go on under the new owner, also without the log. */
+  CU_ASSERT_EQUAL (world.evictions, evictions);
+  fake_free (&world);
+}
+
+static void
+test_takeover (void)
+{
+  for (int pause = 0; pause < 2; pause++)
+    for (int down = 0; down < 2; down++)
+      {
+        double longest = 0;
+
+        for (uint64_t seed = 1; seed <= 10; seed++)
+          take_over (seed, pause != 0, down != 0, &longest);
+        printf ("owner %s, log %s: leased again within %.2f s\n",
+                pause ? "paused" : "killed", down ? "down" : "up", longest);
+      }
+}
+
+static const struct kq_test tests[] = { { "takeover", test_takeover } };
+
+KQ_TEST_MAIN ("takeover", tests)
