--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -260,6 +260,28 @@
   undo_later (world, 10, UNDO_MESSAGES, 0);
 }
 
+static void
+kill_zone (struct fake_world *world, int zone)
+{
+  for (int i = zone; i < FAKE_HOSTS; i += FAKE_ZONES)
+    fault_host (world, FAULT_KILL, i);
+}
+
+/* What lasts is in the log and at the workers alone. */
+static void
+kill_all (struct fake_world *world)
+{
+  for (int i = 0; i < FAKE_HOSTS && fake_chance (world, 0.97); i++)
+    fault_host (world, FAULT_KILL, i);
+}
+
+static void
+drain_some (struct fake_world *world, int worker)
+{
+  drain (world, worker, true);
+  undo_later (world, 20, UNDO_DRAIN, worker);
+}
+
 static void
 fault (struct fake_world *world)
 {
@@ -273,17 +295,10 @@
       fault_host (world, kind, fake_pick (world, FAKE_HOSTS));
       break;
     case FAULT_ZONE:
-      {
-        int zone = fake_pick (world, FAKE_ZONES);
-
-        for (int i = zone; i < FAKE_HOSTS; i += FAKE_ZONES)
-          fault_host (world, FAULT_KILL, i);
-        break;
-      }
+      kill_zone (world, fake_pick (world, FAKE_ZONES));
+      break;
     case FAULT_ALL_HOSTS:
-      /* What lasts is in the log and at the workers alone. */
-      for (int i = 0; i < FAKE_HOSTS && fake_chance (world, 0.97); i++)
-        fault_host (world, FAULT_KILL, i);
+      kill_all (world);
       break;
     case FAULT_CUT:
       cut (world);
@@ -311,13 +326,8 @@
       fake_configure (world, fake_live_host (world));
       break;
     case FAULT_DRAIN:
-      {
-        int worker = fake_pick (world, FAKE_WORKERS);
-
-        drain (world, worker, true);
-        undo_later (world, 20, UNDO_DRAIN, worker);
-        break;
-      }
+      drain_some (world, fake_pick (world, FAKE_WORKERS));
+      break;
     case FAULT_COUNT:
       break;
     }
