core: look for room once a shard, not once a job

Each waiting job walked all attempts of all workers and all runs of the shard, 50 times a second: with 512 waiting jobs and 1,000 runs that is 25 million steps a second by count. Room and idle runs are now measured once a shard every 50 ms. Not measured as processor time yet.

--- a/core/bind.c
+++ b/core/bind.c
@@ -12,6 +12,9 @@
 /* A task that finds no room in its shard is given back after this time. */
 #define RELEASE_AFTER (5 * KQ_USEC_PER_SEC)
 
+/* Between two looks at the tasks that wait. */
+#define BIND_EVERY (50 * KQ_USEC_PER_MSEC)
+
 /* Each place in the order of shards waits this much longer for a job. */
 #define RANK_DELAY (700 * KQ_USEC_PER_MSEC)
 #define RANK_MAX 4
@@ -66,27 +69,42 @@
   return times;
 }
 
-/* Tasks like those of JOB that the shard can start beyond what waits. */
-static int64_t
-room_for (struct kq_core *core, const struct kq_shard *shard,
-          const struct kq_job *job)
+/* What a shard's workers can take beyond the tasks that wait there. */
+struct room
 {
-  int64_t room = 0;
+  struct kq_size free[KQ_LEASE_MAX_SHARD]; /* of workers that take tasks */
+  size_t count;
+  int64_t idle; /* bound tasks that do not run */
+};
 
+static void
+measure_room (struct kq_core *core, const struct kq_shard *shard,
+              struct room *room)
+{
+  room->count = 0;
+  room->idle = 0;
   for (size_t i = 0; i < shard->count; i++)
     {
       const struct kq_node *node = shard->nodes[i];
-      struct kq_size free_size = kq_worker_free (node->worker);
 
       if (kq_lease_held (node->lease, core->now) && node->known
           && !kq_worker_leaving (node->worker)
           && !kq_worker_quarantined (node->worker, core->now))
-        room += times_fits (&job->size, &free_size);
+        room->free[room->count++] = kq_worker_free (node->worker);
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
-    if (!run->done && kq_run_live (run) == NULL)
-      room--;
-  return room;
+    room->idle += !run->done && kq_run_live (run) == NULL;
+}
+
+/* Tasks of SIZE that the shard can start beyond what waits there. */
+static int64_t
+room_for (const struct room *room, const struct kq_size *size)
+{
+  int64_t times = -room->idle;
+
+  for (size_t i = 0; i < room->count; i++)
+    times += times_fits (size, &room->free[i]);
+  return times;
 }
 
 static void
@@ -133,23 +151,25 @@
             struct kq_job_state **waiting, size_t count,
             struct kq_task_ref *refs)
 {
+  struct room room;
   size_t used = 0;
 
+  measure_room (core, shard, &room);
   for (size_t i = 0; i < count && used < KQ_BATCH_MAX; i++)
     {
       struct kq_job_state *job = waiting[i];
-      int64_t room;
+      int64_t times;
 
       if (!allows (&job->job, shard)
           || !kq_size_fits (&job->job.size, &shard->largest)
           || core->now < job->waits_since
                              + rank_of (core, &job->job, shard) * RANK_DELAY)
         continue;
-      room = room_for (core, shard, &job->job) - (int64_t)used;
-      if (room > (int64_t)(KQ_BATCH_MAX - used))
-        room = (int64_t)(KQ_BATCH_MAX - used);
-      if (room > 0)
-        used += (size_t)kq_job_unbound (job, refs + used, (int)room);
+      times = room_for (&room, &job->job.size) - (int64_t)used;
+      if (times > (int64_t)(KQ_BATCH_MAX - used))
+        times = (int64_t)(KQ_BATCH_MAX - used);
+      if (times > 0)
+        used += (size_t)kq_job_unbound (job, refs + used, (int)times);
     }
   return used;
 }
@@ -256,8 +276,10 @@
   struct kq_shard *next;
   size_t count;
 
-  if (!kq_jobs_is_complete (core->jobs) || core->stopping)
+  if (!kq_jobs_is_complete (core->jobs) || core->stopping
+      || core->now < core->bind_at)
     return;
+  core->bind_at = core->now + BIND_EVERY;
   count = collect_waiting (core, waiting);
   for (size_t i = 0; i < count; i++)
     judge_job (core, waiting[i]);
--- a/core/internal.h
+++ b/core/internal.h
@@ -142,6 +142,7 @@
   bool view_dirty;
   kq_usec view_at;
   kq_usec refresh_at;
+  kq_usec bind_at;
   bool stopping, stopped;
   kq_usec stop_at;
   kq_usec released_at;    /**< all shards handed over in a planned stop */
