config: bound the workers of a shard at 256

A lease majority is counted over at most 256 workers; a larger shard was accepted and never owned by anybody, without a word. It is a schema error now, with the path of the workers. Ruled out: counting without a bound, as a shard is also what moves at a takeover and should stay small. Test first: 257 workers were accepted before.

--- a/config/document.c
+++ b/config/document.c
@@ -272,13 +272,26 @@
   return err;
 }
 
-/* A worker is in at most one shard. */
+static int
+check_shard_size (struct parser *parser,
+                  const struct kq_config_document *document, size_t index)
+{
+  if (document->shards[index].worker_count <= KQ_CONFIG_SHARD_WORKERS)
+    return 0;
+  leave (parser, 0);
+  enter (parser, "shards[%zu].workers", index);
+  return fail (parser);
+}
+
+/* A worker is in at most one shard, which is not too large to be owned. */
 static int
 check_shards (struct parser *parser, const struct kq_config_document *document)
 {
   json_t *workers = json_object ();
   int err = 0;
 
+  for (size_t i = 0; err == 0 && i < document->shard_count; i++)
+    err = check_shard_size (parser, document, i);
   for (size_t i = 0; err == 0 && i < document->shard_count; i++)
     for (size_t k = 0; err == 0 && k < document->shards[i].worker_count; k++)
       {
--- a/config/document.h
+++ b/config/document.h
@@ -15,6 +15,9 @@
 /** Longest document in bytes. */
 #define KQ_CONFIG_MAX_BYTES 1048576
 
+/** Most workers of a shard. */
+#define KQ_CONFIG_SHARD_WORKERS 256
+
 /** A fixed set of workers of one availability zone: the unit of ownership. */
 struct kq_config_shard
 {
--- a/core/topology.c
+++ b/core/topology.c
@@ -6,6 +6,9 @@
 #include "base/err.h"
 #include "core/internal.h"
 
+_Static_assert(KQ_CONFIG_SHARD_WORKERS <= KQ_LEASE_MAX_SHARD,
+               "a shard that is accepted can be owned");
+
 static void
 destroy_node (struct kq_core *core, struct kq_node *node)
 {
--- a/t/test-config.c
+++ b/t/test-config.c
@@ -1,3 +1,5 @@
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
@@ -173,7 +175,39 @@
     }
 }
 
+static void
+test_shards_are_bounded (void)
+{
+  for (int count = KQ_CONFIG_SHARD_WORKERS;
+       count <= KQ_CONFIG_SHARD_WORKERS + 1; count++)
+    {
+      struct kq_config_document *document = NULL;
+      struct kq_config_error error = { "" };
+      json_t *workers = json_array ();
+      json_t *root = json_pack ("{s:[{s:s, s:s, s:o}]}", "shards", "name", "s",
+                                "zone", "z", "workers", workers);
+      char *text;
+
+      for (int i = 0; i < count; i++)
+        json_array_append_new (workers, json_sprintf ("w%d", i));
+      text = json_dumps (root, 0);
+      if (count > KQ_CONFIG_SHARD_WORKERS)
+        {
+          CU_ASSERT_EQUAL (kq_config_document_parse (text, &document, &error),
+                           KQ_ECONFIG_SCHEMA);
+          CU_ASSERT_STRING_EQUAL (error.path, "shards[0].workers");
+        }
+      else
+        CU_ASSERT_EQUAL (kq_config_document_parse (text, &document, &error),
+                         0);
+      kq_config_document_free (document);
+      free (text);
+      json_decref (root);
+    }
+}
+
 static const struct kq_test tests[] = {
+  { "shards are bounded", test_shards_are_bounded },
   { "workers of a shard stay", test_workers_of_a_shard_stay },
   { "schema names the field", test_schema_names_the_field },
   { "parsed form", test_parsed_form },
