core: bound appends on their way; cancel what has finished for free

A wave of 5,000 cancellations sent 5,000 appends at once, half of them for jobs that had finished, in front of the records of ended tasks. A finished job's cancellation is answered without a record now; at most 32 appends of commands and 32 others are on their way, the others first.

Ruled out: one record for many cancellations, as each has its own reply and outcome.

--- a/core/append.c
+++ b/core/append.c
@@ -18,6 +18,9 @@
 /* An append that got no answer at all for this long counts as lost. */
 #define ANSWER_MAX (5 * KQ_USEC_PER_SEC)
 
+/* Appends on their way at the same time, for commands and for others. */
+#define IN_FLIGHT_MAX 32
+
 /* A lost append can still reach the log this long after it was lost. */
 #define LATE_MAX (2 * KQ_USEC_PER_SEC)
 
@@ -203,6 +206,53 @@
          && !kq_jobs_is_complete (core->jobs);
 }
 
+/* Whether APPEND waits for the log's answer. */
+static bool
+is_in_flight (const struct kq_append *append)
+{
+  return append->sent_at != 0 && append->offset == 0 && append->lost_at == 0
+         && append->retry_at == 0;
+}
+
+/* Whether APPEND is to be sent now. */
+static bool
+is_due (const struct kq_core *core, const struct kq_append *append)
+{
+  if (is_held_back (core, append))
+    return false;
+  return append->sent_at == 0
+         || (append->retry_at != 0 && core->now >= append->retry_at);
+}
+
+/* Sends what is due while fewer than IN_FLIGHT_MAX are on their way: first
+   what this host itself wants, so that no wave of commands holds up ends. */
+static void
+send_due (struct kq_core *core, bool commands, int in_flight)
+{
+  struct kq_append *append;
+
+  DL_FOREACH (core->appends, append)
+  {
+    if (in_flight >= IN_FLIGHT_MAX)
+      return;
+    if (append->has_command != commands || !is_due (core, append))
+      continue;
+    send (core, append);
+    in_flight++;
+  }
+}
+
+static int
+count_in_flight (struct kq_core *core, bool commands)
+{
+  const struct kq_append *append;
+  int count = 0;
+
+  DL_FOREACH (core->appends, append)
+  count += append->has_command == commands && is_in_flight (append);
+  return count;
+}
+
 void
 kq_append_tick (struct kq_core *core)
 {
@@ -211,14 +261,11 @@
 
   DL_FOREACH_SAFE (core->appends, append, next)
   {
-    if (expire_command (core, append) || is_held_back (core, append))
+    if (expire_command (core, append))
       continue;
-    if (append->sent_at == 0
-        || (append->retry_at != 0 && core->now >= append->retry_at))
-      send (core, append);
-    else if (append->retry_at == 0 && append->lost_at == 0
-             && append->offset == 0
-             && core->now > append->sent_at + ANSWER_MAX)
+    if (is_in_flight (append) && core->now > append->sent_at + ANSWER_MAX)
       append->lost_at = core->now;
   }
+  send_due (core, false, count_in_flight (core, false));
+  send_due (core, true, count_in_flight (core, true));
 }
--- a/core/command.c
+++ b/core/command.c
@@ -56,6 +56,18 @@
   return 0;
 }
 
+/* A job that has finished needs no record to be cancelled. */
+static bool
+is_done_already (const struct kq_core *core, const struct kq_command *command)
+{
+  const struct kq_job_state *job;
+
+  if (command->kind != KQ_CMD_CANCEL)
+    return false;
+  job = kq_jobs_find (core->jobs, &command->name);
+  return job != NULL && job->tasks == NULL;
+}
+
 static int
 check (const struct kq_core *core, const struct kq_command *command)
 {
@@ -120,6 +132,11 @@
 
   if (err == 0 && core->stopping)
     err = KQ_ESTOPPING;
+  if (err == 0 && is_done_already (core, command))
+    {
+      kq_command_reply (core, command->id, 0, core->offset);
+      return 0;
+    }
   if (err == 0 && log_is_down (core))
     err = KQ_ELOG_DOWN;
   if (err != 0)
--- a/t/test-core.c
+++ b/t/test-core.c
@@ -567,6 +567,64 @@
   CU_ASSERT_STRING_NOT_EQUAL (names[0].text, names[1].text);
 }
 
+/* 5,000 jobs are cancelled, half of which have finished: one record for each
+   of the others, few at a time, and a reply to every command. */
+static void
+test_wave_of_cancellations (void)
+{
+  enum
+  {
+    JOBS = 5000
+  };
+  struct bench bench = open_bench ();
+  int replies = 0;
+  int appends = 0;
+
+  log_end (&bench);
+  for (int i = 0; i < JOBS; i++)
+    {
+      struct kq_record job = { .kind = KQ_REC_JOB, .u.job.tasks = 1 };
+      struct kq_record end = { .kind = KQ_REC_CANCEL };
+
+      snprintf (job.u.job.id.text, sizeof job.u.job.id.text, "j%d", i);
+      end.u.cancel = job.u.job.id;
+      read_record (&bench, &job);
+      if (i % 2 == 0)
+        read_record (&bench, &end);
+    }
+  for (int i = 0; i < JOBS; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "j%d", i);
+      command (&bench, KQ_CMD_CANCEL, name);
+      replies += find (&bench, KQ_FX_REPLY, NULL) != NULL;
+    }
+  CU_ASSERT_EQUAL (replies, JOBS / 2);
+  for (int i = 0; i < 200 && replies < JOBS; i++)
+    {
+      struct kq_record *records[SEEN_MAX];
+      int count = 0;
+
+      tick (&bench, 20);
+      for (size_t k = 0; k < bench.count; k++)
+        if (bench.seen[k].kind == KQ_FX_APPEND)
+          records[count++] = kq_record_copy (bench.seen[k].u.append);
+      CU_ASSERT_TRUE (count <= 64);
+      appends += count;
+      for (int k = 0; k < count; k++)
+        {
+          appended (&bench, records[k], 0);
+          read_record (&bench, records[k]);
+          replies += find (&bench, KQ_FX_REPLY, NULL) != NULL;
+          kq_record_free (records[k]);
+        }
+    }
+  CU_ASSERT_EQUAL (replies, JOBS);
+  CU_ASSERT_EQUAL (appends, JOBS / 2);
+  close_bench (&bench);
+}
+
 /* Wrong events change nothing and are said so. */
 static void
 test_wrong_events (void)
@@ -632,6 +690,7 @@
         { "copies of drains", test_copies_of_drains },
         { "rows that are not known", test_rows_that_are_not_known },
         { "holder", test_holder },
+        { "wave of cancellations", test_wave_of_cancellations },
         { "wrong events", test_wrong_events } };
 
 KQ_TEST_MAIN ("core", tests)
