--- a/t/test-core.c
+++ b/t/test-core.c
@@ -116,6 +116,44 @@
   return NULL;
 }
 
+/* Returns a copy of the last record that was to be appended; the test ends
+   when there is none. */
+static struct kq_record *
+copy_append (const struct bench *bench)
+{
+  const struct kq_effect *append = find (bench, KQ_FX_APPEND, NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (append);
+  return append == NULL ? NULL : kq_record_copy (append->u.append);
+}
+
+/* Returns the task_ttl of the last request to WORKER, -1 if there is none. */
+static kq_usec
+task_ttl (const struct bench *bench, const char *worker)
+{
+  const struct kq_effect *lease = find (bench, KQ_FX_LEASE, worker);
+
+  return lease == NULL ? -1 : lease->u.lease.task_ttl;
+}
+
+/* Returns the ttl of the last request to WORKER, -1 if there is none. */
+static kq_usec
+lease_ttl (const struct bench *bench, const char *worker)
+{
+  const struct kq_effect *lease = find (bench, KQ_FX_LEASE, worker);
+
+  return lease == NULL ? -1 : lease->u.lease.ttl;
+}
+
+/* Returns the error of the last reply, 1 if there is none. */
+static int
+reply_err (const struct bench *bench)
+{
+  const struct kq_effect *reply = find (bench, KQ_FX_REPLY, NULL);
+
+  return reply == NULL ? 1 : reply->u.reply.err;
+}
+
 /* WORKER grants under TERM what was asked for now. */
 static void
 grant (struct bench *bench, const char *worker, uint64_t term,
@@ -192,10 +230,10 @@
   tick (&bench, 100);
   grant (&bench, "w0", 1, NULL);
   tick (&bench, 600);
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl, 0);
+  CU_ASSERT_EQUAL (task_ttl (&bench, "w0"), 0);
   grant (&bench, "w0", 1, NULL);
   grant (&bench, "w1", 1, NULL); /* a majority: extended at once */
-  CU_ASSERT_TRUE (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl > 0);
+  CU_ASSERT_TRUE (task_ttl (&bench, "w0") > 0);
   close_bench (&bench);
 }
 
@@ -205,15 +243,15 @@
 test_pause_past_the_leases (void)
 {
   struct bench bench = open_owner ();
-  const struct kq_effect *append;
+  struct kq_record *epoch;
 
   bench.now += 3000 * MSEC;
   grant (&bench, "w0", 2, NULL);
   grant (&bench, "w1", 2, NULL);
   tick (&bench, 100);
-  append = find (&bench, KQ_FX_APPEND, NULL);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (append);
-  CU_ASSERT_EQUAL (append->u.append->kind, KQ_REC_EPOCH);
+  epoch = copy_append (&bench);
+  CU_ASSERT_TRUE (epoch != NULL && epoch->kind == KQ_REC_EPOCH);
+  kq_record_free (epoch);
   close_bench (&bench);
 }
 
@@ -232,7 +270,7 @@
       grant (&bench, "w1", 1, NULL);
     }
   tick (&bench, 600);
-  CU_ASSERT_TRUE (find (&bench, KQ_FX_LEASE, "w0")->u.lease.task_ttl > 0);
+  CU_ASSERT_TRUE (task_ttl (&bench, "w0") > 0);
   tick (&bench, 1);
   for (int i = 0; i < 4; i++)
     {
@@ -241,7 +279,7 @@
       grant (&bench, "w1", 1, NULL);
     }
   tick (&bench, 600);
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w2")->u.lease.task_ttl, 0);
+  CU_ASSERT_EQUAL (task_ttl (&bench, "w2"), 0);
   close_bench (&bench);
 }
 
@@ -316,8 +354,7 @@
   appended (&bench, record, KQ_ELOG_DOWN);
   kq_record_free (record);
   command (&bench, KQ_CMD_SUBMIT, "k");
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.err,
-                   KQ_ELOG_DOWN);
+  CU_ASSERT_EQUAL (reply_err (&bench), KQ_ELOG_DOWN);
   close_bench (&bench);
 }
 
@@ -344,7 +381,7 @@
                           record->id.text);
   appended (&bench, record, KQ_ELOG_DOWN);
   read_record (&bench, record); /* it was appended after all */
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.err, 0);
+  CU_ASSERT_EQUAL (reply_err (&bench), 0);
   CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.revision,
                    bench.offset);
   kq_record_free (record);
@@ -437,8 +474,8 @@
 
   give (&bench, &stop);
   tick (&bench, 50);
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w0")->u.lease.ttl, 0);
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_LEASE, "w1")->u.lease.ttl, 0);
+  CU_ASSERT_EQUAL (lease_ttl (&bench, "w0"), 0);
+  CU_ASSERT_EQUAL (lease_ttl (&bench, "w1"), 0);
   for (size_t i = 0; i < bench.count; i++)
     goodbye |= bench.seen[i].kind == KQ_FX_PEER
                && bench.seen[i].u.peer.message.kind == KQ_PEER_GOODBYE;
@@ -523,7 +560,6 @@
       struct bench bench = open_owner ();
       struct kq_attempt_row row = { .attempt = 5, .task.job = { "x" } };
       struct kq_event gap = { .kind = KQ_EV_LOG_GAP };
-      const struct kq_effect *append;
 
       if (cases[i].gap != 0)
         {
@@ -534,9 +570,7 @@
           bench.offset = cases[i].gap - 1;
           log_end (&bench);
           tick (&bench, 100);
-          append = find (&bench, KQ_FX_APPEND, NULL);
-          CU_ASSERT_PTR_NOT_NULL_FATAL (append);
-          epoch = kq_record_copy (append->u.append);
+          epoch = copy_append (&bench);
           read_record (&bench, epoch);
           kq_record_free (epoch);
         }
@@ -667,8 +701,7 @@
   give (&bench, &event);
   tick (&bench, 11000);
   CU_ASSERT_PTR_NOT_NULL_FATAL (find (&bench, KQ_FX_REPLY, NULL));
-  CU_ASSERT_EQUAL (find (&bench, KQ_FX_REPLY, NULL)->u.reply.err,
-                   KQ_ELOG_DOWN);
+  CU_ASSERT_EQUAL (reply_err (&bench), KQ_ELOG_DOWN);
   close_bench (&bench);
 }
 
