--- a/job/job.c
+++ b/job/job.c
@@ -1,4 +1,4 @@
-#include "job/job.h"
+#include "job/internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -6,27 +6,6 @@
 #include <utlist.h>
 
 #include "base/err.h"
-#include "core/record.h"
-
-/* A record about a job that is not known yet, read after a gap. */
-struct held_record
-{
-  int64_t offset;
-  struct kq_record *record;
-  struct held_record *prev, *next;
-};
-
-struct kq_jobs
-{
-  struct kq_job_state *by_id;
-  struct kq_job_state *live;
-  struct kq_job_state *finished;
-  int finished_count;
-  struct kq_job_shard *shards;
-  bool complete;
-  int64_t first; /* records before it were not read */
-  struct held_record *held;
-};
 
 struct kq_jobs *
 kq_jobs_create (void)
@@ -42,22 +21,6 @@
   free (job);
 }
 
-static void
-drop_held (struct kq_jobs *jobs)
-{
-  struct held_record *held = jobs->held;
-
-  jobs->held = NULL;
-  while (held != NULL)
-    {
-      struct held_record *next = held->next;
-
-      kq_record_free (held->record);
-      free (held);
-      held = next;
-    }
-}
-
 static void
 drop_shards (struct kq_jobs *jobs)
 {
@@ -89,7 +52,7 @@
       job = next;
     }
   drop_shards (jobs);
-  drop_held (jobs);
+  kq_job_drop_held (jobs);
   jobs->live = NULL;
   jobs->finished = NULL;
   jobs->finished_count = 0;
@@ -122,7 +85,7 @@
 kq_jobs_rebuilt (struct kq_jobs *jobs)
 {
   jobs->first = 0;
-  drop_held (jobs);
+  kq_job_drop_held (jobs);
 }
 
 bool
@@ -178,8 +141,8 @@
   return shard;
 }
 
-static struct kq_job_shard *
-need_shard (struct kq_jobs *jobs, const struct kq_name *name)
+struct kq_job_shard *
+kq_job_need_shard (struct kq_jobs *jobs, const struct kq_name *name)
 {
   struct kq_job_shard *shard = find_shard (jobs, name);
 
@@ -222,8 +185,8 @@
   return 0;
 }
 
-static struct kq_job_state *
-add_job (struct kq_jobs *jobs, int64_t offset, const struct kq_job *body)
+struct kq_job_state *
+kq_job_add (struct kq_jobs *jobs, int64_t offset, const struct kq_job *body)
 {
   struct kq_job_state *job = calloc (1, sizeof *job);
 
@@ -237,14 +200,13 @@
     }
   job->job = *body;
   job->offset = offset;
-  job->changed = offset;
   HASH_ADD_STR (jobs->by_id, job.id.text, job);
   DL_APPEND (jobs->live, job);
   return job;
 }
 
-static void
-finish_job (struct kq_jobs *jobs, struct kq_job_state *job)
+void
+kq_job_finish (struct kq_jobs *jobs, struct kq_job_state *job)
 {
   struct kq_job_state *oldest;
 
@@ -271,9 +233,9 @@
   task->binding = 0;
 }
 
-static void
-bind (struct kq_job_state *job, struct kq_job_task *task,
-      struct kq_job_shard *shard, int64_t offset)
+void
+kq_job_bind (struct kq_job_state *job, struct kq_job_task *task,
+             struct kq_job_shard *shard, int64_t offset)
 {
   task->shard = shard;
   task->binding = offset;
@@ -294,7 +256,7 @@
       job->last_err = err;
     }
   if (job->ended == job->job.tasks)
-    finish_job (jobs, job);
+    kq_job_finish (jobs, job);
 }
 
 static int
@@ -304,11 +266,11 @@
     return KQ_ERANGE;
   if (kq_jobs_find (jobs, &body->id) != NULL)
     return KQ_EEXIST;
-  return add_job (jobs, offset, body) == NULL ? KQ_ENOMEM : 0;
+  return kq_job_add (jobs, offset, body) == NULL ? KQ_ENOMEM : 0;
 }
 
-static int
-apply_cancel (struct kq_jobs *jobs, int64_t offset, const struct kq_name *id)
+int
+kq_job_cancel (struct kq_jobs *jobs, int64_t offset, const struct kq_name *id)
 {
   struct kq_job_state *job = kq_jobs_find (jobs, id);
 
@@ -317,10 +279,9 @@
   if (job->tasks == NULL)
     return 0;
   job->cancelled = true;
-  job->changed = offset;
   for (int32_t i = 0; i < job->job.tasks; i++)
     unbind (job, &job->tasks[i]);
-  finish_job (jobs, job);
+  kq_job_finish (jobs, job);
   return 0;
 }
 
@@ -337,12 +298,13 @@
     return 0;
   if (record->kind == KQ_REC_BIND)
     {
-      struct kq_job_shard *shard = need_shard (jobs, &record->u.tasks.shard);
+      struct kq_job_shard *shard
+          = kq_job_need_shard (jobs, &record->u.tasks.shard);
 
       if (shard == NULL)
         return KQ_ENOMEM;
       if (task->shard == NULL)
-        bind (job, task, shard, offset);
+        kq_job_bind (job, task, shard, offset);
     }
   else if (record->kind == KQ_REC_END)
     end_task (jobs, job, task, ref->err);
@@ -352,14 +314,13 @@
       if (ref->checkpoint > task->checkpoint)
         task->checkpoint = ref->checkpoint;
     }
-  job->changed = offset;
   return 0;
 }
 
 /* Applies a record of tasks, to those of job ONLY unless it is NULL. */
-static int
-apply_tasks (struct kq_jobs *jobs, int64_t offset,
-             const struct kq_record *record, const struct kq_name *only)
+int
+kq_job_apply_tasks (struct kq_jobs *jobs, int64_t offset,
+                    const struct kq_record *record, const struct kq_name *only)
 {
   int err = 0;
 
@@ -386,7 +347,7 @@
 static int
 apply_epoch (struct kq_jobs *jobs, int64_t offset, const struct kq_name *name)
 {
-  struct kq_job_shard *shard = need_shard (jobs, name);
+  struct kq_job_shard *shard = kq_job_need_shard (jobs, name);
 
   if (shard == NULL)
     return KQ_ENOMEM;
@@ -394,95 +355,6 @@
   return 0;
 }
 
-static int
-fill_from_ranges (struct kq_jobs *jobs, struct kq_job_state *job,
-                  const struct kq_record *record)
-{
-  for (size_t i = 0; i < record->u.snapshot.count; i++)
-    {
-      const struct kq_task_range *range = &record->u.snapshot.ranges[i];
-      struct kq_job_shard *shard = NULL;
-
-      if (range->first < 0 || range->count < 0
-          || range->count > job->job.tasks - range->first)
-        return KQ_ERANGE;
-      if (!kq_name_empty (&range->shard))
-        shard = need_shard (jobs, &range->shard);
-      for (int32_t k = range->first; k < range->first + range->count; k++)
-        {
-          job->tasks[k].checkpoint = range->checkpoint;
-          job->tasks[k].ended = range->ended;
-          job->ended += range->ended;
-          if (shard != NULL && !range->ended)
-            bind (job, &job->tasks[k], shard, range->binding);
-        }
-    }
-  return 0;
-}
-
-/* Applies what was read about job ID after the snapshot was taken. */
-static void
-replay_held (struct kq_jobs *jobs, const struct kq_name *id, int64_t as_of)
-{
-  struct held_record *held;
-
-  DL_FOREACH (jobs->held, held)
-  {
-    if (held->offset <= as_of)
-      continue;
-    if (held->record->kind == KQ_REC_CANCEL)
-      {
-        if (kq_name_eq (&held->record->u.cancel, id))
-          apply_cancel (jobs, held->offset, id);
-      }
-    else
-      apply_tasks (jobs, held->offset, held->record, id);
-  }
-}
-
-static int
-apply_snapshot (struct kq_jobs *jobs, int64_t offset,
-                const struct kq_record *record)
-{
-  const struct kq_job *body = &record->u.snapshot.job;
-  struct kq_job_state *job = kq_jobs_find (jobs, &body->id);
-  int err;
-
-  if (job != NULL)
-    {
-      job->offset = offset;
-      return 0;
-    }
-  if (kq_job_check (body) != 0 || record->u.snapshot.as_of < jobs->first - 1)
-    return KQ_ERANGE;
-  /* A host that missed nothing knows that the job has finished. */
-  if (jobs->first == 0)
-    return KQ_EJOB_UNKNOWN;
-  job = add_job (jobs, offset, body);
-  if (job == NULL)
-    return KQ_ENOMEM;
-  job->changed = record->u.snapshot.as_of;
-  err = fill_from_ranges (jobs, job, record);
-  if (job->ended == job->job.tasks)
-    finish_job (jobs, job);
-  replay_held (jobs, &body->id, record->u.snapshot.as_of);
-  return err;
-}
-
-static int
-hold_record (struct kq_jobs *jobs, int64_t offset,
-             const struct kq_record *record)
-{
-  struct held_record *held = calloc (1, sizeof *held);
-
-  if (held == NULL)
-    return KQ_ENOMEM;
-  held->record = kq_record_copy (record);
-  held->offset = offset;
-  DL_APPEND (jobs->held, held);
-  return 0;
-}
-
 int
 kq_jobs_apply (struct kq_jobs *jobs, int64_t offset,
                const struct kq_record *record)
@@ -494,22 +366,22 @@
     case KQ_REC_JOB:
       return apply_job (jobs, offset, &record->u.job);
     case KQ_REC_CANCEL:
-      err = apply_cancel (jobs, offset, &record->u.cancel);
+      err = kq_job_cancel (jobs, offset, &record->u.cancel);
       break;
     case KQ_REC_EPOCH:
       return apply_epoch (jobs, offset, &record->u.epoch.shard);
     case KQ_REC_BIND:
     case KQ_REC_RELEASE:
     case KQ_REC_END:
-      err = apply_tasks (jobs, offset, record, NULL);
+      err = kq_job_apply_tasks (jobs, offset, record, NULL);
       break;
     case KQ_REC_SNAPSHOT:
-      return apply_snapshot (jobs, offset, record);
+      return kq_job_apply_snapshot (jobs, offset, record);
     default:
       return 0;
     }
   if (err == KQ_EJOB_UNKNOWN && jobs->first > 0)
-    hold_record (jobs, offset, record);
+    kq_job_hold (jobs, offset, record);
   return err;
 }
 
@@ -534,49 +406,3 @@
     }
   return found;
 }
-
-static bool
-stand_alike (const struct kq_job_task *a, const struct kq_job_task *b)
-{
-  return a->shard == b->shard && a->binding == b->binding
-         && a->checkpoint == b->checkpoint && a->ended == b->ended;
-}
-
-struct kq_task_range *
-kq_job_ranges (const struct kq_job_state *job, size_t *count)
-{
-  size_t used = 0;
-  size_t size = 8;
-  struct kq_task_range *ranges = malloc (size * sizeof *ranges);
-
-  for (int32_t i = 0; i < job->job.tasks && ranges != NULL; i++)
-    {
-      const struct kq_job_task *task = &job->tasks[i];
-      struct kq_task_range *range;
-
-      if (i > 0 && stand_alike (task, task - 1))
-        {
-          ranges[used - 1].count++;
-          continue;
-        }
-      if (used == size)
-        {
-          size *= 2;
-          range = realloc (ranges, size * sizeof *ranges);
-          if (range == NULL)
-            free (ranges);
-          ranges = range;
-        }
-      if (ranges == NULL)
-        return NULL;
-      range = &ranges[used++];
-      *range = (struct kq_task_range){ .first = i, .count = 1 };
-      range->ended = task->ended;
-      range->binding = task->binding;
-      range->checkpoint = task->checkpoint;
-      if (task->shard != NULL)
-        range->shard = task->shard->name;
-    }
-  *count = used;
-  return ranges;
-}
--- a/job/job.h
+++ b/job/job.h
@@ -45,7 +45,6 @@
   int64_t offset;   /**< of its JOB record, or of a snapshot */
   int64_t noted;    /**< the offset above when it was last looked at */
   kq_usec noted_at; /**< and when this host read that record */
-  int64_t changed;  /**< offset of the last record that changed it */
   bool cancelled;
   int32_t ended;       /**< tasks that have ended */
   int32_t failed;      /**< of these, given up */
