place: add margins up as variances, count racks without a margin

Cause: with more batch work than fits, workers stood at 0.72 of their processors where 0.87 was allowed: half a standard deviation was added for each task, and a rack's sum carried the margin of every task in it. Independent errors are now added up as variances, services' slots too, and a rack counts without a margin, as its errors cancel out. The limits follow: processors 0.90 to 0.94, slow-down 0.14 to 0.25 by weight of tail latency.

--- a/place/choose.c
+++ b/place/choose.c
@@ -61,7 +61,8 @@
   double limit = place->cpu_limit * worker->capacity.cpu_milli;
   double slow_limit = worker->slots > 0 ? place->slow_limit : HUGE_VAL;
 
-  if (option->load.cpu <= limit && option->load.slow <= slow_limit)
+  if (place_cpu_upper (place, &option->load) <= limit
+      && option->load.slow <= slow_limit)
     return true;
   return runs_no_task (worker)
          && declared->cpu_milli + worker->load.cpu
--- a/place/class.c
+++ b/place/class.c
@@ -151,6 +151,16 @@
   return size < INT32_MAX ? (int32_t)size : INT32_MAX;
 }
 
+double
+place_cpu_mean (const struct place_class *class, int32_t cpu_milli)
+{
+  double factor = class->cpu.mean;
+
+  if (place_unseen (class))
+    factor = fmin (fmax (factor, UNSEEN_LEAST), UNSEEN_MOST);
+  return cpu_milli * factor;
+}
+
 struct kq_size
 place_size (const struct kq_place *place, const struct place_class *class,
             const struct kq_size *size)
--- a/place/internal.h
+++ b/place/internal.h
@@ -77,8 +77,9 @@
 /** Sums over the tasks of a worker, by expected size. */
 struct place_load
 {
-  double cpu;    /**< milli, services included */
-  double memory; /**< MB, services included */
+  double cpu;          /**< milli, services included, without a margin */
+  double cpu_variance; /**< of its error, milli squared */
+  double memory;       /**< MB, services included, with a margin */
   int accelerators;
   double slow; /**< expected slow-down of services, 0 = none */
 };
@@ -136,6 +137,14 @@
 /** Returns the share that TASK had at time AT; 0 when it did not run. */
 int32_t place_share_at (const struct place_task *task, kq_usec at);
 
+/** Returns the processors that LOAD needs with a margin, in milli. */
+double place_cpu_upper (const struct kq_place *place,
+                        const struct place_load *load);
+
+/** Returns what a task of CLASS that declares CPU_MILLI is expected to use,
+ *  without a margin.  */
+double place_cpu_mean (const struct place_class *class, int32_t cpu_milli);
+
 /** Computes the expected load of WORKER anew. */
 void place_load_update (struct kq_place *place, struct place_worker *worker);
 
--- a/place/load.c
+++ b/place/load.c
@@ -29,22 +29,31 @@
 {
   struct kq_size expected = place_size (place, class, size);
   double slow = fmax (kq_estimate_upper (&class->slow, place->cpu_margin), 0);
-  double cpu = (double)expected.cpu_milli * share / SHARE_FULL;
+  double part = (double)share / SHARE_FULL;
+  double cpu = place_cpu_mean (class, size->cpu_milli) * part;
 
   load->cpu += cpu;
+  load->cpu_variance += class->cpu.variance * pow (size->cpu_milli * part, 2);
   load->memory += expected.memory_mb;
   load->accelerators += size->accelerators;
   load->slow += slow * part_of (worker, cpu);
 }
 
-/** What services take: busy slots, and as many more as vary by chance. */
+double
+place_cpu_upper (const struct kq_place *place, const struct place_load *load)
+{
+  return load->cpu + place->cpu_margin * sqrt (load->cpu_variance);
+}
+
+/** What services take: busy slots, whose number varies by chance. */
 static void
 add_services (const struct kq_place *place, const struct place_worker *worker,
               struct place_load *load)
 {
-  double busy = fmin (worker->busy + sqrt (worker->busy), worker->slots);
+  double slot_cpu = SLOT_CPU_MILLI * place->slot_cpu.mean;
 
-  load->cpu += busy * SLOT_CPU_MILLI * place->slot_cpu.mean;
+  load->cpu += worker->busy * slot_cpu;
+  load->cpu_variance += worker->busy * pow (slot_cpu, 2);
   load->memory += worker->slots * SLOT_MEMORY_MB
                   * kq_estimate_upper (&place->slot_memory, 1);
 }
@@ -52,7 +61,7 @@
 void
 place_load_update (struct kq_place *place, struct place_worker *worker)
 {
-  struct place_load load = { 0, 0, 0, 0 };
+  struct place_load load = { .cpu = 0 };
   const struct place_task *task;
 
   add_services (place, worker, &load);
--- a/place/state.c
+++ b/place/state.c
@@ -13,13 +13,13 @@
 #define RACK_LIMIT_PRIOR 0.6
 
 /* Limits at the two ends of each weight. */
-#define SLOW_LIMIT_LOOSE 0.28
+#define SLOW_LIMIT_LOOSE 0.25
 #define SLOW_LIMIT_TIGHT 0.14
-#define CPU_LIMIT_LOOSE 0.92
-#define CPU_LIMIT_TIGHT 0.84
+#define CPU_LIMIT_LOOSE 0.94
+#define CPU_LIMIT_TIGHT 0.90
 #define MEMORY_MARGIN_LEAST 1.0
 #define MEMORY_MARGIN_MOST 2.5
-#define CPU_MARGIN 0.5
+#define CPU_MARGIN 1.0
 
 static double
 between (double from, double to, double part)
