--- a/core/core.h
+++ b/core/core.h
@@ -40,9 +40,9 @@
 /** Returns the name under which CORE holds leases: the host and its
  *  incarnation.  KQ_FX_LEASE and KQ_FX_TASK are sent under this name, so that
  *  a host that starts again never takes an earlier incarnation's late request
- *  for its own.  A request to a worker that is not answered within lease_ttl
- *  must be given up and its connection closed: the core counts on it that no
- *  request is taken later than lease_ttl after it was asked for.  */
+ *  for its own.  A request to a worker must be written within lease_ttl / 2 of
+ * the step that asked for it or be dropped, and given up, its connection
+ * closed, lease_ttl / 2 after that.  */
 const struct kq_name *kq_core_holder (const struct kq_core *core);
 
 /** Takes EVENT at time NOW and appends what is to be done to OUT.  An
--- a/core/refresh.c
+++ b/core/refresh.c
@@ -127,6 +127,8 @@
 
   core->rebuilt_at
       = core->now + (ANYONE_AFTER + 1) * core->settings.refresh_every;
+  /* By then the other hosts are known, of which one is the keeper. */
+  core->refresh_at = core->now + 2 * KQ_MEMBER_TTL;
   core->config_at = old;
   for (drain = core->drains; drain != NULL; drain = drain->hh.next)
     drain->noted_at = old;
--- a/core/task.c
+++ b/core/task.c
@@ -249,9 +249,7 @@
                   kq_usec at)
 {
   return attempt->started_at != 0
-         && at <= attempt->started_at
-                      + kq_lease_lengthen (&core->terms,
-                                           core->settings.lease_ttl);
+         && at <= attempt->started_at + kq_lease_latest (&core->terms);
 }
 
 static void
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -33,6 +33,12 @@
   return duration * (PPM + terms->clock_rate_ppm) / PPM + 1;
 }
 
+kq_usec
+kq_lease_latest (const struct kq_lease_terms *terms)
+{
+  return kq_lease_lengthen (terms, 2 * terms->ttl);
+}
+
 struct kq_lease *
 kq_lease_create (const struct kq_lease_terms *terms)
 {
@@ -57,8 +63,7 @@
   /* A raised term makes the late release miss. */
   if (lease->term > lease->release_term)
     return true;
-  return now > lease->released_at
-                   + kq_lease_lengthen (lease->terms, lease->terms->ttl);
+  return now > lease->released_at + kq_lease_latest (lease->terms);
 }
 
 void
@@ -180,8 +185,8 @@
   const struct kq_lease_terms *terms = lease->terms;
   kq_usec from = lease->extended_at > since ? lease->extended_at : since;
 
-  /* A request that was sent at FROM is taken up to a ttl later. */
-  return from + kq_lease_lengthen (terms, terms->ttl + terms->task_ttl);
+  return from + kq_lease_latest (terms)
+         + kq_lease_lengthen (terms, terms->task_ttl);
 }
 
 static int
--- a/lease/lease.h
+++ b/lease/lease.h
@@ -18,8 +18,7 @@
 struct kq_lease_terms
 {
   struct kq_name holder;  /**< name that leases are held under */
-  kq_usec ttl;            /**< of a lease; also bounds how late a worker takes
-                             a request */
+  kq_usec ttl;            /**< of a lease */
   kq_usec task_ttl;       /**< of an attempt after it was extended */
   int32_t clock_rate_ppm; /**< bound on the error between two clocks */
 };
@@ -45,6 +44,13 @@
 kq_usec kq_lease_lengthen (const struct kq_lease_terms *terms,
                            kq_usec duration);
 
+/** Returns for how long after it was asked for a worker may take a request.
+ *  One that was written in time arrives within half a ttl.  One that its
+ *  paused sender writes later is refused once the lease has lapsed, a ttl
+ *  after the last one that was taken; what the same sender wrote with it may
+ *  be another half ttl on its way.  */
+kq_usec kq_lease_latest (const struct kq_lease_terms *terms);
+
 /** Creates a lease that is not held; NULL when out of memory.  TERMS must
  *  outlive the lease.  */
 struct kq_lease *kq_lease_create (const struct kq_lease_terms *terms);
--- a/t/lib-fake-log.c
+++ b/t/lib-fake-log.c
@@ -46,6 +46,28 @@
     }
 }
 
+/* An operator's record counts; a copy only while its original is in force. */
+static void
+note_drain (struct fake_world *world, int64_t offset,
+            const struct kq_record *record)
+{
+  int64_t *drained = &world->drained[atoi (record->u.drain.name.text + 1)];
+
+  if (record->u.drain.base == 0 || record->u.drain.base == *drained)
+    *drained = record->u.drain.on ? offset : 0;
+}
+
+/* Notes since when HOST, which has read to the end, knows of drains. */
+static void
+hear_drains (struct fake_world *world, struct fake_host *host)
+{
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    if (world->drained[i] == 0)
+      host->heard_drain[i] = 0;
+    else if (host->heard_drain[i] <= 0)
+      host->heard_drain[i] = world->now;
+}
+
 static int64_t
 land (struct fake_world *world, const struct kq_record *record)
 {
@@ -58,6 +80,8 @@
   fake_workers_advance (world);
   if (record->kind == KQ_REC_END)
     check_ends (world, offset, record);
+  if (record->kind == KQ_REC_DRAIN)
+    note_drain (world, offset, record);
   if (record->kind == KQ_REC_CONFIG)
     kq_config_apply (world->config, offset, record->u.config.base,
                      &record->host, record->u.config.text, NULL);
@@ -144,6 +168,7 @@
     }
   if (host->next_offset <= world->log_count)
     return;
+  hear_drains (world, host);
   memset (&event, 0, sizeof event);
   event.kind = KQ_EV_LOG_END;
   event.u.log.sent_at = fake_clock (world, host);
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -98,8 +98,8 @@
 fake_worker_restart (struct fake_world *world, int worker)
 {
   advance (world, &world->workers[worker]);
+  /* The lease stands: see assumption 5. */
   world->workers[worker].row_count = 0;
-  world->workers[worker].lease_ends = world->now;
 }
 
 static double
@@ -131,6 +131,8 @@
     return KQ_ELEASE_HELD;
   if (effect->u.lease.ttl == 0)
     {
+      fake_trace (world, "%s is released by %s", worker->name.text,
+                  sender->text);
       memset (&worker->holder, 0, sizeof worker->holder);
       worker->lease_ends = world->now;
       return 0;
@@ -140,6 +142,8 @@
     {
       worker->term++;
       worker->holder = *sender;
+      fake_trace (world, "%s is leased by %s, term %ld", worker->name.text,
+                  sender->text, (long)worker->term);
       return 0;
     }
   for (int i = 0; i < worker->row_count; i++)
@@ -235,6 +239,7 @@
 {
   struct fake_task *task = fake_task (world, &start->task);
   const struct fake_host *host = &world->hosts[item->host];
+  double decided = (item->sent_at / USEC - host->base) / host->rate;
 
   check_single (world, worker, start);
   if (task->ended_at != 0
@@ -247,9 +252,13 @@
     fake_violation (world, "task %s/%d starts without a binding",
                     start->task.job.text, start->task.index);
   if (host->heard_leaving[item->worker] > 0
-      && world->now > host->heard_leaving[item->worker] + 3.0)
+      && decided > host->heard_leaving[item->worker] + 3.0)
     fake_violation (world, "%s starts a task 3 s after it began to leave",
                     worker->name.text);
+  if (host->heard_drain[item->worker] > 0
+      && decided > host->heard_drain[item->worker] + 3.0)
+    fake_violation (world, "%s starts a task 3 s after it was drained",
+                    worker->name.text);
   if (start->checkpoint > 0)
     world->resumes++;
   task->last_attempt = start->attempt;
--- a/t/lib-fake-world.c
+++ b/t/lib-fake-world.c
@@ -102,8 +102,7 @@
   if (world->heap_count == world->heap_size)
     {
       world->heap_size = world->heap_size * 2 + 64;
-      world->heap
-          = realloc (world->heap, world->heap_size * sizeof *world->heap);
+      world->heap = realloc (world->heap, world->heap_size * sizeof (void *));
     }
   item->serial = ++world->serial;
   world->heap[world->heap_count++] = item;
@@ -191,8 +190,7 @@
     }
 }
 
-/* A request that was held back by a pause is sent when it is still young, as
-   the daemon does, or when it is so old that only the worker can refuse it. */
+/* A request that a pause of its sender holds back leaves at LEAVES_AT. */
 static void
 send_request (struct fake_world *world, int host,
               const struct kq_effect *effect, double leaves_at)
@@ -202,11 +200,8 @@
                                    ? &effect->u.lease.worker
                                    : &effect->u.task.worker;
   int copies = fake_chance (world, world->faults.duplicate) ? 2 : 1;
-  double held = leaves_at - world->now;
   int worker = atoi (strrchr (name->text, 'w') + 1);
 
-  if (held > 0.9 && held < 2.1)
-    return;
   while (copies-- > 0)
     {
       double delay
@@ -284,6 +279,31 @@
   host->revision = revision;
 }
 
+/* What a host believes to own until some time, it holds until then. */
+static void
+check_owned (struct fake_world *world, struct fake_host *host)
+{
+  struct kq_view *view = kq_core_view (host->core, fake_clock (world, host));
+
+  for (size_t i = 0; i < view->worker_count; i++)
+    {
+      const struct kq_view_worker *seen = &view->workers[i];
+      int index = atoi (seen->name.text + 1);
+      struct fake_worker *worker = &world->workers[index];
+      double until
+          = ((double)seen->owned_until / USEC - host->base) / host->rate;
+
+      if (!seen->owned)
+        continue;
+      if (!kq_name_eq (&worker->holder, kq_core_holder (host->core))
+          || until > worker->lease_ends + 1e-5)
+        fake_violation (world, "%s owns %s until %.3f, lease of %s to %.3f",
+                        host->name.text, worker->name.text, until,
+                        worker->holder.text, worker->lease_ends);
+    }
+  kq_view_free (view);
+}
+
 static void
 run_effects (struct fake_world *world, int host, double leaves_at)
 {
@@ -308,7 +328,7 @@
           world->reply (world, host, &effect);
         break;
       case KQ_FX_VIEW:
-        kq_view_free (kq_core_view (self->core, fake_clock (world, self)));
+        check_owned (world, self);
         check_revision (world, self);
         break;
       case KQ_FX_STOPPED:
@@ -370,6 +390,7 @@
   self->stopping = false;
   self->stopped = false;
   memset (self->heard_leaving, 0, sizeof self->heard_leaving);
+  memset (self->heard_drain, 0, sizeof self->heard_drain);
   fake_trace (world, "%s starts, incarnation %ld", self->name.text,
               (long)self->incarnation);
   fake_schedule (world, world->now, FAKE_TICK, host);
--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -72,6 +72,7 @@
   double paused_until;
   int64_t next_offset;
   int64_t revision;                   /* highest seen, never to decrease */
+  double heard_drain[FAKE_WORKERS];   /* likewise, by the log */
   double heard_leaving[FAKE_WORKERS]; /* since when it knows; 0 = not */
   bool stopping, stopped;
 };
@@ -110,6 +111,7 @@
   double log_keeps;     /* seconds */
   struct kq_jobs *jobs; /* what the whole log says */
   struct kq_config *config;
+  int64_t drained[FAKE_WORKERS]; /* offset of the record in force, or 0 */
   struct fake_task *tasks;
   bool quiet; /* faults have stopped */
   /* Takes the reply of a host's core to an operator's command; or NULL. */
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -534,7 +534,9 @@
   fflush (stdout);
 }
 
-/* An invariant of the program itself did not hold. */
+/* An invariant of the program itself did not hold.  The signal comes from
+   abort() in this thread, so that everything may be called.  */
+/* NOLINTBEGIN(bugprone-signal-handler) */
 static void
 on_abort (int number)
 {
@@ -543,6 +545,7 @@
   print_trace (running);
   _exit (1);
 }
+/* NOLINTEND(bugprone-signal-handler) */
 
 static int
 soak (uint64_t seed, int64_t steps)
