place: grant sizes to the worker's guard, agree with its table

Cause: the daemon's workers refuse starts beyond their capacity by the size that a start states. A task is now started with what it is expected to use, at most what it declares; the sum of grants is a limit beside the learned ones, and room for urgent work is made by moves where the guard is what lacks. kq_place_sync() makes the noted tasks agree with a worker's table in one call (in place of adopt and checkpointed), so that the core needs no hook at each transition. A rack or worker that runs nothing takes a task that is larger than its learned limits. Reports that never state the slow-down of services switch its limit off instead of holding back batch.

--- a/place/choose.c
+++ b/place/choose.c
@@ -20,19 +20,6 @@
   double rack_part;       /**< of the rack's limit, with the task */
 };
 
-static bool
-runs_no_task (const struct place_worker *worker)
-{
-  const struct place_task *task;
-
-  DL_FOREACH (worker->tasks, task)
-  {
-    if (task->ended_at == 0)
-      return false;
-  }
-  return true;
-}
-
 /** Whether SIZE as declared fits into the whole of WORKER. */
 static bool
 fits_idle (const struct place_worker *worker, const struct kq_size *size)
@@ -59,16 +46,29 @@
 {
   const struct place_worker *worker = option->worker;
   double limit = place->cpu_limit * worker->capacity.cpu_milli;
-  double slow_limit = worker->slots > 0 ? place->slow_limit : HUGE_VAL;
+  double slow_limit = place_slow_limit (place, worker);
 
   if (place_cpu_upper (place, &option->load) <= limit
       && option->load.slow <= slow_limit)
     return true;
-  return runs_no_task (worker)
+  return worker->load.tasks == 0
          && declared->cpu_milli + worker->load.cpu
                 <= worker->capacity.cpu_milli;
 }
 
+/** Whether the memory of OPTION stays within limits, likewise. */
+static bool
+within_memory (const struct option *option, const struct kq_size *declared)
+{
+  const struct place_worker *worker = option->worker;
+
+  if (option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb)
+    return true;
+  return worker->load.tasks == 0
+         && declared->memory_mb + worker->load.memory
+                <= worker->capacity.memory_mb;
+}
+
 /** Fills OPTION and returns whether it is within all limits. */
 static bool
 weigh (const struct kq_place *place, struct place_worker *worker,
@@ -76,6 +76,7 @@
        struct option *option)
 {
   const struct place_rack *rack = worker->rack;
+  struct kq_size grant = place_grant (place, class, &task->size);
   double added;
 
   option->worker = worker;
@@ -86,9 +87,9 @@
   option->rack_part
       = (rack->used + added) / (rack->limit * fmax (rack->capacity, 1));
   return fits_idle (worker, &task->size)
-         && option->load.accelerators <= worker->capacity.accelerators
-         && option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb
-         && option->rack_part <= 1
+         && place_guard_admits (worker, &worker->load, &grant)
+         && within_memory (option, &task->size)
+         && (option->rack_part <= 1 || rack->tasks == 0)
          && within_speed (place, option, &task->size);
 }
 
@@ -123,7 +124,7 @@
 cost (const struct kq_place *place, const struct place_class *class,
       const struct option *option)
 {
-  double slow = option->load.slow / place->slow_limit;
+  double slow = option->load.slow / place_slow_limit (place, option->worker);
   double left = 1 - option->load.cpu / option->worker->capacity.cpu_milli;
   int together = place_unseen (class) ? tasks_of (option->worker, class) : 0;
 
@@ -187,6 +188,8 @@
 {
   struct place_worker *worker = place_worker_find (place, name);
   const struct place_class *class = place_class_of (place, task);
+  struct kq_place_running running
+      = { .task = *task, .share_milli = SHARE_FULL };
 
   if (worker == NULL)
     return KQ_ENOENT;
@@ -197,5 +200,6 @@
       || !within_quota (class->team, &task->size))
     abort ();
   worker->room_until = 0;
-  return kq_place_adopt (place, name, task, now);
+  running.granted = place_grant (place, class, &task->size);
+  return place_task_add (place, worker, &running, now);
 }
--- a/place/class.c
+++ b/place/class.c
@@ -174,6 +174,27 @@
   return expected;
 }
 
+struct kq_size
+place_grant (const struct kq_place *place, const struct place_class *class,
+             const struct kq_size *size)
+{
+  struct kq_size grant = place_size (place, class, size);
+
+  if (grant.cpu_milli > size->cpu_milli)
+    grant.cpu_milli = size->cpu_milli;
+  if (grant.memory_mb > size->memory_mb)
+    grant.memory_mb = size->memory_mb;
+  return grant;
+}
+
+struct kq_size
+kq_place_grant (struct kq_place *place, const struct kq_place_task *task)
+{
+  const struct place_class *class = place_class_of (place, task);
+
+  return class ? place_grant (place, class, &task->size) : task->size;
+}
+
 struct kq_size
 kq_place_size (struct kq_place *place, const struct kq_place_task *task)
 {
--- a/place/internal.h
+++ b/place/internal.h
@@ -50,6 +50,8 @@
 struct place_task
 {
   struct kq_place_task task;
+  struct kq_size granted; /**< that the worker's guard counts */
+  int64_t checkpoint;     /**< as last reported */
   struct place_class *class;
   kq_usec started_at;
   kq_usec saved_at; /**< work since then is lost by a stop */
@@ -66,6 +68,7 @@
   struct kq_name name;
   double limit;       /**< part of the rack's processors that may be used */
   double ceiling;     /**< part in use when it was last throttled */
+  int tasks;          /**< that run, by the last update */
   double used;        /**< expected use in milli, by the last update */
   double capacity;    /**< milli, by the last update */
   kq_usec lowered_at; /**< reports taken before say nothing new */
@@ -80,7 +83,8 @@
   double cpu;          /**< milli, services included, without a margin */
   double cpu_variance; /**< of its error, milli squared */
   double memory;       /**< MB, services included, with a margin */
-  int accelerators;
+  struct kq_size granted;
+  int tasks;   /**< that run */
   double slow; /**< expected slow-down of services, 0 = none */
 };
 
@@ -111,7 +115,9 @@
   double spread_weight; /**< cost of slow-down against that of packing */
   struct kq_estimate slot_cpu;    /**< of a busy slot / SLOT_CPU_MILLI */
   struct kq_estimate slot_memory; /**< of a slot / SLOT_MEMORY_MB */
-  bool stale; /**< estimates have changed since loads were computed */
+  bool slow_seen;   /**< some report stated the slow-down of services */
+  bool slow_silent; /**< reports come, but none has stated it */
+  bool stale;       /**< estimates have changed since loads were computed */
   struct place_class *classes;    /**< hash by key */
   struct place_class *class_list; /**< the same, oldest first */
   struct place_worker *workers;
@@ -148,6 +154,22 @@
 /** Computes the expected load of WORKER anew. */
 void place_load_update (struct kq_place *place, struct place_worker *worker);
 
+/** Returns the bound on the slow-down of services on WORKER. */
+double place_slow_limit (const struct kq_place *place,
+                         const struct place_worker *worker);
+
+/** Returns what is granted to a task of CLASS that declares SIZE: no more
+ *  than it declares, less when it is known to use less.  */
+struct kq_size place_grant (const struct kq_place *place,
+                            const struct place_class *class,
+                            const struct kq_size *size);
+
+/** Returns whether the guard of WORKER, whose load is LOAD, admits a task
+ *  with GRANT.  */
+bool place_guard_admits (const struct place_worker *worker,
+                         const struct place_load *load,
+                         const struct kq_size *grant);
+
 /** Adds to LOAD what a task of CLASS and SIZE is expected to bring. */
 void place_load_add (const struct kq_place *place,
                      const struct place_worker *worker,
@@ -193,6 +215,10 @@
  *  task that was moved before.  */
 double place_eviction_cost (const struct place_task *task, kq_usec now);
 
+/** Notes TASK as running on WORKER.  @return 0 or KQ_ENOMEM.  */
+int place_task_add (struct kq_place *place, struct place_worker *worker,
+                    const struct kq_place_running *running, kq_usec now);
+
 bool place_id_eq (const struct kq_task_id *a, const struct kq_task_id *b);
 
 struct place_worker *place_worker_find (const struct kq_place *place,
--- a/place/learn.c
+++ b/place/learn.c
@@ -209,6 +209,9 @@
     return KQ_ENOENT;
   if (worker->reported && usage->seq <= worker->usage.seq)
     return KQ_EEXIST;
+  place->slow_seen = place->slow_seen || usage->slow_milli > 0;
+  place->slow_silent
+      = !place->slow_seen && (place->slow_silent || worker->slots > 0);
   worker->usage = *usage;
   worker->reported = true;
   worker->fresh = true;
--- a/place/load.c
+++ b/place/load.c
@@ -35,10 +35,29 @@
   load->cpu += cpu;
   load->cpu_variance += class->cpu.variance * pow (size->cpu_milli * part, 2);
   load->memory += expected.memory_mb;
-  load->accelerators += size->accelerators;
   load->slow += slow * part_of (worker, cpu);
 }
 
+bool
+place_guard_admits (const struct place_worker *worker,
+                    const struct place_load *load, const struct kq_size *grant)
+{
+  return load->granted.cpu_milli + grant->cpu_milli
+             <= worker->capacity.cpu_milli
+         && load->granted.memory_mb + grant->memory_mb
+                <= worker->capacity.memory_mb
+         && load->granted.accelerators + grant->accelerators
+                <= worker->capacity.accelerators;
+}
+
+double
+place_slow_limit (const struct kq_place *place,
+                  const struct place_worker *worker)
+{
+  return worker->slots > 0 && !place->slow_silent ? place->slow_limit
+                                                  : HUGE_VAL;
+}
+
 double
 place_cpu_upper (const struct kq_place *place, const struct place_load *load)
 {
@@ -67,9 +86,14 @@
   add_services (place, worker, &load);
   DL_FOREACH (worker->tasks, task)
   {
-    if (task->ended_at == 0)
-      place_load_add (place, worker, task->class, &task->task.size,
-                      task->share, &load);
+    if (task->ended_at != 0)
+      continue;
+    place_load_add (place, worker, task->class, &task->task.size, task->share,
+                    &load);
+    load.granted.cpu_milli += task->granted.cpu_milli;
+    load.granted.memory_mb += task->granted.memory_mb;
+    load.granted.accelerators += task->granted.accelerators;
+    load.tasks++;
   }
   worker->load = load;
 }
@@ -82,6 +106,7 @@
 
   for (rack = place->racks; rack != NULL; rack = rack->hh.next)
     {
+      rack->tasks = 0;
       rack->used = 0;
       rack->capacity = 0;
     }
@@ -89,6 +114,7 @@
     {
       if (place->stale)
         place_load_update (place, worker);
+      worker->rack->tasks += worker->load.tasks;
       worker->rack->used
           += fmin (worker->load.cpu, worker->capacity.cpu_milli);
       worker->rack->capacity += worker->capacity.cpu_milli;
--- a/place/relieve.c
+++ b/place/relieve.c
@@ -166,7 +166,7 @@
   double rack = own->used / (own->limit * fmax (own->capacity, 1));
   double cpu = place_cpu_upper (place, &worker->load)
                / (place->cpu_limit * fmax (worker->capacity.cpu_milli, 1));
-  double slow = worker->slots > 0 ? worker->load.slow / place->slow_limit : 0;
+  double slow = worker->load.slow / place_slow_limit (place, worker);
 
   return fmax (fmax (rack, cpu), slow);
 }
--- a/place/room.c
+++ b/place/room.c
@@ -46,15 +46,18 @@
   place_loads_update (place);
 }
 
-/** Adds a step to PLAN: a slow-down while one is left, then a move.
+/** Adds a step to PLAN for a task of IMPORTANCE with GRANT: a slow-down while
+ *  the worker's guard admits the task and one is left, or else a move.
  *  @return false when nothing is left to be done.  */
 static bool
 add_step (struct kq_place *place, struct plan *plan, int32_t importance,
-          kq_usec now)
+          const struct kq_size *grant, kq_usec now)
 {
   struct step *step = &plan->steps[plan->count];
-  struct place_task *task = place_loudest (plan->worker, importance);
+  struct place_task *task = NULL;
 
+  if (place_guard_admits (plan->worker, &plan->worker->load, grant))
+    task = place_loudest (plan->worker, importance);
   step->evict = task == NULL;
   if (step->evict)
     task = place_victim (plan->worker, importance, now);
@@ -85,12 +88,13 @@
             const struct place_class *class, const struct kq_place_task *task,
             kq_usec now)
 {
+  struct kq_size grant = place_grant (place, class, &task->size);
   bool found = false;
 
   plan->count = 0;
   plan->cost = 0;
   while (!found && plan->count < STEPS_MAX
-         && add_step (place, plan, task->importance, now))
+         && add_step (place, plan, task->importance, &grant, now))
     found = place_within_limits (place, plan->worker, class, task);
   roll_back (place, plan);
   return found;
--- a/place/state.c
+++ b/place/state.c
@@ -219,26 +219,22 @@
 }
 
 int
-kq_place_adopt (struct kq_place *place, const struct kq_name *name,
-                const struct kq_place_task *task, kq_usec now)
+place_task_add (struct kq_place *place, struct place_worker *worker,
+                const struct kq_place_running *running, kq_usec now)
 {
-  struct place_worker *worker = place_worker_find (place, name);
-  struct place_class *class;
-  struct place_task *own;
+  const struct kq_place_task *task = &running->task;
+  struct place_class *class = place_class_of (place, task);
+  struct place_task *own = class ? calloc (1, sizeof (*own)) : NULL;
 
-  if (worker == NULL)
-    return KQ_ENOENT;
-  if (place_task_find (worker, &task->id) != NULL)
-    return KQ_EEXIST;
-  class = place_class_of (place, task);
-  own = class ? calloc (1, sizeof (*own)) : NULL;
   if (own == NULL)
     return KQ_ENOMEM;
   own->task = *task;
+  own->granted = running->granted;
+  own->checkpoint = running->checkpoint;
   own->class = class;
   own->started_at = now;
   own->saved_at = now;
-  own->share = SHARE_FULL;
+  own->share = running->share_milli;
   class->tasks++;
   class->running++;
   class->team->occupied.cpu_milli += task->size.cpu_milli;
@@ -249,17 +245,6 @@
   return 0;
 }
 
-void
-kq_place_checkpointed (struct kq_place *place, const struct kq_name *name,
-                       const struct kq_task_id *id, kq_usec now)
-{
-  struct place_worker *worker = place_worker_find (place, name);
-  struct place_task *task = worker ? place_task_find (worker, id) : NULL;
-
-  if (task != NULL)
-    task->saved_at = now;
-}
-
 static void
 forget_ended (struct place_worker *worker, kq_usec now)
 {
@@ -273,6 +258,14 @@
   }
 }
 
+/** Notes that TASK has ended at NOW; it is remembered for late reports. */
+static void
+task_end (struct place_task *task, kq_usec now)
+{
+  task->ended_at = now;
+  release (task);
+}
+
 void
 kq_place_end (struct kq_place *place, const struct kq_name *name,
               const struct kq_task_id *id, kq_usec now)
@@ -282,8 +275,65 @@
 
   if (task == NULL)
     return;
-  task->ended_at = now;
-  release (task);
+  task_end (task, now);
+  forget_ended (worker, now);
+  place_load_update (place, worker);
+}
+
+/** Takes what RUNNING says of TASK. */
+static void
+task_update (struct place_task *task, const struct kq_place_running *running,
+             kq_usec now)
+{
+  task->granted = running->granted;
+  if (running->checkpoint > task->checkpoint)
+    {
+      task->checkpoint = running->checkpoint;
+      task->saved_at = now;
+    }
+  if (running->share_milli != task->share
+      && now > task->share_at + SETTLE_TIME)
+    {
+      task->share_before = task->share;
+      task->share = running->share_milli;
+      task->share_at = now;
+    }
+}
+
+static bool
+is_among (const struct place_task *task, const struct kq_place_running *tasks,
+          size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (place_id_eq (&task->task.id, &tasks[i].task.id))
+      return true;
+  return false;
+}
+
+int
+kq_place_sync (struct kq_place *place, const struct kq_name *name,
+               const struct kq_place_running *tasks, size_t count, kq_usec now)
+{
+  struct place_worker *worker = place_worker_find (place, name);
+  struct place_task *task;
+  int err = 0;
+
+  if (worker == NULL)
+    return KQ_ENOENT;
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->ended_at == 0 && !is_among (task, tasks, count))
+      task_end (task, now);
+  }
   forget_ended (worker, now);
+  for (size_t i = 0; i < count && err == 0; i++)
+    {
+      task = place_task_find (worker, &tasks[i].task.id);
+      if (task != NULL)
+        task_update (task, &tasks[i], now);
+      else
+        err = place_task_add (place, worker, &tasks[i], now);
+    }
   place_load_update (place, worker);
+  return err;
 }
--- a/place/state.h
+++ b/place/state.h
@@ -22,6 +22,9 @@
 
 struct kq_place;
 
+/** Importance from which a task may take the room of others. */
+#define KQ_PLACE_URGENT 9
+
 /** How the three measures weigh against each other, each 0 to 100. */
 struct kq_place_policy
 {
@@ -42,6 +45,15 @@
                           worker, 1000 = as fast; 0 = not known */
 };
 
+/** A task as a worker's table shows it. */
+struct kq_place_running
+{
+  struct kq_place_task task;
+  struct kq_size granted; /**< size that it was started with */
+  int64_t checkpoint;     /**< progress saved so far, in run milliseconds */
+  int32_t share_milli;
+};
+
 /** What is to be done to a running task. */
 struct kq_place_action
 {
@@ -101,15 +113,13 @@
 int kq_place_start (struct kq_place *place, const struct kq_name *worker,
                     const struct kq_place_task *task, kq_usec now);
 
-/** Notes a task that is found running, whatever the limits are.
- *  @return 0, KQ_ENOENT, KQ_EEXIST or KQ_ENOMEM.  */
-int kq_place_adopt (struct kq_place *place, const struct kq_name *worker,
-                    const struct kq_place_task *task, kq_usec now);
-
-/** Notes that a checkpoint of a task was saved at NOW. */
-void kq_place_checkpointed (struct kq_place *place,
-                            const struct kq_name *worker,
-                            const struct kq_task_id *task, kq_usec now);
+/** Makes the tasks noted at WORKER agree with the COUNT of TASKS that run or
+ *  may run there, whatever the limits are.  A task noted before keeps its
+ *  age; the share of one that was throttled lately is left as it is.
+ *  @return 0, KQ_ENOENT or KQ_ENOMEM.  */
+int kq_place_sync (struct kq_place *place, const struct kq_name *worker,
+                   const struct kq_place_running *tasks, size_t count,
+                   kq_usec now);
 
 /** Notes that a task has ended at NOW, however it ended. */
 void kq_place_end (struct kq_place *place, const struct kq_name *worker,
@@ -130,6 +140,11 @@
 struct kq_size kq_place_size (struct kq_place *place,
                               const struct kq_place_task *task);
 
+/** Returns the size that TASK is to be started with, which the worker's guard
+ *  counts: what it is expected to use, at most what it declares.  */
+struct kq_size kq_place_grant (struct kq_place *place,
+                               const struct kq_place_task *task);
+
 /** Returns the learned part of RACK's processors that may be used, in
  *  thousandths, or KQ_ENOENT.  */
 int kq_place_rack_limit (const struct kq_place *place,
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -29,6 +29,7 @@
 struct task
 {
   struct kq_place_task declared;
+  struct kq_size granted;
   const struct cluster_job *job;
   double done_sec;
   double saved_sec;
@@ -281,6 +282,7 @@
     }
   if (err != 0)
     return false;
+  task->granted = kq_place_grant (cluster->place, &task->declared);
   kq_place_start (cluster->place, &name, &task->declared, now);
   run_on (cluster, worker_named (cluster, &name), task, now_sec);
   return true;
@@ -341,6 +343,26 @@
     }
 }
 
+/* Tells the checkpoints of WORKER as its table would. */
+static void
+tell_checkpoints (struct cluster *cluster, const struct worker *worker,
+                  int now_sec)
+{
+  struct kq_place_running running[TASKS_MAX] = { 0 };
+
+  for (int i = 0; i < worker->count; i++)
+    {
+      const struct task *task = worker->tasks[i];
+
+      running[i].task = task->declared;
+      running[i].granted = task->granted;
+      running[i].checkpoint = lround (task->saved_sec * 1000);
+      running[i].share_milli = (int32_t)lround (task->share * 1000);
+    }
+  kq_place_sync (cluster->place, &worker->name, running, (size_t)worker->count,
+                 now_sec * KQ_USEC_PER_SEC);
+}
+
 /* One second of one worker whose rack gives it SPEED. */
 static void
 run_worker (struct cluster *cluster, struct worker *worker, double speed,
@@ -354,6 +376,7 @@
   double memory = setup->services ? SLOTS * SLOT_MEMORY_MB : 0;
   double squeeze;
   double demand;
+  bool saved = false;
 
   for (int i = 0; i < worker->count; i++)
     {
@@ -376,12 +399,11 @@
           == CHECKPOINT_EVERY_SEC - 1)
         {
           task->saved_sec = task->done_sec;
-          if (cluster->place != NULL)
-            kq_place_checkpointed (cluster->place, &worker->name,
-                                   &task->declared.id,
-                                   now_sec * KQ_USEC_PER_SEC);
+          saved = true;
         }
     }
+  if (saved && cluster->place != NULL)
+    tell_checkpoints (cluster, worker, now_sec);
   if (setup->services)
     for (int i = 0; i < SAMPLES; i++)
       gsl_histogram_increment (
--- a/t/test-place.c
+++ b/t/test-place.c
@@ -16,6 +16,8 @@
 static struct kq_place *place;
 static struct kq_place_action actions[16];
 static struct kq_name picked;
+static struct kq_place_running running[2][8];
+static int running_count[2];
 
 static struct kq_name
 name (const char *text)
@@ -48,6 +50,8 @@
 
   kq_place_destroy (place);
   place = kq_place_create (NULL);
+  memset (running, 0, sizeof (running));
+  memset (running_count, 0, sizeof (running_count));
   for (int i = 0; i < count; i++)
     {
       struct kq_name worker;
@@ -64,12 +68,20 @@
   return kq_place_choose (place, &what, now, NULL, NULL, &picked);
 }
 
+/* Adds WHAT to the tasks that run on w0 or w1, whatever the limits are. */
 static void
 adopt (const char *worker, struct kq_place_task what, kq_usec now)
 {
   struct kq_name on = name (worker);
+  int w = worker[1] - '0';
+  struct kq_place_running *own = &running[w][running_count[w]++];
 
-  CU_ASSERT_EQUAL (kq_place_adopt (place, &on, &what, now), 0);
+  own->task = what;
+  own->granted = what.size;
+  own->share_milli = 1000;
+  CU_ASSERT_EQUAL (
+      kq_place_sync (place, &on, running[w], (size_t)running_count[w], now),
+      0);
 }
 
 static int
@@ -356,8 +368,10 @@
               = task ("j", t, 1000, 30000, cases[i][t].importance);
 
           what.moved = cases[i][t].moved;
-          adopt ("w0", what, 0);
-          kq_place_checkpointed (place, &w0, &what.id, cases[i][t].saved_at);
+          adopt ("w0", what, SEC);
+          running[0][t].checkpoint = cases[i][t].saved_at;
+          kq_place_sync (place, &w0, running[0], (size_t)t + 1,
+                         cases[i][t].saved_at);
         }
       report ("w0", 1, 100 * SEC, 2000, 59900, false, 100 * SEC);
       CU_ASSERT_EQUAL (kq_place_relieve (place, 100 * SEC, actions, 16), 1);
@@ -432,6 +446,52 @@
     }
 }
 
+/* The guard of a worker counts what tasks were started with, though they are
+   known to use far less; a task of theirs is then started with less. */
+static void
+test_guard (void)
+{
+  struct kq_place_task what = task ("j", 0, 8000, 8000, 5);
+
+  set_up (1, 0);
+  adopt ("w0", what, SEC);
+  what.id.index = 1;
+  adopt ("w0", what, SEC);
+  see (1000, 1000, 2 * SEC);
+  CU_ASSERT_EQUAL (pick (task ("k", 0, 500, 500, 5), 30 * SEC),
+                   KQ_EWORKER_FULL);
+  CU_ASSERT (kq_place_grant (place, &what).cpu_milli < 1500);
+  what = task ("k", 0, 500, 500, 5);
+  CU_ASSERT (kq_place_grant (place, &what).cpu_milli <= 500);
+}
+
+/* A worker's table takes tasks away, and the share that it states holds,
+   unless another was asked for after the table was made. */
+static void
+test_sync (void)
+{
+  struct kq_name w0 = name ("w0");
+  struct kq_place_task large = task ("l", 0, 9000, 1000, 5);
+
+  set_up (1, 0);
+  adopt ("w0", task ("j", 0, 8000, 1000, 5), SEC);
+  CU_ASSERT_EQUAL (pick (large, 2 * SEC), KQ_EWORKER_FULL);
+  running[0][0].share_milli = 250;
+  kq_place_sync (place, &w0, running[0], 1, 10 * SEC);
+  CU_ASSERT_EQUAL (pick (task ("l", 0, 3000, 1000, 5), 10 * SEC), 0);
+  running[0][0].share_milli = 1000;
+  kq_place_sync (place, &w0, running[0], 1, 11 * SEC);
+  CU_ASSERT_EQUAL (pick (task ("l", 0, 3000, 1000, 5), 11 * SEC), 0);
+  kq_place_sync (place, &w0, running[0], 1, 13 * SEC);
+  CU_ASSERT_EQUAL (pick (task ("l", 0, 3000, 1000, 5), 13 * SEC),
+                   KQ_EWORKER_FULL);
+  kq_place_sync (place, &w0, running[0], 0, 14 * SEC);
+  CU_ASSERT_EQUAL (pick (large, 14 * SEC), 0);
+  CU_ASSERT_EQUAL (
+      kq_place_sync (place, &(struct kq_name){ "w9" }, NULL, 0, SEC),
+      KQ_ENOENT);
+}
+
 static sigjmp_buf aborted;
 
 static void
@@ -513,6 +573,8 @@
         { "victim", test_victim },
         { "room for important work", test_room },
         { "pairs", test_pairs },
+        { "guard", test_guard },
+        { "sync", test_sync },
         { "assertion", test_assertion },
         { "runs", test_runs } };
 
