--- a/core/task.c
+++ b/core/task.c
@@ -483,9 +483,7 @@
       struct kq_node *node = shard->nodes[i];
       struct kq_attempt *attempt;
 
-      kq_worker_set_leaving (node->worker,
-                             node->listed_leaving
-                                 || kq_core_drained (core, &node->name));
+      kq_worker_set_leaving (node->worker, kq_node_leaving (core, node));
       if (!kq_lease_held (node->lease, core->now))
         {
           if (is_clear (core, node))
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -18,6 +18,7 @@
   kq_usec extended_at;   /* last request that lets attempts live on */
   kq_usec released_at;   /* release sent, its arrival not known; 0 = none */
   uint64_t release_term; /* term of that release */
+  kq_usec barrier;       /* answers to what was sent up to then are void */
   kq_usec lapses_at;     /* end of another holder's lease */
 };
 
@@ -112,7 +113,7 @@
   if (answer->err == KQ_EWORKER_SILENT || answer->sent_at < lease->applied_at
       || answer->term < lease->term)
     return KQ_LEASE_IGNORED;
-  if (lease->released_at != 0 && answer->sent_at <= lease->released_at)
+  if (answer->sent_at <= lease->barrier)
     {
       /* The answer to the release itself, or to something before it. */
       if (answer->sent_at == lease->released_at
@@ -133,6 +134,7 @@
 {
   lease->until = 0;
   lease->released_at = now;
+  lease->barrier = now;
   lease->release_term = lease->term;
   lease->asked_at = now;
 }
