place: hold nothing back where usage is never reported

Cause: a new job's first tasks wait to be measured, and a large task waits for a worker whose services leave room; both would wait for ever where no report ever comes, as with a platform that reports no usage. After 30 s without any report these two rules are off; declared sizes and the worker's guard hold. What services are guessed to use is at most a quarter of a worker. kq_place_free() says what a worker has left, for the binding of tasks to shards.

--- a/place/choose.c
+++ b/place/choose.c
@@ -18,6 +18,7 @@
   struct place_worker *worker;
   struct place_load load; /**< of the worker, with the task */
   double rack_part;       /**< of the rack's limit, with the task */
+  bool blind;             /**< usage seems never to be reported */
 };
 
 /** Whether SIZE as declared fits into the whole of WORKER. */
@@ -29,6 +30,13 @@
          && size->accelerators <= worker->capacity.accelerators;
 }
 
+bool
+place_blind (const struct kq_place *place, kq_usec now)
+{
+  return !place->reported && place->began_at != 0
+         && now > place->began_at + REPORTS_EXPECTED;
+}
+
 /** Whether room on WORKER is kept for a more important task than TASK. */
 static bool
 room_is_kept (const struct place_worker *worker,
@@ -52,8 +60,9 @@
       && option->load.slow <= slow_limit)
     return true;
   return worker->load.tasks == 0
-         && declared->cpu_milli + worker->load.cpu
-                <= worker->capacity.cpu_milli;
+         && (option->blind
+             || declared->cpu_milli + worker->load.cpu
+                    <= worker->capacity.cpu_milli);
 }
 
 /** Whether the memory of OPTION stays within limits, likewise. */
@@ -65,20 +74,22 @@
   if (option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb)
     return true;
   return worker->load.tasks == 0
-         && declared->memory_mb + worker->load.memory
-                <= worker->capacity.memory_mb;
+         && (option->blind
+             || declared->memory_mb + worker->load.memory
+                    <= worker->capacity.memory_mb);
 }
 
 /** Fills OPTION and returns whether it is within all limits. */
 static bool
 weigh (const struct kq_place *place, struct place_worker *worker,
        const struct place_class *class, const struct kq_place_task *task,
-       struct option *option)
+       kq_usec now, struct option *option)
 {
   const struct place_rack *rack = worker->rack;
   struct kq_size grant = place_grant (place, class, &task->size);
   double added;
 
+  option->blind = place_blind (place, now);
   option->worker = worker;
   option->load = worker->load;
   place_load_add (place, worker, class, &task->size, SHARE_FULL,
@@ -96,11 +107,11 @@
 bool
 place_within_limits (const struct kq_place *place, struct place_worker *worker,
                      const struct place_class *class,
-                     const struct kq_place_task *task)
+                     const struct kq_place_task *task, kq_usec now)
 {
   struct option option;
 
-  return weigh (place, worker, class, task, &option);
+  return weigh (place, worker, class, task, now, &option);
 }
 
 /** Returns how many tasks of CLASS run on WORKER. */
@@ -145,6 +156,39 @@
                 <= team->quota.accelerators;
 }
 
+/** Returns LIMIT less USED, but not below 0. */
+static int32_t
+left (double limit, double used)
+{
+  return limit > used ? (int32_t)(limit - used) : 0;
+}
+
+struct kq_size
+kq_place_free (struct kq_place *place, const struct kq_name *name)
+{
+  const struct place_worker *worker = place_worker_find (place, name);
+  struct kq_size size = { 0, 0, 0 };
+  const struct place_rack *rack;
+  double rack_limit;
+
+  if (worker == NULL)
+    return size;
+  place_loads_update (place);
+  if (worker->load.tasks == 0)
+    return worker->capacity;
+  rack = worker->rack;
+  rack_limit = rack->limit * rack->capacity;
+  size.cpu_milli = left (place->cpu_limit * worker->capacity.cpu_milli,
+                         place_cpu_upper (place, &worker->load));
+  if (size.cpu_milli > left (rack_limit, rack->used))
+    size.cpu_milli = left (rack_limit, rack->used);
+  size.memory_mb
+      = left (MEMORY_LIMIT * worker->capacity.memory_mb, worker->load.memory);
+  size.accelerators = left (worker->capacity.accelerators,
+                            worker->load.granted.accelerators);
+  return size;
+}
+
 int
 kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
                  kq_usec now, kq_place_usable *usable, void *ctx,
@@ -159,10 +203,12 @@
 
   if (class == NULL)
     return KQ_ENOMEM;
+  if (place->began_at == 0)
+    place->began_at = now;
   if (!within_quota (class->team, &task->size))
     return KQ_EJOB_QUOTA;
-  if (place_unseen (class) && class->running >= PROBE_TASKS
-      && task->importance <= PROBE_IMPORTANCE)
+  if (!place_blind (place, now) && place_unseen (class)
+      && class->running >= PROBE_TASKS && task->importance <= PROBE_IMPORTANCE)
     return KQ_EPLACE_PROBE;
   place_loads_update (place);
   for (worker = place->workers; worker != NULL; worker = worker->hh.next)
@@ -170,7 +216,7 @@
       possible = possible || fits_idle (worker, &task->size);
       if (room_is_kept (worker, task, now)
           || (usable != NULL && !usable (ctx, &worker->name))
-          || !weigh (place, worker, class, task, &option)
+          || !weigh (place, worker, class, task, now, &option)
           || cost (place, class, &option) >= best_cost)
         continue;
       best = worker;
@@ -196,7 +242,7 @@
   if (class == NULL)
     return KQ_ENOMEM;
   place_loads_update (place);
-  if (!place_within_limits (place, worker, class, task)
+  if (!place_within_limits (place, worker, class, task, now)
       || !within_quota (class->team, &task->size))
     abort ();
   worker->room_until = 0;
--- a/place/internal.h
+++ b/place/internal.h
@@ -17,9 +17,14 @@
 /** Part of the memory that may be used. */
 #define MEMORY_LIMIT 0.97
 
-/** First guesses of what a slot uses; the estimates are factors of these. */
+/** First guesses of what a slot uses, and the most that all slots of a worker
+ *  are guessed to use, as part of its capacity.  */
 #define SLOT_CPU_MILLI 500.0
 #define SLOT_MEMORY_MB 256.0
+#define SLOTS_PART 0.25
+
+/** Without any report for this long, usage is taken to be never reported. */
+#define REPORTS_EXPECTED (30 * KQ_USEC_PER_SEC)
 
 /** How long ended tasks are remembered: the oldest usable report. */
 #define MEMORY_OF_ENDED (60 * KQ_USEC_PER_SEC)
@@ -113,8 +118,10 @@
   double cpu_margin;    /**< standard deviations added to a size */
   double memory_margin; /**< the same for memory */
   double spread_weight; /**< cost of slow-down against that of packing */
-  struct kq_estimate slot_cpu;    /**< of a busy slot / SLOT_CPU_MILLI */
-  struct kq_estimate slot_memory; /**< of a slot / SLOT_MEMORY_MB */
+  struct kq_estimate slot_cpu;    /**< of a busy slot / the guess */
+  struct kq_estimate slot_memory; /**< of a slot / the guess */
+  bool reported;                  /**< some worker has reported its usage */
+  kq_usec began_at; /**< when a task was to be placed first; 0 = not yet */
   bool slow_seen;   /**< some report stated the slow-down of services */
   bool slow_silent; /**< reports come, but none has stated it */
   bool stale;       /**< estimates have changed since loads were computed */
@@ -143,6 +150,12 @@
 /** Returns the share that TASK had at time AT; 0 when it did not run. */
 int32_t place_share_at (const struct place_task *task, kq_usec at);
 
+/** Returns the first guess of what a busy slot of WORKER uses, in milli. */
+double place_slot_cpu (const struct place_worker *worker);
+
+/** Returns the first guess of what a slot of WORKER uses, in MB. */
+double place_slot_memory (const struct place_worker *worker);
+
 /** Returns the processors that LOAD needs with a margin, in milli. */
 double place_cpu_upper (const struct kq_place *place,
                         const struct place_load *load);
@@ -154,6 +167,10 @@
 /** Computes the expected load of WORKER anew. */
 void place_load_update (struct kq_place *place, struct place_worker *worker);
 
+/** Returns whether usage seems never to be reported: what would be learned
+ *  from it holds nothing back then.  */
+bool place_blind (const struct kq_place *place, kq_usec now);
+
 /** Returns the bound on the slow-down of services on WORKER. */
 double place_slow_limit (const struct kq_place *place,
                          const struct place_worker *worker);
@@ -186,7 +203,7 @@
 bool place_within_limits (const struct kq_place *place,
                           struct place_worker *worker,
                           const struct place_class *class,
-                          const struct kq_place_task *task);
+                          const struct kq_place_task *task, kq_usec now);
 
 /** Returns whether no report has shown a task of CLASS yet. */
 bool place_unseen (const struct place_class *class);
--- a/place/learn.c
+++ b/place/learn.c
@@ -113,9 +113,11 @@
         || usage->used.cpu_milli >= CALM_CPU * worker->capacity.cpu_milli;
 
   sum_tasks (&cpu, worker, usage, MEASURE_CPU);
-  sum_add (&cpu, &place->slot_cpu, usage->busy_slots * SLOT_CPU_MILLI);
+  sum_add (&cpu, &place->slot_cpu,
+           usage->busy_slots * place_slot_cpu (worker));
   sum_tasks (&memory, worker, usage, MEASURE_MEMORY);
-  sum_add (&memory, &place->slot_memory, worker->slots * SLOT_MEMORY_MB);
+  sum_add (&memory, &place->slot_memory,
+           worker->slots * place_slot_memory (worker));
   /* Slowed down, tasks use less than they would: a lower bound. */
   if (!slowed
       || usage->used.cpu_milli > kq_estimate_sum (cpu.terms, cpu.count))
@@ -214,6 +216,7 @@
       = !place->slow_seen && (place->slow_silent || worker->slots > 0);
   worker->usage = *usage;
   worker->reported = true;
+  place->reported = true;
   worker->fresh = true;
   worker->busy += BUSY_RATE * (usage->busy_slots - worker->busy);
   learn_sizes (place, worker, usage);
--- a/place/load.c
+++ b/place/load.c
@@ -64,16 +64,30 @@
   return load->cpu + place->cpu_margin * sqrt (load->cpu_variance);
 }
 
+double
+place_slot_cpu (const struct place_worker *worker)
+{
+  return fmin (SLOT_CPU_MILLI, SLOTS_PART * worker->capacity.cpu_milli
+                                   / fmax (worker->slots, 1));
+}
+
+double
+place_slot_memory (const struct place_worker *worker)
+{
+  return fmin (SLOT_MEMORY_MB, SLOTS_PART * worker->capacity.memory_mb
+                                   / fmax (worker->slots, 1));
+}
+
 /** What services take: busy slots, whose number varies by chance. */
 static void
 add_services (const struct kq_place *place, const struct place_worker *worker,
               struct place_load *load)
 {
-  double slot_cpu = SLOT_CPU_MILLI * place->slot_cpu.mean;
+  double slot_cpu = place_slot_cpu (worker) * place->slot_cpu.mean;
 
   load->cpu += worker->busy * slot_cpu;
   load->cpu_variance += worker->busy * pow (slot_cpu, 2);
-  load->memory += worker->slots * SLOT_MEMORY_MB
+  load->memory += worker->slots * place_slot_memory (worker)
                   * kq_estimate_upper (&place->slot_memory, 1);
 }
 
--- a/place/room.c
+++ b/place/room.c
@@ -95,7 +95,7 @@
   plan->cost = 0;
   while (!found && plan->count < STEPS_MAX
          && add_step (place, plan, task->importance, &grant, now))
-    found = place_within_limits (place, plan->worker, class, task);
+    found = place_within_limits (place, plan->worker, class, task, now);
   roll_back (place, plan);
   return found;
 }
--- a/place/state.h
+++ b/place/state.h
@@ -91,7 +91,8 @@
 
 /** Chooses the worker for TASK at NOW.  USABLE may be NULL.
  *  @return 0 with *WORKER set, KQ_EWORKER_FULL, KQ_EJOB_QUOTA,
- *  KQ_EPLACE_PROBE while a job that was never seen runs its first few tasks,
+ *  KQ_EPLACE_PROBE while a job that was never seen runs its first few tasks
+ *  (only where usage is reported),
  *  or KQ_EJOB_NEVER_FITS when no known worker could carry it even if idle.  */
 int kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
                      kq_usec now, kq_place_usable *usable, void *ctx,
@@ -145,6 +146,11 @@
 struct kq_size kq_place_grant (struct kq_place *place,
                                const struct kq_place_task *task);
 
+/** Returns what WORKER has left for tasks within its limits: nothing for an
+ *  unknown worker, everything for one that runs no task.  */
+struct kq_size kq_place_free (struct kq_place *place,
+                              const struct kq_name *worker);
+
 /** Returns the learned part of RACK's processors that may be used, in
  *  thousandths, or KQ_ENOENT.  */
 int kq_place_rack_limit (const struct kq_place *place,
