t: let the fake workers of the randomised run report usage

Cause: the fakes stated no usage, so that no decision that leans on usage was ever taken in the randomised run. Two workers in three now state it, up to 5 s old, of some jobs half and of others twice what their starts stated, and a power guard above 0.8 of the processors; a throttle action changes the share in the table. One worker in three goes on stating nothing.

--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -7,6 +7,9 @@
 #include "base/err.h"
 #include "t/lib-fake.h"
 
+/* Part of the processors in use above which the power guard is on. */
+#define USED_MOST 0.8
+
 #define SAVE_EVERY 2.0
 #define SAVE_TAKES 0.3
 #define BAD_AFTER 0.2
@@ -157,6 +160,36 @@
   return 0;
 }
 
+/* States what WORKER's tasks use: of some jobs half, of others twice what
+   their starts stated.  One worker in three states no usage, the others
+   state it as up to 5 s old; above USED_MOST the power guard is on. */
+static void
+report_usage (const struct fake_world *world, const struct fake_worker *worker,
+              struct kq_worker_table *table)
+{
+  int number = (int)(worker - world->workers);
+
+  if (number % 3 == 0)
+    return;
+  for (int i = 0; i < worker->row_count; i++)
+    {
+      const struct kq_attempt_row *row = &worker->rows[i].row;
+      int halves
+          = 1 + (row->task.job.text[strlen (row->task.job.text) - 1] & 3);
+
+      if (!is_live (&worker->rows[i]))
+        continue;
+      table->used.cpu_milli
+          += row->size.cpu_milli * halves / 2 * row->share_milli / 1000;
+      table->used.memory_mb += row->size.memory_mb * halves / 2;
+    }
+  table->usage_seq = 1 + (int64_t)world->now;
+  table->usage_lag = (kq_usec)(number % 2 * 5 * USEC);
+  table->throttled
+      = table->used.cpu_milli > USED_MOST * worker->capacity.cpu_milli;
+  table->busy_slots = number % 5;
+}
+
 static void
 answer_lease (struct fake_world *world, const struct fake_item *item, int err)
 {
@@ -180,6 +213,7 @@
         = (kq_usec)((worker->lease_ends - world->now) * USEC * worker->rate);
   answer->table.capacity = worker->capacity;
   answer->table.slots = 8;
+  report_usage (world, worker, &answer->table);
   answer->table.rows = rows;
   answer->table.row_count = (size_t)worker->row_count;
   if (world->hosts[item->host].incarnation == item->incarnation)
@@ -350,8 +384,10 @@
       check_acknowledged (world, row);
       *row = worker->rows[--worker->row_count];
       break;
-    case KQ_TASK_START:
     case KQ_TASK_THROTTLE:
+      row->row.share_milli = effect->u.task.row.share_milli;
+      break;
+    case KQ_TASK_START:
       break;
     }
   return 0;
