core: start, slow down and move tasks as placement decides

Cause: the core placed by best fit of declared sizes and used nothing that placement learns. core/advise.c tells placement of each owned worker's table and carries out what it asks for; a start states the size that placement grants; urgent work (importance 9) makes room; a task that is evicted counts its moves. Binding counts the room within learned limits, and tasks of a job that is being measured are not given back.

Not done: the slow-down of services is not in a worker's table, so the daemon learns no pairs; a quota holds per owner, not over all owners.

--- /dev/null
+++ b/core/advise.c
@@ -0,0 +1,256 @@
+/* Keeps placement informed of the workers that this host owns, and carries
+   out what placement asks for.  */
+
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "core/internal.h"
+#include "place/place.h"
+
+/* Most interventions of one step. */
+#define ACTIONS_MAX 64
+
+/* Which workers may take a task. */
+struct advise_filter
+{
+  struct kq_core *core;
+  const struct kq_shard *shard;
+  const struct kq_run *run;
+  const struct kq_size *size; /* that the worker's guard must admit */
+  bool avoid_failed;          /* workers on which the task failed */
+};
+
+static void
+describe (const struct kq_core *core, const struct kq_run *run,
+          struct kq_place_task *task)
+{
+  const struct kq_job_state *job = kq_jobs_find (core->jobs, &run->id.job);
+
+  *task = (struct kq_place_task){ .id = run->id,
+                                  .kind = run->kind,
+                                  .importance = run->importance,
+                                  .size = run->size,
+                                  .run_ms = run->run_ms,
+                                  .moved = run->moved };
+  if (job != NULL)
+    task->team = job->job.team;
+}
+
+/* Describes ATTEMPT, whose task may be unknown: it is to be ended then. */
+static void
+describe_attempt (const struct kq_core *core, const struct kq_attempt *attempt,
+                  struct kq_place_running *running)
+{
+  const struct kq_attempt_row *row = &attempt->row;
+
+  running->task = (struct kq_place_task){ .id = row->task, .size = row->size };
+  if (attempt->run != NULL)
+    describe (core, attempt->run, &running->task);
+  running->granted = row->size;
+  running->checkpoint = row->checkpoint;
+  running->share_milli = row->share_milli;
+}
+
+static void
+sync_worker (struct kq_core *core, const struct kq_node *node)
+{
+  const struct kq_attempt *attempt = kq_worker_attempts (node->worker);
+  struct kq_place_running *running;
+  size_t count = 0;
+
+  for (; attempt != NULL; attempt = attempt->next)
+    count++;
+  running = calloc (count + 1, sizeof *running);
+  if (running == NULL)
+    return;
+  count = 0;
+  for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
+       attempt = attempt->next)
+    if (attempt->phase != KQ_PHASE_ENDED)
+      describe_attempt (core, attempt, &running[count++]);
+  kq_place_sync (core->place, &node->name, running, count, core->now);
+  free (running);
+}
+
+void
+kq_advise_table (struct kq_core *core, struct kq_node *node,
+                 const struct kq_lease_answer *answer)
+{
+  const struct kq_worker_table *table = &answer->table;
+  struct kq_place_usage usage = { .seq = table->usage_seq,
+                                  .at = answer->sent_at - table->usage_lag,
+                                  .used = table->used,
+                                  .throttled = table->throttled,
+                                  .busy_slots = table->busy_slots };
+  const struct kq_name *rack = &node->name;
+
+  if (node->listed != NULL && !kq_name_empty (&node->listed->entry.rack))
+    rack = &node->listed->entry.rack;
+  if (kq_place_set_worker (core->place, &node->name, rack, &table->capacity,
+                           table->slots)
+      != 0)
+    return;
+  sync_worker (core, node);
+  if (usage.seq > 0 && usage.at > 0)
+    kq_place_report (core->place, &node->name, &usage, core->now);
+}
+
+void
+kq_advise_drop (struct kq_core *core, const struct kq_node *node)
+{
+  kq_place_drop_worker (core->place, &node->name);
+}
+
+/* How often a task of SIZE fits into FREE_SIZE, at most MOST times. */
+static int64_t
+times_fits (const struct kq_size *size, const struct kq_size *free_size,
+            int64_t most)
+{
+  int64_t times = most;
+  const int32_t need[]
+      = { size->cpu_milli, size->memory_mb, size->accelerators };
+  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
+                           free_size->accelerators };
+
+  for (int i = 0; i < 3; i++)
+    if (have[i] < 0)
+      return 0;
+    else if (need[i] > 0 && have[i] / need[i] < times)
+      times = have[i] / need[i];
+  return times;
+}
+
+int64_t
+kq_advise_room (struct kq_core *core, const struct kq_node *node,
+                const struct kq_job *job, int64_t most)
+{
+  struct kq_place_task task = { .id = { .job = job->id },
+                                .team = job->team,
+                                .kind = job->kind,
+                                .size = job->size };
+  struct kq_size expected = kq_place_size (core->place, &task);
+  struct kq_size grant = kq_place_grant (core->place, &task);
+  struct kq_size limits = kq_place_free (core->place, &node->name, core->now);
+  struct kq_size guard = kq_worker_free (node->worker);
+  int64_t times = times_fits (&grant, &guard, most);
+
+  /* A worker that runs nothing takes one task whatever its limits are. */
+  if (times > 0 && kq_worker_attempts (node->worker) == NULL)
+    return 1 > times_fits (&expected, &limits, times)
+               ? 1
+               : times_fits (&expected, &limits, times);
+  return times_fits (&expected, &limits, times);
+}
+
+static bool
+is_usable (void *ctx, const struct kq_name *name)
+{
+  const struct advise_filter *filter = ctx;
+  struct kq_core *core = filter->core;
+  const struct kq_node *node;
+
+  HASH_FIND_STR (core->nodes, name->text, node);
+  return node != NULL && node->shard == filter->shard && node->known
+         && kq_lease_held (node->lease, core->now)
+         && kq_worker_check (node->worker, filter->size, core->now) == 0
+         && !(filter->avoid_failed && kq_run_failed_on (filter->run, name));
+}
+
+static void
+carry_out (struct kq_core *core, const struct kq_place_action *action)
+{
+  struct kq_run *run = kq_task_run (core, &action->task);
+  struct kq_attempt *attempt = run ? kq_run_live (run) : NULL;
+
+  if (attempt == NULL
+      || !kq_name_eq (kq_worker_name (attempt->worker), &action->worker))
+    return;
+  switch (action->action)
+    {
+    case KQ_TASK_THROTTLE:
+      kq_task_throttle (core, attempt, action->share_milli);
+      break;
+    case KQ_TASK_CHECKPOINT:
+    case KQ_TASK_STOP:
+      kq_task_move (core, attempt);
+      break;
+    case KQ_TASK_START:
+    case KQ_TASK_ACK:
+      break;
+    }
+}
+
+/* Makes room for an urgent task; true when that took effect at once. */
+static bool
+make_room (struct kq_core *core, struct advise_filter *filter,
+           const struct kq_place_task *task)
+{
+  static const struct kq_size nothing = { 0, 0, 0 };
+  struct kq_place_action actions[ACTIONS_MAX];
+  const struct kq_size *size = filter->size;
+  int count;
+
+  filter->size = &nothing;
+  count = kq_place_make_room (core->place, task, core->now, is_usable, filter,
+                              actions, ACTIONS_MAX);
+  filter->size = size;
+  for (int i = 0; i < count; i++)
+    carry_out (core, &actions[i]);
+  return count > 0;
+}
+
+int
+kq_advise_start (struct kq_core *core, const struct kq_shard *shard,
+                 const struct kq_run *run, struct kq_node **node,
+                 struct kq_size *grant)
+{
+  struct advise_filter filter = { core, shard, run, grant, true };
+  struct kq_place_task task;
+  struct kq_name name;
+  int err;
+
+  describe (core, run, &task);
+  *grant = kq_place_grant (core->place, &task);
+  err = kq_place_choose (core->place, &task, core->now, is_usable, &filter,
+                         &name);
+  if (err == KQ_EWORKER_FULL && run->failures > 0)
+    {
+      filter.avoid_failed = false;
+      err = kq_place_choose (core->place, &task, core->now, is_usable, &filter,
+                             &name);
+    }
+  if (err == KQ_EWORKER_FULL && task.importance >= KQ_PLACE_URGENT
+      && make_room (core, &filter, &task))
+    err = kq_place_choose (core->place, &task, core->now, is_usable, &filter,
+                           &name);
+  if (err != 0)
+    return err;
+  HASH_FIND_STR (core->nodes, name.text, *node);
+  return kq_place_start (core->place, &name, &task, core->now);
+}
+
+void
+kq_advise_tick (struct kq_core *core)
+{
+  struct kq_place_action actions[ACTIONS_MAX];
+  int count;
+
+  count = kq_place_relieve (core->place, core->now, actions, ACTIONS_MAX);
+  for (int i = 0; i < count; i++)
+    carry_out (core, &actions[i]);
+}
+
+void
+kq_advise_configure (struct kq_core *core,
+                     const struct kq_config_document *document)
+{
+  struct kq_place_policy policy
+      = { .tail_latency_weight = document->policy.tail_latency_weight,
+          .batch_throughput_weight = document->policy.batch_throughput_weight,
+          .eviction_weight = document->policy.eviction_weight };
+
+  kq_place_set_policy (core->place, &policy);
+  for (size_t i = 0; i < document->team_count; i++)
+    kq_place_set_quota (core->place, &document->teams[i].name,
+                        &document->teams[i].quota);
+}
--- a/core/bind.c
+++ b/core/bind.c
@@ -50,24 +50,6 @@
   return rank < RANK_MAX ? rank : RANK_MAX;
 }
 
-/* How often a task of SIZE fits into FREE_SIZE. */
-static int64_t
-times_fits (const struct kq_size *size, const struct kq_size *free_size)
-{
-  int64_t times = KQ_BATCH_MAX;
-  const int32_t need[]
-      = { size->cpu_milli, size->memory_mb, size->accelerators };
-  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
-                           free_size->accelerators };
-
-  for (int i = 0; i < 3; i++)
-    if (have[i] < 0)
-      return 0;
-    else if (need[i] > 0 && have[i] / need[i] < times)
-      times = have[i] / need[i];
-  return times;
-}
-
 /* Tasks like those of JOB that the shard can start beyond what waits. */
 static int64_t
 room_for (struct kq_core *core, const struct kq_shard *shard,
@@ -78,12 +60,11 @@
   for (size_t i = 0; i < shard->count; i++)
     {
       const struct kq_node *node = shard->nodes[i];
-      struct kq_size free_size = kq_worker_free (node->worker);
 
       if (kq_lease_held (node->lease, core->now) && node->known
           && !kq_worker_leaving (node->worker)
           && !kq_worker_quarantined (node->worker, core->now))
-        room += times_fits (&job->size, &free_size);
+        room += kq_advise_room (core, node, job, KQ_BATCH_MAX);
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
     if (!run->done && kq_run_live (run) == NULL)
@@ -215,6 +196,7 @@
        run = run->next)
     {
       if (!run->tracked || run->done || kq_run_live (run) != NULL
+          || run->waits == KQ_EPLACE_PROBE
           || core->now < run->waits_since + RELEASE_AFTER
           || !fits_elsewhere (core, shard, run))
         continue;
--- a/core/core.c
+++ b/core/core.c
@@ -7,6 +7,7 @@
 
 #include "base/err.h"
 #include "core/internal.h"
+#include "place/place.h"
 
 /* Defaults of the settings. */
 #define LEASE_TTL (2 * KQ_USEC_PER_SEC)
@@ -49,7 +50,8 @@
   core->terms.clock_rate_ppm = settings->clock_rate_ppm;
   core->config = kq_config_create ();
   core->jobs = kq_jobs_create ();
-  if (core->config != NULL && core->jobs != NULL)
+  core->place = kq_place_create (NULL);
+  if (core->config != NULL && core->jobs != NULL && core->place != NULL)
     return core;
   kq_core_destroy (core);
   return NULL;
@@ -83,6 +85,7 @@
   destroy_drains (core);
   kq_config_destroy (core->config);
   kq_jobs_destroy (core->jobs);
+  kq_place_destroy (core->place);
   free (core);
 }
 
@@ -277,6 +280,7 @@
     return;
   kq_member_tick (core);
   kq_shard_tick (core);
+  kq_advise_tick (core);
   kq_bind_tick (core);
   kq_refresh_tick (core);
   kq_append_tick (core);
--- a/core/internal.h
+++ b/core/internal.h
@@ -113,9 +113,12 @@
   UT_hash_handle hh;
 };
 
+struct kq_place;
+
 struct kq_core
 {
   struct kq_core_settings settings;
+  struct kq_place *place; /**< of the workers that this host owns */
   struct kq_lease_terms terms;
   struct kq_config *config;
   int64_t config_applied; /**< revision that shards were made from */
@@ -225,6 +228,11 @@
 void kq_task_answer (struct kq_core *core,
                      const struct kq_task_answer *answer);
 void kq_task_tick (struct kq_core *core, struct kq_shard *shard);
+/** Moves the task of ATTEMPT away: checkpoint, then stop. */
+void kq_task_move (struct kq_core *core, struct kq_attempt *attempt);
+/** Sets the share of ATTEMPT's worker that it may use, in thousandths. */
+void kq_task_throttle (struct kq_core *core, struct kq_attempt *attempt,
+                       int32_t share_milli);
 void kq_task_load (struct kq_core *core, struct kq_shard *shard);
 void kq_task_unload (struct kq_core *core, struct kq_shard *shard);
 void kq_task_drop_node (struct kq_core *core, struct kq_node *node);
@@ -234,6 +242,27 @@
 /* start.c */
 void kq_start_tick (struct kq_core *core, struct kq_shard *shard);
 
+/* advise.c */
+/** Tells placement what a table of NODE, read under its lease, says. */
+void kq_advise_table (struct kq_core *core, struct kq_node *node,
+                      const struct kq_lease_answer *answer);
+/** Tells placement that NODE is this host's no more. */
+void kq_advise_drop (struct kq_core *core, const struct kq_node *node);
+/** Chooses where RUN is started, and the size that its start states, and
+ *  notes the start; less important tasks may be slowed down or moved for it.
+ *  @return 0, or why it waits.  */
+int kq_advise_start (struct kq_core *core, const struct kq_shard *shard,
+                     const struct kq_run *run, struct kq_node **node,
+                     struct kq_size *grant);
+/** Returns how many tasks like those of JOB, at most MOST, NODE can take. */
+int64_t kq_advise_room (struct kq_core *core, const struct kq_node *node,
+                        const struct kq_job *job, int64_t most);
+/** Relieves owned workers under pressure. */
+void kq_advise_tick (struct kq_core *core);
+/** Takes weights and quotas of the configuration in force. */
+void kq_advise_configure (struct kq_core *core,
+                          const struct kq_config_document *document);
+
 /* bind.c */
 void kq_bind_tick (struct kq_core *core);
 
--- a/core/start.c
+++ b/core/start.c
@@ -4,7 +4,6 @@
 
 #include "base/err.h"
 #include "core/internal.h"
-#include "place/place.h"
 
 /* Most starts of one shard in one step. */
 #define STARTS_MAX 64
@@ -12,33 +11,6 @@
 /* Most idle tasks that are looked at in one step. */
 #define SCAN_MAX 1024
 
-/* What the shard's workers can take now. */
-struct start_choice
-{
-  struct kq_place_worker *workers;
-  struct kq_node **nodes;
-  size_t count;
-};
-
-static void
-add_candidate (struct kq_core *core, struct start_choice *choice,
-               struct kq_node *node)
-{
-  static const struct kq_size nothing = { 0, 0, 0 };
-  struct kq_place_worker *entry = &choice->workers[choice->count];
-  int err = kq_worker_check (node->worker, &nothing, core->now);
-
-  if (!kq_lease_held (node->lease, core->now) || !node->known || err != 0)
-    return;
-  entry->name = node->name;
-  if (node->listed != NULL)
-    entry->rack = node->listed->entry.rack;
-  entry->table = kq_worker_table (node->worker);
-  entry->capacity = entry->table->capacity;
-  entry->free = kq_worker_free (node->worker);
-  choice->nodes[choice->count++] = node;
-}
-
 /* Makes the attempt number that belongs to no other attempt. */
 static int64_t
 next_attempt (struct kq_core *core, const struct kq_shard *shard)
@@ -49,7 +21,7 @@
 
 static void
 send_start (struct kq_core *core, struct kq_run *run, struct kq_node *node,
-            int64_t number)
+            const struct kq_size *grant, int64_t number)
 {
   struct kq_effect effect = { .kind = KQ_FX_TASK };
   struct kq_attempt_row *row = &effect.u.task.row;
@@ -60,7 +32,7 @@
   row->binding = run->binding;
   row->checkpoint = run->checkpoint;
   row->state = KQ_ATTEMPT_RUNNING;
-  row->size = run->size;
+  row->size = *grant;
   row->share_milli = 1000;
   attempt = kq_worker_admit (node->worker, row, core->now);
   if (attempt == NULL)
@@ -75,31 +47,17 @@
   kq_effects_add (core->out, &effect);
 }
 
-static bool
-start_one (struct kq_core *core, struct kq_shard *shard, struct kq_run *run,
-           struct start_choice *choice)
+/* Returns 0, or why RUN waits. */
+static int
+start_one (struct kq_core *core, struct kq_shard *shard, struct kq_run *run)
 {
-  struct kq_place_task task = { .id = run->id,
-                                .kind = run->kind,
-                                .importance = run->importance,
-                                .size = run->size,
-                                .run_ms = run->run_ms };
-  int picked;
+  struct kq_node *node = NULL;
+  struct kq_size grant;
 
-  for (size_t i = 0; i < choice->count; i++)
-    choice->workers[i].failed_before
-        = kq_run_failed_on (run, &choice->nodes[i]->name);
-  picked = kq_place_pick (&task, choice->workers, choice->count);
-  if (picked < 0)
-    {
-      run->waits = picked;
-      return false;
-    }
-  run->waits = 0;
-  send_start (core, run, choice->nodes[picked], next_attempt (core, shard));
-  choice->workers[picked].free
-      = kq_worker_free (choice->nodes[picked]->worker);
-  return true;
+  run->waits = kq_advise_start (core, shard, run, &node, &grant);
+  if (run->waits == 0)
+    send_start (core, run, node, &grant, next_attempt (core, shard));
+  return run->waits;
 }
 
 static bool
@@ -125,35 +83,33 @@
   return count;
 }
 
+/* Of a job whose task found no place, no other is tried in this step, unless
+   tasks of it failed: each of these has workers of its own to avoid. */
 static void
-start_idle (struct kq_core *core, struct kq_shard *shard,
-            struct start_choice *choice)
+start_idle (struct kq_core *core, struct kq_shard *shard)
 {
   struct kq_run *idle[SCAN_MAX];
   size_t count = collect_idle (core, shard, idle);
+  const struct kq_run *stuck = NULL;
   int started = 0;
 
   for (size_t i = 0; i < count && started < STARTS_MAX; i++)
-    started += start_one (core, shard, idle[i], choice);
+    {
+      if (stuck != NULL && idle[i]->failures == 0
+          && kq_name_eq (&stuck->id.job, &idle[i]->id.job))
+        idle[i]->waits = stuck->waits;
+      else if (start_one (core, shard, idle[i]) == 0)
+        started++;
+      else if (idle[i]->failures == 0)
+        stuck = idle[i];
+    }
 }
 
 void
 kq_start_tick (struct kq_core *core, struct kq_shard *shard)
 {
-  struct start_choice choice = { NULL, NULL, 0 };
-
   if (shard->epoch == 0 || !kq_jobs_is_complete (core->jobs) || core->stopping
       || core->attempt_serial >= KQ_ATTEMPTS_PER_EPOCH - STARTS_MAX)
     return;
-  choice.workers = calloc (shard->count, sizeof *choice.workers);
-  choice.nodes = calloc (shard->count, sizeof (struct kq_node *));
-  if (choice.workers != NULL && choice.nodes != NULL)
-    {
-      for (size_t i = 0; i < shard->count; i++)
-        add_candidate (core, &choice, shard->nodes[i]);
-      if (choice.count > 0)
-        start_idle (core, shard, &choice);
-    }
-  free (choice.workers);
-  free (choice.nodes);
+  start_idle (core, shard);
 }
--- a/core/task.c
+++ b/core/task.c
@@ -76,7 +76,10 @@
   if (!has_ended)
     return;
   if (run != NULL)
-    run->waits_since = core->now;
+    {
+      run->waits_since = core->now;
+      run->moved += state == KQ_ATTEMPT_EVICTED;
+    }
   if (failed || state == KQ_ATTEMPT_DONE)
     kq_worker_note_end (attempt->worker, &attempt->row.task, failed,
                         core->now);
@@ -230,6 +233,7 @@
   struct kq_attempt *attempt;
   struct kq_attempt *next;
 
+  kq_advise_drop (core, node);
   for (attempt = kq_worker_attempts (node->worker); attempt != NULL;
        attempt = next)
     {
@@ -298,6 +302,7 @@
       note_row (core, attempt, was_live && attempt->phase == KQ_PHASE_ENDED);
     }
   drop_missing (core, node, answer->sent_at);
+  kq_advise_table (core, node, answer);
 }
 
 void
@@ -343,15 +348,38 @@
   kq_effects_add (core->out, &effect);
 }
 
+void
+kq_task_throttle (struct kq_core *core, struct kq_attempt *attempt,
+                  int32_t share_milli)
+{
+  struct kq_effect effect = { .kind = KQ_FX_TASK };
+  struct kq_node *node;
+
+  HASH_FIND_STR (core->nodes, kq_worker_name (attempt->worker)->text, node);
+  if (node == NULL)
+    return;
+  effect.u.task.worker = node->name;
+  effect.u.task.term = kq_lease_term (node->lease);
+  effect.u.task.action = KQ_TASK_THROTTLE;
+  effect.u.task.row = attempt->row;
+  effect.u.task.row.share_milli = share_milli;
+  kq_effects_add (core->out, &effect);
+}
+
+void
+kq_task_move (struct kq_core *core, struct kq_attempt *attempt)
+{
+  if (attempt->stop_at != 0)
+    return;
+  attempt->stop_at = core->now;
+  attempt->saved = attempt->row.checkpoint;
+}
+
 /* Moves a task away: checkpoint first, then stop. */
 static void
 evict (struct kq_core *core, struct kq_attempt *attempt)
 {
-  if (attempt->stop_at == 0)
-    {
-      attempt->stop_at = core->now;
-      attempt->saved = attempt->row.checkpoint;
-    }
+  kq_task_move (core, attempt);
   if (attempt->row.checkpoint > attempt->saved
       || core->now > attempt->stop_at + CHECKPOINT_MAX)
     act (core, attempt, KQ_TASK_STOP);
@@ -386,7 +414,7 @@
     return;
   if (run->done || live != attempt)
     act (core, attempt, KQ_TASK_STOP);
-  else if (kq_worker_leaving (attempt->worker))
+  else if (kq_worker_leaving (attempt->worker) || attempt->stop_at != 0)
     evict (core, attempt);
 }
 
--- a/core/topology.c
+++ b/core/topology.c
@@ -133,6 +133,7 @@
       || core->config_applied == kq_config_revision (core->config))
     return;
   core->config_applied = kq_config_revision (core->config);
+  kq_advise_configure (core, document);
   HASH_ITER (hh, core->shards, shard, next)
   {
     const struct kq_config_shard *wanted
--- a/job/run.h
+++ b/job/run.h
@@ -32,6 +32,7 @@
   bool releasing; /**< a RELEASE record is on its way */
   int failures;   /**< distinct workers on which it failed */
   struct kq_name failed_on[KQ_RUN_MAX_FAILURES];
+  int moved;            /**< attempts that were evicted */
   int tries;            /**< attempts that failed, on whichever worker */
   kq_usec waits_since;  /**< idle since then */
   kq_usec starts_after; /**< after a failure, not started before */
--- a/place/choose.c
+++ b/place/choose.c
@@ -18,7 +18,6 @@
   struct place_worker *worker;
   struct place_load load; /**< of the worker, with the task */
   double rack_part;       /**< of the rack's limit, with the task */
-  bool blind;             /**< usage seems never to be reported */
 };
 
 /** Whether SIZE as declared fits into the whole of WORKER. */
@@ -60,9 +59,8 @@
       && option->load.slow <= slow_limit)
     return true;
   return worker->load.tasks == 0
-         && (option->blind
-             || declared->cpu_milli + worker->load.cpu
-                    <= worker->capacity.cpu_milli);
+         && declared->cpu_milli + worker->load.cpu
+                <= worker->capacity.cpu_milli;
 }
 
 /** Whether the memory of OPTION stays within limits, likewise. */
@@ -74,9 +72,8 @@
   if (option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb)
     return true;
   return worker->load.tasks == 0
-         && (option->blind
-             || declared->memory_mb + worker->load.memory
-                    <= worker->capacity.memory_mb);
+         && declared->memory_mb + worker->load.memory
+                <= worker->capacity.memory_mb;
 }
 
 /** Fills OPTION and returns whether it is within all limits. */
@@ -89,7 +86,6 @@
   struct kq_size grant = place_grant (place, class, &task->size);
   double added;
 
-  option->blind = place_blind (place, now);
   option->worker = worker;
   option->load = worker->load;
   place_load_add (place, worker, class, &task->size, SHARE_FULL,
@@ -97,11 +93,13 @@
   added = option->load.cpu - worker->load.cpu;
   option->rack_part
       = (rack->used + added) / (rack->limit * fmax (rack->capacity, 1));
-  return fits_idle (worker, &task->size)
-         && place_guard_admits (worker, &worker->load, &grant)
-         && within_memory (option, &task->size)
-         && (option->rack_part <= 1 || rack->tasks == 0)
-         && within_speed (place, option, &task->size);
+  if (!fits_idle (worker, &task->size)
+      || !place_guard_admits (worker, &worker->load, &grant))
+    return false;
+  return place_blind (place, now)
+         || (within_memory (option, &task->size)
+             && (option->rack_part <= 1 || rack->tasks == 0)
+             && within_speed (place, option, &task->size));
 }
 
 bool
@@ -164,7 +162,7 @@
 }
 
 struct kq_size
-kq_place_free (struct kq_place *place, const struct kq_name *name)
+kq_place_free (struct kq_place *place, const struct kq_name *name, kq_usec now)
 {
   const struct place_worker *worker = place_worker_find (place, name);
   struct kq_size size = { 0, 0, 0 };
@@ -174,7 +172,7 @@
   if (worker == NULL)
     return size;
   place_loads_update (place);
-  if (worker->load.tasks == 0)
+  if (worker->load.tasks == 0 || place_blind (place, now))
     return worker->capacity;
   rack = worker->rack;
   rack_limit = rack->limit * rack->capacity;
--- a/place/internal.h
+++ b/place/internal.h
@@ -8,7 +8,7 @@
 #include <utlist.h>
 
 #include "place/estimate.h"
-#include "place/state.h"
+#include "place/place.h"
 
 /** Full speed, and the least that a task is throttled to. */
 #define SHARE_FULL 1000
--- a/place/place.c
+++ b/place/place.c
@@ -1,6 +1,6 @@
 /* Workers, racks and tasks of placement. */
 
-#include "place/state.h"
+#include "place/place.h"
 
 #include <math.h>
 #include <stdlib.h>
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -9,7 +9,7 @@
 #ifndef KQ_T_LIB_CLUSTER_H
 #define KQ_T_LIB_CLUSTER_H
 
-#include "place/state.h"
+#include "place/place.h"
 
 enum cluster_policy
 {
--- a/t/test-place.c
+++ b/t/test-place.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "place/state.h"
+#include "place/place.h"
 #include "t/kqtest.h"
 #include "t/lib-cluster.h"
 
