query: name what a row of "why" is in a field of its own

Cause: seen in a run of the demo: "why task" printed "batch baskets" where it meant the job, because a job's own field "kind" took the place of the one that says what the row is. The field is called "item" now. Ruled out: renaming the job's field, which "show jobs" prints and which conditions use.

--- a/builtin/output.c
+++ b/builtin/output.c
@@ -165,15 +165,15 @@
 
   json_array_foreach (rows, index, row)
   {
-    const char *kind = json_string_value (json_object_get (row, "kind"));
+    const char *item = json_string_value (json_object_get (row, "item"));
     const char *name = json_string_value (json_object_get (row, "name"));
 
-    printf ("%s %s\n", kind ? kind : "-", name ? name : "-");
+    printf ("%s %s\n", item ? item : "-", name ? name : "-");
     json_object_foreach (row, field, cell)
     {
       char *text;
 
-      if (strcmp (field, "kind") == 0 || strcmp (field, "name") == 0)
+      if (strcmp (field, "item") == 0 || strcmp (field, "name") == 0)
         continue;
       text = cell_text (cell);
       printf ("  %-16s %s\n", field, text ? text : "");
--- a/query/answer.c
+++ b/query/answer.c
@@ -134,10 +134,10 @@
 }
 
 /** Appends to OUT a copy of the row of TABLE called NAME, with the table's
- *  name as "kind".  @return the copy, owned by OUT, or NULL.  */
+ *  name as "item".  @return the copy, owned by OUT, or NULL.  */
 static json_t *
 append_named (json_t *out, const struct kq_query_provider *provider,
-              enum kq_table table, const char *kind, const char *name)
+              enum kq_table table, const char *item, const char *name)
 {
   json_t *rows = rows_of (provider, table);
   json_t *found = NULL;
@@ -148,7 +148,7 @@
                       row) if (found == NULL
                                && strcmp (text_of (row, "name"), name) == 0)
   {
-    found = json_pack ("{s:s}", "kind", kind);
+    found = json_pack ("{s:s}", "item", item);
     json_object_update (found, row);
     json_array_append_new (out, found);
   }
@@ -190,7 +190,7 @@
 
   json_array_foreach (
       summary, index,
-      group) if (strcmp (text_of (group, "kind"), "tasks") == 0
+      group) if (strcmp (text_of (group, "item"), "tasks") == 0
                  && strcmp (text_of (group, "state"), state) == 0
                  && strcmp (text_of (group, "reason"), reason) == 0)
   {
@@ -199,7 +199,7 @@
     return;
   }
   json_array_append_new (
-      summary, json_pack ("{s:s, s:s, s:s, s:i, s:s}", "kind", "tasks", "name",
+      summary, json_pack ("{s:s, s:s, s:s, s:i, s:s}", "item", "tasks", "name",
                           text_of (row, "name"), "state", state, "tasks", 1,
                           "reason", reason));
 }
--- a/t/test-query.c
+++ b/t/test-query.c
@@ -155,7 +155,9 @@
                          "\"h1\"},{\"name\":\"s2\",\"owner\":\"h2\"}]",
                          0, NULL);
     case KQ_TABLE_JOBS:
-      return json_loads ("[{\"name\":\"j\",\"state\":\"running\"}]", 0, NULL);
+      return json_loads ("[{\"name\":\"j\",\"kind\":\"batch\",\"state\":"
+                         "\"running\"}]",
+                         0, NULL);
     case KQ_TABLE_WORKERS:
       return json_loads (
           "[{\"name\":\"w1\",\"memory_mb\":4096,\"cpu_milli\":16000,"
@@ -203,10 +205,11 @@
   { "show tasks where reason = quota", 2, "j/2" },
   { "show hosts", 0, "\"owned_shards\":[\"s1\"],\"shards\":2" },
   { "show configuration", 1, "\"document\":{}" },
-  { "why task j/0", 3, "\"kind\":\"worker\"" },
-  { "why task j/9", 1, "\"kind\":\"job\"" },
+  { "why task j/0", 3, "\"item\":\"worker\"" },
+  { "why task j/9", 1, "\"item\":\"job\"" },
   { "why task k/0", -1, "KQ_EJOB_UNKNOWN" },
   { "why job j", 3, "\"tasks\":2,\"reason\":\"quota\"" },
+  { "why job j", 3, "\"item\":\"job\",\"name\":\"j\",\"kind\":\"batch\"" },
   { "why job k", -1, "KQ_EJOB_UNKNOWN" },
   { "why request abc", -1, "KQ_ENOENT" },
   { "trace abc", -1, "KQ_ENOENT" },
