platform, core: read the slow-down of services from usage reports

Cause: placement learns which batch work slows services down, but a worker's table did not state any slow-down, so the daemon learned nothing of it.

--- a/core/advise.c
+++ b/core/advise.c
@@ -81,7 +81,8 @@
                                   .at = answer->sent_at - table->usage_lag,
                                   .used = table->used,
                                   .throttled = table->throttled,
-                                  .busy_slots = table->busy_slots };
+                                  .busy_slots = table->busy_slots,
+                                  .slow_milli = table->slow_milli };
   const struct kq_name *rack = &node->name;
 
   if (node->listed != NULL && !kq_name_empty (&node->listed->entry.rack))
--- a/core/event.h
+++ b/core/event.h
@@ -74,6 +74,9 @@
   int64_t usage_seq;   /**< number of the usage report, rising by one */
   kq_usec usage_lag;   /**< age of that report */
   struct kq_size used; /**< usage that the report states */
+  int32_t slow_milli;  /**< time of service of requests in that report,
+                          relative to an idle worker, 1000 = as fast; 0 = not
+                          stated */
   bool throttled;      /**< the rack's power guard slows this worker */
   const struct kq_attempt_row *rows;
   size_t row_count;
--- a/t/standin/si-worker.c
+++ b/t/standin/si-worker.c
@@ -141,7 +141,7 @@
   kq_usec lag = sample->seq ? now - sample->at : 0;
 
   return json_pack (
-      "{ss sI sI s{si si si} si si si s{sI sI si si sb} so}", "holder",
+      "{ss sI sI s{si si si} si si si s{sI sI si si sb si} so}", "holder",
       held ? worker->holder : "", "term", (json_int_t)worker->term, "left_ms",
       (json_int_t)(held ? (worker->lease_until - now) / KQ_USEC_PER_MSEC : 0),
       "capacity", "cpu_milli", worker->capacity.cpu_milli, "memory_mb",
@@ -150,7 +150,8 @@
       worker->connections, "busy_slots", worker->busy, "usage", "seq",
       (json_int_t)sample->seq, "lag_ms", (json_int_t)(lag / KQ_USEC_PER_MSEC),
       "cpu_milli", sample->used.cpu_milli, "memory_mb", sample->used.memory_mb,
-      "throttled", worker->throttled, "tasks", rows_json (worker));
+      "throttled", worker->throttled, "slow_milli", sample->slow_milli,
+      "tasks", rows_json (worker));
 }
 
 /* Acquires or renews.  The end of an attempt never moves nearer; only a
@@ -447,7 +448,10 @@
     guard_rack (worker);
     worker->seq++;
     worker->samples[worker->seq % SI_SAMPLES] = (struct si_sample){
-      .seq = worker->seq, .at = now, .used = used (worker)
+      .seq = worker->seq,
+      .at = now,
+      .used = used (worker),
+      .slow_milli = (int)(si_worker_slow_down (worker) * PERMILLE)
     };
   }
 }
--- a/t/standin/si-worker.h
+++ b/t/standin/si-worker.h
@@ -21,6 +21,8 @@
   int64_t seq;
   kq_usec at;
   struct kq_size used;
+  int slow_milli; /* time of service of requests, 1000 = as on an idle worker
+                   */
 };
 
 struct si_attempt
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -13,7 +13,8 @@
   "\"term\":4,\"left_ms\":900,\"capacity\":{\"cpu_milli\":16000,"             \
   "\"memory_mb\":64,\"accelerators\":1},\"slots\":8,\"connections\":64,"      \
   "\"busy_slots\":2,\"usage\":{\"seq\":7,\"lag_ms\":3000,\"cpu_milli\":5,"    \
-  "\"memory_mb\":6,\"throttled\":true},\"tasks\":[{\"job\":\"j\",\"index\":"  \
+  "\"memory_mb\":6,\"throttled\":true,\"slow_milli\":1200},\"tasks\":[{"      \
+  "\"job\":\"j\",\"index\":"                                                  \
   "3,\"attempt\":9,\"binding\":2,\"checkpoint\":50,\"state\":\"evicted\","    \
   "\"cpu_milli\":1,\"memory_mb\":2,\"accelerators\":0,\"share_milli\":500}]}"
 #define TABLE_OF(holder) "{\"holder\":\"" holder "\"," TABLE
@@ -157,6 +158,7 @@
   CU_ASSERT_EQUAL (answer.term, 4);
   CU_ASSERT_EQUAL (answer.left, 900 * KQ_USEC_PER_MSEC);
   CU_ASSERT_EQUAL (answer.table.usage_lag, 3 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (answer.table.slow_milli, 1200);
   CU_ASSERT_EQUAL (answer.table.row_count, 1);
   CU_ASSERT_EQUAL (answer.table.rows[0].state, KQ_ATTEMPT_EVICTED);
   CU_ASSERT_EQUAL (answer.table.rows[0].share_milli, 500);
