--- a/core/start.c
+++ b/core/start.c
@@ -13,10 +13,10 @@
 
 /* Makes the attempt number that belongs to no other attempt. */
 static int64_t
-next_attempt (struct kq_core *core, const struct kq_shard *shard)
+next_attempt (struct kq_shard *shard)
 {
   return (int64_t)shard->epoch * KQ_ATTEMPTS_PER_EPOCH
-         + ++core->attempt_serial;
+         + ++shard->attempt_serial;
 }
 
 static void
@@ -56,7 +56,7 @@
 
   run->waits = kq_advise_start (core, shard, run, &node, &grant);
   if (run->waits == 0)
-    send_start (core, run, node, &grant, next_attempt (core, shard));
+    send_start (core, run, node, &grant, next_attempt (shard));
   return run->waits;
 }
 
@@ -109,7 +109,7 @@
 kq_start_tick (struct kq_core *core, struct kq_shard *shard)
 {
   if (shard->epoch == 0 || !kq_jobs_is_complete (core->jobs) || core->stopping
-      || core->attempt_serial >= KQ_ATTEMPTS_PER_EPOCH - STARTS_MAX)
+      || shard->attempt_serial >= KQ_ATTEMPTS_PER_EPOCH - STARTS_MAX)
     return;
   start_idle (core, shard);
 }
