--- a/core/bind.c
+++ b/core/bind.c
@@ -51,28 +51,10 @@
   return rank < RANK_MAX ? rank : RANK_MAX;
 }
 
-/* How often a task of SIZE fits into FREE_SIZE. */
-static int64_t
-times_fits (const struct kq_size *size, const struct kq_size *free_size)
-{
-  int64_t times = KQ_BATCH_MAX;
-  const int32_t need[]
-      = { size->cpu_milli, size->memory_mb, size->accelerators };
-  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
-                           free_size->accelerators };
-
-  for (int i = 0; i < 3; i++)
-    if (have[i] < 0)
-      return 0;
-    else if (need[i] > 0 && have[i] / need[i] < times)
-      times = have[i] / need[i];
-  return times;
-}
-
-/* What a shard's workers can take beyond the tasks that wait there. */
+/* What a shard can take beyond the tasks that wait there. */
 struct room
 {
-  struct kq_size free[KQ_LEASE_MAX_SHARD]; /* of workers that take tasks */
+  const struct kq_node *nodes[KQ_LEASE_MAX_SHARD]; /* that take tasks */
   size_t count;
   int64_t idle; /* bound tasks that do not run */
 };
@@ -81,6 +63,8 @@
 measure_room (struct kq_core *core, const struct kq_shard *shard,
               struct room *room)
 {
+  static const struct kq_size nothing = { 0, 0, 0 };
+
   room->count = 0;
   room->idle = 0;
   for (size_t i = 0; i < shard->count; i++)
@@ -88,23 +72,24 @@
       const struct kq_node *node = shard->nodes[i];
 
       if (kq_lease_held (node->lease, core->now) && node->known
-          && !kq_worker_leaving (node->worker)
-          && !kq_worker_quarantined (node->worker, core->now))
-        room->free[room->count++] = kq_worker_free (node->worker);
+          && kq_worker_check (node->worker, &nothing, core->now) == 0)
+        room->nodes[room->count++] = node;
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
     room->idle += !run->done && kq_run_live (run) == NULL;
 }
 
-/* Tasks of SIZE that the shard can start beyond what waits there. */
+/* Tasks like those of JOB that the shard can start beyond what waits, at most
+   MOST. */
 static int64_t
-room_for (const struct room *room, const struct kq_size *size)
+room_for (struct kq_core *core, const struct room *room,
+          const struct kq_job *job, int64_t most)
 {
   int64_t times = -room->idle;
 
-  for (size_t i = 0; i < room->count; i++)
-    times += times_fits (size, &room->free[i]);
-  return times;
+  for (size_t i = 0; i < room->count && times < most; i++)
+    times += kq_advise_room (core, room->nodes[i], job, KQ_BATCH_MAX);
+  return times < most ? times : most;
 }
 
 static void
@@ -165,7 +150,7 @@
           || core->now < job->waits_since
                              + rank_of (core, &job->job, shard) * RANK_DELAY)
         continue;
-      times = room_for (&room, &job->job.size) - (int64_t)used;
+      times = room_for (core, &room, &job->job, KQ_BATCH_MAX) - (int64_t)used;
       if (times > (int64_t)(KQ_BATCH_MAX - used))
         times = (int64_t)(KQ_BATCH_MAX - used);
       if (times > 0)
@@ -233,6 +218,7 @@
        run = run->next)
     {
       if (!run->tracked || run->done || kq_run_live (run) != NULL
+          || run->waits == KQ_EPLACE_PROBE
           || core->now < run->waits_since + RELEASE_AFTER
           || !fits_elsewhere (core, shard, run))
         continue;
--- a/place/choose.c
+++ b/place/choose.c
@@ -20,19 +20,6 @@
   double rack_part;       /**< of the rack's limit, with the task */
 };
 
-static bool
-runs_no_task (const struct place_worker *worker)
-{
-  const struct place_task *task;
-
-  DL_FOREACH (worker->tasks, task)
-  {
-    if (task->ended_at == 0)
-      return false;
-  }
-  return true;
-}
-
 /** Whether SIZE as declared fits into the whole of WORKER. */
 static bool
 fits_idle (const struct place_worker *worker, const struct kq_size *size)
@@ -42,6 +29,13 @@
          && size->accelerators <= worker->capacity.accelerators;
 }
 
+bool
+place_blind (const struct kq_place *place, kq_usec now)
+{
+  return !place->reported && place->began_at != 0
+         && now > place->began_at + REPORTS_EXPECTED;
+}
+
 /** Whether room on WORKER is kept for a more important task than TASK. */
 static bool
 room_is_kept (const struct place_worker *worker,
@@ -59,22 +53,37 @@
 {
   const struct place_worker *worker = option->worker;
   double limit = place->cpu_limit * worker->capacity.cpu_milli;
-  double slow_limit = worker->slots > 0 ? place->slow_limit : HUGE_VAL;
+  double slow_limit = place_slow_limit (place, worker);
 
-  if (option->load.cpu <= limit && option->load.slow <= slow_limit)
+  if (place_cpu_upper (place, &option->load) <= limit
+      && option->load.slow <= slow_limit)
     return true;
-  return runs_no_task (worker)
+  return worker->load.tasks == 0
          && declared->cpu_milli + worker->load.cpu
                 <= worker->capacity.cpu_milli;
 }
 
+/** Whether the memory of OPTION stays within limits, likewise. */
+static bool
+within_memory (const struct option *option, const struct kq_size *declared)
+{
+  const struct place_worker *worker = option->worker;
+
+  if (option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb)
+    return true;
+  return worker->load.tasks == 0
+         && declared->memory_mb + worker->load.memory
+                <= worker->capacity.memory_mb;
+}
+
 /** Fills OPTION and returns whether it is within all limits. */
 static bool
 weigh (const struct kq_place *place, struct place_worker *worker,
        const struct place_class *class, const struct kq_place_task *task,
-       struct option *option)
+       kq_usec now, struct option *option)
 {
   const struct place_rack *rack = worker->rack;
+  struct kq_size grant = place_grant (place, class, &task->size);
   double added;
 
   option->worker = worker;
@@ -84,21 +93,23 @@
   added = option->load.cpu - worker->load.cpu;
   option->rack_part
       = (rack->used + added) / (rack->limit * fmax (rack->capacity, 1));
-  return fits_idle (worker, &task->size)
-         && option->load.accelerators <= worker->capacity.accelerators
-         && option->load.memory <= MEMORY_LIMIT * worker->capacity.memory_mb
-         && option->rack_part <= 1
-         && within_speed (place, option, &task->size);
+  if (!fits_idle (worker, &task->size)
+      || !place_guard_admits (worker, &worker->load, &grant))
+    return false;
+  return place_blind (place, now)
+         || (within_memory (option, &task->size)
+             && (option->rack_part <= 1 || rack->tasks == 0)
+             && within_speed (place, option, &task->size));
 }
 
 bool
 place_within_limits (const struct kq_place *place, struct place_worker *worker,
                      const struct place_class *class,
-                     const struct kq_place_task *task)
+                     const struct kq_place_task *task, kq_usec now)
 {
   struct option option;
 
-  return weigh (place, worker, class, task, &option);
+  return weigh (place, worker, class, task, now, &option);
 }
 
 /** Returns how many tasks of CLASS run on WORKER. */
@@ -122,7 +133,7 @@
 cost (const struct kq_place *place, const struct place_class *class,
       const struct option *option)
 {
-  double slow = option->load.slow / place->slow_limit;
+  double slow = option->load.slow / place_slow_limit (place, option->worker);
   double left = 1 - option->load.cpu / option->worker->capacity.cpu_milli;
   int together = place_unseen (class) ? tasks_of (option->worker, class) : 0;
 
@@ -143,6 +154,39 @@
                 <= team->quota.accelerators;
 }
 
+/** Returns LIMIT less USED, but not below 0. */
+static int32_t
+left (double limit, double used)
+{
+  return limit > used ? (int32_t)(limit - used) : 0;
+}
+
+struct kq_size
+kq_place_free (struct kq_place *place, const struct kq_name *name, kq_usec now)
+{
+  const struct place_worker *worker = place_worker_find (place, name);
+  struct kq_size size = { 0, 0, 0 };
+  const struct place_rack *rack;
+  double rack_limit;
+
+  if (worker == NULL)
+    return size;
+  place_loads_update (place);
+  if (worker->load.tasks == 0 || place_blind (place, now))
+    return worker->capacity;
+  rack = worker->rack;
+  rack_limit = rack->limit * rack->capacity;
+  size.cpu_milli = left (place->cpu_limit * worker->capacity.cpu_milli,
+                         place_cpu_upper (place, &worker->load));
+  if (size.cpu_milli > left (rack_limit, rack->used))
+    size.cpu_milli = left (rack_limit, rack->used);
+  size.memory_mb
+      = left (MEMORY_LIMIT * worker->capacity.memory_mb, worker->load.memory);
+  size.accelerators = left (worker->capacity.accelerators,
+                            worker->load.granted.accelerators);
+  return size;
+}
+
 int
 kq_place_choose (struct kq_place *place, const struct kq_place_task *task,
                  kq_usec now, kq_place_usable *usable, void *ctx,
@@ -157,10 +201,12 @@
 
   if (class == NULL)
     return KQ_ENOMEM;
+  if (place->began_at == 0)
+    place->began_at = now;
   if (!within_quota (class->team, &task->size))
     return KQ_EJOB_QUOTA;
-  if (place_unseen (class) && class->running >= PROBE_TASKS
-      && task->importance <= PROBE_IMPORTANCE)
+  if (!place_blind (place, now) && place_unseen (class)
+      && class->running >= PROBE_TASKS && task->importance <= PROBE_IMPORTANCE)
     return KQ_EPLACE_PROBE;
   place_loads_update (place);
   for (worker = place->workers; worker != NULL; worker = worker->hh.next)
@@ -168,7 +214,7 @@
       possible = possible || fits_idle (worker, &task->size);
       if (room_is_kept (worker, task, now)
           || (usable != NULL && !usable (ctx, &worker->name))
-          || !weigh (place, worker, class, task, &option)
+          || !weigh (place, worker, class, task, now, &option)
           || cost (place, class, &option) >= best_cost)
         continue;
       best = worker;
@@ -186,15 +232,18 @@
 {
   struct place_worker *worker = place_worker_find (place, name);
   const struct place_class *class = place_class_of (place, task);
+  struct kq_place_running running
+      = { .task = *task, .share_milli = SHARE_FULL };
 
   if (worker == NULL)
     return KQ_ENOENT;
   if (class == NULL)
     return KQ_ENOMEM;
   place_loads_update (place);
-  if (!place_within_limits (place, worker, class, task)
+  if (!place_within_limits (place, worker, class, task, now)
       || !within_quota (class->team, &task->size))
     abort ();
   worker->room_until = 0;
-  return kq_place_adopt (place, name, task, now);
+  running.granted = place_grant (place, class, &task->size);
+  return place_task_add (place, worker, &running, now);
 }
--- a/place/class.c
+++ b/place/class.c
@@ -151,6 +151,16 @@
   return size < INT32_MAX ? (int32_t)size : INT32_MAX;
 }
 
+double
+place_cpu_mean (const struct place_class *class, int32_t cpu_milli)
+{
+  double factor = class->cpu.mean;
+
+  if (place_unseen (class))
+    factor = fmin (fmax (factor, UNSEEN_LEAST), UNSEEN_MOST);
+  return cpu_milli * factor;
+}
+
 struct kq_size
 place_size (const struct kq_place *place, const struct place_class *class,
             const struct kq_size *size)
@@ -164,6 +174,27 @@
   return expected;
 }
 
+struct kq_size
+place_grant (const struct kq_place *place, const struct place_class *class,
+             const struct kq_size *size)
+{
+  struct kq_size grant = place_size (place, class, size);
+
+  if (grant.cpu_milli > size->cpu_milli)
+    grant.cpu_milli = size->cpu_milli;
+  if (grant.memory_mb > size->memory_mb)
+    grant.memory_mb = size->memory_mb;
+  return grant;
+}
+
+struct kq_size
+kq_place_grant (struct kq_place *place, const struct kq_place_task *task)
+{
+  const struct place_class *class = place_class_of (place, task);
+
+  return class ? place_grant (place, class, &task->size) : task->size;
+}
+
 struct kq_size
 kq_place_size (struct kq_place *place, const struct kq_place_task *task)
 {
--- a/t/test-takeover.c
+++ b/t/test-takeover.c
@@ -56,16 +56,30 @@
   return last - from;
 }
 
+/* Of equal importance: more urgent ones may take the room of others. */
+static void
+submit (struct fake_world *world, int number)
+{
+  struct kq_command submit = { .kind = KQ_CMD_SUBMIT };
+
+  submit.job.tasks = 1 + number % 7;
+  submit.job.importance = 5;
+  submit.job.run_ms = 15000;
+  submit.job.size = (struct kq_size){ 500 + 100 * number, 1000, 0 };
+  fake_command (world, fake_live_host (world), &submit);
+}
+
 static void
 open_world (struct fake_world *world, uint64_t seed)
 {
   fake_init (world, seed);
   world->log_keeps = 1000;
+  world->states_no_usage = true;
   run_until (world, 3);
   fake_configure (world, 0);
   run_until (world, 10);
   for (int i = 0; i < 20; i++)
-    fake_submit (world, fake_live_host (world));
+    submit (world, i);
   run_until (world, 13);
 }
 
