--- a/core/member.c
+++ b/core/member.c
@@ -94,15 +94,24 @@
   return true;
 }
 
+/* What the view says of an owner follows from the claims. */
+static void
+take_claim (struct kq_core *core, struct kq_shard *shard,
+            const struct kq_name *from)
+{
+  if (!kq_name_eq (&shard->claimed_by, from)
+      || core->now >= shard->claimed_at + KQ_MEMBER_TTL)
+    core->view_dirty = true;
+  shard->claimed_by = *from;
+  shard->claimed_at = core->now;
+}
+
 static void
 take_claims (struct kq_core *core, const struct kq_peer_message *message)
 {
   struct kq_shard *shard;
   struct kq_shard *next;
 
-  HASH_ITER (hh, core->shards, shard, next)
-  if (kq_name_eq (&shard->claimed_by, &message->from))
-    shard->claimed_at = 0;
   for (size_t i = 0; i < message->shard_count; i++)
     {
       const struct kq_shard_state *state = &message->shards[i];
@@ -110,11 +119,17 @@
       HASH_FIND_STR (core->shards, state->name.text, shard);
       if (shard == NULL)
         continue;
-      shard->claimed_by = message->from;
-      shard->claimed_at = core->now;
+      take_claim (core, shard, &message->from);
       shard->largest = state->largest;
       shard->largest_known = true;
     }
+  HASH_ITER (hh, core->shards, shard, next)
+  if (shard->claimed_at != 0 && shard->claimed_at != core->now
+      && kq_name_eq (&shard->claimed_by, &message->from))
+    {
+      shard->claimed_at = 0;
+      core->view_dirty = true;
+    }
 }
 
 /* Sends the configuration in force to TO, to all when it is empty. */
--- a/peer/table.c
+++ b/peer/table.c
@@ -18,7 +18,7 @@
 #define HEARTBEAT_TIMEOUT_MS 1500
 #define CONNECT_TIMEOUT_MS 1000
 #define RECONNECT_MIN_MS 100
-#define RECONNECT_MAX_MS 2000
+#define RECONNECT_MAX_MS 400
 
 /* The host list is taken for stale when it is older than this. */
 #define LIST_STALE (10 * KQ_USEC_PER_SEC)
--- a/t/test-core.c
+++ b/t/test-core.c
@@ -410,6 +410,51 @@
 }
 
 /* Shards are released, then all are told, then the process may end. */
+/* Host "b" beats with or without shard "s"; returns whether a view follows
+   soon, and copies the owner of "w0" in it.  */
+static bool
+beat_changes_view (struct bench *bench, bool owns, struct kq_name *owner)
+{
+  static const struct kq_shard_state shard = { .name = { "s" } };
+  struct kq_event event = { .kind = KQ_EV_PEER };
+  bool changed = false;
+  struct kq_view *view;
+
+  event.u.peer = (struct kq_peer_message){ .kind = KQ_PEER_HEARTBEAT,
+                                           .from = { "b" },
+                                           .zone = { "z" },
+                                           .incarnation = 1,
+                                           .shards = &shard,
+                                           .shard_count = owns };
+  give (bench, &event);
+  for (int i = 0; i < 8; i++)
+    {
+      changed = changed || find (bench, KQ_FX_VIEW, NULL) != NULL;
+      tick (bench, 25);
+    }
+  view = kq_core_view (bench->core, bench->now);
+  *owner = view->workers[0].owner;
+  kq_view_free (view);
+  return changed;
+}
+
+/* A host that starts learns the owners from heartbeats: callers wait for it.
+ */
+static void
+test_claims_change_the_view (void)
+{
+  struct bench bench = open_bench ();
+  struct kq_name owner;
+
+  read_config (&bench, 0, config_text);
+  CU_ASSERT_TRUE (beat_changes_view (&bench, true, &owner));
+  CU_ASSERT_STRING_EQUAL (owner.text, "b");
+  CU_ASSERT_FALSE (beat_changes_view (&bench, true, &owner));
+  CU_ASSERT_TRUE (beat_changes_view (&bench, false, &owner));
+  CU_ASSERT_STRING_EQUAL (owner.text, "");
+  close_bench (&bench);
+}
+
 static void
 test_planned_stop (void)
 {
@@ -459,6 +504,7 @@
         { "lost append is looked for", test_lost_append_is_looked_for },
         { "configuration between hosts", test_configuration_between_hosts },
         { "configuration after a gap", test_configuration_after_a_gap },
+        { "claims change the view", test_claims_change_the_view },
         { "planned stop", test_planned_stop },
         { "wrong events", test_wrong_events } };
 
