--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -13,7 +13,7 @@
 #include "t/lib-fake.h"
 
 #define QUIET_SHARE 0.8 /* of the steps, then faults stop */
-#define QUIET_MAX 400.0 /* seconds in which everything must finish */
+#define QUIET_MAX 900.0 /* seconds in which everything must finish */
 #define LOG_UP_MIN 15.0 /* seconds between two outages of the log */
 #define REFUSED_MAX 100000
 
@@ -22,6 +22,7 @@
   FAULT_KILL,
   FAULT_PAUSE,
   FAULT_CUT,
+  FAULT_LINKS,
   FAULT_LOG_DOWN,
   FAULT_LOG_ANSWERS,
   FAULT_MESSAGES,
@@ -30,6 +31,7 @@
   FAULT_LEAVING,
   FAULT_STOP,
   FAULT_ZONE,
+  FAULT_ALL_HOSTS,
   FAULT_CANCELS,
   FAULT_CONFIGURE,
   FAULT_DRAIN,
@@ -40,6 +42,7 @@
 {
   UNDO_HOST,
   UNDO_CUTS,
+  UNDO_LINKS,
   UNDO_LOG,
   UNDO_MESSAGES,
   UNDO_WORKER,
@@ -50,6 +53,9 @@
 /* Longest time between two faults in seconds, by seed. */
 static const double fault_gap[] = { 5, 1.5, 10, 3 };
 
+/* Longest time between two submits in seconds, by seed. */
+static const double load_gap[] = { 2.5, 1.2, 4 };
+
 static uint64_t refused[REFUSED_MAX];
 static size_t refused_count;
 static struct fake_world *running;
@@ -164,8 +170,9 @@
   if (kq_config_revision (world->config) == 0)
     configure (world, live_host (world));
   submit (world);
-  fake_schedule (world, world->now + fake_uniform (world, 0.2, 2.5), FAKE_LOAD,
-                 -1);
+  fake_schedule (
+      world, world->now + fake_uniform (world, 0.2, load_gap[world->seed % 3]),
+      FAKE_LOAD, -1);
 }
 
 static void
@@ -187,6 +194,41 @@
   undo_later (world, fake_uniform (world, 1, 30), UNDO_CUTS, 0);
 }
 
+/* One host loses some workers and peers, each way by itself. */
+static void
+cut_links (struct fake_world *world)
+{
+  int host = fake_pick (world, FAKE_HOSTS);
+  double share = fake_uniform (world, 0.2, 0.9);
+
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    {
+      world->faults.asks_cut[host][i] = fake_chance (world, share);
+      world->faults.answers_cut[host][i] = fake_chance (world, share);
+    }
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      world->faults.peers_cut[host][i] = fake_chance (world, share);
+      world->faults.peers_cut[i][host] = fake_chance (world, share);
+    }
+  fake_trace (world, "%s loses links", world->hosts[host].name.text);
+  undo_later (world, fake_uniform (world, 2, 40), UNDO_LINKS, host);
+}
+
+static void
+heal_links (struct fake_world *world, int host)
+{
+  memset (world->faults.asks_cut[host], 0,
+          sizeof world->faults.asks_cut[host]);
+  memset (world->faults.answers_cut[host], 0,
+          sizeof world->faults.answers_cut[host]);
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      world->faults.peers_cut[host][i] = false;
+      world->faults.peers_cut[i][host] = false;
+    }
+}
+
 static void
 cancel_some (struct fake_world *world)
 {
@@ -229,7 +271,11 @@
     }
   else
     fake_kill_host (world, host);
-  undo_later (world, fake_uniform (world, 0.2, 20), UNDO_HOST, host);
+  /* Some come back before their last messages have arrived. */
+  undo_later (world,
+              fake_chance (world, 0.4) ? fake_uniform (world, 0.01, 0.4)
+                                       : fake_uniform (world, 0.4, 20),
+              UNDO_HOST, host);
 }
 
 static void
@@ -268,6 +314,15 @@
   undo_later (world, 15, UNDO_LOG, 0);
 }
 
+/* Between the worst phases some messages are lost, too. */
+static void
+calm_messages (struct fake_world *world)
+{
+  world->faults.drop = 0.005;
+  world->faults.duplicate = 0.01;
+  world->faults.late = 0.02;
+}
+
 static void
 fault_messages (struct fake_world *world)
 {
@@ -297,9 +352,17 @@
           fault_host (world, FAULT_KILL, i);
         break;
       }
+    case FAULT_ALL_HOSTS:
+      /* What lasts is in the log and at the workers alone. */
+      for (int i = 0; i < FAKE_HOSTS && fake_chance (world, 0.97); i++)
+        fault_host (world, FAULT_KILL, i);
+      break;
     case FAULT_CUT:
       cut (world);
       break;
+    case FAULT_LINKS:
+      cut_links (world);
+      break;
     case FAULT_LOG_DOWN:
     case FAULT_LOG_ANSWERS:
       fault_log (world, kind);
@@ -344,16 +407,24 @@
   switch ((enum undo)item->what)
     {
     case UNDO_HOST:
-      fake_start_host (world, item->worker);
+      if (world->hosts[item->worker].core != NULL
+          && world->hosts[item->worker].stopping)
+        undo_later (world, 1, UNDO_HOST, item->worker);
+      else
+        fake_start_host (world, item->worker);
       break;
     case UNDO_CUTS:
       memset (faults->cut, 0, sizeof faults->cut);
       break;
+    case UNDO_LINKS:
+      heal_links (world, item->worker);
+      break;
     case UNDO_LOG:
       faults->log_refuse = faults->log_lose_answer = 0;
       break;
     case UNDO_MESSAGES:
-      faults->drop = faults->duplicate = faults->late = 0;
+      if (!world->quiet)
+        calm_messages (world);
       break;
     case UNDO_RESTARTED_WORKER:
       fake_worker_restart (world, item->worker);
@@ -499,6 +570,7 @@
   world->reply = take_reply;
   refused_count = 0;
   running = world;
+  calm_messages (world);
   fake_schedule (world, world->now + 1, FAKE_LOAD, -1);
   fake_schedule (world, world->now + 8, FAKE_FAULT, -1);
   while (world->violations == 0)
@@ -522,6 +594,31 @@
 }
 
 /* NOLINTBEGIN(bugprone-signal-handler): see on_abort() */
+static void
+print_rows (const struct fake_world *world, enum kq_table table)
+{
+  for (int i = 0; i < FAKE_HOSTS; i++)
+    {
+      const struct fake_host *host = &world->hosts[i];
+      json_t *rows;
+      json_t *row;
+      size_t k;
+
+      if (host->core == NULL)
+        continue;
+      rows = kq_core_rows (host->core, table, fake_clock (world, host));
+      json_array_foreach (rows, k, row)
+      {
+        char *text = json_dumps (row, JSON_COMPACT);
+
+        if (table != KQ_TABLE_JOBS || strstr (text, "ing\"") != NULL)
+          printf ("%s %s\n", host->name.text, text);
+        free (text);
+      }
+      json_decref (rows);
+    }
+}
+
 static void
 print_trace (const struct fake_world *world)
 {
@@ -529,6 +626,13 @@
 
   for (int64_t i = first; i < world->traced; i++)
     printf ("%s\n", world->trace[i % FAKE_TRACE]);
+  if (world->quiet)
+    {
+      print_rows (world, KQ_TABLE_SHARDS);
+      print_rows (world, KQ_TABLE_WORKERS);
+      print_rows (world, KQ_TABLE_JOBS);
+      print_rows (world, KQ_TABLE_TASKS);
+    }
   printf ("violation: %s\n", world->violation);
   printf ("soak: seed %lu, steps %ld, violations %d\n",
           (unsigned long)world->seed, (long)world->step, world->violations);
