--- a/t/test-front.c
+++ b/t/test-front.c
@@ -14,9 +14,9 @@
 #include "t/lib-view.h"
 #include "trace/trace.h"
 
-#define FRONT_PORT 22200
-#define HOP_PORT 22400
-#define MAX_ENTRIES 200
+#define FRONT_PORT 22600
+#define HOP_PORT 22700
+#define MAX_ENTRIES 100
 #define FOREVER INT64_MAX
 
 /** What a caller got. */
