request: let one host of a zone decide about each key

Cause: a keyed request that its caller repeated at once through several entry hosts ran once at each, because each kept a table of its own. Now the entry host whose name hashes highest with the key, of those in the zone that own workers, decides: the others hand a keyed request to it and nowhere else, and it refuses one that was meant for it when its own view names another host. A key that came with another request is refused as invalid also across a hop; it was 'not run' before. Not proved: a key that is repeated after its host has changed (owner killed, hosts joining) within the minute that keys are kept, and through two zones.

--- a/base/err.h
+++ b/base/err.h
@@ -54,6 +54,7 @@
   X (KQ_EREQ_KEY_IN_USE, -604, "a request with this key is in progress")      \
   X (KQ_EREQ_KEY_REUSED, -605, "the key belongs to a different request")      \
   X (KQ_EREQ_ANSWER_GONE, -606, "the stored answer is no longer kept")        \
+  X (KQ_EREQ_KEY_HOME, -607, "entry hosts differ about who decides the key")  \
   /* peer */                                                                  \
   X (KQ_EPEER_VIEW, -700, "the message belongs to an old view")               \
   X (KQ_EPEER_UNKNOWN, -701, "the peer is not a member")                      \
--- a/daemon/front_call.c
+++ b/daemon/front_call.c
@@ -247,7 +247,7 @@
     {
       kq_metric_add (&hops_total, 1);
       err = kq_front_hop_send (attempt, effect->u.send.address,
-                               effect->u.send.deadline);
+                               effect->u.send.deadline, effect->u.send.homed);
     }
   else
     {
--- a/daemon/front_hop.c
+++ b/daemon/front_hop.c
@@ -68,7 +68,7 @@
 
 int
 kq_front_hop_send (struct kq_front_attempt *attempt, const char *address,
-                   kq_usec deadline)
+                   kq_usec deadline, bool homed)
 {
   struct kq_front_call *call = attempt->call;
   struct kq_front *front = call->front;
@@ -86,6 +86,7 @@
        at += strlen (call->headers.data + at) + 1)
     headers[request.n_headers++] = call->headers.data + at;
   request.headers = headers;
+  request.homed = homed;
   kq_trace_format (&attempt->trace, parent);
   request.traceparent = parent;
   message.id = call->arrival.id;
@@ -197,6 +198,7 @@
   if (err == 0)
     err = kq_buffer_add (&call->body, request->body.data, request->body.len);
   arrival->forwarded = true;
+  arrival->homed = request->homed;
   arrival->idempotent = request->idempotent;
   arrival->importance = request->importance;
   arrival->deadline = call->arrived + request->deadline_us;
@@ -307,7 +309,8 @@
       return;
     case KQ_OUTCOME_NOT_RUN:
     case KQ_OUTCOME_INVALID:
-      kq_front_attempt_end (attempt, KQ_OUTCOME_NOT_RUN, err, NULL);
+      kq_front_attempt_end (attempt, (enum kq_outcome)from->outcome, err,
+                            NULL);
       return;
     default:
       kq_front_attempt_end (attempt, KQ_OUTCOME_UNKNOWN, err, NULL);
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -255,10 +255,11 @@
 /** Connects to the hop at ADDRESS unless that was done before. */
 void kq_front_hop_connect (struct kq_front *front, const char *address);
 
-/** Sends an attempt to another entry host.
+/** Sends an attempt to another entry host, which is the home of its key if
+ *  HOMED.
  *  @return 0, or an error when nothing was sent.  */
 int kq_front_hop_send (struct kq_front_attempt *attempt, const char *address,
-                       kq_usec deadline);
+                       kq_usec deadline, bool homed);
 
 /** Forgets an attempt without telling anyone. */
 void kq_front_hop_abort (struct kq_front_attempt *attempt);
--- a/request/hop.pb-c.c
+++ b/request/hop.pb-c.c
@@ -187,7 +187,7 @@
   assert(message->base.descriptor == &kq__hop__message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq__hop__request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor kq__hop__request__field_descriptors[14] =
 {
   {
     "service",
@@ -345,12 +345,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "homed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Request, homed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq__hop__request__field_indices_by_name[] = {
   4,   /* field[4] = body */
   5,   /* field[5] = deadline_us */
   10,   /* field[10] = fingerprint */
   3,   /* field[3] = headers */
+  13,   /* field[13] = homed */
   12,   /* field[12] = idempotent */
   6,   /* field[6] = importance */
   8,   /* field[8] = key_high */
@@ -364,7 +377,7 @@
 static const ProtobufCIntRange kq__hop__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor kq__hop__request__descriptor =
 {
@@ -374,7 +387,7 @@
   "Kq__Hop__Request",
   "kq.hop",
   sizeof(Kq__Hop__Request),
-  13,
+  14,
   kq__hop__request__field_descriptors,
   kq__hop__request__field_indices_by_name,
   1,  kq__hop__request__number_ranges,
--- a/request/hop.pb-c.h
+++ b/request/hop.pb-c.h
@@ -49,10 +49,14 @@
   uint64_t fingerprint;
   char *traceparent;
   protobuf_c_boolean idempotent;
+  /*
+   * the receiver decides about the key
+   */
+  protobuf_c_boolean homed;
 };
 #define KQ__HOP__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq__hop__request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Kq__Hop__Answer
--- a/request/pool.c
+++ b/request/pool.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "base/err.h"
 
@@ -283,6 +284,34 @@
   return best;
 }
 
+static uint64_t
+weight (const struct kq_name *host, const struct kq_request_key *key)
+{
+  return XXH3_64bits_withSeed (host->text, strlen (host->text), key->hash[0]);
+}
+
+bool
+kq_pool_home (const struct kq_pool *pool,
+              const struct kq_request_settings *self,
+              const struct kq_request_key *key, struct kq_pool_peer **peer)
+{
+  bool found = pool->owned_count > 0;
+  uint64_t best = found ? weight (&self->host, key) : 0;
+
+  *peer = NULL;
+  for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
+    {
+      uint64_t other = weight (&p->name, key);
+
+      if (!p->listed || p->range != KQ_RANGE_ZONE || (found && other <= best))
+        continue;
+      found = true;
+      best = other;
+      *peer = p;
+    }
+  return found;
+}
+
 void
 kq_pool_admit (struct kq_pool_worker *worker, kq_usec now)
 {
--- a/request/pool.h
+++ b/request/pool.h
@@ -89,6 +89,14 @@
                                         enum kq_pool_range range,
                                         const struct kq_pool_peer *avoid);
 
+/** Finds the entry host of this availability zone that decides about KEY:
+ *  of those that own workers, the one whose name hashes highest with it.
+ *  @return whether there is one; *PEER is NULL when it is this host.  */
+bool kq_pool_home (const struct kq_pool *pool,
+                   const struct kq_request_settings *self,
+                   const struct kq_request_key *key,
+                   struct kq_pool_peer **peer);
+
 /** Counts one attempt in; aborts when the worker can't take it. */
 void kq_pool_admit (struct kq_pool_worker *worker, kq_usec now);
 
--- a/request/request.c
+++ b/request/request.c
@@ -200,14 +200,57 @@
   return request;
 }
 
+/* Begins the run of a keyed request, here or at the key's home.
+   @return whether the request goes on, to *HOME unless that is NULL. */
+static bool
+begin_key (struct kq_step *step, const struct kq_request_arrival *arrival,
+           struct kq_key_entry **key, struct kq_pool_peer **home)
+{
+  struct kq_request_router *router = step->router;
+  bool found
+      = kq_pool_home (&router->pool, &router->settings, &arrival->key, home);
+  int err;
+
+  /* The other host has another view of who owns workers. */
+  if (found && arrival->homed && *home != NULL)
+    {
+      emit_reply (step, arrival->id, KQ_OUTCOME_NOT_RUN, KQ_EREQ_KEY_HOME,
+                  NULL);
+      return false;
+    }
+  if (arrival->forwarded)
+    *home = NULL;
+  if (*home != NULL)
+    return true;
+  err = kq_key_begin (&router->keys, step->now, &router->settings,
+                      &arrival->key, key);
+  return !answer_key (step, arrival, err, *key);
+}
+
+static void
+start_request (struct kq_step *step, struct kq_request *request,
+               struct kq_pool_peer *home)
+{
+  struct kq_request_router *router = step->router;
+
+  if (!request->forwarded && router->budget_milli < BUDGET_LIMIT)
+    router->budget_milli += BUDGET_PER_REQUEST;
+  if (step->now >= request->deadline)
+    kq_request_finish (step, request, KQ_OUTCOME_NOT_RUN, KQ_ETIMEDOUT, NULL);
+  else if (home != NULL)
+    kq_route_home (step, request, home);
+  else
+    kq_route_place (step, request);
+}
+
 static int
 arrive (struct kq_step *step, const struct kq_request_arrival *arrival)
 {
   struct kq_request_router *router = step->router;
   struct kq_key_entry *key = NULL;
+  struct kq_pool_peer *home = NULL;
   struct kq_service *service;
   struct kq_request *request;
-  int err;
 
   HASH_FIND (hh, router->requests, &arrival->id, sizeof arrival->id, request);
   if (request != NULL)
@@ -221,13 +264,8 @@
                   NULL);
       return 0;
     }
-  if (arrival->keyed)
-    {
-      err = kq_key_begin (&router->keys, step->now, &router->settings,
-                          &arrival->key, &key);
-      if (answer_key (step, arrival, err, key))
-        return 0;
-    }
+  if (arrival->keyed && !begin_key (step, arrival, &key, &home))
+    return 0;
   request = add_request (step, arrival, &service->view);
   if (request == NULL)
     {
@@ -237,12 +275,7 @@
       return KQ_ENOMEM;
     }
   request->key = key;
-  if (!request->forwarded && router->budget_milli < BUDGET_LIMIT)
-    router->budget_milli += BUDGET_PER_REQUEST;
-  if (step->now >= request->deadline)
-    kq_request_finish (step, request, KQ_OUTCOME_NOT_RUN, KQ_ETIMEDOUT, NULL);
-  else
-    kq_route_place (step, request);
+  start_request (step, request, home);
   return 0;
 }
 
@@ -312,6 +345,9 @@
     {
       if (event->outcome == KQ_OUTCOME_ANSWERED)
         kq_request_finish (step, request, event->outcome, 0, event->answer);
+      else if (event->outcome == KQ_OUTCOME_INVALID
+               && !kq_request_live (request))
+        kq_request_finish (step, request, event->outcome, event->err, NULL);
       else
         after_failure (step, request);
     }
--- a/request/request.h
+++ b/request/request.h
@@ -77,6 +77,7 @@
   struct kq_name service;
   bool idempotent; /**< by its method */
   bool forwarded;  /**< came from another entry host */
+  bool homed;      /**< forwarded because this host decides about its key */
   bool keyed;      /**< key is set */
   struct kq_request_key key;
   int32_t importance; /**< 0 to 9; negative: the service's */
@@ -127,6 +128,7 @@
       char address[KQ_REQUEST_ADDRESS_SIZE];
       kq_usec deadline;
       int32_t importance;
+      bool homed;      /**< HOP: that host decides about the key */
       kq_usec max_age; /**< use no connection that was opened longer ago;
                             0: open a new one; negative: any */
     } send;
--- a/request/route.c
+++ b/request/route.c
@@ -28,6 +28,7 @@
   effect.u.send.deadline = request->deadline;
   effect.u.send.importance = request->importance;
   effect.u.send.max_age = max_age;
+  effect.u.send.homed = request->homed;
   kq_request_effects_put (step->out, &effect);
 }
 
@@ -185,6 +186,14 @@
   kq_queue_add (&router->queue, request);
 }
 
+void
+kq_route_home (struct kq_step *step, struct kq_request *request,
+               struct kq_pool_peer *peer)
+{
+  request->homed = true;
+  send_to_peer (step, request, peer);
+}
+
 void
 kq_route_place (struct kq_step *step, struct kq_request *request)
 {
@@ -232,7 +241,8 @@
 {
   const struct kq_request_router *router = step->router;
 
-  return !request->forwarded && request->attempt_count < KQ_REQUEST_ATTEMPTS
+  return !request->forwarded && !request->homed
+         && request->attempt_count < KQ_REQUEST_ATTEMPTS
          && router->budget_milli >= ADDED_COST
          && step->now + router->service_time <= request->deadline;
 }
--- a/request/router.h
+++ b/request/router.h
@@ -32,6 +32,7 @@
   uint64_t id;
   bool retryable; /**< may be sent again after it may have run */
   bool forwarded;
+  bool homed; /**< another host decides about its key */
   bool queued;
   bool replied;
   bool maybe_run; /**< an attempt ended as unknown */
@@ -100,6 +101,11 @@
 size_t kq_queue_ahead (const struct kq_request_queue *queue,
                        int32_t importance);
 
+/** Sends REQUEST to the entry host that decides about its key.  It isn't
+ *  sent anywhere else.  */
+void kq_route_home (struct kq_step *step, struct kq_request *request,
+                    struct kq_pool_peer *peer);
+
 /** Sends REQUEST on, lets it wait, or refuses it. */
 void kq_route_place (struct kq_step *step, struct kq_request *request);
 
--- a/t/lib-router.c
+++ b/t/lib-router.c
@@ -3,13 +3,13 @@
 #include "t/lib-view.h"
 
 struct kq_test_router
-kq_test_router_create (void)
+kq_test_router_create (const char *host)
 {
   struct kq_request_settings settings = { .queue_limit = 0 };
   struct kq_test_router t = { .now = KQ_USEC_PER_SEC };
 
   kq_request_settings_default (&settings);
-  kq_name_set (&settings.host, "e1");
+  kq_name_set (&settings.host, host);
   kq_name_set (&settings.zone, "dakar-sandaga");
   kq_name_set (&settings.region, "dakar");
   t.router = kq_request_create (&settings);
--- a/t/lib-router.h
+++ b/t/lib-router.h
@@ -14,8 +14,8 @@
   uint64_t last_id;
 };
 
-/** Creates a router of host "e1" in dakar-sandaga with default settings. */
-struct kq_test_router kq_test_router_create (void);
+/** Creates a router of HOST in dakar-sandaga with default settings. */
+struct kq_test_router kq_test_router_create (const char *host);
 void kq_test_router_destroy (struct kq_test_router *t);
 
 /** Publishes VIEW and frees it. */
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -336,22 +336,35 @@
   kq_test_endpoint_stop (endpoint);
 }
 
+/* Repeated at once through two entry hosts that own a worker each. */
 static void
 test_keyed_request_runs_once (void)
 {
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
-  struct entry entry = start_entry ("e1", "dakar-sandaga");
+  struct entry entries[2] = { start_entry ("e1", "dakar-sandaga"),
+                              start_entry ("e2", "dakar-sandaga") };
   struct caller callers[8] = { 0 };
   int answered = 0;
   const char *const *headers
       = HEADERS ("Kumquatrack-Service: book", "Idempotency-Key: coil-77");
 
-  publish (entry.front, kq_test_view (2, kq_test_endpoint_port (endpoint),
-                                      true, FOREVER, ""));
+  for (int i = 0; i < 2; i++)
+    {
+      struct kq_view *view = kq_test_view (2, 0, false, 0, entries[1 - i].hop);
+
+      kq_name_set (&view->workers[1].owner, "e2");
+      view->workers[i].owned = true;
+      view->workers[i].owned_until = FOREVER;
+      for (int k = 0; k < 2; k++)
+        snprintf (view->workers[k].endpoint, sizeof view->workers[k].endpoint,
+                  "127.0.0.1:%d", kq_test_endpoint_port (endpoint));
+      publish (entries[i].front, view);
+    }
+  usleep (200000);
   for (int i = 0; i < 8; i++)
     {
       strcpy (callers[i].path, "/slow/200");
-      start_caller (&callers[i], entry.port, "POST", headers);
+      start_caller (&callers[i], entries[i % 2].port, "POST", headers);
     }
   for (int i = 0; i < 8; i++)
     {
@@ -361,12 +374,18 @@
                       || strcmp (callers[i].reply.outcome, "unknown") == 0);
     }
   CU_ASSERT_TRUE (answered >= 1);
-  CU_ASSERT_EQUAL (
-      call (entry.port, "POST", "/slow/200", NULL, headers).status, 200);
-  CU_ASSERT_EQUAL (call (entry.port, "POST", "/other", NULL, headers).status,
-                   422);
+  for (int i = 0; i < 2; i++)
+    {
+      int port = entries[i].port;
+
+      CU_ASSERT_EQUAL (call (port, "POST", "/slow/200", NULL, headers).status,
+                       200);
+      CU_ASSERT_EQUAL (call (port, "POST", "/other", NULL, headers).status,
+                       422);
+    }
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
-  kq_front_stop (entry.front);
+  kq_front_stop (entries[0].front);
+  kq_front_stop (entries[1].front);
   kq_test_endpoint_stop (endpoint);
 }
 
--- a/t/test-request-run.c
+++ b/t/test-request-run.c
@@ -41,6 +41,7 @@
   uint64_t id;
   uint32_t attempt;
   uint64_t caller; /* request of the caller */
+  bool homed;
   enum kq_outcome outcome;
   int err;
   uint64_t answer;
@@ -88,6 +89,7 @@
   kq_usec owned_from[WORKERS];
   int in_use[WORKERS][HOSTS]; /* slots that each host has in use */
   int violations;
+  bool moving; /* workers change owners */
 };
 
 static void
@@ -248,6 +250,7 @@
         p = later (w, any_time (w, 2 * MS), STEP_HOP,
                    effect.u.send.name.text[1] - '1');
         p->from = host;
+        p->homed = effect.u.send.homed;
         p->id = effect.id;
         p->attempt = effect.attempt;
         break;
@@ -334,6 +337,7 @@
   event.u.arrive.id = id;
   event.u.arrive.importance = -1;
   event.u.arrive.forwarded = forwarded;
+  event.u.arrive.homed = p->homed;
   event.u.arrive.keyed = w->callers[caller].key != 0;
   event.u.arrive.key.hash[0] = w->callers[caller].key;
   kq_name_set (&event.u.arrive.service,
@@ -407,10 +411,11 @@
       w->owner[p->worker] = p->host;
       w->owned_from[p->worker] = w->now;
       publish (w);
-      later (w, any_time (w, 500 * MS), STEP_MOVE,
-             (int)gsl_rng_uniform_int (w->rng, HOSTS))
-          ->worker
-          = (int)gsl_rng_uniform_int (w->rng, WORKERS);
+      if (w->moving)
+        later (w, any_time (w, 500 * MS), STEP_MOVE,
+               (int)gsl_rng_uniform_int (w->rng, HOSTS))
+            ->worker
+            = (int)gsl_rng_uniform_int (w->rng, WORKERS);
       break;
     case STEP_TICK:
       for (int h = 0; h < HOSTS; h++)
@@ -431,6 +436,7 @@
       check (w, c->outcome != KQ_OUTCOME_NOT_RUN || c->runs == 0,
              "ran, but was told not run", i);
       check (w, !c->book || c->runs <= 1, "ran twice", i);
+      check (w, w->key_runs[i] <= 1, "its key ran twice", i);
     }
 }
 
@@ -440,6 +446,7 @@
   struct kq_request_settings settings = { .queue_limit = 0 };
   char name[] = "e1";
 
+  w->moving = seed % 2 == 0;
   w->rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (w->rng, seed);
   kq_request_settings_default (&settings);
@@ -465,6 +472,14 @@
       w->callers[i].book = chance (w, 50);
       if (w->callers[i].book && chance (w, 30))
         w->callers[i].key = i;
+      /* While no worker moves, a key may come again, to any host. */
+      if (!w->moving && i > 50 && chance (w, 20))
+        {
+          uint64_t earlier = chance (w, 50) ? i - 8 : i - 1;
+
+          w->callers[i].key = w->callers[earlier].key;
+          w->callers[i].book |= w->callers[i].key != 0;
+        }
     }
 }
 
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -43,7 +43,7 @@
 static struct kq_test_router
 router_with (int workers)
 {
-  struct kq_test_router t = kq_test_router_create ();
+  struct kq_test_router t = kq_test_router_create ("e1");
 
   kq_test_router_view (&t, kq_test_view (workers, 1000, true, FOREVER, ""));
   return t;
@@ -52,7 +52,7 @@
 static void
 test_refusals_without_configuration (void)
 {
-  struct kq_test_router t = kq_test_router_create ();
+  struct kq_test_router t = kq_test_router_create ("e1");
   struct kq_view *view = kq_test_view (0, 0, true, 0, "");
   uint64_t id = kq_test_router_arrive (&t, "price", 0);
 
@@ -229,6 +229,68 @@
   kq_test_router_destroy (&t);
 }
 
+/* Three hosts of a zone agree about the home of each key. */
+static void
+test_home_of_a_key (void)
+{
+  static const char *const names[] = { "e1", "e2", "e3" };
+  int at_home = 0;
+
+  for (uint64_t key = 1; key <= 300; key++)
+    {
+      char home[3][KQ_NAME_SIZE];
+
+      for (int host = 0; host < 3; host++)
+        {
+          struct kq_test_router t = kq_test_router_create (names[host]);
+          struct kq_view *view = kq_test_view (3, 1000, false, 0, "x:1");
+          struct kq_request_effect effect;
+
+          for (int i = 0; i < 3; i++)
+            {
+              kq_name_set (&view->workers[i].owner, names[i]);
+              view->workers[i].owner_hop[0] = (char)('a' + i);
+              view->workers[i].owned = i == host;
+              view->workers[i].owned_until = FOREVER;
+            }
+          kq_test_router_view (&t, view);
+          kq_test_router_arrive (&t, "book", key);
+          effect = kq_test_router_do (&t);
+          at_home += effect.kind == KQ_REQ_FX_SEND;
+          CU_ASSERT_TRUE (effect.kind == KQ_REQ_FX_SEND
+                          || effect.u.send.homed);
+          strcpy (home[host], effect.kind == KQ_REQ_FX_SEND
+                                  ? names[host]
+                                  : effect.u.send.name.text);
+          /* What goes wrong at the home isn't tried elsewhere. */
+          kq_test_router_end (&t, 1, 0, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+          expect_reply (&t, 1, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+          kq_test_router_destroy (&t);
+        }
+      CU_ASSERT_STRING_EQUAL (home[0], home[1]);
+      CU_ASSERT_STRING_EQUAL (home[0], home[2]);
+    }
+  CU_ASSERT_EQUAL (at_home, 300);
+}
+
+/* A host that isn't the home by its own view refuses. */
+static void
+test_hosts_differ_about_a_home (void)
+{
+  struct kq_test_router t = kq_test_router_create ("e2");
+  struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
+
+  kq_test_router_view (&t, kq_test_view (1, 1000, false, 0, "10.0.0.1:1"));
+  event.u.arrive.id = 1;
+  event.u.arrive.keyed = true;
+  event.u.arrive.forwarded = true;
+  event.u.arrive.homed = true;
+  kq_name_set (&event.u.arrive.service, "book");
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 1, KQ_OUTCOME_NOT_RUN, KQ_EREQ_KEY_HOME);
+  kq_test_router_destroy (&t);
+}
+
 /* An answer that came after its caller was told "unknown" is kept. */
 static void
 test_late_answer_of_a_key (void)
@@ -347,7 +409,7 @@
 static void
 test_authority_and_reserved_slots (void)
 {
-  struct kq_test_router t = kq_test_router_create ();
+  struct kq_test_router t = kq_test_router_create ("e1");
   struct kq_view *view = kq_test_view (1, 1000, true, t.now + 100 * MS, "");
   uint64_t id;
 
@@ -369,7 +431,7 @@
 static void
 test_leaving_worker_gets_nothing (void)
 {
-  struct kq_test_router t = kq_test_router_create ();
+  struct kq_test_router t = kq_test_router_create ("e1");
   struct kq_view *view = kq_test_view (2, 1000, true, FOREVER, "");
 
   view->workers[0].leaving = true;
@@ -406,7 +468,7 @@
 static void
 test_hops_go_to_the_nearest_owner (void)
 {
-  struct kq_test_router t = kq_test_router_create ();
+  struct kq_test_router t = kq_test_router_create ("e1");
   struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
   struct kq_view *view = view_of_peers ();
 
@@ -538,6 +600,8 @@
   { "late and doubled ends", test_late_and_doubled_ends },
   { "keys", test_keys },
   { "key of another request", test_key_of_another_request },
+  { "home of a key", test_home_of_a_key },
+  { "hosts differ about a home", test_hosts_differ_about_a_home },
   { "late answer of a key", test_late_answer_of_a_key },
   { "retry budget", test_retry_budget },
   { "early refusal", test_early_refusal },
