--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -11,6 +11,7 @@
 #include <pthread.h>
 #include <sys/socket.h>
 #include <uthash.h>
+#include <zmq.h>
 
 #include "daemon/front.h"
 #include "metrics/metrics.h"
@@ -246,14 +247,21 @@
 /** Aborts an attempt without telling anyone. */
 void kq_front_curl_abort (struct kq_front_attempt *attempt);
 
-/* front_hop.c */
-int kq_front_hop_start (struct kq_front *front);
-void kq_front_hop_attach (struct kq_front *front);
-void kq_front_hop_run (struct kq_front *front);
-void kq_front_hop_stop (struct kq_front *front);
+/* front_endpoint.c */
 
-/** Connects to the hop at ADDRESS unless that was done before. */
-void kq_front_hop_connect (struct kq_front *front, const char *address);
+/** Sets the options that all attempts share. */
+void kq_front_endpoint_options (CURL *easy);
+
+/** Sets what ATTEMPT's request is, and how it may connect. */
+void kq_front_endpoint_prepare (struct kq_front_attempt *attempt,
+                                const char *address, kq_usec deadline,
+                                kq_usec max_age);
+
+/** Judges how ATTEMPT, which libcurl ended with CODE, has ended. */
+void kq_front_endpoint_finish (struct kq_front_attempt *attempt,
+                               CURLcode code);
+
+/* front_message.c */
 
 /** Sends an attempt to another entry host, which is the home of its key if
  *  HOMED.
@@ -267,6 +275,27 @@
 /** Answers a forwarded call whose outcome is set. */
 void kq_front_hop_reply (struct kq_front_call *call);
 
+/** Reads a message of another entry host and acts on it.  ROUTE: where it
+ *  came from, for those that hand requests over; NULL for answers.  */
+void kq_front_message_take (struct kq_front *front,
+                            const struct kq_front_origin *route, void *data,
+                            size_t size);
+
+/* front_hop.c */
+
+/** Sends FRAME over SOCKET, to ROUTE first if that is given, and never waits.
+ *  @return 0, or an error when nothing was sent.  */
+int kq_front_hop_put (void *socket, const struct kq_front_origin *route,
+                      zmq_msg_t *frame);
+
+int kq_front_hop_start (struct kq_front *front);
+void kq_front_hop_attach (struct kq_front *front);
+void kq_front_hop_run (struct kq_front *front);
+void kq_front_hop_stop (struct kq_front *front);
+
+/** Connects to the hop at ADDRESS unless that was done before. */
+void kq_front_hop_connect (struct kq_front *front, const char *address);
+
 /* front_address.c */
 
 /** Reads "ADDR:PORT", ADDR a numeric IPv4 address or an IPv6 address in
--- /dev/null
+++ b/daemon/front_message.c
@@ -0,0 +1,318 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <zmq.h>
+
+#include "base/err.h"
+#include "daemon/front_impl.h"
+#include "request/hop.pb-c.h"
+
+static int
+send_message (void *socket, const struct kq_front_origin *route,
+              const Kq__Hop__Message *message)
+{
+  zmq_msg_t frame;
+  size_t size = kq__hop__message__get_packed_size (message);
+  int err;
+
+  if (zmq_msg_init_size (&frame, size) != 0)
+    return KQ_ENOMEM;
+  kq__hop__message__pack (message, zmq_msg_data (&frame));
+  err = kq_front_hop_put (socket, route, &frame);
+  if (err != 0)
+    zmq_msg_close (&frame);
+  return err;
+}
+
+static void
+fill_request (const struct kq_front_attempt *attempt, kq_usec deadline,
+              Kq__Hop__Request *request)
+{
+  const struct kq_front_call *call = attempt->call;
+
+  request->service = (char *)call->arrival.service.text;
+  request->method = (char *)call->method;
+  request->uri = call->uri;
+  request->body.data = (uint8_t *)call->body.data;
+  request->body.len = call->body.size;
+  request->deadline_us = deadline - attempt->started;
+  request->importance = call->arrival.importance;
+  request->idempotent = call->arrival.idempotent;
+  request->keyed = call->arrival.keyed;
+  request->key_high = call->arrival.key.hash[0];
+  request->key_low = call->arrival.key.hash[1];
+  request->fingerprint = call->arrival.key.fingerprint;
+}
+
+int
+kq_front_hop_send (struct kq_front_attempt *attempt, const char *address,
+                   kq_usec deadline, bool homed)
+{
+  struct kq_front_call *call = attempt->call;
+  struct kq_front *front = call->front;
+  Kq__Hop__Message message = KQ__HOP__MESSAGE__INIT;
+  Kq__Hop__Request request = KQ__HOP__REQUEST__INIT;
+  char *headers[KQ_FRONT_HEADERS];
+  char parent[KQ_TRACE_PARENT_SIZE];
+  int err;
+
+  HASH_FIND_STR (front->peers, address, attempt->peer);
+  if (attempt->peer == NULL)
+    return KQ_EREQ_NO_ENDPOINT;
+  fill_request (attempt, deadline, &request);
+  for (size_t at = 0; at < call->headers.size;
+       at += strlen (call->headers.data + at) + 1)
+    headers[request.n_headers++] = call->headers.data + at;
+  request.headers = headers;
+  request.homed = homed;
+  kq_trace_format (&attempt->trace, parent);
+  request.traceparent = parent;
+  message.id = call->arrival.id;
+  message.attempt = attempt->number;
+  message.kind_case = KQ__HOP__MESSAGE__KIND_REQUEST;
+  message.request = &request;
+  err = send_message (attempt->peer->socket, NULL, &message);
+  front->hop_pending = true;
+  return err != 0 ? KQ_EREQ_NO_ENDPOINT : 0;
+}
+
+void
+kq_front_hop_abort (struct kq_front_attempt *attempt)
+{
+  Kq__Hop__Message message = KQ__HOP__MESSAGE__INIT;
+  Kq__Hop__Cancel cancel = KQ__HOP__CANCEL__INIT;
+
+  message.id = attempt->call->arrival.id;
+  message.attempt = attempt->number;
+  message.kind_case = KQ__HOP__MESSAGE__KIND_CANCEL;
+  message.cancel = &cancel;
+  /* When it is lost, the request ends at its deadline. */
+  send_message (attempt->peer->socket, NULL, &message);
+  attempt->call->front->hop_pending = true;
+}
+
+static size_t
+count_headers (const struct kq_answer *answer)
+{
+  size_t position = 0;
+  size_t count = 0;
+  const char *value;
+
+  while (kq_answer_header (answer, &position, &value) != NULL)
+    count++;
+  return count;
+}
+
+static void
+fill_answer (const struct kq_front_call *call, Kq__Hop__Answer *answer,
+             char **headers)
+{
+  size_t position = 0;
+  const char *name;
+  const char *value;
+
+  answer->outcome = (int32_t)call->outcome;
+  answer->err = call->err;
+  if (call->answer == NULL)
+    return;
+  answer->status = kq_answer_status (call->answer);
+  answer->headers = headers;
+  answer->body.data
+      = (uint8_t *)kq_answer_body (call->answer, &answer->body.len);
+  while ((name = kq_answer_header (call->answer, &position, &value)) != NULL)
+    {
+      headers[answer->n_headers++] = (char *)name;
+      headers[answer->n_headers++] = (char *)value;
+    }
+}
+
+void
+kq_front_hop_reply (struct kq_front_call *call)
+{
+  struct kq_front *front = call->front;
+  Kq__Hop__Message message = KQ__HOP__MESSAGE__INIT;
+  Kq__Hop__Answer answer = KQ__HOP__ANSWER__INIT;
+  size_t count = call->answer != NULL ? count_headers (call->answer) : 0;
+  char **headers = calloc (2 * count + 1, sizeof *headers);
+
+  /* The other side says "unknown" at the deadline. */
+  if (headers == NULL)
+    return;
+  fill_answer (call, &answer, headers);
+  message.id = call->origin->id;
+  message.attempt = call->origin->attempt;
+  message.kind_case = KQ__HOP__MESSAGE__KIND_ANSWER;
+  message.answer = &answer;
+  send_message (front->router_socket, call->origin, &message);
+  free (headers);
+  front->hop_pending = true;
+}
+
+static bool
+one_line (const char *text)
+{
+  return strpbrk (text, "\r\n") == NULL;
+}
+
+/* Copies what a message says into CALL, and checks it. */
+static int
+take_request (struct kq_front_call *call, const Kq__Hop__Request *request)
+{
+  struct kq_request_arrival *arrival = &call->arrival;
+  struct kq_front *front = call->front;
+  uint64_t span = kq_front_random (front);
+  int err = kq_name_set (&arrival->service, request->service);
+
+  kq_trace_begin (&call->trace, kq_front_random (front), span, span);
+  kq_trace_parse (request->traceparent, span, &call->trace);
+  if (strlen (request->method) >= sizeof call->method
+      || !one_line (request->method) || strpbrk (request->uri, " \r\n"))
+    return KQ_ESYNTAX;
+  strcpy (call->method, request->method);
+  for (size_t i = 0; i < request->n_headers && err == 0; i++)
+    err = one_line (request->headers[i])
+              ? kq_front_call_header_line (call, request->headers[i])
+              : KQ_ESYNTAX;
+  if (err == 0)
+    err = kq_buffer_add (&call->body, request->body.data, request->body.len);
+  arrival->forwarded = true;
+  arrival->homed = request->homed;
+  arrival->idempotent = request->idempotent;
+  arrival->importance = request->importance;
+  arrival->deadline = call->arrived + request->deadline_us;
+  arrival->keyed = request->keyed;
+  arrival->key.hash[0] = request->key_high;
+  arrival->key.hash[1] = request->key_low;
+  arrival->key.fingerprint = request->fingerprint;
+  return err;
+}
+
+static void
+on_request (struct kq_front *front, const struct kq_front_origin *route,
+            const Kq__Hop__Message *message)
+{
+  struct kq_front_call *call
+      = kq_front_call_create (front, message->request->uri);
+  int err;
+
+  if (call == NULL)
+    return;
+  call->origin = malloc (sizeof *call->origin);
+  if (call->origin == NULL)
+    {
+      call->outcome = KQ_OUTCOME_NOT_RUN;
+      call->err = KQ_ENOMEM;
+      kq_front_call_done (call);
+      return;
+    }
+  *call->origin = *route;
+  call->origin->id = message->id;
+  call->origin->attempt = message->attempt;
+  err = take_request (call, message->request);
+  if (err == 0 && front->stopping)
+    err = KQ_ESTOPPING;
+  if (err == 0)
+    {
+      kq_front_call_submit (call);
+      return;
+    }
+  call->outcome = KQ_OUTCOME_NOT_RUN;
+  call->err = err;
+  kq_front_hop_reply (call);
+  kq_front_call_done (call);
+}
+
+static void
+on_cancel (struct kq_front *front, const struct kq_front_origin *route,
+           const Kq__Hop__Message *message)
+{
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE };
+  struct kq_front_call *call;
+  struct kq_front_call *next;
+
+  HASH_ITER (hh, front->calls, call, next)
+  if (call->origin != NULL && !call->replied && call->origin->id == message->id
+      && call->origin->route_size == route->route_size
+      && memcmp (call->origin->route, route->route, route->route_size) == 0)
+    {
+      event.u.leave = call->arrival.id;
+      kq_front_feed (front, &event);
+      return;
+    }
+}
+
+/* Returns the answer of a message, or NULL with *ERR set. */
+static struct kq_answer *
+take_answer (const Kq__Hop__Answer *from, int *err)
+{
+  struct kq_answer *answer
+      = kq_answer_create (from->status, KQ_FRONT_BODY_LIMIT);
+
+  *err = KQ_ENOMEM;
+  if (answer == NULL)
+    return NULL;
+  *err = kq_answer_add_body (answer, from->body.data, from->body.len);
+  for (size_t i = 0; i + 1 < from->n_headers && *err == 0; i += 2)
+    *err = kq_answer_add_header (
+        answer, from->headers[i], strlen (from->headers[i]),
+        from->headers[i + 1], strlen (from->headers[i + 1]));
+  if (*err == 0 && (from->status < 200 || from->status > 999))
+    *err = KQ_ESYNTAX;
+  if (*err == 0)
+    return answer;
+  kq_answer_unref (answer);
+  return NULL;
+}
+
+static void
+on_answer (struct kq_front *front, const Kq__Hop__Message *message)
+{
+  struct kq_front_call *call = kq_front_call_find (front, message->id);
+  struct kq_front_attempt *attempt = NULL;
+  const Kq__Hop__Answer *from = message->answer;
+  struct kq_answer *answer;
+  int err = from->err;
+
+  if (call != NULL)
+    DL_SEARCH_SCALAR (call->attempts, attempt, number, message->attempt);
+  if (attempt == NULL || attempt->kind != KQ_ATTEMPT_HOP)
+    return;
+  switch (from->outcome)
+    {
+    case KQ_OUTCOME_ANSWERED:
+      answer = take_answer (from, &err);
+      kq_front_attempt_end (
+          attempt, answer != NULL ? KQ_OUTCOME_ANSWERED : KQ_OUTCOME_UNKNOWN,
+          err, answer);
+      return;
+    case KQ_OUTCOME_NOT_RUN:
+    case KQ_OUTCOME_INVALID:
+      kq_front_attempt_end (attempt, (enum kq_outcome)from->outcome, err,
+                            NULL);
+      return;
+    default:
+      kq_front_attempt_end (attempt, KQ_OUTCOME_UNKNOWN, err, NULL);
+      return;
+    }
+}
+
+void
+kq_front_message_take (struct kq_front *front,
+                       const struct kq_front_origin *route, void *data,
+                       size_t size)
+{
+  Kq__Hop__Message *message = kq__hop__message__unpack (NULL, size, data);
+  Kq__Hop__Message__KindCase kind
+      = message != NULL ? message->kind_case : KQ__HOP__MESSAGE__KIND__NOT_SET;
+
+  if (kind == KQ__HOP__MESSAGE__KIND_REQUEST && route != NULL)
+    on_request (front, route, message);
+  else if (kind == KQ__HOP__MESSAGE__KIND_CANCEL && route != NULL)
+    on_cancel (front, route, message);
+  else if (kind == KQ__HOP__MESSAGE__KIND_ANSWER && route == NULL)
+    on_answer (front, message);
+  else
+    kq_front_count_bad_message ();
+  if (message != NULL)
+    kq__hop__message__free_unpacked (message, NULL);
+}
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -10,6 +9,7 @@
 #include "daemon/front.h"
 #include "metrics/metrics.h"
 #include "t/kqtest.h"
+#include "t/lib-caller.h"
 #include "t/lib-endpoint.h"
 #include "t/lib-view.h"
 #include "trace/trace.h"
@@ -19,16 +19,6 @@
 #define MAX_ENTRIES 100
 #define FOREVER INT64_MAX
 
-/** What a caller got. */
-struct reply
-{
-  CURLcode code;
-  long status;
-  char outcome[16]; /**< header Kumquatrack-Outcome */
-  char body[4096];
-  size_t length;
-};
-
 static void *zmq;
 
 /** An entry host in this process. */
@@ -89,59 +79,6 @@
     usleep (1000);
 }
 
-static size_t
-on_body (char *data, size_t size, size_t count, void *context)
-{
-  struct reply *reply = context;
-  size_t length = size * count;
-
-  if (length > sizeof reply->body - 1 - reply->length)
-    length = sizeof reply->body - 1 - reply->length;
-  memcpy (reply->body + reply->length, data, length);
-  reply->length += length;
-  return size * count;
-}
-
-static size_t
-on_header (char *data, size_t size, size_t count, void *context)
-{
-  struct reply *reply = context;
-
-  if (size * count > 21 && strncmp (data, "Kumquatrack-Outcome: ", 21) == 0)
-    sscanf (data + 21, "%15s", reply->outcome);
-  return size * count;
-}
-
-/* Sends one request; HEADERS are lines that end with NULL. */
-static struct reply
-call (int port, const char *method, const char *path, const char *body,
-      const char *const *headers)
-{
-  struct reply reply = { .code = CURLE_OK };
-  struct curl_slist *list = NULL;
-  CURL *easy = curl_easy_init ();
-  char url[256];
-
-  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", port, path);
-  for (; *headers != NULL; headers++)
-    list = curl_slist_append (list, *headers);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, list);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, 10L);
-  if (body != NULL)
-    curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, body);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &reply);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &reply);
-  reply.code = curl_easy_perform (easy);
-  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &reply.status);
-  curl_easy_cleanup (easy);
-  curl_slist_free_all (list);
-  return reply;
-}
-
 #define HEADERS(...) ((const char *const[]){ __VA_ARGS__, NULL })
 
 static const char *const price[] = { "Kumquatrack-Service: price", NULL };
@@ -151,7 +88,8 @@
 test_without_a_view (void)
 {
   struct entry entry = start_entry ("e1", "dakar-sandaga");
-  struct reply reply = call (entry.port, "GET", "/ok", NULL, price);
+  struct kq_test_reply reply
+      = kq_test_call (entry.port, "GET", "/ok", NULL, price);
 
   CU_ASSERT_EQUAL (reply.status, 503);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
@@ -164,15 +102,15 @@
 {
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
   struct entry entry = start_entry ("e1", "dakar-sandaga");
-  struct reply reply;
+  struct kq_test_reply reply;
 
   publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
                                       true, FOREVER, ""));
-  reply = call (entry.port, "GET", "/ok?a=%20b", NULL, price);
+  reply = kq_test_call (entry.port, "GET", "/ok?a=%20b", NULL, price);
   CU_ASSERT_EQUAL (reply.status, 200);
   CU_ASSERT_STRING_EQUAL (reply.body, "/ok?a=%20b");
   CU_ASSERT_STRING_EQUAL (reply.outcome, "");
-  reply = call (entry.port, "POST", "/echo", "coil stock", book);
+  reply = kq_test_call (entry.port, "POST", "/echo", "coil stock", book);
   CU_ASSERT_STRING_EQUAL (reply.body, "coil stock");
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 2);
   kq_front_stop (entry.front);
@@ -208,13 +146,13 @@
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       int before = kq_test_endpoint_runs (endpoint);
-      struct reply reply
-          = call (entry.port, "GET", "/ok", NULL, book); /* leaves a link */
+      struct kq_test_reply reply = kq_test_call (
+          entry.port, "GET", "/ok", NULL, book); /* leaves a link */
 
       CU_ASSERT_EQUAL (reply.status, 200);
-      reply = call (entry.port, cases[i].method, cases[i].path, NULL,
-                    HEADERS ("Kumquatrack-Service: book",
-                             "Kumquatrack-Deadline-Ms: 400"));
+      reply = kq_test_call (entry.port, cases[i].method, cases[i].path, NULL,
+                            HEADERS ("Kumquatrack-Service: book",
+                                     "Kumquatrack-Deadline-Ms: 400"));
       CU_ASSERT_EQUAL (reply.status, cases[i].status);
       CU_ASSERT_STRING_EQUAL (reply.outcome, cases[i].outcome);
       CU_ASSERT_PTR_NOT_NULL (strstr (reply.body, cases[i].error));
@@ -231,16 +169,16 @@
 {
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
   struct entry entry = start_entry ("e1", "dakar-sandaga");
-  struct reply reply;
+  struct kq_test_reply reply;
 
   publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
                                       true, FOREVER, ""));
-  reply = call (entry.port, "POST", "/full", NULL, book);
+  reply = kq_test_call (entry.port, "POST", "/full", NULL, book);
   CU_ASSERT_EQUAL (reply.status, 503);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
   kq_test_endpoint_stop (endpoint);
   usleep (50000);
-  reply = call (entry.port, "POST", "/ok", NULL, book);
+  reply = kq_test_call (entry.port, "POST", "/ok", NULL, book);
   CU_ASSERT_EQUAL (reply.status, 503);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
   kq_front_stop (entry.front);
@@ -253,7 +191,7 @@
   const char *method;
   char path[32];
   const char *const *headers;
-  struct reply reply;
+  struct kq_test_reply reply;
 };
 
 static void *
@@ -261,8 +199,8 @@
 {
   struct caller *caller = argument;
 
-  caller->reply = call (caller->port, caller->method, caller->path, NULL,
-                        caller->headers);
+  caller->reply = kq_test_call (caller->port, caller->method, caller->path,
+                                NULL, caller->headers);
   return NULL;
 }
 
@@ -315,21 +253,21 @@
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
   struct entry owner = start_entry ("e1", "dakar-sandaga");
   struct entry other = start_entry ("e2", "dakar-sandaga");
-  struct reply reply;
+  struct kq_test_reply reply;
 
   publish (owner.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
                                       true, FOREVER, ""));
   publish (other.front, kq_test_view (1, 1, false, 0, owner.hop));
   usleep (200000);
-  reply = call (other.port, "POST", "/echo", "milk run", book);
+  reply = kq_test_call (other.port, "POST", "/echo", "milk run", book);
   CU_ASSERT_EQUAL (reply.status, 200);
   CU_ASSERT_STRING_EQUAL (reply.body, "milk run");
-  reply = call (other.port, "POST", "/cut", "x", book);
+  reply = kq_test_call (other.port, "POST", "/cut", "x", book);
   CU_ASSERT_EQUAL (reply.status, 502);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "unknown");
   kq_front_stop (owner.front);
   usleep (200000);
-  reply = call (other.port, "POST", "/ok", "x", book);
+  reply = kq_test_call (other.port, "POST", "/ok", "x", book);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 2);
   kq_front_stop (other.front);
@@ -378,10 +316,10 @@
     {
       int port = entries[i].port;
 
-      CU_ASSERT_EQUAL (call (port, "POST", "/slow/200", NULL, headers).status,
-                       200);
-      CU_ASSERT_EQUAL (call (port, "POST", "/other", NULL, headers).status,
-                       422);
+      CU_ASSERT_EQUAL (
+          kq_test_call (port, "POST", "/slow/200", NULL, headers).status, 200);
+      CU_ASSERT_EQUAL (
+          kq_test_call (port, "POST", "/other", NULL, headers).status, 422);
     }
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
   kq_front_stop (entries[0].front);
@@ -410,9 +348,10 @@
   kq_test_endpoint_silence (endpoint, 0);
   for (int i = 0; i < 8; i++)
     {
-      struct reply reply = call (entry.port, "POST", "/ok", NULL,
-                                 HEADERS ("Kumquatrack-Service: book",
-                                          "Kumquatrack-Deadline-Ms: 500"));
+      struct kq_test_reply reply
+          = kq_test_call (entry.port, "POST", "/ok", NULL,
+                          HEADERS ("Kumquatrack-Service: book",
+                                   "Kumquatrack-Deadline-Ms: 500"));
       unknown += strcmp (reply.outcome, "unknown") == 0;
       CU_ASSERT_TRUE (reply.status == 200 || reply.status == 504);
     }
@@ -422,39 +361,6 @@
   kq_test_endpoint_stop (endpoint);
 }
 
-/* Sends TEXT and returns the status of what comes back: 0 when the
-   connection is closed without an answer.  With SIZE 0 the caller leaves
-   instead.  */
-static int
-raw (int port, const char *text, size_t length, char *answer, size_t size)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct timeval limit = { .tv_sec = 5 };
-  ssize_t got;
-
-  address.sin_port = htons ((uint16_t)port);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
-    return -1;
-  while (length > 0)
-    {
-      ssize_t sent = send (fd, text, length, MSG_NOSIGNAL);
-      if (sent <= 0)
-        break;
-      text += sent;
-      length -= (size_t)sent;
-    }
-  if (size == 0)
-    usleep (50000);
-  got = size > 0 ? recv (fd, answer, size - 1, MSG_WAITALL) : 0;
-  if (size > 0)
-    answer[got > 0 ? got : 0] = '\0';
-  close (fd);
-  return size > 0 && got > 12 ? atoi (answer + 9) : 0;
-}
-
 static void
 test_bad_requests (void)
 {
@@ -495,13 +401,15 @@
                                       true, FOREVER, ""));
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      CU_ASSERT_EQUAL (raw (entry.port, cases[i].text, strlen (cases[i].text),
-                            answer, sizeof answer),
+      CU_ASSERT_EQUAL (kq_test_raw (entry.port, cases[i].text,
+                                    strlen (cases[i].text), answer,
+                                    sizeof answer),
                        cases[i].status);
       CU_ASSERT_PTR_NOT_NULL (strstr (answer, cases[i].error));
     }
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 0);
-  CU_ASSERT_EQUAL (call (entry.port, "GET", "/ok", NULL, price).status, 200);
+  CU_ASSERT_EQUAL (kq_test_call (entry.port, "GET", "/ok", NULL, price).status,
+                   200);
   kq_front_stop (entry.front);
   kq_test_endpoint_stop (endpoint);
 }
@@ -522,8 +430,8 @@
 
   publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
                                       true, FOREVER, ""));
-  raw (entry.port, half, sizeof half - 1, NULL, 0);
-  raw (entry.port, whole, sizeof whole - 1, NULL, 0);
+  kq_test_raw (entry.port, half, sizeof half - 1, NULL, 0);
+  kq_test_raw (entry.port, whole, sizeof whole - 1, NULL, 0);
   usleep (400000);
   CU_ASSERT_EQUAL (metric ("kq_requests_unknown_total"), unknown + 1);
   CU_ASSERT_EQUAL (metric ("kq_requests_open"), 0);
@@ -562,13 +470,14 @@
 {
   struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
   struct entry entry = start_entry ("e1", "dakar-sandaga");
-  struct reply reply;
+  struct kq_test_reply reply;
 
   publish (entry.front, kq_test_view (1, kq_test_endpoint_port (endpoint),
                                       true, kq_clock_now () + 100000, ""));
-  CU_ASSERT_EQUAL (call (entry.port, "POST", "/ok", NULL, book).status, 200);
+  CU_ASSERT_EQUAL (kq_test_call (entry.port, "POST", "/ok", NULL, book).status,
+                   200);
   usleep (110000);
-  reply = call (entry.port, "POST", "/ok", NULL, book);
+  reply = kq_test_call (entry.port, "POST", "/ok", NULL, book);
   CU_ASSERT_STRING_EQUAL (reply.outcome, "not-run");
   CU_ASSERT_EQUAL (kq_test_endpoint_runs (endpoint), 1);
   kq_front_stop (entry.front);
@@ -593,7 +502,8 @@
                                       true, FOREVER, ""));
   publish (other.front, kq_test_view (1, 1, false, 0, owner.hop));
   usleep (200000);
-  CU_ASSERT_EQUAL (call (other.port, "GET", "/ok", NULL, headers).status, 200);
+  CU_ASSERT_EQUAL (
+      kq_test_call (other.port, "GET", "/ok", NULL, headers).status, 200);
   kq_front_stop (other.front);
   kq_front_stop (owner.front);
   spans = kq_trace_find (id);
