request: pass on by stated free slots, keep queues short

An owner knew nothing of its peers' load. Now each answer to a hop states the free slots of the host that gives it; requests go to the peer with the most, a full one is probed by 4 requests each 100 ms, and a host without workers still queues at its nearest owner.

--- a/daemon/front_call.c
+++ b/daemon/front_call.c
@@ -228,6 +228,8 @@
   event.u.end.outcome = outcome;
   event.u.end.err = err;
   event.u.end.answer = answer;
+  event.u.end.has_free = attempt->has_free;
+  event.u.end.free = attempt->free;
   DL_DELETE (call->attempts, attempt);
   free (attempt);
   kq_front_feed (call->front, &event);
@@ -267,6 +269,7 @@
   call->outcome = effect->u.reply.outcome;
   call->err = effect->u.reply.err;
   call->answer = effect->u.reply.answer;
+  call->free = effect->u.reply.free;
   if (call->origin == NULL)
     {
       kq_front_http_reply (call);
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -60,6 +60,7 @@
   enum kq_outcome outcome;
   int err;
   struct kq_answer *answer;
+  int32_t free; /**< slots of this host, stated to the host it came from */
   struct kq_front_attempt *attempts; /**< in flight */
   UT_hash_handle hh;
 };
@@ -83,6 +84,8 @@
   struct kq_front_attempt *prev; /**< other attempts of the call */
   struct kq_front_attempt *next;
   struct kq_front_peer *peer; /**< HOP */
+  bool has_free;              /**< HOP: the other host stated free */
+  int32_t free;               /**< its free slots */
   /* ENDPOINT */
   CURL *easy;
   int requests;   /**< times that libcurl was about to send it */
--- a/daemon/front_message.c
+++ b/daemon/front_message.c
@@ -113,6 +113,7 @@
 
   answer->outcome = (int32_t)call->outcome;
   answer->err = call->err;
+  answer->free = call->free;
   if (call->answer == NULL)
     return;
   answer->status = kq_answer_status (call->answer);
@@ -277,6 +278,8 @@
     DL_SEARCH_SCALAR (call->attempts, attempt, number, message->attempt);
   if (attempt == NULL || attempt->kind != KQ_ATTEMPT_HOP)
     return;
+  attempt->has_free = true;
+  attempt->free = from->free;
   switch (from->outcome)
     {
     case KQ_OUTCOME_ANSWERED:
--- a/request/hop.pb-c.c
+++ b/request/hop.pb-c.c
@@ -394,7 +394,7 @@
   (ProtobufCMessageInit) kq__hop__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq__hop__answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kq__hop__answer__field_descriptors[6] =
 {
   {
     "outcome",
@@ -456,10 +456,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "free",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Answer, free),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq__hop__answer__field_indices_by_name[] = {
   4,   /* field[4] = body */
   1,   /* field[1] = err */
+  5,   /* field[5] = free */
   3,   /* field[3] = headers */
   0,   /* field[0] = outcome */
   2,   /* field[2] = status */
@@ -467,7 +480,7 @@
 static const ProtobufCIntRange kq__hop__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor kq__hop__answer__descriptor =
 {
@@ -477,7 +490,7 @@
   "Kq__Hop__Answer",
   "kq.hop",
   sizeof(Kq__Hop__Answer),
-  5,
+  6,
   kq__hop__answer__field_descriptors,
   kq__hop__answer__field_indices_by_name,
   1,  kq__hop__answer__number_ranges,
--- a/request/hop.pb-c.h
+++ b/request/hop.pb-c.h
@@ -74,10 +74,14 @@
   size_t n_headers;
   char **headers;
   ProtobufCBinaryData body;
+  /*
+   * free slots of the sender, less requests that wait
+   */
+  int32_t free;
 };
 #define KQ__HOP__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq__hop__answer__descriptor) \
-    , 0, 0, 0, 0,NULL, {0,NULL} }
+    , 0, 0, 0, 0,NULL, {0,NULL}, 0 }
 
 
 /*
--- a/request/pool.c
+++ b/request/pool.c
@@ -12,6 +12,10 @@
 /** Time of a first ejection; doubled by each that follows. */
 #define EJECT_TIME KQ_USEC_PER_SEC
 #define EJECT_DOUBLINGS 5
+/** How long the free slots that a peer stated are believed. */
+#define FREE_TIME (100 * KQ_USEC_PER_MSEC)
+/** Requests that find out whether a peer has free slots again. */
+#define FREE_PROBES 4
 /** Slots of a worker whose table only its owner has read.  It bounds what is
  *  passed on; the owner queues or refuses by what the table says.  */
 #define UNKNOWN_SLOTS 8
@@ -141,6 +145,8 @@
   peer->range = range_of (view, self);
   peer->listed = true;
   peer->slots += view->slots > 0 ? view->slots : UNKNOWN_SLOTS;
+  if (peer->free_at == 0)
+    peer->free = peer->slots;
   return 0;
 }
 
@@ -264,9 +270,18 @@
   return best;
 }
 
+/* What a peer said is old after a while; then a few requests find out. */
+static int32_t
+free_of (struct kq_pool_peer *peer, kq_usec now)
+{
+  if (now - peer->free_at > FREE_TIME && peer->free < FREE_PROBES)
+    kq_pool_note_free (peer, FREE_PROBES, now);
+  return peer->free;
+}
+
 struct kq_pool_peer *
 kq_pool_pick_peer (struct kq_pool *pool, kq_usec now, enum kq_pool_range range,
-                   const struct kq_pool_peer *avoid)
+                   const struct kq_pool_peer *avoid, bool full)
 {
   struct kq_pool_peer *best = NULL;
 
@@ -276,14 +291,21 @@
       if (peer == avoid || !peer->listed || peer->range != range
           || now < peer->closed_until || peer->sent >= peer->slots)
         continue;
-      if (best == NULL
-          || (int64_t)peer->sent * best->slots
-                 < (int64_t)best->sent * peer->slots)
+      if (free_of (peer, now) <= 0 && !full)
+        continue;
+      if (best == NULL || peer->free > best->free)
         best = peer;
     }
   return best;
 }
 
+void
+kq_pool_note_free (struct kq_pool_peer *peer, int32_t free, kq_usec now)
+{
+  peer->free = free;
+  peer->free_at = now;
+}
+
 static uint64_t
 weight (const struct kq_name *host, const struct kq_request_key *key)
 {
--- a/request/pool.h
+++ b/request/pool.h
@@ -46,6 +46,8 @@
   int32_t slots;        /**< of the workers that it owns */
   int32_t sent;         /**< attempts in flight */
   kq_usec closed_until; /**< it refused or failed a request */
+  int32_t free;         /**< slots that may be free there */
+  kq_usec free_at;      /**< when it said so, or was last assumed to */
   UT_hash_handle hh;
   struct kq_pool_peer *next_unused; /**< while it is being removed */
 };
@@ -83,11 +85,16 @@
 struct kq_pool_worker *kq_pool_pick (struct kq_pool *pool, kq_usec now,
                                      const struct kq_pool_worker *avoid);
 
-/** Returns the least busy entry host of RANGE that takes requests at NOW
- *  and isn't AVOID; NULL when there is none.  */
+/** Returns the entry host of RANGE with the most free slots that takes
+ *  requests at NOW and isn't AVOID; NULL when there is none.  FULL: also one
+ *  that has no free slots.  */
 struct kq_pool_peer *kq_pool_pick_peer (struct kq_pool *pool, kq_usec now,
                                         enum kq_pool_range range,
-                                        const struct kq_pool_peer *avoid);
+                                        const struct kq_pool_peer *avoid,
+                                        bool full);
+
+/** Notes that PEER stated FREE slots at NOW. */
+void kq_pool_note_free (struct kq_pool_peer *peer, int32_t free, kq_usec now);
 
 /** Finds the entry host of this availability zone that decides about KEY:
  *  of those that own workers, the one whose name hashes highest with it.
--- a/request/request.c
+++ b/request/request.c
@@ -119,6 +119,10 @@
   effect.u.reply.outcome = outcome;
   effect.u.reply.err = err;
   effect.u.reply.answer = answer;
+  effect.u.reply.free
+      = (int32_t)(kq_pool_all_slots (&step->router->pool, step->now)
+                  - step->router->counts.admitted
+                  - (int64_t)step->router->queue.count);
   kq_request_effects_put (step->out, &effect);
 }
 
@@ -293,6 +297,8 @@
   if (attempt->peer != NULL)
     {
       attempt->peer->sent--;
+      if (end->has_free)
+        kq_pool_note_free (attempt->peer, end->free, step->now);
       if (end->outcome == KQ_OUTCOME_NOT_RUN)
         attempt->peer->closed_until = step->now + FULL_TIME;
       return;
--- a/request/request.h
+++ b/request/request.h
@@ -92,6 +92,8 @@
   int err;                  /**< 0 when answered */
   struct kq_answer *answer; /**< when answered; the router takes the
                                  reference */
+  bool has_free;            /**< of a hop: free is set */
+  int32_t free;             /**< free slots that the other host stated */
 };
 
 struct kq_request_event
@@ -137,6 +139,7 @@
       enum kq_outcome outcome;
       int err;
       struct kq_answer *answer; /**< a reference that the loop takes */
+      int32_t free; /**< free slots of this host, less those that wait */
     } reply;
     char peer[KQ_REQUEST_ADDRESS_SIZE];
   } u;
--- a/request/route.c
+++ b/request/route.c
@@ -6,6 +6,10 @@
 
 /** Price of one added request, in thousandths; see kq_request_router. */
 #define ADDED_COST INT64_C (1000)
+/** A request waits at most this part of its deadline: 1 / 4. */
+#define WAIT_PART 4
+/** Longer than any wait. */
+#define FOREVER (INT64_MAX / 4)
 
 /** Wait in the own queue that is preferred to a hop of each range: about
  *  one round trip.  */
@@ -69,6 +73,7 @@
   struct kq_attempt *attempt = new_attempt (step, request);
 
   peer->sent++;
+  peer->free--;
   attempt->peer = peer;
   emit_send (step, request, KQ_REQ_FX_HOP, &peer->name, peer->address, -1);
 }
@@ -97,7 +102,7 @@
   if (slots == 0 && !request->forwarded)
     slots = kq_pool_peer_slots (&router->pool);
   if (slots == 0)
-    return INT64_MAX / 4;
+    return FOREVER;
   return (ahead + 1) * router->service_time / slots;
 }
 
@@ -118,7 +123,7 @@
    forwarded again.  */
 static bool
 send_to_any_peer (struct kq_step *step, struct kq_request *request,
-                  kq_usec wait)
+                  kq_usec wait, bool full)
 {
   if (request->forwarded)
     return false;
@@ -130,7 +135,7 @@
         return false;
       peer = kq_pool_pick_peer (&step->router->pool, step->now,
                                 (enum kq_pool_range)range,
-                                last_attempt (request)->peer);
+                                last_attempt (request)->peer, full);
       if (peer != NULL)
         {
           send_to_peer (step, request, peer);
@@ -140,6 +145,15 @@
   return false;
 }
 
+/* Without own workers a queue elsewhere is better than one here. */
+static bool
+send_without_own (struct kq_step *step, struct kq_request *request)
+{
+  return kq_pool_all_slots (&step->router->pool, step->now) == 0
+         && (send_to_any_peer (step, request, FOREVER, false)
+             || send_to_any_peer (step, request, FOREVER, true));
+}
+
 static void
 refuse (struct kq_step *step, struct kq_request *request, int err)
 {
@@ -161,13 +175,24 @@
   return KQ_EREQ_OVERLOAD;
 }
 
+/* A queue that takes up most of the deadline answers no more requests than
+   a short one when the load persists, only later.  */
+static bool
+too_long (const struct kq_step *step, const struct kq_request *request,
+          kq_usec wait)
+{
+  kq_usec left = request->deadline - step->now;
+
+  return wait > left / WAIT_PART || wait + step->router->service_time > left;
+}
+
 static void
 wait_in_queue (struct kq_step *step, struct kq_request *request, kq_usec wait)
 {
   struct kq_request_router *router = step->router;
   struct kq_request *last;
 
-  if (step->now + wait + router->service_time > request->deadline)
+  if (too_long (step, request, wait))
     {
       refuse (step, request, refusal_of (step, request));
       return;
@@ -198,17 +223,14 @@
 kq_route_place (struct kq_step *step, struct kq_request *request)
 {
   kq_usec wait;
-  kq_usec hop_wait;
 
   /* Whoever waits was there before, unless this one is more important. */
   if (kq_queue_ahead (&step->router->queue, request->importance) == 0
       && send_to_own (step, request))
     return;
   wait = estimate_wait (step, request);
-  hop_wait = wait;
-  if (kq_pool_all_slots (&step->router->pool, step->now) == 0)
-    hop_wait = INT64_MAX / 4;
-  if (send_to_any_peer (step, request, hop_wait))
+  if (send_to_any_peer (step, request, wait, false)
+      || send_without_own (step, request))
     return;
   wait_in_queue (step, request, wait);
 }
@@ -231,7 +253,8 @@
 send_elsewhere (struct kq_step *step, struct kq_request *request)
 {
   if (send_to_own (step, request)
-      || send_to_any_peer (step, request, INT64_MAX / 4))
+      || send_to_any_peer (step, request, FOREVER, false)
+      || send_without_own (step, request))
     return true;
   return !kq_request_live (request) && send_to_same (step, request);
 }
@@ -271,7 +294,7 @@
 
   if (!may_add (step, request)
       || router->queue.count >= router->settings.queue_limit
-      || step->now + wait + router->service_time > request->deadline)
+      || too_long (step, request, wait))
     return false;
   count_added (router);
   kq_queue_add (&router->queue, request);
@@ -294,7 +317,7 @@
           continue;
         }
       if (!send_to_own (step, request) && !send_to_same (step, request)
-          && !send_to_any_peer (step, request, INT64_MAX / 4))
+          && !send_without_own (step, request))
         return;
       kq_queue_remove (&router->queue, request);
     }
--- /dev/null
+++ b/t/test-request-key.c
@@ -0,0 +1,158 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "t/kqtest.h"
+#include "t/lib-router.h"
+#include "t/lib-view.h"
+#include "t/router-expect.h"
+
+#define FOREVER INT64_MAX
+#define MS KQ_USEC_PER_MSEC
+
+/* A key's run ends as END; a repeat is told that and sent AGAIN or not. */
+static void
+test_keys (void)
+{
+  static const struct
+  {
+    enum kq_outcome end;
+    bool again;
+  } cases[] = { { KQ_OUTCOME_ANSWERED, false },
+                { KQ_OUTCOME_UNKNOWN, false },
+                { KQ_OUTCOME_NOT_RUN, true } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_test_router t = router_with (1);
+      uint64_t id = kq_test_router_arrive (&t, "book", 77);
+      uint64_t repeat = kq_test_router_arrive (&t, "book", 77);
+      uint32_t attempt = 0;
+      struct kq_request_effect effect;
+
+      expect_send (&t, id, 0);
+      expect_reply (&t, repeat, KQ_OUTCOME_UNKNOWN, KQ_EREQ_KEY_IN_USE);
+      do
+        {
+          kq_test_router_end (&t, id, attempt++, cases[i].end, KQ_EREQ_CUT);
+          effect = kq_test_router_do (&t);
+        }
+      while (effect.kind == KQ_REQ_FX_SEND);
+      CU_ASSERT_EQUAL (effect.kind, KQ_REQ_FX_REPLY);
+      CU_ASSERT_EQUAL (effect.u.reply.outcome, cases[i].end);
+      repeat = kq_test_router_arrive (&t, "book", 77);
+      if (cases[i].again)
+        expect_send (&t, repeat, 0);
+      else
+        CU_ASSERT_EQUAL (kq_test_router_do (&t).u.reply.outcome, cases[i].end);
+      kq_test_router_destroy (&t);
+    }
+}
+
+static void
+test_key_of_another_request (void)
+{
+  struct kq_test_router t = router_with (1);
+  struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
+
+  kq_test_router_arrive (&t, "book", 5);
+  kq_test_router_do (&t);
+  event.u.arrive.id = 99;
+  event.u.arrive.keyed = true;
+  event.u.arrive.key.hash[0] = 5;
+  event.u.arrive.key.fingerprint = 1;
+  kq_name_set (&event.u.arrive.service, "book");
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 99, KQ_OUTCOME_INVALID, KQ_EREQ_KEY_REUSED);
+  kq_test_router_destroy (&t);
+}
+
+/* Three hosts of a zone agree about the home of each key. */
+static void
+test_home_of_a_key (void)
+{
+  static const char *const names[] = { "e1", "e2", "e3" };
+  int at_home = 0;
+
+  for (uint64_t key = 1; key <= 300; key++)
+    {
+      char home[3][KQ_NAME_SIZE];
+
+      for (int host = 0; host < 3; host++)
+        {
+          struct kq_test_router t = kq_test_router_create (names[host]);
+          struct kq_view *view = kq_test_view (3, 1000, false, 0, "x:1");
+          struct kq_request_effect effect;
+
+          for (int i = 0; i < 3; i++)
+            {
+              kq_name_set (&view->workers[i].owner, names[i]);
+              view->workers[i].owner_hop[0] = (char)('a' + i);
+              view->workers[i].owned = i == host;
+              view->workers[i].owned_until = FOREVER;
+            }
+          kq_test_router_view (&t, view);
+          kq_test_router_arrive (&t, "book", key);
+          effect = kq_test_router_do (&t);
+          at_home += effect.kind == KQ_REQ_FX_SEND;
+          CU_ASSERT_TRUE (effect.kind == KQ_REQ_FX_SEND
+                          || effect.u.send.homed);
+          strcpy (home[host], effect.kind == KQ_REQ_FX_SEND
+                                  ? names[host]
+                                  : effect.u.send.name.text);
+          /* What goes wrong at the home isn't tried elsewhere. */
+          kq_test_router_end (&t, 1, 0, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+          expect_reply (&t, 1, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+          kq_test_router_destroy (&t);
+        }
+      CU_ASSERT_STRING_EQUAL (home[0], home[1]);
+      CU_ASSERT_STRING_EQUAL (home[0], home[2]);
+    }
+  CU_ASSERT_EQUAL (at_home, 300);
+}
+
+/* A host that isn't the home by its own view refuses. */
+static void
+test_hosts_differ_about_a_home (void)
+{
+  struct kq_test_router t = kq_test_router_create ("e2");
+  struct kq_request_event event = { .kind = KQ_REQ_EV_ARRIVE };
+
+  kq_test_router_view (&t, kq_test_view (1, 1000, false, 0, "10.0.0.1:1"));
+  event.u.arrive.id = 1;
+  event.u.arrive.keyed = true;
+  event.u.arrive.forwarded = true;
+  event.u.arrive.homed = true;
+  kq_name_set (&event.u.arrive.service, "book");
+  kq_request_step (t.router, t.now, &event, t.effects);
+  expect_reply (&t, 1, KQ_OUTCOME_NOT_RUN, KQ_EREQ_KEY_HOME);
+  kq_test_router_destroy (&t);
+}
+
+/* An answer that came after its caller was told "unknown" is kept. */
+static void
+test_late_answer_of_a_key (void)
+{
+  struct kq_test_router t = router_with (1);
+  uint64_t id = kq_test_router_arrive (&t, "book", 5);
+
+  expect_send (&t, id, 0);
+  kq_test_router_pass (&t, 2100 * MS);
+  expect_reply (&t, id, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  kq_test_router_end (&t, id, 0, KQ_OUTCOME_ANSWERED, 0);
+  id = kq_test_router_arrive (&t, "book", 5);
+  expect_reply (&t, id, KQ_OUTCOME_ANSWERED, 0);
+  kq_test_router_pass (&t, 61 * KQ_USEC_PER_SEC);
+  id = kq_test_router_arrive (&t, "book", 5);
+  expect_send (&t, id, 0);
+  kq_test_router_destroy (&t);
+}
+
+static const struct kq_test tests[] = {
+  { "keys", test_keys },
+  { "key of another request", test_key_of_another_request },
+  { "home of a key", test_home_of_a_key },
+  { "hosts differ about a home", test_hosts_differ_about_a_home },
+  { "late answer of a key", test_late_answer_of_a_key },
+};
+
+KQ_TEST_MAIN ("request-key", tests)
--- a/t/test-request-run.c
+++ b/t/test-request-run.c
@@ -44,6 +44,7 @@
   bool homed;
   enum kq_outcome outcome;
   int err;
+  int32_t free;
   uint64_t answer;
   struct pending *prev;
   struct pending *next;
@@ -179,6 +180,7 @@
       p->attempt = local->from_attempt;
       p->outcome = effect->u.reply.outcome;
       p->err = effect->u.reply.err;
+      p->free = effect->u.reply.free;
       p->worker = -1;
       if (p->outcome == KQ_OUTCOME_ANSWERED)
         p->answer = answer_id (effect->u.reply.answer);
@@ -305,6 +307,8 @@
   event.u.end.attempt = p->attempt;
   event.u.end.outcome = p->outcome;
   event.u.end.err = p->err;
+  event.u.end.has_free = p->worker < 0;
+  event.u.end.free = p->free;
   if (p->outcome == KQ_OUTCOME_ANSWERED)
     {
       event.u.end.answer = kq_answer_create (200, 64);
