--- a/core/shard.c
+++ b/core/shard.c
@@ -275,7 +275,7 @@
     {
       shard->epoch = (uint64_t)offset;
       shard->epoch_at = core->now;
-      core->attempt_serial = 0;
+      shard->attempt_serial = 0;
       return;
     }
   /* An earlier owner's late record: what was asked for under the epoch that
@@ -305,6 +305,12 @@
   return false;
 }
 
+bool
+kq_shard_claimed (const struct kq_shard *shard, kq_usec now)
+{
+  return shard->claimed_at != 0 && now < shard->claimed_at + KQ_MEMBER_TTL;
+}
+
 static bool
 claimed_by_other (const struct kq_core *core, const struct kq_shard *shard)
 {
