lease: quote a serial, so that a late request extends or starts nothing

Cause: the wait for a silent worker counted on requests arriving within half a lease length because their sender closes the connection. A closed connection still delivers what was written to it. Ruled out: a longer wait (no delay bounds it), a user timeout on sockets (it does not cover what the receiver has not read yet). The worker counts accepted lease requests; lease requests must quote the count, task requests the count or the one before. Conclusion: the wait of 2 ttl + task_ttl needs no bound on delays now; the platform's workers must compare one number more (assumption 5).

--- a/core/event.h
+++ b/core/event.h
@@ -86,6 +86,7 @@
   kq_usec sent_at; /**< when this host sent the request, by its own clock */
   int err;         /**< 0, KQ_ELEASE_HELD, KQ_ELEASE_TERM, KQ_EWORKER_SILENT */
   uint64_t term;   /**< the current term at the worker */
+  uint64_t serial; /**< lease requests that the worker has accepted */
   struct kq_name holder;        /**< the current holder, empty if none; see
                                    kq_core_holder() */
   kq_usec left;                 /**< time until the holder's lease lapses */
@@ -336,7 +337,8 @@
     struct
     {
       struct kq_name worker;
-      uint64_t term; /**< the term expected at the worker */
+      uint64_t term;   /**< the term expected at the worker */
+      uint64_t serial; /**< the serial expected at the worker */
       kq_usec ttl;
       kq_usec task_ttl; /**< every running attempt lives at least this much
                            longer; 0 leaves the end of each as it is */
@@ -345,6 +347,7 @@
     {
       struct kq_name worker;
       uint64_t term;
+      uint64_t serial; /**< the last serial known; one older is taken, too */
       enum kq_task_action action;
       struct kq_attempt_row row; /**< START uses all fields; others the ids
                                     and, for THROTTLE, share_milli */
--- a/core/shard.c
+++ b/core/shard.c
@@ -23,6 +23,7 @@
 
   effect.u.lease.worker = node->name;
   effect.u.lease.term = kq_lease_term (node->lease);
+  effect.u.lease.serial = kq_lease_serial (node->lease);
   effect.u.lease.ttl = ttl;
   effect.u.lease.task_ttl = task_ttl;
   kq_effects_add (core->out, &effect);
--- a/core/start.c
+++ b/core/start.c
@@ -69,6 +69,7 @@
   kq_lease_note_start (node->lease, core->now);
   effect.u.task.worker = node->name;
   effect.u.task.term = kq_lease_term (node->lease);
+  effect.u.task.serial = kq_lease_serial (node->lease);
   effect.u.task.action = KQ_TASK_START;
   effect.u.task.task_kind = run->kind;
   effect.u.task.run_ms = run->run_ms;
--- a/core/task.c
+++ b/core/task.c
@@ -338,6 +338,7 @@
   attempt->acted_at = core->now;
   effect.u.task.worker = node->name;
   effect.u.task.term = kq_lease_term (node->lease);
+  effect.u.task.serial = kq_lease_serial (node->lease);
   effect.u.task.action = action;
   effect.u.task.row = attempt->row;
   kq_effects_add (core->out, &effect);
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -10,6 +10,7 @@
 {
   const struct kq_lease_terms *terms;
   uint64_t term;
+  uint64_t serial;
   struct kq_name holder;
   kq_usec until;         /* authority ends; 0 = none */
   kq_usec asked_at;      /* last request sent */
@@ -97,19 +98,34 @@
 {
   bool mine = kq_name_eq (&answer->holder, &lease->terms->holder);
 
-  /* The second copy of a granted request is refused: nothing is lost. */
+  /* A second copy, or a request after one whose answer was lost, is refused
+     for its serial: nothing is lost, and the next request quotes the new one.
+   */
   if (mine && answer->term == lease->term && lease->until > 0)
-    return KQ_LEASE_IGNORED;
+    {
+      if (lease->asked_at == answer->sent_at)
+        lease->asked_at = 0;
+      return KQ_LEASE_IGNORED;
+    }
   lease->term = answer->term;
   lease->until = 0;
   lease->lapses_at = mine ? 0 : now + answer->left;
   return KQ_LEASE_REFUSED;
 }
 
+/* Serials only rise within a worker's life; answers may come in any order. */
+static void
+note_serial (struct kq_lease *lease, const struct kq_lease_answer *answer)
+{
+  if (answer->err != KQ_EWORKER_SILENT && answer->serial > lease->serial)
+    lease->serial = answer->serial;
+}
+
 enum kq_lease_outcome
 kq_lease_answer (struct kq_lease *lease, kq_usec now,
                  const struct kq_lease_answer *answer)
 {
+  note_serial (lease, answer);
   if (answer->err == KQ_EWORKER_SILENT || answer->sent_at < lease->applied_at
       || answer->term < lease->term)
     return KQ_LEASE_IGNORED;
@@ -157,6 +173,12 @@
   return lease->term;
 }
 
+uint64_t
+kq_lease_serial (const struct kq_lease *lease)
+{
+  return lease->serial;
+}
+
 kq_usec
 kq_lease_asked_at (const struct kq_lease *lease)
 {
--- a/lease/lease.h
+++ b/lease/lease.h
@@ -44,11 +44,9 @@
 kq_usec kq_lease_lengthen (const struct kq_lease_terms *terms,
                            kq_usec duration);
 
-/** Returns for how long after it was asked for a worker may take a request.
- *  One that was written in time arrives within half a ttl.  One that its
- *  paused sender writes later is refused once the lease has lapsed, a ttl
- *  after the last one that was taken; what the same sender wrote with it may
- *  be another half ttl on its way.  */
+/** Returns for how long after it was asked for a worker may take a request,
+ *  however late it arrives: the serial lets one late renewal pass at most, and
+ *  no start after the lease that it extends.  */
 kq_usec kq_lease_latest (const struct kq_lease_terms *terms);
 
 /** Creates a lease that is not held; NULL when out of memory.  TERMS must
@@ -84,7 +82,11 @@
 /** Returns the last term known at the worker. */
 uint64_t kq_lease_term (const struct kq_lease *lease);
 
-/** Returns when a request was last sent, 0 if never. */
+/** Returns the last serial known at the worker. */
+uint64_t kq_lease_serial (const struct kq_lease *lease);
+
+/** Returns when a request was last sent, 0 if never or if the last one was
+ *  refused just because it quoted an old serial.  */
 kq_usec kq_lease_asked_at (const struct kq_lease *lease);
 
 /** Returns when the worker last answered, 0 if never. */
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -125,10 +125,12 @@
 {
   bool is_free = kq_name_empty (&worker->holder);
 
-  if (effect->u.lease.term != worker->term)
+  if (effect->u.lease.term != worker->term
+      || effect->u.lease.serial != worker->serial)
     return is_free ? KQ_ELEASE_TERM : KQ_ELEASE_HELD;
   if (!is_free && !kq_name_eq (sender, &worker->holder))
     return KQ_ELEASE_HELD;
+  worker->serial++;
   if (effect->u.lease.ttl == 0)
     {
       fake_trace (world, "%s is released by %s", worker->name.text,
@@ -182,6 +184,7 @@
   answer->sent_at = (kq_usec)item->sent_at;
   answer->err = err;
   answer->term = worker->term;
+  answer->serial = worker->serial;
   answer->holder = worker->holder;
   if (!kq_name_empty (&worker->holder))
     answer->left
@@ -410,6 +413,7 @@
   if (kq_name_empty (&worker->holder))
     return KQ_ELEASE_LAPSED;
   if (effect->u.task.term != worker->term
+      || effect->u.task.serial + 1 < worker->serial
       || !kq_name_eq (sender, &worker->holder))
     return KQ_ELEASE_TERM;
   if (effect->u.task.action == KQ_TASK_START)
--- a/t/lib-fake-world.c
+++ b/t/lib-fake-world.c
@@ -190,6 +190,10 @@
     }
 }
 
+/* Seconds that a request can be on its way: a connection that its sender has
+   closed still delivers what was written to it. */
+#define REQUEST_LATE_MAX 30.0
+
 /* A request that a pause of its sender holds back leaves at LEAVES_AT. */
 static void
 send_request (struct fake_world *world, int host,
@@ -206,8 +210,8 @@
     return;
   while (copies-- > 0)
     {
-      double delay
-          = fake_delay (world, sender->zone, world->workers[worker].zone, 0.9);
+      double delay = fake_delay (
+          world, sender->zone, world->workers[worker].zone, REQUEST_LATE_MAX);
       struct fake_item *item;
 
       if (delay < 0)
--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -60,7 +60,7 @@
   int zone;
   double rate; /* of its clock */
   struct kq_size capacity;
-  uint64_t term;
+  uint64_t term, serial;
   struct kq_name holder;
   double lease_ends; /* real time */
   bool down, bad, leaving;
--- a/t/session-standin.sh
+++ b/t/session-standin.sh
@@ -19,11 +19,11 @@
   check "curl $* holds $want: $got" [ "${got#*"$want"}" != "$got" ]
 }
 task () { # EXPECTED ACTION ATTEMPT [MORE [WORKER]]
-  ask "$1" -w ' %{http_code}' -d "{\"holder\":\"h\",\"term\":1,\"job\":\"j\",
+  ask "$1" -w ' %{http_code}' -d "{\"holder\":\"h\",\"term\":1,\"serial\":1,\"job\":\"j\",
     \"index\":0,\"cpu_milli\":1000,\"memory_mb\":1,\"run_ms\":300,
     \"attempt\":$3,\"action\":\"$2\"${4:-}}" "$(control "${5:-1}")/task"
 }
-lease='{"holder":"h","term":0,"ttl_ms":60000,"task_ttl_ms":60000}'
+lease='{"holder":"h","term":0,"serial":0,"ttl_ms":60000,"task_ttl_ms":60000}'
 
 ask '"records":[]' "$platform/log/read"
 ask '"offset":1' -d '{"id":"a","record":{"x":1}}' "$platform/log/append"
@@ -42,6 +42,9 @@
 
 ask '"term":1' -d "$lease" "$worker/lease"
 ask '409' -w '%{http_code}' -d "$lease" "$worker/lease"
+renewal='{"holder":"h","term":1,"serial":0,"ttl_ms":60000,"task_ttl_ms":60000}'
+ask '409' -w '%{http_code}' -d "$renewal" "$worker/lease"
+task 409 stop 1 ',"serial":-1'
 task 507 start 1 ',"cpu_milli":17000'
 task 200 start 1
 task 200 start 1
--- a/t/standin/si-worker.c
+++ b/t/standin/si-worker.c
@@ -141,8 +141,9 @@
   kq_usec lag = sample->seq ? now - sample->at : 0;
 
   return json_pack (
-      "{ss sI sI s{si si si} si si si s{sI sI si si sb} so}", "holder",
-      held ? worker->holder : "", "term", (json_int_t)worker->term, "left_ms",
+      "{ss sI sI sI s{si si si} si si si s{sI sI si si sb} so}", "holder",
+      held ? worker->holder : "", "term", (json_int_t)worker->term, "serial",
+      (json_int_t)worker->serial, "left_ms",
       (json_int_t)(held ? (worker->lease_until - now) / KQ_USEC_PER_MSEC : 0),
       "capacity", "cpu_milli", worker->capacity.cpu_milli, "memory_mb",
       worker->capacity.memory_mb, "accelerators",
@@ -183,7 +184,8 @@
     return;
   si_workers_advance (0);
   holder = si_string (body, "holder");
-  if (*holder && si_number (body, "term", -1) == worker->term)
+  if (*holder && si_number (body, "term", -1) == worker->term
+      && si_number (body, "serial", -1) == worker->serial)
     {
       bool held = worker->holder[0] && worker->lease_until > now;
 
@@ -204,6 +206,7 @@
           si_fact_count ("acquires");
         }
     }
+  worker->serial += status == MHD_HTTP_OK;
   json_decref (body);
   si_answer_json (request, status, si_worker_table (worker));
 }
@@ -362,6 +365,7 @@
     return;
   si_workers_advance (0);
   if (si_number (body, "term", -1) != worker->term
+      || si_number (body, "serial", -1) + 1 < worker->serial
       || strcmp (si_string (body, "holder"), worker->holder) != 0)
     error = "term";
   else if (worker->lease_until <= kq_clock_now ())
--- a/t/standin/si-worker.h
+++ b/t/standin/si-worker.h
@@ -43,6 +43,7 @@
   json_t *knobs;
   char holder[KQ_NAME_SIZE];
   int64_t term;
+  int64_t serial; /* lease requests accepted */
   kq_usec lease_until;
   kq_usec task_until; /* given to an attempt that starts */
   struct si_attempt *attempts;
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -10,7 +10,8 @@
 #include "t/kqtest.h"
 
 #define TABLE                                                                 \
-  "\"term\":4,\"left_ms\":900,\"capacity\":{\"cpu_milli\":16000,"             \
+  "\"term\":4,\"serial\":6,\"left_ms\":900,\"capacity\":{\"cpu_milli\":"      \
+  "16000,"                                                                    \
   "\"memory_mb\":64,\"accelerators\":1},\"slots\":8,\"connections\":64,"      \
   "\"busy_slots\":2,\"usage\":{\"seq\":7,\"lag_ms\":3000,\"cpu_milli\":5,"    \
   "\"memory_mb\":6,\"throttled\":true},\"tasks\":[{\"job\":\"j\",\"index\":"  \
@@ -150,11 +151,12 @@
   struct kq_lease_answer answer = { 0 };
   struct kq_attempt_row *rows = NULL;
   json_t *object = json_loads (TABLE_OF ("h"), 0, NULL);
-  const char *const fields[] = { "term",       "left_ms", "capacity", "slots",
-                                 "busy_slots", "usage",   "tasks" };
+  const char *const fields[] = { "term",  "serial",     "left_ms", "capacity",
+                                 "slots", "busy_slots", "usage",   "tasks" };
 
   CU_ASSERT_EQUAL (kq_codec_lease_read (object, &answer, &rows), 0);
   CU_ASSERT_EQUAL (answer.term, 4);
+  CU_ASSERT_EQUAL (answer.serial, 6);
   CU_ASSERT_EQUAL (answer.left, 900 * KQ_USEC_PER_MSEC);
   CU_ASSERT_EQUAL (answer.table.usage_lag, 3 * KQ_USEC_PER_SEC);
   CU_ASSERT_EQUAL (answer.table.row_count, 1);
