--- a/request/request.c
+++ b/request/request.c
@@ -370,6 +370,28 @@
   return 0;
 }
 
+static void
+drop_attempt (struct kq_step *step, struct kq_request *request,
+              uint32_t number)
+{
+  struct kq_request_effect drop = { .kind = KQ_REQ_FX_DROP };
+
+  request->attempts[number].dropping = true;
+  drop.id = request->id;
+  drop.attempt = number;
+  kq_request_effects_put (step->out, &drop);
+}
+
+/* What another host hasn't sent on yet need not run.  An attempt at an
+   endpoint goes on: it has its slot until it has ended.  */
+static void
+drop_hops (struct kq_step *step, struct kq_request *request)
+{
+  for (uint32_t i = 0; i < request->attempt_count; i++)
+    if (request->attempts[i].live && request->attempts[i].peer != NULL)
+      drop_attempt (step, request, i);
+}
+
 static void
 leave (struct kq_step *step, uint64_t id)
 {
@@ -380,6 +402,7 @@
     return;
   if (request->queued)
     kq_queue_remove (&step->router->queue, request);
+  drop_hops (step, request);
   kq_request_finish (step, request,
                      request->maybe_run || kq_request_live (request)
                          ? KQ_OUTCOME_UNKNOWN
@@ -440,7 +463,6 @@
 check_attempts (struct kq_step *step, struct kq_request *request)
 {
   struct kq_request_router *router = step->router;
-  struct kq_request_effect drop = { .kind = KQ_REQ_FX_DROP };
   kq_usec stall = STALL_FACTOR * router->service_time;
   uint32_t count = request->attempt_count;
 
@@ -456,12 +478,7 @@
         note_stall (step, request, attempt);
       if (request->replied
           && step->now - request->replied_at >= router->settings.linger)
-        {
-          attempt->dropping = true;
-          drop.id = request->id;
-          drop.attempt = i;
-          kq_request_effects_put (step->out, &drop);
-        }
+        drop_attempt (step, request, i);
     }
 }
 
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -455,6 +455,23 @@
   kq_test_router_destroy (&t);
 }
 
+static void
+test_caller_of_a_hop_leaves (void)
+{
+  struct kq_test_router t = kq_test_router_create ("e2");
+  struct kq_request_event event = { .kind = KQ_REQ_EV_LEAVE, .u.leave = 1 };
+
+  kq_test_router_view (&t, kq_test_view (1, 1000, false, 0, "10.0.0.1:1"));
+  kq_test_router_arrive (&t, "price", 0);
+  CU_ASSERT_EQUAL (kq_test_router_do (&t).kind, KQ_REQ_FX_HOP);
+  kq_request_step (t.router, t.now, &event, t.effects);
+  CU_ASSERT_EQUAL (kq_test_router_do (&t).kind, KQ_REQ_FX_DROP);
+  expect_reply (&t, 1, KQ_OUTCOME_UNKNOWN, KQ_ECLOSED);
+  kq_test_router_end (&t, 1, 0, KQ_OUTCOME_UNKNOWN, KQ_ETIMEDOUT);
+  CU_ASSERT_FALSE (kq_request_busy (t.router));
+  kq_test_router_destroy (&t);
+}
+
 static const struct kq_test tests[] = {
   { "refusals without configuration", test_refusals_without_configuration },
   { "slots bound what is sent", test_slots_bound_what_is_sent },
@@ -472,6 +489,7 @@
   { "outliers are ejected", test_outliers_are_ejected },
   { "hedge of a stalled request", test_hedge_of_a_stalled_request },
   { "caller leaves", test_caller_leaves },
+  { "caller of a hop leaves", test_caller_of_a_hop_leaves },
 };
 
 KQ_TEST_MAIN ("request", tests)
