--- a/daemon/front_hop.c
+++ b/daemon/front_hop.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <zmq.h>
 
+#include "base/address.h"
 #include "base/err.h"
 #include "daemon/front_impl.h"
 #include "log/log.h"
@@ -189,7 +190,7 @@
   struct sockaddr_storage address;
   char url[KQ_REQUEST_ADDRESS_SIZE + 8];
 
-  if (kq_front_address (front->settings.hop_listen, &address) != 0)
+  if (!kq_address_read (front->settings.hop_listen, &address))
     return KQ_EINVAL;
   snprintf (url, sizeof url, "tcp://%s", front->settings.hop_listen);
   front->router_socket = zmq_socket (front->zmq, ZMQ_ROUTER);
--- a/daemon/front_http.c
+++ b/daemon/front_http.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/address.h"
 #include "base/err.h"
 #include "daemon/front_impl.h"
 #include "log/log.h"
@@ -317,7 +318,7 @@
       = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
   unsigned limit = front->settings.connections;
 
-  if (kq_front_address (front->settings.listen, &address) != 0)
+  if (!kq_address_read (front->settings.listen, &address))
     return KQ_EINVAL;
   if (address.ss_family == AF_INET6)
     flags |= MHD_USE_IPv6;
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -296,11 +296,4 @@
 /** Connects to the hop at ADDRESS unless that was done before. */
 void kq_front_hop_connect (struct kq_front *front, const char *address);
 
-/* front_address.c */
-
-/** Reads "ADDR:PORT", ADDR a numeric IPv4 address or an IPv6 address in
- *  brackets.
- *  @return 0 or KQ_EINVAL.  */
-int kq_front_address (const char *text, struct sockaddr_storage *address);
-
 #endif
