--- a/core/bind.c
+++ b/core/bind.c
@@ -12,6 +12,9 @@
 /* A task that finds no room in its shard is given back after this time. */
 #define RELEASE_AFTER (5 * KQ_USEC_PER_SEC)
 
+/* Between two looks at the tasks that wait. */
+#define BIND_EVERY (50 * KQ_USEC_PER_MSEC)
+
 /* Each place in the order of shards waits this much longer for a job. */
 #define RANK_DELAY (700 * KQ_USEC_PER_MSEC)
 #define RANK_MAX 4
@@ -48,13 +51,40 @@
   return rank < RANK_MAX ? rank : RANK_MAX;
 }
 
-/* Tasks like those of JOB that the shard can start beyond what waits. */
+/* How often a task of SIZE fits into FREE_SIZE. */
 static int64_t
-room_for (struct kq_core *core, const struct kq_shard *shard,
-          const struct kq_job *job)
+times_fits (const struct kq_size *size, const struct kq_size *free_size)
 {
-  int64_t room = 0;
+  int64_t times = KQ_BATCH_MAX;
+  const int32_t need[]
+      = { size->cpu_milli, size->memory_mb, size->accelerators };
+  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
+                           free_size->accelerators };
+
+  for (int i = 0; i < 3; i++)
+    if (have[i] < 0)
+      return 0;
+    else if (need[i] > 0 && have[i] / need[i] < times)
+      times = have[i] / need[i];
+  return times;
+}
 
+/* What a shard's workers can take beyond the tasks that wait there. */
+struct room
+{
+  struct kq_size guard[KQ_LEASE_MAX_SHARD];  /* what the guards admit */
+  struct kq_size limits[KQ_LEASE_MAX_SHARD]; /* what learned limits leave */
+  bool empty[KQ_LEASE_MAX_SHARD];            /* takes one task regardless */
+  size_t count;
+  int64_t idle; /* bound tasks that do not run */
+};
+
+static void
+measure_room (struct kq_core *core, const struct kq_shard *shard,
+              struct room *room)
+{
+  room->count = 0;
+  room->idle = 0;
   for (size_t i = 0; i < shard->count; i++)
     {
       const struct kq_node *node = shard->nodes[i];
@@ -62,12 +92,37 @@
       if (kq_lease_held (node->lease, core->now) && node->known
           && !kq_worker_leaving (node->worker)
           && !kq_worker_quarantined (node->worker, core->now))
-        room += kq_advise_room (core, node, job, KQ_BATCH_MAX);
+        {
+          room->guard[room->count] = kq_worker_free (node->worker);
+          room->limits[room->count] = kq_advise_limits (core, node);
+          room->empty[room->count] = kq_worker_attempts (node->worker) == NULL;
+          room->count++;
+        }
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
-    if (!run->done && kq_run_live (run) == NULL)
-      room--;
-  return room;
+    room->idle += !run->done && kq_run_live (run) == NULL;
+}
+
+/* Tasks like those of JOB that the shard can start beyond what waits there. */
+static int64_t
+room_for (struct kq_core *core, const struct room *room,
+          const struct kq_job *job)
+{
+  struct kq_size grant;
+  struct kq_size expected;
+  int64_t sum = -room->idle;
+
+  kq_advise_sizes (core, job, &grant, &expected);
+  for (size_t i = 0; i < room->count; i++)
+    {
+      int64_t admitted = times_fits (&grant, &room->guard[i]);
+      int64_t within = times_fits (&expected, &room->limits[i]);
+
+      if (within == 0 && room->empty[i])
+        within = 1;
+      sum += admitted < within ? admitted : within;
+    }
+  return sum;
 }
 
 static void
@@ -114,23 +169,25 @@
             struct kq_job_state **waiting, size_t count,
             struct kq_task_ref *refs)
 {
+  struct room room;
   size_t used = 0;
 
+  measure_room (core, shard, &room);
   for (size_t i = 0; i < count && used < KQ_BATCH_MAX; i++)
     {
       struct kq_job_state *job = waiting[i];
-      int64_t room;
+      int64_t times;
 
       if (!allows (&job->job, shard)
           || !kq_size_fits (&job->job.size, &shard->largest)
           || core->now < job->waits_since
                              + rank_of (core, &job->job, shard) * RANK_DELAY)
         continue;
-      room = room_for (core, shard, &job->job) - (int64_t)used;
-      if (room > (int64_t)(KQ_BATCH_MAX - used))
-        room = (int64_t)(KQ_BATCH_MAX - used);
-      if (room > 0)
-        used += (size_t)kq_job_unbound (job, refs + used, (int)room);
+      times = room_for (core, &room, &job->job) - (int64_t)used;
+      if (times > (int64_t)(KQ_BATCH_MAX - used))
+        times = (int64_t)(KQ_BATCH_MAX - used);
+      if (times > 0)
+        used += (size_t)kq_job_unbound (job, refs + used, (int)times);
     }
   return used;
 }
@@ -238,8 +295,10 @@
   struct kq_shard *next;
   size_t count;
 
-  if (!kq_jobs_is_complete (core->jobs) || core->stopping)
+  if (!kq_jobs_is_complete (core->jobs) || core->stopping
+      || core->now < core->bind_at)
     return;
+  core->bind_at = core->now + BIND_EVERY;
   count = collect_waiting (core, waiting);
   for (size_t i = 0; i < count; i++)
     judge_job (core, waiting[i]);
--- a/core/internal.h
+++ b/core/internal.h
@@ -145,6 +145,7 @@
   bool view_dirty;
   kq_usec view_at;
   kq_usec refresh_at;
+  kq_usec bind_at;
   bool stopping, stopped;
   kq_usec stop_at;
   kq_usec released_at;    /**< all shards handed over in a planned stop */
@@ -256,9 +257,13 @@
 int kq_advise_start (struct kq_core *core, const struct kq_shard *shard,
                      const struct kq_run *run, struct kq_node **node,
                      struct kq_size *grant);
-/** Returns how many tasks like those of JOB, at most MOST, NODE can take. */
-int64_t kq_advise_room (struct kq_core *core, const struct kq_node *node,
-                        const struct kq_job *job, int64_t most);
+/** Says with which size a task of JOB is started, and what it is expected to
+ *  use.  */
+void kq_advise_sizes (struct kq_core *core, const struct kq_job *job,
+                      struct kq_size *grant, struct kq_size *expected);
+/** Returns what learned limits leave on NODE. */
+struct kq_size kq_advise_limits (struct kq_core *core,
+                                 const struct kq_node *node);
 /** Relieves owned workers under pressure. */
 void kq_advise_tick (struct kq_core *core);
 /** Takes weights and quotas of the configuration in force. */
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -169,7 +169,7 @@
 {
   int number = (int)(worker - world->workers);
 
-  if (number % 3 == 0)
+  if (!world->reports_usage || number % 3 == 0)
     return;
   for (int i = 0; i < worker->row_count; i++)
     {
--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -120,6 +120,8 @@
   struct fake_entry *log; /* by offset - 1 */
   int64_t log_count, log_first;
   double log_keeps;     /* seconds */
+  bool reports_usage;   /* workers do; set after fake_init() */
+  bool no_urgent_jobs;  /* that take the place of others; likewise */
   struct kq_jobs *jobs; /* what the whole log says */
   struct kq_config *config;
   int64_t drained[FAKE_WORKERS]; /* offset of the record in force, or 0 */
@@ -218,4 +220,16 @@
 void fake_log_poll (struct fake_world *world, struct fake_item *item);
 void fake_log_retain (struct fake_world *world);
 
+/* lib-fake-load.c */
+/** Returns a host that runs and takes commands, -1 when there is none. */
+int fake_live_host (struct fake_world *world);
+/** Gives HOST the command, with a new id; a submitted job is named after it.
+ *  HOST -1: nothing happens.  */
+void fake_command (struct fake_world *world, int host,
+                   struct kq_command *command);
+/** Publishes the shards with some service from the revision in force. */
+void fake_configure (struct fake_world *world, int host);
+/** Submits a job of random size. */
+void fake_submit (struct fake_world *world, int host);
+
 #endif
