--- a/kumquatrack.c
+++ b/kumquatrack.c
@@ -8,10 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/version.h"
 #include "builtin/builtin.h"
 
-#define VERSION "0.1"
-
 struct subcommand
 {
   const char *name;
@@ -106,7 +105,7 @@
   int status;
 
   if (argc == 2 && strcmp (argv[1], "--version") == 0)
-    return puts ("kumquatrack " VERSION) == EOF;
+    return puts ("kumquatrack " KQ_VERSION) == EOF;
   if (argc == 2
       && (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "-h") == 0))
     {
