--- a/core/bind.c
+++ b/core/bind.c
@@ -72,7 +72,9 @@
 /* What a shard's workers can take beyond the tasks that wait there. */
 struct room
 {
-  struct kq_size free[KQ_LEASE_MAX_SHARD]; /* of workers that take tasks */
+  struct kq_size guard[KQ_LEASE_MAX_SHARD];  /* what the guards admit */
+  struct kq_size limits[KQ_LEASE_MAX_SHARD]; /* what learned limits leave */
+  bool empty[KQ_LEASE_MAX_SHARD];            /* takes one task regardless */
   size_t count;
   int64_t idle; /* bound tasks that do not run */
 };
@@ -90,21 +92,37 @@
       if (kq_lease_held (node->lease, core->now) && node->known
           && !kq_worker_leaving (node->worker)
           && !kq_worker_quarantined (node->worker, core->now))
-        room->free[room->count++] = kq_worker_free (node->worker);
+        {
+          room->guard[room->count] = kq_worker_free (node->worker);
+          room->limits[room->count] = kq_advise_limits (core, node);
+          room->empty[room->count] = kq_worker_attempts (node->worker) == NULL;
+          room->count++;
+        }
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
     room->idle += !run->done && kq_run_live (run) == NULL;
 }
 
-/* Tasks of SIZE that the shard can start beyond what waits there. */
+/* Tasks like those of JOB that the shard can start beyond what waits there. */
 static int64_t
-room_for (const struct room *room, const struct kq_size *size)
+room_for (struct kq_core *core, const struct room *room,
+          const struct kq_job *job)
 {
-  int64_t times = -room->idle;
+  struct kq_size grant;
+  struct kq_size expected;
+  int64_t sum = -room->idle;
 
+  kq_advise_sizes (core, job, &grant, &expected);
   for (size_t i = 0; i < room->count; i++)
-    times += times_fits (size, &room->free[i]);
-  return times;
+    {
+      int64_t admitted = times_fits (&grant, &room->guard[i]);
+      int64_t within = times_fits (&expected, &room->limits[i]);
+
+      if (within == 0 && room->empty[i])
+        within = 1;
+      sum += admitted < within ? admitted : within;
+    }
+  return sum;
 }
 
 static void
@@ -165,7 +183,7 @@
           || core->now < job->waits_since
                              + rank_of (core, &job->job, shard) * RANK_DELAY)
         continue;
-      times = room_for (&room, &job->job.size) - (int64_t)used;
+      times = room_for (core, &room, &job->job) - (int64_t)used;
       if (times > (int64_t)(KQ_BATCH_MAX - used))
         times = (int64_t)(KQ_BATCH_MAX - used);
       if (times > 0)
@@ -233,6 +251,7 @@
        run = run->next)
     {
       if (!run->tracked || run->done || kq_run_live (run) != NULL
+          || run->waits == KQ_EPLACE_PROBE
           || core->now < run->waits_since + RELEASE_AFTER
           || !fits_elsewhere (core, shard, run))
         continue;
--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -120,6 +120,8 @@
   struct fake_entry *log; /* by offset - 1 */
   int64_t log_count, log_first;
   double log_keeps;     /* seconds */
+  bool reports_usage;   /* workers do; set after fake_init() */
+  bool no_urgent_jobs;  /* that take the place of others; likewise */
   struct kq_jobs *jobs; /* what the whole log says */
   struct kq_config *config;
   int64_t drained[FAKE_WORKERS]; /* offset of the record in force, or 0 */
--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -9,7 +9,7 @@
 
 session_start () { # NAME BASE-PORT: uses 300 ports from there
   name=$1
-  base=$2
+  base=$(($2 + ${PORT_SHIFT:-0}))
   work=$(mktemp -d)
   platform=http://127.0.0.1:$base
   trap session_cleanup EXIT
