--- a/core/advise.c
+++ b/core/advise.c
@@ -102,45 +102,23 @@
   kq_place_drop_worker (core->place, &node->name);
 }
 
-/* How often a task of SIZE fits into FREE_SIZE, at most MOST times. */
-static int64_t
-times_fits (const struct kq_size *size, const struct kq_size *free_size,
-            int64_t most)
-{
-  int64_t times = most;
-  const int32_t need[]
-      = { size->cpu_milli, size->memory_mb, size->accelerators };
-  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
-                           free_size->accelerators };
-
-  for (int i = 0; i < 3; i++)
-    if (have[i] < 0)
-      return 0;
-    else if (need[i] > 0 && have[i] / need[i] < times)
-      times = have[i] / need[i];
-  return times;
-}
-
-int64_t
-kq_advise_room (struct kq_core *core, const struct kq_node *node,
-                const struct kq_job *job, int64_t most)
+void
+kq_advise_sizes (struct kq_core *core, const struct kq_job *job,
+                 struct kq_size *grant, struct kq_size *expected)
 {
   struct kq_place_task task = { .id = { .job = job->id },
                                 .team = job->team,
                                 .kind = job->kind,
                                 .size = job->size };
-  struct kq_size expected = kq_place_size (core->place, &task);
-  struct kq_size grant = kq_place_grant (core->place, &task);
-  struct kq_size limits = kq_place_free (core->place, &node->name, core->now);
-  struct kq_size guard = kq_worker_free (node->worker);
-  int64_t times = times_fits (&grant, &guard, most);
 
-  /* A worker that runs nothing takes one task whatever its limits are. */
-  if (times > 0 && kq_worker_attempts (node->worker) == NULL)
-    return 1 > times_fits (&expected, &limits, times)
-               ? 1
-               : times_fits (&expected, &limits, times);
-  return times_fits (&expected, &limits, times);
+  *grant = kq_place_grant (core->place, &task);
+  *expected = kq_place_size (core->place, &task);
+}
+
+struct kq_size
+kq_advise_limits (struct kq_core *core, const struct kq_node *node)
+{
+  return kq_place_free (core->place, &node->name, core->now);
 }
 
 static bool
--- a/core/bind.c
+++ b/core/bind.c
@@ -51,10 +51,30 @@
   return rank < RANK_MAX ? rank : RANK_MAX;
 }
 
-/* What a shard can take beyond the tasks that wait there. */
+/* How often a task of SIZE fits into FREE_SIZE. */
+static int64_t
+times_fits (const struct kq_size *size, const struct kq_size *free_size)
+{
+  int64_t times = KQ_BATCH_MAX;
+  const int32_t need[]
+      = { size->cpu_milli, size->memory_mb, size->accelerators };
+  const int32_t have[] = { free_size->cpu_milli, free_size->memory_mb,
+                           free_size->accelerators };
+
+  for (int i = 0; i < 3; i++)
+    if (have[i] < 0)
+      return 0;
+    else if (need[i] > 0 && have[i] / need[i] < times)
+      times = have[i] / need[i];
+  return times;
+}
+
+/* What a shard's workers can take beyond the tasks that wait there. */
 struct room
 {
-  const struct kq_node *nodes[KQ_LEASE_MAX_SHARD]; /* that take tasks */
+  struct kq_size guard[KQ_LEASE_MAX_SHARD];  /* what the guards admit */
+  struct kq_size limits[KQ_LEASE_MAX_SHARD]; /* what learned limits leave */
+  bool empty[KQ_LEASE_MAX_SHARD];            /* takes one task regardless */
   size_t count;
   int64_t idle; /* bound tasks that do not run */
 };
@@ -63,8 +83,6 @@
 measure_room (struct kq_core *core, const struct kq_shard *shard,
               struct room *room)
 {
-  static const struct kq_size nothing = { 0, 0, 0 };
-
   room->count = 0;
   room->idle = 0;
   for (size_t i = 0; i < shard->count; i++)
@@ -72,24 +90,39 @@
       const struct kq_node *node = shard->nodes[i];
 
       if (kq_lease_held (node->lease, core->now) && node->known
-          && kq_worker_check (node->worker, &nothing, core->now) == 0)
-        room->nodes[room->count++] = node;
+          && !kq_worker_leaving (node->worker)
+          && !kq_worker_quarantined (node->worker, core->now))
+        {
+          room->guard[room->count] = kq_worker_free (node->worker);
+          room->limits[room->count] = kq_advise_limits (core, node);
+          room->empty[room->count] = kq_worker_attempts (node->worker) == NULL;
+          room->count++;
+        }
     }
   for (const struct kq_run *run = shard->runs; run != NULL; run = run->next)
     room->idle += !run->done && kq_run_live (run) == NULL;
 }
 
-/* Tasks like those of JOB that the shard can start beyond what waits, at most
-   MOST. */
+/* Tasks like those of JOB that the shard can start beyond what waits there. */
 static int64_t
 room_for (struct kq_core *core, const struct room *room,
-          const struct kq_job *job, int64_t most)
+          const struct kq_job *job)
 {
-  int64_t times = -room->idle;
+  struct kq_size grant;
+  struct kq_size expected;
+  int64_t sum = -room->idle;
+
+  kq_advise_sizes (core, job, &grant, &expected);
+  for (size_t i = 0; i < room->count; i++)
+    {
+      int64_t admitted = times_fits (&grant, &room->guard[i]);
+      int64_t within = times_fits (&expected, &room->limits[i]);
 
-  for (size_t i = 0; i < room->count && times < most; i++)
-    times += kq_advise_room (core, room->nodes[i], job, KQ_BATCH_MAX);
-  return times < most ? times : most;
+      if (within == 0 && room->empty[i])
+        within = 1;
+      sum += admitted < within ? admitted : within;
+    }
+  return sum;
 }
 
 static void
@@ -150,7 +183,7 @@
           || core->now < job->waits_since
                              + rank_of (core, &job->job, shard) * RANK_DELAY)
         continue;
-      times = room_for (core, &room, &job->job, KQ_BATCH_MAX) - (int64_t)used;
+      times = room_for (core, &room, &job->job) - (int64_t)used;
       if (times > (int64_t)(KQ_BATCH_MAX - used))
         times = (int64_t)(KQ_BATCH_MAX - used);
       if (times > 0)
--- a/request/request.h
+++ b/request/request.h
@@ -77,6 +77,7 @@
   struct kq_name service;
   bool idempotent; /**< by its method */
   bool forwarded;  /**< came from another entry host */
+  bool homed;      /**< forwarded because this host decides about its key */
   bool keyed;      /**< key is set */
   struct kq_request_key key;
   int32_t importance; /**< 0 to 9; negative: the service's */
@@ -91,6 +92,8 @@
   int err;                  /**< 0 when answered */
   struct kq_answer *answer; /**< when answered; the router takes the
                                  reference */
+  bool has_free;            /**< of a hop: free is set */
+  int32_t free;             /**< free slots that the other host stated */
 };
 
 struct kq_request_event
@@ -127,6 +130,7 @@
       char address[KQ_REQUEST_ADDRESS_SIZE];
       kq_usec deadline;
       int32_t importance;
+      bool homed;      /**< HOP: that host decides about the key */
       kq_usec max_age; /**< use no connection that was opened longer ago;
                             0: open a new one; negative: any */
     } send;
@@ -135,6 +139,7 @@
       enum kq_outcome outcome;
       int err;
       struct kq_answer *answer; /**< a reference that the loop takes */
+      int32_t free; /**< free slots of this host, less those that wait */
     } reply;
     char peer[KQ_REQUEST_ADDRESS_SIZE];
   } u;
