--- a/t/test-core.c
+++ b/t/test-core.c
@@ -752,6 +752,76 @@
   close_bench (&bench);
 }
 
+/* Returns the last task action that was asked for, NULL if there is none. */
+static const struct kq_effect *
+find_action (const struct bench *bench, enum kq_task_action action)
+{
+  for (size_t i = 0; i < bench->count; i++)
+    if (bench->seen[i].kind == KQ_FX_TASK
+        && bench->seen[i].u.task.action == action)
+      return &bench->seen[i];
+  return NULL;
+}
+
+/* Reads back the record that is appended within a second. */
+static enum kq_record_kind
+read_back (struct bench *bench)
+{
+  enum kq_record_kind kind;
+  struct kq_record *record;
+
+  for (int i = 0; i < 10 && find (bench, KQ_FX_APPEND, NULL) == NULL; i++)
+    tick (bench, 100);
+  record = copy_append (bench);
+  kind = record->kind;
+  read_record (bench, record);
+  kq_record_free (record);
+  return kind;
+}
+
+/* From the job to the acknowledged end: the row of a task that is done stays
+   at its worker until the END record was read and no second copy of the start
+   can arrive any more, which would run it again. */
+static void
+test_a_task_from_start_to_end (void)
+{
+  struct bench bench = open_owner ();
+  struct kq_record job = { .kind = KQ_REC_JOB, .u.job.tasks = 1 };
+  struct kq_attempt_row row;
+  const struct kq_effect *start;
+  kq_usec started;
+  char worker[KQ_NAME_SIZE];
+
+  strcpy (job.u.job.id.text, "j");
+  job.u.job.size.cpu_milli = 100;
+  read_record (&bench, &job);
+  CU_ASSERT_EQUAL (read_back (&bench), KQ_REC_BIND);
+  for (int i = 0; i < 5 && find_action (&bench, KQ_TASK_START) == NULL; i++)
+    tick (&bench, 50);
+  start = find_action (&bench, KQ_TASK_START);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (start);
+  if (start == NULL)
+    return;
+  started = bench.now;
+  row = start->u.task.row;
+  CU_ASSERT_EQUAL (row.binding, bench.offset);
+  strcpy (worker, start->u.task.worker.text);
+  row.state = KQ_ATTEMPT_DONE;
+  grant (&bench, worker, 1, &row);
+  CU_ASSERT_EQUAL (read_back (&bench), KQ_REC_END);
+  for (int i = 0; i < 20; i++)
+    {
+      tick (&bench, 500);
+      if (find_action (&bench, KQ_TASK_ACK) != NULL)
+        break;
+      grant (&bench, "w0", 1, strcmp (worker, "w0") == 0 ? &row : NULL);
+      grant (&bench, "w1", 1, strcmp (worker, "w1") == 0 ? &row : NULL);
+    }
+  CU_ASSERT_PTR_NOT_NULL (find_action (&bench, KQ_TASK_ACK));
+  CU_ASSERT_TRUE (bench.now > started + 4000 * MSEC);
+  close_bench (&bench);
+}
+
 /* Wrong events change nothing and are said so. */
 static void
 test_wrong_events (void)
@@ -818,6 +888,7 @@
   { "holder", test_holder },
   { "wave of cancellations", test_wave_of_cancellations },
   { "oldest jobs are appended first", test_oldest_jobs_are_appended_first },
+  { "a task from start to end", test_a_task_from_start_to_end },
   { "wrong events", test_wrong_events }
 };
 
