--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -23,6 +23,7 @@
   FAULT_PAUSE,
   FAULT_CUT,
   FAULT_LINKS,
+  FAULT_SPLIT,
   FAULT_LOG_DOWN,
   FAULT_LOG_ANSWERS,
   FAULT_MESSAGES,
@@ -143,6 +144,28 @@
   undo_later (world, fake_uniform (world, 2, 40), UNDO_LINKS, host);
 }
 
+/* The hosts of a zone lose each other, and each reaches only some of the
+   workers: one has a majority of a shard, the other the rest. */
+static void
+split_zone (struct fake_world *world, int zone)
+{
+  double length = fake_uniform (world, 10, 40);
+  int other = zone + FAKE_ZONES;
+
+  for (int i = 0; i < FAKE_WORKERS; i++)
+    {
+      int loser = fake_chance (world, 0.5) ? zone : other;
+
+      world->faults.asks_cut[loser][i] = true;
+      world->faults.answers_cut[loser][i] = true;
+    }
+  world->faults.peers_cut[zone][other] = true;
+  world->faults.peers_cut[other][zone] = true;
+  fake_trace (world, "zone %d is split", zone);
+  undo_later (world, length, UNDO_LINKS, zone);
+  undo_later (world, length, UNDO_LINKS, other);
+}
+
 static void
 heal_links (struct fake_world *world, int host)
 {
@@ -306,6 +329,9 @@
     case FAULT_LINKS:
       cut_links (world);
       break;
+    case FAULT_SPLIT:
+      split_zone (world, fake_pick (world, FAKE_ZONES));
+      break;
     case FAULT_LOG_DOWN:
     case FAULT_LOG_ANSWERS:
       fault_log (world, kind);
