--- a/core/bind.c
+++ b/core/bind.c
@@ -164,12 +164,49 @@
   return count;
 }
 
+/* Whether a BIND record of this host is on its way. */
+static bool
+binds (const struct kq_core *core)
+{
+  const struct kq_shard *shard;
+
+  for (shard = core->shards; shard != NULL; shard = shard->hh.next)
+    if (shard->bind != NULL)
+      return true;
+  return false;
+}
+
+/* Of TIMES tasks of the job at INDEX, those that its team's quota allows.
+   What was TAKEN for the team in this step, or is on its way, is not counted
+   as bound yet: the job waits until it is. */
+static int64_t
+within_quota (struct kq_core *core, struct kq_job_state **waiting,
+              size_t index, const int *taken, int64_t times)
+{
+  struct kq_job_state *job = waiting[index];
+  int64_t allowed = kq_quota_tasks (core, &job->job, INT64_MAX);
+  bool unsettled;
+
+  if (allowed == INT64_MAX)
+    return times;
+  unsettled = binds (core);
+  for (size_t i = 0; i < index; i++)
+    if (taken[i] > 0 && kq_name_eq (&waiting[i]->job.team, &job->job.team))
+      unsettled = true;
+  if (unsettled)
+    return 0;
+  if (allowed < times)
+    job->waits = KQ_EJOB_QUOTA;
+  return allowed < times ? allowed : times;
+}
+
 static size_t
 pick_tasks (struct kq_core *core, const struct kq_shard *shard,
             struct kq_job_state **waiting, size_t count,
             struct kq_task_ref *refs)
 {
   struct room room;
+  int taken[JOBS_MAX] = { 0 };
   size_t used = 0;
 
   measure_room (core, shard, &room);
@@ -187,7 +224,11 @@
       if (times > (int64_t)(KQ_BATCH_MAX - used))
         times = (int64_t)(KQ_BATCH_MAX - used);
       if (times > 0)
-        used += (size_t)kq_job_unbound (job, refs + used, (int)times);
+        times = within_quota (core, waiting, i, taken, times);
+      taken[i] = 0;
+      if (times > 0)
+        taken[i] = kq_job_unbound (job, refs + used, (int)times);
+      used += (size_t)taken[i];
     }
   return used;
 }
--- a/core/internal.h
+++ b/core/internal.h
@@ -245,6 +245,12 @@
 /* start.c */
 void kq_start_tick (struct kq_core *core, struct kq_shard *shard);
 
+/* quota.c */
+/** Returns how many more tasks of JOB its team's quota allows to be bound, at
+ *  most MOST.  */
+int64_t kq_quota_tasks (const struct kq_core *core, const struct kq_job *job,
+                        int64_t most);
+
 /* advise.c */
 /** Tells placement what a table of NODE, read under its lease, says. */
 void kq_advise_table (struct kq_core *core, struct kq_node *node,
