--- a/core/bind.c
+++ b/core/bind.c
@@ -83,6 +83,8 @@
 measure_room (struct kq_core *core, const struct kq_shard *shard,
               struct room *room)
 {
+  static const struct kq_size nothing = { 0, 0, 0 };
+
   room->count = 0;
   room->idle = 0;
   for (size_t i = 0; i < shard->count; i++)
@@ -90,8 +92,7 @@
       const struct kq_node *node = shard->nodes[i];
 
       if (kq_lease_held (node->lease, core->now) && node->known
-          && !kq_worker_leaving (node->worker)
-          && !kq_worker_quarantined (node->worker, core->now))
+          && kq_worker_check (node->worker, &nothing, core->now) == 0)
         {
           room->guard[room->count] = kq_worker_free (node->worker);
           room->limits[room->count] = kq_advise_limits (core, node);
--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -78,7 +78,11 @@
   else if (progress >= row->run_ms)
     end_row (world, row, KQ_ATTEMPT_DONE);
   else if (world->now >= row->ends_at)
-    end_row (world, row, KQ_ATTEMPT_EVICTED);
+    {
+      end_row (world, row, KQ_ATTEMPT_EVICTED);
+      fake_trace (world, "%s/%d lapses at %s", row->row.task.job.text,
+                  row->row.task.index, worker->name.text);
+    }
 }
 
 static void
@@ -171,7 +175,7 @@
 {
   int number = (int)(worker - world->workers);
 
-  if (!world->reports_usage || number % 3 == 0)
+  if (number % 3 == 0 || world->states_no_usage)
     return;
   for (int i = 0; i < worker->row_count; i++)
     {
@@ -414,8 +418,12 @@
   switch (effect->u.task.action)
     {
     case KQ_TASK_STOP:
-      if (is_live (row))
-        end_row (world, row, KQ_ATTEMPT_EVICTED);
+      if (!is_live (row))
+        break;
+      end_row (world, row, KQ_ATTEMPT_EVICTED);
+      fake_trace (world, "%s stops %s/%d by %s", worker->name.text,
+                  row->row.task.job.text, row->row.task.index,
+                  worker->holder.text);
       break;
     case KQ_TASK_CHECKPOINT:
       if (row->row.state == KQ_ATTEMPT_RUNNING)
