--- a/t/lib-fake.h
+++ b/t/lib-fake.h
@@ -119,6 +119,7 @@
   struct fake_faults faults;
   struct fake_entry *log; /* by offset - 1 */
   int64_t log_count, log_first;
+  double log_read_at;   /* when some host last read to the end */
   double log_keeps;     /* seconds */
   bool no_urgent_jobs;  /* that take the place of others; set after
                            fake_init() */
