--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
 .PHONY: all deps format-check lint test check demo soak bench fuzz clean \
-        install programs generated
+        install programs generated tests thread-tests \
+        doxygen
 all: programs
 programs: $(LIB) $(DAEMON) $(TOOL) $(STANDINS) $(TESTS) $(EXAMPLES) $(BENCHES)
 
@@ -111,9 +112,20 @@
 	@BUILD=$(BUILD) t/run-tests
 
 check: deps
-	@$(MAKE) --no-print-directory -j 6 programs
-	@$(MAKE) --no-print-directory format-check lint
-	@$(MAKE) --no-print-directory test
+	@$(MAKE) --no-print-directory -s -j 6 programs
+	@$(MAKE) --no-print-directory format-check lint doxygen
+	@$(MAKE) --no-print-directory -s -j 6 SAN=address,undefined tests
+	@$(MAKE) --no-print-directory -s -j 6 SAN=thread thread-tests
+	@$(MAKE) --no-print-directory -s test
+
+tests: $(TESTS)
+# The programs whose threads pass messages to each other.
+thread-tests: $(BUILD)/t/test-front
+
+# Doxygen prints nothing but warnings, and those are errors.
+doxygen:
+	@mkdir -p $(BUILD)
+	@doxygen Doxyfile
 
 demo: deps
 	@$(MAKE) --no-print-directory -j 6 programs >/dev/null
