--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -2,18 +2,26 @@
 # 127.0.0.1, asks them, and ends what it started, by process id.
 # shellcheck shell=sh disable=SC2034,SC2154
 : "${BUILD:=build}"
+: "${time_limit:=150}" # seconds, of a whole session
 passed=0
 failed=0
 pids=
 running=
 
-session_start () { # NAME BASE-PORT: uses 300 ports from there
+session_start () { # NAME BASE-PORT: uses 50 ports from there
   name=$1
   base=$2
+  # A second run on this machine waits for its turn at the ports.
+  if [ -z "${session_limited:-}" ]; then
+    exec 9>"${TMPDIR:-/tmp}/kumquatrack-ports-$base.lock"
+    flock 9
+    session_limited=1 exec timeout --foreground "$time_limit" \
+      sh "t/$(basename "$0")"
+  fi
   work=$(mktemp -d)
   platform=http://127.0.0.1:$base
   trap session_cleanup EXIT
-  trap 'exit 1' INT TERM
+  trap 'echo "FAILED: ended by a signal or the time limit"; exit 1' INT TERM
 }
 
 session_cleanup () {
@@ -37,6 +45,12 @@
   exit
 }
 
+session_abort () { # NAME: that program did not start
+  check "$1 starts: $(cat "$work/$1.log")" false
+  running=
+  session_end
+}
+
 check () { # TEXT COMMAND...
   text=$1
   shift
@@ -62,7 +76,7 @@
 
 holds () { printf '%s' "$1" | jq -e "$2"; } # JSON FILTER
 
-get () { curl -s -m 5 "$@"; }
+get () { curl -s -m 3 "$@"; }
 
 set_knobs () { get -o /dev/null -d "$2" "$1/knobs"; } # URL JSON
 
@@ -70,7 +84,7 @@
   started=$1
   shift
   rm -f "$work/$started.signalled"
-  "$@" >>"$work/$started.log" 2>&1 &
+  "$@" >>"$work/$started.log" 2>&1 9>&- &
   echo $! >"$work/$started.pid"
   pids="$pids $!"
   running="$running $started"
@@ -78,16 +92,16 @@
 
 start_platform () { # PORTS
   start platform "$BUILD/standin/platform" --port "$base" --ports "$1"
-  within 10 get "$platform/facts"
+  within 10 get "$platform/facts" || session_abort platform
 }
 
-control () { echo "http://127.0.0.1:$((base + 100 + $1 - 1))"; } # WORKER
-endpoint () { echo "http://127.0.0.1:$((base + 150 + $1 - 1))/"; } # WORKER
+control () { echo "http://127.0.0.1:$((base + 19 + $1))"; } # WORKER
+endpoint () { echo "http://127.0.0.1:$((base + 34 + $1))/"; } # WORKER
 
 start_workers () { # FLAG...
-  start workers "$BUILD/standin/worker" --control-port $((base + 100)) \
-    --endpoint-port $((base + 150)) "$@"
-  within 10 get "$(control 1)/facts"
+  start workers "$BUILD/standin/worker" --control-port $((base + 20)) \
+    --endpoint-port $((base + 35)) "$@"
+  within 10 get "$(control 1)/facts" || session_abort workers
 }
 
 violations () { # WANTED: their number is that
@@ -97,10 +111,10 @@
 fact () { get "$(control 1)/facts" | jq -r "$1"; } # FILTER
 fact_holds () { holds "$(get "$(control 1)/facts")" "$1"; } # FILTER
 
-# Entry hosts.  Host NAME is started as number I of the session; its ports
-# are base + 10 + I for callers, + 30 operators, + 50 peers, + 70 hops.
-front () { echo "http://127.0.0.1:$((base + 10 + $1))"; } # I
-admin () { echo "http://127.0.0.1:$((base + 30 + $1))"; } # I
+# Entry host number I of the session listens at base + 2 + I for callers,
+# + 6 operators, + 10 peers, + 14 hops.
+front () { echo "http://127.0.0.1:$((base + 2 + $1))"; } # I
+admin () { echo "http://127.0.0.1:$((base + 6 + $1))"; } # I
 
 start_daemon () { # NAME I ZONE REGION PLATFORM-URL FLAG...
   host=$1
@@ -110,10 +124,10 @@
   from=$5
   shift 5
   start "$host" "$BUILD/kumquatrackd" --host "$host" --zone "$zone" \
-    --region "$region" --listen "127.0.0.1:$((base + 10 + i))" \
-    --admin-listen "127.0.0.1:$((base + 30 + i))" \
-    --peer-listen "127.0.0.1:$((base + 50 + i))" \
-    --hop-listen "127.0.0.1:$((base + 70 + i))" \
+    --region "$region" --listen "127.0.0.1:$((base + 2 + i))" \
+    --admin-listen "127.0.0.1:$((base + 6 + i))" \
+    --peer-listen "127.0.0.1:$((base + 10 + i))" \
+    --hop-listen "127.0.0.1:$((base + 14 + i))" \
     --platform "$from" --peers "$peers" "$@"
 }
 
@@ -125,9 +139,9 @@
   i=0
   for spec in "$@"; do
     i=$((i + 1))
-    peers="$peers${peers:+,}127.0.0.1:$((base + 50 + i))"
+    peers="$peers${peers:+,}127.0.0.1:$((base + 10 + i))"
     entries="$entries$(printf '%s\n' "$spec" | jq -cR --arg peer \
-      "127.0.0.1:$((base + 50 + i))" --arg hop "127.0.0.1:$((base + 70 + i))" \
+      "127.0.0.1:$((base + 10 + i))" --arg hop "127.0.0.1:$((base + 14 + i))" \
       'split (":") | {name: .[0], kind: "entry", zone: .[1], region: .[2],
         rack: "", state: "live", address: $peer, endpoint: $hop}')
 "
@@ -142,7 +156,7 @@
     | get -o /dev/null -d @- "$platform/hosts"
 }
 
-tool () { "$BUILD/kumquatrack" --timeout 5 "$@"; } # WORD...
+tool () { "$BUILD/kumquatrack" --timeout 3 "$@"; } # WORD...
 
 # What entry host I answers to a query, as JSON.
 query () { # I WORD...
@@ -209,10 +223,21 @@
 cluster_configure () {
   tool configure base 0 "$configuration"
   check 'the configuration is accepted' [ $? -eq 0 ]
+  cluster_wait
+}
+
+cluster_wait () {
   for i in 1 2 3 4; do
     check "entry host $i sees four owned shards" within 15 \
       answers $i 'map (select (.owner != "")) | length == 4' show shards
   done
+  for i in 1 2 3 4; do
+    check "entry host $i passes requests on" within 10 served_by $i
+  done
+}
+
+served_by () { # I: entry host I gives an endpoint's answer
+  [ "$(get -H 'Kumquatrack-Service: prices' "$(front "$1")/")" = ok ]
 }
 
 owner_of () { # SHARD [I]: its owner as entry host I sees it
