--- a/place/load.c
+++ b/place/load.c
@@ -29,38 +29,85 @@
 {
   struct kq_size expected = place_size (place, class, size);
   double slow = fmax (kq_estimate_upper (&class->slow, place->cpu_margin), 0);
-  double cpu = (double)expected.cpu_milli * share / SHARE_FULL;
+  double part = (double)share / SHARE_FULL;
+  double cpu = place_cpu_mean (class, size->cpu_milli) * part;
 
   load->cpu += cpu;
+  load->cpu_variance += class->cpu.variance * pow (size->cpu_milli * part, 2);
   load->memory += expected.memory_mb;
-  load->accelerators += size->accelerators;
   load->slow += slow * part_of (worker, cpu);
 }
 
-/** What services take: busy slots, and as many more as vary by chance. */
+bool
+place_guard_admits (const struct place_worker *worker,
+                    const struct place_load *load, const struct kq_size *grant)
+{
+  return load->granted.cpu_milli + grant->cpu_milli
+             <= worker->capacity.cpu_milli
+         && load->granted.memory_mb + grant->memory_mb
+                <= worker->capacity.memory_mb
+         && load->granted.accelerators + grant->accelerators
+                <= worker->capacity.accelerators;
+}
+
+double
+place_slow_limit (const struct kq_place *place,
+                  const struct place_worker *worker)
+{
+  return worker->slots > 0 && !place->slow_silent ? place->slow_limit
+                                                  : HUGE_VAL;
+}
+
+double
+place_cpu_upper (const struct kq_place *place, const struct place_load *load)
+{
+  return load->cpu + place->cpu_margin * sqrt (load->cpu_variance);
+}
+
+double
+place_slot_cpu (const struct place_worker *worker)
+{
+  return fmin (SLOT_CPU_MILLI, SLOTS_PART * worker->capacity.cpu_milli
+                                   / fmax (worker->slots, 1));
+}
+
+double
+place_slot_memory (const struct place_worker *worker)
+{
+  return fmin (SLOT_MEMORY_MB, SLOTS_PART * worker->capacity.memory_mb
+                                   / fmax (worker->slots, 1));
+}
+
+/** What services take: busy slots, whose number varies by chance. */
 static void
 add_services (const struct kq_place *place, const struct place_worker *worker,
               struct place_load *load)
 {
-  double busy = fmin (worker->busy + sqrt (worker->busy), worker->slots);
+  double slot_cpu = place_slot_cpu (worker) * place->slot_cpu.mean;
 
-  load->cpu += busy * SLOT_CPU_MILLI * place->slot_cpu.mean;
-  load->memory += worker->slots * SLOT_MEMORY_MB
+  load->cpu += worker->busy * slot_cpu;
+  load->cpu_variance += worker->busy * pow (slot_cpu, 2);
+  load->memory += worker->slots * place_slot_memory (worker)
                   * kq_estimate_upper (&place->slot_memory, 1);
 }
 
 void
 place_load_update (struct kq_place *place, struct place_worker *worker)
 {
-  struct place_load load = { 0, 0, 0, 0 };
+  struct place_load load = { .cpu = 0 };
   const struct place_task *task;
 
   add_services (place, worker, &load);
   DL_FOREACH (worker->tasks, task)
   {
-    if (task->ended_at == 0)
-      place_load_add (place, worker, task->class, &task->task.size,
-                      task->share, &load);
+    if (task->ended_at != 0)
+      continue;
+    place_load_add (place, worker, task->class, &task->task.size, task->share,
+                    &load);
+    load.granted.cpu_milli += task->granted.cpu_milli;
+    load.granted.memory_mb += task->granted.memory_mb;
+    load.granted.accelerators += task->granted.accelerators;
+    load.tasks++;
   }
   worker->load = load;
 }
@@ -73,6 +120,7 @@
 
   for (rack = place->racks; rack != NULL; rack = rack->hh.next)
     {
+      rack->tasks = 0;
       rack->used = 0;
       rack->capacity = 0;
     }
@@ -80,6 +128,7 @@
     {
       if (place->stale)
         place_load_update (place, worker);
+      worker->rack->tasks += worker->load.tasks;
       worker->rack->used
           += fmin (worker->load.cpu, worker->capacity.cpu_milli);
       worker->rack->capacity += worker->capacity.cpu_milli;
--- a/t/lib-fake-load.c
+++ b/t/lib-fake-load.c
@@ -65,6 +65,8 @@
   strcpy (job->team.text, "team");
   job->tasks = 1 + fake_pick (world, 12);
   job->importance = fake_pick (world, 10);
+  if (world->no_urgent_jobs && job->importance > 8)
+    job->importance = 8;
   job->run_ms = 300 + fake_pick (world, 15000);
   job->size.cpu_milli = 500 + fake_pick (world, 3000);
   job->size.memory_mb = 100 + fake_pick (world, 3000);
--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -10,7 +10,7 @@
 
 session_start () { # NAME BASE-PORT: uses 50 ports from there
   name=$1
-  base=$2
+  base=$(($2 + ${PORT_SHIFT:-0}))
   # A second run on this machine waits for its turn at the ports.
   if [ -z "${session_limited:-}" ]; then
     exec 9>"${TMPDIR:-/tmp}/kumquatrack-ports-$base.lock"
