--- a/t/session-config.sh
+++ b/t/session-config.sh
@@ -9,12 +9,6 @@
 cluster_start
 cluster_configure
 
-revision () { query "$1" show configuration | jq .revision; } # I
-agree () { # WANTED I...: those hosts have that revision
-  want=$1
-  shift
-  for i in "$@"; do [ "$(revision "$i")" = "$want" ] || return 1; done
-}
 # Watches host I: a revision that falls is written to its file.
 watch () {
   last=0
@@ -27,11 +21,6 @@
     sleep 0.2
   done
 }
-change () { # I BASE IMPORTANCE
-  printf '%s' "$configuration" | jq -c ".services[0].importance = $3" \
-    | tool --admin "$(admin "$1")" configure base "$2" -
-}
-
 old=$(revision 1)
 for i in 1 2 3 4; do
   watch $i &
--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -93,6 +93,7 @@
 start_platform () { # PORTS
   start platform "$BUILD/standin/platform" --port "$base" --ports "$1"
   within 10 get "$platform/facts" || session_abort platform
+  gone platform && session_abort platform
 }
 
 control () { echo "http://127.0.0.1:$((base + 19 + $1))"; } # WORKER
@@ -102,6 +103,7 @@
   start workers "$BUILD/standin/worker" --control-port $((base + 20)) \
     --endpoint-port $((base + 35)) "$@"
   within 10 get "$(control 1)/facts" || session_abort workers
+  gone workers && session_abort workers
 }
 
 violations () { # WANTED: their number is that
@@ -253,3 +255,30 @@
   case $1 in sandaga-1) echo 2 ;; sandaga-2) echo 1 ;; nord-1) echo 4 ;;
     *) echo 3 ;; esac
 }
+
+revision () { query "$1" show configuration | jq .revision; } # I
+agree () { # WANTED I...: those hosts have that revision
+  want=$1
+  shift
+  for i in "$@"; do [ "$(revision "$i")" = "$want" ] || return 1; done
+}
+change () { # I BASE IMPORTANCE
+  printf '%s' "$configuration" | jq -c ".services[0].importance = $3" \
+    | tool --admin "$(admin "$1")" configure base "$2" -
+}
+
+# Those workers answer requests that come to entry host I.
+serves () { # I WORKER...
+  at=$1
+  shift
+  for w in "$@"; do
+    before=$(fact ".workers[$((w - 1))].served")
+    within 10 served_more "$at" "$w" "$before" || return 1
+  done
+}
+served_more () { # I WORKER BEFORE
+  for n in 1 2 3 4 5 6; do
+    get -o /dev/null -H 'Kumquatrack-Service: prices' "$(front "$1")/"
+  done
+  fact_holds ".workers[$(($2 - 1))].served > $3"
+}
--- a/t/session-owner.sh
+++ b/t/session-owner.sh
@@ -17,22 +17,6 @@
   set_knobs "$far" "{\"down\":\"$1\"}"
 }
 
-# The workers of SHARD answer requests that come to entry host I.
-serves () { # I WORKER...
-  at=$1
-  shift
-  for w in "$@"; do
-    before=$(fact ".workers[$((w - 1))].served")
-    within 10 served_more "$at" "$w" "$before" || return 1
-  done
-}
-served_more () { # I WORKER BEFORE
-  for n in 1 2 3 4 5 6; do
-    get -o /dev/null -H 'Kumquatrack-Service: prices' "$(front "$1")/"
-  done
-  fact_holds ".workers[$(($2 - 1))].served > $3"
-}
-
 log_down hang
 killed=$(owner_of sandaga-a)
 heir=$(other_than "$killed")
--- a/t/session-stop.sh
+++ b/t/session-stop.sh
@@ -40,6 +40,8 @@
 sleep 2
 signal sandaga-1 TERM
 check 'the entry host ends' within 15 gone sandaga-1
+wait "$(cat "$work/sandaga-1.pid")"
+check "with status 0: $?" [ $? -eq 0 ]
 wait "$load"
 check "nothing in flight was cut: $(cat "$work/stop.json")" \
   holds "$(cat "$work/stop.json")" \
