request: have another host remember a key before it runs

Cause: a key that its caller repeated after its deciding host was lost ran again, because the next host knew nothing of it (test-request-run with a host killed at 2.5 s fails without this: 'its key ran twice'). Now the deciding host claims a key at its heir, the host that would decide if it were gone, before it dispatches: one hop in the zone. The heir answers from its table when it knows the key, so a host that joins and takes over keys asks the one that decided before it. How a run ended is stated to the heir; if that is lost, the heir says unknown. A claim without an answer in 200 ms is given up and the request is not run. Ruled out: asking all hosts of the zone after a change; a record in the log, which has outages and hundreds of appends a second for everyone. Open: two changes among the hosts of a zone within a minute, two zones.

--- a/bench/request.c
+++ b/bench/request.c
@@ -360,7 +360,7 @@
       case KQ_REQ_FX_REPLY:
         on_reply (run, index, &effect);
         break;
-      default:
+      default: /* no keys, nothing dropped */
         break;
       }
 }
--- a/daemon/front_call.c
+++ b/daemon/front_call.c
@@ -182,7 +182,8 @@
 
   front->open_calls--;
   kq_metric_add (&requests_open, -1);
-  kq_metric_add (&metrics[call->outcome], 1);
+  if (!call->arrival.claim)
+    kq_metric_add (&metrics[call->outcome], 1);
   record_span (&call->trace, call->origin != NULL ? "forwarded" : "request",
                &call->arrival.service, call->arrived_wall,
                kq_clock_now () - call->arrived, call->err);
@@ -201,6 +202,7 @@
       = effect->kind == KQ_REQ_FX_HOP ? KQ_ATTEMPT_HOP : KQ_ATTEMPT_ENDPOINT;
   attempt->call = call;
   attempt->number = effect->attempt;
+  attempt->claim = attempt->kind == KQ_ATTEMPT_HOP && effect->u.send.claim;
   attempt->target = effect->u.send.name;
   attempt->trace
       = kq_trace_child (&call->trace, kq_front_random (call->front));
@@ -211,6 +213,14 @@
   return attempt;
 }
 
+static const char *
+span_name (const struct kq_front_attempt *attempt)
+{
+  if (attempt->claim)
+    return "claim";
+  return attempt->kind == KQ_ATTEMPT_HOP ? "hop" : "endpoint";
+}
+
 void
 kq_front_attempt_end (struct kq_front_attempt *attempt,
                       enum kq_outcome outcome, int err,
@@ -219,10 +229,8 @@
   struct kq_front_call *call = attempt->call;
   struct kq_request_event event = { .kind = KQ_REQ_EV_END };
 
-  record_span (&attempt->trace,
-               attempt->kind == KQ_ATTEMPT_HOP ? "hop" : "endpoint",
-               &attempt->target, attempt->started_wall,
-               kq_clock_now () - attempt->started, err);
+  record_span (&attempt->trace, span_name (attempt), &attempt->target,
+               attempt->started_wall, kq_clock_now () - attempt->started, err);
   event.u.end.id = call->arrival.id;
   event.u.end.attempt = attempt->number;
   event.u.end.outcome = outcome;
@@ -248,8 +256,7 @@
   if (effect->kind == KQ_REQ_FX_HOP)
     {
       kq_metric_add (&hops_total, 1);
-      err = kq_front_hop_send (attempt, effect->u.send.address,
-                               effect->u.send.deadline, effect->u.send.homed);
+      err = kq_front_hop_send (attempt, effect);
     }
   else
     {
@@ -304,6 +311,11 @@
       kq_front_hop_connect (front, effect->u.peer);
       return;
     }
+  if (effect->kind == KQ_REQ_FX_SETTLE)
+    {
+      kq_front_hop_settle (front, effect);
+      return;
+    }
   call = kq_front_call_find (front, effect->id);
   if (call == NULL)
     abort ();
@@ -320,6 +332,7 @@
       reply (call, effect);
       return;
     case KQ_REQ_FX_PEER:
+    case KQ_REQ_FX_SETTLE:
       return;
     }
 }
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -84,6 +84,7 @@
   struct kq_front_attempt *prev; /**< other attempts of the call */
   struct kq_front_attempt *next;
   struct kq_front_peer *peer; /**< HOP */
+  bool claim;                 /**< HOP: the key is remembered, no more */
   bool has_free;              /**< HOP: the other host stated free */
   int32_t free;               /**< its free slots */
   /* ENDPOINT */
@@ -266,11 +267,15 @@
 
 /* front_message.c */
 
-/** Sends an attempt to another entry host, which is the home of its key if
- *  HOMED.
+/** Sends an attempt to another entry host as EFFECT says.
  *  @return 0, or an error when nothing was sent.  */
-int kq_front_hop_send (struct kq_front_attempt *attempt, const char *address,
-                       kq_usec deadline, bool homed);
+int kq_front_hop_send (struct kq_front_attempt *attempt,
+                       const struct kq_request_effect *effect);
+
+/** Tells another entry host how a key has ended; the answer's reference is
+ *  taken.  When it is lost, that host says "unknown" of the key.  */
+void kq_front_hop_settle (struct kq_front *front,
+                          const struct kq_request_effect *effect);
 
 /** Forgets an attempt without telling anyone. */
 void kq_front_hop_abort (struct kq_front_attempt *attempt);
--- a/daemon/front_message.c
+++ b/daemon/front_message.c
@@ -25,28 +25,38 @@
 }
 
 static void
-fill_request (const struct kq_front_attempt *attempt, kq_usec deadline,
+fill_request (const struct kq_front_call *call,
+              const struct kq_request_effect *effect,
               Kq__Hop__Request *request)
 {
-  const struct kq_front_call *call = attempt->call;
-
   request->service = (char *)call->arrival.service.text;
   request->method = (char *)call->method;
   request->uri = call->uri;
-  request->body.data = (uint8_t *)call->body.data;
-  request->body.len = call->body.size;
-  request->deadline_us = deadline - attempt->started;
   request->importance = call->arrival.importance;
   request->idempotent = call->arrival.idempotent;
-  request->keyed = call->arrival.keyed;
+  request->keyed = call->arrival.keyed && effect->u.send.keyed;
   request->key_high = call->arrival.key.hash[0];
   request->key_low = call->arrival.key.hash[1];
   request->fingerprint = call->arrival.key.fingerprint;
+  request->homed = effect->u.send.homed;
+  request->claim = effect->u.send.claim;
+}
+
+static void
+fill_content (const struct kq_front_call *call, Kq__Hop__Request *request,
+              char **headers)
+{
+  request->body.data = (uint8_t *)call->body.data;
+  request->body.len = call->body.size;
+  request->headers = headers;
+  for (size_t at = 0; at < call->headers.size;
+       at += strlen (call->headers.data + at) + 1)
+    headers[request->n_headers++] = call->headers.data + at;
 }
 
 int
-kq_front_hop_send (struct kq_front_attempt *attempt, const char *address,
-                   kq_usec deadline, bool homed)
+kq_front_hop_send (struct kq_front_attempt *attempt,
+                   const struct kq_request_effect *effect)
 {
   struct kq_front_call *call = attempt->call;
   struct kq_front *front = call->front;
@@ -56,15 +66,13 @@
   char parent[KQ_TRACE_PARENT_SIZE];
   int err;
 
-  HASH_FIND_STR (front->peers, address, attempt->peer);
+  HASH_FIND_STR (front->peers, effect->u.send.address, attempt->peer);
   if (attempt->peer == NULL)
     return KQ_EREQ_NO_ENDPOINT;
-  fill_request (attempt, deadline, &request);
-  for (size_t at = 0; at < call->headers.size;
-       at += strlen (call->headers.data + at) + 1)
-    headers[request.n_headers++] = call->headers.data + at;
-  request.headers = headers;
-  request.homed = homed;
+  fill_request (call, effect, &request);
+  if (!effect->u.send.claim)
+    fill_content (call, &request, headers);
+  request.deadline_us = effect->u.send.deadline - attempt->started;
   kq_trace_format (&attempt->trace, parent);
   request.traceparent = parent;
   message.id = call->arrival.id;
@@ -103,28 +111,28 @@
   return count;
 }
 
-static void
-fill_answer (const struct kq_front_call *call, Kq__Hop__Answer *answer,
-             char **headers)
+/* Returns the headers' array, which the caller frees; NULL when out of
+   memory.  */
+static char **
+fill_answer (struct kq_answer *from, Kq__Hop__Answer *answer)
 {
+  size_t count = from != NULL ? count_headers (from) : 0;
+  char **headers = calloc (2 * count + 1, sizeof *headers);
   size_t position = 0;
   const char *name;
   const char *value;
 
-  answer->outcome = (int32_t)call->outcome;
-  answer->err = call->err;
-  answer->free = call->free;
-  if (call->answer == NULL)
-    return;
-  answer->status = kq_answer_status (call->answer);
+  if (headers == NULL || from == NULL)
+    return headers;
+  answer->status = kq_answer_status (from);
   answer->headers = headers;
-  answer->body.data
-      = (uint8_t *)kq_answer_body (call->answer, &answer->body.len);
-  while ((name = kq_answer_header (call->answer, &position, &value)) != NULL)
+  answer->body.data = (uint8_t *)kq_answer_body (from, &answer->body.len);
+  while ((name = kq_answer_header (from, &position, &value)) != NULL)
     {
       headers[answer->n_headers++] = (char *)name;
       headers[answer->n_headers++] = (char *)value;
     }
+  return headers;
 }
 
 void
@@ -133,13 +141,14 @@
   struct kq_front *front = call->front;
   Kq__Hop__Message message = KQ__HOP__MESSAGE__INIT;
   Kq__Hop__Answer answer = KQ__HOP__ANSWER__INIT;
-  size_t count = call->answer != NULL ? count_headers (call->answer) : 0;
-  char **headers = calloc (2 * count + 1, sizeof *headers);
+  char **headers = fill_answer (call->answer, &answer);
 
   /* The other side says "unknown" at the deadline. */
   if (headers == NULL)
     return;
-  fill_answer (call, &answer, headers);
+  answer.outcome = (int32_t)call->outcome;
+  answer.err = call->err;
+  answer.free = call->free;
   message.id = call->origin->id;
   message.attempt = call->origin->attempt;
   message.kind_case = KQ__HOP__MESSAGE__KIND_ANSWER;
@@ -149,6 +158,36 @@
   front->hop_pending = true;
 }
 
+void
+kq_front_hop_settle (struct kq_front *front,
+                     const struct kq_request_effect *effect)
+{
+  const struct kq_request_settlement *settlement
+      = &effect->u.settle.settlement;
+  Kq__Hop__Message message = KQ__HOP__MESSAGE__INIT;
+  Kq__Hop__Settle settle = KQ__HOP__SETTLE__INIT;
+  Kq__Hop__Answer answer = KQ__HOP__ANSWER__INIT;
+  char **headers = fill_answer (settlement->answer, &answer);
+  struct kq_front_peer *peer;
+
+  HASH_FIND_STR (front->peers, effect->u.settle.address, peer);
+  if (headers != NULL && peer != NULL)
+    {
+      answer.outcome = (int32_t)settlement->outcome;
+      answer.err = settlement->err;
+      settle.key_high = settlement->key.hash[0];
+      settle.key_low = settlement->key.hash[1];
+      settle.fingerprint = settlement->key.fingerprint;
+      settle.answer = &answer;
+      message.kind_case = KQ__HOP__MESSAGE__KIND_SETTLE;
+      message.settle = &settle;
+      send_message (peer->socket, NULL, &message);
+      front->hop_pending = true;
+    }
+  free (headers);
+  kq_answer_unref (settlement->answer);
+}
+
 static bool
 one_line (const char *text)
 {
@@ -178,6 +217,7 @@
     err = kq_buffer_add (&call->body, request->body.data, request->body.len);
   arrival->forwarded = true;
   arrival->homed = request->homed;
+  arrival->claim = request->claim;
   arrival->idempotent = request->idempotent;
   arrival->importance = request->importance;
   arrival->deadline = call->arrived + request->deadline_us;
@@ -299,6 +339,27 @@
     }
 }
 
+static void
+on_settle (struct kq_front *front, const Kq__Hop__Settle *settle)
+{
+  struct kq_request_event event = { .kind = KQ_REQ_EV_SETTLE };
+  const Kq__Hop__Answer *answer = settle->answer;
+  int err = 0;
+
+  if (answer == NULL || answer->outcome < KQ_OUTCOME_ANSWERED
+      || answer->outcome > KQ_OUTCOME_UNKNOWN)
+    return;
+  event.u.settle.key.hash[0] = settle->key_high;
+  event.u.settle.key.hash[1] = settle->key_low;
+  event.u.settle.key.fingerprint = settle->fingerprint;
+  event.u.settle.outcome = (enum kq_outcome)answer->outcome;
+  event.u.settle.err = answer->err;
+  if (answer->outcome == KQ_OUTCOME_ANSWERED)
+    event.u.settle.answer = take_answer (answer, &err);
+  if (err == 0)
+    kq_front_feed (front, &event);
+}
+
 void
 kq_front_message_take (struct kq_front *front,
                        const struct kq_front_origin *route, void *data,
@@ -312,6 +373,8 @@
     on_request (front, route, message);
   else if (kind == KQ__HOP__MESSAGE__KIND_CANCEL && route != NULL)
     on_cancel (front, route, message);
+  else if (kind == KQ__HOP__MESSAGE__KIND_SETTLE && route != NULL)
+    on_settle (front, message->settle);
   else if (kind == KQ__HOP__MESSAGE__KIND_ANSWER && route == NULL)
     on_answer (front, message);
   else
--- a/request/effects.c
+++ b/request/effects.c
@@ -27,6 +27,8 @@
   while (kq_request_effects_take (effects, &effect))
     if (effect.kind == KQ_REQ_FX_REPLY)
       kq_answer_unref (effect.u.reply.answer);
+    else if (effect.kind == KQ_REQ_FX_SETTLE)
+      kq_answer_unref (effect.u.settle.settlement.answer);
   free (effects->items);
   free (effects);
 }
--- a/request/hop.pb-c.c
+++ b/request/hop.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &kq__hop__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq__hop__settle__init
+                     (Kq__Hop__Settle         *message)
+{
+  static const Kq__Hop__Settle init_value = KQ__HOP__SETTLE__INIT;
+  *message = init_value;
+}
+size_t kq__hop__settle__get_packed_size
+                     (const Kq__Hop__Settle *message)
+{
+  assert(message->base.descriptor == &kq__hop__settle__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq__hop__settle__pack
+                     (const Kq__Hop__Settle *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq__hop__settle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq__hop__settle__pack_to_buffer
+                     (const Kq__Hop__Settle *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq__hop__settle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Kq__Hop__Settle *
+       kq__hop__settle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Kq__Hop__Settle *)
+     protobuf_c_message_unpack (&kq__hop__settle__descriptor,
+                                allocator, len, data);
+}
+void   kq__hop__settle__free_unpacked
+                     (Kq__Hop__Settle *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq__hop__settle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq__hop__cancel__init
                      (Kq__Hop__Cancel         *message)
 {
@@ -187,7 +232,7 @@
   assert(message->base.descriptor == &kq__hop__message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq__hop__request__field_descriptors[14] =
+static const ProtobufCFieldDescriptor kq__hop__request__field_descriptors[15] =
 {
   {
     "service",
@@ -357,9 +402,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claim",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Request, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq__hop__request__field_indices_by_name[] = {
   4,   /* field[4] = body */
+  14,   /* field[14] = claim */
   5,   /* field[5] = deadline_us */
   10,   /* field[10] = fingerprint */
   3,   /* field[3] = headers */
@@ -377,7 +435,7 @@
 static const ProtobufCIntRange kq__hop__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor kq__hop__request__descriptor =
 {
@@ -387,7 +445,7 @@
   "Kq__Hop__Request",
   "kq.hop",
   sizeof(Kq__Hop__Request),
-  14,
+  15,
   kq__hop__request__field_descriptors,
   kq__hop__request__field_indices_by_name,
   1,  kq__hop__request__number_ranges,
@@ -497,6 +555,83 @@
   (ProtobufCMessageInit) kq__hop__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq__hop__settle__field_descriptors[4] =
+{
+  {
+    "key_high",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Settle, key_high),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_low",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Settle, key_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Settle, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Kq__Hop__Settle, answer),
+    &kq__hop__answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq__hop__settle__field_indices_by_name[] = {
+  3,   /* field[3] = answer */
+  2,   /* field[2] = fingerprint */
+  0,   /* field[0] = key_high */
+  1,   /* field[1] = key_low */
+};
+static const ProtobufCIntRange kq__hop__settle__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor kq__hop__settle__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq.hop.Settle",
+  "Settle",
+  "Kq__Hop__Settle",
+  "kq.hop",
+  sizeof(Kq__Hop__Settle),
+  4,
+  kq__hop__settle__field_descriptors,
+  kq__hop__settle__field_indices_by_name,
+  1,  kq__hop__settle__number_ranges,
+  (ProtobufCMessageInit) kq__hop__settle__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define kq__hop__cancel__field_descriptors NULL
 #define kq__hop__cancel__field_indices_by_name NULL
 #define kq__hop__cancel__number_ranges NULL
@@ -515,7 +650,7 @@
   (ProtobufCMessageInit) kq__hop__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq__hop__message__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kq__hop__message__field_descriptors[6] =
 {
   {
     "id",
@@ -577,6 +712,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settle",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kq__Hop__Message, kind_case),
+    offsetof(Kq__Hop__Message, settle),
+    &kq__hop__settle__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq__hop__message__field_indices_by_name[] = {
   3,   /* field[3] = answer */
@@ -584,11 +731,12 @@
   4,   /* field[4] = cancel */
   0,   /* field[0] = id */
   2,   /* field[2] = request */
+  5,   /* field[5] = settle */
 };
 static const ProtobufCIntRange kq__hop__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor kq__hop__message__descriptor =
 {
@@ -598,7 +746,7 @@
   "Kq__Hop__Message",
   "kq.hop",
   sizeof(Kq__Hop__Message),
-  5,
+  6,
   kq__hop__message__field_descriptors,
   kq__hop__message__field_indices_by_name,
   1,  kq__hop__message__number_ranges,
--- a/request/hop.pb-c.h
+++ b/request/hop.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Kq__Hop__Request Kq__Hop__Request;
 typedef struct Kq__Hop__Answer Kq__Hop__Answer;
+typedef struct Kq__Hop__Settle Kq__Hop__Settle;
 typedef struct Kq__Hop__Cancel Kq__Hop__Cancel;
 typedef struct Kq__Hop__Message Kq__Hop__Message;
 
@@ -53,10 +54,14 @@
    * the receiver decides about the key
    */
   protobuf_c_boolean homed;
+  /*
+   * the receiver only remembers the key
+   */
+  protobuf_c_boolean claim;
 };
 #define KQ__HOP__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq__hop__request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Kq__Hop__Answer
@@ -84,6 +89,22 @@
     , 0, 0, 0, 0,NULL, {0,NULL}, 0 }
 
 
+/*
+ * How the run under a key that the receiver remembers has ended.
+ */
+struct  Kq__Hop__Settle
+{
+  ProtobufCMessage base;
+  uint64_t key_high;
+  uint64_t key_low;
+  uint64_t fingerprint;
+  Kq__Hop__Answer *answer;
+};
+#define KQ__HOP__SETTLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq__hop__settle__descriptor) \
+    , 0, 0, 0, NULL }
+
+
 /*
  * Nobody waits for the answer any more.
  */
@@ -100,7 +121,8 @@
   KQ__HOP__MESSAGE__KIND__NOT_SET = 0,
   KQ__HOP__MESSAGE__KIND_REQUEST = 3,
   KQ__HOP__MESSAGE__KIND_ANSWER = 4,
-  KQ__HOP__MESSAGE__KIND_CANCEL = 5
+  KQ__HOP__MESSAGE__KIND_CANCEL = 5,
+  KQ__HOP__MESSAGE__KIND_SETTLE = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(KQ__HOP__MESSAGE__KIND__CASE)
 } Kq__Hop__Message__KindCase;
 
@@ -120,6 +142,7 @@
     Kq__Hop__Request *request;
     Kq__Hop__Answer *answer;
     Kq__Hop__Cancel *cancel;
+    Kq__Hop__Settle *settle;
   };
 };
 #define KQ__HOP__MESSAGE__INIT \
@@ -165,6 +188,25 @@
 void   kq__hop__answer__free_unpacked
                      (Kq__Hop__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Kq__Hop__Settle methods */
+void   kq__hop__settle__init
+                     (Kq__Hop__Settle         *message);
+size_t kq__hop__settle__get_packed_size
+                     (const Kq__Hop__Settle   *message);
+size_t kq__hop__settle__pack
+                     (const Kq__Hop__Settle   *message,
+                      uint8_t             *out);
+size_t kq__hop__settle__pack_to_buffer
+                     (const Kq__Hop__Settle   *message,
+                      ProtobufCBuffer     *buffer);
+Kq__Hop__Settle *
+       kq__hop__settle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq__hop__settle__free_unpacked
+                     (Kq__Hop__Settle *message,
+                      ProtobufCAllocator *allocator);
 /* Kq__Hop__Cancel methods */
 void   kq__hop__cancel__init
                      (Kq__Hop__Cancel         *message);
@@ -211,6 +253,9 @@
 typedef void (*Kq__Hop__Answer_Closure)
                  (const Kq__Hop__Answer *message,
                   void *closure_data);
+typedef void (*Kq__Hop__Settle_Closure)
+                 (const Kq__Hop__Settle *message,
+                  void *closure_data);
 typedef void (*Kq__Hop__Cancel_Closure)
                  (const Kq__Hop__Cancel *message,
                   void *closure_data);
@@ -225,6 +270,7 @@
 
 extern const ProtobufCMessageDescriptor kq__hop__request__descriptor;
 extern const ProtobufCMessageDescriptor kq__hop__answer__descriptor;
+extern const ProtobufCMessageDescriptor kq__hop__settle__descriptor;
 extern const ProtobufCMessageDescriptor kq__hop__cancel__descriptor;
 extern const ProtobufCMessageDescriptor kq__hop__message__descriptor;
 
--- a/request/key.c
+++ b/request/key.c
@@ -108,6 +108,42 @@
   limit_bytes (table, settings->key_bytes);
 }
 
+int
+kq_key_claim (struct kq_key_table *table, kq_usec now,
+              const struct kq_request_settings *settings,
+              const struct kq_request_key *key, struct kq_key_entry **entry)
+{
+  int err = kq_key_begin (table, now, settings, key, entry);
+
+  if (err != 0)
+    return err;
+  kq_key_end (table, now, settings, *entry, KQ_OUTCOME_UNKNOWN,
+              KQ_EREQ_KEY_IN_USE, NULL);
+  (*entry)->claimed = true;
+  return 0;
+}
+
+void
+kq_key_settle (struct kq_key_table *table, kq_usec now,
+               const struct kq_request_settings *settings,
+               const struct kq_request_settlement *settlement)
+{
+  struct kq_key_entry *entry;
+
+  HASH_FIND (hh, table->entries, settlement->key.hash,
+             sizeof settlement->key.hash, entry);
+  if (entry == NULL || !entry->claimed)
+    return;
+  /* It expires later now, so it goes to the end of the list. */
+  if (table->oldest_answer == entry)
+    table->oldest_answer = entry->next;
+  DL_DELETE (table->done, entry);
+  entry->done = false;
+  entry->claimed = false;
+  kq_key_end (table, now, settings, entry, settlement->outcome,
+              settlement->err, settlement->answer);
+}
+
 void
 kq_key_clear (struct kq_key_table *table)
 {
--- a/request/key.h
+++ b/request/key.h
@@ -17,6 +17,7 @@
 {
   struct kq_request_key key;
   bool done;
+  bool claimed; /**< by another host, and not settled */
   enum kq_outcome outcome;
   int err;
   struct kq_answer *answer; /**< NULL when freed for want of room */
@@ -43,6 +44,18 @@
                   const struct kq_request_key *key,
                   struct kq_key_entry **entry);
 
+/** Notes that another host begins a run under KEY, unless it is known.
+ *  @return as kq_key_begin().  */
+int kq_key_claim (struct kq_key_table *table, kq_usec now,
+                  const struct kq_request_settings *settings,
+                  const struct kq_request_key *key,
+                  struct kq_key_entry **entry);
+
+/** Notes how a run under a claimed key has ended; others are ignored. */
+void kq_key_settle (struct kq_key_table *table, kq_usec now,
+                    const struct kq_request_settings *settings,
+                    const struct kq_request_settlement *settlement);
+
 /** Ends the run of ENTRY.  A run that was not run is forgotten.  ANSWER, if
  *  any, is referenced.  */
 void kq_key_end (struct kq_key_table *table, kq_usec now,
--- a/request/pool.c
+++ b/request/pool.c
@@ -312,26 +312,37 @@
   return XXH3_64bits_withSeed (host->text, strlen (host->text), key->hash[0]);
 }
 
-bool
-kq_pool_home (const struct kq_pool *pool,
-              const struct kq_request_settings *self,
-              const struct kq_request_key *key, struct kq_pool_peer **peer)
+struct kq_pool_peer *
+kq_pool_heir (const struct kq_pool *pool, const struct kq_request_key *key)
 {
-  bool found = pool->owned_count > 0;
-  uint64_t best = found ? weight (&self->host, key) : 0;
+  struct kq_pool_peer *heir = NULL;
+  uint64_t best = 0;
 
-  *peer = NULL;
   for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
     {
       uint64_t other = weight (&p->name, key);
 
-      if (!p->listed || p->range != KQ_RANGE_ZONE || (found && other <= best))
+      if (!p->listed || p->range != KQ_RANGE_ZONE
+          || (heir != NULL && other <= best))
         continue;
-      found = true;
+      heir = p;
       best = other;
-      *peer = p;
     }
-  return found;
+  return heir;
+}
+
+bool
+kq_pool_home (const struct kq_pool *pool,
+              const struct kq_request_settings *self,
+              const struct kq_request_key *key, struct kq_pool_peer **peer)
+{
+  *peer = kq_pool_heir (pool, key);
+  if (pool->owned_count == 0)
+    return *peer != NULL;
+  if (*peer != NULL
+      && weight (&(*peer)->name, key) < weight (&self->host, key))
+    *peer = NULL;
+  return true;
 }
 
 void
--- a/request/pool.h
+++ b/request/pool.h
@@ -104,6 +104,11 @@
                    const struct kq_request_key *key,
                    struct kq_pool_peer **peer);
 
+/** Finds the one that would decide if this host, which decides, were gone.
+ *  @return NULL when there is no other in this zone.  */
+struct kq_pool_peer *kq_pool_heir (const struct kq_pool *pool,
+                                   const struct kq_request_key *key);
+
 /** Counts one attempt in; aborts when the worker can't take it. */
 void kq_pool_admit (struct kq_pool_worker *worker, kq_usec now);
 
--- a/request/request.c
+++ b/request/request.c
@@ -15,6 +15,8 @@
 #define DEFAULT_DEADLINE (10 * KQ_USEC_PER_SEC)
 /** How long a worker or peer that refused a request gets no other. */
 #define FULL_TIME (20 * KQ_USEC_PER_MSEC)
+/** Most time for another host to remember a key. */
+#define CLAIM_TIME (200 * KQ_USEC_PER_MSEC)
 /** A stall is this many times the mean time of an answer. */
 #define STALL_FACTOR 8
 /** Weight of one answer in the mean: 1 / 16. */
@@ -87,6 +89,24 @@
   return false;
 }
 
+/* Tells the host that remembers the key, too. */
+static void
+emit_settle (struct kq_step *step, const struct kq_request *request,
+             enum kq_outcome outcome, int err, struct kq_answer *answer)
+{
+  struct kq_request_effect effect = { .kind = KQ_REQ_FX_SETTLE };
+  struct kq_request_settlement *settlement = &effect.u.settle.settlement;
+
+  if (request->heir[0] == '\0')
+    return;
+  memcpy (effect.u.settle.address, request->heir, sizeof request->heir);
+  settlement->key = request->key->key;
+  settlement->outcome = outcome;
+  settlement->err = err;
+  settlement->answer = answer != NULL ? kq_answer_ref (answer) : NULL;
+  kq_request_effects_put (step->out, &effect);
+}
+
 static void
 end_key (struct kq_step *step, struct kq_request *request,
          enum kq_outcome outcome, int err, struct kq_answer *answer)
@@ -95,6 +115,7 @@
 
   if (request->key == NULL)
     return;
+  emit_settle (step, request, outcome, err, answer);
   kq_key_end (&router->keys, step->now, &router->settings, request->key,
               outcome, err, answer);
   request->key = NULL;
@@ -226,9 +247,17 @@
     *home = NULL;
   if (*home != NULL)
     return true;
-  err = kq_key_begin (&router->keys, step->now, &router->settings,
+  if (!arrival->claim)
+    {
+      err = kq_key_begin (&router->keys, step->now, &router->settings,
+                          &arrival->key, key);
+      return !answer_key (step, arrival, err, *key);
+    }
+  err = kq_key_claim (&router->keys, step->now, &router->settings,
                       &arrival->key, key);
-  return !answer_key (step, arrival, err, *key);
+  if (!answer_key (step, arrival, err, *key))
+    emit_reply (step, arrival->id, KQ_OUTCOME_NOT_RUN, 0, NULL);
+  return false;
 }
 
 static void
@@ -243,7 +272,7 @@
     kq_request_finish (step, request, KQ_OUTCOME_NOT_RUN, KQ_ETIMEDOUT, NULL);
   else if (home != NULL)
     kq_route_home (step, request, home);
-  else
+  else if (request->key == NULL || !kq_route_claim (step, request))
     kq_route_place (step, request);
 }
 
@@ -329,10 +358,37 @@
                      request->err, NULL);
 }
 
+/* Goes on when the key is remembered and was not known.  Nothing has run
+   here, whatever became of the claim.  */
+static void
+end_claim (struct kq_step *step, struct kq_request *request,
+           const struct kq_request_end *event)
+{
+  bool known = event->outcome == KQ_OUTCOME_ANSWERED
+               || event->outcome == KQ_OUTCOME_INVALID
+               || event->err == KQ_EREQ_KEY_IN_USE
+               || event->err == KQ_EREQ_ANSWER_GONE;
+
+  request->err = event->err;
+  if (known)
+    {
+      /* The other host's entry stays as it is. */
+      request->heir[0] = '\0';
+      request->maybe_run = event->outcome == KQ_OUTCOME_UNKNOWN;
+      kq_request_finish (step, request, event->outcome, event->err,
+                         event->answer);
+    }
+  else if (event->outcome == KQ_OUTCOME_NOT_RUN && event->err == 0)
+    kq_route_place (step, request);
+  else
+    kq_request_finish (step, request, KQ_OUTCOME_NOT_RUN, event->err, NULL);
+}
+
 static int
 end (struct kq_step *step, const struct kq_request_end *event)
 {
   struct kq_request *request;
+  bool claim;
 
   HASH_FIND (hh, step->router->requests, &event->id, sizeof event->id,
              request);
@@ -343,13 +399,16 @@
       return KQ_EINVAL;
     }
   end_attempt (step, &request->attempts[event->attempt], event);
+  claim = request->attempts[event->attempt].claim;
   if (event->outcome != KQ_OUTCOME_ANSWERED)
     request->err = event->err;
-  if (event->outcome == KQ_OUTCOME_UNKNOWN)
+  if (event->outcome == KQ_OUTCOME_UNKNOWN && !claim)
     request->maybe_run = true;
   if (!request->replied)
     {
-      if (event->outcome == KQ_OUTCOME_ANSWERED)
+      if (claim)
+        end_claim (step, request, event);
+      else if (event->outcome == KQ_OUTCOME_ANSWERED)
         kq_request_finish (step, request, event->outcome, 0, event->answer);
       else if (event->outcome == KQ_OUTCOME_INVALID
                && !kq_request_live (request))
@@ -360,7 +419,7 @@
   else
     {
       /* Too late for its caller, but a repeat of the key can have it. */
-      if (event->outcome == KQ_OUTCOME_ANSWERED)
+      if (event->outcome == KQ_OUTCOME_ANSWERED && !claim)
         end_key (step, request, event->outcome, 0, event->answer);
       kq_answer_unref (event->answer);
       if (!kq_request_live (request))
@@ -474,6 +533,11 @@
 
       if (!attempt->live || attempt->dropping)
         continue;
+      if (attempt->claim && step->now - attempt->sent_at >= CLAIM_TIME)
+        {
+          drop_attempt (step, request, i);
+          continue;
+        }
       if (!attempt->stalled && step->now - attempt->sent_at >= stall)
         note_stall (step, request, attempt);
       if (request->replied
@@ -517,6 +581,10 @@
       return arrive (&step, &event->u.arrive);
     case KQ_REQ_EV_END:
       return end (&step, &event->u.end);
+    case KQ_REQ_EV_SETTLE:
+      kq_key_settle (&router->keys, now, &router->settings, &event->u.settle);
+      kq_answer_unref (event->u.settle.answer);
+      return 0;
     case KQ_REQ_EV_LEAVE:
       leave (&step, event->u.leave);
       return 0;
--- a/request/request.h
+++ b/request/request.h
@@ -56,6 +56,7 @@
 {
   KQ_REQ_EV_ARRIVE, /**< a request is complete */
   KQ_REQ_EV_END,    /**< an attempt has ended */
+  KQ_REQ_EV_SETTLE, /**< another host says how a key that it claimed ended */
   KQ_REQ_EV_LEAVE,  /**< the caller closed its connection */
   KQ_REQ_EV_VIEW,   /**< ownership or configuration changed */
   KQ_REQ_EV_TICK    /**< time has passed; every KQ_REQUEST_TICK when busy */
@@ -78,6 +79,7 @@
   bool idempotent; /**< by its method */
   bool forwarded;  /**< came from another entry host */
   bool homed;      /**< forwarded because this host decides about its key */
+  bool claim;      /**< forwarded: only remember the key, for its home */
   bool keyed;      /**< key is set */
   struct kq_request_key key;
   int32_t importance; /**< 0 to 9; negative: the service's */
@@ -96,6 +98,15 @@
   int32_t free;             /**< free slots that the other host stated */
 };
 
+/** How the run under a key has ended. */
+struct kq_request_settlement
+{
+  struct kq_request_key key;
+  enum kq_outcome outcome;
+  int err;
+  struct kq_answer *answer; /**< a reference that is handed over, or NULL */
+};
+
 struct kq_request_event
 {
   enum kq_request_event_kind kind;
@@ -103,6 +114,7 @@
   {
     struct kq_request_arrival arrive;
     struct kq_request_end end;
+    struct kq_request_settlement settle;
     uint64_t leave;
     const struct kq_view *view; /**< used during the step only */
   } u;
@@ -110,11 +122,12 @@
 
 enum kq_request_effect_kind
 {
-  KQ_REQ_FX_SEND,  /**< send to an endpoint; its end is reported later */
-  KQ_REQ_FX_HOP,   /**< send to another entry host; likewise */
-  KQ_REQ_FX_DROP,  /**< abort an attempt; its end is reported at once */
-  KQ_REQ_FX_REPLY, /**< tell the caller; the last effect for a caller */
-  KQ_REQ_FX_PEER   /**< an entry host's hop may be used: connect to it */
+  KQ_REQ_FX_SEND,   /**< send to an endpoint; its end is reported later */
+  KQ_REQ_FX_HOP,    /**< send to another entry host; likewise */
+  KQ_REQ_FX_SETTLE, /**< tell another entry host how a key has ended */
+  KQ_REQ_FX_DROP,   /**< abort an attempt; its end is reported at once */
+  KQ_REQ_FX_REPLY,  /**< tell the caller; the last effect for a caller */
+  KQ_REQ_FX_PEER    /**< an entry host's hop may be used: connect to it */
 };
 
 struct kq_request_effect
@@ -131,6 +144,8 @@
       kq_usec deadline;
       int32_t importance;
       bool homed;      /**< HOP: that host decides about the key */
+      bool claim;      /**< HOP: that host only remembers the key */
+      bool keyed;      /**< HOP: the key goes along */
       kq_usec max_age; /**< use no connection that was opened longer ago;
                             0: open a new one; negative: any */
     } send;
@@ -142,6 +157,11 @@
       int32_t free; /**< free slots of this host, less those that wait */
     } reply;
     char peer[KQ_REQUEST_ADDRESS_SIZE];
+    struct
+    {
+      char address[KQ_REQUEST_ADDRESS_SIZE];
+      struct kq_request_settlement settlement;
+    } settle;
   } u;
 };
 
--- a/request/route.c
+++ b/request/route.c
@@ -33,6 +33,8 @@
   effect.u.send.importance = request->importance;
   effect.u.send.max_age = max_age;
   effect.u.send.homed = request->homed;
+  effect.u.send.claim = request->attempts[effect.attempt].claim;
+  effect.u.send.keyed = request->key == NULL || effect.u.send.claim;
   kq_request_effects_put (step->out, &effect);
 }
 
@@ -68,12 +70,14 @@
 
 static void
 send_to_peer (struct kq_step *step, struct kq_request *request,
-              struct kq_pool_peer *peer)
+              struct kq_pool_peer *peer, bool claim)
 {
   struct kq_attempt *attempt = new_attempt (step, request);
 
   peer->sent++;
-  peer->free--;
+  if (!claim)
+    peer->free--;
+  attempt->claim = claim;
   attempt->peer = peer;
   emit_send (step, request, KQ_REQ_FX_HOP, &peer->name, peer->address, -1);
 }
@@ -84,7 +88,8 @@
 {
   static const struct kq_attempt none;
 
-  if (request->attempt_count == 0)
+  if (request->attempt_count == 0
+      || request->attempts[request->attempt_count - 1].claim)
     return &none;
   return &request->attempts[request->attempt_count - 1];
 }
@@ -138,7 +143,7 @@
                                 last_attempt (request)->peer, full);
       if (peer != NULL)
         {
-          send_to_peer (step, request, peer);
+          send_to_peer (step, request, peer, false);
           return true;
         }
     }
@@ -216,7 +221,20 @@
                struct kq_pool_peer *peer)
 {
   request->homed = true;
-  send_to_peer (step, request, peer);
+  send_to_peer (step, request, peer, false);
+}
+
+bool
+kq_route_claim (struct kq_step *step, struct kq_request *request)
+{
+  struct kq_pool_peer *heir
+      = kq_pool_heir (&step->router->pool, &request->key->key);
+
+  if (heir == NULL)
+    return false;
+  memcpy (request->heir, heir->address, sizeof request->heir);
+  send_to_peer (step, request, heir, true);
+  return true;
 }
 
 void
@@ -265,7 +283,8 @@
   const struct kq_request_router *router = step->router;
 
   return !request->forwarded && !request->homed
-         && request->attempt_count < KQ_REQUEST_ATTEMPTS
+         && request->attempt_count
+                < KQ_REQUEST_TRIES + (request->attempts[0].claim ? 1 : 0)
          && router->budget_milli >= ADDED_COST
          && step->now + router->service_time <= request->deadline;
 }
--- a/request/router.h
+++ b/request/router.h
@@ -10,8 +10,11 @@
 #include "request/pool.h"
 #include "request/request.h"
 
-/** Most attempts of one request, the first one included. */
-#define KQ_REQUEST_ATTEMPTS 3
+/** Most attempts of one request, the first one and a claim included. */
+#define KQ_REQUEST_ATTEMPTS 4
+
+/** Most attempts that may run, of one request. */
+#define KQ_REQUEST_TRIES 3
 
 #define KQ_IMPORTANCE_COUNT 10
 
@@ -21,6 +24,7 @@
   bool fresh;    /**< must go over a new connection */
   bool stalled;  /**< noted as stalled already */
   bool dropping; /**< its end was asked for */
+  bool claim;    /**< only has the key remembered by another host */
   kq_usec sent_at;
   struct kq_pool_worker *worker; /**< or peer */
   struct kq_pool_peer *peer;
@@ -42,7 +46,8 @@
   uint32_t attempt_count;
   int err; /**< of the last attempt that ended */
   struct kq_attempt attempts[KQ_REQUEST_ATTEMPTS];
-  struct kq_key_entry *key; /**< in progress; NULL without a key */
+  struct kq_key_entry *key;           /**< in progress; NULL without a key */
+  char heir[KQ_REQUEST_ADDRESS_SIZE]; /**< host that remembers the key too */
   UT_hash_handle hh;
   struct kq_request *prev; /**< neighbours in the queue */
   struct kq_request *next;
@@ -106,6 +111,11 @@
 void kq_route_home (struct kq_step *step, struct kq_request *request,
                     struct kq_pool_peer *peer);
 
+/** Has REQUEST's key remembered by the host that would decide about it if
+ *  this one were gone.
+ *  @return false when there is no such host.  */
+bool kq_route_claim (struct kq_step *step, struct kq_request *request);
+
 /** Sends REQUEST on, lets it wait, or refuses it. */
 void kq_route_place (struct kq_step *step, struct kq_request *request);
 
--- a/t/lib-router.c
+++ b/t/lib-router.c
@@ -85,6 +85,8 @@
     return effect;
   if (effect.kind == KQ_REQ_FX_REPLY)
     kq_answer_unref (effect.u.reply.answer);
+  if (effect.kind == KQ_REQ_FX_SETTLE)
+    kq_answer_unref (effect.u.settle.settlement.answer);
   return effect;
 }
 
--- a/t/test-request-run.c
+++ b/t/test-request-run.c
@@ -28,6 +28,8 @@
   STEP_HOP,    /* a request reaches another host */
   STEP_LEAVE,
   STEP_MOVE, /* a worker changes its owner */
+  STEP_SETTLE,
+  STEP_KILL, /* a host is lost with all that it knew */
   STEP_TICK
 };
 
@@ -42,6 +44,9 @@
   uint32_t attempt;
   uint64_t caller; /* request of the caller */
   bool homed;
+  bool claim;
+  bool keyed;
+  struct kq_request_settlement settlement;
   enum kq_outcome outcome;
   int err;
   int32_t free;
@@ -91,6 +96,7 @@
   int in_use[WORKERS][HOSTS]; /* slots that each host has in use */
   int violations;
   bool moving; /* workers change owners */
+  bool dead[HOSTS];
 };
 
 static void
@@ -253,6 +259,8 @@
                    effect.u.send.name.text[1] - '1');
         p->from = host;
         p->homed = effect.u.send.homed;
+        p->claim = effect.u.send.claim;
+        p->keyed = effect.u.send.keyed;
         p->id = effect.id;
         p->attempt = effect.attempt;
         break;
@@ -262,6 +270,11 @@
       case KQ_REQ_FX_REPLY:
         on_reply (w, host, &effect);
         break;
+      case KQ_REQ_FX_SETTLE:
+        p = later (w, any_time (w, 2 * MS), STEP_SETTLE,
+                   effect.u.settle.address[10] - '1');
+        p->settlement = effect.u.settle.settlement;
+        break;
       case KQ_REQ_FX_PEER:
         break;
       }
@@ -342,7 +355,9 @@
   event.u.arrive.importance = -1;
   event.u.arrive.forwarded = forwarded;
   event.u.arrive.homed = p->homed;
-  event.u.arrive.keyed = w->callers[caller].key != 0;
+  event.u.arrive.claim = p->claim;
+  event.u.arrive.keyed
+      = w->callers[caller].key != 0 && (!forwarded || p->keyed);
   event.u.arrive.key.hash[0] = w->callers[caller].key;
   kq_name_set (&event.u.arrive.service,
                w->callers[caller].book ? "book" : "price");
@@ -358,9 +373,12 @@
 
   for (int h = 0; h < HOSTS; h++)
     {
-      struct kq_view *view = kq_test_view (WORKERS, 1000, false, 0, "");
+      struct kq_view *view;
       struct kq_request_event event = { .kind = KQ_REQ_EV_VIEW };
 
+      if (w->dead[h])
+        continue;
+      view = kq_test_view (WORKERS, 1000, false, 0, "");
       for (int i = 0; i < WORKERS; i++)
         {
           struct kq_view_worker *worker = &view->workers[i];
@@ -382,13 +400,55 @@
     }
 }
 
+/* What a host said to itself is lost; what it sent goes on. */
 static void
-do_pending (struct world *w, const struct pending *p)
+kill_host (struct world *w, int host)
+{
+  w->dead[host] = true;
+  for (int i = 0; i < WORKERS; i++)
+    if (w->owner[i] == host)
+      {
+        w->owner[i] = (host + 1) % HOSTS;
+        w->owned_from[i] = w->now;
+      }
+  publish (w);
+}
+
+/* Callers turn to another host; messages to a dead one are lost. */
+static bool
+is_lost (struct world *w, struct pending *p)
+{
+  if (!w->dead[p->host])
+    return false;
+  if (p->step == STEP_ARRIVE)
+    {
+      p->host = (p->host + 1) % HOSTS;
+      return false;
+    }
+  if (p->step == STEP_END && p->worker >= 0)
+    w->in_use[p->worker][p->host]--;
+  if (p->step == STEP_SETTLE && p->settlement.answer != NULL)
+    kq_answer_unref (p->settlement.answer);
+  return p->step != STEP_RUN && p->step != STEP_TICK;
+}
+
+static void
+do_pending (struct world *w, struct pending *p)
 {
   struct kq_request_event event = { .kind = KQ_REQ_EV_TICK };
 
+  if (is_lost (w, p))
+    return;
   switch (p->step)
     {
+    case STEP_SETTLE:
+      event.kind = KQ_REQ_EV_SETTLE;
+      event.u.settle = p->settlement;
+      feed (w, p->host, &event);
+      break;
+    case STEP_KILL:
+      kill_host (w, p->host);
+      break;
     case STEP_ARRIVE:
       arrive (w, p, false);
       if (chance (w, 3))
@@ -423,7 +483,8 @@
       break;
     case STEP_TICK:
       for (int h = 0; h < HOSTS; h++)
-        feed (w, h, &event);
+        if (!w->dead[h])
+          feed (w, h, &event);
       later (w, KQ_REQUEST_TICK, STEP_TICK, 0);
       break;
     }
@@ -436,7 +497,8 @@
     {
       struct caller *c = &w->callers[i];
 
-      check (w, c->replies == 1, "was never told", i);
+      /* Callers of a dead host hear nothing. */
+      check (w, c->replies == 1 || w->dead[HOSTS - 1], "was never told", i);
       check (w, c->outcome != KQ_OUTCOME_NOT_RUN || c->runs == 0,
              "ran, but was told not run", i);
       check (w, !c->book || c->runs <= 1, "ran twice", i);
@@ -467,6 +529,8 @@
     w->owner[i] = i % HOSTS;
   later (w, 0, STEP_TICK, 0);
   later (w, 0, STEP_MOVE, 0)->worker = 0;
+  if (seed % 4 == 1)
+    later (w, 2500 * MS + any_time (w, MS), STEP_KILL, HOSTS - 1);
   for (uint64_t i = 1; i < REQUESTS; i++)
     {
       struct pending *p
@@ -501,6 +565,8 @@
       w->now = p->at;
       if (w->now <= RUN_END)
         do_pending (w, p);
+      else if (p->step == STEP_SETTLE && p->settlement.answer != NULL)
+        kq_answer_unref (p->settlement.answer);
       free (p);
     }
   check_callers (w);
@@ -518,7 +584,7 @@
 static void
 test_random_runs (void)
 {
-  for (unsigned long seed = 1; seed <= 40; seed++)
+  for (unsigned long seed = 1; seed <= 60; seed++)
     {
       int violations = run_seed (seed);
 
