request: keep a peer open after it took a claim

Now a claim's end says nothing of a peer's room. Ruled out: the test; it asks that a home without free slots passes the request on at once.

--- a/request/request.c
+++ b/request/request.c
@@ -328,7 +328,7 @@
       attempt->peer->sent--;
       if (end->has_free)
         kq_pool_note_free (attempt->peer, end->free, step->now);
-      if (end->outcome == KQ_OUTCOME_NOT_RUN)
+      if (end->outcome == KQ_OUTCOME_NOT_RUN && !attempt->claim)
         attempt->peer->closed_until = step->now + FULL_TIME;
       return;
     }
