--- a/t/lib-fake-worker.c
+++ b/t/lib-fake-worker.c
@@ -7,6 +7,9 @@
 #include "base/err.h"
 #include "t/lib-fake.h"
 
+/* Part of the processors in use above which the power guard is on. */
+#define USED_MOST 0.8
+
 #define SAVE_EVERY 2.0
 #define SAVE_TAKES 0.3
 #define BAD_AFTER 0.2
@@ -125,10 +128,12 @@
 {
   bool is_free = kq_name_empty (&worker->holder);
 
-  if (effect->u.lease.term != worker->term)
+  if (effect->u.lease.term != worker->term
+      || effect->u.lease.serial != worker->serial)
     return is_free ? KQ_ELEASE_TERM : KQ_ELEASE_HELD;
   if (!is_free && !kq_name_eq (sender, &worker->holder))
     return KQ_ELEASE_HELD;
+  worker->serial++;
   if (effect->u.lease.ttl == 0)
     {
       fake_trace (world, "%s is released by %s", worker->name.text,
@@ -157,6 +162,36 @@
   return 0;
 }
 
+/* States what WORKER's tasks use: of some jobs half, of others twice what
+   their starts stated.  One worker in three states no usage, the others
+   state it as up to 5 s old; above USED_MOST the power guard is on. */
+static void
+report_usage (const struct fake_world *world, const struct fake_worker *worker,
+              struct kq_worker_table *table)
+{
+  int number = (int)(worker - world->workers);
+
+  if (!world->reports_usage || number % 3 == 0)
+    return;
+  for (int i = 0; i < worker->row_count; i++)
+    {
+      const struct kq_attempt_row *row = &worker->rows[i].row;
+      int halves
+          = 1 + (row->task.job.text[strlen (row->task.job.text) - 1] & 3);
+
+      if (!is_live (&worker->rows[i]))
+        continue;
+      table->used.cpu_milli
+          += row->size.cpu_milli * halves / 2 * row->share_milli / 1000;
+      table->used.memory_mb += row->size.memory_mb * halves / 2;
+    }
+  table->usage_seq = 1 + (int64_t)world->now;
+  table->usage_lag = (kq_usec)(number % 2 * 5 * USEC);
+  table->throttled
+      = table->used.cpu_milli > USED_MOST * worker->capacity.cpu_milli;
+  table->busy_slots = number % 5;
+}
+
 /* Whether the answer to ITEM can reach the sender. */
 static bool
 hears (const struct fake_world *world, const struct fake_item *item)
@@ -182,12 +217,14 @@
   answer->sent_at = (kq_usec)item->sent_at;
   answer->err = err;
   answer->term = worker->term;
+  answer->serial = worker->serial;
   answer->holder = worker->holder;
   if (!kq_name_empty (&worker->holder))
     answer->left
         = (kq_usec)((worker->lease_ends - world->now) * USEC * worker->rate);
   answer->table.capacity = worker->capacity;
   answer->table.slots = 8;
+  report_usage (world, worker, &answer->table);
   answer->table.rows = rows;
   answer->table.row_count = (size_t)worker->row_count;
   if (hears (world, item))
@@ -394,8 +431,10 @@
       note_acknowledged (world, row);
       *row = worker->rows[--worker->row_count];
       break;
-    case KQ_TASK_START:
     case KQ_TASK_THROTTLE:
+      row->row.share_milli = effect->u.task.row.share_milli;
+      break;
+    case KQ_TASK_START:
       break;
     }
   return 0;
@@ -410,6 +449,7 @@
   if (kq_name_empty (&worker->holder))
     return KQ_ELEASE_LAPSED;
   if (effect->u.task.term != worker->term
+      || effect->u.task.serial + 1 < worker->serial
       || !kq_name_eq (sender, &worker->holder))
     return KQ_ELEASE_TERM;
   if (effect->u.task.action == KQ_TASK_START)
--- a/t/standin/si-worker.h
+++ b/t/standin/si-worker.h
@@ -21,6 +21,8 @@
   int64_t seq;
   kq_usec at;
   struct kq_size used;
+  int slow_milli; /* time of service of requests, 1000 = as on an idle worker
+                   */
 };
 
 struct si_attempt
@@ -43,6 +45,7 @@
   json_t *knobs;
   char holder[KQ_NAME_SIZE];
   int64_t term;
+  int64_t serial; /* lease requests accepted */
   kq_usec lease_until;
   kq_usec task_until; /* given to an attempt that starts */
   struct si_attempt *attempts;
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -504,6 +504,7 @@
   double quiet_at = 0;
 
   fake_init (world, seed);
+  world->reports_usage = true;
   world->steps = steps;
   world->reply = take_reply;
   refused_count = 0;
--- a/t/test-takeover.c
+++ b/t/test-takeover.c
@@ -61,6 +61,7 @@
 {
   fake_init (world, seed);
   world->log_keeps = 1000;
+  world->no_urgent_jobs = true;
   run_until (world, 3);
   fake_configure (world, 0);
   run_until (world, 10);
