request: leave a dead peer alone for longer each time

Cause: t/demo answered 1,179 of 1,200 requests in the zone of a killed entry host and refused 21 as not run: the dead peer, listed until its shards were taken over, was tried again every 20 ms, which used up the retry budget. A peer that fails for another reason than full slots is now closed for 40 ms to 1.28 s, doubled each time in a row; an answer starts it over. Ruled out: a larger budget, which the limit of 10% added requests forbids. Failing first: 'dead peer is left alone' of test-request fails without it (answered and added both).

--- a/request/pool.c
+++ b/request/pool.c
@@ -12,6 +12,10 @@
 /** Time of a first ejection; doubled by each that follows. */
 #define EJECT_TIME KQ_USEC_PER_SEC
 #define EJECT_DOUBLINGS 5
+/** How long a peer that was full gets no request; doubled by each failure
+ *  in a row of another kind.  */
+#define CLOSE_TIME (20 * KQ_USEC_PER_MSEC)
+#define CLOSE_DOUBLINGS 6
 /** How long the free slots that a peer stated are believed. */
 #define FREE_TIME (100 * KQ_USEC_PER_MSEC)
 /** Requests that find out whether a peer has free slots again. */
@@ -299,6 +303,14 @@
   return best;
 }
 
+void
+kq_pool_close_peer (struct kq_pool_peer *peer, int err, kq_usec now)
+{
+  if (err != KQ_EREQ_OVERLOAD && peer->failures < CLOSE_DOUBLINGS)
+    peer->failures++;
+  peer->closed_until = now + CLOSE_TIME * (INT64_C (1) << peer->failures);
+}
+
 void
 kq_pool_note_free (struct kq_pool_peer *peer, int32_t free, kq_usec now)
 {
--- a/request/pool.h
+++ b/request/pool.h
@@ -45,6 +45,7 @@
   bool listed;
   int32_t slots;        /**< of the workers that it owns */
   int32_t sent;         /**< attempts in flight */
+  int32_t failures;     /**< in a row, other than for want of slots */
   kq_usec closed_until; /**< it refused or failed a request */
   int32_t free;         /**< slots that may be free there */
   kq_usec free_at;      /**< when it said so, or was last assumed to */
@@ -93,6 +94,10 @@
                                         const struct kq_pool_peer *avoid,
                                         bool full);
 
+/** Notes that PEER did not run a request, for the reason ERR: it gets none
+ *  for a while, longer each time unless it was full.  */
+void kq_pool_close_peer (struct kq_pool_peer *peer, int err, kq_usec now);
+
 /** Notes that PEER stated FREE slots at NOW. */
 void kq_pool_note_free (struct kq_pool_peer *peer, int32_t free, kq_usec now);
 
--- a/request/request.c
+++ b/request/request.c
@@ -13,7 +13,7 @@
 #define BUDGET_LIMIT INT64_C (100000)
 /** Deadline of a service whose configuration names none. */
 #define DEFAULT_DEADLINE (10 * KQ_USEC_PER_SEC)
-/** How long a worker or peer that refused a request gets no other. */
+/** How long a worker that was full gets no request. */
 #define FULL_TIME (20 * KQ_USEC_PER_MSEC)
 /** Most time for another host to remember a key. */
 #define CLAIM_TIME (200 * KQ_USEC_PER_MSEC)
@@ -328,8 +328,10 @@
       attempt->peer->sent--;
       if (end->has_free)
         kq_pool_note_free (attempt->peer, end->free, step->now);
+      if (end->outcome == KQ_OUTCOME_ANSWERED)
+        attempt->peer->failures = 0;
       if (end->outcome == KQ_OUTCOME_NOT_RUN && !attempt->claim)
-        attempt->peer->closed_until = step->now + FULL_TIME;
+        kq_pool_close_peer (attempt->peer, end->err, step->now);
       return;
     }
   kq_pool_release (attempt->worker);
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -317,6 +317,40 @@
   kq_test_router_destroy (&t);
 }
 
+/* A host without workers whose zone's owner is dead, still listed, for 3 s:
+   the next zone serves all of its requests, within the budget.  */
+static void
+test_dead_peer_is_left_alone (void)
+{
+  struct kq_test_router t = kq_test_router_create ("e9");
+  struct kq_view *view = view_of_peers ();
+  struct kq_request_counts counts;
+  struct kq_request_effect effect;
+  int answered = 0;
+
+  for (int i = 0; i < 3; i++)
+    kq_name_set (&view->workers[i].owner, "e2");
+  kq_test_router_view (&t, view);
+  for (int i = 0; i < 300; i++)
+    {
+      kq_test_router_arrive (&t, "book", 0);
+      while ((effect = kq_test_router_do (&t)).kind != NOTHING)
+        if (effect.kind == KQ_REQ_FX_REPLY)
+          answered += effect.u.reply.outcome == KQ_OUTCOME_ANSWERED;
+        else
+          kq_test_router_end (&t, effect.id, effect.attempt,
+                              effect.u.send.address[7] == '1'
+                                  ? KQ_OUTCOME_NOT_RUN
+                                  : KQ_OUTCOME_ANSWERED,
+                              KQ_EREQ_NO_ENDPOINT);
+      kq_test_router_pass (&t, 10 * MS);
+    }
+  kq_request_count (t.router, t.now, &counts);
+  CU_ASSERT_EQUAL (answered, 300);
+  CU_ASSERT_TRUE (counts.added <= 30);
+  kq_test_router_destroy (&t);
+}
+
 /* An owner whose slots are taken passes requests on only while another has
    free slots, or to find that out.  */
 static void
@@ -483,6 +517,7 @@
   { "authority and reserved slots", test_authority_and_reserved_slots },
   { "leaving worker gets nothing", test_leaving_worker_gets_nothing },
   { "hops go to the nearest owner", test_hops_go_to_the_nearest_owner },
+  { "dead peer is left alone", test_dead_peer_is_left_alone },
   { "busy peers are left alone", test_busy_peers_are_left_alone },
   { "stall is held against connections",
     test_stall_is_held_against_connections },
