--- a/request/pool.c
+++ b/request/pool.c
@@ -12,6 +12,10 @@
 /** Time of a first ejection; doubled by each that follows. */
 #define EJECT_TIME KQ_USEC_PER_SEC
 #define EJECT_DOUBLINGS 5
+/** How long a peer that was full gets no request; doubled by each failure
+ *  in a row of another kind.  */
+#define CLOSE_TIME (20 * KQ_USEC_PER_MSEC)
+#define CLOSE_DOUBLINGS 6
 /** How long the free slots that a peer stated are believed. */
 #define FREE_TIME (100 * KQ_USEC_PER_MSEC)
 /** Requests that find out whether a peer has free slots again. */
@@ -299,6 +303,14 @@
   return best;
 }
 
+void
+kq_pool_close_peer (struct kq_pool_peer *peer, int err, kq_usec now)
+{
+  if (err != KQ_EREQ_OVERLOAD && peer->failures < CLOSE_DOUBLINGS)
+    peer->failures++;
+  peer->closed_until = now + CLOSE_TIME * (INT64_C (1) << peer->failures);
+}
+
 void
 kq_pool_note_free (struct kq_pool_peer *peer, int32_t free, kq_usec now)
 {
@@ -312,26 +324,37 @@
   return XXH3_64bits_withSeed (host->text, strlen (host->text), key->hash[0]);
 }
 
-bool
-kq_pool_home (const struct kq_pool *pool,
-              const struct kq_request_settings *self,
-              const struct kq_request_key *key, struct kq_pool_peer **peer)
+struct kq_pool_peer *
+kq_pool_heir (const struct kq_pool *pool, const struct kq_request_key *key)
 {
-  bool found = pool->owned_count > 0;
-  uint64_t best = found ? weight (&self->host, key) : 0;
+  struct kq_pool_peer *heir = NULL;
+  uint64_t best = 0;
 
-  *peer = NULL;
   for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
     {
       uint64_t other = weight (&p->name, key);
 
-      if (!p->listed || p->range != KQ_RANGE_ZONE || (found && other <= best))
+      if (!p->listed || p->range != KQ_RANGE_ZONE
+          || (heir != NULL && other <= best))
         continue;
-      found = true;
+      heir = p;
       best = other;
-      *peer = p;
     }
-  return found;
+  return heir;
+}
+
+bool
+kq_pool_home (const struct kq_pool *pool,
+              const struct kq_request_settings *self,
+              const struct kq_request_key *key, struct kq_pool_peer **peer)
+{
+  *peer = kq_pool_heir (pool, key);
+  if (pool->owned_count == 0)
+    return *peer != NULL;
+  if (*peer != NULL
+      && weight (&(*peer)->name, key) < weight (&self->host, key))
+    *peer = NULL;
+  return true;
 }
 
 void
