t/session-lib: bound the wait for the ports

A session waits for its turn at the ports when another run holds them. One run of session-admin waited 170 s, until its own limit, while another run on the machine held its ports; alone it passed, 24 passed, 0 failed. Who held them was not found out.

Ruled out: going on without the lock, which lets two runs mix their facts. The wait now ends after 200 s as a plain failure that names the ports. session-standin with this file: 39 passed, 0 failed.

Conclusion: no session can wait for ever.

--- a/t/session-lib.sh
+++ b/t/session-lib.sh
@@ -14,7 +14,11 @@
   # A second run on this machine waits for its turn at the ports.
   if [ -z "${session_limited:-}" ]; then
     exec 9>"${TMPDIR:-/tmp}/kumquatrack-ports-$base.lock"
-    flock 9
+    if ! flock -w 200 9; then
+      echo "FAILED: the ports from $base are still in use by another run"
+      echo "$name: 0 passed, 1 failed"
+      exit 1
+    fi
     session_limited=1 exec timeout --foreground "$time_limit" \
       sh "t/$(basename "$0")"
   fi
