t: name the taken port by what it is, bound starts that must fail

Cause: session-admin checks that a start on a port in use ends with KQ_EIO; the sessions' port layout changed under it, so that the port was free, the daemon served, and the session waited until its limit. Ruled out: locks on ports (none was held), left-over processes (none ran). Before: session-admin ended by its limit of 170 s, two runs of two.

--- a/t/session-admin.sh
+++ b/t/session-admin.sh
@@ -19,7 +19,10 @@
   true
 }
 
-daemon () { "$BUILD/kumquatrackd" "$@" >"$work/start.log" 2>&1; }
+# A start that must fail; one that does not is ended.
+daemon () {
+  timeout 10 "$BUILD/kumquatrackd" "$@" >"$work/start.log" 2>&1
+}
 exits () { # STATUS TEXT FLAG...: the start ends so and says TEXT
   wanted=$1
   text=$2
@@ -84,10 +87,10 @@
     --lease-ttl-ms 7
   check 'a missing setting' exits 2 '--host' --zone z
   check 'a port that is taken' exits 1 KQ_EIO $required \
-    --admin-listen "127.0.0.1:$((base + 31))" \
-    --listen "127.0.0.1:$((base + 12))" \
-    --peer-listen "127.0.0.1:$((base + 52))" \
-    --hop-listen "127.0.0.1:$((base + 72))"
+    --admin-listen "${at#http://}" \
+    --listen "127.0.0.1:$((base + 4))" \
+    --peer-listen "127.0.0.1:$((base + 12))" \
+    --hop-listen "127.0.0.1:$((base + 16))"
 }
 signal e1 TERM
 check 'a planned stop ends the process' within 10 gone e1
