builtin: wait longer than an entry host takes to answer

Cause: the tool gave up after 5 s, a host answers a change within 10 s: in an outage operators saw a timeout in place of the reason. Ruled out: a shorter wait in the host, which would turn accepted appends into unknown ones. Before: default 5 s. Conclusion: the typed reason reaches the operator without a flag.

--- a/builtin/options.c
+++ b/builtin/options.c
@@ -7,7 +7,7 @@
 
 #include "builtin/builtin.h"
 
-#define TIMEOUT_DEFAULT_SEC 5.0
+#define TIMEOUT_DEFAULT_SEC 12.0
 #define TIMEOUT_LEAST_SEC 0.1
 #define TIMEOUT_MOST_SEC 600.0
 #define WATCH_LEAST_SEC 0.1
@@ -38,7 +38,7 @@
                            "ask again every so often, 0.1 to 3600");
   flags->timeout
       = arg_dbl0 (NULL, "timeout", "SECONDS",
-                  "wait this long for each entry host, 0.1 to 600 (5)");
+                  "wait this long for each entry host, 0.1 to 600 (12)");
   flags->help = arg_lit0 ("h", "help", "print this text");
   flags->words
       = arg_strn (NULL, NULL, "WORD", 0, KQ_TOOL_WORDS_MAX, "the command");
