core: say what late requests need since they quote a serial

Cause: the comment on kq_core_holder still made embedders bound how late a request is written and taken, a rule that the serial replaced. Conclusion: embedders read the contract that the code holds.

--- a/core/core.h
+++ b/core/core.h
@@ -40,9 +40,9 @@
 /** Returns the name under which CORE holds leases: the host and its
  *  incarnation.  KQ_FX_LEASE and KQ_FX_TASK are sent under this name, so that
  *  a host that starts again never takes an earlier incarnation's late request
- *  for its own.  A request to a worker must be written within lease_ttl / 2 of
- * the step that asked for it or be dropped, and given up, its connection
- * closed, lease_ttl / 2 after that.  */
+ *  for its own.  A request that arrives late is void by its serial; the loop
+ *  still gives one up that gets no answer in lease_ttl, so that the worker is
+ *  asked again in time.  */
 const struct kq_name *kq_core_holder (const struct kq_core *core);
 
 /** Takes EVENT at time NOW and appends what is to be done to OUT.  An
