sched, term, node, platform: the whole path on the platform, thin

Ruled out: assignments by groups of the store (they move when dealt anew), one scheduler a zone (no job may need more than its zone).

Before: no job accepted.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 # t/standin/NAME.c one stand-in program (helpers there start with "si-").
 
 LIB_DIRS = base log metrics core lease worker job config peer request place \
-           platform query trace
+           platform query trace sched term node
+
 PKGS = libzmq libmicrohttpd libcurl argtable2 libprotobuf-c jansson \
-       libxxhash libzstd
+       libxxhash libzstd libsodium
 
 CC = gcc
 CSTD = -std=gnu11
@@ -23,7 +24,7 @@
 LDFLAGS += $(SANFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lpthread -lm
 
-GENERATED = $(wildcard peer/*.pb-c.c request/*.pb-c.c query/*.tab.c \
+GENERATED = $(wildcard peer/*.pb-c.c request/*.pb-c.c sched/*.pb-c.c term/*.pb-c.c node/*.pb-c.c query/*.tab.c \
               query/*.lex.c)
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 DAEMON_SRC = $(wildcard daemon/*.c)
--- a/base/clock.c
+++ b/base/clock.c
@@ -14,7 +14,7 @@
 kq_usec
 kq_clock_now (void)
 {
-  return read_clock (CLOCK_MONOTONIC);
+  return read_clock (CLOCK_BOOTTIME);
 }
 
 kq_usec
--- a/base/clock.h
+++ b/base/clock.h
@@ -12,7 +12,8 @@
 #define KQ_USEC_PER_MSEC INT64_C (1000)
 #define KQ_USEC_PER_SEC INT64_C (1000000)
 
-/** Returns the monotonic clock of this host.  Decisions never call this:
+/** Returns the monotonic clock of this host, which counts on while the host
+ *  is suspended.  Decisions never call this:
  *  they are handed the time by the loop that drives them.  */
 kq_usec kq_clock_now (void);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,7 +1,8 @@
 /** @file
  * kumquatrackd: one entry host.
  *
- * The main thread reads the settings, starts the front and the control
+ * On the users' platform, which names a settings file, it runs node/.  Else
+ * the main thread reads the settings, starts the front and the control
  * thread, and waits for the signal of a planned stop.
  */
 #include <curl/curl.h>
@@ -16,11 +17,15 @@
 #include "daemon/front.h"
 #include "daemon/settings.h"
 #include "log/log.h"
+#include "node/node.h"
 #include "trace/trace.h"
 
 /* Exit status for settings that are refused. */
 #define EXIT_SETTINGS 2
 
+/* Where the platform reads metrics.  Source: deploy/system.toml. */
+#define METRICS_PORT 9464
+
 static struct kq_front *
 start_front (const struct kq_settings *settings, void *zmq_context, int *err)
 {
@@ -86,10 +91,19 @@
 {
   static struct kq_settings settings;
   struct kq_settings_error error;
+  const char *node_file = getenv (KQ_NODE_FILE_VARIABLE);
   void *zmq_context;
-  int result = kq_settings_read (argc, argv, stdout, &settings, &error);
+  int result;
   int status;
 
+  curl_global_init (CURL_GLOBAL_ALL);
+  if (node_file != NULL)
+    {
+      status = kq_node_run (node_file, METRICS_PORT);
+      curl_global_cleanup ();
+      return status;
+    }
+  result = kq_settings_read (argc, argv, stdout, &settings, &error);
   if (result == KQ_SETTINGS_SHOWN)
     return EXIT_SUCCESS;
   if (result != KQ_SETTINGS_RUN)
@@ -100,7 +114,6 @@
   kq_log_setup (settings.log_level, settings.host.text);
   kq_trace_setup (settings.host.text);
   kq_control_register_metrics ();
-  curl_global_init (CURL_GLOBAL_ALL);
   zmq_context = zmq_ctx_new ();
   if (zmq_context == NULL)
     return fail ("messages", KQ_ENOMEM);
--- a/log/log.c
+++ b/log/log.c
@@ -1,5 +1,6 @@
 #include "log/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -13,6 +14,8 @@
 
 static enum kq_log_level highest_level = KQ_LOG_INFO;
 static char host_name[64] = "-";
+static int output = STDERR_FILENO;
+static _Atomic unsigned long dropped;
 
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
 
@@ -121,6 +124,22 @@
   va_end (fields);
   put_raw (&line, "}\n", 2);
   /* One write a line keeps lines of several threads apart. */
-  if (write (STDERR_FILENO, line.text, line.length) < 0)
-    return;
+  if (write (output, line.text, line.length) < 0)
+    dropped++;
+}
+
+void
+kq_log_to_stdout (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  output = STDOUT_FILENO;
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+unsigned long
+kq_log_dropped (void)
+{
+  return dropped;
 }
--- a/log/log.h
+++ b/log/log.h
@@ -1,5 +1,6 @@
 /** @file
- * Structured log lines: one JSON object a line on standard error.
+ * Structured log lines: one JSON object a line, on standard error
+ * unless kq_log_to_stdout() is called.
  *
  * Fields are always level, module, event, then err with its name where a
  * failure is reported, then the ids that the caller passes.
@@ -19,6 +20,13 @@
  *  carries.  Not safe to call while other threads log.  */
 void kq_log_setup (enum kq_log_level level, const char *host);
 
+/** Writes to standard output from now on, without waiting: lines that a full
+ *  pipe does not take are dropped and counted.  */
+void kq_log_to_stdout (void);
+
+/** Returns how many lines were dropped. */
+unsigned long kq_log_dropped (void);
+
 /** Reads a level's name ("error", "warn", "info", "debug").
  *  @return 0 or KQ_ESYNTAX.  */
 int kq_log_level_parse (const char *text, enum kq_log_level *level);
--- /dev/null
+++ b/node/watch.c
@@ -0,0 +1,260 @@
+#include "node/watch.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "log/log.h"
+#include "platform/site.h"
+
+/* How long reads wait for a record: the owner's beats come more often; a
+   silent connection to the store must be noticed well within the bound on
+   configurations, 2.5 s.  */
+#define TERM_WAIT_MS 500
+#define CONFIG_WAIT_MS 1000
+
+/* A read that failed is repeated after this. */
+#define RETRY_SEC 0.1
+
+/* How often the term is looked at for something to append. */
+#define STEP_SEC 0.04
+
+#define APPEND_TIMEOUT (500 * KQ_USEC_PER_MSEC)
+
+struct kq_watch
+{
+  struct ev_loop *loop;
+  struct kq_store *store;
+  struct kq_term *term;
+  struct kq_watch_handler handler;
+  ev_timer term_retry;
+  ev_timer config_retry;
+  ev_timer step;
+  kq_usec heard_at;
+  bool lost; /* the store does not answer */
+  int64_t config_offset;
+  bool config_listed;
+  int64_t version;
+};
+
+static void read_term (struct kq_watch *watch);
+static void read_config (struct kq_watch *watch);
+
+static void
+note_answer (struct kq_watch *watch, int err)
+{
+  bool answered = err == 0 || err == KQ_ELOG_RETENTION;
+
+  if (answered)
+    watch->heard_at = kq_clock_now ();
+  if (answered == !watch->lost)
+    return;
+  watch->lost = !answered;
+  kq_log (KQ_LOG_WARN, "watch", answered ? "store regained" : "store lost",
+          err, NULL);
+}
+
+static void
+on_appended (void *arg, const struct kq_store_appended *appended)
+{
+  struct kq_watch *watch = arg;
+
+  kq_term_answered (watch->term, kq_clock_now (),
+                    appended->err == 0 ? appended->offset : -1);
+  watch->handler.on_term (watch->handler.arg);
+}
+
+static void
+step (struct kq_watch *watch)
+{
+  struct kq_term_append append;
+  struct kq_store_condition condition = { .epoch = -1, .sequence = -1 };
+  struct kq_store_batch batch = { 0 };
+
+  if (!kq_term_next (watch->term, kq_clock_now (), &append))
+    return;
+  if (append.kind == KQ_TERM_CLAIM)
+    {
+      char number[24];
+
+      snprintf (number, sizeof number, "%" PRId64, append.at);
+      kq_log (KQ_LOG_INFO, "term", "claim", 0, "at", number, NULL);
+    }
+  condition.at = append.at;
+  if (kq_store_batch_add (&batch, NULL, append.bytes, append.size) != 0)
+    kq_term_answered (watch->term, kq_clock_now (), -1);
+  else
+    kq_store_append (watch->store, KQ_STORE_TERM, &batch, &condition,
+                     APPEND_TIMEOUT, on_appended, watch);
+  kq_store_batch_clear (&batch);
+}
+
+static void
+on_step (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  step (timer->data);
+}
+
+static void
+on_term_rows (void *arg, const struct kq_store_answer *answer)
+{
+  struct kq_watch *watch = arg;
+  kq_usec now = kq_clock_now ();
+
+  note_answer (watch, answer->err);
+  if (answer->err == KQ_ELOG_RETENTION)
+    {
+      kq_term_read_to (watch->term, now, answer->sent_at, answer->first);
+      read_term (watch);
+      return;
+    }
+  if (answer->err != 0)
+    {
+      ev_timer_start (watch->loop, &watch->term_retry);
+      return;
+    }
+  for (size_t i = 0; i < answer->count; i++)
+    kq_term_take (watch->term, now, answer->rows[i].offset,
+                  answer->rows[i].value, answer->rows[i].size);
+  if (kq_term_offset (watch->term) >= answer->end)
+    kq_term_read_to (watch->term, now, answer->sent_at, answer->end);
+  watch->handler.on_term (watch->handler.arg);
+  step (watch);
+  read_term (watch);
+}
+
+static void
+read_term (struct kq_watch *watch)
+{
+  /* The first read shows how far away the store is, so it does not wait. */
+  kq_store_read (watch->store, KQ_STORE_TERM, kq_term_offset (watch->term),
+                 kq_term_is_caught_up (watch->term) ? TERM_WAIT_MS : 0,
+                 on_term_rows, watch);
+}
+
+static void
+take_config (struct kq_watch *watch, const struct kq_store_row *row)
+{
+  static const char key[] = KQ_SITE_CONFIG_KEY;
+  struct kq_sched_config *config;
+  char number[24];
+  int err;
+
+  if (row->key_size != strlen (key)
+      || memcmp (row->key, key, row->key_size) != 0 || row->size == 0)
+    return;
+  err = kq_site_config_read (row->value, row->size, &config);
+  if (err != 0)
+    {
+      kq_log (KQ_LOG_WARN, "watch", "configuration not understood", err, NULL);
+      return;
+    }
+  if (config->version <= watch->version)
+    {
+      kq_sched_config_destroy (config);
+      return;
+    }
+  watch->version = config->version;
+  snprintf (number, sizeof number, "%" PRId64, config->version);
+  kq_log (KQ_LOG_INFO, "watch", "configuration in force", 0, "version", number,
+          NULL);
+  watch->handler.on_config (watch->handler.arg, config);
+}
+
+static void
+on_config_rows (void *arg, const struct kq_store_answer *answer)
+{
+  struct kq_watch *watch = arg;
+
+  note_answer (watch, answer->err);
+  if (answer->err == KQ_ELOG_RETENTION)
+    watch->config_listed = false;
+  else if (answer->err != 0)
+    {
+      ev_timer_start (watch->loop, &watch->config_retry);
+      return;
+    }
+  for (size_t i = 0; i < answer->count; i++)
+    {
+      take_config (watch, &answer->rows[i]);
+      if (watch->config_listed)
+        watch->config_offset = answer->rows[i].offset + 1;
+    }
+  if (!watch->config_listed && answer->err == 0)
+    {
+      watch->config_listed = true;
+      watch->config_offset = answer->end;
+    }
+  read_config (watch);
+}
+
+static void
+read_config (struct kq_watch *watch)
+{
+  if (watch->config_listed)
+    kq_store_read (watch->store, KQ_STORE_CONFIG, watch->config_offset,
+                   CONFIG_WAIT_MS, on_config_rows, watch);
+  else
+    kq_store_newest (watch->store, KQ_STORE_CONFIG, "", on_config_rows, watch);
+}
+
+static void
+on_term_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  read_term (timer->data);
+}
+
+static void
+on_config_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  read_config (timer->data);
+}
+
+struct kq_watch *
+kq_watch_create (struct ev_loop *loop, struct kq_store *store,
+                 struct kq_term *term, const struct kq_watch_handler *handler)
+{
+  struct kq_watch *watch = calloc (1, sizeof *watch);
+
+  if (watch == NULL)
+    return NULL;
+  watch->loop = loop;
+  watch->store = store;
+  watch->term = term;
+  watch->handler = *handler;
+  watch->version = -1;
+  ev_timer_init (&watch->term_retry, on_term_retry, RETRY_SEC, 0);
+  ev_timer_init (&watch->config_retry, on_config_retry, RETRY_SEC, 0);
+  ev_timer_init (&watch->step, on_step, STEP_SEC, STEP_SEC);
+  watch->term_retry.data = watch;
+  watch->config_retry.data = watch;
+  watch->step.data = watch;
+  return watch;
+}
+
+void
+kq_watch_destroy (struct kq_watch *watch)
+{
+  if (watch == NULL)
+    return;
+  ev_timer_stop (watch->loop, &watch->term_retry);
+  ev_timer_stop (watch->loop, &watch->config_retry);
+  ev_timer_stop (watch->loop, &watch->step);
+  free (watch);
+}
+
+void
+kq_watch_start (struct kq_watch *watch)
+{
+  ev_timer_start (watch->loop, &watch->step);
+  read_term (watch);
+  read_config (watch);
+}
+
+kq_usec
+kq_watch_heard_at (const struct kq_watch *watch)
+{
+  return watch->heard_at;
+}
--- /dev/null
+++ b/sched/job.c
@@ -0,0 +1,294 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "sched/internal.h"
+
+/* A finished job is told about for at least this long: twice the longest
+   time that a deployment asks for ("status_s" 120). */
+#define KEEP_ENDED_MS INT64_C (240000)
+
+struct job *
+job_find (struct kq_sched *sched, uint64_t id)
+{
+  struct job *job;
+
+  HASH_FIND (hh, sched->jobs, &id, sizeof id, job);
+  return job;
+}
+
+bool
+job_is_over (const struct job *job)
+{
+  return job->state >= KQ_SCHED_COMPLETE;
+}
+
+static int
+occurrences (const struct job *job)
+{
+  return job->spec.times > 0 ? job->spec.times : 1;
+}
+
+struct task *
+job_task (struct job *job, const struct kq_sched_run *run)
+{
+  struct stage *stage;
+
+  if (run->occurrence < 0 || run->occurrence >= occurrences (job)
+      || run->step < 0 || run->step >= job->spec.step_count)
+    return NULL;
+  stage = &job->stages[run->occurrence * job->spec.step_count + run->step];
+  if (run->index < 0 || run->index >= stage->step->count)
+    return NULL;
+  return &stage->tasks[run->index];
+}
+
+/* Length of the longest chain of steps that ends with STEP. */
+static int64_t
+chain_ms (const struct kq_sched_spec *spec, int number)
+{
+  int64_t chain[KQ_SCHED_MAX_STEPS] = { 0 };
+  int64_t longest = 0;
+
+  for (int i = 0; i <= number; i++)
+    {
+      const struct kq_sched_step *step = &spec->steps[i];
+
+      for (int j = 0; j < step->after_count; j++)
+        if (chain[step->after[j]] > chain[i])
+          chain[i] = chain[step->after[j]];
+      chain[i] += step->est_ms;
+      if (chain[i] > longest)
+        longest = chain[i];
+    }
+  return longest;
+}
+
+static int64_t
+due_ms (const struct job *job, int occurrence)
+{
+  int64_t from = job->accepted_ms;
+  int64_t chain = chain_ms (&job->spec, job->spec.step_count - 1);
+
+  if (job->spec.times > 0)
+    from = job->spec.start_ms + occurrence * job->spec.interval_ms;
+  return from + job->queue.slo_ms
+         + (int64_t)(job->queue.stretch * (double)chain);
+}
+
+int
+job_build (struct job *job)
+{
+  job->stage_count = occurrences (job) * job->spec.step_count;
+  job->stages = calloc ((size_t)job->stage_count, sizeof *job->stages);
+  if (job->stages == NULL)
+    return KQ_ENOMEM;
+  for (int i = 0; i < job->stage_count; i++)
+    {
+      struct stage *stage = &job->stages[i];
+
+      stage->job = job;
+      stage->number = i % job->spec.step_count;
+      stage->occurrence = i / job->spec.step_count;
+      stage->step = &job->spec.steps[stage->number];
+      stage->due_ms = due_ms (job, stage->occurrence);
+      stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
+      if (stage->tasks == NULL)
+        return KQ_ENOMEM;
+      for (int j = 0; j < stage->step->count; j++)
+        {
+          stage->tasks[j].stage = stage;
+          stage->tasks[j].index = j;
+        }
+    }
+  return 0;
+}
+
+void
+job_destroy (struct kq_sched *sched, struct job *job)
+{
+  record_clear_dirty (sched, job);
+  HASH_DEL (sched->jobs, job);
+  for (int i = 0; job->stages != NULL && i < job->stage_count; i++)
+    free (job->stages[i].tasks);
+  free (job->stages);
+  kq_sched_spec_clear (&job->spec);
+  free (job->body);
+  free (job);
+}
+
+void
+job_mark_dirty (struct kq_sched *sched, struct job *job)
+{
+  job->changed = sched->position;
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  DL_APPEND2 (sched->dirty, job, dirty_prev, dirty_next);
+}
+
+static bool
+prerequisites_done (const struct stage *stage)
+{
+  const struct stage *first
+      = &stage->job->stages[stage->occurrence * stage->job->spec.step_count];
+
+  for (int i = 0; i < stage->step->after_count; i++)
+    {
+      const struct stage *before = &first[stage->step->after[i]];
+
+      if (before->done < before->step->count)
+        return false;
+    }
+  return true;
+}
+
+static void
+open_stage (struct kq_sched *sched, struct stage *stage,
+            struct kq_sched_now now)
+{
+  if (stage->open || !prerequisites_done (stage))
+    return;
+  stage->open = true;
+  for (int i = 0; i < stage->step->count; i++)
+    if (stage->tasks[i].state == TASK_WAITING)
+      task_make_ready (sched, &stage->tasks[i], now);
+}
+
+static void
+open_occurrence (struct kq_sched *sched, struct job *job, int occurrence,
+                 struct kq_sched_now now)
+{
+  struct stage *first = &job->stages[occurrence * job->spec.step_count];
+
+  for (int i = 0; i < job->spec.step_count; i++)
+    open_stage (sched, &first[i], now);
+}
+
+void
+job_open_due (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
+{
+  if (job_is_over (job))
+    return;
+  while (job->opened < occurrences (job))
+    {
+      int64_t due = job->spec.start_ms + job->opened * job->spec.interval_ms;
+
+      if (job->spec.times > 0 && now.wall_ms < due)
+        return;
+      open_occurrence (sched, job, job->opened, now);
+      job->opened++;
+    }
+}
+
+static void
+stage_done (struct kq_sched *sched, struct stage *stage,
+            struct kq_sched_now now)
+{
+  struct job *job = stage->job;
+
+  job->stages_done++;
+  if (job->stages_done == job->stage_count)
+    job_end (sched, job, KQ_SCHED_COMPLETE, now);
+  else
+    open_occurrence (sched, job, stage->occurrence, now);
+}
+
+static void
+mark_done (struct kq_sched *sched, struct task *task)
+{
+  task_release (sched, task);
+  task_unready (sched, task);
+  task->state = TASK_DONE;
+  task->stage->done++;
+}
+
+void
+job_task_done (struct kq_sched *sched, struct task *task,
+               struct kq_sched_now now)
+{
+  struct stage *stage = task->stage;
+
+  if (task->state == TASK_DONE)
+    return;
+  mark_done (sched, task);
+  /* One end stands for all members of a gang. */
+  for (int i = 0; stage->step->gang && i < stage->step->count; i++)
+    if (stage->tasks[i].state != TASK_DONE)
+      mark_done (sched, &stage->tasks[i]);
+  job_mark_dirty (sched, stage->job);
+  if (stage->done == stage->step->count && !job_is_over (stage->job))
+    stage_done (sched, stage, now);
+}
+
+void
+job_task_failed (struct kq_sched *sched, struct task *task,
+                 struct kq_sched_now now)
+{
+  struct job *job = task->stage->job;
+
+  task->failures++;
+  job_mark_dirty (sched, job);
+  if (!task->stage->step->lasting && task->failures >= job->queue.attempts
+      && !job_is_over (job))
+    job_end (sched, job, KQ_SCHED_FAILED_JOB, now);
+}
+
+void
+job_end (struct kq_sched *sched, struct job *job, enum kq_sched_state state,
+         struct kq_sched_now now)
+{
+  job->state = state;
+  job->ended_ms = now.wall_ms;
+  job_mark_dirty (sched, job);
+  for (int i = 0; i < job->stage_count; i++)
+    for (int j = 0; j < job->stages[i].step->count; j++)
+      {
+        struct task *task = &job->stages[i].tasks[j];
+
+        if (task->state == TASK_READY)
+          {
+            task_unready (sched, task);
+            task->state = TASK_WAITING;
+          }
+        else if (task->state == TASK_BOUND)
+          task_stop (sched, task, now);
+      }
+}
+
+int
+job_pending (const struct kq_sched *sched, const char *queue)
+{
+  int pending = 0;
+
+  for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
+    if (!job->started && !job_is_over (job)
+        && strcmp (job->queue_name, queue) == 0)
+      pending++;
+  return pending;
+}
+
+/* Drops jobs that were over long ago.  */
+static void
+expire (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
+{
+  if (!job_is_over (job) || now.wall_ms - job->ended_ms < KEEP_ENDED_MS)
+    return;
+  job->drop = true;
+  job_mark_dirty (sched, job);
+}
+
+void
+job_tick_all (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct job *job;
+  struct job *next;
+
+  HASH_ITER (hh, sched->jobs, job, next)
+  {
+    if (job->drop)
+      continue;
+    job_open_due (sched, job, now);
+    expire (sched, job, now);
+  }
+}
--- /dev/null
+++ b/sched/place.c
@@ -0,0 +1,269 @@
+/* Chooses the worker for each task that is ready. */
+#include <string.h>
+
+#include "base/err.h"
+#include "log/log.h"
+#include "sched/internal.h"
+
+/* Weights of the score, in thousandths of a worker's load; the lowest score
+   wins.  Source: docs/design/platform.md, "Where work goes". */
+#define WEIGHT_FAR_RACK 2000
+#define WEIGHT_OTHER_KIND_OF_WORK 4000
+#define WEIGHT_FAILED_HERE 500
+#define WEIGHT_SPREAD_RACK 1000
+
+/* Fillers use at most this share of a worker's CPU, with what is counted. */
+#define FILL_PERCENT 100
+
+/* Demands that no worker could take in this pass; a stage that asks for as
+   much or more is not tried. */
+struct pass
+{
+  bool failed[2]; /* by filler or not */
+  struct kq_sched_demand smallest[2];
+  struct kq_sched_now now;
+};
+
+static int
+tasks_of_stage (const struct worker *worker, const struct stage *stage)
+{
+  const struct task *task;
+  int count = 0;
+
+  DL_FOREACH (worker->tasks, task) { count += task->stage == stage; }
+  return count;
+}
+
+static bool
+has_room (const struct worker *worker, const struct kq_sched_step *step)
+{
+  const struct kq_sched_demand *capacity = &worker->report.capacity;
+  const struct kq_sched_demand *demand = &step->demand;
+
+  if (worker->used.mem + demand->mem > capacity->mem
+      || worker->used.gpu + demand->gpu > capacity->gpu)
+    return false;
+  if (step->filler)
+    return worker->serving == 0
+           && worker->used.cpu + worker->filler_cpu + demand->cpu
+                  <= capacity->cpu * FILL_PERCENT / 100;
+  return worker->used.cpu + demand->cpu <= capacity->cpu;
+}
+
+static bool
+is_allowed (const struct worker *worker, const struct stage *stage)
+{
+  const struct kq_sched_step *step = stage->step;
+
+  if (strcmp (worker->report.service, stage->job->queue.service) != 0)
+    return false;
+  if (step->label[0] != '\0' && strcmp (step->label, worker->report.kind) != 0
+      && strcmp (step->label, worker->report.rack) != 0)
+    return false;
+  return step->max_per_worker == 0
+         || tasks_of_stage (worker, stage) < step->max_per_worker;
+}
+
+/* Load in thousandths, counting what fills. */
+static int64_t
+load_with (const struct worker *worker, const struct kq_sched_step *step)
+{
+  int64_t capacity = worker->report.capacity.cpu;
+  int64_t cpu = worker->used.cpu + worker->filler_cpu + step->demand.cpu;
+
+  return capacity > 0 ? cpu * 1000 / capacity : 0;
+}
+
+/* Tasks that serve are packed on few workers, so that fillers find others
+   without them; short counted tasks go beside those that serve.  */
+static int64_t
+score (const struct worker *worker, const struct task *task)
+{
+  const struct kq_sched_step *step = task->stage->step;
+  int64_t load = load_with (worker, step);
+  int64_t points = load;
+
+  if (step->tail_target_ms > 0)
+    {
+      points = -load;
+      if (worker->serving == 0)
+        points += WEIGHT_OTHER_KIND_OF_WORK;
+      if (worker->filler_cpu > 0)
+        points += WEIGHT_OTHER_KIND_OF_WORK
+                  + worker->filler_cpu * 1000 / worker->report.capacity.cpu;
+    }
+  else if (!step->filler && worker->serving == 0)
+    points += WEIGHT_OTHER_KIND_OF_WORK / 4;
+  if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
+    points += WEIGHT_FAR_RACK;
+  points += (int64_t)worker->failed_jobs * WEIGHT_FAILED_HERE;
+  return points;
+}
+
+static struct worker *
+choose (struct kq_sched *sched, const struct task *task,
+        struct kq_sched_now now, const char *rack)
+{
+  const struct stage *stage = task->stage;
+  struct worker *best = NULL;
+  int64_t best_score = 0;
+  struct worker *worker;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    int64_t points;
+
+    if (!worker_usable (worker, now) || worker == task->shunned
+        || !has_room (worker, stage->step) || !is_allowed (worker, stage))
+      continue;
+    points = score (worker, task);
+    if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
+      points += WEIGHT_SPREAD_RACK;
+    if (best == NULL || points < best_score)
+      {
+        best = worker;
+        best_score = points;
+      }
+  }
+  return best;
+}
+
+/* The rack where tasks of STAGE are already, if they want to be together. */
+static const char *
+common_rack (const struct stage *stage)
+{
+  if (!stage->step->same_rack)
+    return NULL;
+  for (int i = 0; i < stage->step->count; i++)
+    if (stage->tasks[i].state == TASK_BOUND)
+      return stage->tasks[i].worker->report.rack;
+  return NULL;
+}
+
+static void
+order_start (struct kq_sched *sched, struct task *task)
+{
+  struct job *job = task->stage->job;
+  struct kq_sched_effect *effect;
+
+  task->run++;
+  job_mark_dirty (sched, job);
+  effect = sched_add_effect (sched, KQ_SCHED_FX_START, job->changed);
+  if (effect == NULL)
+    return;
+  effect->u.order.run = task_run (task);
+  strcpy (effect->u.order.worker, task->worker->report.id);
+  sched->counts.starts++;
+  task_log (task, "task placed", "");
+}
+
+static struct task *
+next_ready (struct stage *stage, int *from)
+{
+  for (; *from < stage->step->count; (*from)++)
+    if (stage->tasks[*from].state == TASK_READY)
+      return &stage->tasks[(*from)++];
+  return NULL;
+}
+
+/* All members of a gang or none. */
+static bool
+place_gang (struct kq_sched *sched, struct stage *stage,
+            struct kq_sched_now now)
+{
+  int from = 0;
+  int run = 0;
+  struct task *task;
+
+  if (stage->ready < stage->step->count - stage->done)
+    return false;
+  while ((task = next_ready (stage, &from)) != NULL)
+    {
+      struct worker *worker = choose (sched, task, now, common_rack (stage));
+
+      if (worker == NULL)
+        {
+          for (int i = 0; i < stage->step->count; i++)
+            if (stage->tasks[i].state == TASK_BOUND)
+              {
+                task_release (sched, &stage->tasks[i]);
+                task_make_ready (sched, &stage->tasks[i], now);
+              }
+          return false;
+        }
+      if (task->run > run)
+        run = task->run;
+      task_bind (sched, task, worker, now);
+    }
+  for (int i = 0; i < stage->step->count; i++)
+    if (stage->tasks[i].state == TASK_BOUND)
+      {
+        stage->tasks[i].run = run;
+        order_start (sched, &stage->tasks[i]);
+      }
+  return true;
+}
+
+static bool
+place_single (struct kq_sched *sched, struct stage *stage,
+              struct kq_sched_now now)
+{
+  int from = 0;
+  struct task *task;
+
+  while ((task = next_ready (stage, &from)) != NULL)
+    {
+      struct worker *worker = choose (sched, task, now, common_rack (stage));
+
+      if (worker == NULL)
+        return false;
+      task_bind (sched, task, worker, now);
+      order_start (sched, task);
+    }
+  return true;
+}
+
+static bool
+is_hopeless (const struct pass *pass, const struct kq_sched_step *step)
+{
+  const struct kq_sched_demand *smallest = &pass->smallest[step->filler];
+
+  return pass->failed[step->filler] && step->demand.cpu >= smallest->cpu
+         && step->demand.mem >= smallest->mem
+         && step->demand.gpu >= smallest->gpu;
+}
+
+/* Remembers a demand that failed for want of room alone. */
+static void
+note_failure (struct pass *pass, const struct kq_sched_step *step)
+{
+  bool plain
+      = step->label[0] == '\0' && step->max_per_worker == 0 && !step->gang;
+
+  if (!plain || pass->failed[step->filler])
+    return;
+  pass->failed[step->filler] = true;
+  pass->smallest[step->filler] = step->demand;
+}
+
+void
+kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct pass pass = { .now = now };
+  struct stage *stage;
+  struct stage *next;
+
+  if (sched->deposed)
+    return;
+  DL_FOREACH_SAFE (sched->queue, stage, next)
+  {
+    bool placed;
+
+    if (is_hopeless (&pass, stage->step) || stage->job->queue.advised)
+      continue;
+    placed = stage->step->gang ? place_gang (sched, stage, now)
+                               : place_single (sched, stage, now);
+    if (!placed)
+      note_failure (&pass, stage->step);
+  }
+}
--- /dev/null
+++ b/sched/record.c
@@ -0,0 +1,303 @@
+/* What is written to the store about a job, and read back. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "log/log.h"
+#include "sched/internal.h"
+#include "sched/record.pb-c.h"
+
+/* Records of one job: what it is, and its state. */
+#define RECORDS_PER_JOB 2
+
+void
+record_clear_dirty (struct kq_sched *sched, struct job *job)
+{
+  if (!job->dirty)
+    return;
+  DL_DELETE2 (sched->dirty, job, dirty_prev, dirty_next);
+  job->dirty = false;
+}
+
+static void
+set_key (struct kq_sched_record *record, char kind, uint64_t id)
+{
+  snprintf (record->key, sizeof record->key, "%c%016" PRIx64, kind, id);
+}
+
+static int
+encode_job (const struct job *job, struct kq_sched_record *record)
+{
+  KqSched__JobRecord message = KQ_SCHED__JOB_RECORD__INIT;
+
+  message.queue = (char *)job->queue_name;
+  message.body.data = job->body;
+  message.body.len = job->body_size;
+  message.accepted_ms = job->accepted_ms;
+  set_key (record, 'j', job->id);
+  record->size = kq_sched__job_record__get_packed_size (&message);
+  record->value = malloc (record->size);
+  if (record->value == NULL)
+    return KQ_ENOMEM;
+  kq_sched__job_record__pack (&message, record->value);
+  return 0;
+}
+
+static bool
+is_worth_a_record (const struct task *task)
+{
+  return task->state == TASK_DONE || task->run > 0 || task->failures > 0;
+}
+
+static void
+describe_task (struct task *task, KqSched__TaskRecord *record)
+{
+  kq_sched__task_record__init (record);
+  record->occurrence = (uint32_t)task->stage->occurrence;
+  record->step = (uint32_t)task->stage->number;
+  record->index = (uint32_t)task->index;
+  record->done = task->state == TASK_DONE;
+  record->run = (uint32_t)task->run;
+  if (record->done)
+    return;
+  record->failures = (uint32_t)task->failures;
+  record->checkpoint = task->checkpoint;
+  if (task->state == TASK_BOUND)
+    {
+      record->bound = true;
+      record->worker = task->worker->report.id;
+      record->born_ms = task->worker->report.born_ms;
+    }
+}
+
+static size_t
+count_tasks (const struct job *job)
+{
+  size_t count = 0;
+
+  for (int i = 0; i < job->stage_count; i++)
+    for (int j = 0; j < job->stages[i].step->count; j++)
+      count += is_worth_a_record (&job->stages[i].tasks[j]);
+  return count;
+}
+
+/* A job that is over needs no word about its done tasks. */
+static int
+encode_state (struct job *job, struct kq_sched_record *record)
+{
+  KqSched__StateRecord message = KQ_SCHED__STATE_RECORD__INIT;
+  size_t count = job->state == KQ_SCHED_COMPLETE ? 0 : count_tasks (job);
+  KqSched__TaskRecord *tasks = calloc (count + 1, sizeof *tasks);
+  KqSched__TaskRecord **rows = calloc (count + 1, sizeof *rows);
+  size_t n = 0;
+
+  for (int i = 0;
+       count > 0 && tasks != NULL && rows != NULL && i < job->stage_count; i++)
+    for (int j = 0; j < job->stages[i].step->count; j++)
+      if (is_worth_a_record (&job->stages[i].tasks[j]))
+        {
+          describe_task (&job->stages[i].tasks[j], &tasks[n]);
+          rows[n] = &tasks[n];
+          n++;
+        }
+  message.outcome = job_is_over (job) ? job->state : 0;
+  message.ended_ms = job->ended_ms;
+  message.n_tasks = n;
+  message.tasks = rows;
+  set_key (record, 's', job->id);
+  record->size = kq_sched__state_record__get_packed_size (&message);
+  record->value = malloc (record->size + 1);
+  if (record->value != NULL && rows != NULL && tasks != NULL)
+    kq_sched__state_record__pack (&message, record->value);
+  free (rows);
+  free (tasks);
+  return record->value == NULL ? KQ_ENOMEM : 0;
+}
+
+/* A record without a value drops its key.  A state that packs to nothing
+   would do that too; it is the state of a job without any start, which its
+   job record implies. */
+static int
+take_job (struct job *job, struct kq_sched_record *records)
+{
+  int count = 0;
+
+  if (job->drop)
+    {
+      set_key (&records[0], 'j', job->id);
+      set_key (&records[1], 's', job->id);
+      return RECORDS_PER_JOB;
+    }
+  if (job->body_due)
+    {
+      if (encode_job (job, &records[count++]) != 0)
+        return KQ_ENOMEM;
+      job->body_due = false;
+      free (job->body);
+      job->body = NULL;
+    }
+  if (encode_state (job, &records[count++]) != 0)
+    return KQ_ENOMEM;
+  if (records[count - 1].size == 0)
+    {
+      free (records[count - 1].value);
+      count--;
+    }
+  return count;
+}
+
+int
+kq_sched_take_records (struct kq_sched *sched, size_t max_bytes,
+                       struct kq_sched_record **records, uint64_t *position)
+{
+  struct kq_sched_record *taken;
+  struct job *job;
+  int dirty = 0;
+  int count = 0;
+  size_t bytes = 0;
+
+  DL_FOREACH2 (sched->dirty, job, dirty_next) { dirty++; }
+  if (dirty == 0)
+    return 0;
+  taken = calloc ((size_t)dirty * RECORDS_PER_JOB, sizeof *taken);
+  if (taken == NULL)
+    return KQ_ENOMEM;
+  while ((job = sched->dirty) != NULL)
+    {
+      int more = take_job (job, &taken[count]);
+
+      if (more < 0)
+        kq_log (KQ_LOG_ERROR, "sched", "record lost", more, NULL);
+      for (int i = 0; i < more; i++)
+        bytes += taken[count + i].size;
+      count += more > 0 ? more : 0;
+      record_clear_dirty (sched, job);
+      if (job->drop)
+        job_destroy (sched, job);
+    }
+  if (bytes > max_bytes)
+    kq_log (KQ_LOG_WARN, "sched", "large change", KQ_ETOOBIG, NULL);
+  *records = taken;
+  *position = sched->position++;
+  return count;
+}
+
+static void
+restore_task (struct kq_sched *sched, struct kq_sched_now now,
+              struct task *task, const KqSched__TaskRecord *record)
+{
+  struct worker *worker;
+
+  task->run = (int)record->run;
+  task->failures = (int)record->failures;
+  if (record->checkpoint != NULL)
+    snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
+              record->checkpoint);
+  if (task->run > 0)
+    task->stage->job->started = true;
+  if (record->done)
+    {
+      task->state = TASK_DONE;
+      task->stage->done++;
+      return;
+    }
+  worker = record->bound ? worker_get (sched, record->worker) : NULL;
+  if (worker == NULL)
+    return;
+  task_bind (sched, task, worker, now);
+  task->phase = PHASE_RESTORED;
+}
+
+static void
+restore_state (struct kq_sched *sched, struct kq_sched_now now,
+               struct job *job, const KqSched__StateRecord *message)
+{
+  job->state = (enum kq_sched_state)message->outcome;
+  job->ended_ms = message->ended_ms;
+  for (size_t i = 0; i < message->n_tasks; i++)
+    {
+      const KqSched__TaskRecord *record = message->tasks[i];
+      struct kq_sched_run run = { .occurrence = (int)record->occurrence,
+                                  .step = (int)record->step,
+                                  .index = (int)record->index };
+      struct task *task = job_task (job, &run);
+
+      if (task != NULL)
+        restore_task (sched, now, task, record);
+    }
+}
+
+int
+kq_sched_restore (struct kq_sched *sched, struct kq_sched_now now, uint64_t id,
+                  const char *queue, int64_t accepted_ms,
+                  struct kq_sched_spec *spec, const uint8_t *state,
+                  size_t state_size)
+{
+  KqSched__StateRecord *message = NULL;
+  struct job *job;
+
+  if (state != NULL)
+    {
+      message = kq_sched__state_record__unpack (NULL, state_size, state);
+      if (message == NULL)
+        {
+          kq_sched_spec_clear (spec);
+          return KQ_ESYNTAX;
+        }
+    }
+  job = sched_new_job (sched, id, queue, accepted_ms, spec);
+  if (job != NULL && message != NULL)
+    restore_state (sched, now, job, message);
+  if (message != NULL)
+    kq_sched__state_record__free_unpacked (message, NULL);
+  return job == NULL ? KQ_ENOMEM : 0;
+}
+
+static void
+resume_job (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
+{
+  for (int i = 0; i < job->stage_count; i++)
+    job->stages_done += job->stages[i].done == job->stages[i].step->count;
+  for (int i = 0; i < job->stage_count && job_is_over (job); i++)
+    for (int j = 0; j < job->stages[i].step->count; j++)
+      job->stages[i].tasks[j].stop_wanted = true;
+  job_open_due (sched, job, now);
+}
+
+void
+kq_sched_restored (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct job *job;
+  struct worker *worker;
+
+  for (job = sched->jobs; job != NULL; job = job->hh.next)
+    resume_job (sched, job, now);
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    worker->lapsed_at = now.mono + KQ_SCHED_HOLD_WITHOUT_STORE
+                        + KQ_SCHED_LEASE_MS * KQ_USEC_PER_MSEC * 100 / 98;
+  }
+}
+
+struct kq_sched_job_record *
+kq_sched_job_record_read (const uint8_t *value, size_t size)
+{
+  KqSched__JobRecord *message
+      = kq_sched__job_record__unpack (NULL, size, value);
+  struct kq_sched_job_record *record;
+
+  if (message == NULL)
+    return NULL;
+  record = calloc (1, sizeof *record + message->body.len + 1);
+  if (record != NULL)
+    {
+      snprintf (record->queue, sizeof record->queue, "%s", message->queue);
+      record->accepted_ms = message->accepted_ms;
+      record->body_size = message->body.len;
+      memcpy (record->body, message->body.data, message->body.len);
+    }
+  kq_sched__job_record__free_unpacked (message, NULL);
+  return record;
+}
--- /dev/null
+++ b/sched/task.c
@@ -0,0 +1,187 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "log/log.h"
+#include "sched/internal.h"
+
+void
+run_format (const struct kq_sched_run *run, char text[64])
+{
+  snprintf (text, 64, "%016" PRIx64 ".%d.%d.%d", run->job, run->occurrence,
+            run->step, run->index);
+}
+
+struct kq_sched_run
+task_run (const struct task *task)
+{
+  return (struct kq_sched_run){ .job = task->stage->job->id,
+                                .occurrence = task->stage->occurrence,
+                                .step = task->stage->number,
+                                .index = task->index,
+                                .run = task->run };
+}
+
+void
+task_log (const struct task *task, const char *event, const char *why)
+{
+  struct kq_sched_run run = task_run (task);
+  char name[64];
+  char number[16];
+
+  run_format (&run, name);
+  snprintf (number, sizeof number, "%d", run.run);
+  kq_log (KQ_LOG_INFO, "sched", event, 0, "task", name, "run", number,
+          "worker", task->worker != NULL ? task->worker->report.id : "", "why",
+          why, NULL);
+}
+
+static int
+by_urgency (const struct stage *a, const struct stage *b)
+{
+  int first = a->job->queue.priority - b->job->queue.priority;
+
+  if (first != 0)
+    return first;
+  if (a->due_ms != b->due_ms)
+    return a->due_ms < b->due_ms ? -1 : 1;
+  return a->job->id < b->job->id ? -1 : a->job->id > b->job->id;
+}
+
+static void
+enqueue_stage (struct kq_sched *sched, struct stage *stage)
+{
+  struct stage *at;
+
+  if (stage->queued)
+    return;
+  stage->queued = true;
+  DL_FOREACH (sched->queue, at)
+  {
+    if (by_urgency (stage, at) < 0)
+      break;
+  }
+  if (at != NULL)
+    DL_PREPEND_ELEM (sched->queue, at, stage);
+  else
+    DL_APPEND (sched->queue, stage);
+}
+
+void
+task_make_ready (struct kq_sched *sched, struct task *task,
+                 struct kq_sched_now now)
+{
+  task->state = TASK_READY;
+  task->ready_at = now.mono;
+  task->stage->ready++;
+  sched->counts.ready_tasks++;
+  enqueue_stage (sched, task->stage);
+}
+
+void
+task_unready (struct kq_sched *sched, struct task *task)
+{
+  struct stage *stage = task->stage;
+
+  if (task->state != TASK_READY)
+    return;
+  stage->ready--;
+  sched->counts.ready_tasks--;
+  if (stage->ready == 0 && stage->queued)
+    {
+      DL_DELETE (sched->queue, stage);
+      stage->queued = false;
+    }
+}
+
+/* Adds SIGN times what TASK takes to its worker's books. */
+static void
+account (struct task *task, int sign)
+{
+  const struct kq_sched_step *step = task->stage->step;
+  struct worker *worker = task->worker;
+
+  worker->used.mem += sign * step->demand.mem;
+  worker->used.gpu += sign * step->demand.gpu;
+  if (step->filler)
+    worker->filler_cpu += sign * step->demand.cpu;
+  else
+    worker->used.cpu += sign * step->demand.cpu;
+  if (step->tail_target_ms > 0)
+    worker->serving += sign;
+  worker->task_count += sign;
+}
+
+void
+task_bind (struct kq_sched *sched, struct task *task, struct worker *worker,
+           struct kq_sched_now now)
+{
+  task_unready (sched, task);
+  task->state = TASK_BOUND;
+  task->phase = PHASE_WRITTEN;
+  task->phase_at = now.mono;
+  task->percent_at = now.mono;
+  task->percent = -1;
+  task->figure = 0;
+  task->stop_wanted = false;
+  task->paced = false;
+  task->stop_sent_at = 0;
+  task->worker = worker;
+  DL_APPEND (worker->tasks, task);
+  account (task, 1);
+  sched->counts.bound_tasks++;
+}
+
+void
+task_release (struct kq_sched *sched, struct task *task)
+{
+  if (task->state != TASK_BOUND)
+    return;
+  account (task, -1);
+  DL_DELETE (task->worker->tasks, task);
+  task->worker = NULL;
+  task->state = TASK_WAITING;
+  sched->counts.bound_tasks--;
+}
+
+static void
+order_stop (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
+{
+  struct kq_sched_effect *effect
+      = sched_add_effect (sched, KQ_SCHED_FX_STOP, 0);
+
+  if (effect == NULL)
+    return;
+  task->stop_sent_at = now.mono;
+  effect->u.order.run = task_run (task);
+  snprintf (effect->u.order.worker, sizeof effect->u.order.worker, "%s",
+            task->worker->report.id);
+}
+
+void
+task_stop (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
+{
+  if (task->state != TASK_BOUND)
+    return;
+  if (task->phase == PHASE_WRITTEN)
+    {
+      task_settle (sched, task, now, "not sent");
+      return;
+    }
+  task->stop_wanted = true;
+  if (task->phase != PHASE_STOPPING)
+    order_stop (sched, task, now);
+}
+
+void
+task_settle (struct kq_sched *sched, struct task *task,
+             struct kq_sched_now now, const char *why)
+{
+  struct job *job = task->stage->job;
+
+  task_log (task, "run over", why);
+  task_release (sched, task);
+  job_mark_dirty (sched, job);
+  if (!job_is_over (job))
+    task_make_ready (sched, task, now);
+}
--- /dev/null
+++ b/sched/types.c
@@ -0,0 +1,85 @@
+#include "sched/types.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+
+void
+kq_sched_spec_clear (struct kq_sched_spec *spec)
+{
+  for (int i = 0; i < spec->step_count; i++)
+    free (spec->steps[i].after);
+  free (spec->steps);
+  free (spec->text);
+  memset (spec, 0, sizeof *spec);
+}
+
+static bool
+step_is_sound (const struct kq_sched_step *step, int number)
+{
+  if (step->count < 1 || step->count > KQ_SCHED_MAX_COUNT)
+    return false;
+  if (step->demand.cpu < 0 || step->demand.mem < 0 || step->demand.gpu < 0)
+    return false;
+  for (int i = 0; i < step->after_count; i++)
+    if (step->after[i] < 0 || step->after[i] >= number)
+      return false;
+  return true;
+}
+
+int
+kq_sched_spec_check (const struct kq_sched_spec *spec)
+{
+  if (spec->step_count < 1 || spec->step_count > KQ_SCHED_MAX_STEPS)
+    return KQ_EINVAL;
+  if (spec->times < 0 || spec->times > KQ_SCHED_MAX_TIMES
+      || spec->interval_ms < 0)
+    return KQ_EINVAL;
+  for (int i = 0; i < spec->step_count; i++)
+    if (!step_is_sound (&spec->steps[i], i))
+      return KQ_EINVAL;
+  return 0;
+}
+
+void
+kq_sched_config_destroy (struct kq_sched_config *config)
+{
+  if (config == NULL)
+    return;
+  free (config->queues);
+  free (config);
+}
+
+const struct kq_sched_queue *
+kq_sched_config_route (const struct kq_sched_config *config, const char *host,
+                       const char *path)
+{
+  const struct kq_sched_queue *best = NULL;
+  size_t best_length = 0;
+
+  for (size_t i = 0; i < config->queue_count; i++)
+    {
+      const struct kq_sched_queue *queue = &config->queues[i];
+      size_t length = strlen (queue->prefix);
+
+      if (strcmp (queue->host, host) != 0
+          || strncmp (queue->prefix, path, length) != 0)
+        continue;
+      if (best == NULL || length > best_length)
+        {
+          best = queue;
+          best_length = length;
+        }
+    }
+  return best;
+}
+
+const struct kq_sched_queue *
+kq_sched_config_queue (const struct kq_sched_config *config, const char *name)
+{
+  for (size_t i = 0; config != NULL && i < config->queue_count; i++)
+    if (strcmp (config->queues[i].name, name) == 0)
+      return &config->queues[i];
+  return NULL;
+}
