sched: learn which fillers disturb which serving tasks

Cause: 308 serving tasks ask for 80% of the CPU, so fillers find no worker without them; kept off, 15 of 224 reserve-fil jobs were in aim.

Conclusion: a factor for each pair of images is the right model: a fit by hand of 12,645 listings shows two groups. Reaction is too slow, next.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "sched/pressure.h"
 #include "sched/sched.h"
 
 /* How long a renewal keeps a worker's tasks, on its clock.  Longer than a
@@ -67,7 +68,8 @@
   kq_usec phase_at;
   kq_usec stop_sent_at;
   bool stop_wanted;
-  bool paced;
+  int pace; /* percent */
+  kq_usec paced_at;
   int percent;
   kq_usec percent_at;
   kq_usec ready_at;
@@ -83,6 +85,7 @@
   const struct kq_sched_step *step;
   int occurrence;
   int number;
+  int image; /* its number in the pressure model */
   struct task *tasks;
   int ready;
   int done;
@@ -147,9 +150,8 @@
   kq_usec shunned_until;
   kq_usec full_until;
   double speed;       /* learned: expected over measured time, 1 is sound */
-  kq_usec over_since; /* a serving task is over its target */
   kq_usec paced_at;
-  int pace;
+  int worst_tail; /* of its serving tasks, percent of the target */
   struct worker *prev;
   struct worker *next;
   UT_hash_handle hh;
@@ -173,6 +175,7 @@
   uint64_t stored;
   struct effect_node *effects;
   const struct kq_sched_config *config;
+  struct kq_pressure *pressure;
   kq_usec restored_at;
   bool deposed;
   struct kq_sched_counts counts;
@@ -190,7 +193,7 @@
 /* job.c */
 struct job *job_find (struct kq_sched *sched, uint64_t id);
 struct task *job_task (struct job *job, const struct kq_sched_run *run);
-int job_build (struct job *job);
+int job_build (struct kq_sched *sched, struct job *job);
 void job_destroy (struct kq_sched *sched, struct job *job);
 void job_mark_dirty (struct kq_sched *sched, struct job *job);
 void job_open_due (struct kq_sched *sched, struct job *job,
@@ -246,6 +249,10 @@
                    const struct kq_sched_listing *listing);
 
 /* share.c */
+
+/* The u that serving tasks at WORKER would see with one more filler. */
+double share_expect (struct kq_sched *sched, const struct worker *worker,
+                     int image, int64_t cpu);
 void share_judge (struct kq_sched *sched, struct worker *worker,
                   struct kq_sched_now now);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -77,7 +77,7 @@
 }
 
 int
-job_build (struct job *job)
+job_build (struct kq_sched *sched, struct job *job)
 {
   job->stage_count = occurrences (job) * job->spec.step_count;
   job->stages = calloc ((size_t)job->stage_count, sizeof *job->stages);
@@ -91,6 +91,7 @@
       stage->number = i % job->spec.step_count;
       stage->occurrence = i / job->spec.step_count;
       stage->step = &job->spec.steps[stage->number];
+      stage->image = kq_pressure_image (sched->pressure, stage->step->image);
       stage->due_ms = due_ms (job, stage->occurrence);
       stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
       if (stage->tasks == NULL)
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -125,7 +125,7 @@
                   + task->stage->step->est_ms * KQ_USEC_PER_MSEC
                         / STALL_SHARE_OF_ESTIMATE;
 
-  return task->percent < 100 && !task->paced && !task->stop_wanted
+  return task->percent < 100 && task->pace == 100 && !task->stop_wanted
          && now.mono - task->percent_at > limit;
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -12,8 +12,17 @@
 #define WEIGHT_FAILED_HERE 500
 #define WEIGHT_SPREAD_RACK 1000
 
-/* Fillers use at most this share of a worker's CPU, with what is counted. */
-#define FILL_PERCENT 100
+/* Of what serving tasks ask for, they use about half on average; fillers take
+   at most the rest. */
+#define SERVING_USE_PERCENT 50
+
+/* Fillers are kept off where serving tasks would be pressed beyond this: the
+   tail is then 1.8 times that without fillers. */
+#define MOST_PRESSURE 0.45
+#define WEIGHT_PRESSURE 1500
+
+/* Nor are they put beside a tail that is above this share of its target. */
+#define FULL_TAIL_PERCENT 70
 
 /* Demands that no worker could take in this pass; a stage that asks for as
    much or more is not tried. */
@@ -44,9 +53,10 @@
       || worker->used.gpu + demand->gpu > capacity->gpu)
     return false;
   if (step->filler)
-    return worker->serving == 0
-           && worker->used.cpu + worker->filler_cpu + demand->cpu
-                  <= capacity->cpu * FILL_PERCENT / 100;
+    return worker->used.cpu * SERVING_USE_PERCENT / 100 + worker->filler_cpu
+                   + demand->cpu
+               <= capacity->cpu
+           && worker->worst_tail < FULL_TAIL_PERCENT;
   return worker->used.cpu + demand->cpu <= capacity->cpu;
 }
 
@@ -74,10 +84,28 @@
   return capacity > 0 ? cpu * 1000 / capacity : 0;
 }
 
+/* Serving tasks of one image want to be together: fillers then find workers
+   whose tasks they do not disturb. */
+static int64_t
+serving_beside (const struct worker *worker, const struct task *task)
+{
+  const struct task *other;
+  int64_t points = 0;
+
+  DL_FOREACH (worker->tasks, other)
+  {
+    if (other->stage->step->tail_target_ms > 0
+        && other->stage->image != task->stage->image)
+      points = WEIGHT_OTHER_KIND_OF_WORK;
+  }
+  return points;
+}
+
 /* Tasks that serve are packed on few workers, so that fillers find others
    without them; short counted tasks go beside those that serve.  */
 static int64_t
-score (const struct worker *worker, const struct task *task)
+score (struct kq_sched *sched, const struct worker *worker,
+       const struct task *task)
 {
   const struct kq_sched_step *step = task->stage->step;
   int64_t load = load_with (worker, step);
@@ -85,13 +113,15 @@
 
   if (step->tail_target_ms > 0)
     {
-      points = -load;
+      points = -load + serving_beside (worker, task);
       if (worker->serving == 0)
-        points += WEIGHT_OTHER_KIND_OF_WORK;
-      if (worker->filler_cpu > 0)
-        points += WEIGHT_OTHER_KIND_OF_WORK
-                  + worker->filler_cpu * 1000 / worker->report.capacity.cpu;
+        points += WEIGHT_OTHER_KIND_OF_WORK / 2;
+      points += worker->filler_cpu * 1000 / worker->report.capacity.cpu;
     }
+  else if (step->filler && worker->serving > 0)
+    points += (int64_t)(WEIGHT_PRESSURE
+                        * share_expect (sched, worker, task->stage->image,
+                                        step->demand.cpu));
   else if (!step->filler && worker->serving == 0)
     points += WEIGHT_OTHER_KIND_OF_WORK / 4;
   if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
@@ -100,6 +130,15 @@
   return points;
 }
 
+static bool
+presses_too_much (struct kq_sched *sched, const struct worker *worker,
+                  const struct stage *stage)
+{
+  return stage->step->filler && worker->serving > 0
+         && share_expect (sched, worker, stage->image, stage->step->demand.cpu)
+                > MOST_PRESSURE;
+}
+
 static struct worker *
 choose (struct kq_sched *sched, const struct task *task,
         struct kq_sched_now now, const char *rack)
@@ -114,9 +153,10 @@
     int64_t points;
 
     if (!worker_usable (worker, now) || worker == task->shunned
-        || !has_room (worker, stage->step) || !is_allowed (worker, stage))
+        || !has_room (worker, stage->step) || !is_allowed (worker, stage)
+        || presses_too_much (sched, worker, stage))
       continue;
-    points = score (worker, task);
+    points = score (sched, worker, task);
     if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
       points += WEIGHT_SPREAD_RACK;
     if (best == NULL || points < best_score)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -27,8 +27,15 @@
 {
   struct kq_sched *sched = calloc (1, sizeof *sched);
 
-  if (sched != NULL)
-    sched->position = 1;
+  if (sched == NULL)
+    return NULL;
+  sched->position = 1;
+  sched->pressure = kq_pressure_create ();
+  if (sched->pressure == NULL)
+    {
+      free (sched);
+      return NULL;
+    }
   return sched;
 }
 
@@ -51,6 +58,7 @@
   }
   while (kq_sched_next_effect (sched, &effect))
     ;
+  kq_pressure_destroy (sched->pressure);
   free (sched);
 }
 
@@ -135,7 +143,7 @@
   if (known != NULL)
     job->queue = *known;
   HASH_ADD (hh, sched->jobs, id, sizeof job->id, job);
-  if (job_build (job) != 0)
+  if (job_build (sched, job) != 0)
     {
       job_destroy (sched, job);
       return NULL;
--- a/sched/task.c
+++ b/sched/task.c
@@ -124,7 +124,7 @@
   task->percent = -1;
   task->figure = 0;
   task->stop_wanted = false;
-  task->paced = false;
+  task->pace = 100;
   task->stop_sent_at = 0;
   task->worker = worker;
   DL_APPEND (worker->tasks, task);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -39,7 +39,6 @@
     return NULL;
   snprintf (worker->report.id, sizeof worker->report.id, "%s", id);
   worker->speed = 1.0;
-  worker->pace = 100;
   HASH_ADD_KEYPTR (hh, sched->workers, worker->report.id,
                    strlen (worker->report.id), worker);
   DL_APPEND (sched->worker_list, worker);
@@ -93,7 +92,6 @@
   worker->failed_jobs = 0;
   worker->shunned_until = 0;
   worker->speed = 1.0;
-  worker->pace = 100;
 }
 
 void
