--- a/node/desk.c
+++ b/node/desk.c
@@ -66,7 +66,8 @@
   char age[24];
 
   snprintf (number, sizeof number, "%u", status);
-  snprintf (age, sizeof age, "%" PRId64, kq_clock_now () - request->arrived_at);
+  snprintf (age, sizeof age, "%" PRId64,
+            kq_clock_now () - request->arrived_at);
   kq_log (status == 200 ? KQ_LOG_DEBUG : KQ_LOG_INFO, "desk", "answered", err,
           "method", request->method, "job", job, "status", number, "after_us",
           age, NULL);
@@ -77,9 +78,8 @@
        unsigned status, int err, const char *body)
 {
   char text[160];
-  struct kq_http_answer answer = { .status = status,
-                                   .type = "application/json",
-                                   .body = body };
+  struct kq_http_answer answer
+      = { .status = status, .type = "application/json", .body = body };
 
   if (body == NULL)
     {
@@ -228,9 +228,8 @@
 static void
 step_one (struct kq_desk *desk, struct pending *pending, kq_usec now)
 {
-  bool refused
-      = pending->unanswered == 0
-        && now - pending->request->arrived_at > REFUSE_AFTER;
+  bool refused = pending->unanswered == 0
+                 && now - pending->request->arrived_at > REFUSE_AFTER;
 
   if (refused || now > pending->gives_up_at)
     give_up (desk, pending);
@@ -286,10 +285,7 @@
   if (desk == NULL)
     return;
   ev_timer_stop (desk->loop, &desk->step);
-  HASH_ITER (hh, desk->pending, pending, next)
-  {
-    give_up (desk, pending);
-  }
+  HASH_ITER (hh, desk->pending, pending, next) { give_up (desk, pending); }
   kq_http_stop (desk->http);
   free (desk);
 }
@@ -343,10 +339,7 @@
   struct pending *pending;
   struct pending *next;
 
-  HASH_ITER (hh, desk->pending, pending, next)
-  {
-    send_ask (desk, pending);
-  }
+  HASH_ITER (hh, desk->pending, pending, next) { send_ask (desk, pending); }
 }
 
 void
--- a/node/hop.c
+++ b/node/hop.c
@@ -146,8 +146,8 @@
 
   while (receive (link->socket, &frame, 1))
     {
-      KqNode__Tell *tell = kq_node__tell__unpack (
-          NULL, zmq_msg_size (&frame), zmq_msg_data (&frame));
+      KqNode__Tell *tell = kq_node__tell__unpack (NULL, zmq_msg_size (&frame),
+                                                  zmq_msg_data (&frame));
 
       if (tell != NULL)
         {
@@ -155,8 +155,7 @@
           kq_node__tell__free_unpacked (tell, NULL);
         }
       else
-        kq_log (KQ_LOG_WARN, "hop", "answer not understood", KQ_ESYNTAX,
-                NULL);
+        kq_log (KQ_LOG_WARN, "hop", "answer not understood", KQ_ESYNTAX, NULL);
       zmq_msg_close (&frame);
     }
 }
@@ -169,10 +168,7 @@
   struct link *next;
 
   drain_server (hop);
-  LL_FOREACH_SAFE (hop->links, link, next)
-  {
-    drain_link (link);
-  }
+  LL_FOREACH_SAFE (hop->links, link, next) { drain_link (link); }
 }
 
 static void
--- a/node/http.c
+++ b/node/http.c
@@ -113,8 +113,8 @@
 static void
 take_host (struct request *request, struct MHD_Connection *connection)
 {
-  const char *host = MHD_lookup_connection_value (
-      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+  const char *host = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                  MHD_HTTP_HEADER_HOST);
   const char *patience = MHD_lookup_connection_value (
       connection, MHD_HEADER_KIND, PATIENCE_HEADER);
 
@@ -123,8 +123,7 @@
   request->host[strcspn (request->host, ":")] = '\0';
   request->seen.host = request->host;
   if (patience != NULL)
-    request->seen.patience
-        = strtol (patience, NULL, 10) * KQ_USEC_PER_MSEC;
+    request->seen.patience = strtol (patience, NULL, 10) * KQ_USEC_PER_MSEC;
 }
 
 static struct request *
@@ -289,8 +288,8 @@
 static void
 start_watchers (struct kq_http *http)
 {
-  int fd = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD)
-               ->epoll_fd;
+  int fd
+      = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
 
   ev_io_init (&http->io, on_io, fd, EV_READ);
   http->io.data = http;
--- a/node/http.h
+++ b/node/http.h
@@ -17,13 +17,13 @@
 {
   const char *method;
   const char *path;
-  const char *host;    /**< without a port; "" when it is missing */
-  const char *body;    /**< ended by a zero */
+  const char *host; /**< without a port; "" when it is missing */
+  const char *body; /**< ended by a zero */
   size_t body_size;
-  bool too_long;       /**< the body exceeds the limit and is not kept */
+  bool too_long; /**< the body exceeds the limit and is not kept */
   kq_usec arrived_at;
-  kq_usec patience;    /**< how long the caller waits, 0 when it says nothing */
-  void *owner;         /**< for the handler */
+  kq_usec patience; /**< how long the caller waits, 0 when it says nothing */
+  void *owner;      /**< for the handler */
 };
 
 /** An answer; BODY is copied. */
--- a/node/journal.c
+++ b/node/journal.c
@@ -97,9 +97,8 @@
 static void
 send_batch (struct kq_journal *journal)
 {
-  struct kq_store_condition condition = { .at = -1,
-                                          .epoch = journal->epoch,
-                                          .sequence = journal->sequence };
+  struct kq_store_condition condition
+      = { .at = -1, .epoch = journal->epoch, .sequence = journal->sequence };
 
   kq_store_append (journal->store, KQ_STORE_JOBS, &journal->batch, &condition,
                    journal->timeout, on_appended, journal);
@@ -149,8 +148,8 @@
 
   if (journal->busy)
     return;
-  count = kq_sched_take_records (sched, MAX_BYTES, &records,
-                                 &journal->position);
+  count
+      = kq_sched_take_records (sched, MAX_BYTES, &records, &journal->position);
   if (count < 0)
     kq_log (KQ_LOG_ERROR, "journal", "records not taken", count, NULL);
   if (records == NULL)
--- a/node/node.c
+++ b/node/node.c
@@ -467,11 +467,10 @@
 
   node->hop = kq_hop_create (node->loop, hop_address, &hop, &err);
   if (err == 0)
-    node->desk
-        = kq_desk_create (node->loop, node->boot.callers, &desk, &err);
+    node->desk = kq_desk_create (node->loop, node->boot.callers, &desk, &err);
   if (err == 0)
-    node->readiness = kq_http_start (node->loop, node->boot.readiness,
-                                     &readiness, &err);
+    node->readiness
+        = kq_http_start (node->loop, node->boot.readiness, &readiness, &err);
   snprintf (address, sizeof address, "%s:%d", node->boot.ip, metrics_port);
   if (err == 0 && metrics_port > 0)
     node->metrics = kq_http_start (node->loop, address, &metrics, &err);
@@ -481,9 +480,8 @@
 static int
 start (struct node *node, int metrics_port)
 {
-  struct kq_watch_handler watch = { .arg = node,
-                                    .on_term = on_term_changed,
-                                    .on_config = on_config };
+  struct kq_watch_handler watch
+      = { .arg = node, .on_term = on_term_changed, .on_config = on_config };
   char hop_address[KQ_BOOT_TEXT + 8];
   char life[32];
   int err;
@@ -504,8 +502,7 @@
   err = start_listeners (node, hop_address, metrics_port);
   if (err != 0)
     return err;
-  node->watch
-      = kq_watch_create (node->loop, node->store, node->term, &watch);
+  node->watch = kq_watch_create (node->loop, node->store, node->term, &watch);
   if (node->watch == NULL)
     return KQ_ENOMEM;
   start_timers (node);
--- a/node/owner.c
+++ b/node/owner.c
@@ -70,7 +70,8 @@
 static void
 answer (struct kq_owner *owner, uint64_t token, int status, int err)
 {
-  struct kq_owner_answer told = { .token = token, .status = status, .err = err };
+  struct kq_owner_answer told
+      = { .token = token, .status = status, .err = err };
 
   owner->handler.on_answer (owner->handler.arg, &told);
 }
@@ -321,9 +322,8 @@
       = { .arg = owner, .on_stored = on_stored, .on_fenced = on_fenced };
   struct kq_orders_handler orders
       = { .arg = owner, .on_order = on_order, .on_look = on_look };
-  struct kq_roster_handler roster = { .arg = owner,
-                                      .on_report = on_report,
-                                      .on_gone = on_worker_gone };
+  struct kq_roster_handler roster
+      = { .arg = owner, .on_report = on_report, .on_gone = on_worker_gone };
 
   owner->sched = kq_sched_create ();
   owner->caller = kq_caller_create (owner->loop, owner);
@@ -394,10 +394,7 @@
   kq_orders_destroy (owner->orders);
   kq_store_destroy (owner->store);
   kq_sched_destroy (owner->sched);
-  DL_FOREACH_SAFE (owner->waiting, waiting, next)
-  {
-    free (waiting);
-  }
+  DL_FOREACH_SAFE (owner->waiting, waiting, next) { free (waiting); }
   free (owner);
 }
 
--- a/node/restore.c
+++ b/node/restore.c
@@ -134,9 +134,8 @@
 static int
 restore_job (struct kq_restore *restore, const struct found *found)
 {
-  struct kq_sched_now now
-      = { .mono = kq_clock_now (),
-          .wall_ms = kq_clock_wall () / KQ_USEC_PER_MSEC };
+  struct kq_sched_now now = { .mono = kq_clock_now (),
+                              .wall_ms = kq_clock_wall () / KQ_USEC_PER_MSEC };
   struct kq_sched_job_record *record;
   struct kq_sched_spec spec;
   int err;
--- a/node/roster.c
+++ b/node/roster.c
@@ -72,8 +72,8 @@
   if (err == 0)
     roster->handler.on_report (roster->handler.arg, &report);
   else
-    kq_log (KQ_LOG_DEBUG, "roster", "entry names no worker", err, "worker",
-            id, NULL);
+    kq_log (KQ_LOG_DEBUG, "roster", "entry names no worker", err, "worker", id,
+            NULL);
 }
 
 static void
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -85,7 +85,8 @@
   const struct kq_sched_step *step;
   int occurrence;
   int number;
-  int image; /* its number in the pressure model */
+  int image;   /* its number in the pressure model */
+  double load; /* of its serving tasks, 0 to 1; 0: not known */
   struct task *tasks;
   int ready;
   int done;
@@ -149,9 +150,8 @@
   uint64_t last_failed_job;
   kq_usec shunned_until;
   kq_usec full_until;
-  double speed;       /* learned: expected over measured time, 1 is sound */
+  double speed; /* learned: expected over measured time, 1 is sound */
   kq_usec paced_at;
-  int worst_tail; /* of its serving tasks, percent of the target */
   struct worker *prev;
   struct worker *next;
   UT_hash_handle hh;
@@ -248,11 +248,16 @@
                    struct kq_sched_now now, kq_usec sent_at,
                    const struct kq_sched_listing *listing);
 
+/* place.c */
+struct worker *place_find (struct kq_sched *sched, const struct task *task,
+                           struct kq_sched_now now);
+
 /* share.c */
 
-/* The u that serving tasks at WORKER would see with one more filler. */
-double share_expect (struct kq_sched *sched, const struct worker *worker,
-                     int image, int64_t cpu);
+/* The pressure on the serving tasks at WORKER with one more filler, in shares
+   of what is allowed; 0 where it disturbs none of them. */
+double share_press (struct kq_sched *sched, const struct worker *worker,
+                    int image, int64_t cpu);
 void share_judge (struct kq_sched *sched, struct worker *worker,
                   struct kq_sched_now now);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -16,13 +16,10 @@
    at most the rest. */
 #define SERVING_USE_PERCENT 50
 
-/* Fillers are kept off where serving tasks would be pressed beyond this: the
-   tail is then 1.8 times that without fillers. */
-#define MOST_PRESSURE 0.45
-#define WEIGHT_PRESSURE 1500
-
-/* Nor are they put beside a tail that is above this share of its target. */
-#define FULL_TAIL_PERCENT 70
+/* Fillers are kept off where serving tasks would be pressed beyond this share
+   of what they bear. */
+#define MOST_PRESS 1.1
+#define WEIGHT_PRESS 1500
 
 /* Demands that no worker could take in this pass; a stage that asks for as
    much or more is not tried. */
@@ -54,9 +51,8 @@
     return false;
   if (step->filler)
     return worker->used.cpu * SERVING_USE_PERCENT / 100 + worker->filler_cpu
-                   + demand->cpu
-               <= capacity->cpu
-           && worker->worst_tail < FULL_TAIL_PERCENT;
+               + demand->cpu
+           <= capacity->cpu;
   return worker->used.cpu + demand->cpu <= capacity->cpu;
 }
 
@@ -119,9 +115,9 @@
       points += worker->filler_cpu * 1000 / worker->report.capacity.cpu;
     }
   else if (step->filler && worker->serving > 0)
-    points += (int64_t)(WEIGHT_PRESSURE
-                        * share_expect (sched, worker, task->stage->image,
-                                        step->demand.cpu));
+    points += (int64_t)(WEIGHT_PRESS
+                        * share_press (sched, worker, task->stage->image,
+                                       step->demand.cpu));
   else if (!step->filler && worker->serving == 0)
     points += WEIGHT_OTHER_KIND_OF_WORK / 4;
   if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
@@ -135,8 +131,8 @@
                   const struct stage *stage)
 {
   return stage->step->filler && worker->serving > 0
-         && share_expect (sched, worker, stage->image, stage->step->demand.cpu)
-                > MOST_PRESSURE;
+         && share_press (sched, worker, stage->image, stage->step->demand.cpu)
+                > MOST_PRESS;
 }
 
 static struct worker *
@@ -180,6 +176,15 @@
   return NULL;
 }
 
+struct worker *
+place_find (struct kq_sched *sched, const struct task *task,
+            struct kq_sched_now now)
+{
+  struct worker *worker = choose (sched, task, now, NULL);
+
+  return worker == task->worker ? NULL : worker;
+}
+
 static void
 order_start (struct kq_sched *sched, struct task *task)
 {
--- a/sched/pressure.c
+++ b/sched/pressure.c
@@ -13,16 +13,20 @@
 
 /* Step of the normalised least mean squares; the constant keeps small mixes
    from swinging the factors. */
-#define LEARN_STEP 0.25
+#define LEARN_STEP 0.15
 #define LEARN_FLOOR 0.02
 
-/* Tail without fillers, in shares of the target, until it is observed. */
-#define FIRST_BASE 0.4
-#define BASE_STEP 0.02
-#define LEAST_BASE 0.02
-
 /* A single figure is rough: an error beyond this is cut. */
-#define MOST_ERROR 0.5
+#define MOST_ERROR 1.0
+
+/* Tail of an idle task in shares of its target, until a lower tail than this
+   allows is seen: then the idle tail is taken as that share of it. */
+#define FIRST_BASE 0.2
+#define BASE_OF_LOWEST 0.8
+
+/* Use is kept off its ends, where a figure says little. */
+#define LEAST_USE 0.02
+#define MOST_USE 0.98
 
 struct kq_pressure
 {
@@ -97,33 +101,29 @@
   return value > most ? most : value;
 }
 
-/* Without fillers the tail itself is the base; a lower tail than the base
-   moves it faster, since disturbance only adds. */
-static void
-observe_base (struct kq_pressure *pressure, int serving, bool alone,
-              double tail)
+void
+kq_pressure_see_tail (struct kq_pressure *pressure, int serving, double tail)
 {
-  double *base = &pressure->base[serving];
+  if (tail > 0 && tail * BASE_OF_LOWEST < pressure->base[serving])
+    pressure->base[serving] = tail * BASE_OF_LOWEST;
+}
 
-  if (alone || tail < *base)
-    *base += BASE_STEP * (tail - *base);
-  if (*base < LEAST_BASE)
-    *base = LEAST_BASE;
+double
+kq_pressure_use (const struct kq_pressure *pressure, int serving, double tail)
+{
+  if (tail <= 0)
+    return LEAST_USE;
+  return clamp (1 - pressure->base[serving] / tail, LEAST_USE, MOST_USE);
 }
 
 void
 kq_pressure_observe (struct kq_pressure *pressure, int serving,
-                     const struct kq_pressure_mix *mix, double tail)
+                     const struct kq_pressure_mix *mix, double seen)
 {
   double norm = LEARN_FLOOR;
-  double error;
+  double error = clamp (seen - kq_pressure_expect (pressure, serving, mix),
+                        -MOST_ERROR, MOST_ERROR);
 
-  if (tail <= 0)
-    return;
-  observe_base (pressure, serving, mix->fillers == 0, tail);
-  error = clamp (1 - pressure->base[serving] / tail, 0, 1)
-          - kq_pressure_expect (pressure, serving, mix);
-  error = clamp (error, -MOST_ERROR, MOST_ERROR);
   for (uint64_t left = mix->fillers; left != 0; left &= left - 1)
     {
       double share = mix->share[__builtin_ctzll (left)];
--- a/sched/pressure.h
+++ b/sched/pressure.h
@@ -1,9 +1,11 @@
 /** @file
  * How much each kind of filling work disturbs each kind of serving work.
  *
- * Learned from the late, rough tails that workers report: a tail grows like
- * base / (1 - u), and u is taken as a sum over the fillers beside it, each
- * with its share of the worker's CPU times a factor of the pair of images.
+ * A serving task with load r (0 to 1) beside fillers has the tail
+ * base / (1 - r * (1 + P)); P is a sum over the fillers, each with its share
+ * of the worker's CPU times a factor of the pair of images.  The factors are
+ * learned from the late, rough tails that workers report.  Source of the
+ * form: docs/design/platform.md, "Sharing".
  */
 #ifndef KQ_SCHED_PRESSURE_H
 #define KQ_SCHED_PRESSURE_H
@@ -29,15 +31,24 @@
 /** Returns the number of IMAGE, given at its first use. */
 int kq_pressure_image (struct kq_pressure *pressure, const char *image);
 
-/** Takes one observation of SERVING: its tail in shares of its target. */
+/** Takes a tail (in shares of the target) that was seen without knowing
+ *  more; it may lower the base.  */
+void kq_pressure_see_tail (struct kq_pressure *pressure, int serving,
+                           double tail);
+
+/** Returns r * (1 + P) for a tail: how near to saturation the task is. */
+double kq_pressure_use (const struct kq_pressure *pressure, int serving,
+                        double tail);
+
+/** Learns from one observation of P beside SERVING. */
 void kq_pressure_observe (struct kq_pressure *pressure, int serving,
-                          const struct kq_pressure_mix *mix, double tail);
+                          const struct kq_pressure_mix *mix, double seen);
 
 /** Returns the factor of a pair. */
 double kq_pressure_factor (const struct kq_pressure *pressure, int serving,
                            int filler);
 
-/** Returns the u that MIX is expected to put on SERVING. */
+/** Returns the P that MIX is expected to put on SERVING. */
 double kq_pressure_expect (const struct kq_pressure *pressure, int serving,
                            const struct kq_pressure_mix *mix);
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -146,7 +146,7 @@
   char address[KQ_SCHED_NAME];
   int64_t seen;     /**< ends up to this number are stored */
   int64_t until_ms; /**< on the worker's clock, 0 while that is unknown */
-  bool wait;        /**< its answer may wait for an end */
+  int wait_ms;      /**< its answer may wait this long for an end */
 };
 
 /** All that a start order carries. */
--- a/sched/share.c
+++ b/sched/share.c
@@ -1,40 +1,46 @@
-/* Tasks that fill must not hold a serving task over its target. */
+/* Tasks that fill must not hold a serving task over its target.
+ *
+ * At each list of a worker the load of its serving tasks is estimated, the
+ * factors of the pairs are learned, and each filler gets the pace at which
+ * the fullest serving task stays below AIM.
+ */
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "log/log.h"
 #include "sched/internal.h"
 
-/* Tails in percent of the target.  Above the first, the filler that disturbs
-   most is slowed, above the second it is halted; below the third it may run
-   at full speed again.  The distance between them is the hysteresis that
-   keeps noisy figures from switching it on and off. */
-#define SLOW_PERCENT 80
-#define HALT_PERCENT 100
-#define FAST_PERCENT 55
+/* Use of a serving task that is aimed at: its tail is then two thirds of the
+   target.  At the target itself it is 0.8 where the target is five times the
+   idle tail. */
+#define AIM 0.70
 
-#define SLOW_PACE 25
+/* Load may grow by this until the next list: a tenth a second at the steepest
+   of a swing of half the load in 14 s. */
+#define LOAD_MARGIN 0.05
 
-/* Shortest time between two changes at one worker: a figure covers the last
-   half second. */
-#define SLOW_INTERVAL (500 * KQ_USEC_PER_MSEC)
-#define FAST_INTERVAL (1200 * KQ_USEC_PER_MSEC)
+/* Weight of one figure in the estimate of a job's load: its tasks on other
+   workers add theirs within the same second. */
+#define LOAD_STEP 0.3
+#define FIRST_LOAD 0.45
 
-/* A halted task is moved after this, if little of its work is lost. */
-#define HALT_TIME (300 * KQ_USEC_PER_MSEC)
-#define LOST_PERCENT 40
+/* A pair with a smaller factor is left alone. */
+#define HARMLESS_FACTOR 0.15
 
-/* Fillers that contribute less than this share of the largest are left
-   alone. */
-#define CONTRIBUTES 0.5
+/* Paces are set in steps of this, and raised no more often than the interval:
+   hysteresis against noisy figures. */
+#define PACE_STEP 20
+#define RAISE_INTERVAL (600 * KQ_USEC_PER_MSEC)
 
-#define MAX_TAILS 64
+/* A task at or below this pace for this long is moved, if there is a better
+   place and little of its work is lost. */
+#define SLOW_PACE 20
+#define MOVE_AFTER (400 * KQ_USEC_PER_MSEC)
+#define LOST_PERCENT 40
 
 /* Shares by image of what fills at WORKER; by demand, or, with IN_USE, by the
    CPU that the worker reports. */
 static void
-mix_of (struct kq_sched *sched, const struct worker *worker, bool in_use,
-        struct kq_pressure_mix *mix)
+mix_of (const struct worker *worker, bool in_use, struct kq_pressure_mix *mix)
 {
   const struct task *task;
   double capacity = (double)worker->report.capacity.cpu;
@@ -43,8 +49,8 @@
   DL_FOREACH (worker->tasks, task)
   {
     int image = task->stage->image;
-    double cpu = (double)(in_use ? task->figure
-                                 : task->stage->step->demand.cpu);
+    double cpu
+        = (double)(in_use ? task->figure : task->stage->step->demand.cpu);
 
     if (!task->stage->step->filler || cpu <= 0 || capacity <= 0)
       continue;
@@ -55,72 +61,62 @@
   }
 }
 
-static int
-by_value (const void *a, const void *b)
+static bool
+serves (const struct task *task)
 {
-  int64_t x = *(const int64_t *)a;
-  int64_t y = *(const int64_t *)b;
-
-  return x < y ? -1 : x > y;
+  return task->stage->step->tail_target_ms > 0;
 }
 
-/* Median tail of IMAGE's tasks at WORKER in percent of the target; 0 when
-   none is at work. */
-static int64_t
-tail_percent (const struct worker *worker, int image)
+static bool
+is_serving_well_known (const struct task *task)
 {
-  int64_t tails[MAX_TAILS];
-  int count = 0;
-  const struct task *task;
+  return serves (task) && task->percent == 100 && task->figure > 0;
+}
 
-  DL_FOREACH (worker->tasks, task)
-  {
-    int64_t target = task->stage->step->tail_target_ms;
+static double
+load_of (const struct task *task)
+{
+  double load = task->stage->load > 0 ? task->stage->load : FIRST_LOAD;
 
-    if (target > 0 && task->stage->image == image && task->percent == 100
-        && task->figure > 0 && count < MAX_TAILS)
-      tails[count++] = task->figure * 100 / target;
-  }
-  if (count == 0)
-    return 0;
-  qsort (tails, (size_t)count, sizeof tails[0], by_value);
-  return tails[count / 2];
+  return load + LOAD_MARGIN;
 }
 
-static uint64_t
-serving_images (const struct worker *worker)
+/* The P beside TASK at which it reaches the aim. */
+static double
+allowed (const struct task *task)
 {
-  const struct task *task;
-  uint64_t images = 0;
+  double most = AIM / load_of (task) - 1;
 
-  DL_FOREACH (worker->tasks, task)
-  {
-    if (task->stage->step->tail_target_ms > 0)
-      images |= UINT64_C (1) << task->stage->image;
-  }
-  return images;
+  return most > 0 ? most : 0;
 }
 
 double
-share_expect (struct kq_sched *sched, const struct worker *worker, int image,
-              int64_t cpu)
+share_press (struct kq_sched *sched, const struct worker *worker, int image,
+             int64_t cpu)
 {
   struct kq_pressure_mix mix;
+  const struct task *task;
   double worst = 0;
 
-  mix_of (sched, worker, false, &mix);
+  mix_of (worker, false, &mix);
   if ((mix.fillers >> image & 1) == 0)
     mix.share[image] = 0;
   mix.fillers |= UINT64_C (1) << image;
   mix.share[image] += (double)cpu / (double)worker->report.capacity.cpu;
-  for (uint64_t left = serving_images (worker); left != 0; left &= left - 1)
-    {
-      double u = kq_pressure_expect (sched->pressure,
-                                     __builtin_ctzll (left), &mix);
-
-      if (u > worst)
-        worst = u;
-    }
+  DL_FOREACH (worker->tasks, task)
+  {
+    double press;
+    double most;
+
+    if (!serves (task)
+        || kq_pressure_factor (sched->pressure, task->stage->image, image)
+               < HARMLESS_FACTOR)
+      continue;
+    press = kq_pressure_expect (sched->pressure, task->stage->image, &mix);
+    most = allowed (task) + 0.001;
+    if (press / most > worst)
+      worst = press / most;
+  }
   return worst;
 }
 
@@ -147,76 +143,95 @@
             task->worker->report.id);
 }
 
-/* What TASK is expected to put on SERVING. */
-static double
-contribution (struct kq_sched *sched, const struct task *task, int serving)
+/* Takes the tail of TASK into its job's load and the factors. */
+static void
+observe (struct kq_sched *sched, struct task *task,
+         const struct kq_pressure_mix *mix)
 {
-  return kq_pressure_factor (sched->pressure, serving, task->stage->image)
-         * (double)task->stage->step->demand.cpu
-         / (double)task->worker->report.capacity.cpu;
+  struct stage *stage = task->stage;
+  double tail = (double)task->figure / (double)stage->step->tail_target_ms;
+  double press = kq_pressure_expect (sched->pressure, stage->image, mix);
+  double use;
+
+  kq_pressure_see_tail (sched->pressure, stage->image, tail);
+  use = kq_pressure_use (sched->pressure, stage->image, tail);
+  if (stage->load <= 0)
+    stage->load = use / (1 + press);
+  else if (mix->fillers != 0 && stage->load > 0.1)
+    kq_pressure_observe (sched->pressure, stage->image, mix,
+                         use / stage->load - 1);
+  stage->load += LOAD_STEP * (use / (1 + press) - stage->load);
 }
 
-/* Slows those fillers that disturb SERVING most. */
-static void
-slow_down (struct kq_sched *sched, struct worker *worker, int serving,
-           int percent, struct kq_sched_now now)
+/* Pace of fillers of IMAGE at which all serving tasks stay below the aim. */
+static int
+pace_for (struct kq_sched *sched, const struct worker *worker, int image,
+          const struct kq_pressure_mix *full)
 {
-  struct task *task;
-  double most = 0;
+  const struct task *task;
+  double least = 1;
 
   DL_FOREACH (worker->tasks, task)
   {
-    if (task->stage->step->filler && task->pace > percent
-        && contribution (sched, task, serving) > most)
-      most = contribution (sched, task, serving);
+    double press;
+    double share;
+
+    if (!serves (task)
+        || kq_pressure_factor (sched->pressure, task->stage->image, image)
+               < HARMLESS_FACTOR)
+      continue;
+    press = kq_pressure_expect (sched->pressure, task->stage->image, full);
+    share = press > 0 ? allowed (task) / press : 1;
+    if (share < least)
+      least = share;
   }
+  return (int)(least * 100) / PACE_STEP * PACE_STEP;
+}
+
+/* While a task is over its target all that may be the cause stands still. */
+static bool
+is_over (const struct worker *worker)
+{
+  const struct task *task;
+
   DL_FOREACH (worker->tasks, task)
   {
-    if (task->stage->step->filler && task->pace > percent
-        && contribution (sched, task, serving) >= most * CONTRIBUTES)
-      set_pace (sched, task, percent, now);
+    if (is_serving_well_known (task)
+        && task->figure >= task->stage->step->tail_target_ms)
+      return true;
   }
+  return false;
 }
 
-/* Speeds up the one that disturbs least, if there is room for it. */
-static bool
-speed_up (struct kq_sched *sched, struct worker *worker,
+static void
+pace_all (struct kq_sched *sched, struct worker *worker,
           struct kq_sched_now now)
 {
+  struct kq_pressure_mix full;
   struct task *task;
-  struct task *best = NULL;
-  uint64_t serving = serving_images (worker);
-  double least = 0;
+  bool may_raise = now.mono - worker->paced_at > RAISE_INTERVAL;
+  bool over = is_over (worker);
 
+  mix_of (worker, false, &full);
   DL_FOREACH (worker->tasks, task)
   {
-    double worst = 0;
+    int pace;
 
-    if (!task->stage->step->filler || task->pace == 100)
+    if (!task->stage->step->filler || task->stop_wanted)
       continue;
-    for (uint64_t left = serving; left != 0; left &= left - 1)
-      {
-        double u = contribution (sched, task, __builtin_ctzll (left));
-
-        if (u > worst)
-          worst = u;
-      }
-    if (best == NULL || worst < least)
-      {
-        best = task;
-        least = worst;
-      }
+    pace = pace_for (sched, worker, task->stage->image, &full);
+    if (over && pace < 100)
+      pace = 0;
+    if (pace > task->pace && (!may_raise || over))
+      continue;
+    if (pace != task->pace)
+      worker->paced_at = now.mono;
+    set_pace (sched, task, pace, now);
   }
-  if (best == NULL)
-    return false;
-  set_pace (sched, best, 100, now);
-  return true;
 }
 
-/* A halted task goes on elsewhere, where its checkpoint or its short past
-   makes that cheap. */
 static void
-move_halted (struct kq_sched *sched, struct worker *worker,
+move_slowed (struct kq_sched *sched, struct worker *worker,
              struct kq_sched_now now)
 {
   struct task *task;
@@ -224,10 +239,10 @@
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
-    if (task->pace == 0 && !task->stop_wanted
-        && now.mono - task->paced_at > HALT_TIME
-        && (task->stage->step->checkpointable
-            || task->percent < LOST_PERCENT))
+    if (task->pace <= SLOW_PACE && !task->stop_wanted
+        && now.mono - task->paced_at > MOVE_AFTER
+        && (task->stage->step->checkpointable || task->percent < LOST_PERCENT)
+        && place_find (sched, task, now) != NULL)
       {
         task_log (task, "task moved", "it disturbs a serving task");
         task_stop (sched, task, now);
@@ -240,36 +255,16 @@
              struct kq_sched_now now)
 {
   struct kq_pressure_mix mix;
-  int64_t worst = 0;
-  int worst_image = 0;
+  struct task *task;
 
   if (worker->serving == 0 && worker->filler_cpu == 0)
     return;
-  mix_of (sched, worker, true, &mix);
-  for (uint64_t left = serving_images (worker); left != 0; left &= left - 1)
-    {
-      int image = __builtin_ctzll (left);
-      int64_t tail = tail_percent (worker, image);
-
-      if (tail == 0)
-        continue;
-      kq_pressure_observe (sched->pressure, image, &mix, (double)tail / 100);
-      if (tail > worst)
-        {
-          worst = tail;
-          worst_image = image;
-        }
-    }
-  worker->worst_tail = (int)worst;
-  move_halted (sched, worker, now);
-  if (worst > SLOW_PERCENT && now.mono - worker->paced_at > SLOW_INTERVAL)
-    {
-      worker->paced_at = now.mono;
-      slow_down (sched, worker, worst_image,
-                 worst > HALT_PERCENT ? 0 : SLOW_PACE, now);
-    }
-  else if (worst < FAST_PERCENT
-           && now.mono - worker->paced_at > FAST_INTERVAL
-           && speed_up (sched, worker, now))
-    worker->paced_at = now.mono;
+  mix_of (worker, true, &mix);
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (is_serving_well_known (task))
+      observe (sched, task, &mix);
+  }
+  pace_all (sched, worker, now);
+  move_slowed (sched, worker, now);
 }
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -11,6 +11,11 @@
 /* Added to every wait for a lease to lapse. */
 #define LAPSE_MARGIN_MS 300
 
+/* How long a look waits at the worker for an end; less where tails must be
+   watched: a tail covers half a second. */
+#define LOOK_WAIT_MS 1000
+#define SHARED_WAIT_MS 400
+
 /* A stop without an answer is repeated after this. */
 #define STOP_REPEAT (500 * KQ_USEC_PER_MSEC)
 
@@ -261,7 +266,11 @@
     worker->looking = true;
     worker->look_sent_at = now.mono;
     look->seen = worker->seen_stored;
-    look->wait = worker->seen_stored == worker->seen;
+    look->wait_ms = 0;
+    if (worker->seen_stored == worker->seen)
+      look->wait_ms = worker->serving > 0 && worker->filler_cpu > 0
+                          ? SHARED_WAIT_MS
+                          : LOOK_WAIT_MS;
     look->until_ms = worker_clock (worker, now.mono);
     if (look->until_ms > 0)
       {
--- a/term/term.c
+++ b/term/term.c
@@ -263,8 +263,7 @@
 }
 
 bool
-kq_term_next (struct kq_term *term, kq_usec now,
-              struct kq_term_append *append)
+kq_term_next (struct kq_term *term, kq_usec now, struct kq_term_append *append)
 {
   KqTerm__TermRecord record = KQ_TERM__TERM_RECORD__INIT;
   enum kq_term_kind kind = wanted (term, now);
