sched: leave harmless pairs alone, stop halted fillers, put late jobs behind

Ruled out: too little CPU (1,232 cores, 1,050 asked for by serving tasks whose load is 45%).

Conclusion: factors of pairs come out in two groups (0 to 1.4 and 2.5 to 4.5), so a threshold between them is safe; order by rank keeps those in time that still can be.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -92,7 +92,9 @@
   int done;
   bool open; /* its turn has come */
   bool queued;
-  int64_t due_ms;     /* objective of its job, wall clock */
+  int64_t due_ms;  /* objective of its job, wall clock */
+  int64_t rest_ms; /* longest chain of steps from this one on */
+  int rank;        /* 0: in time, 1: late, 2: too late to count */
   struct stage *prev; /* of the queue of stages with ready tasks */
   struct stage *next;
 };
@@ -129,6 +131,7 @@
   bool registered;
   struct kq_sched_demand used;
   int64_t filler_cpu;
+  int64_t idle_cpu; /* that serving tasks ask for and do not use */
   int serving; /* tasks that serve */
   int task_count;
   struct task *tasks;
@@ -211,6 +214,7 @@
 /* task.c */
 void task_make_ready (struct kq_sched *sched, struct task *task,
                       struct kq_sched_now now);
+void task_rank_all (struct kq_sched *sched, struct kq_sched_now now);
 void task_unready (struct kq_sched *sched, struct task *task);
 void task_bind (struct kq_sched *sched, struct task *task,
                 struct worker *worker, struct kq_sched_now now);
@@ -248,10 +252,6 @@
                    struct kq_sched_now now, kq_usec sent_at,
                    const struct kq_sched_listing *listing);
 
-/* place.c */
-struct worker *place_find (struct kq_sched *sched, const struct task *task,
-                           struct kq_sched_now now);
-
 /* share.c */
 
 /* The pressure on the serving tasks at WORKER with one more filler, in shares
--- a/sched/job.c
+++ b/sched/job.c
@@ -64,6 +64,24 @@
   return longest;
 }
 
+/* Length of the longest chain of steps that begins with STEP. */
+static int64_t
+rest_ms (const struct kq_sched_spec *spec, int number)
+{
+  int64_t rest[KQ_SCHED_MAX_STEPS] = { 0 };
+
+  for (int i = spec->step_count - 1; i >= number; i--)
+    {
+      const struct kq_sched_step *step = &spec->steps[i];
+
+      rest[i] += step->est_ms;
+      for (int j = 0; j < step->after_count; j++)
+        if (rest[i] > rest[step->after[j]])
+          rest[step->after[j]] = rest[i];
+    }
+  return rest[number];
+}
+
 static int64_t
 due_ms (const struct job *job, int occurrence)
 {
@@ -92,6 +110,7 @@
       stage->occurrence = i / job->spec.step_count;
       stage->step = &job->spec.steps[stage->number];
       stage->image = kq_pressure_image (sched->pressure, stage->step->image);
+      stage->rest_ms = rest_ms (&job->spec, stage->number);
       stage->due_ms = due_ms (job, stage->occurrence);
       stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
       if (stage->tasks == NULL)
@@ -292,4 +311,5 @@
     job_open_due (sched, job, now);
     expire (sched, job, now);
   }
+  task_rank_all (sched, now);
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -12,9 +12,9 @@
 #define WEIGHT_FAILED_HERE 500
 #define WEIGHT_SPREAD_RACK 1000
 
-/* Of what serving tasks ask for, they use about half on average; fillers take
-   at most the rest. */
-#define SERVING_USE_PERCENT 50
+/* Fillers share a worker beyond its CPU up to this; they then all run a little
+   slower, which costs less than waiting. */
+#define FILL_PERCENT 110
 
 /* Fillers are kept off where serving tasks would be pressed beyond this share
    of what they bear. */
@@ -50,9 +50,9 @@
       || worker->used.gpu + demand->gpu > capacity->gpu)
     return false;
   if (step->filler)
-    return worker->used.cpu * SERVING_USE_PERCENT / 100 + worker->filler_cpu
+    return worker->used.cpu - worker->idle_cpu + worker->filler_cpu
                + demand->cpu
-           <= capacity->cpu;
+           <= capacity->cpu * FILL_PERCENT / 100;
   return worker->used.cpu + demand->cpu <= capacity->cpu;
 }
 
@@ -176,15 +176,6 @@
   return NULL;
 }
 
-struct worker *
-place_find (struct kq_sched *sched, const struct task *task,
-            struct kq_sched_now now)
-{
-  struct worker *worker = choose (sched, task, now, NULL);
-
-  return worker == task->worker ? NULL : worker;
-}
-
 static void
 order_start (struct kq_sched *sched, struct task *task)
 {
--- a/sched/share.c
+++ b/sched/share.c
@@ -23,16 +23,17 @@
 #define LOAD_STEP 0.3
 #define FIRST_LOAD 0.45
 
-/* A pair with a smaller factor is left alone. */
-#define HARMLESS_FACTOR 0.15
+/* A pair with a smaller factor is left alone: pairs either disturb each other
+   clearly or hardly, and small factors are mostly noise. */
+#define HARMLESS_FACTOR 0.8
 
 /* Paces are set in steps of this, and raised no more often than the interval:
    hysteresis against noisy figures. */
 #define PACE_STEP 20
 #define RAISE_INTERVAL (600 * KQ_USEC_PER_MSEC)
 
-/* A task at or below this pace for this long is moved, if there is a better
-   place and little of its work is lost. */
+/* A task at or below this pace for this long is stopped, to go on where it
+   disturbs nobody, if little of its work is lost; it would only hold memory. */
 #define SLOW_PACE 20
 #define MOVE_AFTER (400 * KQ_USEC_PER_MSEC)
 #define LOST_PERCENT 40
@@ -81,6 +82,25 @@
   return load + LOAD_MARGIN;
 }
 
+/* The P beside TASK of those fillers in MIX that matter to it. */
+static double
+press_on (struct kq_sched *sched, const struct task *task,
+          const struct kq_pressure_mix *mix)
+{
+  double sum = 0;
+
+  for (uint64_t left = mix->fillers; left != 0; left &= left - 1)
+    {
+      int filler = __builtin_ctzll (left);
+      double factor = kq_pressure_factor (sched->pressure, task->stage->image,
+                                          filler);
+
+      if (factor >= HARMLESS_FACTOR)
+        sum += factor * mix->share[filler];
+    }
+  return sum;
+}
+
 /* The P beside TASK at which it reaches the aim. */
 static double
 allowed (const struct task *task)
@@ -112,7 +132,7 @@
         || kq_pressure_factor (sched->pressure, task->stage->image, image)
                < HARMLESS_FACTOR)
       continue;
-    press = kq_pressure_expect (sched->pressure, task->stage->image, &mix);
+    press = press_on (sched, task, &mix);
     most = allowed (task) + 0.001;
     if (press / most > worst)
       worst = press / most;
@@ -180,7 +200,7 @@
         || kq_pressure_factor (sched->pressure, task->stage->image, image)
                < HARMLESS_FACTOR)
       continue;
-    press = kq_pressure_expect (sched->pressure, task->stage->image, full);
+    press = press_on (sched, task, full);
     share = press > 0 ? allowed (task) / press : 1;
     if (share < least)
       least = share;
@@ -241,8 +261,8 @@
   {
     if (task->pace <= SLOW_PACE && !task->stop_wanted
         && now.mono - task->paced_at > MOVE_AFTER
-        && (task->stage->step->checkpointable || task->percent < LOST_PERCENT)
-        && place_find (sched, task, now) != NULL)
+        && (task->stage->step->checkpointable
+            || task->percent < LOST_PERCENT))
       {
         task_log (task, "task moved", "it disturbs a serving task");
         task_stop (sched, task, now);
@@ -265,6 +285,14 @@
     if (is_serving_well_known (task))
       observe (sched, task, &mix);
   }
+  worker->idle_cpu = 0;
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (serves (task))
+      worker->idle_cpu
+          += (int64_t)((double)task->stage->step->demand.cpu
+                       * (1 - load_of (task)));
+  }
   pace_all (sched, worker, now);
   move_slowed (sched, worker, now);
 }
--- a/sched/task.c
+++ b/sched/task.c
@@ -36,6 +36,20 @@
           why, NULL);
 }
 
+/* A job that will be late earns little, and one that is later than three
+   times its objective nothing: they wait behind those in time, which would
+   else all be late in turn.  Source: the platform's rules on credit.  */
+static int
+rank_of (const struct stage *stage, struct kq_sched_now now)
+{
+  int64_t objective = stage->due_ms - stage->job->accepted_ms;
+  int64_t end = now.wall_ms + stage->rest_ms;
+
+  if (stage->step->lasting || end <= stage->due_ms)
+    return 0;
+  return end <= stage->due_ms + 2 * objective ? 1 : 2;
+}
+
 static int
 by_urgency (const struct stage *a, const struct stage *b)
 {
@@ -43,6 +57,8 @@
 
   if (first != 0)
     return first;
+  if (a->rank != b->rank)
+    return a->rank - b->rank;
   if (a->due_ms != b->due_ms)
     return a->due_ms < b->due_ms ? -1 : 1;
   return a->job->id < b->job->id ? -1 : a->job->id > b->job->id;
@@ -67,6 +83,31 @@
     DL_APPEND (sched->queue, stage);
 }
 
+void
+task_rank_all (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct stage *changed = NULL;
+  struct stage *stage;
+  struct stage *next;
+
+  DL_FOREACH_SAFE (sched->queue, stage, next)
+  {
+    int rank = rank_of (stage, now);
+
+    if (rank == stage->rank)
+      continue;
+    stage->rank = rank;
+    DL_DELETE (sched->queue, stage);
+    stage->queued = false;
+    DL_APPEND (changed, stage);
+  }
+  DL_FOREACH_SAFE (changed, stage, next)
+  {
+    DL_DELETE (changed, stage);
+    enqueue_stage (sched, stage);
+  }
+}
+
 void
 task_make_ready (struct kq_sched *sched, struct task *task,
                  struct kq_sched_now now)
