sched: an earlier owner's leases count from the first word of a worker

Ruled out: late orders of the old owner (its runs were open at the time the second ones began, long after).

Conclusion: until the owner has granted a lease itself, the longest that any owner grants is assumed from the first answer on.

--- a/sched/worker.c
+++ b/sched/worker.c
@@ -154,6 +154,9 @@
   worker->heard_at = now;
   if (clock_ms <= 0)
     return;
+  /* An earlier owner may have renewed its lease until this moment. */
+  if (worker->clock_at == 0)
+    worker->until_ms = clock_ms + KQ_SCHED_LEASE_MS;
   worker->clock_ms = clock_ms;
   worker->clock_at = now;
 }
--- /dev/null
+++ b/t/lib-sched.c
@@ -0,0 +1,420 @@
+#include "t/lib-sched.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+
+#define CLOCK_AHEAD_MS 100000
+#define SPEC "text"
+
+static struct kq_sched_queue
+make_queue (const char *name, int priority)
+{
+  struct kq_sched_queue queue
+      = { .priority = priority, .attempts = 3, .stretch = 2, .slo_ms = 1000 };
+
+  snprintf (queue.name, sizeof queue.name, "%s", name);
+  snprintf (queue.service, sizeof queue.service, "s");
+  return queue;
+}
+
+static void
+configure (struct ts_cell *cell)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
+
+  event.u.config = &cell->config;
+  kq_sched_event (cell->sched, cell->now, &event);
+}
+
+void
+ts_start (struct ts_cell *cell)
+{
+  memset (cell, 0, sizeof *cell);
+  cell->now.mono = 1000 * KQ_USEC_PER_SEC;
+  cell->now.wall_ms = INT64_C (1700000000000);
+  cell->queues[0] = make_queue ("urgent", 0);
+  cell->queues[1] = make_queue ("batch", 2);
+  cell->config.queues = cell->queues;
+  cell->config.queue_count = 2;
+  cell->sched = kq_sched_create ();
+  configure (cell);
+  kq_sched_restored (cell->sched, cell->now);
+}
+
+void
+ts_stop (struct ts_cell *cell)
+{
+  kq_sched_destroy (cell->sched);
+  for (int i = 0; i < cell->record_count; i++)
+    free (cell->records[i].value);
+}
+
+static const struct kq_sched_record *
+find_record (const struct ts_cell *cell, const char *key)
+{
+  for (int i = 0; i < cell->record_count; i++)
+    if (strcmp (cell->records[i].key, key) == 0)
+      return &cell->records[i];
+  return NULL;
+}
+
+/* The body of a job is its steps, as they are in memory. */
+struct body
+{
+  int count;
+  struct kq_sched_step step;
+};
+
+static void
+build_spec (const struct body *body, struct kq_sched_spec *spec)
+{
+  memset (spec, 0, sizeof *spec);
+  spec->text = strdup (SPEC);
+  spec->step_count = body->count;
+  spec->steps = calloc ((size_t)body->count, sizeof *spec->steps);
+  for (int i = 0; i < body->count; i++)
+    {
+      spec->steps[i] = body->step;
+      spec->steps[i].after = calloc (1, sizeof *spec->steps[i].after);
+      spec->steps[i].after_count = i > 0;
+      spec->steps[i].after[0] = i - 1;
+    }
+}
+
+void
+ts_take_over (struct ts_cell *cell)
+{
+  kq_sched_destroy (cell->sched);
+  cell->sched = kq_sched_create ();
+  cell->waiting_count = 0;
+  cell->stored = 0;
+  configure (cell);
+  for (int i = 0; i < cell->record_count; i++)
+    {
+      const struct kq_sched_record *record = &cell->records[i];
+      struct kq_sched_job_record *job;
+      const struct kq_sched_record *state;
+      struct kq_sched_spec spec;
+      struct body body;
+      char key[24];
+
+      if (record->key[0] != 'j' || record->size == 0)
+        continue;
+      job = kq_sched_job_record_read (record->value, record->size);
+      snprintf (key, sizeof key, "s%s", record->key + 1);
+      state = find_record (cell, key);
+      memcpy (&body, job->body, sizeof body);
+      build_spec (&body, &spec);
+      kq_sched_restore (cell->sched, cell->now,
+                        strtoull (record->key + 1, NULL, 16), job->queue,
+                        job->accepted_ms, &spec,
+                        state != NULL ? state->value : NULL,
+                        state != NULL ? state->size : 0);
+      free (job);
+    }
+  kq_sched_restored (cell->sched, cell->now);
+}
+
+static void
+keep_record (struct ts_cell *cell, const struct kq_sched_record *record)
+{
+  struct kq_sched_record *kept
+      = (struct kq_sched_record *)find_record (cell, record->key);
+
+  if (kept == NULL)
+    {
+      CU_ASSERT_FATAL (cell->record_count < TS_MAX_RECORDS);
+      kept = &cell->records[cell->record_count++];
+    }
+  else
+    free (kept->value);
+  *kept = *record;
+}
+
+static void
+store (struct ts_cell *cell)
+{
+  struct kq_sched_record *records = NULL;
+  uint64_t position;
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_STORED };
+  int count;
+
+  if (cell->store_down)
+    return;
+  count = kq_sched_take_records (cell->sched, 1 << 20, &records, &position);
+  if (records == NULL)
+    return;
+  for (int i = 0; i < count; i++)
+    keep_record (cell, &records[i]);
+  free (records);
+  cell->stored = position;
+  event.u.stored = position;
+  kq_sched_event (cell->sched, cell->now, &event);
+}
+
+static void
+note_order (struct ts_cell *cell, const struct kq_sched_effect *effect)
+{
+  struct ts_order order = { .kind = effect->kind,
+                            .run = effect->u.order.run,
+                            .percent = effect->u.order.percent,
+                            .at = cell->now.mono };
+  struct kq_sched_start start;
+
+  memcpy (order.worker, effect->u.order.worker, sizeof order.worker);
+  if (effect->kind == KQ_SCHED_FX_START)
+    {
+      if (kq_sched_start_order (cell->sched, cell->now, effect, &start) != 0)
+        return;
+      snprintf (order.checkpoint, sizeof order.checkpoint, "%s",
+                start.checkpoint);
+      order.until_ms = start.until_ms;
+    }
+  CU_ASSERT_FATAL (cell->order_count < TS_MAX_ORDERS);
+  cell->orders[cell->order_count++] = order;
+}
+
+static void
+carry_out (struct ts_cell *cell, const struct kq_sched_effect *effect)
+{
+  if (effect->kind == KQ_SCHED_FX_ANSWER)
+    cell->answers[cell->answer_count++]
+        = (struct ts_answer){ .token = effect->u.answer.token,
+                              .status = effect->u.answer.status,
+                              .state = effect->u.answer.state,
+                              .pending = effect->u.answer.pending };
+  else if (effect->kind != KQ_SCHED_FX_DEPOSED)
+    note_order (cell, effect);
+}
+
+static void
+take_effects (struct ts_cell *cell)
+{
+  struct kq_sched_effect effect;
+  int kept = 0;
+
+  while (kq_sched_next_effect (cell->sched, &effect))
+    {
+      CU_ASSERT_FATAL (cell->waiting_count < TS_MAX_ORDERS);
+      cell->waiting[cell->waiting_count++] = effect;
+    }
+  for (int i = 0; i < cell->waiting_count; i++)
+    if (cell->waiting[i].after <= cell->stored)
+      carry_out (cell, &cell->waiting[i]);
+    else
+      cell->waiting[kept++] = cell->waiting[i];
+  cell->waiting_count = kept;
+}
+
+void
+ts_settle (struct ts_cell *cell)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      kq_sched_place (cell->sched, cell->now);
+      store (cell);
+      take_effects (cell);
+    }
+  kq_sched_assert (cell->sched);
+}
+
+void
+ts_advance (struct ts_cell *cell, int64_t ms)
+{
+  struct kq_sched_look look;
+
+  for (int64_t left = ms; left > 0; left -= 100)
+    {
+      int64_t step = left < 100 ? left : 100;
+
+      cell->now.mono += step * KQ_USEC_PER_MSEC;
+      cell->now.wall_ms += step;
+      kq_sched_tick (cell->sched, cell->now);
+      while (kq_sched_next_look (cell->sched, cell->now, &look))
+        ;
+      ts_settle (cell);
+    }
+}
+
+static int64_t
+worker_clock (const struct ts_cell *cell)
+{
+  return cell->now.mono / KQ_USEC_PER_MSEC + CLOCK_AHEAD_MS;
+}
+
+static void
+report (struct ts_cell *cell, const char *id, int64_t cpu, int64_t mem,
+        int64_t born_ms, bool draining)
+{
+  struct kq_sched_report entry = { .capacity = { cpu, mem, 0 },
+                                   .born_ms = born_ms,
+                                   .draining = draining };
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER };
+
+  snprintf (entry.id, sizeof entry.id, "%s", id);
+  snprintf (entry.service, sizeof entry.service, "s");
+  snprintf (entry.address, sizeof entry.address, "10.0.0.1:80");
+  snprintf (entry.rack, sizeof entry.rack, "r-%s", id);
+  event.u.report = &entry;
+  kq_sched_event (cell->sched, cell->now, &event);
+}
+
+void
+ts_worker_life (struct ts_cell *cell, const char *id, int64_t cpu, int64_t mem,
+                int64_t born_ms)
+{
+  struct kq_sched_look look;
+
+  report (cell, id, cpu, mem, born_ms, false);
+  while (kq_sched_next_look (cell->sched, cell->now, &look))
+    ;
+}
+
+void
+ts_worker (struct ts_cell *cell, const char *id, int64_t cpu, int64_t mem)
+{
+  ts_worker_life (cell, id, cpu, mem, 1);
+}
+
+void
+ts_drain (struct ts_cell *cell, const char *id)
+{
+  report (cell, id, 16000, 64000, 1, true);
+  ts_settle (cell);
+}
+
+uint64_t
+ts_submit (struct ts_cell *cell, uint64_t job, const char *queue,
+           const struct kq_sched_step *step, int count)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_SUBMIT };
+  struct kq_sched_spec spec;
+  struct body body = { .count = count, .step = *step };
+
+  build_spec (&body, &spec);
+  event.u.call.token = ++cell->last_token;
+  event.u.call.job = job;
+  event.u.call.queue = queue;
+  event.u.call.spec = &spec;
+  event.u.call.body = &body;
+  event.u.call.body_size = sizeof body;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+  return event.u.call.token;
+}
+
+static uint64_t
+call (struct ts_cell *cell, enum kq_sched_event_kind kind, uint64_t job)
+{
+  struct kq_sched_event event = { .kind = kind };
+
+  event.u.call.token = ++cell->last_token;
+  event.u.call.job = job;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+  return event.u.call.token;
+}
+
+uint64_t
+ts_query (struct ts_cell *cell, uint64_t job)
+{
+  return call (cell, KQ_SCHED_EV_QUERY, job);
+}
+
+uint64_t
+ts_cancel (struct ts_cell *cell, uint64_t job)
+{
+  return call (cell, KQ_SCHED_EV_CANCEL, job);
+}
+
+const struct ts_answer *
+ts_answer_to (const struct ts_cell *cell, uint64_t token)
+{
+  for (int i = 0; i < cell->answer_count; i++)
+    if (cell->answers[i].token == token)
+      return &cell->answers[i];
+  return NULL;
+}
+
+void
+ts_reply (struct ts_cell *cell, const struct ts_order *order,
+          enum kq_sched_answer answer)
+{
+  struct kq_sched_event event
+      = { .kind = order->kind == KQ_SCHED_FX_START  ? KQ_SCHED_EV_STARTED
+                  : order->kind == KQ_SCHED_FX_STOP ? KQ_SCHED_EV_STOPPED
+                                                    : KQ_SCHED_EV_PACED };
+
+  event.u.order.worker = order->worker;
+  event.u.order.run = order->run;
+  event.u.order.answer = answer;
+  event.u.order.sent_at = order->at;
+  event.u.order.clock_ms = answer == KQ_SCHED_SILENT ? 0 : worker_clock (cell);
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+}
+
+void
+ts_list (struct ts_cell *cell, const char *worker,
+         const struct kq_sched_running *running, size_t running_count,
+         const struct kq_sched_ended *ended, size_t ended_count)
+{
+  struct kq_sched_listing listing
+      = { .clock_ms = worker_clock (cell),
+          .born_ms = 1,
+          .running = (struct kq_sched_running *)running,
+          .running_count = running_count,
+          .ended = (struct kq_sched_ended *)ended,
+          .ended_count = ended_count };
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_LISTED };
+
+  event.u.listed.worker = worker;
+  event.u.listed.answer = KQ_SCHED_OK;
+  event.u.listed.sent_at = cell->now.mono;
+  event.u.listed.listing = &listing;
+  cell->now.mono += KQ_USEC_PER_MSEC;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+}
+
+const struct ts_order *
+ts_last_order (const struct ts_cell *cell, enum kq_sched_effect_kind kind,
+               uint64_t job, int step, int index)
+{
+  for (int i = cell->order_count - 1; i >= 0; i--)
+    {
+      const struct ts_order *order = &cell->orders[i];
+
+      if (order->kind == kind && order->run.job == job
+          && order->run.step == step && order->run.index == index)
+        return order;
+    }
+  return NULL;
+}
+
+int
+ts_count_orders (const struct ts_cell *cell, enum kq_sched_effect_kind kind)
+{
+  int count = 0;
+
+  for (int i = 0; i < cell->order_count; i++)
+    count += cell->orders[i].kind == kind;
+  return count;
+}
+
+struct kq_sched_running
+ts_running (const struct ts_order *order, int percent)
+{
+  return (struct kq_sched_running){ .run = order->run, .percent = percent };
+}
+
+struct kq_sched_ended
+ts_ended (const struct ts_order *order, int64_t number, enum kq_sched_end how)
+{
+  return (struct kq_sched_ended){ .number = number,
+                                  .run = order->run,
+                                  .how = how };
+}
--- /dev/null
+++ b/t/test-sched.c
@@ -0,0 +1,345 @@
+/* Decisions about jobs, tasks and workers, without a store or a network. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define JOB UINT64_C (0x11)
+
+static const struct kq_sched_step plain
+    = { .count = 2, .demand = { 1000, 100, 0 }, .est_ms = 1000 };
+
+static struct ts_cell *
+start (void)
+{
+  struct ts_cell *cell = malloc (sizeof *cell);
+
+  ts_start (cell);
+  ts_worker (cell, "a", 4000, 4000);
+  ts_worker (cell, "b", 4000, 4000);
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, "b", NULL, 0, NULL, 0);
+  return cell;
+}
+
+static void
+finish (struct ts_cell *cell)
+{
+  ts_stop (cell);
+  free (cell);
+}
+
+/* Makes the only task of JOB run, and returns its start. */
+static struct ts_order
+run_one (struct ts_cell *cell, uint64_t job, const struct kq_sched_step *step)
+{
+  struct kq_sched_step one = *step;
+  const struct ts_order *order;
+
+  one.count = 1;
+  ts_submit (cell, job, "batch", &one, 1);
+  order = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+  ts_reply (cell, order, KQ_SCHED_OK);
+  return *order;
+}
+
+static void
+test_start_waits_for_store (void)
+{
+  struct ts_cell *cell = start ();
+  uint64_t token;
+
+  cell->store_down = true;
+  token = ts_submit (cell, JOB, "batch", &plain, 1);
+  CU_ASSERT_PTR_NULL (ts_answer_to (cell, token));
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  cell->store_down = false;
+  ts_settle (cell);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, token)->status, 200);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
+static void
+test_same_id_is_one_job (void)
+{
+  struct ts_cell *cell = start ();
+  uint64_t token;
+
+  ts_submit (cell, JOB, "batch", &plain, 1);
+  token = ts_submit (cell, JOB, "batch", &plain, 1);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, token)->status, 200);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
+static void
+test_steps_in_order (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order first;
+  struct kq_sched_ended ended;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 2);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  first = cell->orders[0];
+  ts_reply (cell, &first, KQ_SCHED_OK);
+  ended = ts_ended (&first, 1, KQ_SCHED_DONE);
+  ts_list (cell, first.worker, NULL, 0, &ended, 1);
+  CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 1, 0));
+  finish (cell);
+}
+
+static void
+test_complete_waits_for_store (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  struct kq_sched_ended ended = ts_ended (&first, 1, KQ_SCHED_DONE);
+  uint64_t token;
+
+  cell->store_down = true;
+  ts_list (cell, first.worker, NULL, 0, &ended, 1);
+  token = ts_query (cell, JOB);
+  CU_ASSERT_PTR_NULL (ts_answer_to (cell, token));
+  cell->store_down = false;
+  ts_settle (cell);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, token)->state, KQ_SCHED_COMPLETE);
+  finish (cell);
+}
+
+/* The look that follows an end must not pass over it before it is stored. */
+static void
+test_end_is_stored_before_it_is_seen (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  struct kq_sched_ended ended = ts_ended (&first, 7, KQ_SCHED_DONE);
+  struct kq_sched_look look;
+  int64_t seen = -1;
+
+  cell->store_down = true;
+  ts_list (cell, first.worker, NULL, 0, &ended, 1);
+  cell->now.mono += KQ_USEC_PER_SEC;
+  while (kq_sched_next_look (cell->sched, cell->now, &look))
+    if (strcmp (look.worker, first.worker) == 0)
+      seen = look.seen;
+  CU_ASSERT_EQUAL (seen, 0);
+  cell->store_down = false;
+  ts_list (cell, first.worker, NULL, 0, &ended, 1);
+  cell->now.mono += KQ_USEC_PER_SEC;
+  while (kq_sched_next_look (cell->sched, cell->now, &look))
+    if (strcmp (look.worker, first.worker) == 0)
+      seen = look.seen;
+  CU_ASSERT_EQUAL (seen, 7);
+  finish (cell);
+}
+
+static void
+test_silent_start_is_settled_by_a_stop (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order first;
+  const struct ts_order *stop;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  first = cell->orders[0];
+  ts_reply (cell, &first, KQ_SCHED_SILENT);
+  stop = ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stop);
+  ts_list (cell, first.worker, NULL, 0, NULL, 0);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  ts_reply (cell, stop, KQ_SCHED_OK);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  ts_advance (cell, 10);
+  ts_list (cell, first.worker, NULL, 0, NULL, 0);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  CU_ASSERT_EQUAL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->run.run,
+                   2);
+  finish (cell);
+}
+
+/* A new owner does not know what its predecessor granted: what runs is left
+   alone, at the first word of its worker and before.  */
+static void
+test_takeover_keeps_what_runs (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  struct kq_sched_running row = ts_running (&first, 30);
+
+  ts_advance (cell, 500);
+  ts_take_over (cell);
+  ts_worker (cell, "a", 4000, 4000);
+  ts_worker (cell, "b", 4000, 4000);
+  ts_advance (cell, 1500);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  ts_list (cell, "a", strcmp (first.worker, "a") == 0 ? &row : NULL,
+           strcmp (first.worker, "a") == 0, NULL, 0);
+  ts_list (cell, "b", strcmp (first.worker, "b") == 0 ? &row : NULL,
+           strcmp (first.worker, "b") == 0, NULL, 0);
+  ts_advance (cell, 500);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  finish (cell);
+}
+
+static void
+test_takeover_restarts_what_is_gone (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+
+  ts_take_over (cell);
+  ts_worker (cell, "a", 4000, 4000);
+  ts_worker (cell, "b", 4000, 4000);
+  ts_advance (cell, 100);
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, "b", NULL, 0, NULL, 0);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  CU_ASSERT_EQUAL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->run.run,
+                   first.run.run + 1);
+  finish (cell);
+}
+
+/* An unreachable worker keeps its tasks until each lease that any owner may
+   have granted has lapsed, and not for ever. */
+static void
+test_takeover_waits_for_a_silent_worker (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  const char *other = strcmp (first.worker, "a") == 0 ? "b" : "a";
+
+  ts_take_over (cell);
+  ts_worker (cell, other, 4000, 4000);
+  ts_list (cell, other, NULL, 0, NULL, 0);
+  for (int i = 0; i < 16; i++)
+    {
+      ts_advance (cell, 1000);
+      ts_list (cell, other, NULL, 0, NULL, 0);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  for (int i = 0; i < 4; i++)
+    {
+      ts_advance (cell, 1000);
+      ts_list (cell, other, NULL, 0, NULL, 0);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
+static void
+test_failed_job_after_its_attempts (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  int64_t number = 0;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  for (int i = 0; i < 3; i++)
+    {
+      struct ts_order order = cell->orders[cell->order_count - 1];
+      struct kq_sched_ended ended
+          = ts_ended (&order, ++number, KQ_SCHED_FAILED);
+
+      CU_ASSERT_EQUAL (order.run.run, i + 1);
+      ts_reply (cell, &order, KQ_SCHED_OK);
+      ts_list (cell, order.worker, NULL, 0, &ended, 1);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 3);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_query (cell, JOB))->state,
+                   KQ_SCHED_FAILED_JOB);
+  finish (cell);
+}
+
+static void
+test_cancel_stops_what_runs (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  uint64_t token = ts_cancel (cell, JOB);
+
+  CU_ASSERT_EQUAL (ts_answer_to (cell, token)->status, 200);
+  CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0));
+  ts_take_over (cell);
+  ts_worker (cell, first.worker, 4000, 4000);
+  cell->order_count = 0;
+  {
+    struct kq_sched_running row = ts_running (&first, 30);
+
+    ts_list (cell, first.worker, &row, 1, NULL, 0);
+  }
+  ts_advance (cell, 1000);
+  CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0));
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  finish (cell);
+}
+
+static void
+test_lasting_task_restarts (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step lasting = plain;
+  struct ts_order first;
+  struct kq_sched_ended ended;
+
+  lasting.lasting = true;
+  first = run_one (cell, JOB, &lasting);
+  ended = ts_ended (&first, 1, KQ_SCHED_FAILED);
+  ts_list (cell, first.worker, NULL, 0, &ended, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
+static void
+test_unknown_job_is_gone (void)
+{
+  struct ts_cell *cell = start ();
+
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_query (cell, 99))->status, 410);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_cancel (cell, 99))->status, 410);
+  finish (cell);
+}
+
+static void
+test_draining_worker_gets_nothing (void)
+{
+  struct ts_cell *cell = start ();
+
+  ts_drain (cell, "a");
+  ts_submit (cell, JOB, "batch", &plain, 1);
+  for (int i = 0; i < cell->order_count; i++)
+    CU_ASSERT_STRING_EQUAL (cell->orders[i].worker, "b");
+  CU_ASSERT_EQUAL (cell->order_count, 2);
+  finish (cell);
+}
+
+static const struct kq_test tests[] = {
+  { "a start waits for the store", test_start_waits_for_store },
+  { "the same ID is one job", test_same_id_is_one_job },
+  { "steps run in order", test_steps_in_order },
+  { "complete waits for the store", test_complete_waits_for_store },
+  { "an end is stored before it is seen",
+    test_end_is_stored_before_it_is_seen },
+  { "a silent start is settled by a stop",
+    test_silent_start_is_settled_by_a_stop },
+  { "a takeover keeps what runs", test_takeover_keeps_what_runs },
+  { "a takeover restarts what is gone", test_takeover_restarts_what_is_gone },
+  { "a takeover waits for a silent worker",
+    test_takeover_waits_for_a_silent_worker },
+  { "a job fails after its attempts", test_failed_job_after_its_attempts },
+  { "a cancel stops what runs, also after a takeover",
+    test_cancel_stops_what_runs },
+  { "a lasting task starts again", test_lasting_task_restarts },
+  { "an unknown job is gone", test_unknown_job_is_gone },
+  { "a draining worker gets nothing", test_draining_worker_gets_nothing },
+};
+
+KQ_TEST_MAIN ("test-sched", tests)
