sched: a silent worker's lease is no longer renewed

Ruled out: a missing end of the registration (logged at 14.25 s) and room.

Conclusion: after 2.2 s without an answer looks only look.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -244,8 +244,7 @@
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
 void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
                    int64_t clock_ms);
-void worker_granted (struct worker *worker, int64_t until_ms,
-                     struct kq_sched_now now);
+void worker_granted (struct worker *worker, int64_t until_ms);
 
 /* listing.c */
 void listing_take (struct kq_sched *sched, struct worker *worker,
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -500,7 +500,7 @@
   snprintf (start->address, sizeof start->address, "%s",
             worker->report.address);
   start->until_ms = worker_clock (worker, now.mono) + KQ_SCHED_START_LEASE_MS;
-  worker_granted (worker, start->until_ms, now);
+  worker_granted (worker, start->until_ms);
   start->text = task->stage->job->spec.text;
   start->checkpoint = task->checkpoint;
   return 0;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -16,6 +16,10 @@
 #define LOOK_WAIT_MS 1000
 #define SHARED_WAIT_MS 400
 
+/* A worker that was silent for longer has its lease no longer renewed: two
+   looks without an answer. */
+#define RENEW_AFTER_SILENCE (2200 * KQ_USEC_PER_MSEC)
+
 /* A stop without an answer is repeated after this. */
 #define STOP_REPEAT (500 * KQ_USEC_PER_MSEC)
 
@@ -179,8 +183,7 @@
 }
 
 void
-worker_granted (struct worker *worker, int64_t until_ms,
-                struct kq_sched_now now)
+worker_granted (struct worker *worker, int64_t until_ms)
 {
   if (until_ms > worker->until_ms)
     worker->until_ms = until_ms;
@@ -253,6 +256,22 @@
     }
 }
 
+/* The end of a lease that is renewed now, 0 where it is not.  A look without
+   an answer may have renewed it, so that a silent worker's lease would never
+   be known to lapse if each look renewed it.  */
+static int64_t
+renewed_lease (struct worker *worker, struct kq_sched_now now)
+{
+  int64_t until;
+
+  if (worker->clock_at == 0
+      || now.mono - worker->heard_at > RENEW_AFTER_SILENCE)
+    return 0;
+  until = worker_clock (worker, now.mono) + KQ_SCHED_LEASE_MS;
+  worker_granted (worker, until);
+  return until;
+}
+
 bool
 kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                     struct kq_sched_look *look)
@@ -274,12 +293,7 @@
       look->wait_ms = worker->serving > 0 && worker->filler_cpu > 0
                           ? SHARED_WAIT_MS
                           : LOOK_WAIT_MS;
-    look->until_ms = worker_clock (worker, now.mono);
-    if (look->until_ms > 0)
-      {
-        look->until_ms += KQ_SCHED_LEASE_MS;
-        worker_granted (worker, look->until_ms, now);
-      }
+    look->until_ms = renewed_lease (worker, now);
     snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
     snprintf (look->address, sizeof look->address, "%s",
               worker->report.address);
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -380,6 +380,18 @@
   ts_settle (cell);
 }
 
+void
+ts_fail_look (struct ts_cell *cell, const char *worker)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_LISTED };
+
+  event.u.listed.worker = worker;
+  event.u.listed.answer = KQ_SCHED_SILENT;
+  event.u.listed.sent_at = cell->now.mono;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+}
+
 const struct ts_order *
 ts_last_order (const struct ts_cell *cell, enum kq_sched_effect_kind kind,
                uint64_t job, int step, int index)
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -87,6 +87,9 @@
               const struct kq_sched_running *running, size_t running_count,
               const struct kq_sched_ended *ended, size_t ended_count);
 
+/** The look at WORKER has no answer. */
+void ts_fail_look (struct ts_cell *cell, const char *worker);
+
 /** Returns the last order of KIND for (JOB, STEP, INDEX), or NULL. */
 const struct ts_order *ts_last_order (const struct ts_cell *cell,
                                       enum kq_sched_effect_kind kind,
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -234,6 +234,32 @@
   finish (cell);
 }
 
+/* A worker that goes silent is still looked at, but its lease is not renewed
+   by looks that it may never have received. */
+static void
+test_silent_worker_loses_its_tasks (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  const char *other = strcmp (first.worker, "a") == 0 ? "b" : "a";
+
+  for (int i = 0; i < 5; i++)
+    {
+      ts_advance (cell, 1000);
+      ts_list (cell, other, NULL, 0, NULL, 0);
+      ts_fail_look (cell, first.worker);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  for (int i = 0; i < 4; i++)
+    {
+      ts_advance (cell, 1000);
+      ts_list (cell, other, NULL, 0, NULL, 0);
+      ts_fail_look (cell, first.worker);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
 static void
 test_failed_job_after_its_attempts (void)
 {
@@ -334,6 +360,7 @@
   { "a takeover restarts what is gone", test_takeover_restarts_what_is_gone },
   { "a takeover waits for a silent worker",
     test_takeover_waits_for_a_silent_worker },
+  { "a silent worker loses its tasks", test_silent_worker_loses_its_tasks },
   { "a job fails after its attempts", test_failed_job_after_its_attempts },
   { "a cancel stops what runs, also after a takeover",
     test_cancel_stops_what_runs },
