--- a/sched/internal.h
+++ b/sched/internal.h
@@ -61,7 +61,7 @@
   enum task_state state;
   enum task_phase phase;
   int run;
-  int failures;
+  uint64_t failed_runs; /* bit N - 1: run N has failed */
   char checkpoint[KQ_SCHED_NAME];
   struct worker *worker;  /* while bound */
   struct worker *shunned; /* where it failed or stood still last */
@@ -203,7 +203,7 @@
                    struct kq_sched_now now);
 void job_task_done (struct kq_sched *sched, struct task *task,
                     struct kq_sched_now now);
-void job_task_failed (struct kq_sched *sched, struct task *task,
+void job_task_failed (struct kq_sched *sched, struct task *task, int run,
                       struct kq_sched_now now);
 void job_end (struct kq_sched *sched, struct job *job,
               enum kq_sched_state state, struct kq_sched_now now);
--- a/sched/job.c
+++ b/sched/job.c
@@ -8,6 +8,10 @@
    time that a deployment asks for ("status_s" 120). */
 #define KEEP_ENDED_MS INT64_C (240000)
 
+/* Runs of a task whose failures are told apart; tasks that last start more
+   often, but have no limit. */
+#define MOST_RUNS_TOLD_APART 64
+
 struct job *
 job_find (struct kq_sched *sched, uint64_t id)
 {
@@ -242,15 +246,18 @@
 }
 
 void
-job_task_failed (struct kq_sched *sched, struct task *task,
+job_task_failed (struct kq_sched *sched, struct task *task, int run,
                  struct kq_sched_now now)
 {
   struct job *job = task->stage->job;
+  int bit = run < MOST_RUNS_TOLD_APART ? run - 1 : MOST_RUNS_TOLD_APART - 1;
 
-  task->failures++;
+  /* A set, not a count: a later owner is told of the same end again. */
+  if (bit >= 0)
+    task->failed_runs |= UINT64_C (1) << bit;
   job_mark_dirty (sched, job);
-  if (!task->stage->step->lasting && task->failures >= job->queue.attempts
-      && !job_is_over (job))
+  if (!task->stage->step->lasting && !job_is_over (job)
+      && __builtin_popcountll (task->failed_runs) >= job->queue.attempts)
     job_end (sched, job, KQ_SCHED_FAILED_JOB, now);
 }
 
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -95,7 +95,7 @@
     {
       judge_failure (worker, task, now);
       task->shunned = worker;
-      job_task_failed (sched, task, now);
+      job_task_failed (sched, task, ended->run.run, now);
     }
   if (current && task->state == TASK_BOUND)
     take_interruption (sched, task, ended, now);
--- a/sched/record.c
+++ b/sched/record.c
@@ -48,7 +48,7 @@
 static bool
 is_worth_a_record (const struct task *task)
 {
-  return task->state == TASK_DONE || task->run > 0 || task->failures > 0;
+  return task->state == TASK_DONE || task->run > 0;
 }
 
 static void
@@ -62,7 +62,7 @@
   record->run = (uint32_t)task->run;
   if (record->done)
     return;
-  record->failures = (uint32_t)task->failures;
+  record->failed_runs = task->failed_runs;
   record->checkpoint = task->checkpoint;
   if (task->state == TASK_BOUND)
     {
@@ -191,7 +191,7 @@
   struct worker *worker;
 
   task->run = (int)record->run;
-  task->failures = (int)record->failures;
+  task->failed_runs = record->failed_runs;
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -305,12 +305,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failures",
+    "failed_runs",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(KqSched__TaskRecord, failures),
+    offsetof(KqSched__TaskRecord, failed_runs),
     NULL,
     NULL,
     0,             /* flags */
@@ -334,7 +334,7 @@
   5,   /* field[5] = bound */
   9,   /* field[9] = checkpoint */
   3,   /* field[3] = done */
-  8,   /* field[8] = failures */
+  8,   /* field[8] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
   4,   /* field[4] = run */
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -69,7 +69,10 @@
    * the worker's life
    */
   int64_t born_ms;
-  uint32_t failures;
+  /*
+   * bit N - 1: run N has failed
+   */
+  uint64_t failed_runs;
   char *checkpoint;
 };
 #define KQ_SCHED__TASK_RECORD__INIT \
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -285,6 +285,34 @@
   finish (cell);
 }
 
+/* An end that was stored, but not yet passed over at the worker, is listed to
+   the next owner again: it is one failure. */
+static void
+test_failure_counts_once (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order order;
+  struct kq_sched_ended ended;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  order = cell->orders[0];
+  ts_reply (cell, &order, KQ_SCHED_OK);
+  ended = ts_ended (&order, 1, KQ_SCHED_FAILED);
+  ts_list (cell, order.worker, NULL, 0, &ended, 1);
+  for (int i = 0; i < 3; i++)
+    {
+      ts_take_over (cell);
+      ts_worker (cell, "a", 4000, 4000);
+      ts_worker (cell, "b", 4000, 4000);
+      ts_list (cell, order.worker, NULL, 0, &ended, 1);
+    }
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_query (cell, JOB))->state,
+                   KQ_SCHED_ACTIVE);
+  finish (cell);
+}
+
 static void
 test_cancel_stops_what_runs (void)
 {
@@ -362,6 +390,7 @@
     test_takeover_waits_for_a_silent_worker },
   { "a silent worker loses its tasks", test_silent_worker_loses_its_tasks },
   { "a job fails after its attempts", test_failed_job_after_its_attempts },
+  { "a failure counts once", test_failure_counts_once },
   { "a cancel stops what runs, also after a takeover",
     test_cancel_stops_what_runs },
   { "a lasting task starts again", test_lasting_task_restarts },
