core: a copy of the configuration keeps the revision that it repeats

Ruled out: dropping copies whose text is in force: a host that starts after retention sees the copy alone and must take the same revision as the others.

The fake log's check took each record for a change; it now holds copies to the revision and text that they repeat.

Conclusion: a copy says that it is one, and names the revision.

--- a/core/catchup.c
+++ b/core/catchup.c
@@ -76,6 +76,11 @@
 {
   const struct kq_record *record = late->record;
 
+  /* A copy has the revision that it repeats. */
+  if (record->u.config.copy)
+    return kq_config_restore (core->config, record->u.config.base,
+                              record->u.config.base, &record->host,
+                              record->u.config.text);
   if (judged)
     return kq_config_restore (core->config, late->offset,
                               record->u.config.base, &record->host,
--- a/core/core.c
+++ b/core/core.c
@@ -137,6 +137,25 @@
   return 0;
 }
 
+/* A copy has the revision that it repeats, on every host: it is no change. */
+static int
+apply_config_copy (struct kq_core *core, const struct kq_record *record)
+{
+  int64_t repeated = record->u.config.base;
+  int err;
+
+  if (repeated < kq_config_revision (core->config))
+    return KQ_EEXIST;
+  core->config_at = core->now;
+  if (repeated == kq_config_revision (core->config))
+    return 0;
+  err = kq_config_restore (core->config, repeated, repeated, &record->host,
+                           record->u.config.text);
+  if (err == 0)
+    kq_shard_configure (core);
+  return err;
+}
+
 static int
 apply_config (struct kq_core *core, int64_t offset,
               const struct kq_record *record)
@@ -145,6 +164,8 @@
 
   if (core->gap_end != 0)
     return kq_catchup_keep (core, offset, record);
+  if (record->u.config.copy)
+    return apply_config_copy (core, record);
   err = kq_config_apply (core->config, offset, record->u.config.base,
                          &record->host, record->u.config.text, NULL);
 
--- a/core/event.h
+++ b/core/event.h
@@ -176,6 +176,7 @@
     {
       int64_t base;     /**< revision that it was made from */
       const char *text; /**< JSON document */
+      bool copy;        /**< repeats revision BASE before retention */
     } config;
     struct kq_job job;
     struct kq_name cancel; /**< job id */
--- a/core/refresh.c
+++ b/core/refresh.c
@@ -40,6 +40,7 @@
     return;
   record.u.config.base = kq_config_revision (core->config);
   record.u.config.text = kq_config_text (core->config);
+  record.u.config.copy = true;
   core->config_append = kq_append_want (core, &record);
   if (core->config_append != NULL)
     core->config_append->slot = &core->config_append;
--- a/node/desk.c
+++ b/node/desk.c
@@ -187,6 +187,16 @@
   send_ask (desk, pending);
 }
 
+/* What follows the prefix is a job's ID, or nothing where a queue is read. */
+static bool
+is_well_formed (const struct kq_http_request *request, const char *rest,
+                uint64_t *job)
+{
+  if (rest[0] == '\0')
+    return strcmp (request->method, MHD_HTTP_METHOD_GET) == 0;
+  return kq_submission_id_read (rest, job);
+}
+
 static void
 on_request (void *arg, struct kq_http_request *request)
 {
@@ -209,10 +219,7 @@
     reply (desk, request, rest, MHD_HTTP_METHOD_NOT_ALLOWED, KQ_EINVAL, NULL);
   else if (request->too_long)
     reply (desk, request, rest, MHD_HTTP_CONTENT_TOO_LARGE, KQ_ETOOBIG, NULL);
-  else if (rest[0] != '\0' && !kq_submission_id_read (rest, &job))
-    reply (desk, request, rest, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX, NULL);
-  else if (rest[0] == '\0'
-           && strcmp (request->method, MHD_HTTP_METHOD_GET) != 0)
+  else if (!is_well_formed (request, rest, &job))
     reply (desk, request, rest, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX, NULL);
   else
     forward (desk, request, queue, job, rest[0] != '\0');
--- a/node/journal.c
+++ b/node/journal.c
@@ -73,14 +73,17 @@
 {
   struct kq_journal *journal = arg;
 
-  if (appended->err == 0)
+  /* With the next number expected, it was stored more appends ago than the
+     store remembers. */
+  bool stored = appended->err == 0
+                || (appended->err == KQ_EEXIST
+                    && appended->refusal == KQ_STORE_OUT_OF_TURN
+                    && appended->expected == journal->sequence + 1);
+
+  if (stored)
     finish (journal, appended);
   else if (appended->err != KQ_EEXIST)
     fail (journal, appended);
-  else if (appended->refusal == KQ_STORE_OUT_OF_TURN
-           && appended->expected == journal->sequence + 1)
-    /* It was stored, more appends ago than the store remembers. */
-    finish (journal, appended);
   else if (appended->refusal == KQ_STORE_OUT_OF_TURN)
     {
       kq_log (KQ_LOG_WARN, "journal", "sequence corrected", 0, NULL);
--- a/node/node.c
+++ b/node/node.c
@@ -229,11 +229,13 @@
   kq_owner_destroy (node->owner);
   node->owner = NULL;
   /* These may have been done: they are left without an answer. */
-  HASH_ITER (hh, node->remotes, remote, next)
-  {
-    HASH_DEL (node->remotes, remote);
-    free (remote);
-  }
+  remote = node->remotes;
+  HASH_CLEAR (hh, node->remotes);
+  for (; remote != NULL; remote = next)
+    {
+      next = remote->hh.next;
+      free (remote);
+    }
 }
 
 static void
--- a/node/owner.c
+++ b/node/owner.c
@@ -415,6 +415,7 @@
   event->u.call.body = body;
   event->u.call.body_size = size;
   take_event (owner, event);
+  event->u.call.spec = NULL;
 }
 
 void
--- a/node/restore.c
+++ b/node/restore.c
@@ -57,16 +57,17 @@
 static void
 clear_found (struct kq_restore *restore)
 {
-  struct found *found;
+  struct found *found = restore->found;
   struct found *next;
 
-  HASH_ITER (hh, restore->found, found, next)
-  {
-    HASH_DEL (restore->found, found);
-    free (found->job);
-    free (found->state);
-    free (found);
-  }
+  HASH_CLEAR (hh, restore->found);
+  for (; found != NULL; found = next)
+    {
+      next = found->hh.next;
+      free (found->job);
+      free (found->state);
+      free (found);
+    }
 }
 
 void
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -92,9 +92,9 @@
   int done;
   bool open; /* its turn has come */
   bool queued;
-  int64_t due_ms;  /* objective of its job, wall clock */
-  int64_t rest_ms; /* longest chain of steps from this one on */
-  int rank;        /* 0: in time, 1: late, 2: too late to count */
+  int64_t due_ms;     /* objective of its job, wall clock */
+  int64_t rest_ms;    /* longest chain of steps from this one on */
+  int rank;           /* 0: in time, 1: late, 2: too late to count */
   struct stage *prev; /* of the queue of stages with ready tasks */
   struct stage *next;
 };
@@ -132,7 +132,7 @@
   struct kq_sched_demand used;
   int64_t filler_cpu;
   int64_t idle_cpu; /* that serving tasks ask for and do not use */
-  int serving; /* tasks that serve */
+  int serving;      /* tasks that serve */
   int task_count;
   struct task *tasks;
   /* the look that renews its lease */
--- a/sched/job.c
+++ b/sched/job.c
@@ -33,6 +33,13 @@
   return job->spec.times > 0 ? job->spec.times : 1;
 }
 
+static struct stage *
+stage_at (const struct job *job, int occurrence, int step)
+{
+  return &job->stages[(size_t)occurrence * (size_t)job->spec.step_count
+                      + (size_t)step];
+}
+
 struct task *
 job_task (struct job *job, const struct kq_sched_run *run)
 {
@@ -41,7 +48,7 @@
   if (run->occurrence < 0 || run->occurrence >= occurrences (job)
       || run->step < 0 || run->step >= job->spec.step_count)
     return NULL;
-  stage = &job->stages[run->occurrence * job->spec.step_count + run->step];
+  stage = stage_at (job, run->occurrence, run->step);
   if (run->index < 0 || run->index >= stage->step->count)
     return NULL;
   return &stage->tasks[run->index];
@@ -154,8 +161,7 @@
 static bool
 prerequisites_done (const struct stage *stage)
 {
-  const struct stage *first
-      = &stage->job->stages[stage->occurrence * stage->job->spec.step_count];
+  const struct stage *first = stage_at (stage->job, stage->occurrence, 0);
 
   for (int i = 0; i < stage->step->after_count; i++)
     {
@@ -183,7 +189,7 @@
 open_occurrence (struct kq_sched *sched, struct job *job, int occurrence,
                  struct kq_sched_now now)
 {
-  struct stage *first = &job->stages[occurrence * job->spec.step_count];
+  struct stage *first = stage_at (job, occurrence, 0);
 
   for (int i = 0; i < job->spec.step_count; i++)
     open_stage (sched, &first[i], now);
--- a/sched/record.c
+++ b/sched/record.c
@@ -90,7 +90,7 @@
   KqSched__StateRecord message = KQ_SCHED__STATE_RECORD__INIT;
   size_t count = job->state == KQ_SCHED_COMPLETE ? 0 : count_tasks (job);
   KqSched__TaskRecord *tasks = calloc (count + 1, sizeof *tasks);
-  KqSched__TaskRecord **rows = calloc (count + 1, sizeof *rows);
+  KqSched__TaskRecord **rows = calloc (count + 1, sizeof (void *));
   size_t n = 0;
 
   for (int i = 0;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -50,12 +50,18 @@
 
   if (sched == NULL)
     return;
-  HASH_ITER (hh, sched->jobs, job, next_job) { job_destroy (sched, job); }
-  HASH_ITER (hh, sched->workers, worker, next_worker)
-  {
-    HASH_DEL (sched->workers, worker);
-    free (worker);
-  }
+  for (job = sched->jobs; job != NULL; job = next_job)
+    {
+      next_job = job->hh.next;
+      job_destroy (sched, job);
+    }
+  worker = sched->workers;
+  HASH_CLEAR (hh, sched->workers);
+  for (; worker != NULL; worker = next_worker)
+    {
+      next_worker = worker->hh.next;
+      free (worker);
+    }
   while (kq_sched_next_effect (sched, &effect))
     ;
   kq_pressure_destroy (sched->pressure);
@@ -360,12 +366,12 @@
       task->phase_at = now.mono;
       task->percent_at = now.mono;
       task->stage->job->started = true;
-      worker_look_soon (worker, now);
+      worker_look_soon (task->worker, now);
       break;
     case KQ_SCHED_SILENT:
       task->phase = PHASE_DOUBTFUL;
       task_log (task, "start unanswered", "");
-      worker->full_until = now.mono + FULL_TIME;
+      task->worker->full_until = now.mono + FULL_TIME;
       task_stop (sched, task, now);
       break;
     default:
@@ -396,7 +402,7 @@
     {
       task->phase = PHASE_STOPPING;
       task->phase_at = now.mono;
-      worker_look_soon (worker, now);
+      worker_look_soon (task->worker, now);
     }
   else if (event->u.order.answer == KQ_SCHED_OTHER_LIFE)
     task_settle (sched, task, now, "other life");
--- a/sched/share.c
+++ b/sched/share.c
@@ -33,7 +33,8 @@
 #define RAISE_INTERVAL (600 * KQ_USEC_PER_MSEC)
 
 /* A task at or below this pace for this long is stopped, to go on where it
-   disturbs nobody, if little of its work is lost; it would only hold memory. */
+   disturbs nobody, if little of its work is lost; it would only hold memory.
+ */
 #define SLOW_PACE 20
 #define MOVE_AFTER (400 * KQ_USEC_PER_MSEC)
 #define LOST_PERCENT 40
@@ -92,8 +93,8 @@
   for (uint64_t left = mix->fillers; left != 0; left &= left - 1)
     {
       int filler = __builtin_ctzll (left);
-      double factor = kq_pressure_factor (sched->pressure, task->stage->image,
-                                          filler);
+      double factor
+          = kq_pressure_factor (sched->pressure, task->stage->image, filler);
 
       if (factor >= HARMLESS_FACTOR)
         sum += factor * mix->share[filler];
@@ -261,8 +262,7 @@
   {
     if (task->pace <= SLOW_PACE && !task->stop_wanted
         && now.mono - task->paced_at > MOVE_AFTER
-        && (task->stage->step->checkpointable
-            || task->percent < LOST_PERCENT))
+        && (task->stage->step->checkpointable || task->percent < LOST_PERCENT))
       {
         task_log (task, "task moved", "it disturbs a serving task");
         task_stop (sched, task, now);
@@ -289,9 +289,8 @@
   DL_FOREACH (worker->tasks, task)
   {
     if (serves (task))
-      worker->idle_cpu
-          += (int64_t)((double)task->stage->step->demand.cpu
-                       * (1 - load_of (task)));
+      worker->idle_cpu += (int64_t)((double)task->stage->step->demand.cpu
+                                    * (1 - load_of (task)));
   }
   pace_all (sched, worker, now);
   move_slowed (sched, worker, now);
--- a/t/lib-fake-log.c
+++ b/t/lib-fake-log.c
@@ -71,6 +71,23 @@
       host->heard_drain[i] = world->now;
 }
 
+/* A copy changes nothing: it repeats a revision that was accepted, word for
+   word where that one is still in force. */
+static void
+check_copy (struct fake_world *world, const struct kq_record *record)
+{
+  int64_t accepted = kq_config_revision (world->config);
+
+  if (record->u.config.base > accepted)
+    fake_violation (world, "copy of revision %ld, accepted is %ld",
+                    (long)record->u.config.base, (long)accepted);
+  else if (record->u.config.base == accepted
+           && strcmp (record->u.config.text, kq_config_text (world->config))
+                  != 0)
+    fake_violation (world, "copy of revision %ld differs from it",
+                    (long)accepted);
+}
+
 static int64_t
 land (struct fake_world *world, const struct kq_record *record)
 {
@@ -85,7 +102,9 @@
     check_ends (world, offset, record);
   if (record->kind == KQ_REC_DRAIN)
     note_drain (world, offset, record);
-  if (record->kind == KQ_REC_CONFIG)
+  if (record->kind == KQ_REC_CONFIG && record->u.config.copy)
+    check_copy (world, record);
+  else if (record->kind == KQ_REC_CONFIG)
     kq_config_apply (world->config, offset, record->u.config.base,
                      &record->host, record->u.config.text, NULL);
   else
