term: silence counts only while the store can be heard; strong hosts first

Cause: after an outage of the store the first host to read it again had heard no beat for the length of the outage, and claimed before the owner could write one: a change of owner for nothing.

Ruled out: a longer time-out (it would delay every real takeover).

Conclusion: the wait begins anew where reads were interrupted.

--- a/node/node.c
+++ b/node/node.c
@@ -498,7 +498,8 @@
   node->store = node->caller != NULL
                     ? kq_store_create (node->caller, node->boot.store)
                     : NULL;
-  node->term = kq_term_create (node->boot.host, hop_address, life);
+  node->term
+      = kq_term_create (node->boot.host, hop_address, life, node->boot.cores);
   if (node->store == NULL || node->term == NULL)
     return KQ_ENOMEM;
   err = start_listeners (node, hop_address, metrics_port);
--- a/term/term.c
+++ b/term/term.c
@@ -20,6 +20,10 @@
 #define CLAIM_DELAY_MAX (300 * KQ_USEC_PER_MSEC)
 #define CLAIM_SPREAD (40 * KQ_USEC_PER_MSEC)
 
+/* An owner of 490 workers and 1,100 starts a second needs a third of a core
+   (docs/CAPACITY.md); hosts with less than this claim later. */
+#define OWNER_CORES 0.5
+
 /* A read older than this does not show that the owner is silent. */
 #define READ_FRESH (900 * KQ_USEC_PER_MSEC)
 
@@ -40,6 +44,7 @@
   kq_usec read_at;  /* when the last read that reached the end was answered */
   kq_usec alive_at; /* last sign of the owner */
   kq_usec call_time;
+  double cores;
   int64_t mine;
   kq_usec confirmed_at;
   bool releasing;
@@ -55,7 +60,8 @@
 };
 
 struct kq_term *
-kq_term_create (const char *host, const char *address, const char *life)
+kq_term_create (const char *host, const char *address, const char *life,
+                double cores)
 {
   struct kq_term *term = calloc (1, sizeof *term);
 
@@ -64,6 +70,7 @@
   snprintf (term->host, sizeof term->host, "%s", host);
   snprintf (term->address, sizeof term->address, "%s", address);
   snprintf (term->life, sizeof term->life, "%s", life);
+  term->cores = cores;
   return term;
 }
 
@@ -195,6 +202,10 @@
 {
   if (end > term->offset)
     term->offset = end;
+  /* While the store did not answer, nobody could hear the owner. */
+  if (term->caught_up && now - term->read_at > READ_FRESH
+      && term->owner.life[0] != '\0')
+    term->alive_at = now;
   term->read_at = now;
   if (!term->caught_up)
     {
@@ -224,6 +235,9 @@
 
   if (delay > CLAIM_DELAY_MAX)
     delay = CLAIM_DELAY_MAX;
+  if (term->cores < OWNER_CORES)
+    delay += (kq_usec)((double)CLAIM_DELAY_MAX
+                       * (1 - term->cores / OWNER_CORES));
   return delay + (kq_usec)(hash % (uint64_t)CLAIM_SPREAD);
 }
 
--- a/term/term.h
+++ b/term/term.h
@@ -49,9 +49,10 @@
   int64_t term; /**< 0: nobody */
 };
 
-/** Creates the view of HOST, reached at ADDRESS, in its present LIFE. */
+/** Creates the view of HOST, reached at ADDRESS, in its present LIFE.  CORES
+ *  is its share of a processor: hosts with more claim earlier.  */
 struct kq_term *kq_term_create (const char *host, const char *address,
-                                const char *life);
+                                const char *life, double cores);
 void kq_term_destroy (struct kq_term *term);
 
 /** Takes the record at OFFSET.  Malformed ones are skipped. */
