--- /dev/null
+++ b/t/test-wire.c
@@ -0,0 +1,309 @@
+/* What the platform writes, and what callers hand in, read into our types. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "platform/boot.h"
+#include "platform/site.h"
+#include "platform/submission.h"
+#include "platform/wire-run.h"
+#include "t/kqtest.h"
+
+static int
+read_job (const char *body, struct kq_sched_spec *spec)
+{
+  return kq_submission_read (body, strlen (body), spec);
+}
+
+static void
+test_job_is_read (void)
+{
+  static const char body[]
+      = "{\"spec\":\"x\",\"times\":2,\"start_ms\":5,\"interval_ms\":7,"
+        "\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"est_ms\":900,"
+        "\"data_rack\":\"r1\"},{\"count\":2,\"after\":[0],\"gang\":true,"
+        "\"fills\":true,\"checkpointable\":true,\"image\":\"i\","
+        "\"long_running\":true,\"latency_target_ms\":50,"
+        "\"max_per_server\":3,\"max_unavailable\":1,\"gpu\":1,"
+        "\"required_label\":\"a\",\"same_rack\":true}]}";
+  struct kq_sched_spec spec;
+
+  CU_ASSERT_EQUAL_FATAL (read_job (body, &spec), 0);
+  CU_ASSERT_STRING_EQUAL (spec.text, "x");
+  CU_ASSERT_EQUAL (spec.times, 2);
+  CU_ASSERT_EQUAL (spec.start_ms, 5);
+  CU_ASSERT_EQUAL (spec.interval_ms, 7);
+  CU_ASSERT_EQUAL (spec.step_count, 2);
+  CU_ASSERT_EQUAL (spec.steps[0].demand.cpu, 500);
+  CU_ASSERT_EQUAL (spec.steps[0].demand.mem, 256);
+  CU_ASSERT_EQUAL (spec.steps[0].est_ms, 900);
+  CU_ASSERT_STRING_EQUAL (spec.steps[0].rack, "r1");
+  CU_ASSERT_EQUAL (spec.steps[1].after[0], 0);
+  CU_ASSERT (spec.steps[1].gang && spec.steps[1].filler
+             && spec.steps[1].checkpointable && spec.steps[1].lasting
+             && spec.steps[1].same_rack);
+  CU_ASSERT_EQUAL (spec.steps[1].tail_target_ms, 50);
+  CU_ASSERT_EQUAL (spec.steps[1].max_per_worker, 3);
+  CU_ASSERT_EQUAL (spec.steps[1].max_unavailable, 1);
+  CU_ASSERT_EQUAL (spec.steps[1].demand.gpu, 1);
+  CU_ASSERT_STRING_EQUAL (spec.steps[1].label, "a");
+  kq_sched_spec_clear (&spec);
+}
+
+/* Each of these is refused with a number, and leaves nothing behind. */
+static void
+test_bad_jobs_are_refused (void)
+{
+  static const struct
+  {
+    const char *body;
+    int err;
+  } cases[] = {
+    { "", KQ_ESYNTAX },
+    { "[]", KQ_ESYNTAX },
+    { "{\"spec\":\"x\"}", KQ_EINVAL },
+    { "{\"spec\":\"x\",\"steps\":[]}", KQ_EINVAL },
+    { "{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", KQ_ESYNTAX },
+    { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-1}]}", KQ_ESYNTAX },
+    { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}", KQ_EINVAL },
+    { "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,"
+      "\"after\":[2]}]}",
+      KQ_EINVAL },
+    { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[\"a\"]}]}",
+      KQ_EINVAL },
+    { "{\"spec\":\"x\",\"steps\":[7]}", KQ_ESYNTAX },
+    { "{\"spec\":\"x\",\"times\":-1,\"steps\":[{\"count\":1}]}", KQ_ESYNTAX },
+  };
+  struct kq_sched_spec spec;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      CU_ASSERT_EQUAL (read_job (cases[i].body, &spec), cases[i].err);
+      CU_ASSERT_PTR_NULL (spec.steps);
+      CU_ASSERT_PTR_NULL (spec.text);
+    }
+}
+
+static void
+test_text_is_bounded (void)
+{
+  char body[4200];
+  struct kq_sched_spec spec;
+
+  snprintf (body, sizeof body,
+            "{\"spec\":\"%04000d\",\"steps\":[{\"count\":1}]}", 0);
+  CU_ASSERT_EQUAL (read_job (body, &spec), 0);
+  kq_sched_spec_clear (&spec);
+  snprintf (body, sizeof body,
+            "{\"spec\":\"%04001d\",\"steps\":[{\"count\":1}]}", 0);
+  CU_ASSERT_EQUAL (read_job (body, &spec), KQ_EINVAL);
+}
+
+static void
+test_ids (void)
+{
+  uint64_t id;
+
+  CU_ASSERT (kq_submission_id_read ("5c0e7a21d94b36f8", &id));
+  CU_ASSERT_EQUAL (id, UINT64_C (0x5c0e7a21d94b36f8));
+  CU_ASSERT_FALSE (kq_submission_id_read ("5c0e7a21d94b36f", &id));
+  CU_ASSERT_FALSE (kq_submission_id_read ("5c0e7a21d94b36f8a", &id));
+  CU_ASSERT_FALSE (kq_submission_id_read ("5c0e7a21d94b36g8", &id));
+  CU_ASSERT_FALSE (kq_submission_id_read ("5C0E7A21D94B36F8", &id));
+  CU_ASSERT_FALSE (kq_submission_id_read ("", &id));
+}
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+      "\"prefix\":\"/a/\",\"slo_ms\":300,\"priority\":0,\"service\":\"s\","
+      "\"attempts\":3,\"stretch\":1.5},{\"name\":\"r2\","
+      "\"host\":\"h.example\",\"prefix\":\"/a/b/\",\"service\":\"s\"},"
+      "{\"name\":7}],\"services\":[],\"limits\":{\"max_body_bytes\":1000}}";
+
+static void
+test_config_is_read (void)
+{
+  struct kq_sched_config *config = NULL;
+  const struct kq_sched_queue *queue;
+
+  CU_ASSERT_EQUAL_FATAL (
+      kq_site_config_read (config_text, strlen (config_text), &config), 0);
+  CU_ASSERT_EQUAL (config->version, 7);
+  CU_ASSERT_EQUAL (config->queue_count, 2);
+  CU_ASSERT_EQUAL (config->max_body_bytes, 1000);
+  queue = kq_sched_config_route (config, "h.example", "/a/0");
+  CU_ASSERT_STRING_EQUAL (queue->name, "r");
+  CU_ASSERT_EQUAL (queue->attempts, 3);
+  queue = kq_sched_config_route (config, "h.example", "/a/b/0");
+  CU_ASSERT_STRING_EQUAL (queue->name, "r2");
+  CU_ASSERT_PTR_NULL (kq_sched_config_route (config, "h.example", "/c/"));
+  CU_ASSERT_PTR_NULL (kq_sched_config_route (config, "other", "/a/0"));
+  kq_sched_config_destroy (config);
+}
+
+static int
+read_report (const char *text, struct kq_sched_report *report)
+{
+  return kq_site_report_read ("i-1", 3, text, strlen (text), report);
+}
+
+static void
+test_reports (void)
+{
+  struct kq_sched_report report;
+
+  CU_ASSERT_EQUAL (
+      read_report ("{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\","
+                   "\"zone\":\"z\",\"state\":\"draining\",\"born\":12,"
+                   "\"remaining_ms\":900,\"capacity\":{\"cpu\":16000,"
+                   "\"mem_mb\":32768},\"labels\":[\"a\",\"r1-3\"],\"seq\":4}",
+                   &report),
+      0);
+  CU_ASSERT_STRING_EQUAL (report.id, "i-1");
+  CU_ASSERT_STRING_EQUAL (report.kind, "a");
+  CU_ASSERT_STRING_EQUAL (report.rack, "r1-3");
+  CU_ASSERT_EQUAL (report.born_ms, 12);
+  CU_ASSERT (report.draining);
+  CU_ASSERT_EQUAL (report.remaining_ms, 900);
+  CU_ASSERT_EQUAL (report.capacity.cpu, 16000);
+  CU_ASSERT_EQUAL (report.capacity.gpu, 0);
+}
+
+/* Entries of another writer name no worker. */
+static void
+test_rubbish_names_no_worker (void)
+{
+  static const char *const texts[]
+      = { "",
+          "\xff\xfe",
+          "null",
+          "{}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"odd\","
+          "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "\"capacity\":7}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":\"many\",\"mem_mb\":1}}",
+          "{\"service\":5,\"addr\":\"a:1\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}" };
+  struct kq_sched_report report;
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    CU_ASSERT_NOT_EQUAL (read_report (texts[i], &report), 0);
+}
+
+static void
+test_listing (void)
+{
+  json_t *answer = json_loads (
+      "{\"clock_ms\":5,\"born\":9,\"running\":["
+      "[\"00000000000000ff.0.1.17\",2,\"cp\",41,300],[\"odd\",1,\"\",0]],"
+      "\"ended\":[[58,\"00000000000000ff.0.1.9\",1,\"done\",\"\"],"
+      "[59,\"00000000000000ff.0.1.9\",1,\"odd\",\"\"]]}",
+      0, NULL);
+  struct kq_sched_listing listing = { 0 };
+
+  CU_ASSERT_EQUAL (kq_wire_listing_read (answer, &listing), 0);
+  CU_ASSERT_EQUAL (listing.clock_ms, 5);
+  CU_ASSERT_EQUAL (listing.born_ms, 9);
+  CU_ASSERT_EQUAL_FATAL (listing.running_count, 1);
+  CU_ASSERT_EQUAL (listing.running[0].run.job, 255);
+  CU_ASSERT_EQUAL (listing.running[0].run.index, 17);
+  CU_ASSERT_EQUAL (listing.running[0].run.run, 2);
+  CU_ASSERT_EQUAL (listing.running[0].percent, 41);
+  CU_ASSERT_EQUAL (listing.running[0].figure, 300);
+  CU_ASSERT_STRING_EQUAL (listing.running[0].checkpoint, "cp");
+  CU_ASSERT_EQUAL_FATAL (listing.ended_count, 1);
+  CU_ASSERT_EQUAL (listing.ended[0].number, 58);
+  CU_ASSERT_EQUAL (listing.ended[0].how, KQ_SCHED_DONE);
+  kq_wire_listing_clear (&listing);
+  json_decref (answer);
+}
+
+static void
+test_run_names (void)
+{
+  struct kq_sched_run run
+      = { .job = 0xabc, .occurrence = 1, .step = 2, .index = 3, .run = 4 };
+  struct kq_sched_run back = { 0 };
+  char name[KQ_WIRE_RUN_NAME];
+
+  kq_wire_run_name (&run, name);
+  CU_ASSERT_STRING_EQUAL (name, "0000000000000abc.1.2.3");
+  CU_ASSERT (kq_wire_run_read (name, &back));
+  CU_ASSERT_EQUAL (back.job, run.job);
+  CU_ASSERT_EQUAL (back.index, run.index);
+  CU_ASSERT_FALSE (kq_wire_run_read ("abc.1.2", &back));
+  CU_ASSERT_FALSE (kq_wire_run_read ("abc.1.2.3x", &back));
+  CU_ASSERT_FALSE (kq_wire_run_read (NULL, &back));
+}
+
+static const char settings_text[]
+    = "{\"node_name\":\"n\",\"zone\":\"z\",\"region\":\"r\","
+      "\"ip\":\"10.0.0.1\",\"new_field\":1,"
+      "\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"
+      "\"platform\":{\"addr\":\"10.0.0.2:3\"},\"port_range\":[7720,7735],"
+      "\"heartbeat_ms\":1100,\"bounds\":{\"hold_max_ms\":10000,"
+      "\"grace_s\":%s},\"limits\":{\"cpu_share\":0.25,\"cores\":2}}";
+
+static int
+read_settings (const char *grace, struct kq_boot *boot,
+               struct kq_boot_error *error)
+{
+  char path[] = "/tmp/kq-test-wire-XXXXXX";
+  int fd = mkstemp (path);
+  FILE *file = fdopen (fd, "w");
+  int err;
+
+  fprintf (file, settings_text, grace);
+  fclose (file);
+  err = kq_boot_read (path, boot, error);
+  unlink (path);
+  return err;
+}
+
+static void
+test_settings (void)
+{
+  struct kq_boot boot;
+  struct kq_boot_error error;
+
+  CU_ASSERT_EQUAL (read_settings ("6", &boot, &error), 0);
+  CU_ASSERT_STRING_EQUAL (boot.host, "n");
+  CU_ASSERT_STRING_EQUAL (boot.callers, "10.0.0.1:1");
+  CU_ASSERT_EQUAL (boot.first_port, 7720);
+  CU_ASSERT_EQUAL (boot.registration_interval, 1100000);
+  CU_ASSERT_EQUAL (boot.stop_grace, 6 * KQ_USEC_PER_SEC);
+  CU_ASSERT_DOUBLE_EQUAL (boot.cores, 0.5, 0.001);
+}
+
+static void
+test_bad_settings_name_the_field (void)
+{
+  struct kq_boot boot;
+  struct kq_boot_error error;
+
+  CU_ASSERT_EQUAL (read_settings ("\"six\"", &boot, &error), KQ_ESETTING);
+  CU_ASSERT_STRING_EQUAL (error.field, "bounds.grace_s");
+  CU_ASSERT_EQUAL (read_settings ("0", &boot, &error), KQ_ESETTING);
+  CU_ASSERT_EQUAL (read_settings ("", &boot, &error), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (kq_boot_read ("/nowhere", &boot, &error), KQ_EIO);
+}
+
+static const struct kq_test tests[] = {
+  { "a job is read", test_job_is_read },
+  { "bad jobs are refused", test_bad_jobs_are_refused },
+  { "a job's text is bounded", test_text_is_bounded },
+  { "IDs", test_ids },
+  { "a configuration is read", test_config_is_read },
+  { "reports of workers", test_reports },
+  { "rubbish names no worker", test_rubbish_names_no_worker },
+  { "lists of workers", test_listing },
+  { "names of runs", test_run_names },
+  { "settings", test_settings },
+  { "bad settings name the field", test_bad_settings_name_the_field },
+};
+
+KQ_TEST_MAIN ("test-wire", tests)
