--- a/node/desk.c
+++ b/node/desk.c
@@ -9,6 +9,8 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "metrics/histogram.h"
+#include "metrics/metrics.h"
 #include "platform/submission.h"
 
 /* A caller that names no limit waits this long.  Source: the longest
@@ -34,6 +36,28 @@
 /* When callers come again: an owner is replaced within two seconds. */
 #define RETRY_S 1u
 
+static struct kq_metric answered_ok
+    = { .name = "kq_desk_answered_total",
+        .help = "Callers' requests that were answered with success." };
+static struct kq_metric refused_unsent
+    = { .name = "kq_desk_not_taken_total",
+        .help = "Requests refused with 503: nothing was done." };
+static struct kq_metric unknown
+    = { .name = "kq_desk_unknown_total",
+        .help = "Requests answered with 504: nobody knows what was done." };
+static struct kq_metric no_route
+    = { .name = "kq_desk_no_queue_total",
+        .help = "Requests answered with 404: no such queue." };
+static struct kq_metric bad_input
+    = { .name = "kq_desk_bad_input_total",
+        .help = "Requests answered with 400, 405 or 413." };
+static struct kq_metric asked_again
+    = { .name = "kq_desk_asked_again_total",
+        .help = "Questions to the owner that were repeated." };
+static struct kq_histogram answer_time
+    = { .name = "kq_desk_answer_seconds",
+        .help = "Time from a request's arrival to its answer." };
+
 struct pending
 {
   uint64_t number;
@@ -73,6 +97,43 @@
           age, NULL);
 }
 
+static void
+count_answer (const struct kq_http_request *request, unsigned status)
+{
+  kq_histogram_add (&answer_time, kq_clock_now () - request->arrived_at);
+  switch (status)
+    {
+    case MHD_HTTP_OK:
+    case MHD_HTTP_GONE:
+      kq_metric_add (&answered_ok, 1);
+      break;
+    case MHD_HTTP_SERVICE_UNAVAILABLE:
+      kq_metric_add (&refused_unsent, 1);
+      break;
+    case MHD_HTTP_GATEWAY_TIMEOUT:
+      kq_metric_add (&unknown, 1);
+      break;
+    case MHD_HTTP_NOT_FOUND:
+      kq_metric_add (&no_route, 1);
+      break;
+    default:
+      kq_metric_add (&bad_input, 1);
+      break;
+    }
+}
+
+void
+kq_desk_register_metrics (void)
+{
+  kq_metric_register (&answered_ok);
+  kq_metric_register (&refused_unsent);
+  kq_metric_register (&unknown);
+  kq_metric_register (&no_route);
+  kq_metric_register (&bad_input);
+  kq_metric_register (&asked_again);
+  kq_histogram_register (&answer_time);
+}
+
 static void
 reply (struct kq_desk *desk, struct kq_http_request *request, const char *job,
        unsigned status, int err, const char *body)
@@ -90,6 +151,7 @@
     answer.retry_s = RETRY_S;
   answer.body_size = strlen (answer.body);
   log_answer (request, job, status, err);
+  count_answer (request, status);
   kq_http_reply (desk->http, request, &answer);
 }
 
@@ -126,6 +188,7 @@
 {
   kq_usec now = kq_clock_now ();
 
+  kq_metric_add (&asked_again, pending->asked_at != 0);
   pending->asked_at = now;
   pending->ask_again_at = now + REPEAT_AFTER;
   pending->unanswered++;
--- a/node/desk.h
+++ b/node/desk.h
@@ -48,6 +48,9 @@
 /** Answers ask callers to close their connections. */
 void kq_desk_close_softly (struct kq_desk *desk);
 
+/** Registers the counters of this module; once. */
+void kq_desk_register_metrics (void);
+
 /** Whether nothing waits and no answer is being written. */
 bool kq_desk_is_idle (const struct kq_desk *desk);
 
--- /dev/null
+++ b/node/gauges.c
@@ -0,0 +1,102 @@
+#include "node/gauges.h"
+
+#include "log/log.h"
+#include "metrics/metrics.h"
+
+enum gauge
+{
+  GAUGE_OWNER,
+  GAUGE_OPEN_JOBS,
+  GAUGE_READY,
+  GAUGE_BOUND,
+  GAUGE_WORKERS,
+  GAUGE_CPU,
+  GAUGE_CPU_USED,
+  GAUGE_MEM,
+  GAUGE_MEM_USED,
+  GAUGE_STARTS,
+  GAUGE_DONE,
+  GAUGE_FAILED,
+  GAUGE_STOPPED,
+  GAUGE_LAPSED,
+  GAUGE_BROKEN,
+  GAUGE_ALONE,
+  GAUGE_PACES,
+  GAUGE_MOVES,
+  GAUGE_STALLS,
+  GAUGE_VERSION,
+  GAUGE_TERM,
+  GAUGE_OWNER_CHANGES,
+  GAUGE_STORE_AGE,
+  GAUGE_LOG_DROPPED,
+  GAUGE_COUNT
+};
+
+static struct kq_metric gauges[GAUGE_COUNT] = {
+  { .name = "kq_owner", .help = "1 while this host is the owner." },
+  { .name = "kq_jobs_open", .help = "Jobs that are not over." },
+  { .name = "kq_tasks_ready", .help = "Tasks that wait for room." },
+  { .name = "kq_tasks_bound", .help = "Tasks that may be at a worker." },
+  { .name = "kq_workers_usable", .help = "Registered, not draining." },
+  { .name = "kq_room_cpu", .help = "CPU of these, thousandths of a core." },
+  { .name = "kq_room_cpu_used", .help = "Counted against it." },
+  { .name = "kq_room_memory", .help = "Memory of these, MiB." },
+  { .name = "kq_room_memory_used", .help = "Counted against it." },
+  { .name = "kq_starts_total", .help = "Starts in this term." },
+  { .name = "kq_ends_done_total", .help = "Runs ended done." },
+  { .name = "kq_ends_failed_total", .help = "Runs ended failed." },
+  { .name = "kq_ends_stopped_total", .help = "Runs ended stopped." },
+  { .name = "kq_ends_lapsed_total", .help = "Runs whose lease lapsed." },
+  { .name = "kq_ends_broken_total", .help = "Runs broken by their gang." },
+  { .name = "kq_ends_alone_total", .help = "Runs whose gang was late." },
+  { .name = "kq_paces_total", .help = "Fillers whose pace was changed." },
+  { .name = "kq_moves_total", .help = "Fillers stopped for others' sake." },
+  { .name = "kq_stalls_total", .help = "Tasks that stood still." },
+  { .name = "kq_config_version", .help = "Configuration in force here." },
+  { .name = "kq_term", .help = "Term of the owner known here." },
+  { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
+  { .name = "kq_store_age_us", .help = "Since the store answered last." },
+  { .name = "kq_log_dropped_total", .help = "Log lines a full pipe refused." },
+};
+
+void
+kq_gauges_register (void)
+{
+  for (int i = 0; i < GAUGE_COUNT; i++)
+    kq_metric_register (&gauges[i]);
+}
+
+void
+kq_gauges_set (const struct kq_sched_counts *counts)
+{
+  static const struct kq_sched_counts none;
+
+  kq_metric_set (&gauges[GAUGE_OWNER], counts != NULL);
+  if (counts == NULL)
+    counts = &none;
+  kq_metric_set (&gauges[GAUGE_OPEN_JOBS], counts->open_jobs);
+  kq_metric_set (&gauges[GAUGE_READY], counts->ready_tasks);
+  kq_metric_set (&gauges[GAUGE_BOUND], counts->bound_tasks);
+  kq_metric_set (&gauges[GAUGE_WORKERS], counts->usable_workers);
+  kq_metric_set (&gauges[GAUGE_CPU], counts->cpu_capacity);
+  kq_metric_set (&gauges[GAUGE_CPU_USED], counts->cpu_used);
+  kq_metric_set (&gauges[GAUGE_MEM], counts->mem_capacity);
+  kq_metric_set (&gauges[GAUGE_MEM_USED], counts->mem_used);
+  kq_metric_set (&gauges[GAUGE_STARTS], counts->starts);
+  for (int how = KQ_SCHED_DONE; how <= KQ_SCHED_ALONE; how++)
+    kq_metric_set (&gauges[GAUGE_DONE + how], counts->ends[how]);
+  kq_metric_set (&gauges[GAUGE_PACES], counts->paces);
+  kq_metric_set (&gauges[GAUGE_MOVES], counts->moves);
+  kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
+  kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
+}
+
+void
+kq_gauges_set_beliefs (int64_t version, int64_t term, int64_t owner_changes,
+                       int64_t store_age_us)
+{
+  kq_metric_set (&gauges[GAUGE_VERSION], version);
+  kq_metric_set (&gauges[GAUGE_TERM], term);
+  kq_metric_set (&gauges[GAUGE_OWNER_CHANGES], owner_changes);
+  kq_metric_set (&gauges[GAUGE_STORE_AGE], store_age_us);
+}
--- /dev/null
+++ b/node/gauges.h
@@ -0,0 +1,19 @@
+/** @file
+ * The owner's counts as metrics.
+ */
+#ifndef KQ_NODE_GAUGES_H
+#define KQ_NODE_GAUGES_H
+
+#include "sched/sched.h"
+
+/** Registers the gauges; once. */
+void kq_gauges_register (void);
+
+/** Sets them from COUNTS; NULL: this host is not the owner. */
+void kq_gauges_set (const struct kq_sched_counts *counts);
+
+/** Sets the age of this host's beliefs. */
+void kq_gauges_set_beliefs (int64_t version, int64_t term,
+                            int64_t owner_changes, int64_t store_age_us);
+
+#endif
--- a/node/node.c
+++ b/node/node.c
@@ -13,8 +13,10 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "metrics/histogram.h"
 #include "metrics/metrics.h"
 #include "node/desk.h"
+#include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
 #include "node/owner.h"
@@ -61,6 +63,7 @@
   struct remote *remotes;
   uint64_t last_token;
   int64_t owner_term; /* of the last known owner */
+  int64_t owner_changes;
   bool deposed;
   kq_usec owner_heard_at;
   kq_usec stop_at; /* 0: runs */
@@ -285,6 +288,7 @@
   if (owner->term != node->owner_term)
     {
       node->owner_term = owner->term;
+      node->owner_changes++;
       node->owner_heard_at = kq_clock_now ();
       log_owner (owner);
       kq_desk_ask_again (node->desk);
@@ -334,18 +338,47 @@
   kq_http_reply (node->readiness, request, &answer);
 }
 
+static void
+set_gauges (const struct node *node)
+{
+  struct kq_sched_counts counts;
+
+  if (node->owner != NULL)
+    kq_owner_count (node->owner, &counts);
+  kq_gauges_set (node->owner != NULL ? &counts : NULL);
+  kq_gauges_set_beliefs (node->config != NULL ? node->config->version : 0,
+                         node->owner_term, node->owner_changes,
+                         kq_clock_now () - kq_watch_heard_at (node->watch));
+}
+
+static int
+print_metrics (char *page, size_t size)
+{
+  int length = kq_metric_print (page, size);
+  int more;
+
+  if (length < 0)
+    return length;
+  more = kq_histogram_print (page + length, size - (size_t)length);
+  return more < 0 ? more : length + more;
+}
+
 static void
 on_metrics (void *arg, struct kq_http_request *request)
 {
   struct node *node = arg;
   static char page[METRICS_BYTES];
-  int length = kq_metric_print (page, sizeof page);
-  struct kq_http_answer answer
-      = { .status = length < 0 ? MHD_HTTP_INTERNAL_SERVER_ERROR : MHD_HTTP_OK,
-          .type = "text/plain; version=0.0.4",
-          .body = page,
-          .body_size = length < 0 ? 0 : (size_t)length };
-
+  struct kq_http_answer answer = { .status = MHD_HTTP_OK,
+                                   .type = "text/plain; version=0.0.4",
+                                   .body = page };
+  int length;
+
+  set_gauges (node);
+  length = print_metrics (page, sizeof page);
+  if (length < 0)
+    answer.status = MHD_HTTP_INTERNAL_SERVER_ERROR;
+  else
+    answer.body_size = (size_t)length;
   kq_http_reply (node->metrics, request, &answer);
 }
 
@@ -549,6 +582,8 @@
   signal (SIGPIPE, SIG_IGN);
   kq_log_setup (KQ_LOG_INFO, node.boot.host);
   kq_call_register_metrics ();
+  kq_desk_register_metrics ();
+  kq_gauges_register ();
   err = start (&node, metrics_port);
   if (err != 0)
     {
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -150,6 +150,7 @@
   take_checkpoint (task, row->checkpoint);
   if (stands_still (task, now))
     {
+      sched->counts.stalls++;
       task_log (task, "task stands still", "");
       task->shunned = task->worker;
       shun (task->worker, now, "a task stands still");
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -535,7 +535,13 @@
     counts->open_jobs += !job_is_over (job);
   DL_FOREACH (sched->worker_list, worker)
   {
-    counts->usable_workers += worker->registered && !worker->report.draining;
+    if (!worker->registered || worker->report.draining)
+      continue;
+    counts->usable_workers++;
+    counts->cpu_capacity += worker->report.capacity.cpu;
+    counts->mem_capacity += worker->report.capacity.mem;
+    counts->cpu_used += worker->used.cpu;
+    counts->mem_used += worker->used.mem;
   }
 }
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -233,7 +233,14 @@
   int bound_tasks;
   int workers;
   int usable_workers;
+  int64_t cpu_capacity; /**< of usable workers, thousandths of a core */
+  int64_t cpu_used;     /**< counted against it */
+  int64_t mem_capacity; /**< MiB */
+  int64_t mem_used;
   int64_t starts;
+  int64_t paces;
+  int64_t moves;  /**< tasks stopped since they disturbed others */
+  int64_t stalls; /**< tasks that stood still */
   int64_t ends[KQ_SCHED_ALONE + 1];
 };
 
--- a/sched/share.c
+++ b/sched/share.c
@@ -153,6 +153,7 @@
   effect = sched_add_effect (sched, KQ_SCHED_FX_PACE, 0);
   if (effect == NULL)
     return;
+  sched->counts.paces++;
   task->pace = percent;
   task->paced_at = now.mono;
   task->percent_at = now.mono;
@@ -264,6 +265,7 @@
         && now.mono - task->paced_at > MOVE_AFTER
         && (task->stage->step->checkpointable || task->percent < LOST_PERCENT))
       {
+        sched->counts.moves++;
         task_log (task, "task moved", "it disturbs a serving task");
         task_stop (sched, task, now);
       }
