--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
-.PHONY: all deps format-check lint test check demo soak bench fuzz clean \
+.PHONY: all deps format-check lint test check demo soak soak-site bench fuzz clean \
         install programs generated tests thread-tests \
         doxygen
 all: programs
@@ -137,6 +137,14 @@
 soak: $(BUILD)/t/test-soak
 	@$< soak $(SEED) $(STEPS)
 
+# Real processes against the platform's stand-in, SEEDS seeds from FROM on,
+# a few at a time.
+FROM ?= 1
+SEEDS ?= 50
+soak-site: $(BUILD)/kumquatrackd $(BUILD)/standin/site
+	@seq $(FROM) $$(($(FROM) + $(SEEDS) - 1)) \
+	  | BUILD=$(BUILD) xargs -P 3 -I{} t/soak-site {}
+
 bench: programs
 	@BUILD=$(BUILD) bench/run
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -23,9 +23,6 @@
 /* Exit status for settings that are refused. */
 #define EXIT_SETTINGS 2
 
-/* Where the platform reads metrics.  Source: deploy/system.toml. */
-#define METRICS_PORT 9464
-
 static struct kq_front *
 start_front (const struct kq_settings *settings, void *zmq_context, int *err)
 {
@@ -99,7 +96,7 @@
   curl_global_init (CURL_GLOBAL_ALL);
   if (node_file != NULL)
     {
-      status = kq_node_run (node_file, METRICS_PORT);
+      status = kq_node_main (node_file, argc, argv);
       curl_global_cleanup ();
       return status;
     }
--- a/node/node.c
+++ b/node/node.c
@@ -19,6 +19,7 @@
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
+#include "node/options.h"
 #include "node/owner.h"
 #include "node/watch.h"
 #include "platform/boot.h"
@@ -405,7 +406,7 @@
   if (err != 0)
     kq_log (KQ_LOG_WARN, "node", "settings refused", err, "field", error.field,
             "why", error.why, NULL);
-  else if (memcmp (&boot, &node->boot, sizeof boot) != 0)
+  else if (!kq_boot_equal (&boot, &node->boot))
     {
       kq_log (KQ_LOG_INFO, "node", "settings changed", 0, "store", boot.store,
               NULL);
@@ -564,8 +565,8 @@
     ev_loop_destroy (node->loop);
 }
 
-int
-kq_node_run (const char *path, int metrics_port)
+static int
+run (const char *path, const struct kq_node_options *options)
 {
   static struct node node;
   struct kq_boot_error error;
@@ -580,11 +581,11 @@
       return EXIT_SETTINGS;
     }
   signal (SIGPIPE, SIG_IGN);
-  kq_log_setup (KQ_LOG_INFO, node.boot.host);
+  kq_log_setup (options->log_level, node.boot.host);
   kq_call_register_metrics ();
   kq_desk_register_metrics ();
   kq_gauges_register ();
-  err = start (&node, metrics_port);
+  err = start (&node, options->metrics_port);
   if (err != 0)
     {
       kq_log (KQ_LOG_ERROR, "node", "not started", err, NULL);
@@ -598,3 +599,14 @@
   stop (&node);
   return EXIT_SUCCESS;
 }
+
+int
+kq_node_main (const char *path, int argc, char **argv)
+{
+  struct kq_node_options options;
+  int result = kq_node_options_read (argc, argv, stdout, stderr, &options);
+
+  if (result == KQ_NODE_SHOWN)
+    return EXIT_SUCCESS;
+  return result == KQ_NODE_RUN ? run (path, &options) : EXIT_SETTINGS;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -7,9 +7,9 @@
 /** The variable with the path of the platform's settings file. */
 #define KQ_NODE_FILE_VARIABLE "KUMQUATRACK_NODE_FILE"
 
-/** Runs the host whose settings are in the file at PATH until a planned stop
- *  ends.  METRICS_PORT is 0 for none.
+/** Runs the host whose settings are in the file at PATH and in the flags until
+ *  a planned stop ends.
  *  @return the exit status of the process.  */
-int kq_node_run (const char *path, int metrics_port);
+int kq_node_main (const char *path, int argc, char **argv);
 
 #endif
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -995,7 +995,7 @@
 sim_state (struct sim *sim, int number)
 {
   ask (sim, &sim->jobs[number]);
-  sim_run (sim, 2 * STORE_MS);
+  sim_run (sim, STORE_MS + STORE_MS);
   return sim->jobs[number].state;
 }
 
--- /dev/null
+++ b/t/lib-site.sh
@@ -0,0 +1,101 @@
+# Shared by the session of the platform's stand-in and its soak: starts the
+# stand-in and entry hosts, hands in jobs, and strikes.
+# shellcheck shell=sh disable=SC2034,SC2154
+
+SITE_WORKERS=6
+SITE_HOSTS=3
+
+# Ports from $base: the store, its workers, then five a host.
+site_store () { echo "http://127.0.0.1:$base"; }
+site_port () { echo $((base + 10 + $1 * 5)); } # HOST: 1 to 3
+
+site_settings () { # HOST
+  port=$(site_port "$1")
+  cat >"$work/host$1.json" <<END
+{"node_name":"host$1","zone":"z","region":"r","ip":"127.0.0.1",
+"port_range":[$((port + 2)),$((port + 3))],"heartbeat_ms":500,
+"listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$((port + 1))"},
+"platform":{"addr":"127.0.0.1:$base"},
+"limits":{"cpu_share":1.0,"cores":1},
+"bounds":{"hold_max_ms":10000,"grace_s":6}}
+END
+}
+
+site_start_host () { # HOST
+  KUMQUATRACK_NODE_FILE="$work/host$1.json" KUMQUATRACK_METRICS_PORT=0 \
+    "$BUILD/kumquatrackd" >>"$work/host$1.log" 2>&1 &
+  echo $! >"$work/host$1.pid"
+  pids="$pids $!"
+}
+
+site_start () { # SEED
+  "$BUILD/standin/site" --port "$base" --workers $SITE_WORKERS \
+    --seed "$1" >"$work/site.log" 2>&1 &
+  pids="$pids $!"
+  for host in 1 2 3; do
+    site_settings $host
+    site_start_host $host
+  done
+}
+
+site_ready () { # HOST
+  curl -sf -m 1 "http://127.0.0.1:$(($(site_port "$1") + 1))/-/readyz"
+}
+
+# Calls host HOST about job ID; prints status and body.
+site_call () { # METHOD HOST ID [BODY]
+  curl -s -m 3 -X "$1" -H 'Host: site.example' -H 'Deadline-Ms: 2500' \
+    ${4:+--data "$4"} -w ' %{http_code}' \
+    "http://127.0.0.1:$(site_port "$2")/jobs/$3"
+}
+
+site_id () { printf '%016x' "$1"; }
+
+# Hands job NUMBER in, at one host after the other, until it is accepted.
+site_submit () { # NUMBER
+  body='{"spec":"400","steps":[{"count":3,"cpu":1000,"mem_mb":100,"est_ms":400},{"count":2,"cpu":1000,"mem_mb":100,"est_ms":400,"after":[0]}]}'
+  for try in 1 2 3 4 5 6 7 8 9 10 11 12; do
+    case $(site_call POST $((($1 + try) % SITE_HOSTS + 1)) \
+      "$(site_id "$1")" "$body") in *' 200') return 0 ;; esac
+    sleep 0.2
+  done
+  return 1
+}
+
+site_is_complete () { # NUMBER
+  for host in 1 2 3; do
+    case $(site_call GET $host "$(site_id "$1")") in
+      *complete*) return 0 ;;
+    esac
+  done
+  return 1
+}
+
+site_admin () { # JSON
+  curl -s -m 2 --data "$1" "$(site_store)/admin" >/dev/null
+}
+
+site_facts () { curl -s -m 2 "$(site_store)/facts"; }
+
+site_kill () { # HOST
+  kill -KILL "$(cat "$work/host$1.pid")" 2>/dev/null
+  wait "$(cat "$work/host$1.pid")" 2>/dev/null
+}
+
+# One fault, by its number; each ends by itself or by site_heal.
+site_strike () { # KIND HOST
+  case $1 in
+    0) site_kill "$2"; site_start_host "$2" ;;
+    1) kill -STOP "$(cat "$work/host$2.pid")"; sleep 1.2
+       kill -CONT "$(cat "$work/host$2.pid")" ;;
+    2) site_admin '{"store":"refuse"}'; sleep 1; site_admin '{"store":"up"}' ;;
+    3) site_admin '{"store":"hang"}'; sleep 0.8; site_admin '{"store":"up"}' ;;
+    4) site_admin '{"lose_permille":150}'; sleep 1
+       site_admin '{"lose_permille":0}' ;;
+    5) site_admin "{\"restart\":$2}" ;;
+    6) kill -TERM "$(cat "$work/host$2.pid")"
+       wait "$(cat "$work/host$2.pid")" 2>/dev/null; site_start_host "$2" ;;
+    7) for host in 1 2 3; do site_kill $host; done
+       for host in 1 2 3; do site_start_host $host; done ;;
+  esac
+}
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -263,7 +263,7 @@
   else if (sequence != topic->sequence + 1)
     tell (request, MHD_HTTP_CONFLICT,
           json_pack ("{ss sI}", "reason", "seq", "seq",
-                     (json_int_t)(topic->sequence + 1)));
+                     (json_int_t)topic->sequence + 1));
   else
     return false;
   return true;
@@ -343,6 +343,16 @@
                    (json_int_t)topic->end));
 }
 
+/* Copies KEY and TEXT without their ends. */
+static void
+join (uint8_t *at, const char *key, const char *text)
+{
+  while (*key != '\0')
+    *at++ = (uint8_t)*key++;
+  while (*text != '\0')
+    *at++ = (uint8_t)*text++;
+}
+
 /* Writes a keyed record as the operator or a worker does. */
 static void
 put (const char *name, const char *key, json_t *value)
@@ -354,8 +364,7 @@
   uint8_t *bytes = malloc (size + 1);
 
   bytes[0] = (uint8_t)key_size;
-  memcpy (bytes + 1, key, key_size);
-  memcpy (bytes + 1 + key_size, text, strlen (text));
+  join (bytes + 1, key, text);
   add_record (topic, bytes, size);
   free (bytes);
   free (text);
