--- a/sched/internal.h
+++ b/sched/internal.h
@@ -125,6 +125,18 @@
   UT_hash_handle hh;
 };
 
+/* What fillers put on the serving tasks of one image at a worker. */
+struct share_slot
+{
+  int image;
+  double press;   /* P by the demands of all fillers there */
+  double allowed; /* least that one of the tasks bears */
+};
+
+/* Serving images that are told apart at one worker; more share the last
+   slot. */
+#define SHARE_SLOTS 6
+
 struct worker
 {
   struct kq_sched_report report;
@@ -132,6 +144,9 @@
   struct kq_sched_demand used;
   int64_t filler_cpu;
   int64_t idle_cpu; /* that serving tasks ask for and do not use */
+  struct share_slot slots[SHARE_SLOTS];
+  int slot_count;
+  bool slots_valid; /* until a task comes or goes, or its load changes */
   int serving;      /* tasks that serve */
   int task_count;
   struct task *tasks;
@@ -181,6 +196,7 @@
   struct kq_pressure *pressure;
   kq_usec restored_at;
   bool deposed;
+  bool room_changed; /* since tasks were placed last */
   struct kq_sched_counts counts;
 };
 
@@ -255,8 +271,8 @@
 
 /* The pressure on the serving tasks at WORKER with one more filler, in shares
    of what is allowed; 0 where it disturbs none of them. */
-double share_press (struct kq_sched *sched, const struct worker *worker,
-                    int image, int64_t cpu);
+double share_press (struct kq_sched *sched, struct worker *worker, int image,
+                    int64_t cpu);
 void share_judge (struct kq_sched *sched, struct worker *worker,
                   struct kq_sched_now now);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -21,13 +21,14 @@
 #define MOST_PRESS 1.1
 #define WEIGHT_PRESS 1500
 
-/* Demands that no worker could take in this pass; a stage that asks for as
-   much or more is not tried. */
+/* Demands that no worker could take in this pass, by kind of work: fillers of
+   each image, and all others.  A stage that asks for as much is not tried. */
 struct pass
 {
-  bool failed[2]; /* by filler or not */
-  struct kq_sched_demand smallest[2];
-  struct kq_sched_now now;
+  uint64_t failed; /* by image */
+  bool others_failed;
+  struct kq_sched_demand smallest[KQ_PRESSURE_IMAGES];
+  struct kq_sched_demand smallest_other;
 };
 
 static int
@@ -100,8 +101,7 @@
 /* Tasks that serve are packed on few workers, so that fillers find others
    without them; short counted tasks go beside those that serve.  */
 static int64_t
-score (struct kq_sched *sched, const struct worker *worker,
-       const struct task *task)
+score (const struct worker *worker, const struct task *task, double press)
 {
   const struct kq_sched_step *step = task->stage->step;
   int64_t load = load_with (worker, step);
@@ -115,9 +115,7 @@
       points += worker->filler_cpu * 1000 / worker->report.capacity.cpu;
     }
   else if (step->filler && worker->serving > 0)
-    points += (int64_t)(WEIGHT_PRESS
-                        * share_press (sched, worker, task->stage->image,
-                                       step->demand.cpu));
+    points += (int64_t)(WEIGHT_PRESS * press);
   else if (!step->filler && worker->serving == 0)
     points += WEIGHT_OTHER_KIND_OF_WORK / 4;
   if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
@@ -126,15 +124,6 @@
   return points;
 }
 
-static bool
-presses_too_much (struct kq_sched *sched, const struct worker *worker,
-                  const struct stage *stage)
-{
-  return stage->step->filler && worker->serving > 0
-         && share_press (sched, worker, stage->image, stage->step->demand.cpu)
-                > MOST_PRESS;
-}
-
 static struct worker *
 choose (struct kq_sched *sched, const struct task *task,
         struct kq_sched_now now, const char *rack)
@@ -146,13 +135,18 @@
 
   DL_FOREACH (sched->worker_list, worker)
   {
+    double press = 0;
     int64_t points;
 
     if (!worker_usable (worker, now) || worker == task->shunned
-        || !has_room (worker, stage->step) || !is_allowed (worker, stage)
-        || presses_too_much (sched, worker, stage))
+        || !has_room (worker, stage->step) || !is_allowed (worker, stage))
       continue;
-    points = score (sched, worker, task);
+    if (stage->step->filler && worker->serving > 0)
+      press
+          = share_press (sched, worker, stage->image, stage->step->demand.cpu);
+    if (press > MOST_PRESS)
+      continue;
+    points = score (worker, task, press);
     if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
       points += WEIGHT_SPREAD_RACK;
     if (best == NULL || points < best_score)
@@ -260,46 +254,65 @@
 }
 
 static bool
-is_hopeless (const struct pass *pass, const struct kq_sched_step *step)
+asks_for_as_much (const struct kq_sched_demand *demand,
+                  const struct kq_sched_demand *failed)
+{
+  return demand->cpu >= failed->cpu && demand->mem >= failed->mem
+         && demand->gpu >= failed->gpu;
+}
+
+static bool
+is_hopeless (const struct pass *pass, const struct stage *stage)
 {
-  const struct kq_sched_demand *smallest = &pass->smallest[step->filler];
+  const struct kq_sched_step *step = stage->step;
 
-  return pass->failed[step->filler] && step->demand.cpu >= smallest->cpu
-         && step->demand.mem >= smallest->mem
-         && step->demand.gpu >= smallest->gpu;
+  if (!step->filler)
+    return pass->others_failed
+           && asks_for_as_much (&step->demand, &pass->smallest_other);
+  return (pass->failed >> stage->image & 1) != 0
+         && asks_for_as_much (&step->demand, &pass->smallest[stage->image]);
 }
 
 /* Remembers a demand that failed for want of room alone. */
 static void
-note_failure (struct pass *pass, const struct kq_sched_step *step)
+note_failure (struct pass *pass, const struct stage *stage)
 {
-  bool plain
-      = step->label[0] == '\0' && step->max_per_worker == 0 && !step->gang;
+  const struct kq_sched_step *step = stage->step;
 
-  if (!plain || pass->failed[step->filler])
+  if (step->label[0] != '\0' || step->max_per_worker != 0 || step->gang
+      || is_hopeless (pass, stage))
     return;
-  pass->failed[step->filler] = true;
-  pass->smallest[step->filler] = step->demand;
+  if (step->filler)
+    {
+      pass->failed |= UINT64_C (1) << stage->image;
+      pass->smallest[stage->image] = step->demand;
+    }
+  else if (!step->lasting)
+    {
+      pass->others_failed = true;
+      pass->smallest_other = step->demand;
+    }
 }
 
 void
 kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
 {
-  struct pass pass = { .now = now };
+  struct pass pass = { .failed = 0 };
   struct stage *stage;
   struct stage *next;
 
-  if (sched->deposed)
+  if (sched->deposed || !sched->room_changed)
     return;
+  sched->room_changed = false;
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
     bool placed;
 
-    if (is_hopeless (&pass, stage->step) || stage->job->queue.advised)
+    if (is_hopeless (&pass, stage) || stage->job->queue.advised)
       continue;
     placed = stage->step->gang ? place_gang (sched, stage, now)
                                : place_single (sched, stage, now);
     if (!placed)
-      note_failure (&pass, stage->step);
+      note_failure (&pass, stage);
   }
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -476,6 +476,7 @@
 {
   struct worker *worker;
 
+  sched->room_changed = true;
   job_tick_all (sched, now);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
 }
--- a/sched/share.c
+++ b/sched/share.c
@@ -111,33 +111,71 @@
   return most > 0 ? most : 0;
 }
 
-double
-share_press (struct kq_sched *sched, const struct worker *worker, int image,
-             int64_t cpu)
+static struct share_slot *
+slot_for (struct worker *worker, int image)
+{
+  struct share_slot *slot;
+
+  for (int i = 0; i < worker->slot_count; i++)
+    if (worker->slots[i].image == image)
+      return &worker->slots[i];
+  if (worker->slot_count == SHARE_SLOTS)
+    return &worker->slots[SHARE_SLOTS - 1];
+  slot = &worker->slots[worker->slot_count++];
+  *slot = (struct share_slot){ .image = image, .allowed = 1 };
+  return slot;
+}
+
+/* Placement asks about each worker for each task, so that the sums over its
+   tasks are kept. */
+static void
+fill_slots (struct kq_sched *sched, struct worker *worker)
 {
   struct kq_pressure_mix mix;
   const struct task *task;
-  double worst = 0;
 
+  worker->slot_count = 0;
+  worker->slots_valid = true;
+  if (worker->serving == 0)
+    return;
   mix_of (worker, false, &mix);
-  if ((mix.fillers >> image & 1) == 0)
-    mix.share[image] = 0;
-  mix.fillers |= UINT64_C (1) << image;
-  mix.share[image] += (double)cpu / (double)worker->report.capacity.cpu;
   DL_FOREACH (worker->tasks, task)
   {
+    struct share_slot *slot;
     double press;
-    double most;
 
-    if (!serves (task)
-        || kq_pressure_factor (sched->pressure, task->stage->image, image)
-               < HARMLESS_FACTOR)
+    if (!serves (task))
       continue;
+    slot = slot_for (worker, task->stage->image);
     press = press_on (sched, task, &mix);
-    most = allowed (task) + 0.001;
-    if (press / most > worst)
-      worst = press / most;
+    if (press > slot->press)
+      slot->press = press;
+    if (allowed (task) < slot->allowed)
+      slot->allowed = allowed (task);
   }
+}
+
+double
+share_press (struct kq_sched *sched, struct worker *worker, int image,
+             int64_t cpu)
+{
+  double share = (double)cpu / (double)worker->report.capacity.cpu;
+  double worst = 0;
+
+  if (!worker->slots_valid)
+    fill_slots (sched, worker);
+  for (int i = 0; i < worker->slot_count; i++)
+    {
+      const struct share_slot *slot = &worker->slots[i];
+      double factor = kq_pressure_factor (sched->pressure, slot->image, image);
+      double press;
+
+      if (factor < HARMLESS_FACTOR)
+        continue;
+      press = (slot->press + factor * share) / (slot->allowed + 0.001);
+      if (press > worst)
+        worst = press;
+    }
   return worst;
 }
 
@@ -287,6 +325,7 @@
     if (is_serving_well_known (task))
       observe (sched, task, &mix);
   }
+  worker->slots_valid = false;
   worker->idle_cpu = 0;
   DL_FOREACH (worker->tasks, task)
   {
--- a/sched/task.c
+++ b/sched/task.c
@@ -113,6 +113,7 @@
                  struct kq_sched_now now)
 {
   task->state = TASK_READY;
+  sched->room_changed = true;
   task->ready_at = now.mono;
   task->stage->ready++;
   sched->counts.ready_tasks++;
@@ -151,6 +152,7 @@
   if (step->tail_target_ms > 0)
     worker->serving += sign;
   worker->task_count += sign;
+  worker->slots_valid = false;
 }
 
 void
@@ -181,6 +183,7 @@
   account (task, -1);
   DL_DELETE (task->worker->tasks, task);
   task->worker = NULL;
+  sched->room_changed = true;
   task->state = TASK_WAITING;
   sched->counts.bound_tasks--;
 }
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -122,6 +122,7 @@
     return;
   if (report->born_ms > worker->report.born_ms)
     worker_start_life (worker, report->born_ms, now);
+  sched->room_changed = true;
   draining = worker->report.draining;
   worker->report = *report;
   worker->registered = true;
