--- a/node/desk.c
+++ b/node/desk.c
@@ -17,7 +17,8 @@
    deadline of the users' requests, 3 s. */
 #define DEFAULT_PATIENCE (3 * KQ_USEC_PER_SEC)
 
-/* An answer leaves this long before the caller's limit. */
+/* An answer leaves this long before the caller's limit, or an eighth of it
+   where that is less. */
 #define ANSWER_MARGIN (150 * KQ_USEC_PER_MSEC)
 
 /* An ask without an answer is repeated after this: longer than any append of
@@ -225,6 +226,7 @@
   struct pending *pending = calloc (1, sizeof *pending);
   kq_usec patience
       = request->patience > 0 ? request->patience : DEFAULT_PATIENCE;
+  kq_usec margin;
 
   if (pending == NULL)
     {
@@ -233,7 +235,8 @@
     }
   pending->number = ++desk->last_number;
   pending->request = request;
-  pending->gives_up_at = request->arrived_at + patience - ANSWER_MARGIN;
+  margin = patience / 8 < ANSWER_MARGIN ? patience / 8 : ANSWER_MARGIN;
+  pending->gives_up_at = request->arrived_at + patience - margin;
   snprintf (pending->queue, sizeof pending->queue, "%s", queue->name);
   kq_node__ask__init (&pending->ask);
   pending->ask.number = pending->number;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -227,6 +227,7 @@
               enum kq_sched_state state, struct kq_sched_now now);
 int job_pending (const struct kq_sched *sched, const char *queue);
 bool job_is_over (const struct job *job);
+void job_log (const struct job *job, const char *event, const char *why);
 void job_tick_all (struct kq_sched *sched, struct kq_sched_now now);
 
 /* task.c */
--- a/sched/job.c
+++ b/sched/job.c
@@ -1,7 +1,10 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
+#include "log/log.h"
 #include "sched/internal.h"
 
 /* A finished job is told about for at least this long: twice the longest
@@ -12,6 +15,34 @@
    often, but have no limit. */
 #define MOST_RUNS_TOLD_APART 64
 
+void
+job_log (const struct job *job, const char *event, const char *why)
+{
+  char id[24];
+
+  snprintf (id, sizeof id, "%016" PRIx64, job->id);
+  kq_log (KQ_LOG_INFO, "sched", event, 0, "job", id, "queue", job->queue_name,
+          "why", why, NULL);
+}
+
+/* Says how long the job took, and how much of its objective was left. */
+static void
+log_end (const struct job *job)
+{
+  int64_t due = job->stages[job->stage_count - 1].due_ms;
+  char id[24];
+  char after[24];
+  char left[24];
+
+  snprintf (id, sizeof id, "%016" PRIx64, job->id);
+  snprintf (after, sizeof after, "%" PRId64, job->ended_ms - job->accepted_ms);
+  snprintf (left, sizeof left, "%" PRId64, due - job->ended_ms);
+  kq_log (KQ_LOG_INFO, "sched",
+          job->state == KQ_SCHED_COMPLETE ? "job complete" : "job failed", 0,
+          "job", id, "queue", job->queue_name, "after_ms", after, "left_ms",
+          left, NULL);
+}
+
 struct job *
 job_find (struct kq_sched *sched, uint64_t id)
 {
@@ -273,6 +304,8 @@
 {
   job->state = state;
   job->ended_ms = now.wall_ms;
+  if (state != KQ_SCHED_CANCELLED)
+    log_end (job);
   job_mark_dirty (sched, job);
   for (int i = 0; i < job->stage_count; i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -116,16 +116,6 @@
                                  : job->state;
 }
 
-static void
-log_job (const struct job *job, const char *event, const char *why)
-{
-  char id[24];
-
-  snprintf (id, sizeof id, "%016" PRIx64, job->id);
-  kq_log (KQ_LOG_INFO, "sched", event, 0, "job", id, "queue", job->queue_name,
-          "why", why, NULL);
-}
-
 struct job *
 sched_new_job (struct kq_sched *sched, uint64_t id, const char *queue,
                int64_t accepted_ms, struct kq_sched_spec *spec)
@@ -187,7 +177,7 @@
   job->stored_from = sched->position;
   job_mark_dirty (sched, job);
   job_open_due (sched, job, now);
-  log_job (job, "job accepted", "");
+  job_log (job, "job accepted", "");
   answer (sched, event->u.call.token, STATUS_OK, 0, job, job->stored_from);
 }
 
@@ -221,7 +211,7 @@
     }
   if (!job_is_over (job))
     {
-      log_job (job, "job cancelled", "caller");
+      job_log (job, "job cancelled", "caller");
       job_end (sched, job, KQ_SCHED_CANCELLED, now);
     }
   answer (sched, event->u.call.token, STATUS_OK, 0, job, job->changed);
