sched: a task that avoids a worker says nothing about the room for others

Cause: a stage whose tasks avoid the only worker with room was taken for a demand without room, so that stages that ask for as much were not tried; and a task could avoid its only worker for ever. Found by test-sched.

Ruled out: the worker being shunned still (5 s had passed).

Conclusion: avoiding a worker is a preference that ends after 3 s.

--- a/log/log.c
+++ b/log/log.c
@@ -39,40 +39,37 @@
   line->length += length;
 }
 
-static size_t
-escape (char *out, const char *text, size_t room)
+/* Adds VALUE between quotes, cut where the line is full. */
+static void
+put_escaped (struct line *line, const char *value)
 {
-  size_t n = 0;
-
-  for (; *text != '\0' && n + 7 < room; text++)
+  for (; *value != '\0' && has_room (line, 8); value++)
     {
-      unsigned char c = (unsigned char)*text;
-      if (c == '"' || c == '\\')
+      unsigned char c = (unsigned char)*value;
+
+      if (c < 0x20 || c == 0x7f)
+        line->length
+            += (size_t)snprintf (line->text + line->length, 7, "\\u%04x", c);
+      else
         {
-          out[n++] = '\\';
-          out[n++] = (char)c;
+          if (c == '"' || c == '\\')
+            line->text[line->length++] = '\\';
+          line->text[line->length++] = (char)c;
         }
-      else if (c < 0x20 || c == 0x7f)
-        n += (size_t)snprintf (out + n, room - n, "\\u%04x", c);
-      else
-        out[n++] = (char)c;
     }
-  return n;
 }
 
 static void
 put_field (struct line *line, const char *name, const char *value)
 {
-  char escaped[LINE_SIZE];
   size_t name_length = strlen (name);
-  size_t value_length = escape (escaped, value, sizeof escaped);
 
-  if (!has_room (line, name_length + value_length + 6))
+  if (!has_room (line, name_length + strlen (value) + 6))
     return;
   put_raw (line, line->length > 1 ? ",\"" : "\"", line->length > 1 ? 2 : 1);
   put_raw (line, name, name_length);
   put_raw (line, "\":\"", 3);
-  put_raw (line, escaped, value_length);
+  put_escaped (line, value);
   put_raw (line, "\"", 1);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -21,6 +21,9 @@
 #define MOST_PRESS 1.1
 #define WEIGHT_PRESS 1500
 
+/* How long a task waits for another worker than the one where it failed. */
+#define AVOID_TIME (3 * KQ_USEC_PER_SEC)
+
 /* Demands that no worker could take in this pass, by kind of work: fillers of
    each image, and all others.  A stage that asks for as much is not tried. */
 struct pass
@@ -124,6 +127,15 @@
   return points;
 }
 
+/* Where it failed or stood still a task goes only when it has waited for
+   another worker in vain. */
+static bool
+avoids (const struct task *task, const struct worker *worker,
+        struct kq_sched_now now)
+{
+  return worker == task->shunned && now.mono - task->ready_at < AVOID_TIME;
+}
+
 static struct worker *
 choose (struct kq_sched *sched, const struct task *task,
         struct kq_sched_now now, const char *rack)
@@ -138,7 +150,7 @@
     double press = 0;
     int64_t points;
 
-    if (!worker_usable (worker, now) || worker == task->shunned
+    if (!worker_usable (worker, now) || avoids (task, worker, now)
         || !has_room (worker, stage->step) || !is_allowed (worker, stage))
       continue;
     if (stage->step->filler && worker->serving > 0)
@@ -197,7 +209,7 @@
 }
 
 /* All members of a gang or none. */
-static bool
+static void
 place_gang (struct kq_sched *sched, struct stage *stage,
             struct kq_sched_now now)
 {
@@ -206,7 +218,7 @@
   struct task *task;
 
   if (stage->ready < stage->step->count - stage->done)
-    return false;
+    return;
   while ((task = next_ready (stage, &from)) != NULL)
     {
       struct worker *worker = choose (sched, task, now, common_rack (stage));
@@ -219,7 +231,7 @@
                 task_release (sched, &stage->tasks[i]);
                 task_make_ready (sched, &stage->tasks[i], now);
               }
-          return false;
+          return;
         }
       if (task->run > run)
         run = task->run;
@@ -231,10 +243,10 @@
         stage->tasks[i].run = run;
         order_start (sched, &stage->tasks[i]);
       }
-  return true;
 }
 
-static bool
+/* Returns the task that found no worker, or NULL. */
+static const struct task *
 place_single (struct kq_sched *sched, struct stage *stage,
               struct kq_sched_now now)
 {
@@ -246,11 +258,11 @@
       struct worker *worker = choose (sched, task, now, common_rack (stage));
 
       if (worker == NULL)
-        return false;
+        return task;
       task_bind (sched, task, worker, now);
       order_start (sched, task);
     }
-  return true;
+  return NULL;
 }
 
 static bool
@@ -306,13 +318,18 @@
   sched->room_changed = false;
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
-    bool placed;
+    const struct task *left;
 
     if (is_hopeless (&pass, stage) || stage->job->queue.advised)
       continue;
-    placed = stage->step->gang ? place_gang (sched, stage, now)
-                               : place_single (sched, stage, now);
-    if (!placed)
+    if (stage->step->gang)
+      {
+        place_gang (sched, stage, now);
+        continue;
+      }
+    left = place_single (sched, stage, now);
+    /* One that avoids a worker says nothing about the room for others. */
+    if (left != NULL && left->shunned == NULL)
       note_failure (&pass, stage);
   }
 }
--- /dev/null
+++ b/t/fuzz/site.c
@@ -0,0 +1,27 @@
+/* What the operator and the workers write into the store, and what workers
+   answer. */
+#include "platform/site.h"
+#include "base/err.h"
+#include "platform/wire-run.h"
+#include "t/fuzz/fuzz.h"
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size) /* NOLINT */
+{
+  struct kq_sched_config *config = NULL;
+  struct kq_sched_report report;
+  struct kq_sched_listing listing = { 0 };
+  json_t *answer = json_loadb ((const char *)data, size, 0, NULL);
+  int err = kq_site_config_read (data, size, &config);
+
+  fuzz_assert ((err == 0) == (config != NULL));
+  kq_sched_config_destroy (config);
+  err = kq_site_report_read ("i-1", 3, data, size, &report);
+  fuzz_assert (err == 0 || err == KQ_ESYNTAX);
+  kq_wire_listing_read (answer, &listing);
+  for (size_t i = 0; i < listing.running_count; i++)
+    fuzz_assert (listing.running[i].run.index >= 0);
+  kq_wire_listing_clear (&listing);
+  json_decref (answer);
+  return 0;
+}
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -66,6 +66,9 @@
 {
   int count;
   struct kq_sched_step step;
+  int times;
+  int64_t start_ms;
+  int64_t interval_ms;
 };
 
 static void
@@ -74,6 +77,9 @@
   memset (spec, 0, sizeof *spec);
   spec->text = strdup (SPEC);
   spec->step_count = body->count;
+  spec->times = body->times;
+  spec->start_ms = body->start_ms;
+  spec->interval_ms = body->interval_ms;
   spec->steps = calloc ((size_t)body->count, sizeof *spec->steps);
   for (int i = 0; i < body->count; i++)
     {
@@ -292,7 +298,11 @@
 {
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_SUBMIT };
   struct kq_sched_spec spec;
-  struct body body = { .count = count, .step = *step };
+  struct body body = { .count = count,
+                       .step = *step,
+                       .times = cell->times,
+                       .start_ms = cell->now.wall_ms + cell->interval_ms,
+                       .interval_ms = cell->interval_ms };
 
   build_spec (&body, &spec);
   event.u.call.token = ++cell->last_token;
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -46,6 +46,8 @@
   int record_count;
   uint64_t stored;
   bool store_down;
+  int times; /* of jobs that are handed in from now on */
+  int64_t interval_ms;
   uint64_t last_token;
 };
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -1,4 +1,5 @@
 /* Decisions about jobs, tasks and workers, without a store or a network. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -354,6 +355,117 @@
   finish (cell);
 }
 
+/* Each occurrence starts when it is due, and not before. */
+static void
+test_occurrences (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+
+  one.count = 1;
+  cell->times = 2;
+  cell->interval_ms = 1000;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  ts_advance (cell, 900);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, "b", NULL, 0, NULL, 0);
+  ts_advance (cell, 200);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  CU_ASSERT_EQUAL (cell->orders[0].run.occurrence, 0);
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, "b", NULL, 0, NULL, 0);
+  ts_advance (cell, 1000);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  CU_ASSERT_EQUAL (cell->orders[1].run.occurrence, 1);
+  finish (cell);
+}
+
+/* All members of a gang start with one run number, or none does. */
+static void
+test_gang (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step gang = {
+    .count = 5, .demand = { 2000, 100, 0 }, .est_ms = 1000, .gang = true
+  };
+  struct kq_sched_ended ended;
+
+  ts_submit (cell, JOB, "batch", &gang, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  gang.count = 4;
+  ts_submit (cell, JOB + 1, "batch", &gang, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 4);
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT_EQUAL (cell->orders[i].run.run, cell->orders[0].run.run);
+  ts_reply (cell, &cell->orders[0], KQ_SCHED_OK);
+  ended = ts_ended (&cell->orders[0], 1, KQ_SCHED_DONE);
+  ts_list (cell, cell->orders[0].worker, NULL, 0, &ended, 1);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_query (cell, JOB + 1))->state,
+                   KQ_SCHED_COMPLETE);
+  finish (cell);
+}
+
+static void
+test_limit_per_worker (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step step = plain;
+
+  step.count = 5;
+  step.max_per_worker = 1;
+  ts_submit (cell, JOB, "batch", &step, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  CU_ASSERT_STRING_NOT_EQUAL (cell->orders[0].worker, cell->orders[1].worker);
+  finish (cell);
+}
+
+static void
+test_label_and_rack (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step step = plain;
+
+  snprintf (step.rack, sizeof step.rack, "r-b");
+  ts_submit (cell, JOB, "batch", &step, 1);
+  CU_ASSERT_STRING_EQUAL (cell->orders[0].worker, "b");
+  CU_ASSERT_STRING_EQUAL (cell->orders[1].worker, "b");
+  step.rack[0] = '\0';
+  snprintf (step.label, sizeof step.label, "r-a");
+  ts_submit (cell, JOB + 1, "batch", &step, 1);
+  CU_ASSERT_STRING_EQUAL (cell->orders[2].worker, "a");
+  snprintf (step.label, sizeof step.label, "nowhere");
+  ts_submit (cell, JOB + 2, "batch", &step, 1);
+  CU_ASSERT_EQUAL (cell->order_count, 4);
+  finish (cell);
+}
+
+/* A worker that fails tasks of several jobs gets none for a while. */
+static void
+test_failing_worker_is_shunned (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order first = run_one (cell, JOB, &plain);
+  struct ts_order second;
+  struct kq_sched_ended ended[2];
+  int before;
+
+  ts_drain (cell, strcmp (first.worker, "a") == 0 ? "b" : "a");
+  second = run_one (cell, JOB + 1, &plain);
+  CU_ASSERT_STRING_EQUAL (second.worker, first.worker);
+  ended[0] = ts_ended (&first, 1, KQ_SCHED_FAILED);
+  ended[1] = ts_ended (&second, 2, KQ_SCHED_FAILED);
+  before = cell->order_count;
+  ts_list (cell, first.worker, NULL, 0, ended, 2);
+  ts_submit (cell, JOB + 2, "batch", &plain, 1);
+  CU_ASSERT_EQUAL (cell->order_count, before);
+  ts_advance (cell, 5000);
+  ts_list (cell, first.worker, NULL, 0, NULL, 0);
+  ts_advance (cell, 200);
+  CU_ASSERT (cell->order_count > before);
+  finish (cell);
+}
+
 static void
 test_unknown_job_is_gone (void)
 {
@@ -396,6 +508,11 @@
   { "a cancel stops what runs, also after a takeover",
     test_cancel_stops_what_runs },
   { "a lasting task starts again", test_lasting_task_restarts },
+  { "occurrences", test_occurrences },
+  { "a gang starts as one", test_gang },
+  { "a limit for each worker", test_limit_per_worker },
+  { "labels and racks", test_label_and_rack },
+  { "a failing worker is shunned", test_failing_worker_is_shunned },
   { "an unknown job is gone", test_unknown_job_is_gone },
   { "a draining worker gets nothing", test_draining_worker_gets_nothing },
 };
