--- a/log/log.c
+++ b/log/log.c
@@ -12,11 +12,22 @@
 
 #define LINE_SIZE 2048
 
+/* Less than a pipe holds, 64 KiB. */
+#define GATHER_BYTES 16384
+
 static enum kq_log_level highest_level = KQ_LOG_INFO;
 static char host_name[64] = "-";
 static int output = STDERR_FILENO;
 static _Atomic unsigned long dropped;
 
+/* Lines that wait to be written. */
+static bool gathers;
+static struct
+{
+  char text[GATHER_BYTES];
+  size_t length;
+} gathered;
+
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
 
 struct line
@@ -92,6 +103,28 @@
   return KQ_ESYNTAX;
 }
 
+/* One write a line keeps lines of several threads apart; where one thread
+   logs, its lines are gathered: a write costs more than a line. */
+static void
+emit (const struct line *line)
+{
+  if (!gathers)
+    {
+      if (write (output, line->text, line->length) < 0)
+        dropped++;
+      return;
+    }
+  if (gathered.length + line->length > sizeof gathered.text)
+    kq_log_flush ();
+  if (gathered.length + line->length > sizeof gathered.text)
+    {
+      dropped++;
+      return;
+    }
+  memcpy (gathered.text + gathered.length, line->text, line->length);
+  gathered.length += line->length;
+}
+
 void
 kq_log (enum kq_log_level level, const char *module, const char *event,
         int err, ...)
@@ -120,9 +153,21 @@
     put_field (&line, name, va_arg (fields, const char *));
   va_end (fields);
   put_raw (&line, "}\n", 2);
-  /* One write a line keeps lines of several threads apart. */
-  if (write (output, line.text, line.length) < 0)
-    dropped++;
+  emit (&line);
+}
+
+void
+kq_log_flush (void)
+{
+  ssize_t written = 0;
+
+  if (gathered.length > 0)
+    written = write (output, gathered.text, gathered.length);
+  if (written <= 0)
+    return;
+  /* What a full pipe did not take is tried again with the next lines. */
+  gathered.length -= (size_t)written;
+  memmove (gathered.text, gathered.text + written, gathered.length);
 }
 
 void
@@ -131,6 +176,7 @@
   int flags = fcntl (STDOUT_FILENO, F_GETFL);
 
   output = STDOUT_FILENO;
+  gathers = true;
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
--- a/log/log.h
+++ b/log/log.h
@@ -21,9 +21,14 @@
 void kq_log_setup (enum kq_log_level level, const char *host);
 
 /** Writes to standard output from now on, without waiting: lines that a full
- *  pipe does not take are dropped and counted.  */
+ *  pipe does not take are dropped and counted.  Lines are gathered until
+ *  kq_log_flush() or until the buffer is full, so that one thread only may
+ *  log.  */
 void kq_log_to_stdout (void);
 
+/** Writes what was gathered. */
+void kq_log_flush (void);
+
 /** Returns how many lines were dropped. */
 unsigned long kq_log_dropped (void);
 
--- a/node/node.c
+++ b/node/node.c
@@ -449,6 +449,7 @@
 
   if (node->deposed)
     follow_term (node);
+  kq_log_flush ();
 }
 
 static void
@@ -578,6 +579,7 @@
     {
       kq_log (KQ_LOG_ERROR, "node", "settings refused", err, "field",
               error.field, "why", error.why, NULL);
+      kq_log_flush ();
       return EXIT_SETTINGS;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -589,6 +591,7 @@
   if (err != 0)
     {
       kq_log (KQ_LOG_ERROR, "node", "not started", err, NULL);
+      kq_log_flush ();
       stop (&node);
       return EXIT_FAILURE;
     }
@@ -597,6 +600,7 @@
   ev_run (node.loop, 0);
   kq_log (KQ_LOG_INFO, "node", "stopped", 0, NULL);
   stop (&node);
+  kq_log_flush ();
   return EXIT_SUCCESS;
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -198,6 +198,8 @@
   struct kq_pressure *pressure;
   kq_usec restored_at;
   bool deposed;
+  struct worker *look_next; /* where the search for a due look goes on */
+  kq_usec look_gap;  /* between an answer of a worker and the next look */
   bool room_changed; /* since tasks were placed last */
   struct kq_sched_counts counts;
 };
@@ -259,7 +261,8 @@
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
 void worker_start_life (struct worker *worker, int64_t born_ms,
                         struct kq_sched_now now);
-void worker_plan_look (struct worker *worker, struct kq_sched_now now);
+void worker_plan_look (const struct kq_sched *sched, struct worker *worker,
+                       struct kq_sched_now now);
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
 void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
                    int64_t clock_ms);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -277,7 +277,7 @@
   if (listing->born_ms > worker->report.born_ms)
     worker_start_life (worker, listing->born_ms, now);
   listing_take (sched, worker, now, event->u.listed.sent_at, listing);
-  worker_plan_look (worker, now);
+  worker_plan_look (sched, worker, now);
 }
 
 static struct task *
@@ -461,6 +461,12 @@
     }
 }
 
+void
+kq_sched_set_look_gap (struct kq_sched *sched, kq_usec gap)
+{
+  sched->look_gap = gap;
+}
+
 void
 kq_sched_tick (struct kq_sched *sched, struct kq_sched_now now)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -194,6 +194,10 @@
 bool kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                          struct kq_sched_look *look);
 
+/** Sets how long a worker is left alone between its answer and the next look:
+ *  0 notices each end at once, more saves calls.  */
+void kq_sched_set_look_gap (struct kq_sched *sched, kq_usec gap);
+
 /** Returns WORKER's address, or NULL; and its life in *BORN_MS. */
 const char *kq_sched_worker_address (const struct kq_sched *sched,
                                      const char *worker, int64_t *born_ms);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -169,9 +169,10 @@
 /* The next look follows at once where the last one waited for an end; ends
    that are not stored yet are waited for. */
 void
-worker_plan_look (struct worker *worker, struct kq_sched_now now)
+worker_plan_look (const struct kq_sched *sched, struct worker *worker,
+                  struct kq_sched_now now)
 {
-  worker->next_look_at = now.mono;
+  worker->next_look_at = now.mono + sched->look_gap;
   if (worker->seen_stored < worker->seen)
     worker->next_look_at = now.mono + KQ_SCHED_LOOK_GAP;
 }
@@ -277,27 +278,31 @@
 kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                     struct kq_sched_look *look)
 {
-  struct worker *worker;
+  struct worker *worker
+      = sched->look_next != NULL ? sched->look_next : sched->worker_list;
 
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    if (worker->looking || worker->report.address[0] == '\0'
-        || now.mono < worker->next_look_at)
-      continue;
-    if (!worker->registered && worker->tasks == NULL)
-      continue;
-    worker->looking = true;
-    worker->look_sent_at = now.mono;
-    look->seen = worker->seen_stored;
-    look->wait_ms = 0;
-    if (worker->seen_stored == worker->seen)
-      look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
-    look->until_ms = renewed_lease (worker, now);
-    snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
-    snprintf (look->address, sizeof look->address, "%s",
-              worker->report.address);
-    return true;
-  }
+  for (; worker != NULL; worker = worker->next)
+    {
+      if (worker->looking || worker->report.address[0] == '\0'
+          || now.mono < worker->next_look_at)
+        continue;
+      if (!worker->registered && worker->tasks == NULL)
+        continue;
+      sched->look_next = worker->next;
+      worker->looking = true;
+      worker->look_sent_at = now.mono;
+      look->seen = worker->seen_stored;
+      look->wait_ms = 0;
+      if (worker->seen_stored == worker->seen)
+        look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
+      look->until_ms = renewed_lease (worker, now);
+      snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
+      snprintf (look->address, sizeof look->address, "%s",
+                worker->report.address);
+      return true;
+    }
+  /* The next question begins at the front again. */
+  sched->look_next = NULL;
   return false;
 }
 
