--- a/node/restore.c
+++ b/node/restore.c
@@ -106,6 +106,11 @@
 
   snprintf (key, sizeof key, "%.*s", (int)row->key_size, row->key);
   strcpy (restore->after, key);
+  if (row->size > 0 && strcmp (key, KQ_SCHED_PRESSURE_KEY) == 0
+      && kq_sched_restore_pressure (restore->sched, row->value, row->size)
+             != 0)
+    kq_log (KQ_LOG_WARN, "restore", "record not understood", KQ_ESYNTAX, "key",
+            key, NULL);
   if (row->size == 0 || !kq_submission_id_read (key + 1, &id))
     return;
   found = find (restore, id);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -197,6 +197,8 @@
   const struct kq_sched_config *config;
   struct kq_pressure *pressure;
   kq_usec restored_at;
+  kq_usec pressure_at; /* when its record was due last */
+  bool pressure_due;
   bool deposed;
   struct worker *look_next; /* where the search for a due look goes on */
   kq_usec look_gap;  /* between an answer of a worker and the next look */
--- a/sched/pressure.c
+++ b/sched/pressure.c
@@ -139,3 +139,35 @@
       *factor = clamp (*factor, 0, MOST_FACTOR);
     }
 }
+
+int
+kq_pressure_count (const struct kq_pressure *pressure)
+{
+  return pressure->image_count;
+}
+
+const char *
+kq_pressure_name (const struct kq_pressure *pressure, int i)
+{
+  return pressure->images[i];
+}
+
+double
+kq_pressure_base (const struct kq_pressure *pressure, int i)
+{
+  return pressure->base[i];
+}
+
+void
+kq_pressure_set_base (struct kq_pressure *pressure, int i, double base)
+{
+  if (base > 0)
+    pressure->base[i] = base;
+}
+
+void
+kq_pressure_set_factor (struct kq_pressure *pressure, int serving, int filler,
+                        double factor)
+{
+  pressure->factor[serving][filler] = clamp (factor, 0, MOST_FACTOR);
+}
--- a/sched/pressure.h
+++ b/sched/pressure.h
@@ -44,6 +44,18 @@
 void kq_pressure_observe (struct kq_pressure *pressure, int serving,
                           const struct kq_pressure_mix *mix, double seen);
 
+/** Returns how many images are known. */
+int kq_pressure_count (const struct kq_pressure *pressure);
+
+/** Returns the name and the idle tail of image I. */
+const char *kq_pressure_name (const struct kq_pressure *pressure, int i);
+double kq_pressure_base (const struct kq_pressure *pressure, int i);
+
+/** Sets what another owner has learned. */
+void kq_pressure_set_base (struct kq_pressure *pressure, int i, double base);
+void kq_pressure_set_factor (struct kq_pressure *pressure, int serving,
+                             int filler, double factor);
+
 /** Returns the factor of a pair. */
 double kq_pressure_factor (const struct kq_pressure *pressure, int serving,
                            int filler);
--- a/sched/record.c
+++ b/sched/record.c
@@ -148,6 +148,68 @@
   return count;
 }
 
+/* Returns 1 when RECORD was written, 0 when nothing is known yet. */
+static int
+encode_pressure (const struct kq_pressure *pressure,
+                 struct kq_sched_record *record)
+{
+  KqSched__PressureRecord message = KQ_SCHED__PRESSURE_RECORD__INIT;
+  char *images[KQ_PRESSURE_IMAGES];
+  float bases[KQ_PRESSURE_IMAGES];
+  float factors[KQ_PRESSURE_IMAGES * KQ_PRESSURE_IMAGES];
+  int count = kq_pressure_count (pressure);
+
+  for (int i = 0; i < count; i++)
+    {
+      images[i] = (char *)kq_pressure_name (pressure, i);
+      bases[i] = (float)kq_pressure_base (pressure, i);
+      for (int j = 0; j < count; j++)
+        factors[i * count + j] = (float)kq_pressure_factor (pressure, i, j);
+    }
+  message.n_images = (size_t)count;
+  message.images = images;
+  message.n_bases = (size_t)count;
+  message.bases = bases;
+  message.n_factors = (size_t)count * (size_t)count;
+  message.factors = factors;
+  snprintf (record->key, sizeof record->key, "%s", KQ_SCHED_PRESSURE_KEY);
+  record->size = kq_sched__pressure_record__get_packed_size (&message);
+  record->value = count > 0 ? malloc (record->size) : NULL;
+  if (record->value == NULL)
+    return 0;
+  kq_sched__pressure_record__pack (&message, record->value);
+  return 1;
+}
+
+int
+kq_sched_restore_pressure (struct kq_sched *sched, const uint8_t *value,
+                           size_t size)
+{
+  KqSched__PressureRecord *message
+      = kq_sched__pressure_record__unpack (NULL, size, value);
+  int numbers[KQ_PRESSURE_IMAGES];
+  int err = KQ_ESYNTAX;
+  size_t count;
+
+  if (message == NULL)
+    return KQ_ESYNTAX;
+  count = message->n_images;
+  if (count <= KQ_PRESSURE_IMAGES && message->n_bases == count
+      && message->n_factors == count * count)
+    {
+      for (size_t i = 0; i < count; i++)
+        numbers[i] = kq_pressure_image (sched->pressure, message->images[i]);
+      for (size_t i = 0; i < count * count; i++)
+        kq_pressure_set_factor (sched->pressure, numbers[i / count],
+                                numbers[i % count], message->factors[i]);
+      for (size_t i = 0; i < count; i++)
+        kq_pressure_set_base (sched->pressure, numbers[i], message->bases[i]);
+      err = 0;
+    }
+  kq_sched__pressure_record__free_unpacked (message, NULL);
+  return err;
+}
+
 int
 kq_sched_take_records (struct kq_sched *sched, size_t max_bytes,
                        struct kq_sched_record **records, uint64_t *position)
@@ -159,11 +221,19 @@
   size_t bytes = 0;
 
   DL_FOREACH2 (sched->dirty, job, dirty_next) { dirty++; }
-  if (dirty == 0)
+  if (dirty == 0 && !sched->pressure_due)
     return 0;
-  taken = calloc ((size_t)dirty * RECORDS_PER_JOB, sizeof *taken);
+  taken = calloc ((size_t)dirty * RECORDS_PER_JOB + 1, sizeof *taken);
   if (taken == NULL)
     return KQ_ENOMEM;
+  if (sched->pressure_due)
+    count = encode_pressure (sched->pressure, &taken[0]);
+  sched->pressure_due = false;
+  if (dirty == 0 && count == 0)
+    {
+      free (taken);
+      return 0;
+    }
   while ((job = sched->dirty) != NULL)
     {
       int more = take_job (job, &taken[count]);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &kq_sched__state_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_sched__pressure_record__init
+                     (KqSched__PressureRecord         *message)
+{
+  static const KqSched__PressureRecord init_value = KQ_SCHED__PRESSURE_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__pressure_record__get_packed_size
+                     (const KqSched__PressureRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__pressure_record__pack
+                     (const KqSched__PressureRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__pressure_record__pack_to_buffer
+                     (const KqSched__PressureRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__PressureRecord *
+       kq_sched__pressure_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__PressureRecord *)
+     protobuf_c_message_unpack (&kq_sched__pressure_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__pressure_record__free_unpacked
+                     (KqSched__PressureRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor kq_sched__job_record__field_descriptors[3] =
 {
   {
@@ -425,3 +470,67 @@
   (ProtobufCMessageInit) kq_sched__state_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_sched__pressure_record__field_descriptors[3] =
+{
+  {
+    "images",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(KqSched__PressureRecord, n_images),
+    offsetof(KqSched__PressureRecord, images),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bases",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(KqSched__PressureRecord, n_bases),
+    offsetof(KqSched__PressureRecord, bases),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "factors",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(KqSched__PressureRecord, n_factors),
+    offsetof(KqSched__PressureRecord, factors),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__pressure_record__field_indices_by_name[] = {
+  1,   /* field[1] = bases */
+  2,   /* field[2] = factors */
+  0,   /* field[0] = images */
+};
+static const ProtobufCIntRange kq_sched__pressure_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.PressureRecord",
+  "PressureRecord",
+  "KqSched__PressureRecord",
+  "kq_sched",
+  sizeof(KqSched__PressureRecord),
+  3,
+  kq_sched__pressure_record__field_descriptors,
+  kq_sched__pressure_record__field_indices_by_name,
+  1,  kq_sched__pressure_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__pressure_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct KqSched__JobRecord KqSched__JobRecord;
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
 typedef struct KqSched__StateRecord KqSched__StateRecord;
+typedef struct KqSched__PressureRecord KqSched__PressureRecord;
 
 
 /* --- enums --- */
@@ -99,6 +100,30 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * What was learned about images; written now and then.
+ */
+struct  KqSched__PressureRecord
+{
+  ProtobufCMessage base;
+  size_t n_images;
+  char **images;
+  /*
+   * one an image
+   */
+  size_t n_bases;
+  float *bases;
+  /*
+   * by serving image, then by filler image
+   */
+  size_t n_factors;
+  float *factors;
+};
+#define KQ_SCHED__PRESSURE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__pressure_record__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /* KqSched__JobRecord methods */
 void   kq_sched__job_record__init
                      (KqSched__JobRecord         *message);
@@ -156,6 +181,25 @@
 void   kq_sched__state_record__free_unpacked
                      (KqSched__StateRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqSched__PressureRecord methods */
+void   kq_sched__pressure_record__init
+                     (KqSched__PressureRecord         *message);
+size_t kq_sched__pressure_record__get_packed_size
+                     (const KqSched__PressureRecord   *message);
+size_t kq_sched__pressure_record__pack
+                     (const KqSched__PressureRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__pressure_record__pack_to_buffer
+                     (const KqSched__PressureRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__PressureRecord *
+       kq_sched__pressure_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__pressure_record__free_unpacked
+                     (KqSched__PressureRecord *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*KqSched__JobRecord_Closure)
@@ -167,6 +211,9 @@
 typedef void (*KqSched__StateRecord_Closure)
                  (const KqSched__StateRecord *message,
                   void *closure_data);
+typedef void (*KqSched__PressureRecord_Closure)
+                 (const KqSched__PressureRecord *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -176,6 +223,7 @@
 extern const ProtobufCMessageDescriptor kq_sched__job_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__state_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -19,6 +19,10 @@
 /* A look that failed is repeated after this. */
 #define LOOK_RETRY (200 * KQ_USEC_PER_MSEC)
 
+/* What was learned is stored this often: a new owner then does not learn it
+   at the cost of serving tasks. */
+#define PRESSURE_INTERVAL (2 * KQ_USEC_PER_SEC)
+
 #define STATUS_OK 200
 #define STATUS_GONE 410
 
@@ -473,6 +477,11 @@
   struct worker *worker;
 
   sched->room_changed = true;
+  if (now.mono - sched->pressure_at > PRESSURE_INTERVAL)
+    {
+      sched->pressure_at = now.mono;
+      sched->pressure_due = true;
+    }
   job_tick_all (sched, now);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -130,6 +130,9 @@
   } u;
 };
 
+/** Key of the record of what was learned about images. */
+#define KQ_SCHED_PRESSURE_KEY "p"
+
 /** A record for the store: KEY and VALUE, both owned by the taker.  A value
  *  of size 0 drops the key.  */
 struct kq_sched_record
@@ -208,6 +211,11 @@
                       struct kq_sched_spec *spec, const uint8_t *state,
                       size_t state_size);
 
+/** Takes up what earlier owners learned, the record with the key
+ *  KQ_SCHED_PRESSURE_KEY.  @return 0 or KQ_ESYNTAX.  */
+int kq_sched_restore_pressure (struct kq_sched *sched, const uint8_t *value,
+                               size_t size);
+
 /** A job's record as it was written. */
 struct kq_sched_job_record
 {
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -923,7 +923,9 @@
   start_sched (sim);
   for (const struct sim_record *record = sim->records; record != NULL;
        record = record->next)
-    if (record->key[0] == 'j' && record->size > 0)
+    if (strcmp (record->key, KQ_SCHED_PRESSURE_KEY) == 0)
+      kq_sched_restore_pressure (sim->sched, record->value, record->size);
+    else if (record->key[0] == 'j' && record->size > 0)
       restore_job (sim, record);
   kq_sched_restored (sim->sched, now_of (sim));
   for (int i = 0; i < SIM_WORKERS; i++)
@@ -931,6 +933,12 @@
       report_worker (sim, &sim->workers[i]);
 }
 
+void
+sim_take_over (struct sim *sim)
+{
+  take_over (sim);
+}
+
 static void
 strike (struct sim *sim)
 {
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -68,6 +68,9 @@
 /** Returns the longest time on end for which one was. */
 int64_t sim_longest_over (const struct sim *sim);
 
+/** Another owner takes over. */
+void sim_take_over (struct sim *sim);
+
 /** Ends all faults; workers and store work from now on. */
 void sim_heal (struct sim *sim);
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sched/record.pb-c.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
@@ -466,6 +467,41 @@
   finish (cell);
 }
 
+/* What was learned outlives the owner. */
+static void
+test_factors_are_stored (void)
+{
+  struct ts_cell *cell = start ();
+  char *images[] = { "serving", "filler" };
+  float bases[] = { 0.25F, 0.5F };
+  float factors[] = { 0, 3.5F, 0.5F, 0 };
+  KqSched__PressureRecord message = KQ_SCHED__PRESSURE_RECORD__INIT;
+  uint8_t bytes[256];
+  size_t size;
+  bool found = false;
+
+  message.n_images = 2;
+  message.images = images;
+  message.n_bases = 2;
+  message.bases = bases;
+  message.n_factors = 4;
+  message.factors = factors;
+  size = kq_sched__pressure_record__pack (&message, bytes);
+  CU_ASSERT_EQUAL (kq_sched_restore_pressure (cell->sched, bytes, size), 0);
+  ts_advance (cell, 2500);
+  for (int i = 0; i < cell->record_count; i++)
+    if (strcmp (cell->records[i].key, KQ_SCHED_PRESSURE_KEY) == 0)
+      {
+        found = true;
+        CU_ASSERT_EQUAL_FATAL (cell->records[i].size, size);
+        CU_ASSERT_EQUAL (memcmp (cell->records[i].value, bytes, size), 0);
+      }
+  CU_ASSERT (found);
+  CU_ASSERT_NOT_EQUAL (
+      kq_sched_restore_pressure (cell->sched, bytes, size - 1), 0);
+  finish (cell);
+}
+
 static void
 test_unknown_job_is_gone (void)
 {
@@ -513,6 +549,7 @@
   { "a limit for each worker", test_limit_per_worker },
   { "labels and racks", test_label_and_rack },
   { "a failing worker is shunned", test_failing_worker_is_shunned },
+  { "factors are stored", test_factors_are_stored },
   { "an unknown job is gone", test_unknown_job_is_gone },
   { "a draining worker gets nothing", test_draining_worker_gets_nothing },
 };
--- a/t/test-sim.c
+++ b/t/test-sim.c
@@ -142,6 +142,8 @@
 #define SERVING_JOBS 12
 #define FILLING_JOBS 120
 
+static int takeovers; /* in the middle of share() */
+
 static struct shared
 share (unsigned long seed, const sim_factors *factors, bool paced, int gap_ms)
 {
@@ -173,6 +175,8 @@
       filling.image[0] = (char)('2' + i % 2);
       sim_submit (sim, "batch", &filling, 1);
       sim_run (sim, gap_ms);
+      if (takeovers > 0 && i % (FILLING_JOBS / (takeovers + 1)) == 1)
+        sim_take_over (sim);
     }
   sim_run (sim, 40000);
   for (int i = 0; i < FILLING_JOBS; i++)
@@ -188,6 +192,23 @@
    Source: the platform's bound violation_ms. */
 #define VIOLATION_MS 4000
 
+/* Takeovers in a row do not let fillers disturb serving tasks anew. */
+static void
+test_takeovers_beside_serving_tasks (void)
+{
+  static const sim_factors pairs = { { 0, 0, 4, 0 }, { 0, 0, 0, 4 } };
+  struct shared calm = share (7, &pairs, true, 300);
+  struct shared shaken;
+
+  takeovers = 3;
+  shaken = share (7, &pairs, true, 300);
+  takeovers = 0;
+  CU_ASSERT (shaken.longest_over < VIOLATION_MS);
+  CU_ASSERT_EQUAL (shaken.done, FILLING_JOBS);
+  /* A second for each takeover, on all twelve workers. */
+  CU_ASSERT (shaken.over <= calm.over + 3 * SIM_WORKERS * 1000);
+}
+
 /* Each filler has serving tasks that it does not disturb: all work is done. */
 static void
 test_fillers_beside_serving_tasks (void)
@@ -232,6 +253,7 @@
 
 static const struct kq_test tests[] = {
   { "fillers beside serving tasks", test_fillers_beside_serving_tasks },
+  { "takeovers beside serving tasks", test_takeovers_beside_serving_tasks },
   { "fillers that disturb all", test_fillers_that_disturb_all },
   { "many fillers that hardly disturb", test_many_that_hardly_disturb },
   { "seeds", test_seeds },
