sched: a new owner waits 11 s, not 17 s, for workers that do not answer

Ruled out: the lease of a silent worker (it is not renewed after 2.2 s), ends that are counted twice.

--- a/node/owner.c
+++ b/node/owner.c
@@ -20,8 +20,8 @@
    that it does not know a job, and takes none: another may own them. */
 #define UNSURE_AFTER (1000 * KQ_USEC_PER_MSEC)
 
-/* An owner that is not confirmed for this long stops renewing leases; its
-   successor counts on it.  Source: sched/internal.h. */
+/* An owner that is not confirmed for this long ends its term: its leases have
+   lapsed by then (sched/internal.h). */
 #define GIVE_UP_AFTER (12 * KQ_USEC_PER_SEC)
 
 /* Turns of the loop up to this leave time to wait; each ms more puts looks off
@@ -513,8 +513,10 @@
 void
 kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at)
 {
-  if (sent_at > owner->confirmed_at)
-    owner->confirmed_at = sent_at;
+  if (sent_at <= owner->confirmed_at)
+    return;
+  owner->confirmed_at = sent_at;
+  kq_sched_confirm (owner->sched, sent_at);
 }
 
 bool
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -21,7 +21,7 @@
 
 /* An owner that is cut from the store may renew leases for this long after
    its last confirmed term. */
-#define KQ_SCHED_HOLD_WITHOUT_STORE (12 * KQ_USEC_PER_SEC)
+#define KQ_SCHED_HOLD_WITHOUT_STORE (6 * KQ_USEC_PER_SEC)
 
 /* Shortest time between two looks at a worker that has nothing to report. */
 #define KQ_SCHED_LOOK_GAP (250 * KQ_USEC_PER_MSEC)
@@ -201,6 +201,7 @@
   bool pressure_due;
   bool deposed;
   struct worker *look_next; /* where the search for a due look goes on */
+  kq_usec confirmed_at;     /* the term, by the store */
   kq_usec look_gap;  /* between an answer of a worker and the next look */
   bool room_changed; /* since tasks were placed last */
   struct kq_sched_counts counts;
--- a/sched/record.c
+++ b/sched/record.c
@@ -342,6 +342,7 @@
   struct job *job;
   struct worker *worker;
 
+  kq_sched_confirm (sched, now.mono);
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
   DL_FOREACH (sched->worker_list, worker)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -465,6 +465,13 @@
     }
 }
 
+void
+kq_sched_confirm (struct kq_sched *sched, kq_usec mono)
+{
+  if (mono > sched->confirmed_at)
+    sched->confirmed_at = mono;
+}
+
 void
 kq_sched_set_look_gap (struct kq_sched *sched, kq_usec gap)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -197,6 +197,11 @@
 bool kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                          struct kq_sched_look *look);
 
+/** Says that the store confirmed the owner's term at the time MONO.  An owner
+ *  that is not confirmed for a while renews no leases: its successor, if there
+ *  is one, waits no longer than that for workers that do not answer.  */
+void kq_sched_confirm (struct kq_sched *sched, kq_usec mono);
+
 /** Sets how long a worker is left alone between its answer and the next look:
  *  0 notices each end at once, more saves calls.  */
 void kq_sched_set_look_gap (struct kq_sched *sched, kq_usec gap);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -262,11 +262,13 @@
    an answer may have renewed it, so that a silent worker's lease would never
    be known to lapse if each look renewed it.  */
 static int64_t
-renewed_lease (struct worker *worker, struct kq_sched_now now)
+renewed_lease (const struct kq_sched *sched, struct worker *worker,
+               struct kq_sched_now now)
 {
   int64_t until;
 
   if (worker->clock_at == 0
+      || now.mono - sched->confirmed_at > KQ_SCHED_HOLD_WITHOUT_STORE
       || now.mono - worker->heard_at > RENEW_AFTER_SILENCE)
     return 0;
   until = worker_clock (worker, now.mono) + KQ_SCHED_LEASE_MS;
@@ -295,7 +297,7 @@
       look->wait_ms = 0;
       if (worker->seen_stored == worker->seen)
         look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
-      look->until_ms = renewed_lease (worker, now);
+      look->until_ms = renewed_lease (sched, worker, now);
       snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
       snprintf (look->address, sizeof look->address, "%s",
                 worker->report.address);
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -238,6 +238,8 @@
 
       cell->now.mono += step * KQ_USEC_PER_MSEC;
       cell->now.wall_ms += step;
+      if (!cell->store_down)
+        kq_sched_confirm (cell->sched, cell->now.mono);
       kq_sched_tick (cell->sched, cell->now);
       while (kq_sched_next_look (cell->sched, cell->now, &look))
         ;
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -989,6 +989,8 @@
       finish_writing (sim);
       if (sim->now % TICK_MS == 0)
         {
+          if (sim->now >= sim->store_down_until)
+            kq_sched_confirm (sim->sched, now_of (sim).mono);
           kq_sched_tick (sim->sched, now_of (sim));
           ask_open (sim);
         }
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -223,13 +223,14 @@
   ts_take_over (cell);
   ts_worker (cell, other, 4000, 4000);
   ts_list (cell, other, NULL, 0, NULL, 0);
-  for (int i = 0; i < 16; i++)
+  /* The owner before may have renewed for 6 s, each time for 5 s. */
+  for (int i = 0; i < 10; i++)
     {
       ts_advance (cell, 1000);
       ts_list (cell, other, NULL, 0, NULL, 0);
     }
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  for (int i = 0; i < 4; i++)
+  for (int i = 0; i < 3; i++)
     {
       ts_advance (cell, 1000);
       ts_list (cell, other, NULL, 0, NULL, 0);
@@ -291,6 +292,26 @@
 
 /* An end that was stored, but not yet passed over at the worker, is listed to
    the next owner again: it is one failure. */
+/* An owner without the store renews leases for 6 s, and no longer. */
+static void
+test_unconfirmed_owner_renews_no_lease (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_look look = { .until_ms = 0 };
+
+  cell->store_down = true;
+  cell->now.mono += 5 * KQ_USEC_PER_SEC;
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  cell->now.mono += KQ_USEC_PER_SEC / 2;
+  CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
+  CU_ASSERT (look.until_ms > 0);
+  ts_list (cell, "a", NULL, 0, NULL, 0);
+  cell->now.mono += KQ_USEC_PER_SEC;
+  CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
+  CU_ASSERT_EQUAL (look.until_ms, 0);
+  finish (cell);
+}
+
 static void
 test_failure_counts_once (void)
 {
@@ -540,6 +561,8 @@
     test_takeover_waits_for_a_silent_worker },
   { "a silent worker loses its tasks", test_silent_worker_loses_its_tasks },
   { "a job fails after its attempts", test_failed_job_after_its_attempts },
+  { "an unconfirmed owner renews no lease",
+    test_unconfirmed_owner_renews_no_lease },
   { "a failure counts once", test_failure_counts_once },
   { "a cancel stops what runs, also after a takeover",
     test_cancel_stops_what_runs },
