sched: our own words for a worker's clock and the end of its lease

Cause: two names of the platform's pages stood outside platform/.

Ruled out: nothing else of the pages' names is outside it (git grep).

Conclusion: only platform/ and the stand-ins know the pages' names.

--- a/node/owner.c
+++ b/node/owner.c
@@ -336,7 +336,7 @@
   event.u.order.worker = outcome->worker;
   event.u.order.run = outcome->run;
   event.u.order.answer = outcome->answer;
-  event.u.order.clock_ms = outcome->clock_ms;
+  event.u.order.local_ms = outcome->local_ms;
   event.u.order.sent_at = outcome->sent_at;
   take_event (arg, &event);
 }
--- /dev/null
+++ b/sched/count.c
@@ -0,0 +1,64 @@
+/* What the scheduler tells about itself, and the rules that it asserts. */
+#include <assert.h>
+
+#include "sched/internal.h"
+
+bool
+kq_sched_knows (const struct kq_sched *sched, uint64_t id)
+{
+  const struct job *job;
+
+  HASH_FIND (hh, sched->jobs, &id, sizeof id, job);
+  return job != NULL;
+}
+
+void
+kq_sched_count (const struct kq_sched *sched, struct kq_sched_counts *counts)
+{
+  const struct worker *worker;
+
+  *counts = sched->counts;
+  counts->jobs = (int)HASH_COUNT (sched->jobs);
+  counts->workers = (int)HASH_COUNT (sched->workers);
+  counts->open_jobs = 0;
+  counts->usable_workers = 0;
+  for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
+    counts->open_jobs += !job_is_over (job);
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    if (!worker->registered || worker->report.draining)
+      continue;
+    counts->usable_workers++;
+    counts->cpu_capacity += worker->report.capacity.cpu;
+    counts->mem_capacity += worker->report.capacity.mem;
+    counts->cpu_used += worker->used.cpu;
+    counts->mem_used += worker->used.mem;
+  }
+}
+
+void
+kq_sched_assert (const struct kq_sched *sched)
+{
+  const struct worker *worker;
+  int bound = 0;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    struct kq_sched_demand used = { 0, 0, 0 };
+    const struct task *task;
+
+    DL_FOREACH (worker->tasks, task)
+    {
+      const struct kq_sched_step *step = task->stage->step;
+
+      assert (task->state == TASK_BOUND && task->worker == worker);
+      used.cpu += step->filler ? 0 : step->demand.cpu;
+      used.mem += step->demand.mem;
+      used.gpu += step->demand.gpu;
+      bound++;
+    }
+    assert (used.cpu == worker->used.cpu && used.mem == worker->used.mem
+            && used.gpu == worker->used.gpu);
+  }
+  assert (bound == sched->counts.bound_tasks);
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -157,11 +157,11 @@
   kq_usec look_sent_at;
   kq_usec heard_at; /* last answer of any kind, 0: never */
   kq_usec next_look_at;
-  int64_t clock_ms; /* at clock_at */
+  int64_t local_ms; /* at clock_at */
   kq_usec clock_at;
-  int64_t until_ms;  /* latest that we sent, its clock */
-  kq_usec lapsed_at; /* by then all earlier leases have lapsed */
-  int64_t seen;      /* highest end taken in */
+  int64_t lease_end_ms; /* latest that we sent, its clock */
+  kq_usec lapsed_at;    /* by then all earlier leases have lapsed */
+  int64_t seen;         /* highest end taken in */
   int64_t seen_stored;
   uint64_t seen_position;
   bool registered_once;
@@ -268,8 +268,8 @@
                        struct kq_sched_now now);
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
 void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
-                   int64_t clock_ms);
-void worker_granted (struct worker *worker, int64_t until_ms);
+                   int64_t local_ms);
+void worker_granted (struct worker *worker, int64_t lease_end_ms);
 
 /* listing.c */
 void listing_take (struct kq_sched *sched, struct worker *worker,
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -1,6 +1,5 @@
 #include "sched/sched.h"
 
-#include <assert.h>
 #include <inttypes.h>
 #include <limits.h>
 #include <stdio.h>
@@ -277,7 +276,7 @@
     deposed (sched, worker->report.id);
   if (event->u.listed.answer != KQ_SCHED_OK)
     return;
-  worker_heard (worker, event->u.listed.sent_at, now.mono, listing->clock_ms);
+  worker_heard (worker, event->u.listed.sent_at, now.mono, listing->local_ms);
   if (listing->born_ms > worker->report.born_ms)
     worker_start_life (worker, listing->born_ms, now);
   listing_take (sched, worker, now, event->u.listed.sent_at, listing);
@@ -347,7 +346,7 @@
     }
   if (worker != NULL && event->u.order.answer != KQ_SCHED_SILENT)
     worker_heard (worker, event->u.order.sent_at, now.mono,
-                  event->u.order.clock_ms);
+                  event->u.order.local_ms);
   if (task == NULL || task->phase == PHASE_STOPPING
       || task->phase == PHASE_WRITTEN)
     return;
@@ -388,7 +387,7 @@
     }
   if (worker != NULL && event->u.order.answer != KQ_SCHED_SILENT)
     worker_heard (worker, event->u.order.sent_at, now.mono,
-                  event->u.order.clock_ms);
+                  event->u.order.local_ms);
   if (task == NULL)
     return;
   if (event->u.order.answer == KQ_SCHED_OK
@@ -518,69 +517,10 @@
   task->percent_at = now.mono;
   snprintf (start->address, sizeof start->address, "%s",
             worker->report.address);
-  start->until_ms = worker_clock (worker, now.mono) + KQ_SCHED_START_LEASE_MS;
-  worker_granted (worker, start->until_ms);
+  start->lease_end_ms
+      = worker_clock (worker, now.mono) + KQ_SCHED_START_LEASE_MS;
+  worker_granted (worker, start->lease_end_ms);
   start->text = task->stage->job->spec.text;
   start->checkpoint = task->checkpoint;
   return 0;
 }
-
-bool
-kq_sched_knows (const struct kq_sched *sched, uint64_t id)
-{
-  const struct job *job;
-
-  HASH_FIND (hh, sched->jobs, &id, sizeof id, job);
-  return job != NULL;
-}
-
-void
-kq_sched_count (const struct kq_sched *sched, struct kq_sched_counts *counts)
-{
-  const struct worker *worker;
-
-  *counts = sched->counts;
-  counts->jobs = (int)HASH_COUNT (sched->jobs);
-  counts->workers = (int)HASH_COUNT (sched->workers);
-  counts->open_jobs = 0;
-  counts->usable_workers = 0;
-  for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
-    counts->open_jobs += !job_is_over (job);
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    if (!worker->registered || worker->report.draining)
-      continue;
-    counts->usable_workers++;
-    counts->cpu_capacity += worker->report.capacity.cpu;
-    counts->mem_capacity += worker->report.capacity.mem;
-    counts->cpu_used += worker->used.cpu;
-    counts->mem_used += worker->used.mem;
-  }
-}
-
-void
-kq_sched_assert (const struct kq_sched *sched)
-{
-  const struct worker *worker;
-  int bound = 0;
-
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    struct kq_sched_demand used = { 0, 0, 0 };
-    const struct task *task;
-
-    DL_FOREACH (worker->tasks, task)
-    {
-      const struct kq_sched_step *step = task->stage->step;
-
-      assert (task->state == TASK_BOUND && task->worker == worker);
-      used.cpu += step->filler ? 0 : step->demand.cpu;
-      used.mem += step->demand.mem;
-      used.gpu += step->demand.gpu;
-      bound++;
-    }
-    assert (used.cpu == worker->used.cpu && used.mem == worker->used.mem
-            && used.gpu == worker->used.gpu);
-  }
-  assert (bound == sched->counts.bound_tasks);
-}
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -92,7 +92,7 @@
       struct kq_sched_run run;
       enum kq_sched_answer answer;
       kq_usec sent_at;
-      int64_t clock_ms; /**< the worker's, 0 without an answer */
+      int64_t local_ms; /**< the worker's, 0 without an answer */
     } order;
     uint64_t stored; /**< journal position */
   } u;
@@ -147,16 +147,16 @@
 {
   char worker[KQ_SCHED_NAME];
   char address[KQ_SCHED_NAME];
-  int64_t seen;     /**< ends up to this number are stored */
-  int64_t until_ms; /**< on the worker's clock, 0 while that is unknown */
-  int wait_ms;      /**< its answer may wait this long for an end */
+  int64_t seen;         /**< ends up to this number are stored */
+  int64_t lease_end_ms; /**< on the worker's clock, 0 while that is unknown */
+  int wait_ms;          /**< its answer may wait this long for an end */
 };
 
 /** All that a start order carries. */
 struct kq_sched_start
 {
   char address[KQ_SCHED_NAME];
-  int64_t until_ms;
+  int64_t lease_end_ms;
   const char *text;       /**< valid until the next event */
   const char *checkpoint; /**< "" for none; valid until the next event */
 };
--- a/sched/types.h
+++ b/sched/types.h
@@ -161,7 +161,7 @@
 /** What a worker answers when its lease is renewed. */
 struct kq_sched_listing
 {
-  int64_t clock_ms; /**< the worker's */
+  int64_t local_ms; /**< the worker's */
   int64_t born_ms;  /**< the life that answers */
   struct kq_sched_running *running;
   size_t running_count;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -97,7 +97,7 @@
   worker->seen = 0;
   worker->seen_stored = 0;
   worker->clock_at = 0;
-  worker->until_ms = 0;
+  worker->lease_end_ms = 0;
   worker->failed_jobs = 0;
   worker->shunned_until = 0;
   worker->speed = 1.0;
@@ -149,20 +149,20 @@
 {
   if (worker->clock_at == 0)
     return 0;
-  return worker->clock_ms + (mono - worker->clock_at) / KQ_USEC_PER_MSEC;
+  return worker->local_ms + (mono - worker->clock_at) / KQ_USEC_PER_MSEC;
 }
 
 void
 worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
-              int64_t clock_ms)
+              int64_t local_ms)
 {
   worker->heard_at = now;
-  if (clock_ms <= 0)
+  if (local_ms <= 0)
     return;
   /* An earlier owner may have renewed its lease until this moment. */
   if (worker->clock_at == 0)
-    worker->until_ms = clock_ms + KQ_SCHED_LEASE_MS;
-  worker->clock_ms = clock_ms;
+    worker->lease_end_ms = local_ms + KQ_SCHED_LEASE_MS;
+  worker->local_ms = local_ms;
   worker->clock_at = now;
 }
 
@@ -185,10 +185,10 @@
 }
 
 void
-worker_granted (struct worker *worker, int64_t until_ms)
+worker_granted (struct worker *worker, int64_t lease_end_ms)
 {
-  if (until_ms > worker->until_ms)
-    worker->until_ms = until_ms;
+  if (lease_end_ms > worker->lease_end_ms)
+    worker->lease_end_ms = lease_end_ms;
 }
 
 bool
@@ -208,10 +208,10 @@
 
   if (worker->clock_at == 0)
     return now.mono > worker->lapsed_at;
-  clock = worker->clock_ms
+  clock = worker->local_ms
           + (now.mono - worker->clock_at) / KQ_USEC_PER_MSEC
                 * SLOWEST_CLOCK_PERCENT / 100;
-  return clock > worker->until_ms + LAPSE_MARGIN_MS;
+  return clock > worker->lease_end_ms + LAPSE_MARGIN_MS;
 }
 
 static void
@@ -297,7 +297,7 @@
       look->wait_ms = 0;
       if (worker->seen_stored == worker->seen)
         look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
-      look->until_ms = renewed_lease (sched, worker, now);
+      look->lease_end_ms = renewed_lease (sched, worker, now);
       snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
       snprintf (look->address, sizeof look->address, "%s",
                 worker->report.address);
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -177,7 +177,7 @@
         return;
       snprintf (order.checkpoint, sizeof order.checkpoint, "%s",
                 start.checkpoint);
-      order.until_ms = start.until_ms;
+      order.lease_end_ms = start.lease_end_ms;
     }
   CU_ASSERT_FATAL (cell->order_count < TS_MAX_ORDERS);
   cell->orders[cell->order_count++] = order;
@@ -364,7 +364,7 @@
   event.u.order.run = order->run;
   event.u.order.answer = answer;
   event.u.order.sent_at = order->at;
-  event.u.order.clock_ms = answer == KQ_SCHED_SILENT ? 0 : worker_clock (cell);
+  event.u.order.local_ms = answer == KQ_SCHED_SILENT ? 0 : worker_clock (cell);
   kq_sched_event (cell->sched, cell->now, &event);
   ts_settle (cell);
 }
@@ -375,7 +375,7 @@
          const struct kq_sched_ended *ended, size_t ended_count)
 {
   struct kq_sched_listing listing
-      = { .clock_ms = worker_clock (cell),
+      = { .local_ms = worker_clock (cell),
           .born_ms = 1,
           .running = (struct kq_sched_running *)running,
           .running_count = running_count,
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -18,7 +18,7 @@
   struct kq_sched_run run;
   int percent;
   char checkpoint[KQ_SCHED_NAME];
-  int64_t until_ms;
+  int64_t lease_end_ms;
   kq_usec at;
 };
 
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -506,7 +506,7 @@
              const struct sim_call *call)
 {
   struct kq_sched_running running[SIM_RUNS];
-  struct kq_sched_listing listing = { .clock_ms = clock_of (sim, worker),
+  struct kq_sched_listing listing = { .local_ms = clock_of (sim, worker),
                                       .born_ms = worker->born,
                                       .running = running };
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_LISTED };
@@ -567,7 +567,7 @@
   event.u.order.answer = answer;
   event.u.order.sent_at = call->sent_at * KQ_USEC_PER_MSEC;
   if (answer != KQ_SCHED_SILENT)
-    event.u.order.clock_ms = clock_of (sim, worker);
+    event.u.order.local_ms = clock_of (sim, worker);
   give (sim, &event);
 }
 
@@ -843,7 +843,7 @@
     {
       if (kq_sched_start_order (sim->sched, now_of (sim), effect, &start) != 0)
         return;
-      call.until = start.until_ms;
+      call.until = start.lease_end_ms;
       strcpy (call.checkpoint, start.checkpoint);
     }
   add_call (sim, &call);
@@ -876,7 +876,7 @@
       struct sim_call call = { .kind = KQ_SCHED_FX_ANSWER,
                                .fence = sim->fence,
                                .worker = worker_number (look.worker),
-                               .until = look.until_ms,
+                               .until = look.lease_end_ms,
                                .seen = look.seen,
                                .sent_at = sim->now };
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -297,18 +297,18 @@
 test_unconfirmed_owner_renews_no_lease (void)
 {
   struct ts_cell *cell = start ();
-  struct kq_sched_look look = { .until_ms = 0 };
+  struct kq_sched_look look = { .lease_end_ms = 0 };
 
   cell->store_down = true;
   cell->now.mono += 5 * KQ_USEC_PER_SEC;
   ts_list (cell, "a", NULL, 0, NULL, 0);
   cell->now.mono += KQ_USEC_PER_SEC / 2;
   CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
-  CU_ASSERT (look.until_ms > 0);
+  CU_ASSERT (look.lease_end_ms > 0);
   ts_list (cell, "a", NULL, 0, NULL, 0);
   cell->now.mono += KQ_USEC_PER_SEC;
   CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
-  CU_ASSERT_EQUAL (look.until_ms, 0);
+  CU_ASSERT_EQUAL (look.lease_end_ms, 0);
   finish (cell);
 }
 
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -206,7 +206,7 @@
   struct kq_sched_listing listing = { 0 };
 
   CU_ASSERT_EQUAL (kq_wire_listing_read (answer, &listing), 0);
-  CU_ASSERT_EQUAL (listing.clock_ms, 5);
+  CU_ASSERT_EQUAL (listing.local_ms, 5);
   CU_ASSERT_EQUAL (listing.born_ms, 9);
   CU_ASSERT_EQUAL_FATAL (listing.running_count, 1);
   CU_ASSERT_EQUAL (listing.running[0].run.job, 255);
