--- a/node/http.c
+++ b/node/http.c
@@ -34,7 +34,6 @@
   bool running;
   bool closing;
   size_t body_limit;
-  size_t open;
   size_t sending;
 };
 
@@ -100,7 +99,6 @@
   request->answered = true;
   request->status = answer->status;
   request->response = make_response (http, answer);
-  http->open--;
   http->sending++;
   if (request->suspended)
     {
@@ -207,7 +205,6 @@
   if (request->handed)
     return MHD_YES;
   request->handed = true;
-  http->open++;
   http->handler.on_request (http->handler.arg, &request->seen);
   if (request->answered)
     return send_response (request);
@@ -228,7 +225,6 @@
   *state = NULL;
   if (request->handed && !request->answered)
     {
-      http->open--;
       if (http->handler.on_gone != NULL)
         http->handler.on_gone (http->handler.arg, &request->seen);
     }
@@ -362,12 +358,6 @@
   http->closing = true;
 }
 
-size_t
-kq_http_open (const struct kq_http *http)
-{
-  return http->open;
-}
-
 bool
 kq_http_is_sending (const struct kq_http *http)
 {
--- a/node/http.h
+++ b/node/http.h
@@ -63,9 +63,6 @@
 /** From now on answers ask callers to close their connections. */
 void kq_http_close_softly (struct kq_http *http);
 
-/** Returns how many requests are not answered yet. */
-size_t kq_http_open (const struct kq_http *http);
-
 /** Whether answers are still being written. */
 bool kq_http_is_sending (const struct kq_http *http);
 
--- a/node/journal.c
+++ b/node/journal.c
@@ -182,9 +182,3 @@
 {
   return journal->failures > 0;
 }
-
-bool
-kq_journal_is_busy (const struct kq_journal *journal)
-{
-  return journal->busy;
-}
--- a/node/journal.h
+++ b/node/journal.h
@@ -38,7 +38,4 @@
 /** Whether the append under way has failed at least once. */
 bool kq_journal_is_failing (const struct kq_journal *journal);
 
-/** Whether an append is under way. */
-bool kq_journal_is_busy (const struct kq_journal *journal);
-
 #endif
--- a/node/owner.c
+++ b/node/owner.c
@@ -525,12 +525,6 @@
   return owner->active && !owner->over;
 }
 
-bool
-kq_owner_is_settled (const struct kq_owner *owner)
-{
-  return !kq_journal_is_busy (owner->journal);
-}
-
 void
 kq_owner_count (const struct kq_owner *owner, struct kq_sched_counts *counts)
 {
--- a/node/owner.h
+++ b/node/owner.h
@@ -56,9 +56,6 @@
 /** Whether it has read all jobs and answers. */
 bool kq_owner_is_active (const struct kq_owner *owner);
 
-/** Whether nothing waits for the store. */
-bool kq_owner_is_settled (const struct kq_owner *owner);
-
 void kq_owner_count (const struct kq_owner *owner,
                      struct kq_sched_counts *counts);
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -154,7 +154,6 @@
   struct task *tasks;
   /* the look that renews its lease */
   bool looking;
-  kq_usec look_sent_at;
   kq_usec heard_at; /* last answer of any kind, 0: never */
   kq_usec next_look_at;
   int64_t local_ms; /* at clock_at */
@@ -164,13 +163,11 @@
   int64_t seen;         /* highest end taken in */
   int64_t seen_stored;
   uint64_t seen_position;
-  bool registered_once;
   /* judgement */
   int failed_jobs; /* distinct jobs in a row that failed here */
   uint64_t last_failed_job;
   kq_usec shunned_until;
   kq_usec full_until;
-  double speed; /* learned: expected over measured time, 1 is sound */
   kq_usec paced_at;
   struct worker *prev;
   struct worker *next;
@@ -196,7 +193,6 @@
   struct effect_node *effects;
   const struct kq_sched_config *config;
   struct kq_pressure *pressure;
-  kq_usec restored_at;
   kq_usec pressure_at; /* when its record was due last */
   bool pressure_due;
   bool deposed;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -47,7 +47,6 @@
   if (worker == NULL)
     return NULL;
   snprintf (worker->report.id, sizeof worker->report.id, "%s", id);
-  worker->speed = 1.0;
   HASH_ADD_KEYPTR (hh, sched->workers, worker->report.id,
                    strlen (worker->report.id), worker);
   DL_APPEND (sched->worker_list, worker);
@@ -100,7 +99,6 @@
   worker->lease_end_ms = 0;
   worker->failed_jobs = 0;
   worker->shunned_until = 0;
-  worker->speed = 1.0;
 }
 
 void
@@ -292,7 +290,6 @@
         continue;
       sched->look_next = worker->next;
       worker->looking = true;
-      worker->look_sent_at = now.mono;
       look->seen = worker->seen_stored;
       look->wait_ms = 0;
       if (worker->seen_stored == worker->seen)
