sched/place: fillers that disturb everywhere go on slowly

Where a heavy filler disturbs the serving tasks of all workers its job waits although most room is free; the platform allows that for 3 s while under half is in use.

Ruled out: raising MOST_PRESS (the test's fillers press up to three times as much as a full pace allows, so that any bound that lets them in lets all in); leaving the task where it is moved to next (it is stopped again after 0.4 s and never gets further than its last checkpoint).

Change: with nothing of its job bound for 1.5 s and under half of the room in use, one task of the job goes where it disturbs least; pacing slows it down, and it is not moved on.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -68,7 +68,8 @@
   kq_usec phase_at;
   kq_usec stop_sent_at;
   bool stop_wanted;
-  int pace; /* percent */
+  bool pressed; /* placed where it disturbs: it is slowed down, not moved */
+  int pace;     /* percent */
   kq_usec paced_at;
   int percent;
   kq_usec percent_at;
@@ -228,6 +229,7 @@
               enum kq_sched_state state, struct kq_sched_now now);
 int job_pending (const struct kq_sched *sched, const char *queue);
 bool job_is_over (const struct job *job);
+bool job_has_bound (const struct job *job);
 void job_log (const struct job *job, const char *event, const char *why);
 void job_tick_all (struct kq_sched *sched, struct kq_sched_now now);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -58,6 +58,16 @@
   return job->state >= KQ_SCHED_COMPLETE;
 }
 
+bool
+job_has_bound (const struct job *job)
+{
+  for (int i = 0; i < job->stage_count; i++)
+    for (int j = 0; j < job->stages[i].step->count; j++)
+      if (job->stages[i].tasks[j].state == TASK_BOUND)
+        return true;
+  return false;
+}
+
 static int
 occurrences (const struct job *job)
 {
--- a/sched/place.c
+++ b/sched/place.c
@@ -21,6 +21,12 @@
 #define MOST_PRESS 1.1
 #define WEIGHT_PRESS 1500
 
+/* A job with a filler ready for this long and nothing at work gets one started
+   although it will be slowed down, while under HALF_USED_PERCENT of the room
+   is in use.  Source: a job may have nothing running for 3 s then. */
+#define PRESSED_AFTER (1500 * KQ_USEC_PER_MSEC)
+#define HALF_USED_PERCENT 50
+
 /* How long a task waits for another worker than the one where it failed. */
 #define AVOID_TIME (3 * KQ_USEC_PER_SEC)
 
@@ -30,6 +36,7 @@
 {
   uint64_t failed; /* by image */
   bool others_failed;
+  bool half_free; /* under half of the room is in use */
   struct kq_sched_demand smallest[KQ_PRESSURE_IMAGES];
   struct kq_sched_demand smallest_other;
 };
@@ -136,9 +143,11 @@
   return worker == task->shunned && now.mono - task->ready_at < AVOID_TIME;
 }
 
+/* A task that may be PRESSED also goes where it disturbs more than is
+   allowed. */
 static struct worker *
 choose (struct kq_sched *sched, const struct task *task,
-        struct kq_sched_now now, const char *rack)
+        struct kq_sched_now now, const char *rack, bool pressed)
 {
   const struct stage *stage = task->stage;
   struct worker *best = NULL;
@@ -156,7 +165,7 @@
     if (stage->step->filler && worker->serving > 0)
       press
           = share_press (sched, worker, stage->image, stage->step->demand.cpu);
-    if (press > MOST_PRESS)
+    if (press > MOST_PRESS && !pressed)
       continue;
     points = score (worker, task, press);
     if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
@@ -221,7 +230,8 @@
     return;
   while ((task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker = choose (sched, task, now, common_rack (stage));
+      struct worker *worker
+          = choose (sched, task, now, common_rack (stage), false);
 
       if (worker == NULL)
         {
@@ -255,7 +265,8 @@
 
   while ((task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker = choose (sched, task, now, common_rack (stage));
+      struct worker *worker
+          = choose (sched, task, now, common_rack (stage), false);
 
       if (worker == NULL)
         return task;
@@ -265,6 +276,27 @@
   return NULL;
 }
 
+/* A filler that would disturb serving tasks everywhere still goes on, slowly:
+   one of its job, where it disturbs least. */
+static void
+place_pressed (struct kq_sched *sched, struct stage *stage,
+               struct kq_sched_now now)
+{
+  int from = 0;
+  struct task *task = next_ready (stage, &from);
+  struct worker *worker;
+
+  if (task == NULL || now.mono - task->ready_at < PRESSED_AFTER
+      || job_has_bound (stage->job))
+    return;
+  worker = choose (sched, task, now, common_rack (stage), true);
+  if (worker == NULL)
+    return;
+  task_bind (sched, task, worker, now);
+  task->pressed = true;
+  order_start (sched, task);
+}
+
 static bool
 asks_for_as_much (const struct kq_sched_demand *demand,
                   const struct kq_sched_demand *failed)
@@ -306,10 +338,27 @@
     }
 }
 
+static bool
+is_half_free (const struct kq_sched *sched, struct kq_sched_now now)
+{
+  const struct worker *worker;
+  int64_t capacity = 0;
+  int64_t used = 0;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    if (!worker_usable (worker, now))
+      continue;
+    capacity += worker->report.capacity.cpu;
+    used += worker->used.cpu;
+  }
+  return used * 100 < capacity * HALF_USED_PERCENT;
+}
+
 void
 kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
 {
-  struct pass pass = { .failed = 0 };
+  struct pass pass = { .half_free = is_half_free (sched, now) };
   struct stage *stage;
   struct stage *next;
 
@@ -320,8 +369,14 @@
   {
     const struct task *left;
 
-    if (is_hopeless (&pass, stage) || stage->job->queue.advised)
+    if (stage->job->queue.advised)
       continue;
+    if (is_hopeless (&pass, stage))
+      {
+        if (stage->step->filler && pass.half_free)
+          place_pressed (sched, stage, now);
+        continue;
+      }
     if (stage->step->gang)
       {
         place_gang (sched, stage, now);
@@ -331,5 +386,7 @@
     /* One that avoids a worker says nothing about the room for others. */
     if (left != NULL && left->shunned == NULL)
       note_failure (&pass, stage);
+    if (left != NULL && stage->step->filler && pass.half_free)
+      place_pressed (sched, stage, now);
   }
 }
--- a/t/test-sim.c
+++ b/t/test-sim.c
@@ -251,7 +251,48 @@
     CU_ASSERT (share (seed, &pairs, true, 180).longest_over < VIOLATION_MS);
 }
 
+/* Heavy fillers, a serving task that each of them disturbs on every worker,
+   and most of the room free: they do not wait for ever (a job may have nothing
+   running for 3 s at most while under half of the room is in use). */
+static void
+test_heavy_fillers_and_free_room (void)
+{
+  static const sim_factors pairs = { { 0, 0, 5, 0 } };
+  static const struct kq_sched_step serving = { .count = SIM_WORKERS,
+                                                .demand = { 4000, 4000, 0 },
+                                                .est_ms = 1000,
+                                                .max_per_worker = 1,
+                                                .lasting = true,
+                                                .tail_target_ms = 50,
+                                                .image = "0" };
+  static const struct kq_sched_step heavy = { .count = 1,
+                                              .demand = { 6000, 3000, 0 },
+                                              .est_ms = 2000,
+                                              .filler = true,
+                                              .checkpointable = true,
+                                              .image = "2" };
+
+  for (unsigned long seed = 1; seed <= 5; seed++)
+    {
+      struct sim *sim = sim_create (seed, &no_faults);
+
+      sim_set_factors (sim, &pairs);
+      sim_run (sim, 2000);
+      sim_submit (sim, "urgent", &serving, 1);
+      sim_run (sim, 1000);
+      for (int i = 0; i < SIM_WORKERS; i++)
+        sim_submit (sim, "batch", &heavy, 1);
+      sim_run (sim, 60000);
+      for (int i = 1; i <= SIM_WORKERS; i++)
+        CU_ASSERT (sim_time_of (sim, i) >= 0);
+      CU_ASSERT (sim_longest_over (sim) < VIOLATION_MS);
+      CU_ASSERT_PTR_NULL (sim_violation (sim));
+      sim_destroy (sim);
+    }
+}
+
 static const struct kq_test tests[] = {
+  { "heavy fillers and free room", test_heavy_fillers_and_free_room },
   { "fillers beside serving tasks", test_fillers_beside_serving_tasks },
   { "takeovers beside serving tasks", test_takeovers_beside_serving_tasks },
   { "fillers that disturb all", test_fillers_that_disturb_all },
