--- a/node/node.c
+++ b/node/node.c
@@ -21,6 +21,7 @@
 #include "node/http.h"
 #include "node/options.h"
 #include "node/owner.h"
+#include "node/turns.h"
 #include "node/watch.h"
 #include "platform/boot.h"
 #include "term/term.h"
@@ -586,6 +587,7 @@
   kq_log_setup (options->log_level, node.boot.host);
   kq_call_register_metrics ();
   kq_desk_register_metrics ();
+  kq_turns_register_metrics ();
   kq_gauges_register ();
   err = start (&node, options->metrics_port);
   if (err != 0)
--- a/node/owner.c
+++ b/node/owner.c
@@ -11,6 +11,7 @@
 #include "node/journal.h"
 #include "node/restore.h"
 #include "node/roster.h"
+#include "node/turns.h"
 #include "platform/orders.h"
 #include "platform/submission.h"
 
@@ -24,15 +25,6 @@
    lapsed by then (sched/internal.h). */
 #define GIVE_UP_AFTER (12 * KQ_USEC_PER_SEC)
 
-/* Turns of the loop up to this leave time to wait; each ms more puts looks off
-   by GAP_PER_TURN ms, up to the limit, a seventh of the time for which a
-   filler may disturb.  One long turn counts as LONGEST_TURN. */
-#define EASY_TURN (2 * KQ_USEC_PER_MSEC)
-#define LONGEST_TURN (100 * KQ_USEC_PER_MSEC)
-#define GAP_PER_TURN 60
-#define LONGEST_GAP (500 * KQ_USEC_PER_MSEC)
-#define TURN_SMOOTHING 16
-
 struct waiting
 {
   struct kq_sched_effect effect;
@@ -54,8 +46,7 @@
   struct waiting *waiting; /* effects that wait for the journal */
   uint64_t stored;
   kq_usec confirmed_at;
-  kq_usec woken_at; /* by the last event */
-  kq_usec turn;     /* smoothed time of work in a turn of the loop */
+  struct kq_turns turns;
   ev_prepare prepare;
   ev_check check;
   ev_timer tick;
@@ -203,30 +194,13 @@
     kq_orders_look (owner->orders, &look);
 }
 
-/* A loop that comes round late has more calls than processor: looks then wait,
-   so that one of them takes in several ends. */
-static void
-note_lag (struct kq_owner *owner)
-{
-  kq_usec turn = kq_clock_now () - owner->woken_at;
-  kq_usec gap;
-
-  if (turn > LONGEST_TURN)
-    turn = LONGEST_TURN;
-  owner->turn += (turn - owner->turn) / TURN_SMOOTHING;
-  gap = (owner->turn - EASY_TURN) * GAP_PER_TURN;
-  if (gap < 0)
-    gap = 0;
-  kq_sched_set_look_gap (owner->sched, gap < LONGEST_GAP ? gap : LONGEST_GAP);
-}
-
 /* Carries the state forward before the loop waits again. */
 static void
 pump (struct kq_owner *owner)
 {
   if (!owner->active || owner->over)
     return;
-  note_lag (owner);
+  kq_turns_mark (&owner->turns, KQ_TURN_EVENTS);
   if (kq_clock_now () - owner->confirmed_at > GIVE_UP_AFTER)
     {
       end_term (owner, "not confirmed by the store");
@@ -237,10 +211,16 @@
       owner->stale = false;
       kq_sched_place (owner->sched, now_of ());
     }
+  kq_turns_mark (&owner->turns, KQ_TURN_PLACE);
   kq_journal_write (owner->journal, owner->sched);
+  kq_turns_mark (&owner->turns, KQ_TURN_JOURNAL);
   take_effects (owner);
-  if (!owner->over)
-    send_looks (owner);
+  kq_turns_mark (&owner->turns, KQ_TURN_EFFECTS);
+  if (owner->over)
+    return;
+  send_looks (owner);
+  kq_turns_mark (&owner->turns, KQ_TURN_LOOKS);
+  kq_sched_set_look_gap (owner->sched, kq_turns_end (&owner->turns));
 }
 
 static void
@@ -254,7 +234,7 @@
 {
   struct kq_owner *owner = check->data;
 
-  owner->woken_at = kq_clock_now ();
+  kq_turns_begin (&owner->turns);
 }
 
 static void
@@ -404,7 +384,7 @@
   ev_check_init (&owner->check, on_woken);
   owner->check.data = owner;
   ev_check_start (loop, &owner->check);
-  owner->woken_at = kq_clock_now ();
+  kq_turns_begin (&owner->turns);
   ev_timer_start (loop, &owner->tick);
   if (create_parts (owner, store, term) != 0)
     {
