--- a/node/gauges.c
+++ b/node/gauges.c
@@ -1,8 +1,14 @@
 #include "node/gauges.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+
 #include "log/log.h"
 #include "metrics/metrics.h"
 
+#define MILLI 1000
+#define MIB_PER_GIB 1024
+
 enum gauge
 {
   GAUGE_OWNER,
@@ -91,6 +97,28 @@
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
+void
+kq_gauges_log (const struct kq_sched_counts *counts)
+{
+  char ready[16];
+  char bound[16];
+  char workers[16];
+  char cores[48];
+  char memory[48];
+
+  snprintf (ready, sizeof ready, "%d", counts->ready_tasks);
+  snprintf (bound, sizeof bound, "%d", counts->bound_tasks);
+  snprintf (workers, sizeof workers, "%d", counts->usable_workers);
+  snprintf (cores, sizeof cores, "%" PRId64 "/%" PRId64,
+            counts->cpu_used / MILLI, counts->cpu_capacity / MILLI);
+  snprintf (memory, sizeof memory, "%" PRId64 "/%" PRId64,
+            counts->mem_used / MIB_PER_GIB,
+            counts->mem_capacity / MIB_PER_GIB);
+  kq_log (KQ_LOG_INFO, "owner", "cell", 0, "ready_tasks", ready, "bound_tasks",
+          bound, "workers", workers, "cores", cores, "memory_gib", memory,
+          NULL);
+}
+
 void
 kq_gauges_set_beliefs (int64_t version, int64_t term, int64_t owner_changes,
                        int64_t store_age_us)
--- a/node/owner.c
+++ b/node/owner.c
@@ -8,6 +8,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/gauges.h"
 #include "node/journal.h"
 #include "node/restore.h"
 #include "node/roster.h"
@@ -17,6 +18,9 @@
 
 #define TICK_SEC 0.1
 
+/* The state of the cell is logged each so many ticks: 5 s. */
+#define TICKS_PER_REPORT 50
+
 /* An owner that the store has not confirmed for this long no longer says
    that it does not know a job, and takes none: another may own them. */
 #define UNSURE_AFTER (1000 * KQ_USEC_PER_MSEC)
@@ -50,6 +54,7 @@
   ev_prepare prepare;
   ev_check check;
   ev_timer tick;
+  int ticks;
   bool active;
   bool over;
   bool stale; /* something happened since tasks were placed */
@@ -246,6 +251,13 @@
     return;
   kq_sched_tick (owner->sched, now_of ());
   owner->stale = true;
+  if (owner->ticks++ % TICKS_PER_REPORT == 0)
+    {
+      struct kq_sched_counts counts;
+
+      kq_sched_count (owner->sched, &counts);
+      kq_gauges_log (&counts);
+    }
 }
 
 static void
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -154,7 +154,8 @@
   int task_count;
   struct task *tasks;
   /* the look that renews its lease */
-  bool looking;
+  int looks;    /* under way: one that waits for an end, one that hurries */
+  bool hurried; /* a look at once, beside one that waits */
   kq_usec heard_at; /* last answer of any kind, 0: never */
   kq_usec next_look_at;
   int64_t local_ms; /* at clock_at */
@@ -265,6 +266,7 @@
 void worker_plan_look (const struct kq_sched *sched, struct worker *worker,
                        struct kq_sched_now now);
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
+void worker_look_now (struct worker *worker);
 void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
                    int64_t local_ms);
 void worker_granted (struct worker *worker, int64_t lease_end_ms);
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -139,7 +139,12 @@
       || task->phase == PHASE_DOUBTFUL)
     {
       if (task->phase != PHASE_DOUBTFUL)
-        task->phase = PHASE_AT_WORK;
+        {
+          /* Looks overtake each other: one that was sent before this moment
+             may not have seen the run yet. */
+          task->phase = PHASE_AT_WORK;
+          task->phase_at = now.mono;
+        }
       task->percent_at = now.mono;
       job->started = true;
     }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -16,7 +16,7 @@
 #define SICK_TIME (1000 * KQ_USEC_PER_MSEC)
 
 /* A look that failed is repeated after this. */
-#define LOOK_RETRY (200 * KQ_USEC_PER_MSEC)
+#define LOOK_RETRY (100 * KQ_USEC_PER_MSEC)
 
 /* What was learned is stored this often: a new owner then does not learn it
    at the cost of serving tasks. */
@@ -270,12 +270,16 @@
 
   if (worker == NULL)
     return;
-  worker->looking = false;
+  if (worker->looks > 0)
+    worker->looks--;
   worker->next_look_at = now.mono + LOOK_RETRY;
   if (event->u.listed.answer == KQ_SCHED_FENCED)
     deposed (sched, worker->report.id);
   if (event->u.listed.answer != KQ_SCHED_OK)
     return;
+  /* What an earlier life had to say is overtaken. */
+  if (listing->born_ms < worker->report.born_ms)
+    return;
   worker_heard (worker, event->u.listed.sent_at, now.mono, listing->local_ms);
   if (listing->born_ms > worker->report.born_ms)
     worker_start_life (worker, listing->born_ms, now);
@@ -393,6 +397,9 @@
   if (event->u.order.answer == KQ_SCHED_OK
       || event->u.order.answer == KQ_SCHED_OLD_RUN)
     {
+      /* A look that waits for an end sees none if the run never came. */
+      if (task->phase == PHASE_DOUBTFUL)
+        worker_look_now (task->worker);
       task->phase = PHASE_STOPPING;
       task->phase_at = now.mono;
       worker_look_soon (task->worker, now);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -16,6 +16,9 @@
 #define LOOK_WAIT_MS 1000
 #define SHARED_WAIT_MS 400
 
+/* Looks at a worker that are under way at the same time. */
+#define MOST_LOOKS 2
+
 /* A worker that was silent for longer has its lease no longer renewed: two
    looks without an answer. */
 #define RENEW_AFTER_SILENCE (2200 * KQ_USEC_PER_MSEC)
@@ -182,6 +185,12 @@
     worker->next_look_at = now.mono;
 }
 
+void
+worker_look_now (struct worker *worker)
+{
+  worker->hurried = true;
+}
+
 void
 worker_granted (struct worker *worker, int64_t lease_end_ms)
 {
@@ -274,6 +283,14 @@
   return until;
 }
 
+static bool
+is_look_due (const struct worker *worker, struct kq_sched_now now)
+{
+  if (worker->hurried)
+    return worker->looks < MOST_LOOKS;
+  return worker->looks == 0 && now.mono >= worker->next_look_at;
+}
+
 bool
 kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                     struct kq_sched_look *look)
@@ -283,17 +300,17 @@
 
   for (; worker != NULL; worker = worker->next)
     {
-      if (worker->looking || worker->report.address[0] == '\0'
-          || now.mono < worker->next_look_at)
+      if (worker->report.address[0] == '\0' || !is_look_due (worker, now))
         continue;
       if (!worker->registered && worker->tasks == NULL)
         continue;
       sched->look_next = worker->next;
-      worker->looking = true;
+      worker->looks++;
       look->seen = worker->seen_stored;
       look->wait_ms = 0;
-      if (worker->seen_stored == worker->seen)
+      if (worker->seen_stored == worker->seen && !worker->hurried)
         look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
+      worker->hurried = false;
       look->lease_end_ms = renewed_lease (sched, worker, now);
       snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
       snprintf (look->address, sizeof look->address, "%s",
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -370,13 +370,14 @@
 }
 
 void
-ts_list (struct ts_cell *cell, const char *worker,
-         const struct kq_sched_running *running, size_t running_count,
-         const struct kq_sched_ended *ended, size_t ended_count)
+ts_list_sent (struct ts_cell *cell, const char *worker, kq_usec sent_at,
+              int64_t born_ms, const struct kq_sched_running *running,
+              size_t running_count, const struct kq_sched_ended *ended,
+              size_t ended_count)
 {
   struct kq_sched_listing listing
       = { .local_ms = worker_clock (cell),
-          .born_ms = 1,
+          .born_ms = born_ms,
           .running = (struct kq_sched_running *)running,
           .running_count = running_count,
           .ended = (struct kq_sched_ended *)ended,
@@ -385,13 +386,22 @@
 
   event.u.listed.worker = worker;
   event.u.listed.answer = KQ_SCHED_OK;
-  event.u.listed.sent_at = cell->now.mono;
+  event.u.listed.sent_at = sent_at;
   event.u.listed.listing = &listing;
   cell->now.mono += KQ_USEC_PER_MSEC;
   kq_sched_event (cell->sched, cell->now, &event);
   ts_settle (cell);
 }
 
+void
+ts_list (struct ts_cell *cell, const char *worker,
+         const struct kq_sched_running *running, size_t running_count,
+         const struct kq_sched_ended *ended, size_t ended_count)
+{
+  ts_list_sent (cell, worker, cell->now.mono, 1, running, running_count, ended,
+                ended_count);
+}
+
 void
 ts_fail_look (struct ts_cell *cell, const char *worker)
 {
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -89,6 +89,13 @@
               const struct kq_sched_running *running, size_t running_count,
               const struct kq_sched_ended *ended, size_t ended_count);
 
+/** The same for a look that was sent at SENT_AT, by a worker of which the life
+ *  began at BORN_MS.  */
+void ts_list_sent (struct ts_cell *cell, const char *worker, kq_usec sent_at,
+                   int64_t born_ms, const struct kq_sched_running *running,
+                   size_t running_count, const struct kq_sched_ended *ended,
+                   size_t ended_count);
+
 /** The look at WORKER has no answer. */
 void ts_fail_look (struct ts_cell *cell, const char *worker);
 
--- a/t/test-base.c
+++ b/t/test-base.c
@@ -2,6 +2,7 @@
 
 #include "base/err.h"
 #include "base/name.h"
+#include "base/rto.h"
 #include "metrics/metrics.h"
 #include "t/kqtest.h"
 
@@ -43,7 +44,34 @@
   CU_ASSERT_EQUAL (kq_metric_print (small, sizeof small), KQ_ETOOBIG);
 }
 
+static void
+test_patience_follows_answers (void)
+{
+  struct kq_rto rto;
+
+  kq_rto_init (&rto, 250, 700);
+  CU_ASSERT_EQUAL (kq_rto_get (&rto), 700);
+  for (int i = 0; i < 50; i++)
+    kq_rto_answered (&rto, 20);
+  CU_ASSERT_EQUAL (kq_rto_get (&rto), 250);
+  /* One answer in twenty is lost: it stays impatient. */
+  for (int i = 0; i < 200; i++)
+    if (i % 20 == 0)
+      kq_rto_missed (&rto);
+    else
+      kq_rto_answered (&rto, 20);
+  CU_ASSERT_EQUAL (kq_rto_get (&rto), 250);
+  /* All answers become slower than it waits for: it learns that. */
+  for (int i = 0; i < 50; i++)
+    kq_rto_missed (&rto);
+  CU_ASSERT_EQUAL (kq_rto_get (&rto), 700);
+  for (int i = 0; i < 50; i++)
+    kq_rto_answered (&rto, 400);
+  CU_ASSERT (kq_rto_get (&rto) > 400);
+}
+
 static const struct kq_test tests[] = {
+  { "patience follows answers", test_patience_follows_answers },
   { "error names", test_error_names },
   { "names are checked", test_names_are_checked },
   { "metrics page", test_metrics_page },
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -169,6 +169,85 @@
   finish (cell);
 }
 
+/* Orders that are carried out late: the run that never came is known to be
+   gone at once, not when the look that waits for an end returns. */
+static void
+test_lost_start_is_looked_for_at_once (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order first;
+  struct kq_sched_look look;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  first = cell->orders[0];
+  while (kq_sched_next_look (cell->sched, cell->now, &look))
+    CU_ASSERT (look.wait_ms > 0);
+  ts_reply (cell, &first, KQ_SCHED_SILENT);
+  CU_ASSERT_FALSE (kq_sched_next_look (cell->sched, cell->now, &look));
+  ts_reply (cell, ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0),
+            KQ_SCHED_OK);
+  CU_ASSERT_FATAL (kq_sched_next_look (cell->sched, cell->now, &look));
+  CU_ASSERT_STRING_EQUAL (look.worker, first.worker);
+  CU_ASSERT_EQUAL (look.wait_ms, 0);
+  CU_ASSERT_FALSE (kq_sched_next_look (cell->sched, cell->now, &look));
+  finish (cell);
+}
+
+/* Two looks are under way; the answer to the earlier one, from before the run
+   began, comes last. */
+static void
+test_overtaken_list_ends_nothing (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order first;
+  struct kq_sched_running row;
+  kq_usec sent_at;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  first = cell->orders[0];
+  ts_advance (cell, 20);
+  sent_at = cell->now.mono;
+  ts_advance (cell, 20);
+  row = ts_running (&first, 0);
+  ts_list (cell, first.worker, &row, 1, NULL, 0);
+  ts_list_sent (cell, first.worker, sent_at, 1, NULL, 0, NULL, 0);
+  ts_advance (cell, 100);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  finish (cell);
+}
+
+/* An answer of a worker's earlier life comes after its new one is known: its
+   numbers of ends say nothing about the new ones. */
+static void
+test_list_of_an_earlier_life (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct ts_order first;
+  struct kq_sched_ended old;
+  struct kq_sched_ended end;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  first = cell->orders[0];
+  ts_worker_life (cell, first.worker, 16000, 64000, 5);
+  old = ts_ended (&first, 40, KQ_SCHED_STOPPED);
+  ts_list_sent (cell, first.worker, cell->now.mono, 1, NULL, 0, &old, 1);
+  ts_list_sent (cell, first.worker, cell->now.mono, 5, NULL, 0, NULL, 0);
+  ts_advance (cell, 200);
+  first = *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+  end = ts_ended (&first, 1, KQ_SCHED_DONE);
+  ts_list_sent (cell, first.worker, cell->now.mono, 5, NULL, 0, &end, 1);
+  ts_advance (cell, 100);
+  CU_ASSERT_EQUAL (ts_answer_to (cell, ts_query (cell, JOB))->state,
+                   KQ_SCHED_COMPLETE);
+  finish (cell);
+}
+
 /* A new owner does not know what its predecessor granted: what runs is left
    alone, at the first word of its worker and before.  */
 static void
@@ -547,6 +626,10 @@
 }
 
 static const struct kq_test tests[] = {
+  { "overtaken list ends nothing", test_overtaken_list_ends_nothing },
+  { "list of an earlier life", test_list_of_an_earlier_life },
+  { "lost start is looked for at once",
+    test_lost_start_is_looked_for_at_once },
   { "a start waits for the store", test_start_waits_for_store },
   { "the same ID is one job", test_same_id_is_one_job },
   { "steps run in order", test_steps_in_order },
