--- a/sched/place.c
+++ b/sched/place.c
@@ -126,12 +126,8 @@
     }
   else if (step->filler && worker->serving > 0)
     points += (int64_t)(WEIGHT_PRESS * press);
-  else if (!step->filler)
-    {
-      points = -load;
-      if (worker->serving == 0)
-        points += WEIGHT_OTHER_KIND_OF_WORK / 4;
-    }
+  else if (!step->filler && worker->serving == 0)
+    points += WEIGHT_OTHER_KIND_OF_WORK / 4;
   if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
     points += WEIGHT_FAR_RACK;
   points += (int64_t)worker->failed_jobs * WEIGHT_FAILED_HERE;
