sched/place: late work leaves room, batch waits while an urgent task finds none

The log of the cell, now with cores of tasks that last: at 24 s they hold 8,655 of 9,144 cores, all others 199; 2,100 of 2,100 waiting tasks are late. So devis wait for tasks that last, of the same priority, and what runs of them is often too late to count.

Change: work that is late leaves 4%, work that is too late to count 8% of a service's CPU free; counted work of a lower priority does not start while an urgent task that can be in time has found no room for less than 3 s.

Ruled out: best fit; fewer tasks that last (they must run where there is room for them, whatever waits).

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -101,22 +101,26 @@
 kq_gauges_log (const struct kq_sched_counts *counts)
 {
   char ready[16];
+  char late[16];
   char bound[16];
   char workers[16];
-  char cores[48];
+  char cores[64];
   char memory[48];
 
   snprintf (ready, sizeof ready, "%d", counts->ready_tasks);
+  snprintf (late, sizeof late, "%d", counts->ready_late);
   snprintf (bound, sizeof bound, "%d", counts->bound_tasks);
   snprintf (workers, sizeof workers, "%d", counts->usable_workers);
-  snprintf (cores, sizeof cores, "%" PRId64 "/%" PRId64,
-            counts->cpu_used / MILLI, counts->cpu_capacity / MILLI);
+  snprintf (cores, sizeof cores, "%" PRId64 "+%" PRId64 "/%" PRId64,
+            counts->cpu_lasting / MILLI,
+            (counts->cpu_used - counts->cpu_lasting) / MILLI,
+            counts->cpu_capacity / MILLI);
   snprintf (memory, sizeof memory, "%" PRId64 "/%" PRId64,
             counts->mem_used / MIB_PER_GIB,
             counts->mem_capacity / MIB_PER_GIB);
-  kq_log (KQ_LOG_INFO, "owner", "cell", 0, "ready_tasks", ready, "bound_tasks",
-          bound, "workers", workers, "cores", cores, "memory_gib", memory,
-          NULL);
+  kq_log (KQ_LOG_INFO, "owner", "cell", 0, "ready_tasks", ready, "late", late,
+          "bound_tasks", bound, "workers", workers, "cores", cores,
+          "memory_gib", memory, NULL);
 }
 
 void
--- a/node/gauges.h
+++ b/node/gauges.h
@@ -12,8 +12,9 @@
 /** Sets them from COUNTS; NULL: this host is not the owner. */
 void kq_gauges_set (const struct kq_sched_counts *counts);
 
-/** Writes the state of the cell to the log: what waits, and how much of the
- *  room (cores, GiB) is asked for.  */
+/** Writes the state of the cell to the log: what waits, of that what is late,
+ *  and the room that is asked for: cores of tasks that last + others / all,
+ * GiB / all.  */
 void kq_gauges_log (const struct kq_sched_counts *counts);
 
 /** Sets the age of this host's beliefs. */
--- a/sched/count.c
+++ b/sched/count.c
@@ -16,6 +16,8 @@
 kq_sched_count (const struct kq_sched *sched, struct kq_sched_counts *counts)
 {
   const struct worker *worker;
+  const struct stage *stage;
+  const struct task *task;
 
   *counts = sched->counts;
   counts->jobs = (int)HASH_COUNT (sched->jobs);
@@ -33,6 +35,16 @@
     counts->mem_capacity += worker->report.capacity.mem;
     counts->cpu_used += worker->used.cpu;
     counts->mem_used += worker->used.mem;
+    DL_FOREACH (worker->tasks, task)
+    {
+      if (task->stage->step->lasting && !task->stage->step->filler)
+        counts->cpu_lasting += task->stage->step->demand.cpu;
+    }
+  }
+  DL_FOREACH (sched->queue, stage)
+  {
+    if (stage->rank > 0)
+      counts->ready_late += stage->ready;
   }
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -27,20 +27,92 @@
 #define PRESSED_AFTER (1500 * KQ_USEC_PER_MSEC)
 #define HALF_USED_PERCENT 50
 
+/* Room of a service, in percent of its CPU, that work of a rank leaves free:
+   what can still be in time then starts at once instead of waiting for what
+   can't.  Source: docs/design/platform.md, "Overload". */
+static const int kept_free_percent[] = { 0, 4, 8 };
+
+/* A task of a higher priority that finds no room keeps counted work of lower
+   ones from starting for this long: it would take the pieces that come free.
+   After that it is hardly in time any more. */
+#define BLOCK_TIME (3 * KQ_USEC_PER_SEC)
+
+/* Services that are told apart; the rest share the last entry. */
+#define MAX_SERVICES 8
+
 /* How long a task waits for another worker than the one where it failed. */
 #define AVOID_TIME (3 * KQ_USEC_PER_SEC)
 
+/* CPU of the usable workers of a service. */
+struct room
+{
+  const char *service;
+  int64_t capacity;
+  int64_t used;
+  bool is_wanted; /* by a task of PRIORITY that found no room in this pass */
+  int priority;
+};
+
 /* Demands that no worker could take in this pass, by kind of work: fillers of
    each image, and all others.  A stage that asks for as much is not tried. */
 struct pass
 {
   uint64_t failed; /* by image */
   bool others_failed;
-  bool half_free; /* under half of the room is in use */
+  struct room rooms[MAX_SERVICES];
+  int room_count;
   struct kq_sched_demand smallest[KQ_PRESSURE_IMAGES];
   struct kq_sched_demand smallest_other;
 };
 
+static struct room *
+room_of (struct pass *pass, const char *service)
+{
+  for (int i = 0; i < pass->room_count; i++)
+    if (strcmp (pass->rooms[i].service, service) == 0)
+      return &pass->rooms[i];
+  if (pass->room_count == MAX_SERVICES)
+    return &pass->rooms[MAX_SERVICES - 1];
+  pass->rooms[pass->room_count].service = service;
+  return &pass->rooms[pass->room_count++];
+}
+
+static void
+survey (const struct kq_sched *sched, struct pass *pass,
+        struct kq_sched_now now)
+{
+  const struct worker *worker;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    struct room *room;
+
+    if (!worker_usable (worker, now))
+      continue;
+    room = room_of (pass, worker->report.service);
+    room->capacity += worker->report.capacity.cpu;
+    room->used += worker->used.cpu;
+  }
+}
+
+static bool
+is_half_free (const struct room *room)
+{
+  return room->used * 100 < room->capacity * HALF_USED_PERCENT;
+}
+
+/* Whether another task of STAGE leaves the room free that its rank must. */
+static bool
+leaves_room (const struct room *room, const struct stage *stage)
+{
+  const struct kq_sched_step *step = stage->step;
+
+  if (stage->rank == 0 || step->filler || step->lasting)
+    return true;
+  return (room->used + step->demand.cpu) * 100
+         <= room->capacity * (100 - kept_free_percent[stage->rank]);
+}
+
 static int
 tasks_of_stage (const struct worker *worker, const struct stage *stage)
 {
@@ -257,13 +329,14 @@
 
 /* Returns the task that found no worker, or NULL. */
 static const struct task *
-place_single (struct kq_sched *sched, struct stage *stage,
+place_single (struct kq_sched *sched, struct room *room, struct stage *stage,
               struct kq_sched_now now)
 {
   int from = 0;
   struct task *task;
 
-  while ((task = next_ready (stage, &from)) != NULL)
+  while (leaves_room (room, stage)
+         && (task = next_ready (stage, &from)) != NULL)
     {
       struct worker *worker
           = choose (sched, task, now, common_rack (stage), false);
@@ -272,6 +345,7 @@
         return task;
       task_bind (sched, task, worker, now);
       order_start (sched, task);
+      room->used += stage->step->filler ? 0 : stage->step->demand.cpu;
     }
   return NULL;
 }
@@ -317,6 +391,28 @@
          && asks_for_as_much (&step->demand, &pass->smallest[stage->image]);
 }
 
+/* STAGE, of which a task has been ready since READY_AT, finds no room. */
+static void
+want_room (struct room *room, const struct stage *stage, kq_usec ready_at,
+           struct kq_sched_now now)
+{
+  const struct kq_sched_step *step = stage->step;
+
+  if (room->is_wanted || stage->rank != 0 || step->filler || step->gang
+      || step->label[0] != '\0' || step->max_per_worker != 0
+      || now.mono - ready_at >= BLOCK_TIME)
+    return;
+  room->is_wanted = true;
+  room->priority = stage->job->queue.priority;
+}
+
+static bool
+is_blocked (const struct room *room, const struct stage *stage)
+{
+  return !stage->step->filler && room->is_wanted
+         && stage->job->queue.priority > room->priority;
+}
+
 /* Remembers a demand that failed for want of room alone. */
 static void
 note_failure (struct pass *pass, const struct stage *stage)
@@ -338,55 +434,51 @@
     }
 }
 
-static bool
-is_half_free (const struct kq_sched *sched, struct kq_sched_now now)
+/* Places what it can of STAGE; returns a task that found no room, or NULL. */
+static const struct task *
+place_stage (struct kq_sched *sched, struct pass *pass, struct room *room,
+             struct stage *stage, struct kq_sched_now now)
 {
-  const struct worker *worker;
-  int64_t capacity = 0;
-  int64_t used = 0;
+  const struct task *left;
+  int from = 0;
 
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    if (!worker_usable (worker, now))
-      continue;
-    capacity += worker->report.capacity.cpu;
-    used += worker->used.cpu;
-  }
-  return used * 100 < capacity * HALF_USED_PERCENT;
+  if (is_hopeless (pass, stage))
+    return next_ready (stage, &from);
+  if (stage->step->gang)
+    {
+      place_gang (sched, stage, now);
+      return NULL;
+    }
+  left = place_single (sched, room, stage, now);
+  /* One that avoids a worker says nothing about the room for others. */
+  if (left != NULL && left->shunned == NULL)
+    note_failure (pass, stage);
+  return left;
 }
 
 void
 kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
 {
-  struct pass pass = { .half_free = is_half_free (sched, now) };
+  struct pass pass = { .failed = 0 };
   struct stage *stage;
   struct stage *next;
 
   if (sched->deposed || !sched->room_changed)
     return;
   sched->room_changed = false;
+  survey (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
+    struct room *room = room_of (&pass, stage->job->queue.service);
     const struct task *left;
 
-    if (stage->job->queue.advised)
+    if (stage->job->queue.advised || is_blocked (room, stage))
       continue;
-    if (is_hopeless (&pass, stage))
-      {
-        if (stage->step->filler && pass.half_free)
-          place_pressed (sched, stage, now);
-        continue;
-      }
-    if (stage->step->gang)
-      {
-        place_gang (sched, stage, now);
-        continue;
-      }
-    left = place_single (sched, stage, now);
-    /* One that avoids a worker says nothing about the room for others. */
-    if (left != NULL && left->shunned == NULL)
-      note_failure (&pass, stage);
-    if (left != NULL && stage->step->filler && pass.half_free)
+    left = place_stage (sched, &pass, room, stage, now);
+    if (left == NULL)
+      continue;
+    want_room (room, stage, left->ready_at, now);
+    if (stage->step->filler && is_half_free (room))
       place_pressed (sched, stage, now);
   }
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -247,11 +247,13 @@
   int jobs;
   int open_jobs;
   int ready_tasks;
+  int ready_late; /**< of these, too late for their objective */
   int bound_tasks;
   int workers;
   int usable_workers;
   int64_t cpu_capacity; /**< of usable workers, thousandths of a core */
   int64_t cpu_used;     /**< counted against it */
+  int64_t cpu_lasting;  /**< of that, for tasks that last */
   int64_t mem_capacity; /**< MiB */
   int64_t mem_used;
   int64_t starts;
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -248,6 +248,93 @@
   finish (cell);
 }
 
+/* Starts the only task of JOB, of CPU for EST_MS, and returns its order. */
+static struct ts_order
+run_cpu (struct ts_cell *cell, uint64_t job, int64_t cpu, int64_t est_ms)
+{
+  struct kq_sched_step step
+      = { .count = 1, .demand = { cpu, 1, 0 }, .est_ms = est_ms };
+
+  return run_one (cell, job, &step);
+}
+
+/* Overload: pieces of room that come free are not taken by small batch tasks
+   while an urgent large one waits for a whole. */
+static void
+test_batch_waits_behind_a_large_urgent_task (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step batch
+      = { .count = 4, .demand = { 1500, 1, 0 }, .est_ms = 2000 };
+  struct kq_sched_step urgent
+      = { .count = 1, .demand = { 3000, 1, 0 }, .est_ms = 1000 };
+  const struct ts_order *order;
+  struct kq_sched_ended ends[2];
+  const char *worker;
+
+  ts_submit (cell, 1, "batch", &batch, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 4);
+  ts_submit (cell, 2, "urgent", &urgent, 1);
+  batch.demand.cpu = 900;
+  ts_submit (cell, 3, "batch", &batch, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 4);
+  order = ts_last_order (cell, KQ_SCHED_FX_START, 1, 0, 0);
+  worker = order->worker;
+  ends[0] = ts_ended (order, 1, KQ_SCHED_DONE);
+  for (int i = 1; i < 4; i++)
+    {
+      order = ts_last_order (cell, KQ_SCHED_FX_START, 1, 0, i);
+      if (strcmp (order->worker, worker) == 0)
+        ends[1] = ts_ended (order, 2, KQ_SCHED_DONE);
+    }
+  ts_list (cell, worker, NULL, 0, ends, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 4);
+  ts_list (cell, worker, NULL, 0, ends, 2);
+  order = ts_last_order (cell, KQ_SCHED_FX_START, 2, 0, 0);
+  CU_ASSERT_PTR_NOT_NULL (order);
+  /* The urgent task is served: the pieces are free for batch again. */
+  CU_ASSERT (ts_count_orders (cell, KQ_SCHED_FX_START) > 5);
+  finish (cell);
+}
+
+/* Overload: work that is too late to count leaves room for what comes and can
+   be in time, and starts when there is more room. */
+static void
+test_late_work_leaves_room (void)
+{
+  struct ts_cell *cell = start ();
+  struct ts_order long_ones[3]
+      = { run_cpu (cell, 1, 4000, 60000), run_cpu (cell, 2, 3300, 60000),
+          run_cpu (cell, 3, 700, 60000) };
+  const char *other = long_ones[1].worker;
+  struct kq_sched_step small
+      = { .count = 1, .demand = { 500, 1, 0 }, .est_ms = 100 };
+  struct kq_sched_running rows[3];
+  struct kq_sched_ended end = ts_ended (&long_ones[2], 1, KQ_SCHED_DONE);
+
+  CU_ASSERT_STRING_EQUAL (long_ones[2].worker, other);
+  for (int i = 0; i < 3; i++)
+    rows[i] = ts_running (&long_ones[i], 1);
+  ts_submit (cell, 4, "urgent", &small, 1);
+  /* Its objective is 1.2 s: after four times that it is too late. */
+  for (int i = 0; i < 5; i++)
+    {
+      ts_list (cell, long_ones[0].worker, &rows[0], 1, NULL, 0);
+      ts_list (cell, other, &rows[1], 2, NULL, 0);
+      rows[0].percent = rows[1].percent = rows[2].percent = i + 2;
+      ts_advance (cell, 1000);
+    }
+  ts_list (cell, long_ones[0].worker, &rows[0], 1, NULL, 0);
+  ts_list (cell, other, &rows[1], 1, &end, 1);
+  CU_ASSERT_PTR_NULL (ts_last_order (cell, KQ_SCHED_FX_START, 4, 0, 0));
+  ts_submit (cell, 5, "urgent", &small, 1);
+  CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_START, 5, 0, 0));
+  end = ts_ended (&long_ones[0], 1, KQ_SCHED_DONE);
+  ts_list (cell, long_ones[0].worker, NULL, 0, &end, 1);
+  CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_START, 4, 0, 0));
+  finish (cell);
+}
+
 /* A new owner does not know what its predecessor granted: what runs is left
    alone, at the first word of its worker and before.  */
 static void
@@ -626,6 +713,9 @@
 }
 
 static const struct kq_test tests[] = {
+  { "batch waits behind a large urgent task",
+    test_batch_waits_behind_a_large_urgent_task },
+  { "late work leaves room", test_late_work_leaves_room },
   { "overtaken list ends nothing", test_overtaken_list_ends_nothing },
   { "list of an earlier life", test_list_of_an_earlier_life },
   { "lost start is looked for at once",
