sched/length: lengths of steps are learned by queue

Change: for each queue a line from the logarithm of the estimate to that of the length that its steps took (counted tasks only: fillers are slowed down). Its slope shrinks by itself as estimates are worse.

Ruled out: the queue's mean alone (reserve-fil is off by 20% only; the line keeps that).

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "sched/length.h"
 #include "sched/pressure.h"
 #include "sched/sched.h"
 
@@ -92,7 +93,9 @@
   struct task *tasks;
   int ready;
   int done;
-  bool open; /* its turn has come */
+  int measured;       /* tasks done of which the length is known */
+  int64_t longest_ms; /* of these */
+  bool open;          /* its turn has come */
   bool queued;
   int64_t due_ms;     /* objective of its job, wall clock */
   int64_t rest_ms;    /* longest chain of steps from this one on */
@@ -101,6 +104,14 @@
   struct stage *next;
 };
 
+/* Lengths of the steps of one queue. */
+struct queue_lengths
+{
+  char queue[KQ_SCHED_NAME];
+  struct kq_length length;
+  struct queue_lengths *next;
+};
+
 struct job
 {
   uint64_t id;
@@ -195,6 +206,7 @@
   struct effect_node *effects;
   const struct kq_sched_config *config;
   struct kq_pressure *pressure;
+  struct queue_lengths *lengths;
   kq_usec pressure_at; /* when its record was due last */
   bool pressure_due;
   bool deposed;
--- a/sched/job.c
+++ b/sched/job.c
@@ -95,9 +95,71 @@
   return &stage->tasks[run->index];
 }
 
+static struct queue_lengths *
+lengths_of (struct kq_sched *sched, const char *queue)
+{
+  struct queue_lengths *lengths;
+
+  LL_FOREACH (sched->lengths, lengths)
+  {
+    if (strcmp (lengths->queue, queue) == 0)
+      return lengths;
+  }
+  lengths = calloc (1, sizeof *lengths);
+  if (lengths == NULL)
+    return NULL;
+  snprintf (lengths->queue, sizeof lengths->queue, "%s", queue);
+  LL_PREPEND (sched->lengths, lengths);
+  return lengths;
+}
+
+/* What fills is slowed down, so that its lengths say nothing. */
+static bool
+is_measured (const struct kq_sched_step *step)
+{
+  return !step->filler && !step->lasting && !step->gang;
+}
+
+/* Fills LENGTHS with the likely length of each step, ms. */
+static void
+guess_lengths (struct kq_sched *sched, const struct job *job, int64_t *lengths)
+{
+  const struct queue_lengths *known = lengths_of (sched, job->queue_name);
+
+  for (int i = 0; i < job->spec.step_count; i++)
+    {
+      const struct kq_sched_step *step = &job->spec.steps[i];
+
+      lengths[i] = step->est_ms;
+      if (known != NULL && is_measured (step))
+        lengths[i] = kq_length_guess (&known->length, step->est_ms);
+    }
+}
+
+static void
+measure (struct kq_sched *sched, const struct task *task,
+         struct kq_sched_now now)
+{
+  struct stage *stage = task->stage;
+  int64_t took_ms = (now.mono - task->phase_at) / KQ_USEC_PER_MSEC;
+  struct queue_lengths *lengths;
+
+  if (task->state != TASK_BOUND || task->phase != PHASE_AT_WORK
+      || task->checkpoint[0] != '\0' || !is_measured (stage->step))
+    return;
+  stage->measured++;
+  if (took_ms > stage->longest_ms)
+    stage->longest_ms = took_ms;
+  if (stage->measured < stage->step->count)
+    return;
+  lengths = lengths_of (sched, stage->job->queue_name);
+  if (lengths != NULL)
+    kq_length_learn (&lengths->length, stage->step->est_ms, stage->longest_ms);
+}
+
 /* Length of the longest chain of steps that ends with STEP. */
 static int64_t
-chain_ms (const struct kq_sched_spec *spec, int number)
+chain_ms (const struct kq_sched_spec *spec, const int64_t *lengths, int number)
 {
   int64_t chain[KQ_SCHED_MAX_STEPS] = { 0 };
   int64_t longest = 0;
@@ -109,7 +171,7 @@
       for (int j = 0; j < step->after_count; j++)
         if (chain[step->after[j]] > chain[i])
           chain[i] = chain[step->after[j]];
-      chain[i] += step->est_ms;
+      chain[i] += lengths[i];
       if (chain[i] > longest)
         longest = chain[i];
     }
@@ -118,7 +180,7 @@
 
 /* Length of the longest chain of steps that begins with STEP. */
 static int64_t
-rest_ms (const struct kq_sched_spec *spec, int number)
+rest_ms (const struct kq_sched_spec *spec, const int64_t *lengths, int number)
 {
   int64_t rest[KQ_SCHED_MAX_STEPS] = { 0 };
 
@@ -126,7 +188,7 @@
     {
       const struct kq_sched_step *step = &spec->steps[i];
 
-      rest[i] += step->est_ms;
+      rest[i] += lengths[i];
       for (int j = 0; j < step->after_count; j++)
         if (rest[i] > rest[step->after[j]])
           rest[step->after[j]] = rest[i];
@@ -135,10 +197,10 @@
 }
 
 static int64_t
-due_ms (const struct job *job, int occurrence)
+due_ms (const struct job *job, const int64_t *lengths, int occurrence)
 {
   int64_t from = job->accepted_ms;
-  int64_t chain = chain_ms (&job->spec, job->spec.step_count - 1);
+  int64_t chain = chain_ms (&job->spec, lengths, job->spec.step_count - 1);
 
   if (job->spec.times > 0)
     from = job->spec.start_ms + occurrence * job->spec.interval_ms;
@@ -149,6 +211,9 @@
 int
 job_build (struct kq_sched *sched, struct job *job)
 {
+  int64_t lengths[KQ_SCHED_MAX_STEPS];
+
+  guess_lengths (sched, job, lengths);
   job->stage_count = occurrences (job) * job->spec.step_count;
   job->stages = calloc ((size_t)job->stage_count, sizeof *job->stages);
   if (job->stages == NULL)
@@ -162,8 +227,8 @@
       stage->occurrence = i / job->spec.step_count;
       stage->step = &job->spec.steps[stage->number];
       stage->image = kq_pressure_image (sched->pressure, stage->step->image);
-      stage->rest_ms = rest_ms (&job->spec, stage->number);
-      stage->due_ms = due_ms (job, stage->occurrence);
+      stage->rest_ms = rest_ms (&job->spec, lengths, stage->number);
+      stage->due_ms = due_ms (job, lengths, stage->occurrence);
       stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
       if (stage->tasks == NULL)
         return KQ_ENOMEM;
@@ -282,6 +347,7 @@
 
   if (task->state == TASK_DONE)
     return;
+  measure (sched, task, now);
   mark_done (sched, task);
   /* One end stands for all members of a gang. */
   for (int i = 0; stage->step->gang && i < stage->step->count; i++)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -49,6 +49,8 @@
   struct job *next_job;
   struct worker *worker;
   struct worker *next_worker;
+  struct queue_lengths *lengths;
+  struct queue_lengths *next_lengths;
   struct kq_sched_effect effect;
 
   if (sched == NULL)
@@ -68,6 +70,7 @@
   while (kq_sched_next_effect (sched, &effect))
     ;
   kq_pressure_destroy (sched->pressure);
+  LL_FOREACH_SAFE (sched->lengths, lengths, next_lengths) { free (lengths); }
   free (sched);
 }
 
