request: a service that names its workers is served by these only

Ruled out: leaving the names in the configuration and refusing there (routing picks among owned workers and peers, so that both must know them).

Change: the view carries the names; own workers, slots and peers are chosen among those that a request's service names; a request that waits for such a worker does not hold up those of other services. A keyed request is still decided on by its key's home, which refuses it truthfully when it owns none of the named workers.

--- a/core/core.h
+++ b/core/core.h
@@ -108,8 +108,10 @@
 {
   struct kq_name name;
   int32_t importance;
-  int32_t deadline_ms; /**< when the caller gives none */
-  bool idempotent;     /**< all of its requests are idempotent */
+  int32_t deadline_ms;     /**< when the caller gives none */
+  bool idempotent;         /**< all of its requests are idempotent */
+  struct kq_name *workers; /**< that serve it; of the view */
+  size_t worker_count;     /**< 0: every worker */
 };
 
 /** An immutable picture that the core publishes; see KQ_FX_VIEW. */
--- a/core/view.c
+++ b/core/view.c
@@ -61,19 +61,36 @@
   fill_owner (core, node, now, worker);
 }
 
-static void
+static int
+copy_workers (const struct kq_config_service *from, struct kq_view_service *to)
+{
+  if (from->worker_count == 0)
+    return 0;
+  to->workers = calloc (from->worker_count, sizeof *to->workers);
+  if (to->workers == NULL)
+    return KQ_ENOMEM;
+  memcpy (to->workers, from->workers,
+          from->worker_count * sizeof *to->workers);
+  to->worker_count = from->worker_count;
+  return 0;
+}
+
+static int
 fill_services (const struct kq_core *core, struct kq_view *view)
 {
+  int err = 0;
   const struct kq_config_document *document
       = kq_config_document (core->config);
 
-  for (size_t i = 0; i < view->service_count; i++)
+  for (size_t i = 0; i < view->service_count && err == 0; i++)
     {
       view->services[i].name = document->services[i].name;
       view->services[i].importance = document->services[i].importance;
       view->services[i].deadline_ms = document->services[i].deadline_ms;
       view->services[i].idempotent = document->services[i].idempotent;
+      err = copy_workers (&document->services[i], &view->services[i]);
     }
+  return err;
 }
 
 struct kq_view *
@@ -97,7 +114,11 @@
     }
   for (node = core->nodes; node != NULL; node = node->hh.next)
     fill_worker (core, node, now, &view->workers[view->worker_count++]);
-  fill_services (core, view);
+  if (fill_services (core, view) != 0)
+    {
+      kq_view_free (view);
+      return NULL;
+    }
   return view;
 }
 
@@ -106,6 +127,8 @@
 {
   if (view == NULL)
     return;
+  for (size_t i = 0; view->services != NULL && i < view->service_count; i++)
+    free (view->services[i].workers);
   free (view->workers);
   free (view->services);
   free (view);
--- a/request/pool.c
+++ b/request/pool.c
@@ -31,6 +31,28 @@
   memcpy (to, from, strnlen (from, KQ_REQUEST_ADDRESS_SIZE - 1));
 }
 
+static bool
+is_in (const struct kq_pool_filter *filter, const struct kq_name *worker)
+{
+  if (filter == NULL || filter->count == 0)
+    return true;
+  for (size_t i = 0; i < filter->count; i++)
+    if (kq_name_eq (&filter->names[i], worker))
+      return true;
+  return false;
+}
+
+static bool
+owns_any (const struct kq_pool_peer *peer, const struct kq_pool_filter *filter)
+{
+  if (filter == NULL || filter->count == 0)
+    return true;
+  for (size_t i = 0; i < peer->owned_count; i++)
+    if (is_in (filter, &peer->owns[i]))
+      return true;
+  return false;
+}
+
 static void
 unlist_all (struct kq_pool *pool)
 {
@@ -40,6 +62,7 @@
     {
       p->listed = false;
       p->slots = 0;
+      p->owned_count = 0;
     }
 }
 
@@ -75,7 +98,10 @@
       LL_PREPEND2 (unused, peer, next_unused);
     }
   LL_FOREACH_SAFE2 (unused, peer, next, next_unused)
-  free (peer);
+  {
+    free (peer->owns);
+    free (peer);
+  }
 }
 
 void
@@ -122,6 +148,19 @@
   return KQ_RANGE_FAR;
 }
 
+static int
+note_owned (struct kq_pool_peer *peer, const struct kq_name *worker)
+{
+  struct kq_name *grown
+      = realloc (peer->owns, (peer->owned_count + 1) * sizeof *grown);
+
+  if (grown == NULL)
+    return KQ_ENOMEM;
+  peer->owns = grown;
+  peer->owns[peer->owned_count++] = *worker;
+  return 0;
+}
+
 static int
 add_to_peer (struct kq_pool *pool, const struct kq_view_worker *view,
              const struct kq_request_settings *self,
@@ -145,6 +184,8 @@
       copy_address (effect.u.peer, peer->address);
       kq_request_effects_put (out, &effect);
     }
+  if (note_owned (peer, &view->name) != 0)
+    return KQ_ENOMEM;
   peer->name = view->owner;
   peer->range = range_of (view, self);
   peer->listed = true;
@@ -218,22 +259,26 @@
 }
 
 int64_t
-kq_pool_all_slots (const struct kq_pool *pool, kq_usec now)
+kq_pool_all_slots (const struct kq_pool *pool, kq_usec now,
+                   const struct kq_pool_filter *filter)
 {
   int64_t sum = 0;
 
   for (size_t i = 0; i < pool->owned_count; i++)
-    sum += kq_pool_slots (pool->owned[i], now);
+    if (is_in (filter, &pool->owned[i]->view.name))
+      sum += kq_pool_slots (pool->owned[i], now);
   return sum;
 }
 
 int64_t
-kq_pool_peer_slots (const struct kq_pool *pool)
+kq_pool_peer_slots (const struct kq_pool *pool,
+                    const struct kq_pool_filter *filter)
 {
   int64_t sum = 0;
 
   for (struct kq_pool_peer *p = pool->peers; p != NULL; p = p->hh.next)
-    sum += p->slots;
+    if (owns_any (p, filter))
+      sum += p->slots;
   return sum;
 }
 
@@ -247,6 +292,7 @@
 
 struct kq_pool_worker *
 kq_pool_pick (struct kq_pool *pool, kq_usec now,
+              const struct kq_pool_filter *filter,
               const struct kq_pool_worker *avoid)
 {
   struct kq_pool_worker *best = NULL;
@@ -261,7 +307,8 @@
       struct kq_pool_worker *worker = pool->owned[at];
       int32_t slots = open_slots (worker, now);
 
-      if (worker == avoid || worker->admitted >= slots)
+      if (worker == avoid || worker->admitted >= slots
+          || !is_in (filter, &worker->view.name))
         continue;
       if (best == NULL || less_busy (worker, slots, best, best_slots))
         {
@@ -285,6 +332,7 @@
 
 struct kq_pool_peer *
 kq_pool_pick_peer (struct kq_pool *pool, kq_usec now, enum kq_pool_range range,
+                   const struct kq_pool_filter *filter,
                    const struct kq_pool_peer *avoid, bool full)
 {
   struct kq_pool_peer *best = NULL;
@@ -293,7 +341,8 @@
        peer = peer->hh.next)
     {
       if (peer == avoid || !peer->listed || peer->range != range
-          || now < peer->closed_until || peer->sent >= peer->slots)
+          || now < peer->closed_until || peer->sent >= peer->slots
+          || !owns_any (peer, filter))
         continue;
       if (free_of (peer, now) <= 0 && !full)
         continue;
--- a/request/pool.h
+++ b/request/pool.h
@@ -36,10 +36,19 @@
   struct kq_pool_worker *next_unused; /**< while it is being removed */
 };
 
+/** The workers that a request may go to. */
+struct kq_pool_filter
+{
+  const struct kq_name *names;
+  size_t count; /**< 0: all workers */
+};
+
 /** Another entry host that owns workers. */
 struct kq_pool_peer
 {
   struct kq_name name;
+  struct kq_name *owns; /**< its workers */
+  size_t owned_count;
   char address[KQ_REQUEST_ADDRESS_SIZE];
   enum kq_pool_range range;
   bool listed;
@@ -75,15 +84,19 @@
 /** Returns the slots that WORKER has for this host at NOW, in use or not. */
 int32_t kq_pool_slots (const struct kq_pool_worker *worker, kq_usec now);
 
-/** Returns the slots of all own workers that take requests at NOW. */
-int64_t kq_pool_all_slots (const struct kq_pool *pool, kq_usec now);
+/** FILTER, here and below, may be NULL: all workers.  Returns the slots of the
+ *  own workers in FILTER that take requests at NOW.  */
+int64_t kq_pool_all_slots (const struct kq_pool *pool, kq_usec now,
+                           const struct kq_pool_filter *filter);
 
-/** Returns the slots of the workers that other entry hosts own. */
-int64_t kq_pool_peer_slots (const struct kq_pool *pool);
+/** Returns the slots of other entry hosts that own a worker in FILTER. */
+int64_t kq_pool_peer_slots (const struct kq_pool *pool,
+                            const struct kq_pool_filter *filter);
 
 /** Returns the own worker with the smallest part of its slots in use that
  *  can take a request at NOW and isn't AVOID; NULL when there is none.  */
 struct kq_pool_worker *kq_pool_pick (struct kq_pool *pool, kq_usec now,
+                                     const struct kq_pool_filter *filter,
                                      const struct kq_pool_worker *avoid);
 
 /** Returns the entry host of RANGE with the most free slots that takes
@@ -91,6 +104,7 @@
  *  that has no free slots.  */
 struct kq_pool_peer *kq_pool_pick_peer (struct kq_pool *pool, kq_usec now,
                                         enum kq_pool_range range,
+                                        const struct kq_pool_filter *filter,
                                         const struct kq_pool_peer *avoid,
                                         bool full);
 
--- a/request/queue.c
+++ b/request/queue.c
@@ -39,6 +39,18 @@
   return NULL;
 }
 
+struct kq_request *
+kq_queue_next (const struct kq_request_queue *queue,
+               const struct kq_request *request)
+{
+  if (request->next != NULL)
+    return request->next;
+  for (int i = request->importance - 1; i >= 0; i--)
+    if (queue->lists[i] != NULL)
+      return queue->lists[i];
+  return NULL;
+}
+
 struct kq_request *
 kq_queue_last (const struct kq_request_queue *queue)
 {
--- a/request/request.c
+++ b/request/request.c
@@ -55,6 +55,7 @@
   for (; service != NULL; service = next)
     {
       next = service->hh.next;
+      free (service->view.workers);
       free (service);
     }
 }
@@ -141,7 +142,7 @@
   effect.u.reply.err = err;
   effect.u.reply.answer = answer;
   effect.u.reply.free
-      = (int32_t)(kq_pool_all_slots (&step->router->pool, step->now)
+      = (int32_t)(kq_pool_all_slots (&step->router->pool, step->now, NULL)
                   - step->router->counts.admitted
                   - (int64_t)step->router->queue.count);
   kq_request_effects_put (step->out, &effect);
@@ -196,6 +197,22 @@
     }
 }
 
+struct kq_pool_filter
+kq_request_filter (const struct kq_request_router *router,
+                   const struct kq_request *request)
+{
+  struct kq_pool_filter filter = { .count = 0 };
+  const struct kq_service *service;
+
+  HASH_FIND_STR (router->services, request->service.text, service);
+  if (service != NULL)
+    {
+      filter.names = service->view.workers;
+      filter.count = service->view.worker_count;
+    }
+  return filter;
+}
+
 static struct kq_request *
 add_request (struct kq_step *step, const struct kq_request_arrival *arrival,
              const struct kq_view_service *service)
@@ -212,6 +229,7 @@
   if (importance >= KQ_IMPORTANCE_COUNT)
     importance = KQ_IMPORTANCE_COUNT - 1;
   request->id = arrival->id;
+  request->service = service->name;
   request->importance = importance;
   request->forwarded = arrival->forwarded;
   request->retryable
@@ -471,6 +489,20 @@
                      KQ_ECLOSED, NULL);
 }
 
+static int
+copy_workers (const struct kq_view_service *from, struct kq_service *to)
+{
+  size_t size = from->worker_count * sizeof *from->workers;
+
+  if (from->worker_count == 0)
+    return 0;
+  to->view.workers = malloc (size);
+  if (to->view.workers == NULL)
+    return KQ_ENOMEM;
+  memcpy (to->view.workers, from->workers, size);
+  return 0;
+}
+
 static int
 take_services (struct kq_request_router *router, const struct kq_view *view)
 {
@@ -482,6 +514,12 @@
       if (service == NULL)
         return KQ_ENOMEM;
       service->view = view->services[i];
+      service->view.workers = NULL;
+      if (copy_workers (&view->services[i], service) != 0)
+        {
+          free (service);
+          return KQ_ENOMEM;
+        }
       HASH_ADD_STR (router->services, view.name.text, service);
     }
   return 0;
@@ -611,7 +649,7 @@
 {
   *counts = router->counts;
   counts->waiting = (int64_t)router->queue.count;
-  counts->slots = kq_pool_all_slots (&router->pool, now);
+  counts->slots = kq_pool_all_slots (&router->pool, now, NULL);
   counts->ejected = router->pool.ejected;
   counts->keys = HASH_COUNT (router->keys.entries);
 }
--- a/request/route.c
+++ b/request/route.c
@@ -100,12 +100,13 @@
 estimate_wait (const struct kq_step *step, const struct kq_request *request)
 {
   const struct kq_request_router *router = step->router;
-  int64_t slots = kq_pool_all_slots (&router->pool, step->now);
+  struct kq_pool_filter filter = kq_request_filter (router, request);
+  int64_t slots = kq_pool_all_slots (&router->pool, step->now, &filter);
   int64_t ahead
       = (int64_t)kq_queue_ahead (&router->queue, request->importance);
 
   if (slots == 0 && !request->forwarded)
-    slots = kq_pool_peer_slots (&router->pool);
+    slots = kq_pool_peer_slots (&router->pool, &filter);
   if (slots == 0)
     return FOREVER;
   return (ahead + 1) * router->service_time / slots;
@@ -114,10 +115,10 @@
 static bool
 send_to_own (struct kq_step *step, struct kq_request *request)
 {
-  struct kq_pool_worker *worker;
+  struct kq_pool_filter filter = kq_request_filter (step->router, request);
+  struct kq_pool_worker *worker = kq_pool_pick (
+      &step->router->pool, step->now, &filter, last_attempt (request)->worker);
 
-  worker = kq_pool_pick (&step->router->pool, step->now,
-                         last_attempt (request)->worker);
   if (worker == NULL)
     return false;
   send_to_worker (step, request, worker);
@@ -130,6 +131,8 @@
 send_to_any_peer (struct kq_step *step, struct kq_request *request,
                   kq_usec wait, bool full)
 {
+  struct kq_pool_filter filter = kq_request_filter (step->router, request);
+
   if (request->forwarded)
     return false;
   for (int range = KQ_RANGE_ZONE; range < KQ_RANGE_COUNT; range++)
@@ -139,7 +142,7 @@
       if (wait < hop_cost[range])
         return false;
       peer = kq_pool_pick_peer (&step->router->pool, step->now,
-                                (enum kq_pool_range)range,
+                                (enum kq_pool_range)range, &filter,
                                 last_attempt (request)->peer, full);
       if (peer != NULL)
         {
@@ -154,7 +157,9 @@
 static bool
 send_without_own (struct kq_step *step, struct kq_request *request)
 {
-  return kq_pool_all_slots (&step->router->pool, step->now) == 0
+  struct kq_pool_filter filter = kq_request_filter (step->router, request);
+
+  return kq_pool_all_slots (&step->router->pool, step->now, &filter) == 0
          && (send_to_any_peer (step, request, FOREVER, false)
              || send_to_any_peer (step, request, FOREVER, true));
 }
@@ -257,8 +262,9 @@
 static bool
 send_to_same (struct kq_step *step, struct kq_request *request)
 {
+  struct kq_pool_filter filter = kq_request_filter (step->router, request);
   struct kq_pool_worker *worker
-      = kq_pool_pick (&step->router->pool, step->now, NULL);
+      = kq_pool_pick (&step->router->pool, step->now, &filter, NULL);
 
   if (worker == NULL)
     return false;
@@ -324,20 +330,24 @@
 kq_route_drain (struct kq_step *step)
 {
   struct kq_request_router *router = step->router;
-  struct kq_request *request;
+  struct kq_request *request = kq_queue_first (&router->queue);
+  struct kq_request *next;
 
-  while ((request = kq_queue_first (&router->queue)) != NULL)
+  for (; request != NULL; request = next)
     {
       bool late = step->now + router->service_time > request->deadline;
+
+      next = kq_queue_next (&router->queue, request);
       if (late)
         {
           kq_queue_remove (&router->queue, request);
           refuse (step, request, KQ_EREQ_OVERLOAD);
-          continue;
         }
-      if (!send_to_own (step, request) && !send_to_same (step, request)
-          && !send_without_own (step, request))
+      else if (send_to_own (step, request) || send_to_same (step, request)
+               || send_without_own (step, request))
+        kq_queue_remove (&router->queue, request);
+      /* Other services may have other workers. */
+      else if (kq_request_filter (router, request).count == 0)
         return;
-      kq_queue_remove (&router->queue, request);
     }
 }
--- a/request/router.h
+++ b/request/router.h
@@ -34,6 +34,7 @@
 struct kq_request
 {
   uint64_t id;
+  struct kq_name service;
   bool retryable; /**< may be sent again after it may have run */
   bool forwarded;
   bool homed; /**< another host decides about its key */
@@ -55,7 +56,7 @@
 
 struct kq_service
 {
-  struct kq_view_service view;
+  struct kq_view_service view; /**< with its own list of workers */
   UT_hash_handle hh;
 };
 
@@ -99,6 +100,10 @@
 /** Returns the request that is served next, or NULL. */
 struct kq_request *kq_queue_first (const struct kq_request_queue *queue);
 
+/** Returns the request that is served after REQUEST, or NULL. */
+struct kq_request *kq_queue_next (const struct kq_request_queue *queue,
+                                  const struct kq_request *request);
+
 /** Returns the least important request with the latest deadline, or NULL. */
 struct kq_request *kq_queue_last (const struct kq_request_queue *queue);
 
@@ -138,6 +143,11 @@
                         enum kq_outcome outcome, int err,
                         struct kq_answer *answer);
 
+/** Returns the workers that serve REQUEST's service. */
+struct kq_pool_filter
+kq_request_filter (const struct kq_request_router *router,
+                   const struct kq_request *request);
+
 /** Returns whether an attempt of REQUEST is in flight. */
 bool kq_request_live (const struct kq_request *request);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -211,7 +211,7 @@
 int
 job_build (struct kq_sched *sched, struct job *job)
 {
-  int64_t lengths[KQ_SCHED_MAX_STEPS];
+  int64_t lengths[KQ_SCHED_MAX_STEPS] = { 0 };
 
   guess_lengths (sched, job, lengths);
   job->stage_count = occurrences (job) * job->spec.step_count;
