sched/advice, platform/advice: queues whose policy allows some workers

Change: who may run a step is asked for, at most 30 of the emptiest workers a question and one question at a time; starts carry the ticket; a ticket that is refused or about to lapse is asked for again, a worker that is not allowed is not.

Ruled out: asking about all workers (the service takes time for each), one question a worker.

Before: no start.

--- a/node/node.c
+++ b/node/node.c
@@ -249,8 +249,9 @@
   struct kq_owner_handler handler
       = { .arg = node, .on_answer = on_answer, .on_deposed = on_deposed };
 
-  node->owner = kq_owner_create (node->loop, node->boot.store, term,
-                                 node->config, &handler);
+  node->owner
+      = kq_owner_create (node->loop, node->boot.store, node->boot.advice, term,
+                         node->config, &handler);
   if (node->owner == NULL)
     {
       kq_log (KQ_LOG_ERROR, "node", "term not taken up", KQ_ENOMEM, NULL);
--- a/node/owner.c
+++ b/node/owner.c
@@ -13,6 +13,7 @@
 #include "node/restore.h"
 #include "node/roster.h"
 #include "node/turns.h"
+#include "platform/advice.h"
 #include "platform/orders.h"
 #include "platform/submission.h"
 
@@ -46,6 +47,7 @@
   struct kq_restore *restore;
   struct kq_roster *roster;
   struct kq_orders *orders;
+  struct kq_advice *advice;
   struct kq_sched *sched;
   struct waiting *waiting; /* effects that wait for the journal */
   uint64_t stored;
@@ -194,9 +196,12 @@
 send_looks (struct kq_owner *owner)
 {
   struct kq_sched_look look;
+  struct kq_sched_question question;
 
   while (kq_sched_next_look (owner->sched, now_of (), &look))
     kq_orders_look (owner->orders, &look);
+  if (kq_sched_next_question (owner->sched, now_of (), &question))
+    kq_advice_ask (owner->advice, &question);
 }
 
 /* Carries the state forward before the loop waits again. */
@@ -345,8 +350,18 @@
   take_event (arg, &event);
 }
 
+static void
+on_advice (void *arg, const struct kq_sched_advice *advice)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_ADVISED };
+
+  event.u.advice = advice;
+  take_event (arg, &event);
+}
+
 static int
-create_parts (struct kq_owner *owner, const char *store, int64_t term)
+create_parts (struct kq_owner *owner, const char *store, const char *advice,
+              int64_t term)
 {
   struct kq_journal_handler journal
       = { .arg = owner, .on_stored = on_stored, .on_fenced = on_fenced };
@@ -361,7 +376,8 @@
     return KQ_ENOMEM;
   owner->store = kq_store_create (owner->caller, store);
   owner->orders = kq_orders_create (owner->caller, &orders);
-  if (owner->store == NULL || owner->orders == NULL)
+  owner->advice = kq_advice_create (owner->caller, advice, on_advice, owner);
+  if (owner->store == NULL || owner->orders == NULL || owner->advice == NULL)
     return KQ_ENOMEM;
   kq_orders_set_fence (owner->orders, term);
   owner->journal
@@ -376,8 +392,8 @@
 }
 
 struct kq_owner *
-kq_owner_create (struct ev_loop *loop, const char *store, int64_t term,
-                 const struct kq_sched_config *config,
+kq_owner_create (struct ev_loop *loop, const char *store, const char *advice,
+                 int64_t term, const struct kq_sched_config *config,
                  const struct kq_owner_handler *handler)
 {
   struct kq_owner *owner = calloc (1, sizeof *owner);
@@ -398,7 +414,7 @@
   ev_check_start (loop, &owner->check);
   kq_turns_begin (&owner->turns);
   ev_timer_start (loop, &owner->tick);
-  if (create_parts (owner, store, term) != 0)
+  if (create_parts (owner, store, advice, term) != 0)
     {
       kq_owner_destroy (owner);
       return NULL;
@@ -427,6 +443,7 @@
   kq_journal_destroy (owner->journal);
   kq_caller_destroy (owner->caller);
   kq_orders_destroy (owner->orders);
+  kq_advice_destroy (owner->advice);
   kq_store_destroy (owner->store);
   kq_sched_destroy (owner->sched);
   DL_FOREACH_SAFE (owner->waiting, waiting, next) { free (waiting); }
--- a/node/owner.h
+++ b/node/owner.h
@@ -31,9 +31,10 @@
   void (*on_deposed) (void *arg);
 };
 
-/** Starts term TERM.  CONFIG may be NULL. */
+/** Starts term TERM.  STORE and ADVICE are addresses of the platform's
+ * services; ADVICE may be empty, and CONFIG NULL.  */
 struct kq_owner *kq_owner_create (struct ev_loop *loop, const char *store,
-                                  int64_t term,
+                                  const char *advice, int64_t term,
                                   const struct kq_sched_config *config,
                                   const struct kq_owner_handler *handler);
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -97,6 +97,9 @@
   int64_t longest_ms; /* of these */
   bool open;          /* its turn has come */
   bool queued;
+  bool advice_wanted;        /* no worker with a ticket had room */
+  struct advice_row *advice; /* what the policy's service said */
+  int advice_count;
   int64_t due_ms;     /* objective of its job, wall clock */
   int64_t rest_ms;    /* longest chain of steps from this one on */
   int rank;           /* 0: in time, 1: late, 2: too late to count */
@@ -207,6 +210,8 @@
   const struct kq_sched_config *config;
   struct kq_pressure *pressure;
   struct queue_lengths *lengths;
+  bool asking;         /* a question about workers is under way */
+  kq_usec ask_after;   /* the next one waits until then */
   kq_usec pressure_at; /* when its record was due last */
   bool pressure_due;
   bool deposed;
@@ -283,6 +288,24 @@
                    int64_t local_ms);
 void worker_granted (struct worker *worker, int64_t lease_end_ms);
 
+/* place.c */
+
+/* Whether WORKER may run a task of STAGE and has room, advice apart. */
+bool place_fits (const struct worker *worker, const struct stage *stage,
+                 struct kq_sched_now now);
+
+/* advice.c */
+
+/* The ticket with which WORKER may run tasks of STAGE, or NULL. */
+const char *advice_ticket (const struct stage *stage,
+                           const struct worker *worker,
+                           struct kq_sched_now now);
+void advice_drop (struct stage *stage, const struct worker *worker);
+void advice_want (struct stage *stage);
+void advice_clear (struct stage *stage);
+void advice_take (struct kq_sched *sched, struct kq_sched_now now,
+                  const struct kq_sched_advice *advice);
+
 /* listing.c */
 void listing_take (struct kq_sched *sched, struct worker *worker,
                    struct kq_sched_now now, kq_usec sent_at,
--- a/sched/job.c
+++ b/sched/job.c
@@ -133,6 +133,7 @@
       lengths[i] = step->est_ms;
       if (known != NULL && is_measured (step))
         lengths[i] = kq_length_guess (&known->length, step->est_ms);
+      lengths[i] += job->queue.advise_ms;
     }
 }
 
@@ -247,7 +248,10 @@
   record_clear_dirty (sched, job);
   HASH_DEL (sched->jobs, job);
   for (int i = 0; job->stages != NULL && i < job->stage_count; i++)
-    free (job->stages[i].tasks);
+    {
+      advice_clear (&job->stages[i]);
+      free (job->stages[i].tasks);
+    }
   free (job->stages);
   kq_sched_spec_clear (&job->spec);
   free (job->body);
--- a/sched/place.c
+++ b/sched/place.c
@@ -153,6 +153,14 @@
          || tasks_of_stage (worker, stage) < step->max_per_worker;
 }
 
+bool
+place_fits (const struct worker *worker, const struct stage *stage,
+            struct kq_sched_now now)
+{
+  return worker_usable (worker, now) && has_room (worker, stage->step)
+         && is_allowed (worker, stage);
+}
+
 /* Load in thousandths, counting what fills. */
 static int64_t
 load_with (const struct worker *worker, const struct kq_sched_step *step)
@@ -231,8 +239,10 @@
     double press = 0;
     int64_t points;
 
-    if (!worker_usable (worker, now) || avoids (task, worker, now)
-        || !has_room (worker, stage->step) || !is_allowed (worker, stage))
+    if (avoids (task, worker, now) || !place_fits (worker, stage, now))
+      continue;
+    if (stage->job->queue.advised
+        && advice_ticket (stage, worker, now) == NULL)
       continue;
     if (stage->step->filler && worker->serving > 0)
       press
@@ -420,7 +430,7 @@
   const struct kq_sched_step *step = stage->step;
 
   if (step->label[0] != '\0' || step->max_per_worker != 0 || step->gang
-      || is_hopeless (pass, stage))
+      || stage->job->queue.advised || is_hopeless (pass, stage))
     return;
   if (step->filler)
     {
@@ -472,10 +482,12 @@
     struct room *room = room_of (&pass, stage->job->queue.service);
     const struct task *left;
 
-    if (stage->job->queue.advised || is_blocked (room, stage))
+    if (is_blocked (room, stage))
       continue;
     left = place_stage (sched, &pass, room, stage, now);
-    if (left == NULL)
+    if (stage->job->queue.advised && stage->ready > 0)
+      advice_want (stage);
+    if (left == NULL || stage->job->queue.advised)
       continue;
     want_room (room, stage, left->ready_at, now);
     if (stage->step->filler && is_half_free (room))
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -329,6 +329,10 @@
       worker->full_until = now.mono + SICK_TIME;
       task_settle (sched, task, now, "sick");
       break;
+    case KQ_SCHED_NO_TICKET:
+      advice_drop (task->stage, worker);
+      task_settle (sched, task, now, "no ticket");
+      break;
     case KQ_SCHED_BAD_ORDER:
       task->shunned = worker;
       worker->full_until = now.mono + SICK_TIME;
@@ -468,6 +472,9 @@
       if (event->u.order.answer == KQ_SCHED_FENCED)
         deposed (sched, event->u.order.worker);
       break;
+    case KQ_SCHED_EV_ADVISED:
+      advice_take (sched, now, event->u.advice);
+      break;
     case KQ_SCHED_EV_STORED:
       take_stored (sched, event->u.stored);
       break;
@@ -517,7 +524,9 @@
   if (task == NULL || task->phase != PHASE_WRITTEN || sched->deposed)
     return KQ_ENOENT;
   worker = task->worker;
-  if (!worker_usable (worker, now))
+  if (!worker_usable (worker, now)
+      || (task->stage->job->queue.advised
+          && advice_ticket (task->stage, worker, now) == NULL))
     {
       task_settle (sched, task, now, "worker no longer usable");
       return KQ_ENOENT;
@@ -532,5 +541,8 @@
   worker_granted (worker, start->lease_end_ms);
   start->text = task->stage->job->spec.text;
   start->checkpoint = task->checkpoint;
+  start->ticket = "";
+  if (task->stage->job->queue.advised)
+    start->ticket = advice_ticket (task->stage, worker, now);
   return 0;
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -43,6 +43,7 @@
   KQ_SCHED_OTHER_LIFE /**< the worker has started again since */,
   KQ_SCHED_SICK,      /**< it did nothing and says so */
   KQ_SCHED_BAD_ORDER, /**< it cannot read the order */
+  KQ_SCHED_NO_TICKET, /**< the ticket is not, or no longer, good */
   KQ_SCHED_SILENT     /**< no answer: it may be carried out, also later */
 };
 
@@ -59,9 +60,39 @@
   KQ_SCHED_EV_STARTED,
   KQ_SCHED_EV_STOPPED,
   KQ_SCHED_EV_PACED,
+  KQ_SCHED_EV_ADVISED,
   KQ_SCHED_EV_STORED
 };
 
+/** Most workers that one question to the policy's service names. */
+#define KQ_SCHED_ADVISED_WORKERS 30
+
+/** Which of these workers may run a step? */
+struct kq_sched_question
+{
+  struct kq_sched_run step; /**< index and run are not used */
+  char workers[KQ_SCHED_ADVISED_WORKERS][KQ_SCHED_NAME];
+  int count;
+};
+
+/** A worker that may run the step, and the proof of that. */
+struct kq_sched_allowed
+{
+  char worker[KQ_SCHED_NAME];
+  char ticket[KQ_SCHED_NAME];
+};
+
+/** How a question ended; a worker of it that is not listed is not allowed. */
+struct kq_sched_advice
+{
+  const struct kq_sched_question *question;
+  enum kq_sched_answer answer;
+  struct kq_sched_allowed allowed[KQ_SCHED_ADVISED_WORKERS];
+  int allowed_count;
+  int64_t valid_ms; /**< of the tickets, from sent_at on */
+  kq_usec sent_at;
+};
+
 struct kq_sched_event
 {
   enum kq_sched_event_kind kind;
@@ -94,6 +125,7 @@
       kq_usec sent_at;
       int64_t local_ms; /**< the worker's, 0 without an answer */
     } order;
+    const struct kq_sched_advice *advice;
     uint64_t stored; /**< journal position */
   } u;
 };
@@ -159,6 +191,7 @@
   int64_t lease_end_ms;
   const char *text;       /**< valid until the next event */
   const char *checkpoint; /**< "" for none; valid until the next event */
+  const char *ticket;     /**< "" for none; valid until the next event */
 };
 
 struct kq_sched *kq_sched_create (void);
@@ -197,6 +230,12 @@
 bool kq_sched_next_look (struct kq_sched *sched, struct kq_sched_now now,
                          struct kq_sched_look *look);
 
+/** Fills QUESTION with the next one for the policy's service and marks it as
+ *  asked: one at a time; the event ADVISED ends it.
+ *  @return false when there is none.  */
+bool kq_sched_next_question (struct kq_sched *sched, struct kq_sched_now now,
+                             struct kq_sched_question *question);
+
 /** Says that the store confirmed the owner's term at the time MONO.  An owner
  *  that is not confirmed for a while renews no leases: its successor, if there
  *  is one, waits no longer than that for workers that do not answer.  */
--- a/sched/types.h
+++ b/sched/types.h
@@ -81,7 +81,8 @@
   double stretch;
   int64_t slo_ms;
   int64_t timeout_ms;
-  bool advised; /**< a policy chooses the workers */
+  bool advised;      /**< a policy chooses the workers */
+  int64_t advise_ms; /**< to be advised about 30 workers; 0 without */
 };
 
 /** A configuration: never older ones within a process's life. */
--- a/t/fuzz/site.c
+++ b/t/fuzz/site.c
@@ -2,6 +2,7 @@
    answer. */
 #include "platform/site.h"
 #include "base/err.h"
+#include "platform/advice.h"
 #include "platform/wire-run.h"
 #include "t/fuzz/fuzz.h"
 
@@ -11,6 +12,7 @@
   struct kq_sched_config *config = NULL;
   struct kq_sched_report report;
   struct kq_sched_listing listing = { 0 };
+  struct kq_sched_advice advice;
   json_t *answer = json_loadb ((const char *)data, size, 0, NULL);
   int err = kq_site_config_read (data, size, &config);
 
@@ -22,6 +24,8 @@
   for (size_t i = 0; i < listing.running_count; i++)
     fuzz_assert (listing.running[i].run.index >= 0);
   kq_wire_listing_clear (&listing);
+  fuzz_assert (kq_advice_read (answer, &advice) != 0
+               || advice.allowed_count <= KQ_SCHED_ADVISED_WORKERS);
   json_decref (answer);
   return 0;
 }
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -38,7 +38,9 @@
   cell->queues[0] = make_queue ("urgent", 0);
   cell->queues[1] = make_queue ("batch", 2);
   cell->config.queues = cell->queues;
-  cell->config.queue_count = 2;
+  cell->queues[2] = make_queue ("advised", 1);
+  cell->queues[2].advised = true;
+  cell->config.queue_count = 3;
   cell->sched = kq_sched_create ();
   configure (cell);
   kq_sched_restored (cell->sched, cell->now);
@@ -178,6 +180,8 @@
       snprintf (order.checkpoint, sizeof order.checkpoint, "%s",
                 start.checkpoint);
       order.lease_end_ms = start.lease_end_ms;
+      if (start.ticket != NULL)
+        snprintf (order.ticket, sizeof order.ticket, "%s", start.ticket);
     }
   CU_ASSERT_FATAL (cell->order_count < TS_MAX_ORDERS);
   cell->orders[cell->order_count++] = order;
@@ -402,6 +406,28 @@
                 ended_count);
 }
 
+void
+ts_advise (struct ts_cell *cell, const struct kq_sched_question *question,
+           const char *allowed, const char *ticket, int64_t valid_ms)
+{
+  struct kq_sched_advice advice = { .question = question,
+                                    .answer = KQ_SCHED_OK,
+                                    .valid_ms = valid_ms,
+                                    .sent_at = cell->now.mono };
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_ADVISED };
+
+  for (int i = 0; i < question->count; i++)
+    if (strcmp (question->workers[i], allowed) == 0)
+      {
+        strcpy (advice.allowed[0].worker, allowed);
+        strcpy (advice.allowed[0].ticket, ticket);
+        advice.allowed_count = 1;
+      }
+  event.u.advice = &advice;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+}
+
 void
 ts_fail_look (struct ts_cell *cell, const char *worker)
 {
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -18,6 +18,7 @@
   struct kq_sched_run run;
   int percent;
   char checkpoint[KQ_SCHED_NAME];
+  char ticket[KQ_SCHED_NAME];
   int64_t lease_end_ms;
   kq_usec at;
 };
@@ -51,8 +52,9 @@
   uint64_t last_token;
 };
 
-/** A cell with the queues "urgent" (priority 0) and "batch" (priority 2),
- *  both for the service "s".  */
+/** A cell with the queues "urgent" (priority 0), "batch" (priority 2) and
+ *  "advised" (priority 1, a policy allows some workers), all for the service
+ *  "s".  */
 void ts_start (struct ts_cell *cell);
 void ts_stop (struct ts_cell *cell);
 
@@ -96,6 +98,11 @@
                    size_t running_count, const struct kq_sched_ended *ended,
                    size_t ended_count);
 
+/** Answers QUESTION: of its workers ALLOWED, if it is asked about, may run the
+ *  step with TICKET for VALID_MS.  */
+void ts_advise (struct ts_cell *cell, const struct kq_sched_question *question,
+                const char *allowed, const char *ticket, int64_t valid_ms);
+
 /** The look at WORKER has no answer. */
 void ts_fail_look (struct ts_cell *cell, const char *worker);
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -248,6 +248,92 @@
   finish (cell);
 }
 
+static bool
+ask (struct ts_cell *cell, struct kq_sched_question *question)
+{
+  return kq_sched_next_question (cell->sched, cell->now, question);
+}
+
+/* A policy: no start without a ticket, on no worker that is not allowed, and
+   one question at a time. */
+static void
+test_advised_tasks_carry_tickets (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_question question;
+  const struct ts_order *order;
+
+  ts_submit (cell, JOB, "advised", &plain, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  CU_ASSERT_EQUAL (question.step.job, JOB);
+  CU_ASSERT_EQUAL (question.count, 2);
+  CU_ASSERT_FALSE (ask (cell, &question));
+  ts_advise (cell, &question, "b", "t1", 3000);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  for (int i = 0; i < 2; i++)
+    {
+      order = ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, i);
+      CU_ASSERT_STRING_EQUAL (order != NULL ? order->worker : "", "b");
+      CU_ASSERT_STRING_EQUAL (order != NULL ? order->ticket : "", "t1");
+    }
+  CU_ASSERT_FALSE (ask (cell, &question));
+  finish (cell);
+}
+
+/* A ticket that a worker refuses is renewed before the task is sent again; a
+   worker that is not allowed is not asked about again. */
+static void
+test_refused_ticket_is_renewed (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct kq_sched_question question;
+
+  one.count = 1;
+  ts_submit (cell, JOB, "advised", &one, 1);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  ts_advise (cell, &question, "b", "t1", 3000);
+  ts_reply (cell, ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0),
+            KQ_SCHED_NO_TICKET);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  CU_ASSERT_EQUAL (question.count, 1);
+  CU_ASSERT_STRING_EQUAL (question.workers[0], "b");
+  ts_advise (cell, &question, "b", "t2", 3000);
+  CU_ASSERT_STRING_EQUAL (
+      ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->ticket, "t2");
+  finish (cell);
+}
+
+/* The policy's service is busy: it is asked again a little later, and its
+   tickets are used only while they are good. */
+static void
+test_busy_advice_and_old_tickets (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_ADVISED };
+  struct kq_sched_advice busy = { .answer = KQ_SCHED_SICK };
+  struct kq_sched_question question;
+
+  ts_submit (cell, JOB, "advised", &plain, 1);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  busy.question = &question;
+  event.u.advice = &busy;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_settle (cell);
+  CU_ASSERT_FALSE (ask (cell, &question));
+  ts_advance (cell, 200);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  /* Too short to arrive in time. */
+  ts_advise (cell, &question, "b", "t1", 500);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
+  CU_ASSERT_FATAL (ask (cell, &question));
+  ts_advise (cell, &question, "b", "t2", 3000);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
 /* Starts the only task of JOB, of CPU for EST_MS, and returns its order. */
 static struct ts_order
 run_cpu (struct ts_cell *cell, uint64_t job, int64_t cpu, int64_t est_ms)
@@ -713,6 +799,9 @@
 }
 
 static const struct kq_test tests[] = {
+  { "advised tasks carry tickets", test_advised_tasks_carry_tickets },
+  { "refused ticket is renewed", test_refused_ticket_is_renewed },
+  { "busy advice and old tickets", test_busy_advice_and_old_tickets },
   { "batch waits behind a large urgent task",
     test_batch_waits_behind_a_large_urgent_task },
   { "late work leaves room", test_late_work_leaves_room },
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "base/err.h"
+#include "platform/advice.h"
 #include "platform/boot.h"
 #include "platform/site.h"
 #include "platform/submission.h"
@@ -222,6 +223,58 @@
   json_decref (answer);
 }
 
+static int
+read_advice (const char *text, struct kq_sched_advice *advice)
+{
+  json_t *body = json_loads (text, 0, NULL);
+  int err = kq_advice_read (body, advice);
+
+  json_decref (body);
+  return err;
+}
+
+static void
+test_advice (void)
+{
+  struct kq_sched_advice advice;
+  static const char *const rubbish[]
+      = { "{}",
+          "{\"allowed\":[]}",
+          "{\"allowed\":{},\"valid_ms\":5}",
+          "{\"allowed\":[[\"i\"]],\"valid_ms\":5}",
+          "{\"allowed\":[[1,\"t\"]],\"valid_ms\":5}",
+          "{\"allowed\":[],\"valid_ms\":-5}" };
+
+  CU_ASSERT_EQUAL (
+      read_advice ("{\"allowed\":[[\"i-1\",\"c81e\"]],\"valid_ms\":3000}",
+                   &advice),
+      0);
+  CU_ASSERT_EQUAL_FATAL (advice.allowed_count, 1);
+  CU_ASSERT_STRING_EQUAL (advice.allowed[0].worker, "i-1");
+  CU_ASSERT_STRING_EQUAL (advice.allowed[0].ticket, "c81e");
+  CU_ASSERT_EQUAL (advice.valid_ms, 3000);
+  for (size_t i = 0; i < sizeof rubbish / sizeof rubbish[0]; i++)
+    CU_ASSERT_EQUAL (read_advice (rubbish[i], &advice), KQ_ESYNTAX);
+}
+
+static void
+test_advised_queue (void)
+{
+  static const char text[]
+      = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"prefix\":\"/a/\",\"service\":\"s\",\"advice\":{\"decide_ms\":40,"
+        "\"per_worker_ms\":1.5,\"valid_ms\":3000}}],\"services\":[],"
+        "\"limits\":{}}";
+  struct kq_sched_config *config = NULL;
+
+  CU_ASSERT_EQUAL_FATAL (kq_site_config_read (text, strlen (text), &config),
+                         0);
+  CU_ASSERT_FATAL (config->queue_count == 1);
+  CU_ASSERT (config->queues[0].advised);
+  CU_ASSERT_EQUAL (config->queues[0].advise_ms, 85);
+  kq_sched_config_destroy (config);
+}
+
 static void
 test_run_names (void)
 {
@@ -302,6 +355,8 @@
   { "rubbish names no worker", test_rubbish_names_no_worker },
   { "lists of workers", test_listing },
   { "names of runs", test_run_names },
+  { "advice", test_advice },
+  { "a queue with advice", test_advised_queue },
   { "settings", test_settings },
   { "bad settings name the field", test_bad_settings_name_the_field },
 };
