--- a/sched/internal.h
+++ b/sched/internal.h
@@ -30,6 +30,12 @@
 /* A worker without an answer for this long gets no new work. */
 #define KQ_SCHED_SILENCE (1700 * KQ_USEC_PER_MSEC)
 
+/* A worker with no task is looked at this seldom: its lease holds nothing, and
+   its registration says when it is gone.  It counts as silent once two looks
+   are missed. */
+#define KQ_SCHED_REST_GAP (3 * KQ_USEC_PER_SEC)
+#define KQ_SCHED_REST_SILENCE (5 * KQ_USEC_PER_SEC)
+
 /* Ends that a worker lists in one answer. */
 #define KQ_SCHED_LISTED_ENDS 500
 
@@ -169,6 +175,7 @@
   struct task *tasks;
   /* the look that renews its lease */
   int looks;    /* under way: one that waits for an end, one that hurries */
+  bool resting; /* it has no task, and is looked at seldom */
   bool hurried; /* a look at once, beside one that waits */
   kq_usec heard_at; /* last answer of any kind, 0: never */
   kq_usec next_look_at;
@@ -216,6 +223,7 @@
   bool pressure_due;
   bool deposed;
   struct worker *look_next; /* where the search for a due look goes on */
+  kq_usec search_at;        /* it begins anew no earlier than this */
   kq_usec confirmed_at;     /* the term, by the store */
   kq_usec look_gap;  /* between an answer of a worker and the next look */
   bool room_changed; /* since tasks were placed last */
@@ -283,7 +291,7 @@
 void worker_plan_look (const struct kq_sched *sched, struct worker *worker,
                        struct kq_sched_now now);
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
-void worker_look_now (struct worker *worker);
+void worker_look_now (struct kq_sched *sched, struct worker *worker);
 void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
                    int64_t local_ms);
 void worker_granted (struct worker *worker, int64_t lease_end_ms);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -279,7 +279,10 @@
   if (event->u.listed.answer == KQ_SCHED_FENCED)
     deposed (sched, worker->report.id);
   if (event->u.listed.answer != KQ_SCHED_OK)
-    return;
+    {
+      worker->resting = false;
+      return;
+    }
   /* What an earlier life had to say is overtaken. */
   if (listing->born_ms < worker->report.born_ms)
     return;
@@ -374,6 +377,7 @@
       break;
     case KQ_SCHED_SILENT:
       task->phase = PHASE_DOUBTFUL;
+      task->worker->resting = false;
       task_log (task, "start unanswered", "");
       task->worker->full_until = now.mono + FULL_TIME;
       task_stop (sched, task, now);
@@ -406,7 +410,7 @@
     {
       /* A look that waits for an end sees none if the run never came. */
       if (task->phase == PHASE_DOUBTFUL)
-        worker_look_now (task->worker);
+        worker_look_now (sched, task->worker);
       task->phase = PHASE_STOPPING;
       task->phase_at = now.mono;
       worker_look_soon (task->worker, now);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -19,6 +19,10 @@
 /* Looks at a worker that are under way at the same time. */
 #define MOST_LOOKS 2
 
+/* All workers are searched for a due look after one microsecond for each so
+   many at the earliest, so that the search takes a few percent of the time. */
+#define WORKERS_PER_USEC 1
+
 /* A worker that was silent for longer has its lease no longer renewed: two
    looks without an answer. */
 #define RENEW_AFTER_SILENCE (2200 * KQ_USEC_PER_MSEC)
@@ -158,6 +162,7 @@
               int64_t local_ms)
 {
   worker->heard_at = now;
+  worker->resting = false;
   if (local_ms <= 0)
     return;
   /* An earlier owner may have renewed its lease until this moment. */
@@ -174,6 +179,9 @@
                   struct kq_sched_now now)
 {
   worker->next_look_at = now.mono + sched->look_gap;
+  worker->resting = worker->tasks == NULL;
+  if (worker->resting)
+    worker->next_look_at = now.mono + KQ_SCHED_REST_GAP;
   if (worker->seen_stored < worker->seen)
     worker->next_look_at = now.mono + KQ_SCHED_LOOK_GAP;
 }
@@ -186,8 +194,9 @@
 }
 
 void
-worker_look_now (struct worker *worker)
+worker_look_now (struct kq_sched *sched, struct worker *worker)
 {
+  sched->search_at = 0;
   worker->hurried = true;
 }
 
@@ -204,7 +213,8 @@
   return worker->registered && !worker->report.draining
          && worker->clock_at != 0 && now.mono >= worker->shunned_until
          && now.mono >= worker->full_until
-         && now.mono - worker->heard_at < KQ_SCHED_SILENCE;
+         && now.mono - worker->heard_at
+                < (worker->resting ? KQ_SCHED_REST_SILENCE : KQ_SCHED_SILENCE);
 }
 
 /* Whether every lease that was ever granted there has certainly lapsed. */
@@ -298,6 +308,8 @@
   struct worker *worker
       = sched->look_next != NULL ? sched->look_next : sched->worker_list;
 
+  if (sched->look_next == NULL && now.mono < sched->search_at)
+    return false;
   for (; worker != NULL; worker = worker->next)
     {
       if (worker->report.address[0] == '\0' || !is_look_due (worker, now))
@@ -319,6 +331,8 @@
     }
   /* The next question begins at the front again. */
   sched->look_next = NULL;
+  sched->search_at
+      = now.mono + (kq_usec)HASH_COUNT (sched->workers) / WORKERS_PER_USEC;
   return false;
 }
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -248,6 +248,40 @@
   finish (cell);
 }
 
+/* Many idle workers: they are looked at seldom, take work all the same, and
+   one that does not answer gets no more. */
+static void
+test_idle_workers_are_left_alone (void)
+{
+  struct ts_cell *cell = start ();
+  struct kq_sched_step one = plain;
+  struct kq_sched_look look;
+  int looks = 0;
+
+  for (int i = 0; i < 30; i++)
+    {
+      cell->now.mono += 100 * KQ_USEC_PER_MSEC;
+      while (kq_sched_next_look (cell->sched, cell->now, &look))
+        {
+          looks++;
+          ts_list (cell, look.worker, NULL, 0, NULL, 0);
+        }
+    }
+  /* Two workers in 3 s: one each. */
+  CU_ASSERT (looks <= 2);
+  one.count = 1;
+  ts_submit (cell, JOB, "batch", &one, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  ts_reply (cell, &cell->orders[0], KQ_SCHED_SILENT);
+  one.demand = (struct kq_sched_demand){ 4000, 1, 0 };
+  ts_advance (cell, 300);
+  ts_submit (cell, JOB + 1, "urgent", &one, 1);
+  ts_submit (cell, JOB + 2, "urgent", &one, 1);
+  /* One goes to the other worker, none to the silent one. */
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  finish (cell);
+}
+
 static bool
 ask (struct ts_cell *cell, struct kq_sched_question *question)
 {
@@ -542,28 +576,38 @@
   finish (cell);
 }
 
-/* An end that was stored, but not yet passed over at the worker, is listed to
-   the next owner again: it is one failure. */
 /* An owner without the store renews leases for 6 s, and no longer. */
 static void
 test_unconfirmed_owner_renews_no_lease (void)
 {
   struct ts_cell *cell = start ();
+  struct kq_sched_step lasting = plain;
   struct kq_sched_look look = { .lease_end_ms = 0 };
+  struct ts_order order;
+  struct kq_sched_running row;
 
+  lasting.lasting = true;
+  order = run_one (cell, JOB, &lasting);
+  row = ts_running (&order, 100);
   cell->store_down = true;
   cell->now.mono += 5 * KQ_USEC_PER_SEC;
-  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, order.worker, &row, 1, NULL, 0);
   cell->now.mono += KQ_USEC_PER_SEC / 2;
   CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
+  CU_ASSERT_STRING_EQUAL (look.worker, order.worker);
   CU_ASSERT (look.lease_end_ms > 0);
-  ts_list (cell, "a", NULL, 0, NULL, 0);
+  ts_list (cell, order.worker, &row, 1, NULL, 0);
   cell->now.mono += KQ_USEC_PER_SEC;
-  CU_ASSERT (kq_sched_next_look (cell->sched, cell->now, &look));
+  while (kq_sched_next_look (cell->sched, cell->now, &look)
+         && strcmp (look.worker, order.worker) != 0)
+    ;
+  CU_ASSERT_STRING_EQUAL (look.worker, order.worker);
   CU_ASSERT_EQUAL (look.lease_end_ms, 0);
   finish (cell);
 }
 
+/* An end that was stored, but not yet passed over at the worker, is listed to
+   the next owner again: it is one failure. */
 static void
 test_failure_counts_once (void)
 {
@@ -799,6 +843,7 @@
 }
 
 static const struct kq_test tests[] = {
+  { "idle workers are left alone", test_idle_workers_are_left_alone },
   { "advised tasks carry tickets", test_advised_tasks_carry_tickets },
   { "refused ticket is renewed", test_refused_ticket_is_renewed },
   { "busy advice and old tickets", test_busy_advice_and_old_tickets },
