node/owner: at most 64 looks a turn

With 3,000 workers a new owner sends all first looks in one turn and then takes seconds for their answers; registrations wait behind them.

--- a/node/owner.c
+++ b/node/owner.c
@@ -30,6 +30,12 @@
    lapsed by then (sched/internal.h). */
 #define GIVE_UP_AFTER (12 * KQ_USEC_PER_SEC)
 
+/* Looks that one turn sends: the first ones of a new owner to 3,000 workers
+   take seconds, in which registrations must be read and beats written.  The
+   next turn follows at once. */
+#define LOOKS_PER_TURN 64
+#define NEXT_TURN_SEC 0.001
+
 struct waiting
 {
   struct kq_sched_effect effect;
@@ -56,6 +62,7 @@
   ev_prepare prepare;
   ev_check check;
   ev_timer tick;
+  ev_timer next_turn; /* wakes the loop for looks that are left */
   int ticks;
   bool active;
   bool over;
@@ -197,9 +204,14 @@
 {
   struct kq_sched_look look;
   struct kq_sched_question question;
+  int sent = 0;
 
-  while (kq_sched_next_look (owner->sched, now_of (), &look))
+  for (; sent < LOOKS_PER_TURN
+         && kq_sched_next_look (owner->sched, now_of (), &look);
+       sent++)
     kq_orders_look (owner->orders, &look);
+  if (sent == LOOKS_PER_TURN)
+    ev_timer_start (owner->loop, &owner->next_turn);
   if (kq_sched_next_question (owner->sched, now_of (), &question))
     kq_advice_ask (owner->advice, &question);
 }
@@ -247,6 +259,12 @@
   kq_turns_begin (&owner->turns);
 }
 
+static void
+on_next_turn (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  /* Waking the loop is all. */
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -408,6 +426,7 @@
   owner->prepare.data = owner;
   ev_timer_init (&owner->tick, on_tick, TICK_SEC, TICK_SEC);
   owner->tick.data = owner;
+  ev_timer_init (&owner->next_turn, on_next_turn, NEXT_TURN_SEC, 0);
   ev_prepare_start (loop, &owner->prepare);
   ev_check_init (&owner->check, on_woken);
   owner->check.data = owner;
@@ -438,6 +457,7 @@
   ev_prepare_stop (owner->loop, &owner->prepare);
   ev_check_stop (owner->loop, &owner->check);
   ev_timer_stop (owner->loop, &owner->tick);
+  ev_timer_stop (owner->loop, &owner->next_turn);
   kq_roster_destroy (owner->roster);
   kq_restore_destroy (owner->restore);
   kq_journal_destroy (owner->journal);
