--- a/node/owner.c
+++ b/node/owner.c
@@ -109,7 +109,6 @@
   const char *worker = effect->u.order.worker;
   const struct kq_sched_run *run = &effect->u.order.run;
   struct kq_sched_start start;
-  int64_t born;
   const char *address;
 
   if (effect->kind == KQ_SCHED_FX_START)
@@ -120,7 +119,7 @@
         owner->stale = true;
       return;
     }
-  address = kq_sched_worker_address (owner->sched, worker, &born);
+  address = kq_sched_worker_address (owner->sched, worker);
   if (address == NULL || address[0] == '\0')
     return;
   if (effect->kind == KQ_SCHED_FX_STOP)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -239,6 +239,15 @@
                            const char *queue, int64_t accepted_ms,
                            struct kq_sched_spec *spec);
 
+/* answers.c */
+void answer_deposed (struct kq_sched *sched, const char *worker);
+void answer_listed (struct kq_sched *sched, struct kq_sched_now now,
+                    const struct kq_sched_event *event);
+void answer_started (struct kq_sched *sched, struct kq_sched_now now,
+                     const struct kq_sched_event *event);
+void answer_stopped (struct kq_sched *sched, struct kq_sched_now now,
+                     const struct kq_sched_event *event);
+
 /* job.c */
 struct job *job_find (struct kq_sched *sched, uint64_t id);
 struct task *job_task (struct job *job, const struct kq_sched_run *run);
@@ -286,14 +295,12 @@
                   struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
-void worker_start_life (struct worker *worker, int64_t born_ms,
-                        struct kq_sched_now now);
+void worker_start_life (struct worker *worker, int64_t born_ms);
 void worker_plan_look (const struct kq_sched *sched, struct worker *worker,
                        struct kq_sched_now now);
 void worker_look_soon (struct worker *worker, struct kq_sched_now now);
 void worker_look_now (struct kq_sched *sched, struct worker *worker);
-void worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
-                   int64_t local_ms);
+void worker_heard (struct worker *worker, kq_usec now, int64_t local_ms);
 void worker_granted (struct worker *worker, int64_t lease_end_ms);
 
 /* place.c */
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -245,9 +245,9 @@
  *  0 notices each end at once, more saves calls.  */
 void kq_sched_set_look_gap (struct kq_sched *sched, kq_usec gap);
 
-/** Returns WORKER's address, or NULL; and its life in *BORN_MS. */
+/** Returns WORKER's address, or NULL. */
 const char *kq_sched_worker_address (const struct kq_sched *sched,
-                                     const char *worker, int64_t *born_ms);
+                                     const char *worker);
 
 /** Takes up a job from the store.  SPEC is taken over, STATE may be NULL. */
 int kq_sched_restore (struct kq_sched *sched, struct kq_sched_now now,
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -95,8 +95,7 @@
 
 /* The clock, the numbers of ends and the memory of fences start anew. */
 void
-worker_start_life (struct worker *worker, int64_t born_ms,
-                   struct kq_sched_now now)
+worker_start_life (struct worker *worker, int64_t born_ms)
 {
   log_worker (worker, "worker in a new life", "");
   worker->report.born_ms = born_ms;
@@ -126,7 +125,7 @@
   if (report->born_ms < worker->report.born_ms)
     return;
   if (report->born_ms > worker->report.born_ms)
-    worker_start_life (worker, report->born_ms, now);
+    worker_start_life (worker, report->born_ms);
   sched->room_changed = true;
   draining = worker->report.draining;
   worker->report = *report;
@@ -158,8 +157,7 @@
 }
 
 void
-worker_heard (struct worker *worker, kq_usec sent_at, kq_usec now,
-              int64_t local_ms)
+worker_heard (struct worker *worker, kq_usec now, int64_t local_ms)
 {
   worker->heard_at = now;
   worker->resting = false;
@@ -337,14 +335,10 @@
 }
 
 const char *
-kq_sched_worker_address (const struct kq_sched *sched, const char *id,
-                         int64_t *born_ms)
+kq_sched_worker_address (const struct kq_sched *sched, const char *id)
 {
   struct worker *worker;
 
   HASH_FIND_STR (sched->workers, id, worker);
-  if (worker == NULL)
-    return NULL;
-  *born_ms = worker->report.born_ms;
-  return worker->report.address;
+  return worker == NULL ? NULL : worker->report.address;
 }
