--- a/t/session-endpoint.sh
+++ b/t/session-endpoint.sh
@@ -27,8 +27,11 @@
 }
 served () { fact '[.workers[].served] | add'; }
 
-within 10 [ "$(get -o /dev/null -w '%{http_code}' -d x \
-  -H 'Kumquatrack-Service: one' "$(front 1)/")" = 200 ]
+first_works () {
+  [ "$(get -o /dev/null -w '%{http_code}' -d x \
+    -H 'Kumquatrack-Service: one' "$(front 1)/")" = 200 ]
+}
+within 10 first_works
 ask 'an endpoint that works' '200 '
 check 'the whole answer is passed on' [ "$(cat "$work/body")" = '{"n":1}' ]
 
@@ -46,8 +49,19 @@
 mode '{"endpoint":"ok","freeze":1}'
 ask 'no answer in time' '504 unknown'
 mode '{"freeze":0}'
-within 10 [ "$(get -o /dev/null -w '%{http_code}' -d x \
-  -H 'Kumquatrack-Service: one' "$(front 1)/")" = 200 ]
+# Endpoints that failed are left alone for a while, and each key has its home:
+# requests with eight keys in a row must be answered.
+probe=0
+all_homes_work () {
+  for _ in 1 2 3 4 5 6 7 8; do
+    probe=$((probe + 1))
+    [ "$(get -o /dev/null -w '%{http_code}' -d x \
+      -H 'Kumquatrack-Service: one' -H "Idempotency-Key: probe-$probe" \
+      "$(front 1)/")" = 200 ] || return 1
+  done
+}
+within 10 all_homes_work
+check 'keyed requests are served again within 10 s' all_homes_work
 
 ask 'a key once' '200 '
 n=$((n - 1))
