--- a/sched/answers.c
+++ b/sched/answers.c
@@ -40,7 +40,7 @@
     answer_deposed (sched, worker->report.id);
   if (event->u.listed.answer != KQ_SCHED_OK)
     {
-      worker->resting = false;
+      worker->idle = false;
       return;
     }
   /* What an earlier life had to say is overtaken. */
@@ -136,7 +136,7 @@
       break;
     case KQ_SCHED_SILENT:
       task->phase = PHASE_DOUBTFUL;
-      task->worker->resting = false;
+      task->worker->idle = false;
       task_log (task, "start unanswered", "");
       task->worker->full_until = now.mono + FULL_TIME;
       task_stop (sched, task, now);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -33,8 +33,8 @@
 /* A worker with no task is looked at this seldom: its lease holds nothing, and
    its registration says when it is gone.  It counts as silent once two looks
    are missed. */
-#define KQ_SCHED_REST_GAP (3 * KQ_USEC_PER_SEC)
-#define KQ_SCHED_REST_SILENCE (5 * KQ_USEC_PER_SEC)
+#define KQ_SCHED_IDLE_LOOK_GAP (3 * KQ_USEC_PER_SEC)
+#define KQ_SCHED_IDLE_SILENCE (5 * KQ_USEC_PER_SEC)
 
 /* Ends that a worker lists in one answer. */
 #define KQ_SCHED_LISTED_ENDS 500
@@ -75,8 +75,8 @@
   kq_usec phase_at;
   kq_usec stop_sent_at;
   bool stop_wanted;
-  bool pressed; /* placed where it disturbs: it is slowed down, not moved */
-  int pace;     /* percent */
+  bool disturbs; /* placed where it disturbs: it is slowed down, not moved */
+  int pace;      /* percent */
   kq_usec paced_at;
   int percent;
   kq_usec percent_at;
@@ -174,10 +174,10 @@
   int task_count;
   struct task *tasks;
   /* the look that renews its lease */
-  int looks;    /* under way: one that waits for an end, one that hurries */
-  bool resting; /* it has no task, and is looked at seldom */
-  bool hurried; /* a look at once, beside one that waits */
-  kq_usec heard_at; /* last answer of any kind, 0: never */
+  int looks; /* under way: one that waits for an end, one that hurries */
+  bool idle; /* it has no task, and is looked at seldom */
+  bool look_at_once; /* a look at once, beside one that waits */
+  kq_usec heard_at;  /* last answer of any kind, 0: never */
   kq_usec next_look_at;
   int64_t local_ms; /* at clock_at */
   kq_usec clock_at;
--- a/sched/place.c
+++ b/sched/place.c
@@ -24,7 +24,7 @@
 /* A job with a filler ready for this long and nothing at work gets one started
    although it will be slowed down, while under HALF_USED_PERCENT of the room
    is in use.  Source: a job may have nothing running for 3 s then. */
-#define PRESSED_AFTER (1500 * KQ_USEC_PER_MSEC)
+#define DISTURB_AFTER (1500 * KQ_USEC_PER_MSEC)
 #define HALF_USED_PERCENT 50
 
 /* Room of a service, in percent of its CPU, that work of a rank leaves free:
@@ -223,11 +223,11 @@
   return worker == task->shunned && now.mono - task->ready_at < AVOID_TIME;
 }
 
-/* A task that may be PRESSED also goes where it disturbs more than is
+/* One that may be DISTURBING also goes where it disturbs more than is
    allowed. */
 static struct worker *
 choose (struct kq_sched *sched, const struct task *task,
-        struct kq_sched_now now, const char *rack, bool pressed)
+        struct kq_sched_now now, const char *rack, bool disturbing)
 {
   const struct stage *stage = task->stage;
   struct worker *best = NULL;
@@ -247,7 +247,7 @@
     if (stage->step->filler && worker->serving > 0)
       press
           = share_press (sched, worker, stage->image, stage->step->demand.cpu);
-    if (press > MOST_PRESS && !pressed)
+    if (press > MOST_PRESS && !disturbing)
       continue;
     points = score (worker, task, press);
     if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
@@ -363,21 +363,21 @@
 /* A filler that would disturb serving tasks everywhere still goes on, slowly:
    one of its job, where it disturbs least. */
 static void
-place_pressed (struct kq_sched *sched, struct stage *stage,
-               struct kq_sched_now now)
+place_disturbing (struct kq_sched *sched, struct stage *stage,
+                  struct kq_sched_now now)
 {
   int from = 0;
   struct task *task = next_ready (stage, &from);
   struct worker *worker;
 
-  if (task == NULL || now.mono - task->ready_at < PRESSED_AFTER
+  if (task == NULL || now.mono - task->ready_at < DISTURB_AFTER
       || job_has_bound (stage->job))
     return;
   worker = choose (sched, task, now, common_rack (stage), true);
   if (worker == NULL)
     return;
   task_bind (sched, task, worker, now);
-  task->pressed = true;
+  task->disturbs = true;
   order_start (sched, task);
 }
 
@@ -491,6 +491,6 @@
       continue;
     want_room (room, stage, left->ready_at, now);
     if (stage->step->filler && is_half_free (room))
-      place_pressed (sched, stage, now);
+      place_disturbing (sched, stage, now);
   }
 }
--- a/sched/share.c
+++ b/sched/share.c
@@ -325,7 +325,7 @@
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
-    if (task->pace <= SLOW_PACE && !task->stop_wanted && !task->pressed
+    if (task->pace <= SLOW_PACE && !task->stop_wanted && !task->disturbs
         && now.mono - task->paced_at > MOVE_AFTER
         && (task->stage->step->checkpointable || task->percent < LOST_PERCENT))
       {
--- a/sched/task.c
+++ b/sched/task.c
@@ -168,7 +168,7 @@
   task->figure = 0;
   task->over_since = 0;
   task->stop_wanted = false;
-  task->pressed = false;
+  task->disturbs = false;
   task->pace = 100;
   task->stop_sent_at = 0;
   task->worker = worker;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -160,7 +160,7 @@
 worker_heard (struct worker *worker, kq_usec now, int64_t local_ms)
 {
   worker->heard_at = now;
-  worker->resting = false;
+  worker->idle = false;
   if (local_ms <= 0)
     return;
   /* An earlier owner may have renewed its lease until this moment. */
@@ -177,9 +177,9 @@
                   struct kq_sched_now now)
 {
   worker->next_look_at = now.mono + sched->look_gap;
-  worker->resting = worker->tasks == NULL;
-  if (worker->resting)
-    worker->next_look_at = now.mono + KQ_SCHED_REST_GAP;
+  worker->idle = worker->tasks == NULL;
+  if (worker->idle)
+    worker->next_look_at = now.mono + KQ_SCHED_IDLE_LOOK_GAP;
   if (worker->seen_stored < worker->seen)
     worker->next_look_at = now.mono + KQ_SCHED_LOOK_GAP;
 }
@@ -195,7 +195,7 @@
 worker_look_now (struct kq_sched *sched, struct worker *worker)
 {
   sched->search_at = 0;
-  worker->hurried = true;
+  worker->look_at_once = true;
 }
 
 void
@@ -212,7 +212,7 @@
          && worker->clock_at != 0 && now.mono >= worker->shunned_until
          && now.mono >= worker->full_until
          && now.mono - worker->heard_at
-                < (worker->resting ? KQ_SCHED_REST_SILENCE : KQ_SCHED_SILENCE);
+                < (worker->idle ? KQ_SCHED_IDLE_SILENCE : KQ_SCHED_SILENCE);
 }
 
 /* Whether every lease that was ever granted there has certainly lapsed. */
@@ -294,7 +294,7 @@
 static bool
 is_look_due (const struct worker *worker, struct kq_sched_now now)
 {
-  if (worker->hurried)
+  if (worker->look_at_once)
     return worker->looks < MOST_LOOKS;
   return worker->looks == 0 && now.mono >= worker->next_look_at;
 }
@@ -318,9 +318,9 @@
       worker->looks++;
       look->seen = worker->seen_stored;
       look->wait_ms = 0;
-      if (worker->seen_stored == worker->seen && !worker->hurried)
+      if (worker->seen_stored == worker->seen && !worker->look_at_once)
         look->wait_ms = worker->tense ? SHARED_WAIT_MS : LOOK_WAIT_MS;
-      worker->hurried = false;
+      worker->look_at_once = false;
       look->lease_end_ms = renewed_lease (sched, worker, now);
       snprintf (look->worker, sizeof look->worker, "%s", worker->report.id);
       snprintf (look->address, sizeof look->address, "%s",
--- a/t/test-base.c
+++ b/t/test-base.c
@@ -45,7 +45,7 @@
 }
 
 static void
-test_patience_follows_answers (void)
+test_limit_follows_answers (void)
 {
   struct kq_rto rto;
 
@@ -71,7 +71,7 @@
 }
 
 static const struct kq_test tests[] = {
-  { "patience follows answers", test_patience_follows_answers },
+  { "the time limit follows answers", test_limit_follows_answers },
   { "error names", test_error_names },
   { "names are checked", test_names_are_checked },
   { "metrics page", test_metrics_page },
