--- a/sched/internal.h
+++ b/sched/internal.h
@@ -191,8 +191,6 @@
   uint64_t last_failed_job;
   kq_usec shunned_until;
   kq_usec full_until;
-  const struct stage *kept_for; /* alone may place tasks here */
-  kq_usec kept_until;
   kq_usec paced_at;
   struct worker *prev;
   struct worker *next;
--- a/sched/job.c
+++ b/sched/job.c
@@ -245,15 +245,8 @@
 void
 job_destroy (struct kq_sched *sched, struct job *job)
 {
-  struct worker *worker;
-
   record_clear_dirty (sched, job);
   HASH_DEL (sched->jobs, job);
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    if (worker->kept_for != NULL && worker->kept_for->job == job)
-      worker->kept_for = NULL;
-  }
   for (int i = 0; job->stages != NULL && i < job->stage_count; i++)
     {
       advice_clear (&job->stages[i]);
--- a/sched/place.c
+++ b/sched/place.c
@@ -42,11 +42,6 @@
    After that it is hardly in time any more. */
 #define BLOCK_TIME (3 * KQ_USEC_PER_SEC)
 
-/* A worker is kept for a task that lasts and finds no room for this long, so
-   that the pieces that short tasks leave there add up.  Source: a task that
-   lasts may be without a run for 6 s. */
-#define KEEP_TIME (2 * KQ_USEC_PER_SEC)
-
 /* Services that are told apart; the rest share the last entry. */
 #define MAX_SERVICES 8
 
@@ -237,65 +232,6 @@
   return worker == task->shunned && now.mono - task->ready_at < AVOID_TIME;
 }
 
-static bool
-is_kept (const struct worker *worker, const struct stage *stage,
-         struct kq_sched_now now)
-{
-  return worker->kept_for != NULL && worker->kept_for != stage
-         && now.mono < worker->kept_until;
-}
-
-/* What is free at WORKER, in thousandths of a core, once all but what lasts
-   has ended; negative where STAGE would not fit even then. */
-static int64_t
-free_beside_lasting (const struct worker *worker, const struct stage *stage)
-{
-  const struct kq_sched_demand *demand = &stage->step->demand;
-  int64_t cpu = worker->report.capacity.cpu - demand->cpu;
-  int64_t mem = worker->report.capacity.mem - demand->mem;
-  const struct task *task;
-
-  DL_FOREACH (worker->tasks, task)
-  {
-    if (!task->stage->step->lasting)
-      continue;
-    cpu -= task->stage->step->filler ? 0 : task->stage->step->demand.cpu;
-    mem -= task->stage->step->demand.mem;
-  }
-  return mem < 0 ? -1 : cpu;
-}
-
-/* Keeps the worker where STAGE, whose tasks last, will fit first. */
-static void
-keep_worker (struct kq_sched *sched, const struct stage *stage,
-             struct kq_sched_now now)
-{
-  struct worker *best = NULL;
-  int64_t best_free = -1;
-  struct worker *worker;
-
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    int64_t rest;
-
-    if (worker->kept_for == stage && now.mono < worker->kept_until)
-      return;
-    if (!worker_usable (worker, now) || is_kept (worker, stage, now)
-        || !is_allowed (worker, stage))
-      continue;
-    rest = free_beside_lasting (worker, stage);
-    if (rest > best_free)
-      {
-        best = worker;
-        best_free = rest;
-      }
-  }
-  if (best == NULL)
-    return;
-  best->kept_for = stage;
-  best->kept_until = now.mono + KEEP_TIME;
-}
-
 /* One that may be DISTURBING also goes where it disturbs more than is
    allowed. */
 static struct worker *
@@ -312,8 +248,7 @@
     double press = 0;
     int64_t points;
 
-    if (avoids (task, worker, now) || is_kept (worker, stage, now)
-        || !place_fits (worker, stage, now))
+    if (avoids (task, worker, now) || !place_fits (worker, stage, now))
       continue;
     if (stage->job->queue.advised
         && advice_ticket (stage, worker, now) == NULL)
@@ -564,8 +499,6 @@
     if (left == NULL || stage->job->queue.advised)
       continue;
     want_room (room, stage, left->ready_at, now);
-    if (stage->step->lasting)
-      keep_worker (sched, stage, now);
     if (stage->step->filler && is_half_free (room))
       place_disturbing (sched, stage, now);
   }
