term: after a release hosts claim in the order of their strength

The delay by distance and strength counted from the owner's last sign, which a release set to 0.

Ruled out: room, the wait for leases (nothing of these tasks was at a worker).

Change: a release counts as a sign of life for that delay: a near strong host claims after 40 to 120 ms, a weak one 230 ms later.

--- a/t/test-term.c
+++ b/t/test-term.c
@@ -273,6 +273,35 @@
   close_world (world);
 }
 
+/* So it does after a release: a weak host reads all jobs too slowly, and loses
+   the term again. */
+static void
+check_release (int weak)
+{
+  struct world *world = open_world ();
+  int owner = -1;
+  int next = -1;
+
+  kq_term_destroy (world->hosts[weak]);
+  world->hosts[weak] = kq_term_create ("weak", "10.0.0.9:7720", "weak", 0.12);
+  run (world, KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (owners (world, &owner), 1);
+  CU_ASSERT_NOT_EQUAL (owner, weak);
+  kq_term_release (world->hosts[owner], INT64_MAX);
+  run (world, 400 * KQ_USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (owners (world, &next), 1);
+  CU_ASSERT_NOT_EQUAL (next, weak);
+  CU_ASSERT_NOT_EQUAL (next, owner);
+  close_world (world);
+}
+
+static void
+test_strong_host_claims_after_a_release (void)
+{
+  for (int weak = 0; weak < HOSTS; weak++)
+    check_release (weak);
+}
+
 static void
 test_malformed_record_is_skipped (void)
 {
@@ -297,6 +326,8 @@
     test_restarted_owner_claims_at_once },
   { "a release hands over at once", test_release_hands_over_at_once },
   { "a strong host claims first", test_strong_host_claims_first },
+  { "a strong host claims after a release",
+    test_strong_host_claims_after_a_release },
   { "a malformed record is skipped", test_malformed_record_is_skipped },
 };
 
--- a/term/term.c
+++ b/term/term.c
@@ -149,13 +149,16 @@
 }
 
 static void
-take_release (struct kq_term *term, const KqTerm__TermRecord *record)
+take_release (struct kq_term *term, kq_usec now,
+              const KqTerm__TermRecord *record)
 {
   if (record->term != term->owner.term)
     return;
   term->owner.address[0] = '\0';
   term->owner.life[0] = '\0';
-  term->alive_at = 0;
+  /* Delays of claims count from now: without them a weak host may come
+     first. */
+  term->alive_at = now;
   if (is_own (term, record))
     {
       term->mine = 0;
@@ -185,7 +188,7 @@
       take_beat (term, now, record);
       break;
     case KQ_TERM_RELEASE:
-      take_release (term, record);
+      take_release (term, now, record);
       break;
     case KQ_TERM_HELLO:
       add_peer (term, record->address);
