sched, term, node: the wait for a silent worker counts from its own owner

Workers crash at 11.3 s, their owner is killed at 10.2 and 14.1 s. Every new owner waited 11.1 s from its own start (6 s in which an earlier owner may renew without a confirmation, and a lease of 5 s), so that each takeover began the wait anew: 393 runs ended at 26.1 s, all in the same 0.1 s. Then the lasting tasks among them waited up to 3.5 s more, since shorter work took the room as it came free.

Ruled out: a lease that an owner in between renewed (it never had an answer of these workers); tasks that were still bound after the wait (all 393 were released).

Now an owner stores which workers it renews leases at before it renews the first one (records g0 to g15), and a successor counts the wait from the last record that it read of that owner. Leases are renewed on the strength of records of the election alone, whose last one a successor can see.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -30,6 +30,7 @@
   GAUGE_PACES,
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
+  GAUGE_PREEMPTIONS,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -58,6 +59,8 @@
   { .name = "kq_paces_total", .help = "Fillers whose pace was changed." },
   { .name = "kq_moves_total", .help = "Fillers stopped for others' sake." },
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
+  { .name = "kq_preemptions_total",
+    .help = "Tasks stopped to make room for a long-running one." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -94,6 +97,7 @@
   kq_metric_set (&gauges[GAUGE_PACES], counts->paces);
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
+  kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -253,15 +253,15 @@
 }
 
 static void
-start_owner (struct node *node, int64_t term)
+start_owner (struct node *node)
 {
   struct kq_owner_handler handler = { .arg = node,
                                       .on_result = on_result,
                                       .on_superseded = on_superseded };
 
-  node->owner
-      = kq_owner_create (node->loop, node->settings.store,
-                         node->settings.advice, term, node->config, &handler);
+  node->owner = kq_owner_create (node->loop, node->settings.store,
+                                 node->settings.advice, node->term,
+                                 node->config, &handler);
   if (node->owner == NULL)
     {
       kq_log (KQ_LOG_ERROR, "node", "term released: owner not created",
@@ -296,7 +296,7 @@
   if (own_term == 0)
     stop_owner (node);
   else if (node->owner == NULL)
-    start_owner (node, own_term);
+    start_owner (node);
   if (node->owner != NULL)
     kq_owner_confirm (node->owner, kq_term_confirmed_at (node->term));
   if (owner->term != node->owner_term)
--- a/node/owner.c
+++ b/node/owner.c
@@ -307,13 +307,20 @@
   owner->needs_placement = true;
 }
 
+static void
+note_confirmation (struct kq_owner *owner, kq_usec sent_at)
+{
+  if (sent_at > owner->confirmed_at)
+    owner->confirmed_at = sent_at;
+}
+
 static void
 on_stored (void *arg, uint64_t position)
 {
   struct kq_owner *owner = arg;
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_STORED };
 
-  kq_owner_confirm (owner, kq_journal_confirmed_at (owner->journal));
+  note_confirmation (owner, kq_journal_confirmed_at (owner->journal));
   if (position == 0)
     {
       kq_restore_start (owner->restore);
@@ -383,9 +390,23 @@
   handle_event (arg, &event);
 }
 
+static void
+begin_term (struct kq_owner *owner, const struct kq_term *term)
+{
+  struct kq_term_heard heard[KQ_TERM_MAX_HEARD];
+  int64_t own_term = kq_term_own_term (term);
+  int count = kq_term_get_heard (term, heard);
+
+  kq_orders_set_fence (owner->orders, own_term);
+  kq_sched_begin_term (owner->sched, own_term);
+  for (int i = 0; i < count; i++)
+    if (heard[i].term < own_term)
+      kq_sched_add_past_term (owner->sched, heard[i].term, heard[i].at);
+}
+
 static int
 create_modules (struct kq_owner *owner, const char *store, const char *advice,
-                int64_t term)
+                const struct kq_term *term)
 {
   struct kq_journal_handler journal
       = { .arg = owner, .on_stored = on_stored, .on_fenced = on_fenced };
@@ -406,9 +427,9 @@
       = kq_advice_create (owner->http_client, advice, on_advice, owner);
   if (owner->store == NULL || owner->orders == NULL || owner->advice == NULL)
     return KQ_ENOMEM;
-  kq_orders_set_fence (owner->orders, term);
-  owner->journal
-      = kq_journal_create (owner->loop, owner->store, term, &journal);
+  begin_term (owner, term);
+  owner->journal = kq_journal_create (owner->loop, owner->store,
+                                      kq_term_own_term (term), &journal);
   owner->restore = kq_restore_create (owner->loop, owner->store, owner->sched,
                                       on_restored, owner);
   owner->registrations
@@ -421,7 +442,8 @@
 
 struct kq_owner *
 kq_owner_create (struct ev_loop *loop, const char *store, const char *advice,
-                 int64_t term, const struct kq_sched_config *config,
+                 const struct kq_term *term,
+                 const struct kq_sched_config *config,
                  const struct kq_owner_handler *handler)
 {
   struct kq_owner *owner = calloc (1, sizeof *owner);
@@ -449,7 +471,7 @@
       kq_owner_destroy (owner);
       return NULL;
     }
-  snprintf (number, sizeof number, "%" PRId64, term);
+  snprintf (number, sizeof number, "%" PRId64, kq_term_own_term (term));
   kq_log (KQ_LOG_INFO, "owner", "term begins", 0, "term", number, NULL);
   kq_owner_configure (owner, config);
   kq_journal_open (owner->journal);
@@ -556,9 +578,9 @@
 void
 kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at)
 {
-  if (sent_at <= owner->confirmed_at)
-    return;
-  owner->confirmed_at = sent_at;
+  note_confirmation (owner, sent_at);
+  /* Leases are renewed on the strength of records of the election alone: a
+     successor reads when the last of them was stored. */
   kq_sched_confirm_term (owner->sched, sent_at);
 }
 
--- a/node/owner.h
+++ b/node/owner.h
@@ -11,6 +11,7 @@
 #include "node/hop.h"
 #include "platform/store.h"
 #include "sched/sched.h"
+#include "term/term.h"
 
 struct kq_owner;
 
@@ -33,11 +34,12 @@
   void (*on_superseded) (void *arg);
 };
 
-/** Starts term TERM.  STORE and ADVICE are addresses of the platform's
- *  services; ADVICE may be empty, and CONFIG NULL.
+/** Starts the term that this host has in TERM.  STORE and ADVICE are addresses
+ *  of the platform's services; ADVICE may be empty, and CONFIG NULL.
  *  @return NULL when out of memory.  */
 struct kq_owner *kq_owner_create (struct ev_loop *loop, const char *store,
-                                  const char *advice, int64_t term,
+                                  const char *advice,
+                                  const struct kq_term *term,
                                   const struct kq_sched_config *config,
                                   const struct kq_owner_handler *handler);
 
@@ -55,7 +57,8 @@
 void kq_owner_configure (struct kq_owner *owner,
                          const struct kq_sched_config *config);
 
-/** Records that the store confirmed the term by a call sent at SENT_AT. */
+/** Records that the store confirmed the term by a record of the election that
+ *  was sent at SENT_AT.  */
 void kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at);
 
 /** Returns whether it has read all jobs and handles requests. */
--- a/node/restore.c
+++ b/node/restore.c
@@ -96,6 +96,19 @@
   return stored_job;
 }
 
+/* Restores a record that does not belong to one job. */
+static int
+restore_shared (struct kq_restore *restore, const char *key,
+                const struct kq_store_row *row)
+{
+  if (strcmp (key, KQ_SCHED_INTERFERENCE_KEY) == 0)
+    return kq_sched_restore_interference (restore->sched, row->value,
+                                          row->size);
+  if (key[0] == KQ_SCHED_GRANT_KEY)
+    return kq_sched_restore_grants (restore->sched, row->value, row->size);
+  return 0;
+}
+
 static void
 collect_row (struct kq_restore *restore, const struct kq_store_row *row)
 {
@@ -106,9 +119,7 @@
 
   snprintf (key, sizeof key, "%.*s", (int)row->key_size, row->key);
   strcpy (restore->last_key, key);
-  if (row->size > 0 && strcmp (key, KQ_SCHED_INTERFERENCE_KEY) == 0
-      && kq_sched_restore_interference (restore->sched, row->value, row->size)
-             != 0)
+  if (row->size > 0 && restore_shared (restore, key, row) != 0)
     kq_log (KQ_LOG_WARN, "restore", "malformed record ignored", KQ_ESYNTAX,
             "key", key, NULL);
   if (row->size == 0 || !kq_submission_id_read (key + 1, &id))
--- a/sched/answers.c
+++ b/sched/answers.c
@@ -48,7 +48,7 @@
   /* The reply of an earlier incarnation is obsolete. */
   if (worker_status->incarnation_ms < worker->report.incarnation_ms)
     return;
-  worker_note_reply (worker, now.mono, worker_status->worker_clock_ms);
+  worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   if (worker_status->incarnation_ms > worker->report.incarnation_ms)
     worker_start_incarnation (worker, worker_status->incarnation_ms);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
@@ -121,7 +121,8 @@
       return;
     }
   if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
-    worker_note_reply (worker, now.mono, event->u.order.worker_clock_ms);
+    worker_note_reply (sched, worker, now.mono,
+                       event->u.order.worker_clock_ms);
   if (task == NULL || task->phase == PHASE_STOPPING
       || task->phase == PHASE_STORING)
     return;
@@ -162,7 +163,8 @@
       return;
     }
   if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
-    worker_note_reply (worker, now.mono, event->u.order.worker_clock_ms);
+    worker_note_reply (sched, worker, now.mono,
+                       event->u.order.worker_clock_ms);
   if (task == NULL)
     return;
   if (event->u.order.reply == KQ_SCHED_OK
--- /dev/null
+++ b/sched/grant.c
@@ -0,0 +1,173 @@
+/* Which owner last renewed leases at a worker (grant_*).
+ *
+ * An owner renews the lease of a worker only after the store holds that it may
+ * do so. A successor that cannot reach the worker then knows whose renewals it
+ * has to wait for: an owner in between that never reached the worker has
+ * renewed nothing there.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "log/log.h"
+#include "sched/internal.h"
+#include "sched/record.pb-c.h"
+
+static int
+bucket_of (const char *worker)
+{
+  return (int)(XXH64 (worker, strlen (worker), 0) % GRANT_BUCKETS);
+}
+
+void
+grant_begin (struct kq_sched *sched, struct worker *worker)
+{
+  worker->grant_term = sched->term;
+  worker->grant_position = sched->position;
+  sched->dirty_grants |= 1u << bucket_of (worker->report.id);
+}
+
+bool
+grant_is_stored (const struct kq_sched *sched, const struct worker *worker)
+{
+  return worker->grant_position != 0
+         && worker->grant_position <= sched->stored;
+}
+
+/* A worker without a registration and without tasks has nothing to wait
+   for. */
+static bool
+needs_grant (const struct worker *worker)
+{
+  return worker->grant_term != 0
+         && (worker->registered || worker->tasks != NULL);
+}
+
+static int
+encode_bucket (const struct kq_sched *sched, int bucket,
+               struct kq_sched_record *record)
+{
+  KqSched__GrantRecord message = KQ_SCHED__GRANT_RECORD__INIT;
+  size_t count = HASH_COUNT (sched->workers);
+  char **workers = calloc (count + 1, sizeof *workers);
+  int64_t *terms = calloc (count + 1, sizeof *terms);
+  struct worker *worker;
+  int err = KQ_ENOMEM;
+  size_t n = 0;
+
+  if (workers != NULL && terms != NULL)
+    {
+      DL_FOREACH (sched->worker_list, worker)
+      {
+        if (!needs_grant (worker) || bucket_of (worker->report.id) != bucket)
+          continue;
+        workers[n] = worker->report.id;
+        terms[n++] = worker->grant_term;
+      }
+      message.n_workers = n;
+      message.workers = workers;
+      message.n_terms = n;
+      message.terms = terms;
+      snprintf (record->key, sizeof record->key, "%c%d", KQ_SCHED_GRANT_KEY,
+                bucket);
+      record->size = kq_sched__grant_record__get_packed_size (&message);
+      record->value = malloc (record->size + 1);
+      if (record->value != NULL)
+        {
+          kq_sched__grant_record__pack (&message, record->value);
+          err = 0;
+        }
+    }
+  free (workers);
+  free (terms);
+  return err;
+}
+
+int
+grant_encode (struct kq_sched *sched, struct kq_sched_record *records)
+{
+  int count = 0;
+
+  for (int i = 0; i < GRANT_BUCKETS; i++)
+    if ((sched->dirty_grants >> i & 1) != 0)
+      {
+        if (encode_bucket (sched, i, &records[count]) == 0)
+          count++;
+        else
+          kq_log (KQ_LOG_ERROR, "sched", "grants not encoded", KQ_ENOMEM,
+                  NULL);
+      }
+  sched->dirty_grants = 0;
+  return count;
+}
+
+int
+kq_sched_restore_grants (struct kq_sched *sched, const uint8_t *value,
+                         size_t size)
+{
+  KqSched__GrantRecord *message
+      = kq_sched__grant_record__unpack (NULL, size, value);
+  int err = KQ_ESYNTAX;
+
+  if (message == NULL)
+    return KQ_ESYNTAX;
+  if (message->n_workers == message->n_terms)
+    {
+      err = 0;
+      for (size_t i = 0; i < message->n_workers; i++)
+        {
+          struct worker *worker
+              = worker_find_or_add (sched, message->workers[i]);
+
+          if (worker != NULL)
+            worker->grant_term = message->terms[i];
+        }
+    }
+  kq_sched__grant_record__free_unpacked (message, NULL);
+  return err;
+}
+
+void
+kq_sched_begin_term (struct kq_sched *sched, int64_t term)
+{
+  sched->term = term;
+}
+
+void
+kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
+                        kq_usec last_heard_at)
+{
+  if (sched->past_term_count < KQ_SCHED_MAX_PAST_TERMS)
+    sched->past_terms[sched->past_term_count++]
+        = (struct past_term){ .term = term, .last_heard_at = last_heard_at };
+}
+
+/* Returns the latest time at which the owner that last renewed the lease of
+   WORKER may have been confirmed by the store. A later term's record implies
+   that an earlier owner has lost its own. */
+static kq_usec
+last_confirmation (const struct kq_sched *sched, const struct worker *worker,
+                   kq_usec now)
+{
+  kq_usec at = now;
+
+  if (worker->grant_term == 0)
+    return now;
+  for (int i = 0; i < sched->past_term_count; i++)
+    if (sched->past_terms[i].term >= worker->grant_term
+        && sched->past_terms[i].last_heard_at < at)
+      at = sched->past_terms[i].last_heard_at;
+  return at;
+}
+
+void
+grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
+                 kq_usec now)
+{
+  worker->leases_lapsed_at
+      = last_confirmation (sched, worker, now) + KQ_SCHED_UNCONFIRMED_LIMIT_US
+        + (KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS) * KQ_USEC_PER_MSEC * 100
+              / SLOWEST_CLOCK_PERCENT;
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -38,6 +38,16 @@
 #define KQ_SCHED_IDLE_POLL_INTERVAL_US (3 * KQ_USEC_PER_SEC)
 #define KQ_SCHED_IDLE_UNRESPONSIVE_US (5 * KQ_USEC_PER_SEC)
 
+/* A worker's clock runs at 98 percent of the true rate at least. */
+#define SLOWEST_CLOCK_PERCENT 98
+
+/* Time after the end of a lease from which it counts as lapsed. */
+#define LAPSE_MARGIN_MS 300
+
+/* Number of records among which the grants of all workers are split, so that
+   a change of one writes few others again. */
+#define GRANT_BUCKETS 16
+
 /* Maximum number of ended runs in one status. */
 #define KQ_SCHED_MAX_STATUS_ENDS 500
 
@@ -72,8 +82,9 @@
   int run;              /* number of its latest run; 0: none yet */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
   char checkpoint[KQ_SCHED_NAME_SIZE];
-  struct worker *worker;         /* while bound */
-  struct worker *avoided_worker; /* worker where it last failed or stalled */
+  struct worker *worker;          /* while bound */
+  struct worker *avoided_worker;  /* worker where it last failed or stalled */
+  struct worker *reserved_worker; /* kept free for it while it is ready */
   kq_usec phase_since;
   kq_usec stop_sent_at;
   bool stop_wanted;
@@ -176,6 +187,8 @@
   int serving_count; /* number of serving tasks */
   int task_count;
   struct task *tasks;
+  struct kq_sched_demand reserved; /* for tasks that wait for room here */
+  int reserved_count;              /* of these; no other task is placed here */
   /* poll state */
   int polls_in_flight; /* one may wait for an end, another is immediate */
   bool idle;           /* has no tasks and is polled rarely */
@@ -186,6 +199,9 @@
   kq_usec clock_read_at;
   int64_t lease_end_ms;     /* latest end sent by this owner, worker's clock */
   kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
+  int64_t grant_term;       /* last owner that may have renewed its lease */
+  uint64_t grant_position;  /* position that stores this; 0: another term */
+  bool has_restored_tasks;  /* an earlier owner has started tasks here */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
@@ -207,9 +223,20 @@
   struct effect_node *prev;
 };
 
+/* An earlier owner's term. */
+struct past_term
+{
+  int64_t term;
+  kq_usec last_heard_at;
+};
+
 struct kq_sched
 {
-  struct job *jobs; /* by id */
+  int64_t term; /* of this owner; 0: unknown */
+  struct past_term past_terms[KQ_SCHED_MAX_PAST_TERMS];
+  int past_term_count;
+  uint32_t dirty_grants; /* bit set of the buckets to be stored */
+  struct job *jobs;      /* by id */
   struct worker *workers;
   struct worker *worker_list;
   struct stage *queue; /* stages with ready tasks, in order of urgency */
@@ -230,6 +257,7 @@
   kq_usec confirmed_at;       /* last confirmation of the term by the store */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
   bool placement_due; /* capacity or tasks changed since the last placement */
+  bool reserve_due;   /* the next placement may reserve workers */
   struct kq_sched_counts counts;
 };
 
@@ -306,10 +334,24 @@
 void worker_poll_soon (struct worker *worker, struct kq_sched_now now);
 /* Makes a poll of WORKER due even while another one is in flight. */
 void worker_poll_at_once (struct kq_sched *sched, struct worker *worker);
-void worker_note_reply (struct worker *worker, kq_usec now,
-                        int64_t worker_clock_ms);
+void worker_note_reply (struct kq_sched *sched, struct worker *worker,
+                        kq_usec now, int64_t worker_clock_ms);
 void worker_note_lease (struct worker *worker, int64_t lease_end_ms);
 
+/* grant.c */
+
+/* Records that this owner may renew leases at WORKER; it may do so once that
+   is stored. */
+void grant_begin (struct kq_sched *sched, struct worker *worker);
+bool grant_is_stored (const struct kq_sched *sched,
+                      const struct worker *worker);
+/* Encodes the changed grants into at most GRANT_BUCKETS records; returns their
+   number. */
+int grant_encode (struct kq_sched *sched, struct kq_sched_record *records);
+/* Sets when all leases that earlier owners may have granted have lapsed. */
+void grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
+                      kq_usec now);
+
 /* place.c */
 
 /* Whether WORKER may run a task of STAGE and has the capacity, regardless
@@ -317,6 +359,20 @@
 bool place_fits (const struct worker *worker, const struct stage *stage,
                  struct kq_sched_now now);
 
+/* Whether WORKER may run tasks of STAGE, regardless of its capacity. */
+bool place_meets_constraints (const struct worker *worker,
+                              const struct stage *stage);
+
+/* reserve.c */
+
+/* Reserves workers for the ready tasks of STAGE that have waited too long, if
+   they run for long, and makes room there. */
+void reserve_for_stage (struct kq_sched *sched, struct stage *stage,
+                        struct kq_sched_now now);
+void reserve_clear (struct task *task);
+/* Whether WORKER is not reserved for a task other than TASK. */
+bool reserve_allows (const struct worker *worker, const struct task *task);
+
 /* advice.c */
 
 /* Returns the valid ticket with which WORKER may run tasks of STAGE, or
--- a/sched/place.c
+++ b/sched/place.c
@@ -153,8 +153,9 @@
   return worker->used.cpu + demand->cpu <= capacity->cpu;
 }
 
-static bool
-meets_constraints (const struct worker *worker, const struct stage *stage)
+bool
+place_meets_constraints (const struct worker *worker,
+                         const struct stage *stage)
 {
   const struct kq_sched_step *step = stage->step;
 
@@ -172,7 +173,7 @@
             struct kq_sched_now now)
 {
   return worker_usable (worker, now) && has_capacity (worker, stage->step)
-         && meets_constraints (worker, stage);
+         && place_meets_constraints (worker, stage);
 }
 
 /* Returns the CPU load in thousandths, including fillers and the demand of
@@ -257,7 +258,8 @@
     double interference = 0;
     int64_t points;
 
-    if (avoids_worker (task, worker, now) || !place_fits (worker, stage, now))
+    if (avoids_worker (task, worker, now) || !reserve_allows (worker, task)
+        || !place_fits (worker, stage, now))
       continue;
     if (stage->job->queue.advised
         && advice_ticket (stage, worker, now) == NULL)
@@ -505,14 +507,21 @@
     const struct task *unplaced;
 
     if (is_blocked (pool, stage))
-      continue;
+      {
+        if (sched->reserve_due)
+          reserve_for_stage (sched, stage, now);
+        continue;
+      }
     unplaced = place_stage (sched, &pass, pool, stage, now);
     if (stage->job->queue.advised && stage->ready_count > 0)
       advice_set_wanted (stage);
     if (unplaced == NULL || stage->job->queue.advised)
       continue;
+    if (sched->reserve_due)
+      reserve_for_stage (sched, stage, now);
     block_lower_priorities (pool, stage, unplaced->ready_at, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
   }
+  sched->reserve_due = false;
 }
--- a/sched/record.c
+++ b/sched/record.c
@@ -228,15 +228,16 @@
   size_t bytes = 0;
 
   DL_FOREACH2 (sched->dirty, job, dirty_next) { dirty++; }
-  if (dirty == 0 && !sched->interference_due)
+  if (dirty == 0 && !sched->interference_due && sched->dirty_grants == 0)
     return 0;
-  collected
-      = calloc ((size_t)dirty * MAX_RECORDS_PER_JOB + 1, sizeof *collected);
+  collected = calloc ((size_t)dirty * MAX_RECORDS_PER_JOB + 1 + GRANT_BUCKETS,
+                      sizeof *collected);
   if (collected == NULL)
     return KQ_ENOMEM;
   if (sched->interference_due)
     count = encode_interference (sched->interference_model, &collected[0]);
   sched->interference_due = false;
+  count += grant_encode (sched, &collected[count]);
   if (dirty == 0 && count == 0)
     {
       free (collected);
@@ -287,6 +288,7 @@
     return;
   task_bind (sched, task, worker, now);
   task->phase = PHASE_RESTORED;
+  worker->has_restored_tasks = true;
 }
 
 static void
@@ -352,17 +354,11 @@
   struct job *job;
   struct worker *worker;
 
-  kq_sched_confirm_term (sched, now.mono);
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
-  /* An earlier owner may have renewed leases for as long as it may be without
-     a confirmation. Each then lasts its full length on the worker's clock,
-     which runs at 98 percent of the true rate at least. */
   DL_FOREACH (sched->worker_list, worker)
   {
-    worker->leases_lapsed_at
-        = now.mono + KQ_SCHED_UNCONFIRMED_LIMIT_US
-          + KQ_SCHED_LEASE_MS * KQ_USEC_PER_MSEC * 100 / 98;
+    grant_set_lapse (sched, worker, now.mono);
   }
 }
 
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_sched__grant_record__init
+                     (KqSched__GrantRecord         *message)
+{
+  static const KqSched__GrantRecord init_value = KQ_SCHED__GRANT_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__grant_record__get_packed_size
+                     (const KqSched__GrantRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__grant_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__grant_record__pack
+                     (const KqSched__GrantRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__grant_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__grant_record__pack_to_buffer
+                     (const KqSched__GrantRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__grant_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__GrantRecord *
+       kq_sched__grant_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__GrantRecord *)
+     protobuf_c_message_unpack (&kq_sched__grant_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__grant_record__free_unpacked
+                     (KqSched__GrantRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__grant_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor kq_sched__job_record__field_descriptors[3] =
 {
   {
@@ -534,3 +579,54 @@
   (ProtobufCMessageInit) kq_sched__pressure_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_sched__grant_record__field_descriptors[2] =
+{
+  {
+    "workers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(KqSched__GrantRecord, n_workers),
+    offsetof(KqSched__GrantRecord, workers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "terms",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(KqSched__GrantRecord, n_terms),
+    offsetof(KqSched__GrantRecord, terms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__grant_record__field_indices_by_name[] = {
+  1,   /* field[1] = terms */
+  0,   /* field[0] = workers */
+};
+static const ProtobufCIntRange kq_sched__grant_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor kq_sched__grant_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.GrantRecord",
+  "GrantRecord",
+  "KqSched__GrantRecord",
+  "kq_sched",
+  sizeof(KqSched__GrantRecord),
+  2,
+  kq_sched__grant_record__field_descriptors,
+  kq_sched__grant_record__field_indices_by_name,
+  1,  kq_sched__grant_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__grant_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
 typedef struct KqSched__StateRecord KqSched__StateRecord;
 typedef struct KqSched__PressureRecord KqSched__PressureRecord;
+typedef struct KqSched__GrantRecord KqSched__GrantRecord;
 
 
 /* --- enums --- */
@@ -124,6 +125,26 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * The term of the owner that last renewed leases at each of these workers;
+ * written before it renews any.
+ */
+struct  KqSched__GrantRecord
+{
+  ProtobufCMessage base;
+  size_t n_workers;
+  char **workers;
+  /*
+   * in the order of workers
+   */
+  size_t n_terms;
+  int64_t *terms;
+};
+#define KQ_SCHED__GRANT_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__grant_record__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /* KqSched__JobRecord methods */
 void   kq_sched__job_record__init
                      (KqSched__JobRecord         *message);
@@ -200,6 +221,25 @@
 void   kq_sched__pressure_record__free_unpacked
                      (KqSched__PressureRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqSched__GrantRecord methods */
+void   kq_sched__grant_record__init
+                     (KqSched__GrantRecord         *message);
+size_t kq_sched__grant_record__get_packed_size
+                     (const KqSched__GrantRecord   *message);
+size_t kq_sched__grant_record__pack
+                     (const KqSched__GrantRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__grant_record__pack_to_buffer
+                     (const KqSched__GrantRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__GrantRecord *
+       kq_sched__grant_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__grant_record__free_unpacked
+                     (KqSched__GrantRecord *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*KqSched__JobRecord_Closure)
@@ -214,6 +254,9 @@
 typedef void (*KqSched__PressureRecord_Closure)
                  (const KqSched__PressureRecord *message,
                   void *closure_data);
+typedef void (*KqSched__GrantRecord_Closure)
+                 (const KqSched__GrantRecord *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -224,6 +267,7 @@
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__state_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_sched__grant_record__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -254,11 +254,16 @@
 static void
 apply_stored (struct kq_sched *sched, uint64_t position)
 {
+  uint64_t stored_before = sched->stored;
   struct worker *worker;
 
   sched->stored = position;
   DL_FOREACH (sched->worker_list, worker)
   {
+    /* The leases that an earlier owner renewed may be about to lapse. */
+    if (worker->has_restored_tasks && worker->grant_position > stored_before
+        && grant_is_stored (sched, worker))
+      worker_poll_at_once (sched, worker);
     if (worker->acked_end < worker->last_end
         && worker->last_end_position <= position)
       {
@@ -336,6 +341,7 @@
   struct worker *worker;
 
   sched->placement_due = true;
+  sched->reserve_due = true;
   if (now.mono - sched->interference_stored_at > INTERFERENCE_INTERVAL_US)
     {
       sched->interference_stored_at = now.mono;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -167,6 +167,13 @@
 /** Key of the record with the learned interference model. */
 #define KQ_SCHED_INTERFERENCE_KEY "p"
 
+/** First character of the keys of records that name the owner that last
+ *  renewed leases at each worker.  */
+#define KQ_SCHED_GRANT_KEY 'g'
+
+/** Maximum number of earlier terms that a restore takes into account. */
+#define KQ_SCHED_MAX_PAST_TERMS 8
+
 /** A record for the store. The receiver owns VALUE; a size of 0 deletes the
  *  key.  */
 struct kq_sched_record
@@ -287,8 +294,24 @@
 struct kq_sched_job_record *kq_sched_job_record_read (const uint8_t *value,
                                                       size_t size);
 
-/** Completes the restore. Earlier owners may have sent orders until now, so
- *  that the time after which their leases have lapsed is counted from now.  */
+/** Sets the number of this owner's term; later terms have higher numbers. */
+void kq_sched_begin_term (struct kq_sched *sched, int64_t term);
+
+/** Adds an earlier owner's term, of which the latest record was read at
+ *  LAST_HEARD_AT: it was not confirmed to that owner any later.  At most
+ *  KQ_SCHED_MAX_PAST_TERMS are kept.  */
+void kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
+                             kq_usec last_heard_at);
+
+/** Restores which owner last renewed leases at workers, from a record whose
+ *  key begins with KQ_SCHED_GRANT_KEY.
+ *  @return 0 or KQ_ESYNTAX.  */
+int kq_sched_restore_grants (struct kq_sched *sched, const uint8_t *value,
+                             size_t size);
+
+/** Completes the restore. Sets for each worker when the leases of earlier
+ *  owners have lapsed there: counted from the last record of the owner that
+ *  last renewed them, or from now if it is unknown.  */
 void kq_sched_finish_restore (struct kq_sched *sched, struct kq_sched_now now);
 
 /** Returns whether JOB is known. */
@@ -311,8 +334,9 @@
   int64_t mem_used;         /**< MiB */
   int64_t starts;
   int64_t paces;
-  int64_t moves;  /**< fillers stopped to spare serving tasks */
-  int64_t stalls; /**< tasks stopped for lack of progress */
+  int64_t moves;       /**< fillers stopped to spare serving tasks */
+  int64_t stalls;      /**< tasks stopped for lack of progress */
+  int64_t preemptions; /**< tasks stopped for a long-running one */
   int64_t ends[KQ_SCHED_GANG_INCOMPLETE + 1];
 };
 
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -6,12 +6,6 @@
 #include "log/log.h"
 #include "sched/internal.h"
 
-/* A worker's clock runs at 98 percent of the true rate at least. */
-#define SLOWEST_CLOCK_PERCENT 98
-
-/* Time after the end of a lease from which it counts as lapsed. */
-#define LAPSE_MARGIN_MS 300
-
 /* Maximum time for which a worker delays its reply to a poll while no run
    ends. It is shorter where tail latencies must be watched, since each
    reported tail latency covers half a second. */
@@ -165,12 +159,15 @@
 }
 
 void
-worker_note_reply (struct worker *worker, kq_usec now, int64_t worker_clock_ms)
+worker_note_reply (struct kq_sched *sched, struct worker *worker, kq_usec now,
+                   int64_t worker_clock_ms)
 {
   worker->last_reply_at = now;
   worker->idle = false;
   if (worker_clock_ms <= 0)
     return;
+  if (worker->grant_position == 0)
+    grant_begin (sched, worker);
   /* An earlier owner may have renewed the worker's lease until now. */
   if (worker->clock_read_at == 0)
     worker->lease_end_ms = worker_clock_ms + KQ_SCHED_LEASE_MS;
@@ -295,7 +292,7 @@
 {
   int64_t until;
 
-  if (worker->clock_read_at == 0
+  if (worker->clock_read_at == 0 || !grant_is_stored (sched, worker)
       || now.mono - sched->confirmed_at > KQ_SCHED_UNCONFIRMED_LIMIT_US
       || now.mono - worker->last_reply_at > MAX_RENEWAL_SILENCE_US)
     return 0;
@@ -331,7 +328,8 @@
       worker->polls_in_flight++;
       poll->acked = worker->acked_end;
       poll->wait_ms = 0;
-      if (worker->acked_end == worker->last_end && !worker->poll_at_once)
+      if (worker->acked_end == worker->last_end && !worker->poll_at_once
+          && worker->clock_read_at != 0)
         poll->wait_ms
             = worker->near_target ? NEAR_TARGET_POLL_WAIT_MS : POLL_WAIT_MS;
       worker->poll_at_once = false;
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -31,6 +31,26 @@
   kq_sched_event (cell->sched, cell->now, &event);
 }
 
+static void
+confirm_term (struct ts_cell *cell)
+{
+  cell->confirmed_at[cell->term] = cell->now.mono;
+  kq_sched_confirm_term (cell->sched, cell->now.mono);
+}
+
+static void
+begin_term (struct ts_cell *cell)
+{
+  cell->sched = kq_sched_create ();
+  CU_ASSERT_FATAL (cell->term + 1 < TS_MAX_TERMS);
+  cell->term++;
+  kq_sched_begin_term (cell->sched, cell->term);
+  for (int64_t term = cell->term - 1; term > 0; term--)
+    kq_sched_add_past_term (cell->sched, term, cell->confirmed_at[term]);
+  confirm_term (cell);
+  configure (cell);
+}
+
 void
 ts_start (struct ts_cell *cell)
 {
@@ -43,8 +63,7 @@
   cell->queues[2] = make_queue ("advised", 1);
   cell->queues[2].advised = true;
   cell->config.queue_count = 3;
-  cell->sched = kq_sched_create ();
-  configure (cell);
+  begin_term (cell);
   kq_sched_finish_restore (cell->sched, cell->now);
 }
 
@@ -98,10 +117,9 @@
 ts_take_over (struct ts_cell *cell)
 {
   kq_sched_destroy (cell->sched);
-  cell->sched = kq_sched_create ();
   cell->pending_effect_count = 0;
   cell->stored = 0;
-  configure (cell);
+  begin_term (cell);
   for (int i = 0; i < cell->record_count; i++)
     {
       const struct kq_sched_record *record = &cell->records[i];
@@ -111,6 +129,10 @@
       struct body body;
       char key[24];
 
+      if (record->key[0] == KQ_SCHED_GRANT_KEY)
+        CU_ASSERT_EQUAL (
+            kq_sched_restore_grants (cell->sched, record->value, record->size),
+            0);
       if (record->key[0] != 'j' || record->size == 0)
         continue;
       job = kq_sched_job_record_read (record->value, record->size);
@@ -245,7 +267,7 @@
       cell->now.mono += step * KQ_USEC_PER_MSEC;
       cell->now.wall_ms += step;
       if (!cell->store_down)
-        kq_sched_confirm_term (cell->sched, cell->now.mono);
+        confirm_term (cell);
       kq_sched_tick (cell->sched, cell->now);
       while (kq_sched_next_poll (cell->sched, cell->now, &poll))
         ;
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -11,6 +11,8 @@
 #define TS_MAX_ORDERS 4096
 #define TS_MAX_RECORDS 4096
 
+#define TS_MAX_TERMS 16
+
 /** An order given by the scheduler. */
 struct ts_order
 {
@@ -48,6 +50,9 @@
       records[TS_MAX_RECORDS]; /* newest record of each key */
   int record_count;
   uint64_t stored;
+  int64_t term;                       /* of the current owner */
+  kq_usec confirmed_at[TS_MAX_TERMS]; /* by term: last confirmation by the
+                                         store */
   bool store_down;
   int times; /* occurrences of jobs submitted from now on */
   int64_t interval_ms;
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -60,6 +60,8 @@
   int done;       /* a run of it has ended with KQ_SCHED_DONE */
   int done_acked; /* and the scheduler has acknowledged that */
   int running;    /* number of runs at workers that are up */
+  bool started;
+  int64_t down_since; /* of a long-running task; 0: it runs */
 };
 
 struct sim_job
@@ -112,6 +114,7 @@
   struct kq_sched_config config;
   int64_t now;
   int64_t fence;
+  int64_t confirmed_at; /* last confirmation of the owner by the store */
   int64_t store_down_until;
   struct sim_worker workers[SIM_WORKERS];
   struct sim_job jobs[SIM_JOBS];
@@ -125,6 +128,7 @@
   uint64_t storing;      /* journal position that is being stored */
   int64_t over_target_ms;
   int64_t longest_over_target_ms;
+  int64_t longest_down_ms;
   char violation[160]; /* the first one; "": none */
 };
 
@@ -213,13 +217,25 @@
   register_worker (sim, worker);
 }
 
+static void
+confirm_term (struct sim *sim)
+{
+  sim->confirmed_at = sim->now;
+  kq_sched_confirm_term (sim->sched, now_of (sim).mono);
+}
+
 static void
 start_sched (struct sim *sim)
 {
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
 
   sim->sched = kq_sched_create ();
+  if (sim->fence > 0)
+    kq_sched_add_past_term (sim->sched, sim->fence,
+                            sim->confirmed_at * KQ_USEC_PER_MSEC);
   sim->fence++;
+  kq_sched_begin_term (sim->sched, sim->fence);
+  confirm_term (sim);
   sim->deferred_count = 0;
   sim->stored = 0;
   sim->storing_until = 0;
@@ -439,6 +455,7 @@
                                    .fails
                                    = happens (sim, sim->faults.task_fails) };
   task_of (sim, &call->run)->running++;
+  task_of (sim, &call->run)->started = true;
   if (call->lease_end_ms > worker->lease_end_ms)
     worker->lease_end_ms = call->lease_end_ms;
   return KQ_SCHED_OK;
@@ -756,6 +773,27 @@
     }
 }
 
+static void
+track_down_time (struct sim *sim, struct sim_task *task)
+{
+  if (task->running > 0 || !task->started)
+    task->down_since = 0;
+  else if (task->down_since == 0)
+    task->down_since = sim->now;
+  else if (sim->now - task->down_since > sim->longest_down_ms)
+    sim->longest_down_ms = sim->now - task->down_since;
+}
+
+static void
+track_long_running (struct sim *sim)
+{
+  for (int i = 0; i < sim->job_count; i++)
+    for (int j = 0; sim->jobs[i].step.long_running && !sim->jobs[i].cancelled
+                    && j < sim->jobs[i].step.count;
+         j++)
+      track_down_time (sim, &sim->jobs[i].tasks[0][j]);
+}
+
 /* The store. */
 
 static void
@@ -940,6 +978,8 @@
        record = record->next)
     if (strcmp (record->key, KQ_SCHED_INTERFERENCE_KEY) == 0)
       kq_sched_restore_interference (sim->sched, record->value, record->size);
+    else if (record->key[0] == KQ_SCHED_GRANT_KEY)
+      kq_sched_restore_grants (sim->sched, record->value, record->size);
     else if (record->key[0] == 'j' && record->size > 0)
       restore_job (sim, record);
   kq_sched_finish_restore (sim->sched, now_of (sim));
@@ -970,6 +1010,13 @@
     take_over (sim);
 }
 
+void
+sim_lose_worker (struct sim *sim, int number)
+{
+  crash_worker (sim, &sim->workers[number]);
+  sim->workers[number].restart_at = INT64_MAX;
+}
+
 void
 sim_stop_faults (struct sim *sim)
 {
@@ -1000,12 +1047,13 @@
   for (int64_t end = sim->now + ms; sim->now < end; sim->now += STEP_MS)
     {
       advance_workers (sim);
+      track_long_running (sim);
       advance_calls (sim);
       finish_writing (sim);
       if (sim->now % TICK_MS == 0)
         {
           if (sim->now >= sim->store_down_until)
-            kq_sched_confirm_term (sim->sched, now_of (sim).mono);
+            confirm_term (sim);
           kq_sched_tick (sim->sched, now_of (sim));
           query_open_jobs (sim);
         }
@@ -1041,6 +1089,12 @@
   return job->ended_at < 0 ? -1 : job->ended_at - job->submitted_at;
 }
 
+int64_t
+sim_longest_down (const struct sim *sim)
+{
+  return sim->longest_down_ms;
+}
+
 int64_t
 sim_time_over_target (const struct sim *sim)
 {
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -77,6 +77,13 @@
  *  was over its target.  */
 int64_t sim_longest_over_target (const struct sim *sim);
 
+/** Returns the longest time in ms for which a task of a long-running job that
+ *  had run before was without a run.  */
+int64_t sim_longest_down (const struct sim *sim);
+
+/** Crashes the worker NUMBER for good. */
+void sim_lose_worker (struct sim *sim, int number);
+
 /** Replaces the owner by a new one. */
 void sim_take_over (struct sim *sim);
 
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -599,6 +599,87 @@
   stop_cell (cell);
 }
 
+/* Guards against waiting anew after each takeover: the worker has crashed
+   before the second owner began, so that only the first one has renewed its
+   lease. */
+static void
+test_takeovers_do_not_extend_the_wait (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step lasting = plain_step;
+  struct ts_order first;
+  const char *other;
+
+  lasting.long_running = true;
+  first = start_single_task (cell, JOB, &lasting);
+  other = strcmp (first.worker, "a") == 0 ? "b" : "a";
+  for (int i = 0; i < 2; i++)
+    {
+      ts_take_over (cell);
+      ts_register_worker (cell, other, 4000, 4000);
+      for (int j = 0; j < 4; j++)
+        {
+          ts_reply_poll (cell, other, NULL, 0, NULL, 0);
+          ts_advance (cell, 1000);
+        }
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
+  /* 8 s have passed; 6 s without a confirmation and a lease of 5 s end after
+     11.4 s. */
+  for (int i = 0; i < 4; i++)
+    {
+      ts_reply_poll (cell, other, NULL, 0, NULL, 0);
+      ts_advance (cell, 1000);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
+  stop_cell (cell);
+}
+
+/* Returns the next poll of WORKER; its worker is "" if none is due. */
+static struct kq_sched_poll
+next_poll_of (struct ts_cell *cell, const char *worker)
+{
+  struct kq_sched_poll poll;
+
+  /* A search ends at the last worker; the next one starts a little later. */
+  for (int searches = 0; searches < 2;)
+    if (!kq_sched_next_poll (cell->sched, cell->now, &poll))
+      {
+        searches++;
+        cell->now.mono += KQ_USEC_PER_MSEC;
+      }
+    else if (strcmp (poll.worker, worker) == 0)
+      return poll;
+  return (struct kq_sched_poll){ .lease_end_ms = 0 };
+}
+
+/* Guards against renewing a lease before the store holds who renews it. */
+static void
+test_grant_is_stored_before_a_renewal (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order first = start_single_task (cell, JOB, &plain_step);
+  struct kq_sched_running row = ts_running (&first, 10);
+  struct kq_sched_poll poll;
+
+  ts_take_over (cell);
+  ts_register_worker (cell, first.worker, 4000, 4000);
+  cell->store_down = true;
+  ts_reply_poll (cell, first.worker, &row, 1, NULL, 0);
+  cell->now.mono += KQ_USEC_PER_SEC;
+  poll = next_poll_of (cell, first.worker);
+  CU_ASSERT_STRING_EQUAL (poll.worker, first.worker);
+  CU_ASSERT_EQUAL (poll.lease_end_ms, 0);
+  cell->store_down = false;
+  ts_process_pending (cell);
+  /* The next poll follows while that one waits at the worker: the lease that
+     the earlier owner renewed may be ending. */
+  poll = next_poll_of (cell, first.worker);
+  CU_ASSERT_STRING_EQUAL (poll.worker, first.worker);
+  CU_ASSERT (poll.lease_end_ms > 0);
+  stop_cell (cell);
+}
+
 /* Guards against extending the lease of an unreachable worker: it is still
    polled, but polls that it may not have received do not renew its lease. */
 static void
@@ -945,6 +1026,10 @@
     test_unanswered_start_is_resolved_by_a_stop },
   { "a takeover keeps running tasks", test_takeover_keeps_running_tasks },
   { "a takeover restarts lost tasks", test_takeover_restarts_lost_tasks },
+  { "takeovers do not extend the wait",
+    test_takeovers_do_not_extend_the_wait },
+  { "a grant is stored before a renewal",
+    test_grant_is_stored_before_a_renewal },
   { "a takeover waits for an unreachable worker",
     test_takeover_waits_for_unreachable_worker },
   { "an unreachable worker loses its tasks",
--- a/t/test-sim.c
+++ b/t/test-sim.c
@@ -308,6 +308,44 @@
     }
 }
 
+/* The platform's bound on the time without a run: 6 s, in which leases lapse,
+   and 3 s to start again. */
+#define MAX_DOWN_MS 9000
+
+/* A long-running task must go on within seconds after its worker is lost,
+   although shorter tasks of its priority take all capacity as it comes free,
+   each in pieces that are too small for it. */
+static void
+test_long_running_task_in_full_cell (void)
+{
+  static const struct kq_sched_step lasting = { .count = 11,
+                                                .demand = { 9000, 4000, 0 },
+                                                .est_ms = 1000,
+                                                .long_running = true };
+  static const struct kq_sched_step quick
+      = { .count = 8, .demand = { 1500, 1000, 0 }, .est_ms = 640 };
+  static const struct kq_sched_step slow
+      = { .count = 4, .demand = { 1500, 1000, 0 }, .est_ms = 6000 };
+  struct sim *sim = sim_create (1, &no_faults);
+
+  sim_run (sim, 2000);
+  sim_submit (sim, "urgent", &lasting, 1);
+  sim_run (sim, 2000);
+  for (int i = 0; i < 120; i++)
+    {
+      sim_submit (sim, "urgent", &quick, 1);
+      if (i % 2 == 0)
+        sim_submit (sim, "urgent", &slow, 1);
+      if (i == 30)
+        sim_lose_worker (sim, 3);
+      sim_run (sim, 160);
+    }
+  CU_ASSERT (sim_longest_down (sim) > 0);
+  CU_ASSERT (sim_longest_down (sim) <= MAX_DOWN_MS);
+  CU_ASSERT_PTR_NULL (sim_violation (sim));
+  sim_destroy (sim);
+}
+
 static const struct kq_test tests[] = {
   { "large fillers and free capacity", test_large_fillers_and_free_capacity },
   { "fillers beside serving tasks", test_fillers_beside_serving_tasks },
@@ -316,6 +354,8 @@
     test_fillers_that_slow_down_all },
   { "many fillers with little interference each",
     test_many_with_little_interference },
+  { "a long-running task in a full cell",
+    test_long_running_task_in_full_cell },
   { "random faults", test_random_faults },
   { "a burst of wide jobs", test_burst_of_wide_jobs },
   { "capacity of cancelled jobs", test_capacity_of_cancelled_jobs },
--- a/term/term.c
+++ b/term/term.c
@@ -61,6 +61,8 @@
   kq_usec hello_at; /* 0: never */
   char peers[KQ_TERM_MAX_PEERS][KQ_TERM_TEXT_SIZE];
   size_t peer_count;
+  struct kq_term_heard heard[KQ_TERM_MAX_HEARD]; /* latest term first */
+  int heard_count;
 };
 
 struct kq_term *
@@ -124,10 +126,31 @@
   return strcmp (record->life, term->incarnation) == 0;
 }
 
+/* Records that a record of the term NUMBER was read. */
+static void
+note_heard (struct kq_term *term, int64_t number, kq_usec now)
+{
+  int i = 0;
+
+  while (i < term->heard_count && term->heard[i].term > number)
+    i++;
+  if (i == KQ_TERM_MAX_HEARD)
+    return;
+  if (i == term->heard_count || term->heard[i].term != number)
+    {
+      if (term->heard_count < KQ_TERM_MAX_HEARD)
+        term->heard_count++;
+      memmove (&term->heard[i + 1], &term->heard[i],
+               (size_t)(term->heard_count - 1 - i) * sizeof term->heard[0]);
+    }
+  term->heard[i] = (struct kq_term_heard){ .term = number, .at = now };
+}
+
 static void
 apply_claim (struct kq_term *term, kq_usec now,
              const KqTerm__TermRecord *record, int64_t number)
 {
+  note_heard (term, number, now);
   if (number <= term->owner.term)
     return;
   set_owner (term, record, number);
@@ -144,6 +167,7 @@
 apply_heartbeat (struct kq_term *term, kq_usec now,
                  const KqTerm__TermRecord *record)
 {
+  note_heard (term, record->term, now);
   if (record->term < term->owner.term)
     return;
   if (record->term > term->owner.term)
@@ -210,7 +234,11 @@
                    int64_t end)
 {
   if (end > term->offset)
-    term->offset = end;
+    {
+      term->offset = end;
+      for (int i = 0; i < term->heard_count; i++)
+        term->heard[i].at = now;
+    }
   /* Heartbeats could not be read while the store did not reply, so the owner
      gets a full timeout again.  */
   if (term->caught_up && now - term->read_at > READ_MAX_AGE_US
@@ -351,6 +379,14 @@
   return &term->owner;
 }
 
+int
+kq_term_get_heard (const struct kq_term *term,
+                   struct kq_term_heard heard[KQ_TERM_MAX_HEARD])
+{
+  memcpy (heard, term->heard, sizeof term->heard);
+  return term->heard_count;
+}
+
 void
 kq_term_learn_owner (struct kq_term *term, kq_usec now, const char *address,
                      int64_t number)
--- a/term/term.h
+++ b/term/term.h
@@ -25,8 +25,18 @@
 /** Maximum number of other hosts whose addresses are kept. */
 #define KQ_TERM_MAX_PEERS 256
 
+/** Maximum number of terms whose last records are remembered. */
+#define KQ_TERM_MAX_HEARD 8
+
 struct kq_term;
 
+/** A term and when the latest record of its owner was read here. */
+struct kq_term_heard
+{
+  int64_t term;
+  kq_usec at;
+};
+
 enum kq_term_kind
 {
   KQ_TERM_NONE,
@@ -66,7 +76,7 @@
                     const uint8_t *bytes, size_t size);
 
 /** Records that a read sent at SENT_AT has reached END, the end of the
- *  topic.  */
+ *  topic.  Records before END that were not applied are no longer kept.  */
 void kq_term_note_read (struct kq_term *term, kq_usec now, kq_usec sent_at,
                         int64_t end);
 
@@ -89,6 +99,12 @@
 /** Returns the owner as known to this host; its term is 0 if none is known. */
 const struct kq_term_owner *kq_term_owner (const struct kq_term *term);
 
+/** Copies the terms heard of into HEARD, the latest term first.  An owner had
+ * no confirmation of its term after the time given there.
+ *  @return their number, at most KQ_TERM_MAX_HEARD.  */
+int kq_term_get_heard (const struct kq_term *term,
+                       struct kq_term_heard heard[KQ_TERM_MAX_HEARD]);
+
 /** Records that the host at ADDRESS owns the term NUMBER, as reported by
  *  another host, if that term is later than that of the known owner.  */
 void kq_term_learn_owner (struct kq_term *term, kq_usec now,
