--- a/node/desk.c
+++ b/node/desk.c
@@ -25,6 +25,9 @@
    is longer than any append of a slow store takes. */
 #define RESEND_DELAY_US (600 * KQ_USEC_PER_MSEC)
 
+/* An owner that has not replied for this long may be lost. */
+#define SUSPECT_DELAY_US (300 * KQ_USEC_PER_MSEC)
+
 /* Delay before a request is sent again if the owner is not ready, or if no
    owner can be reached. */
 #define NOT_READY_RETRY_DELAY_US (50 * KQ_USEC_PER_MSEC)
@@ -314,6 +317,9 @@
   bool refused = pending->unconfirmed_sends == 0
                  && now - pending->request->arrived_at > REFUSAL_TIMEOUT_US;
 
+  if (pending->unconfirmed_sends > 0
+      && now - pending->sent_at > SUSPECT_DELAY_US)
+    api->handler.on_no_reply (api->handler.arg);
   if (refused || now > pending->times_out_at)
     fail_pending (api, pending);
   else if (now > pending->resend_at)
--- a/node/desk.h
+++ b/node/desk.h
@@ -34,6 +34,8 @@
    *  kq_job_api_handle_reply() may be called before this returns, or later.
    *  @return false if no owner is known or it cannot be reached.  */
   bool (*on_forward) (void *arg, const KqNode__Ask *message);
+  /** The owner has not replied to a request for some time. */
+  void (*on_no_reply) (void *arg);
 };
 
 /** Listens on ADDRESS, "ADDR:PORT".
--- a/node/node.c
+++ b/node/node.c
@@ -16,6 +16,7 @@
 #include "metrics/histogram.h"
 #include "metrics/metrics.h"
 #include "node/desk.h"
+#include "node/directory.h"
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
@@ -55,6 +56,8 @@
   struct kq_node_settings settings;
   struct kq_http_client *http_client;
   struct kq_store *store;
+  struct kq_hosts *hosts;
+  struct kq_directory *directory;
   struct kq_term *term;
   struct kq_watch *watch;
   struct kq_hop *hop;
@@ -206,8 +209,7 @@
   if (now - kq_watch_last_reply_at (node->watch) > KQ_USEC_PER_SEC
       && now - node->owner_seen_at > KQ_USEC_PER_SEC)
     {
-      const char *peer
-          = kq_term_peer (node->term, node->last_token++ % KQ_TERM_MAX_PEERS);
+      const char *peer = kq_hosts_peer (node->hosts, node->last_token++);
 
       if (peer != NULL)
         return peer;
@@ -232,6 +234,24 @@
          && kq_hop_send_request (node->hop, address, message) == 0;
 }
 
+static void
+on_no_reply (void *arg)
+{
+  struct node *node = arg;
+
+  if (node->owner == NULL)
+    kq_watch_suspect_owner (node->watch);
+}
+
+static void
+on_hosts_changed (void *arg)
+{
+  struct node *node = arg;
+
+  kq_term_set_standing (node->term, kq_hosts_rank (node->hosts),
+                        kq_hosts_max_cores (node->hosts));
+}
+
 static void
 stop_owner (struct node *node)
 {
@@ -512,7 +532,7 @@
                                 .on_request = on_hop_request,
                                 .on_reply = on_hop_reply };
   struct kq_job_api_handler job_api
-      = { .arg = node, .on_forward = on_forward };
+      = { .arg = node, .on_forward = on_forward, .on_no_reply = on_no_reply };
   struct kq_http_handler readiness
       = { .arg = node, .on_request = on_readiness };
   struct kq_http_handler metrics = { .arg = node, .on_request = on_metrics };
@@ -532,18 +552,30 @@
   return err;
 }
 
+/* Describes this host as it announces itself. */
+static void
+describe_self (const struct kq_node_settings *settings, struct kq_host *self)
+{
+  *self = (struct kq_host){ .cores = settings->cores,
+                            .memory_mb = settings->memory_mb,
+                            .descriptors = settings->descriptors };
+  snprintf (self->name, sizeof self->name, "%s", settings->host);
+  snprintf (self->address, sizeof self->address, "%s:%d", settings->ip,
+            settings->first_port);
+  snprintf (self->zone, sizeof self->zone, "%s", settings->zone);
+  snprintf (self->region, sizeof self->region, "%s", settings->region);
+  generate_incarnation (self->incarnation, sizeof self->incarnation);
+}
+
 static int
 start (struct node *node, int metrics_port)
 {
   struct kq_watch_handler watch
       = { .arg = node, .on_term = on_term_changed, .on_config = on_config };
-  char hop_address[KQ_NODE_SETTINGS_TEXT + 8];
-  char incarnation[32];
+  struct kq_host self;
   int err;
 
-  generate_incarnation (incarnation, sizeof incarnation);
-  snprintf (hop_address, sizeof hop_address, "%s:%d", node->settings.ip,
-            node->settings.first_port);
+  describe_self (&node->settings, &self);
   node->loop = ev_loop_new (EVFLAG_AUTO);
   if (node->loop == NULL)
     return KQ_ENOMEM;
@@ -551,11 +583,15 @@
   node->store = node->http_client != NULL
                     ? kq_store_create (node->http_client, node->settings.store)
                     : NULL;
-  node->term = kq_term_create (node->settings.host, hop_address, incarnation,
-                               node->settings.cores);
-  if (node->store == NULL || node->term == NULL)
+  node->hosts = kq_hosts_create (&self);
+  node->term = kq_term_create (self.name, self.address, self.incarnation,
+                               self.cores, kq_clock_now ());
+  if (node->store != NULL && node->hosts != NULL)
+    node->directory = kq_directory_create (
+        node->loop, node->store, node->hosts, on_hosts_changed, node);
+  if (node->directory == NULL || node->term == NULL)
     return KQ_ENOMEM;
-  err = start_listeners (node, hop_address, metrics_port);
+  err = start_listeners (node, self.address, metrics_port);
   if (err != 0)
     return err;
   node->watch = kq_watch_create (node->loop, node->store, node->term, &watch);
@@ -563,6 +599,7 @@
     return KQ_ENOMEM;
   start_timers (node);
   kq_watch_start (node->watch);
+  kq_directory_start (node->directory);
   return 0;
 }
 
@@ -571,6 +608,7 @@
 {
   stop_owner (node);
   kq_watch_destroy (node->watch);
+  kq_directory_destroy (node->directory);
   kq_job_api_destroy (node->job_api);
   kq_http_stop (node->readiness);
   kq_http_stop (node->metrics);
@@ -578,6 +616,7 @@
   kq_http_client_destroy (node->http_client);
   kq_store_destroy (node->store);
   kq_term_destroy (node->term);
+  kq_hosts_destroy (node->hosts);
   kq_sched_config_destroy (node->config);
   kq_sched_config_destroy (node->old_config);
   if (node->loop != NULL)
--- a/node/owner.c
+++ b/node/owner.c
@@ -393,15 +393,15 @@
 static void
 begin_term (struct kq_owner *owner, const struct kq_term *term)
 {
-  struct kq_term_heard heard[KQ_TERM_MAX_HEARD];
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
   int64_t own_term = kq_term_own_term (term);
-  int count = kq_term_get_heard (term, heard);
+  int count = kq_term_get_past (term, past);
 
   kq_orders_set_fence (owner->orders, own_term);
   kq_sched_begin_term (owner->sched, own_term);
   for (int i = 0; i < count; i++)
-    if (heard[i].term < own_term)
-      kq_sched_add_past_term (owner->sched, heard[i].term, heard[i].at);
+    kq_sched_add_past_term (owner->sched, past[i].term,
+                            past[i].confirmed_until, past[i].ended_at);
 }
 
 static int
--- a/node/watch.c
+++ b/node/watch.c
@@ -16,6 +16,13 @@
 #define TERM_WAIT_MS 500
 #define CONFIG_WAIT_MS 1000
 
+/* Interval between reads of the term by a host that need not follow it
+   closely. */
+#define TERM_READ_INTERVAL_SEC 1.0
+
+/* Minimum time between two reads that are made early. */
+#define EARLY_READ_INTERVAL_US (200 * KQ_USEC_PER_MSEC)
+
 /* Delay before a failed read is repeated. */
 #define RETRY_DELAY_SEC 0.1
 
@@ -30,7 +37,8 @@
   struct kq_store *store;
   struct kq_term *term;
   struct kq_watch_handler handler;
-  ev_timer term_retry;
+  ev_timer term_timer;
+  kq_usec early_read_at;
   ev_timer config_retry;
   ev_timer append_timer;
   kq_usec last_reply_at;
@@ -58,35 +66,64 @@
           NULL);
 }
 
+static void
+report_append (struct kq_watch *watch,
+               const struct kq_store_append_result *result)
+{
+  struct kq_term_append_result outcome
+      = { .outcome = KQ_TERM_FAILED,
+          .expected_sequence = result->expected_sequence };
+
+  if (result->err == 0)
+    outcome.outcome = KQ_TERM_STORED;
+  else if (result->err == KQ_EEXIST && result->refusal == KQ_STORE_FENCED)
+    outcome.outcome = KQ_TERM_FENCED;
+  else if (result->err == KQ_EEXIST
+           && result->refusal == KQ_STORE_SEQUENCE_MISMATCH)
+    outcome.outcome = KQ_TERM_SEQUENCE;
+  kq_term_append_done (watch->term, kq_clock_now (), &outcome);
+}
+
 static void
 on_appended (void *arg, const struct kq_store_append_result *result)
 {
   struct kq_watch *watch = arg;
 
-  kq_term_append_done (watch->term, kq_clock_now (),
-                       result->err == 0 ? result->offset : -1);
+  report_append (watch, result);
   watch->handler.on_term (watch->handler.arg);
 }
 
+static void
+log_append (const struct kq_term_append *append)
+{
+  char number[24];
+
+  if (append->kind == KQ_TERM_HEARTBEAT)
+    return;
+  snprintf (number, sizeof number, "%" PRId64, append->at);
+  kq_log (KQ_LOG_INFO, "term",
+          append->kind == KQ_TERM_CLAIM ? "claim"
+          : append->kind == KQ_TERM_BID ? "bid"
+                                        : "release",
+          0, "at", number, NULL);
+}
+
 static void
 append_term (struct kq_watch *watch)
 {
   struct kq_term_append append;
-  struct kq_store_condition condition = { .epoch = -1, .sequence = -1 };
+  struct kq_store_condition condition;
   struct kq_store_batch batch = { 0 };
+  struct kq_store_append_result failure = { .err = KQ_ENOMEM };
 
   if (!kq_term_next (watch->term, kq_clock_now (), &append))
     return;
-  if (append.kind == KQ_TERM_CLAIM)
-    {
-      char number[24];
-
-      snprintf (number, sizeof number, "%" PRId64, append.at);
-      kq_log (KQ_LOG_INFO, "term", "claim", 0, "at", number, NULL);
-    }
-  condition.expected_end = append.at;
+  log_append (&append);
+  condition = (struct kq_store_condition){ .expected_end = append.at,
+                                           .epoch = append.epoch,
+                                           .sequence = append.sequence };
   if (kq_store_batch_add (&batch, NULL, append.bytes, append.size) != 0)
-    kq_term_append_done (watch->term, kq_clock_now (), -1);
+    report_append (watch, &failure);
   else
     kq_store_append (watch->store, KQ_STORE_TERM, &batch, &condition,
                      APPEND_TIMEOUT_US, on_appended, watch);
@@ -99,6 +136,13 @@
   append_term (timer->data);
 }
 
+static void
+schedule_term_read (struct kq_watch *watch, double seconds)
+{
+  ev_timer_set (&watch->term_timer, seconds, 0);
+  ev_timer_start (watch->loop, &watch->term_timer);
+}
+
 static void
 on_term_rows (void *arg, const struct kq_store_read_result *result)
 {
@@ -114,7 +158,7 @@
     }
   if (result->err != 0)
     {
-      ev_timer_start (watch->loop, &watch->term_retry);
+      schedule_term_read (watch, RETRY_DELAY_SEC);
       return;
     }
   for (size_t i = 0; i < result->count; i++)
@@ -124,7 +168,10 @@
     kq_term_note_read (watch->term, now, result->sent_at, result->end);
   watch->handler.on_term (watch->handler.arg);
   append_term (watch);
-  read_term (watch);
+  if (kq_term_follows_closely (watch->term, now))
+    read_term (watch);
+  else
+    schedule_term_read (watch, TERM_READ_INTERVAL_SEC);
 }
 
 static void
@@ -132,9 +179,11 @@
 {
   /* The first read measures the round trip to the store, so it does not wait
      for new records. */
+  bool wait = kq_term_is_caught_up (watch->term)
+              && kq_term_follows_closely (watch->term, kq_clock_now ());
+
   kq_store_read (watch->store, KQ_STORE_TERM, kq_term_offset (watch->term),
-                 kq_term_is_caught_up (watch->term) ? TERM_WAIT_MS : 0,
-                 on_term_rows, watch);
+                 wait ? TERM_WAIT_MS : 0, on_term_rows, watch);
 }
 
 static void
@@ -206,7 +255,7 @@
 }
 
 static void
-on_term_retry (struct ev_loop *loop, ev_timer *timer, int events)
+on_term_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   read_term (timer->data);
 }
@@ -230,11 +279,11 @@
   watch->term = term;
   watch->handler = *handler;
   watch->version = -1;
-  ev_timer_init (&watch->term_retry, on_term_retry, RETRY_DELAY_SEC, 0);
+  ev_timer_init (&watch->term_timer, on_term_timer, 0, 0);
   ev_timer_init (&watch->config_retry, on_config_retry, RETRY_DELAY_SEC, 0);
   ev_timer_init (&watch->append_timer, on_append_timer, APPEND_CHECK_SEC,
                  APPEND_CHECK_SEC);
-  watch->term_retry.data = watch;
+  watch->term_timer.data = watch;
   watch->config_retry.data = watch;
   watch->append_timer.data = watch;
   return watch;
@@ -245,7 +294,7 @@
 {
   if (watch == NULL)
     return;
-  ev_timer_stop (watch->loop, &watch->term_retry);
+  ev_timer_stop (watch->loop, &watch->term_timer);
   ev_timer_stop (watch->loop, &watch->config_retry);
   ev_timer_stop (watch->loop, &watch->append_timer);
   free (watch);
@@ -264,3 +313,17 @@
 {
   return watch->last_reply_at;
 }
+
+void
+kq_watch_suspect_owner (struct kq_watch *watch)
+{
+  kq_usec now = kq_clock_now ();
+
+  kq_term_suspect_owner (watch->term, now);
+  if (!ev_is_active (&watch->term_timer)
+      || now - watch->early_read_at < EARLY_READ_INTERVAL_US)
+    return;
+  watch->early_read_at = now;
+  ev_timer_stop (watch->loop, &watch->term_timer);
+  read_term (watch);
+}
--- a/node/watch.h
+++ b/node/watch.h
@@ -30,6 +30,10 @@
 void kq_watch_destroy (struct kq_watch *watch);
 void kq_watch_start (struct kq_watch *watch);
 
+/** Reads the term at once, and closely for some time, because the owner does
+ *  not reply to requests.  */
+void kq_watch_suspect_owner (struct kq_watch *watch);
+
 /** Returns when the store last replied. */
 kq_usec kq_watch_last_reply_at (const struct kq_watch *watch);
 
--- a/sched/grant.c
+++ b/sched/grant.c
@@ -137,37 +137,48 @@
 
 void
 kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
-                        kq_usec last_heard_at)
+                        kq_usec confirmed_until, kq_usec ended_at)
 {
-  if (sched->past_term_count < KQ_SCHED_MAX_PAST_TERMS)
-    sched->past_terms[sched->past_term_count++]
-        = (struct past_term){ .term = term, .last_heard_at = last_heard_at };
+  if (sched->past_term_count == KQ_SCHED_MAX_PAST_TERMS)
+    return;
+  sched->past_terms[sched->past_term_count++] = (struct past_term){
+    .term = term, .confirmed_until = confirmed_until, .ended_at = ended_at
+  };
 }
 
 /* Returns the latest time at which the owner that last renewed the lease of
-   WORKER may have been confirmed by the store. A later term's record implies
-   that an earlier owner has lost its own. */
+   WORKER may have done so. An owner whose term is not among those known had
+   its last confirmation before any later owner had one. */
 static kq_usec
-last_confirmation (const struct kq_sched *sched, const struct worker *worker,
-                   kq_usec now)
+renewed_until (const struct kq_sched *sched, const struct worker *worker,
+               kq_usec now)
 {
-  kq_usec at = now;
-
-  if (worker->grant_term == 0)
-    return now;
-  for (int i = 0; i < sched->past_term_count; i++)
-    if (sched->past_terms[i].term >= worker->grant_term
-        && sched->past_terms[i].last_heard_at < at)
-      at = sched->past_terms[i].last_heard_at;
-  return at;
+  const struct past_term *nearest = NULL;
+  kq_usec until;
+
+  for (int i = 0; worker->grant_term != 0 && i < sched->past_term_count; i++)
+    {
+      const struct past_term *past = &sched->past_terms[i];
+
+      if (past->term >= worker->grant_term
+          && (nearest == NULL || past->term < nearest->term))
+        nearest = past;
+    }
+  if (nearest == NULL)
+    return now + KQ_SCHED_UNCONFIRMED_LIMIT_US;
+  until = nearest->confirmed_until + KQ_SCHED_UNCONFIRMED_LIMIT_US;
+  if (nearest->term == worker->grant_term && nearest->ended_at != 0
+      && nearest->ended_at < until)
+    until = nearest->ended_at;
+  return until;
 }
 
 void
 grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
                  kq_usec now)
 {
-  worker->leases_lapsed_at
-      = last_confirmation (sched, worker, now) + KQ_SCHED_UNCONFIRMED_LIMIT_US
-        + (KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS) * KQ_USEC_PER_MSEC * 100
-              / SLOWEST_CLOCK_PERCENT;
+  worker->leases_lapsed_at = renewed_until (sched, worker, now)
+                             + (KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS)
+                                   * KQ_USEC_PER_MSEC * 100
+                                   / SLOWEST_CLOCK_PERCENT;
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -21,8 +21,11 @@
 #define KQ_SCHED_START_LEASE_MS 3000
 
 /* Time after the last confirmation of its term for which an owner that is
-   cut off from the store may renew leases. */
-#define KQ_SCHED_UNCONFIRMED_LIMIT_US (6 * KQ_USEC_PER_SEC)
+   cut off from the store may renew leases. With the lease it bounds both the
+   outage of the store that running tasks survive, 8 s, and the time for which
+   a successor leaves the tasks of a silent worker alone. Long-running tasks
+   must go on 9 s after their last run. */
+#define KQ_SCHED_UNCONFIRMED_LIMIT_US (3 * KQ_USEC_PER_SEC)
 
 /* Minimum time between two polls of a worker that has reported ended runs
    which are not stored, and so not acknowledged, yet. */
@@ -227,7 +230,8 @@
 struct past_term
 {
   int64_t term;
-  kq_usec last_heard_at;
+  kq_usec confirmed_until;
+  kq_usec ended_at; /* 0: unknown */
 };
 
 struct kq_sched
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -297,11 +297,11 @@
 /** Sets the number of this owner's term; later terms have higher numbers. */
 void kq_sched_begin_term (struct kq_sched *sched, int64_t term);
 
-/** Adds an earlier owner's term, of which the latest record was read at
- *  LAST_HEARD_AT: it was not confirmed to that owner any later.  At most
- *  KQ_SCHED_MAX_PAST_TERMS are kept.  */
+/** Adds an earlier owner's term.  The store confirmed it to that owner no
+ * later than CONFIRMED_UNTIL, and that owner had stopped by ENDED_AT; 0:
+ * unknown. At most KQ_SCHED_MAX_PAST_TERMS are kept.  */
 void kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
-                             kq_usec last_heard_at);
+                             kq_usec confirmed_until, kq_usec ended_at);
 
 /** Restores which owner last renewed leases at workers, from a record whose
  *  key begins with KQ_SCHED_GRANT_KEY.
--- a/t/fuzz/term.c
+++ b/t/fuzz/term.c
@@ -6,7 +6,7 @@
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size) /* NOLINT */
 {
-  struct kq_term *term = kq_term_create ("h", "10.0.0.1:1", "life", 1);
+  struct kq_term *term = kq_term_create ("h", "10.0.0.1:1", "life", 1, 0);
   struct kq_term_append append;
 
   kq_term_apply (term, 1, 0, data, size);
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -46,7 +46,7 @@
   cell->term++;
   kq_sched_begin_term (cell->sched, cell->term);
   for (int64_t term = cell->term - 1; term > 0; term--)
-    kq_sched_add_past_term (cell->sched, term, cell->confirmed_at[term]);
+    kq_sched_add_past_term (cell->sched, term, cell->confirmed_at[term], 0);
   confirm_term (cell);
   configure (cell);
 }
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -232,7 +232,7 @@
   sim->sched = kq_sched_create ();
   if (sim->fence > 0)
     kq_sched_add_past_term (sim->sched, sim->fence,
-                            sim->confirmed_at * KQ_USEC_PER_MSEC);
+                            sim->confirmed_at * KQ_USEC_PER_MSEC, 0);
   sim->fence++;
   kq_sched_begin_term (sim->sched, sim->fence);
   confirm_term (sim);
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -583,8 +583,8 @@
   ts_take_over (cell);
   ts_register_worker (cell, other, 4000, 4000);
   ts_reply_poll (cell, other, NULL, 0, NULL, 0);
-  /* The previous owner may have renewed for 6 s, each time for 5 s. */
-  for (int i = 0; i < 10; i++)
+  /* The previous owner may have renewed for 3 s, each time for 5 s. */
+  for (int i = 0; i < 8; i++)
     {
       ts_advance (cell, 1000);
       ts_reply_poll (cell, other, NULL, 0, NULL, 0);
@@ -617,16 +617,16 @@
     {
       ts_take_over (cell);
       ts_register_worker (cell, other, 4000, 4000);
-      for (int j = 0; j < 4; j++)
+      for (int j = 0; j < 3; j++)
         {
           ts_reply_poll (cell, other, NULL, 0, NULL, 0);
           ts_advance (cell, 1000);
         }
     }
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  /* 8 s have passed; 6 s without a confirmation and a lease of 5 s end after
-     11.4 s. */
-  for (int i = 0; i < 4; i++)
+  /* 6 s have passed; 3 s without a confirmation and a lease of 5 s end after
+     8.4 s. */
+  for (int i = 0; i < 3; i++)
     {
       ts_reply_poll (cell, other, NULL, 0, NULL, 0);
       ts_advance (cell, 1000);
@@ -731,7 +731,7 @@
   stop_cell (cell);
 }
 
-/* An owner without a confirmation by the store renews leases for 6 s and no
+/* An owner without a confirmation by the store renews leases for 3 s and no
    longer. */
 static void
 test_unconfirmed_owner_renews_no_lease (void)
@@ -746,7 +746,7 @@
   order = start_single_task (cell, JOB, &long_running);
   row = ts_running (&order, 100);
   cell->store_down = true;
-  cell->now.mono += 5 * KQ_USEC_PER_SEC;
+  cell->now.mono += 2 * KQ_USEC_PER_SEC;
   ts_reply_poll (cell, order.worker, &row, 1, NULL, 0);
   cell->now.mono += KQ_USEC_PER_SEC / 2;
   CU_ASSERT (kq_sched_next_poll (cell->sched, cell->now, &poll));
--- a/t/test-term.c
+++ b/t/test-term.c
@@ -14,7 +14,7 @@
 
 struct record
 {
-  uint8_t bytes[256];
+  uint8_t bytes[384];
   size_t size;
 };
 
@@ -25,6 +25,9 @@
   bool store_unreachable[HOSTS];
   struct record records[MAX_RECORDS];
   int64_t end;
+  int64_t epoch;    /* highest one of a producer */
+  int64_t sequence; /* expected next in that epoch */
+  bool replies_lost;
   int starts;
   kq_usec now;
 };
@@ -39,7 +42,7 @@
   snprintf (host, sizeof host, "h%d", i);
   snprintf (address, sizeof address, "10.0.0.%d:7720", i + 1);
   snprintf (incarnation, sizeof incarnation, "life-%d", sim->starts++);
-  sim->hosts[i] = kq_term_create (host, address, incarnation, 1.0);
+  sim->hosts[i] = kq_term_create (host, address, incarnation, 1.0, sim->now);
   sim->stopped[i] = false;
 }
 
@@ -57,6 +60,7 @@
   static struct sim sim;
 
   memset (&sim, 0, sizeof sim);
+  sim.epoch = -1;
   sim.now = 100 * KQ_USEC_PER_SEC;
   for (int i = 0; i < HOSTS; i++)
     start_host (&sim, i);
@@ -70,23 +74,45 @@
     kq_term_destroy (sim->hosts[i]);
 }
 
+/* Appends to the topic as the store does. */
+static struct kq_term_append_result
+append_record (struct sim *sim, const struct kq_term_append *append)
+{
+  if (append->at >= 0 && append->at != sim->end)
+    return (struct kq_term_append_result){ .outcome = KQ_TERM_FAILED };
+  if (append->epoch >= 0 && append->epoch < sim->epoch)
+    return (struct kq_term_append_result){ .outcome = KQ_TERM_FENCED };
+  if (append->epoch == sim->epoch && append->sequence == sim->sequence - 1)
+    return (struct kq_term_append_result){ .outcome = KQ_TERM_STORED };
+  if (append->epoch == sim->epoch && append->sequence != sim->sequence)
+    return (struct kq_term_append_result){ .outcome = KQ_TERM_SEQUENCE,
+                                           .expected_sequence
+                                           = sim->sequence };
+  if (append->epoch >= 0)
+    {
+      sim->epoch = append->epoch;
+      sim->sequence = append->sequence + 1;
+    }
+  CU_ASSERT_FATAL (sim->end < MAX_RECORDS);
+  memcpy (sim->records[sim->end].bytes, append->bytes, append->size);
+  sim->records[sim->end].size = append->size;
+  sim->end++;
+  return (struct kq_term_append_result){ .outcome = KQ_TERM_STORED };
+}
+
 static void
 append_next (struct sim *sim, int i)
 {
+  struct kq_term_append_result result = { .outcome = KQ_TERM_FAILED };
   struct kq_term_append append;
 
   if (!kq_term_next (sim->hosts[i], sim->now, &append))
     return;
-  if (sim->store_unreachable[i] || append.at != sim->end)
-    {
-      kq_term_append_done (sim->hosts[i], sim->now, -1);
-      return;
-    }
-  CU_ASSERT_FATAL (sim->end < MAX_RECORDS);
-  memcpy (sim->records[sim->end].bytes, append.bytes, append.size);
-  sim->records[sim->end].size = append.size;
-  sim->end++;
-  kq_term_append_done (sim->hosts[i], sim->now, sim->end - 1);
+  if (!sim->store_unreachable[i])
+    result = append_record (sim, &append);
+  if (sim->replies_lost)
+    result.outcome = KQ_TERM_FAILED;
+  kq_term_append_done (sim->hosts[i], sim->now, &result);
 }
 
 static void
@@ -270,9 +296,11 @@
   int owner = -1;
 
   kq_term_destroy (sim->hosts[0]);
-  sim->hosts[0] = kq_term_create ("h0", "10.0.0.1:7720", "weak-0", 0.12);
+  sim->hosts[0]
+      = kq_term_create ("h0", "10.0.0.1:7720", "weak-0", 0.12, sim->now);
   kq_term_destroy (sim->hosts[1]);
-  sim->hosts[1] = kq_term_create ("h1", "10.0.0.2:7720", "weak-1", 0.12);
+  sim->hosts[1]
+      = kq_term_create ("h1", "10.0.0.2:7720", "weak-1", 0.12, sim->now);
   run_for (sim, KQ_USEC_PER_SEC);
   CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
   CU_ASSERT_EQUAL (owner, 2);
@@ -290,7 +318,7 @@
 
   kq_term_destroy (sim->hosts[few_cores_host]);
   sim->hosts[few_cores_host]
-      = kq_term_create ("weak", "10.0.0.9:7720", "weak", 0.12);
+      = kq_term_create ("weak", "10.0.0.9:7720", "weak", 0.12, sim->now);
   run_for (sim, KQ_USEC_PER_SEC);
   CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
   CU_ASSERT_NOT_EQUAL (owner, few_cores_host);
@@ -309,6 +337,203 @@
     check_release (few_cores_host);
 }
 
+/* Replaces all hosts: the host LARGE has many cores, the others few, and each
+   knows that. */
+static void
+set_sizes (struct sim *sim, int large)
+{
+  for (int i = 0; i < HOSTS; i++)
+    {
+      char host[16];
+      char incarnation[16];
+
+      snprintf (host, sizeof host, "h%d", i);
+      snprintf (incarnation, sizeof incarnation, "sized-%d", sim->starts++);
+      kq_term_destroy (sim->hosts[i]);
+      sim->hosts[i] = kq_term_create (host, "10.0.0.1:7720", incarnation,
+                                      i == large ? 0.5 : 0.12, sim->now);
+      kq_term_set_standing (sim->hosts[i], i == large ? 0 : 1 + i, 0.5);
+    }
+}
+
+/* Guards against a small host that owns while a large one could: it leaves
+   large hosts a second to claim. */
+static void
+test_small_host_claims_last (void)
+{
+  struct sim *sim = create_sim ();
+  int owner = -1;
+
+  set_sizes (sim, 1);
+  sim->store_unreachable[1] = true;
+  run_for (sim, 800 * KQ_USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &owner), 0);
+  sim->store_unreachable[1] = false;
+  run_for (sim, 300 * KQ_USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
+  CU_ASSERT_EQUAL (owner, 1);
+  destroy_sim (sim);
+}
+
+/* Guards against a small host that keeps the term after a large one is back,
+   and against terms that pass to and fro. */
+static void
+test_small_owner_gives_up_to_large_host (void)
+{
+  struct sim *sim = create_sim ();
+  int owner = -1;
+  int64_t term;
+
+  set_sizes (sim, 1);
+  sim->store_unreachable[1] = true;
+  run_for (sim, 3 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
+  CU_ASSERT_NOT_EQUAL (owner, 1);
+  sim->store_unreachable[1] = false;
+  run_for (sim, 3 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
+  CU_ASSERT_EQUAL (owner, 1);
+  term = kq_term_own_term (sim->hosts[1]);
+  run_for (sim, 12 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (kq_term_own_term (sim->hosts[1]), term);
+  destroy_sim (sim);
+}
+
+/* Guards against an owner that goes on after a later claim which it has not
+   read: the store refuses its heartbeat. */
+static void
+test_heartbeat_after_a_later_claim_is_refused (void)
+{
+  struct sim *sim = create_sim ();
+  struct kq_term_append append;
+  struct kq_term_append_result result;
+  int owner = -1;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  count_owners (sim, &owner);
+  sim->epoch = kq_term_own_term (sim->hosts[owner]) + 7;
+  sim->sequence = 1;
+  sim->now += KQ_USEC_PER_SEC;
+  CU_ASSERT_FATAL (kq_term_next (sim->hosts[owner], sim->now, &append));
+  result = append_record (sim, &append);
+  CU_ASSERT_EQUAL (result.outcome, KQ_TERM_FENCED);
+  kq_term_append_done (sim->hosts[owner], sim->now, &result);
+  CU_ASSERT_EQUAL (kq_term_own_term (sim->hosts[owner]), 0);
+  destroy_sim (sim);
+}
+
+/* Guards against a confirmation that counts from a repeated heartbeat: only
+   the first attempt may have been stored, before a later claim. */
+static void
+test_repeated_heartbeat_confirms_its_first_attempt (void)
+{
+  struct sim *sim = create_sim ();
+  int owner = -1;
+  kq_usec lost_from;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  count_owners (sim, &owner);
+  sim->replies_lost = true;
+  lost_from = sim->now;
+  for (int i = 0; i < 40; i++)
+    {
+      append_next (sim, owner);
+      sim->now += STEP_US;
+    }
+  sim->replies_lost = false;
+  append_next (sim, owner);
+  CU_ASSERT (kq_term_confirmed_at (sim->hosts[owner])
+             < lost_from + 450 * KQ_USEC_PER_MSEC);
+  /* The next one is new. */
+  run_for (sim, 500 * KQ_USEC_PER_MSEC);
+  CU_ASSERT (kq_term_confirmed_at (sim->hosts[owner])
+             > lost_from + 700 * KQ_USEC_PER_MSEC);
+  destroy_sim (sim);
+}
+
+static const struct kq_term_past *
+find_past (const struct kq_term_past *past, int count, int64_t term)
+{
+  for (int i = 0; i < count; i++)
+    if (past[i].term == term)
+      return &past[i];
+  return NULL;
+}
+
+/* Guards against counting from a restart what ended long before it: a process
+   that has just started reads how long the last owner had owned the term, so
+   that the one before it lost its own earlier. */
+static void
+test_past_terms_after_a_restart (void)
+{
+  struct sim *sim = create_sim ();
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
+  const struct kq_term_past *entry;
+  int first = -1;
+  int second = -1;
+  int third = -1;
+  int64_t first_term;
+  int64_t second_term;
+  kq_usec first_lost_at;
+  int count;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  count_owners (sim, &first);
+  first_term = kq_term_own_term (sim->hosts[first]);
+  stop_host (sim, first);
+  first_lost_at = sim->now;
+  run_for (sim, 2 * KQ_USEC_PER_SEC);
+  count_owners (sim, &second);
+  second_term = kq_term_own_term (sim->hosts[second]);
+  run_for (sim, 5 * KQ_USEC_PER_SEC);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      if (i != first)
+        stop_host (sim, i);
+      start_host (sim, i);
+    }
+  run_for (sim, 3 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &third), 1);
+  count = kq_term_get_past (sim->hosts[third], past);
+  entry = find_past (past, count, first_term);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  CU_ASSERT (entry->confirmed_until >= first_lost_at - STEP_US);
+  CU_ASSERT (entry->confirmed_until < first_lost_at + 3 * KQ_USEC_PER_SEC);
+  entry = find_past (past, count, second_term);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  CU_ASSERT (entry->confirmed_until >= first_lost_at + 6 * KQ_USEC_PER_SEC);
+  /* The process that owned it has ended if it ran on the same host. */
+  CU_ASSERT_EQUAL (entry->ended_at != 0, third == second);
+  destroy_sim (sim);
+}
+
+/* Hosts that do not claim soon read the topic seldom, unless the owner seems
+   to be lost. */
+static void
+test_few_hosts_follow_closely (void)
+{
+  struct sim *sim = create_sim ();
+  struct kq_term *host = sim->hosts[0];
+  int owner = -1;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  count_owners (sim, &owner);
+  if (owner == 0)
+    host = sim->hosts[1];
+  CU_ASSERT (kq_term_follows_closely (sim->hosts[owner], sim->now));
+  CU_ASSERT (kq_term_follows_closely (host, sim->now));
+  kq_term_set_standing (host, 20, 1.0);
+  CU_ASSERT_FALSE (kq_term_follows_closely (host, sim->now));
+  kq_term_suspect_owner (host, sim->now);
+  CU_ASSERT (kq_term_follows_closely (host, sim->now));
+  run_for (sim, 5 * KQ_USEC_PER_SEC);
+  CU_ASSERT_FALSE (kq_term_follows_closely (host, sim->now));
+  stop_host (sim, owner);
+  run_for (sim, 1300 * KQ_USEC_PER_MSEC);
+  CU_ASSERT (kq_term_follows_closely (host, sim->now));
+  destroy_sim (sim);
+}
+
 static void
 test_malformed_record_is_skipped (void)
 {
@@ -336,6 +561,15 @@
   { "the host with the most cores claims first", test_most_cores_claim_first },
   { "a host with enough cores claims after a release",
     test_enough_cores_claim_after_release },
+  { "a small host claims last", test_small_host_claims_last },
+  { "a small owner gives up to a large host",
+    test_small_owner_gives_up_to_large_host },
+  { "a heartbeat after a later claim is refused",
+    test_heartbeat_after_a_later_claim_is_refused },
+  { "a repeated heartbeat confirms its first attempt",
+    test_repeated_heartbeat_confirms_its_first_attempt },
+  { "past terms after a restart", test_past_terms_after_a_restart },
+  { "few hosts follow the topic closely", test_few_hosts_follow_closely },
   { "a malformed record is skipped", test_malformed_record_is_skipped },
 };
 
--- a/term/term.c
+++ b/term/term.c
@@ -30,44 +30,90 @@
    After a longer gap they may be in the store, but not read yet.  */
 #define READ_MAX_AGE_US (900 * KQ_USEC_PER_MSEC)
 
-/* Time between two records in which a host announces its address. */
-#define HELLO_INTERVAL_US (5 * KQ_USEC_PER_SEC)
+/* A host with less than this part of the largest host's cores claims later by
+   the delay: so much later that each larger host that reaches the store has
+   claimed. */
+#define LARGE_HOST_SHARE 0.75
+#define SMALL_HOST_DELAY_US (1000 * KQ_USEC_PER_MSEC)
+
+/* A host bids for the term of an owner with less than this part of its cores:
+   not before the owner has settled, in an order by rank, and seldom. The owner
+   releases the term to it, and other hosts leave it time to claim. */
+#define BID_SHARE 0.7
+#define BID_AFTER_US (1500 * KQ_USEC_PER_MSEC)
+#define BID_RANK_DELAY_US (150 * KQ_USEC_PER_MSEC)
+#define BID_INTERVAL_US (5 * KQ_USEC_PER_SEC)
+#define NO_CLAIM_AFTER_BID_US (3 * KQ_USEC_PER_SEC)
+#define SUCCESSOR_TIME_US (400 * KQ_USEC_PER_MSEC)
+
+/* Number of hosts that follow the topic closely, so that one of them claims in
+   time; the others do so while they miss heartbeats, or for this time after
+   the owner did not reply to them. */
+#define CANDIDATES 8
+#define MISSED_HEARTBEATS_US (1200 * KQ_USEC_PER_MSEC)
+#define SUSPICION_US (3 * KQ_USEC_PER_SEC)
+
+/* The slowest clock of a host, in percent of the true rate. */
+#define SLOWEST_CLOCK_PERCENT 98
 
 /* Minimum time from a stored claim or release to the next append; half of it
    after a failed append.  */
 #define MIN_APPEND_INTERVAL_US (100 * KQ_USEC_PER_MSEC)
 
+/* An earlier owner, as far as its records tell. */
+struct past_owner
+{
+  int64_t term;
+  char host[KQ_TERM_TEXT_SIZE];
+  char incarnation[KQ_TERM_TEXT_SIZE];
+  kq_usec heard_at; /* when its latest record was read */
+  kq_usec age;      /* time that it had owned the term by then, at least */
+  kq_usec ended_at; /* it had stopped by then; 0: unknown */
+};
+
 struct kq_term
 {
   char host[KQ_TERM_TEXT_SIZE];
   char address[KQ_TERM_TEXT_SIZE];
   char incarnation[KQ_TERM_TEXT_SIZE];
+  kq_usec started_at;
+  int rank;
+  double max_cores; /* of all hosts; 0: not known */
   struct kq_term_owner owner;
+  double owner_cores; /* 0: not known */
+  kq_usec owner_since;
   int64_t offset; /* of the next record to read */
   bool caught_up;
   kq_usec read_at; /* completion of the last read that reached the end */
   kq_usec owner_alive_at; /* last evidence that the owner is alive */
-  kq_usec read_latency;   /* of the first read */
-  double cores;           /* available to this host */
-  int64_t own_term;       /* 0: this host is not the owner */
-  kq_usec confirmed_at;   /* send time of the last append that confirmed it */
+  kq_usec owner_heard_at; /* last record of the owner that was read */
+  kq_usec suspected_until;
+  kq_usec read_latency; /* of the first read */
+  double cores;         /* available to this host */
+  int64_t own_term;     /* 0: this host is not the owner */
+  kq_usec own_since;
+  kq_usec confirmed_at; /* send time of the last append that confirmed it */
   bool releasing;
+  bool asked_to_claim; /* the last owner has released its term to this host */
+  char successor[KQ_TERM_TEXT_SIZE]; /* for the release; "": any host */
   kq_usec no_claim_until;
+  kq_usec bid_at; /* last bid of any host */
   /* the append in progress */
   enum kq_term_kind pending_kind;
   kq_usec pending_since;
   kq_usec next_append_at;
   kq_usec heartbeat_at;
-  kq_usec hello_at; /* 0: never */
-  char peers[KQ_TERM_MAX_PEERS][KQ_TERM_TEXT_SIZE];
-  size_t peer_count;
-  struct kq_term_heard heard[KQ_TERM_MAX_HEARD]; /* latest term first */
-  int heard_count;
+  int64_t sequence;         /* of the next record with an epoch */
+  kq_usec sequence_sent_at; /* when it was sent first; 0: not yet */
+  int64_t heartbeat_age_ms; /* in the last heartbeat that was sent */
+  kq_usec heartbeat_sent_at;
+  struct past_owner past[KQ_TERM_MAX_PAST]; /* latest term first */
+  int past_count;
 };
 
 struct kq_term *
 kq_term_create (const char *host, const char *address, const char *incarnation,
-                double cores)
+                double cores, kq_usec now)
 {
   struct kq_term *term = calloc (1, sizeof *term);
 
@@ -77,6 +123,7 @@
   snprintf (term->address, sizeof term->address, "%s", address);
   snprintf (term->incarnation, sizeof term->incarnation, "%s", incarnation);
   term->cores = cores;
+  term->started_at = now;
   return term;
 }
 
@@ -86,28 +133,79 @@
   free (term);
 }
 
+void
+kq_term_set_standing (struct kq_term *term, int rank, double max_cores)
+{
+  term->rank = rank;
+  term->max_cores = max_cores;
+}
+
+static struct past_owner *
+find_past (struct kq_term *term, int64_t number)
+{
+  for (int i = 0; i < term->past_count; i++)
+    if (term->past[i].term == number)
+      return &term->past[i];
+  return NULL;
+}
+
+static struct past_owner *
+find_or_add_past (struct kq_term *term, int64_t number)
+{
+  struct past_owner *found = find_past (term, number);
+  int i = 0;
+
+  if (found != NULL)
+    return found;
+  while (i < term->past_count && term->past[i].term > number)
+    i++;
+  if (i == KQ_TERM_MAX_PAST)
+    return NULL;
+  if (term->past_count < KQ_TERM_MAX_PAST)
+    term->past_count++;
+  memmove (&term->past[i + 1], &term->past[i],
+           (size_t)(term->past_count - 1 - i) * sizeof term->past[0]);
+  memset (&term->past[i], 0, sizeof term->past[i]);
+  term->past[i].term = number;
+  return &term->past[i];
+}
+
+/* Records that RECORD of the term NUMBER was read. */
 static void
-add_peer (struct kq_term *term, const char *address)
+note_heard (struct kq_term *term, kq_usec now,
+            const KqTerm__TermRecord *record, int64_t number)
 {
-  if (address[0] == '\0' || strcmp (address, term->address) == 0
-      || strlen (address) >= KQ_TERM_TEXT_SIZE)
+  struct past_owner *past = find_or_add_past (term, number);
+
+  if (past == NULL)
     return;
-  for (size_t i = 0; i < term->peer_count; i++)
-    if (strcmp (term->peers[i], address) == 0)
-      return;
-  /* Evicts the oldest address: its host is the most likely to have been
-     replaced.  */
-  if (term->peer_count == KQ_TERM_MAX_PEERS)
-    {
-      memmove (term->peers[0], term->peers[1],
-               sizeof term->peers - sizeof term->peers[0]);
-      term->peer_count--;
-    }
-  strcpy (term->peers[term->peer_count++], address);
+  snprintf (past->host, sizeof past->host, "%s", record->host);
+  snprintf (past->incarnation, sizeof past->incarnation, "%s", record->life);
+  past->heard_at = now;
+  if (record->age_ms > 0)
+    past->age = record->age_ms * KQ_USEC_PER_MSEC;
 }
 
 static void
-set_owner (struct kq_term *term, const KqTerm__TermRecord *record,
+note_end (struct kq_term *term, kq_usec now, int64_t number)
+{
+  struct past_owner *past = find_past (term, number);
+
+  if (past != NULL && past->ended_at == 0)
+    past->ended_at = now;
+}
+
+static void
+end_own_term (struct kq_term *term, kq_usec now)
+{
+  if (term->own_term != 0)
+    note_end (term, now, term->own_term);
+  term->own_term = 0;
+  term->releasing = false;
+}
+
+static void
+set_owner (struct kq_term *term, kq_usec now, const KqTerm__TermRecord *record,
            int64_t number)
 {
   struct kq_term_owner *owner = &term->owner;
@@ -116,8 +214,11 @@
   snprintf (owner->address, sizeof owner->address, "%s", record->address);
   snprintf (owner->incarnation, sizeof owner->incarnation, "%s", record->life);
   owner->term = number;
-  if (term->own_term != 0 && number > term->own_term)
-    term->own_term = 0;
+  term->owner_cores = record->cores;
+  term->owner_since = now;
+  term->asked_to_claim = false;
+  if (number > term->own_term)
+    end_own_term (term, now);
 }
 
 static bool
@@ -126,40 +227,24 @@
   return strcmp (record->life, term->incarnation) == 0;
 }
 
-/* Records that a record of the term NUMBER was read. */
-static void
-note_heard (struct kq_term *term, int64_t number, kq_usec now)
-{
-  int i = 0;
-
-  while (i < term->heard_count && term->heard[i].term > number)
-    i++;
-  if (i == KQ_TERM_MAX_HEARD)
-    return;
-  if (i == term->heard_count || term->heard[i].term != number)
-    {
-      if (term->heard_count < KQ_TERM_MAX_HEARD)
-        term->heard_count++;
-      memmove (&term->heard[i + 1], &term->heard[i],
-               (size_t)(term->heard_count - 1 - i) * sizeof term->heard[0]);
-    }
-  term->heard[i] = (struct kq_term_heard){ .term = number, .at = now };
-}
-
 static void
 apply_claim (struct kq_term *term, kq_usec now,
              const KqTerm__TermRecord *record, int64_t number)
 {
-  note_heard (term, number, now);
+  note_heard (term, now, record, number);
   if (number <= term->owner.term)
     return;
-  set_owner (term, record, number);
+  set_owner (term, now, record, number);
   term->owner_alive_at = now;
+  term->owner_heard_at = now;
   if (is_own (term, record) && term->no_claim_until <= now)
     {
       term->own_term = number;
+      term->own_since = now;
       term->confirmed_at = term->pending_since;
       term->heartbeat_at = now;
+      term->sequence = 1;
+      term->sequence_sent_at = 0;
     }
 }
 
@@ -167,21 +252,24 @@
 apply_heartbeat (struct kq_term *term, kq_usec now,
                  const KqTerm__TermRecord *record)
 {
-  note_heard (term, record->term, now);
+  note_heard (term, now, record, record->term);
   if (record->term < term->owner.term)
     return;
   if (record->term > term->owner.term)
-    set_owner (term, record, record->term);
+    set_owner (term, now, record, record->term);
   term->owner_alive_at = now;
+  term->owner_heard_at = now;
   if (is_own (term, record) && record->term == term->own_term
-      && term->pending_kind == KQ_TERM_HEARTBEAT)
-    term->confirmed_at = term->pending_since;
+      && record->age_ms == term->heartbeat_age_ms)
+    term->confirmed_at = term->heartbeat_sent_at;
 }
 
 static void
 apply_release (struct kq_term *term, kq_usec now,
                const KqTerm__TermRecord *record)
 {
+  note_heard (term, now, record, record->term);
+  note_end (term, now, record->term);
   if (record->term != term->owner.term)
     return;
   term->owner.address[0] = '\0';
@@ -189,11 +277,26 @@
   /* Claim delays start now.  Without them a host with few cores could claim
      first.  */
   term->owner_alive_at = now;
+  term->asked_to_claim = strcmp (record->successor, term->incarnation) == 0;
+  if (record->successor[0] != '\0')
+    term->owner_alive_at += SUCCESSOR_TIME_US;
   if (is_own (term, record))
-    {
-      term->own_term = 0;
-      term->releasing = false;
-    }
+    end_own_term (term, now);
+}
+
+/* The owner gives its term to a host with clearly more cores. */
+static void
+apply_bid (struct kq_term *term, kq_usec now, const KqTerm__TermRecord *record)
+{
+  term->bid_at = now;
+  if (term->own_term == 0 || term->releasing || is_own (term, record)
+      || strlen (record->life) >= sizeof term->successor
+      || term->cores >= record->cores * BID_SHARE
+      || now - term->own_since < BID_AFTER_US)
+    return;
+  snprintf (term->successor, sizeof term->successor, "%s", record->life);
+  term->no_claim_until = now + NO_CLAIM_AFTER_BID_US;
+  term->releasing = true;
 }
 
 void
@@ -211,7 +314,6 @@
   switch ((enum kq_term_kind)record->kind)
     {
     case KQ_TERM_CLAIM:
-      add_peer (term, record->address);
       apply_claim (term, now, record, offset + 1);
       break;
     case KQ_TERM_HEARTBEAT:
@@ -220,8 +322,8 @@
     case KQ_TERM_RELEASE:
       apply_release (term, now, record);
       break;
-    case KQ_TERM_HELLO:
-      add_peer (term, record->address);
+    case KQ_TERM_BID:
+      apply_bid (term, now, record);
       break;
     default:
       break;
@@ -236,8 +338,11 @@
   if (end > term->offset)
     {
       term->offset = end;
-      for (int i = 0; i < term->heard_count; i++)
-        term->heard[i].at = now;
+      for (int i = 0; i < term->past_count; i++)
+        {
+          term->past[i].heard_at = now;
+          term->past[i].age = 0;
+        }
     }
   /* Heartbeats could not be read while the store did not reply, so the owner
      gets a full timeout again.  */
@@ -265,6 +370,12 @@
   return term->caught_up;
 }
 
+static bool
+is_small (const struct kq_term *term)
+{
+  return term->cores < term->max_cores * LARGE_HOST_SHARE;
+}
+
 static kq_usec
 claim_delay (const struct kq_term *term)
 {
@@ -276,6 +387,8 @@
   if (term->cores < OWNER_CORES)
     delay += (kq_usec)((double)CLAIM_DELAY_MAX_US
                        * (1 - term->cores / OWNER_CORES));
+  if (is_small (term))
+    delay += SMALL_HOST_DELAY_US;
   return delay + (kq_usec)(hash % (uint64_t)CLAIM_JITTER_US);
 }
 
@@ -286,15 +399,29 @@
 {
   const struct kq_term_owner *owner = &term->owner;
 
+  if (term->asked_to_claim)
+    return 0;
   /* An earlier incarnation of this host has certainly ended. */
   if (owner->term != 0 && strcmp (owner->host, term->host) == 0
       && strcmp (owner->incarnation, term->incarnation) != 0)
-    return 0;
+    return is_small (term) ? term->started_at + claim_delay (term) : 0;
   if (owner->incarnation[0] == '\0')
     return term->owner_alive_at + claim_delay (term);
   return term->owner_alive_at + OWNER_TIMEOUT_US + claim_delay (term);
 }
 
+static bool
+should_bid (const struct kq_term *term, kq_usec now)
+{
+  return term->owner_cores > 0 && term->owner.incarnation[0] != '\0'
+         && term->owner_cores < term->cores * BID_SHARE
+         && now >= term->no_claim_until
+         && now - term->started_at > BID_AFTER_US
+         && now - term->owner_since
+                > BID_AFTER_US + term->rank * BID_RANK_DELAY_US
+         && (term->bid_at == 0 || now - term->bid_at > BID_INTERVAL_US);
+}
+
 static enum kq_term_kind
 next_kind (const struct kq_term *term, kq_usec now)
 {
@@ -311,9 +438,31 @@
   if (now >= claim_time (term) && now >= term->no_claim_until
       && now - term->read_at < READ_MAX_AGE_US)
     return KQ_TERM_CLAIM;
-  if (term->hello_at == 0 || now - term->hello_at > HELLO_INTERVAL_US)
-    return KQ_TERM_HELLO;
-  return KQ_TERM_NONE;
+  return should_bid (term, now) ? KQ_TERM_BID : KQ_TERM_NONE;
+}
+
+/* Sets the conditions of the append.  The epoch of a claim is the number of
+   the term that it begins. */
+static void
+set_conditions (struct kq_term *term, kq_usec now,
+                struct kq_term_append *append)
+{
+  append->at = -1;
+  append->epoch = -1;
+  append->sequence = -1;
+  if (append->kind == KQ_TERM_CLAIM)
+    {
+      append->at = term->offset;
+      append->epoch = term->offset + 1;
+      append->sequence = 0;
+    }
+  else if (append->kind != KQ_TERM_BID)
+    {
+      append->epoch = term->own_term;
+      append->sequence = term->sequence;
+      if (term->sequence_sent_at == 0)
+        term->sequence_sent_at = now;
+    }
 }
 
 bool
@@ -330,41 +479,48 @@
   record.address = term->address;
   record.life = term->incarnation;
   record.term = term->own_term;
+  record.cores = term->cores;
+  if (kind == KQ_TERM_HEARTBEAT)
+    record.age_ms = (now - term->own_since) / KQ_USEC_PER_MSEC;
+  if (kind == KQ_TERM_RELEASE)
+    record.successor = term->successor;
   append->kind = kind;
-  append->at = term->offset;
   append->size = kq_term__term_record__get_packed_size (&record);
   if (append->size > sizeof append->bytes)
     return false;
   kq_term__term_record__pack (&record, append->bytes);
+  set_conditions (term, now, append);
   term->pending_kind = kind;
   term->pending_since = now;
-  if (kind == KQ_TERM_HELLO)
-    term->hello_at = now;
+  if (kind == KQ_TERM_BID)
+    term->bid_at = now;
+  if (kind == KQ_TERM_HEARTBEAT)
+    {
+      term->heartbeat_age_ms = record.age_ms;
+      term->heartbeat_sent_at = now;
+    }
   return true;
 }
 
-/* What was stored is learned by reading the topic; the result only determines
-   when the next append may follow.  */
-void
-kq_term_append_done (struct kq_term *term, kq_usec now, int64_t offset)
+static void
+append_stored (struct kq_term *term, kq_usec now, enum kq_term_kind kind)
 {
-  enum kq_term_kind kind = term->pending_kind;
-
-  term->pending_kind = KQ_TERM_NONE;
-  if (offset < 0)
-    {
-      term->next_append_at = now + MIN_APPEND_INTERVAL_US / 2;
-      return;
-    }
   switch (kind)
     {
     case KQ_TERM_HEARTBEAT:
       term->heartbeat_at = term->pending_since;
-      term->confirmed_at = term->pending_since;
+      /* A repeated append may have been stored when it was sent first. */
+      term->confirmed_at = term->sequence_sent_at;
       term->owner_alive_at = now;
+      term->sequence++;
+      term->sequence_sent_at = 0;
       break;
-    case KQ_TERM_CLAIM:
     case KQ_TERM_RELEASE:
+      term->sequence++;
+      term->sequence_sent_at = 0;
+      term->next_append_at = now + MIN_APPEND_INTERVAL_US;
+      break;
+    case KQ_TERM_CLAIM:
       /* Leaves time to read the record before the next append. */
       term->next_append_at = now + MIN_APPEND_INTERVAL_US;
       break;
@@ -373,6 +529,50 @@
     }
 }
 
+/* What was stored is learned by reading the topic; the result only determines
+   when the next append may follow, and tells an owner that it is no longer
+   one.  */
+void
+kq_term_append_done (struct kq_term *term, kq_usec now,
+                     const struct kq_term_append_result *result)
+{
+  enum kq_term_kind kind = term->pending_kind;
+
+  term->pending_kind = KQ_TERM_NONE;
+  switch (result->outcome)
+    {
+    case KQ_TERM_STORED:
+      append_stored (term, now, kind);
+      break;
+    case KQ_TERM_FENCED:
+      if (kind != KQ_TERM_CLAIM)
+        kq_term_supersede (term, now);
+      term->next_append_at = now + MIN_APPEND_INTERVAL_US;
+      break;
+    case KQ_TERM_SEQUENCE:
+      term->sequence = result->expected_sequence;
+      term->sequence_sent_at = 0;
+      break;
+    case KQ_TERM_FAILED:
+      term->next_append_at = now + MIN_APPEND_INTERVAL_US / 2;
+      break;
+    }
+}
+
+bool
+kq_term_follows_closely (const struct kq_term *term, kq_usec now)
+{
+  return !term->caught_up || term->own_term != 0 || term->rank < CANDIDATES
+         || term->owner.incarnation[0] == '\0' || now < term->suspected_until
+         || now - term->owner_heard_at > MISSED_HEARTBEATS_US;
+}
+
+void
+kq_term_suspect_owner (struct kq_term *term, kq_usec now)
+{
+  term->suspected_until = now + SUSPICION_US;
+}
+
 const struct kq_term_owner *
 kq_term_owner (const struct kq_term *term)
 {
@@ -380,11 +580,36 @@
 }
 
 int
-kq_term_get_heard (const struct kq_term *term,
-                   struct kq_term_heard heard[KQ_TERM_MAX_HEARD])
+kq_term_get_past (const struct kq_term *term,
+                  struct kq_term_past past[KQ_TERM_MAX_PAST])
 {
-  memcpy (heard, term->heard, sizeof term->heard);
-  return term->heard_count;
+  kq_usec latest = 0; /* bound from the claims of later terms; 0: none */
+  int count = 0;
+
+  for (int i = 0; i < term->past_count; i++)
+    {
+      const struct past_owner *owner = &term->past[i];
+      kq_usec claimed_by
+          = owner->heard_at - owner->age * SLOWEST_CLOCK_PERCENT / 100;
+      struct kq_term_past *entry = &past[count];
+
+      if (term->own_term == 0 || owner->term < term->own_term)
+        {
+          entry->term = owner->term;
+          entry->confirmed_until = owner->heard_at;
+          if (latest != 0 && latest < entry->confirmed_until)
+            entry->confirmed_until = latest;
+          entry->ended_at = owner->ended_at;
+          /* An earlier process on this host has ended. */
+          if (entry->ended_at == 0 && strcmp (owner->host, term->host) == 0
+              && strcmp (owner->incarnation, term->incarnation) != 0)
+            entry->ended_at = term->started_at;
+          count++;
+        }
+      if (latest == 0 || claimed_by < latest)
+        latest = claimed_by;
+    }
+  return count;
 }
 
 void
@@ -396,13 +621,15 @@
   if (number <= owner->term || address[0] == '\0')
     return;
   owner->term = number;
+  term->owner_cores = 0;
+  term->owner_since = now;
+  term->asked_to_claim = false;
   owner->host[0] = '\0';
   /* The incarnation is unknown; "" would denote a released term. */
   snprintf (owner->incarnation, sizeof owner->incarnation, "?");
   snprintf (owner->address, sizeof owner->address, "%s", address);
   term->owner_alive_at = now;
-  if (term->own_term != 0)
-    term->own_term = 0;
+  end_own_term (term, now);
 }
 
 int64_t
@@ -421,6 +648,7 @@
 kq_term_release (struct kq_term *term, kq_usec no_claim_until)
 {
   term->no_claim_until = no_claim_until;
+  term->successor[0] = '\0';
   if (term->own_term != 0)
     term->releasing = true;
 }
@@ -430,13 +658,6 @@
 {
   if (term->own_term == 0)
     return;
-  term->own_term = 0;
-  term->releasing = false;
+  end_own_term (term, now);
   term->owner_alive_at = now;
 }
-
-const char *
-kq_term_peer (const struct kq_term *term, size_t n)
-{
-  return n < term->peer_count ? term->peers[n] : NULL;
-}
--- a/term/term.h
+++ b/term/term.h
@@ -7,7 +7,9 @@
  *
  * A claim is appended at the end of the topic as its host has read it, so that
  * the store accepts only one of several concurrent claims.  The term of an
- * accepted claim is its offset plus one.
+ * accepted claim is its offset plus one.  It is also the producer epoch of the
+ * claim and of all later records of that owner: once the store holds a claim
+ * it refuses the heartbeats of earlier owners.
  */
 #ifndef KQ_TERM_TERM_H
 #define KQ_TERM_TERM_H
@@ -22,39 +24,52 @@
  *  terminating zero.  */
 #define KQ_TERM_TEXT_SIZE 64
 
-/** Maximum number of other hosts whose addresses are kept. */
-#define KQ_TERM_MAX_PEERS 256
-
-/** Maximum number of terms whose last records are remembered. */
-#define KQ_TERM_MAX_HEARD 8
+/** Maximum number of earlier terms that are remembered. */
+#define KQ_TERM_MAX_PAST 8
 
 struct kq_term;
 
-/** A term and when the latest record of its owner was read here. */
-struct kq_term_heard
+/** An earlier term. */
+struct kq_term_past
 {
   int64_t term;
-  kq_usec at;
+  kq_usec confirmed_until; /**< the store confirmed it no later than this */
+  kq_usec ended_at; /**< its owner had certainly stopped by then; 0: unknown */
 };
 
 enum kq_term_kind
 {
   KQ_TERM_NONE,
-  KQ_TERM_HELLO, /**< announces the address of a host */
-  KQ_TERM_CLAIM,
+  KQ_TERM_CLAIM = 2,
   KQ_TERM_HEARTBEAT,
-  KQ_TERM_RELEASE
+  KQ_TERM_RELEASE,
+  KQ_TERM_BID /**< a larger host asks the owner to release its term to it */
 };
 
-/** A record to append. */
+/** A record to append. A negative number disables a condition. */
 struct kq_term_append
 {
   enum kq_term_kind kind;
-  int64_t at; /**< required end offset of the topic */
-  uint8_t bytes[256];
+  int64_t at;       /**< required end offset of the topic */
+  int64_t epoch;    /**< of the producer */
+  int64_t sequence; /**< of the producer within its epoch */
+  uint8_t bytes[384];
   size_t size;
 };
 
+/** Outcome of an append. */
+struct kq_term_append_result
+{
+  enum
+  {
+    KQ_TERM_STORED,
+    KQ_TERM_FAILED,  /**< not stored, or unknown */
+    KQ_TERM_FENCED,  /**< a later term has appended */
+    KQ_TERM_SEQUENCE /**< another sequence number is expected */
+  } outcome;
+  int64_t expected_sequence; /**< with KQ_TERM_SEQUENCE */
+};
+
 struct kq_term_owner
 {
   char host[KQ_TERM_TEXT_SIZE];
@@ -64,13 +79,18 @@
 };
 
 /** Creates the election state of HOST, which other hosts reach at ADDRESS.
- *  INCARNATION differs in each start of the process.  CORES is the number of
- *  processor cores available to the host: hosts with more claim earlier.
+ *  INCARNATION differs in each start of the process, which is NOW.  CORES is
+ *  the number of processor cores available to the host.
  *  @return NULL when out of memory.  */
 struct kq_term *kq_term_create (const char *host, const char *address,
-                                const char *incarnation, double cores);
+                                const char *incarnation, double cores,
+                                kq_usec now);
 void kq_term_destroy (struct kq_term *term);
 
+/** Sets how this host compares with the others: RANK of them come before it as
+ *  owner, and the largest one has MAX_CORES.  */
+void kq_term_set_standing (struct kq_term *term, int rank, double max_cores);
+
 /** Applies the record read at OFFSET.  Malformed records are skipped. */
 void kq_term_apply (struct kq_term *term, kq_usec now, int64_t offset,
                     const uint8_t *bytes, size_t size);
@@ -92,18 +112,25 @@
 bool kq_term_next (struct kq_term *term, kq_usec now,
                    struct kq_term_append *append);
 
-/** Reports the result of the append that kq_term_next() returned last: stored
- *  at OFFSET, or, if OFFSET is negative, not stored or unknown.  */
-void kq_term_append_done (struct kq_term *term, kq_usec now, int64_t offset);
+/** Reports the result of the append that kq_term_next() returned last. */
+void kq_term_append_done (struct kq_term *term, kq_usec now,
+                          const struct kq_term_append_result *result);
+
+/** Returns whether this host should follow the topic closely: it is among
+ * those that claim first, or the owner may be lost.  Others may read it once a
+ *  second.  */
+bool kq_term_follows_closely (const struct kq_term *term, kq_usec now);
+
+/** Records that the owner does not reply to requests of this host. */
+void kq_term_suspect_owner (struct kq_term *term, kq_usec now);
 
 /** Returns the owner as known to this host; its term is 0 if none is known. */
 const struct kq_term_owner *kq_term_owner (const struct kq_term *term);
 
-/** Copies the terms heard of into HEARD, the latest term first.  An owner had
- * no confirmation of its term after the time given there.
- *  @return their number, at most KQ_TERM_MAX_HEARD.  */
-int kq_term_get_heard (const struct kq_term *term,
-                       struct kq_term_heard heard[KQ_TERM_MAX_HEARD]);
+/** Fills PAST with the terms before this host's own, the latest first.
+ *  @return their number.  */
+int kq_term_get_past (const struct kq_term *term,
+                      struct kq_term_past past[KQ_TERM_MAX_PAST]);
 
 /** Records that the host at ADDRESS owns the term NUMBER, as reported by
  *  another host, if that term is later than that of the known owner.  */
@@ -125,7 +152,4 @@
  *  known.  */
 void kq_term_supersede (struct kq_term *term, kq_usec now);
 
-/** Returns the address of the N-th known other host, or NULL. */
-const char *kq_term_peer (const struct kq_term *term, size_t n);
-
 #endif
--- a/term/term.pb-c.c
+++ b/term/term.pb-c.c
@@ -52,7 +52,52 @@
   assert(message->base.descriptor == &kq_term__term_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[5] =
+void   kq_term__host_record__init
+                     (KqTerm__HostRecord         *message)
+{
+  static const KqTerm__HostRecord init_value = KQ_TERM__HOST_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_term__host_record__get_packed_size
+                     (const KqTerm__HostRecord *message)
+{
+  assert(message->base.descriptor == &kq_term__host_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_term__host_record__pack
+                     (const KqTerm__HostRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_term__host_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_term__host_record__pack_to_buffer
+                     (const KqTerm__HostRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_term__host_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqTerm__HostRecord *
+       kq_term__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqTerm__HostRecord *)
+     protobuf_c_message_unpack (&kq_term__host_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_term__host_record__free_unpacked
+                     (KqTerm__HostRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_term__host_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[8] =
 {
   {
     "kind",
@@ -114,18 +159,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cores",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__TermRecord, cores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__TermRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "successor",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__TermRecord, successor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_term__term_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  6,   /* field[6] = age_ms */
+  5,   /* field[5] = cores */
   1,   /* field[1] = host */
   0,   /* field[0] = kind */
   4,   /* field[4] = life */
+  7,   /* field[7] = successor */
   3,   /* field[3] = term */
 };
 static const ProtobufCIntRange kq_term__term_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor kq_term__term_record__descriptor =
 {
@@ -135,10 +219,126 @@
   "KqTerm__TermRecord",
   "kq_term",
   sizeof(KqTerm__TermRecord),
-  5,
+  8,
   kq_term__term_record__field_descriptors,
   kq_term__term_record__field_indices_by_name,
   1,  kq_term__term_record__number_ranges,
   (ProtobufCMessageInit) kq_term__term_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_term__host_record__field_descriptors[7] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, life),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cores",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, cores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "descriptors",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__HostRecord, descriptors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_term__host_record__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  4,   /* field[4] = cores */
+  6,   /* field[6] = descriptors */
+  1,   /* field[1] = life */
+  5,   /* field[5] = memory_mb */
+  3,   /* field[3] = region */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange kq_term__host_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor kq_term__host_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_term.HostRecord",
+  "HostRecord",
+  "KqTerm__HostRecord",
+  "kq_term",
+  sizeof(KqTerm__HostRecord),
+  7,
+  kq_term__host_record__field_descriptors,
+  kq_term__host_record__field_indices_by_name,
+  1,  kq_term__host_record__number_ranges,
+  (ProtobufCMessageInit) kq_term__host_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/term/term.pb-c.h
+++ b/term/term.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct KqTerm__TermRecord KqTerm__TermRecord;
+typedef struct KqTerm__HostRecord KqTerm__HostRecord;
 
 
 /* --- enums --- */
@@ -43,10 +44,47 @@
    * incarnation: differs in each start of the process
    */
   char *life;
+  /*
+   * processor cores of the host
+   */
+  double cores;
+  /*
+   * heartbeats: time since the claim was known
+   */
+  int64_t age_ms;
+  /*
+   * to be stored, on the owner's clock
+   */
+  /*
+   * releases: incarnation that is asked to claim
+   */
+  char *successor;
 };
 #define KQ_TERM__TERM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_term__term_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The newest record of each host is kept, by its name.
+ */
+struct  KqTerm__HostRecord
+{
+  ProtobufCMessage base;
+  char *address;
+  char *life;
+  char *zone;
+  char *region;
+  double cores;
+  uint32_t memory_mb;
+  /*
+   * limit of the process
+   */
+  uint32_t descriptors;
+};
+#define KQ_TERM__HOST_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_term__host_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /* KqTerm__TermRecord methods */
@@ -68,11 +106,33 @@
 void   kq_term__term_record__free_unpacked
                      (KqTerm__TermRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqTerm__HostRecord methods */
+void   kq_term__host_record__init
+                     (KqTerm__HostRecord         *message);
+size_t kq_term__host_record__get_packed_size
+                     (const KqTerm__HostRecord   *message);
+size_t kq_term__host_record__pack
+                     (const KqTerm__HostRecord   *message,
+                      uint8_t             *out);
+size_t kq_term__host_record__pack_to_buffer
+                     (const KqTerm__HostRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqTerm__HostRecord *
+       kq_term__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_term__host_record__free_unpacked
+                     (KqTerm__HostRecord *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*KqTerm__TermRecord_Closure)
                  (const KqTerm__TermRecord *message,
                   void *closure_data);
+typedef void (*KqTerm__HostRecord_Closure)
+                 (const KqTerm__HostRecord *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -80,6 +140,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor kq_term__term_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_term__host_record__descriptor;
 
 PROTOBUF_C__END_DECLS
 
