--- a/term/hosts.c
+++ b/term/hosts.c
@@ -149,17 +149,20 @@
 kq_hosts_apply (struct kq_hosts *hosts, kq_usec now, const char *name,
                 const uint8_t *bytes, size_t size)
 {
-  KqTerm__HostRecord *record = NULL;
+  KqTerm__HostRecord *record;
   struct entry *entry;
 
   HASH_FIND_STR (hosts->entries, name, entry);
   if (entry == hosts->self || name[0] == '\0'
       || strlen (name) >= KQ_HOST_TEXT_SIZE)
     return;
-  if (size == 0 && entry != NULL)
-    remove_host (hosts, entry);
-  if (size > 0)
-    record = kq_term__host_record__unpack (NULL, size, bytes);
+  if (size == 0)
+    {
+      if (entry != NULL)
+        remove_host (hosts, entry);
+      return;
+    }
+  record = kq_term__host_record__unpack (NULL, size, bytes);
   if (record != NULL && is_valid (record))
     {
       if (entry == NULL)
