--- a/term/hosts.c
+++ b/term/hosts.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <utlist.h>
 #include <xxhash.h>
 
 #include "term/term.pb-c.h"
@@ -25,6 +26,7 @@
   struct kq_host host;
   uint64_t order; /* among hosts with as many cores */
   kq_usec heard_at;
+  struct entry *next; /* of the removed ones */
   UT_hash_handle hh;
 };
 
@@ -138,13 +140,6 @@
          && strlen (record->address) < KQ_HOST_TEXT_SIZE && record->cores > 0;
 }
 
-static void
-remove_host (struct kq_hosts *hosts, struct entry *entry)
-{
-  HASH_DEL (hosts->entries, entry);
-  free (entry);
-}
-
 void
 kq_hosts_apply (struct kq_hosts *hosts, kq_usec now, const char *name,
                 const uint8_t *bytes, size_t size)
@@ -159,7 +154,8 @@
   if (size == 0)
     {
       if (entry != NULL)
-        remove_host (hosts, entry);
+        HASH_DEL (hosts->entries, entry);
+      free (entry);
       return;
     }
   record = kq_term__host_record__unpack (NULL, size, bytes);
@@ -186,14 +182,18 @@
 void
 kq_hosts_expire (struct kq_hosts *hosts, kq_usec now)
 {
+  struct entry *removed = NULL;
   struct entry *entry;
   struct entry *next;
 
   HASH_ITER (hh, hosts->entries, entry, next)
   {
-    if (entry != hosts->self && now - entry->heard_at > HOSTS_EXPIRY_US)
-      remove_host (hosts, entry);
+    if (entry == hosts->self || now - entry->heard_at <= HOSTS_EXPIRY_US)
+      continue;
+    HASH_DEL (hosts->entries, entry);
+    LL_PREPEND (removed, entry);
   }
+  LL_FOREACH_SAFE (removed, entry, next) { free (entry); }
 }
 
 size_t
