relay, node: hosts of each zone carry out the owner's orders

Relays first: packing, class floors, takeover and the fence stay as they are.

From 128 workers on, the owner sends its orders in one batch for each relay and iteration, and gets results in batches of 20 ms; one relay for each 160 workers of a zone, on the zone's largest hosts, chosen by rank and kept in its place. A relay that acknowledges nothing for 0.5 s or reaches no workers is left out for 3 s; its orders end without a reply, as lost on the way. A worker that does not answer twice is tried through another relay, and at last by the owner itself.

A relay needs no permission: what it sends late is refused by the worker, by fence, by the lease's end on the worker's clock, or by the run's number. A relay that has heard a later owner refuses an earlier one, and tells it.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # with "si-" are linked into all of them.
 
 LIB_DIRS = base log metrics core lease worker job config peer request place \
-           platform query trace sched term node
+           platform query trace sched term relay node
 
 PKGS = libzmq libmicrohttpd libcurl argtable2 libprotobuf-c jansson \
        libxxhash libzstd libsodium
@@ -25,7 +25,7 @@
 LDFLAGS += $(SANFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lpthread -lm
 
-GENERATED = $(wildcard peer/*.pb-c.c request/*.pb-c.c sched/*.pb-c.c term/*.pb-c.c node/*.pb-c.c query/*.tab.c \
+GENERATED = $(wildcard peer/*.pb-c.c request/*.pb-c.c sched/*.pb-c.c term/*.pb-c.c relay/*.pb-c.c node/*.pb-c.c query/*.tab.c \
               query/*.lex.c)
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 DAEMON_SRC = $(wildcard daemon/*.c)
--- a/node/hop.c
+++ b/node/hop.c
@@ -23,7 +23,7 @@
 
 /* Maximum number of open connections to other hosts; the oldest one is closed
    for a new one. */
-#define MAX_LINKS 8
+#define MAX_LINKS 96
 
 /* A connection to another host. */
 struct link
@@ -120,7 +120,8 @@
   KqNode__Ask *message = kq_node__ask__unpack (NULL, zmq_msg_size (&frames[1]),
                                                zmq_msg_data (&frames[1]));
 
-  if (message != NULL && sender.size <= sizeof sender.bytes)
+  if (message != NULL && sender.size <= sizeof sender.bytes
+      && message->verb >= KQ_HOP_SUBMIT && message->verb <= KQ_HOP_ORDERS)
     {
       memcpy (sender.bytes, zmq_msg_data (&frames[0]), sender.size);
       hop->handler.on_request (hop->handler.arg, &sender, message);
@@ -157,7 +158,7 @@
 
       if (message != NULL)
         {
-          hop->handler.on_reply (hop->handler.arg, message);
+          hop->handler.on_reply (hop->handler.arg, link->address, message);
           kq_node__tell__free_unpacked (message, NULL);
         }
       else
@@ -169,8 +170,8 @@
 
 /* The descriptors signal each change only once, so this receives the messages
    of all sockets. */
-static void
-receive_all (struct kq_hop *hop)
+void
+kq_hop_receive (struct kq_hop *hop)
 {
   struct link *link;
   struct link *next;
@@ -182,13 +183,13 @@
 static void
 on_ready (struct ev_loop *loop, ev_io *io, int events)
 {
-  receive_all (io->data);
+  kq_hop_receive (io->data);
 }
 
 static void
 on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
 {
-  receive_all (prepare->data);
+  kq_hop_receive (prepare->data);
 }
 
 struct kq_hop *
--- a/node/hop.h
+++ b/node/hop.h
@@ -1,6 +1,7 @@
 /** @file
  * Messages between entry hosts: a front (the host that a caller is connected
- * to) sends requests to the owner (the host that manages the jobs).
+ * to) sends requests to the owner (the host that manages the jobs), and the
+ * owner sends batches of orders to relays.
  *
  * Messages may be lost; the sender repeats its requests. Repeating one is
  * harmless, because an ID stands for exactly one job.
@@ -23,7 +24,8 @@
   KQ_HOP_SUBMIT = 1,
   KQ_HOP_STATE,
   KQ_HOP_CANCEL,
-  KQ_HOP_PENDING
+  KQ_HOP_PENDING,
+  KQ_HOP_ORDERS /**< a batch of orders to workers, for a relay */
 };
 
 /** Socket identity of the sender of a request, to which the reply goes. */
@@ -38,7 +40,9 @@
   void *arg;
   void (*on_request) (void *arg, const struct kq_hop_sender *sender,
                       const KqNode__Ask *message);
-  void (*on_reply) (void *arg, const KqNode__Tell *message);
+  /** ADDRESS is that of the host that has replied. */
+  void (*on_reply) (void *arg, const char *address,
+                    const KqNode__Tell *message);
 };
 
 /** Binds ADDRESS ("ADDR:PORT").
@@ -52,6 +56,10 @@
 int kq_hop_send_request (struct kq_hop *hop, const char *address,
                          const KqNode__Ask *message);
 
+/** Handles all messages that have arrived.  Whoever judges another host by its
+ *  silence calls this first, since the process itself may have been late.  */
+void kq_hop_receive (struct kq_hop *hop);
+
 /** Sends a reply to SENDER; logs a warning if it cannot be sent. */
 void kq_hop_send_reply (struct kq_hop *hop, const struct kq_hop_sender *sender,
                         const KqNode__Tell *message);
--- a/node/hop.pb-c.c
+++ b/node/hop.pb-c.c
@@ -187,7 +187,7 @@
   (ProtobufCMessageInit) kq_node__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[8] =
+static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[9] =
 {
   {
     "number",
@@ -285,12 +285,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "results",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Tell, results),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_node__tell__field_indices_by_name[] = {
   5,   /* field[5] = err */
   0,   /* field[0] = number */
   6,   /* field[6] = owner */
   3,   /* field[3] = pending */
+  8,   /* field[8] = results */
   4,   /* field[4] = retry_ms */
   2,   /* field[2] = state */
   1,   /* field[1] = status */
@@ -299,7 +312,7 @@
 static const ProtobufCIntRange kq_node__tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor kq_node__tell__descriptor =
 {
@@ -309,7 +322,7 @@
   "KqNode__Tell",
   "kq_node",
   sizeof(KqNode__Tell),
-  8,
+  9,
   kq_node__tell__field_descriptors,
   kq_node__tell__field_indices_by_name,
   1,  kq_node__tell__number_ranges,
--- a/node/hop.pb-c.h
+++ b/node/hop.pb-c.h
@@ -37,6 +37,9 @@
   uint32_t verb;
   uint64_t job;
   char *queue;
+  /*
+   * a job; of verb ORDERS: kq_relay.OrderBatch
+   */
   ProtobufCBinaryData body;
 };
 #define KQ_NODE__ASK__INIT \
@@ -64,10 +67,14 @@
    */
   char *owner;
   int64_t term;
+  /*
+   * from a relay: kq_relay.OutcomeBatch
+   */
+  ProtobufCBinaryData results;
 };
 #define KQ_NODE__TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_node__tell__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
 /* KqNode__Ask methods */
--- a/node/node.c
+++ b/node/node.c
@@ -17,11 +17,13 @@
 #include "metrics/metrics.h"
 #include "node/desk.h"
 #include "node/directory.h"
+#include "node/dispatch.h"
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
 #include "node/options.h"
 #include "node/owner.h"
+#include "node/relay.h"
 #include "node/turns.h"
 #include "node/watch.h"
 #include "platform/node-settings.h"
@@ -61,6 +63,7 @@
   struct kq_term *term;
   struct kq_watch *watch;
   struct kq_hop *hop;
+  struct kq_relay *relay;
   struct kq_job_api *job_api;
   struct kq_http *readiness;
   struct kq_http *metrics;
@@ -175,11 +178,16 @@
 on_hop_request (void *arg, const struct kq_hop_sender *sender,
                 const KqNode__Ask *message)
 {
-  pass_to_owner (arg, sender, message);
+  struct node *node = arg;
+
+  if (message->verb == KQ_HOP_ORDERS)
+    kq_relay_handle_orders (node->relay, sender, message);
+  else
+    pass_to_owner (node, sender, message);
 }
 
 static void
-on_hop_reply (void *arg, const KqNode__Tell *message)
+on_hop_reply (void *arg, const char *address, const KqNode__Tell *message)
 {
   struct node *node = arg;
   struct kq_job_api_reply reply
@@ -189,6 +197,13 @@
           .pending = message->pending,
           .err = message->err };
 
+  if (message->results.len > 0)
+    {
+      if (node->owner != NULL)
+        kq_owner_handle_results (node->owner, address, message->results.data,
+                                 message->results.len);
+      return;
+    }
   if (message->status != 0)
     node->owner_seen_at = kq_clock_now ();
   else
@@ -250,6 +265,8 @@
 
   kq_term_set_standing (node->term, kq_hosts_rank (node->hosts),
                         kq_hosts_max_cores (node->hosts));
+  if (node->owner != NULL)
+    kq_owner_update_hosts (node->owner);
 }
 
 static void
@@ -278,10 +295,14 @@
   struct kq_owner_handler handler = { .arg = node,
                                       .on_result = on_result,
                                       .on_superseded = on_superseded };
-
-  node->owner = kq_owner_create (node->loop, node->settings.store,
-                                 node->settings.advice, node->term,
-                                 node->config, &handler);
+  struct kq_owner_context context = { .loop = node->loop,
+                                      .store = node->settings.store,
+                                      .advice = node->settings.advice,
+                                      .term = node->term,
+                                      .hosts = node->hosts,
+                                      .hop = node->hop };
+
+  node->owner = kq_owner_create (&context, node->config, &handler);
   if (node->owner == NULL)
     {
       kq_log (KQ_LOG_ERROR, "node", "term released: owner not created",
@@ -427,6 +448,7 @@
   kq_log (KQ_LOG_INFO, "node", "planned stop started", 0, NULL);
   node->stop_started_at = kq_clock_now ();
   kq_term_release (node->term, INT64_MAX);
+  kq_relay_leave (node->relay);
   kq_job_api_disable_keep_alive (node->job_api);
 }
 
@@ -540,6 +562,11 @@
   int err = 0;
 
   node->hop = kq_hop_create (node->loop, hop_address, &hop, &err);
+  if (err == 0)
+    {
+      node->relay = kq_relay_create (node->loop, node->hop);
+      err = node->relay != NULL ? 0 : KQ_ENOMEM;
+    }
   if (err == 0)
     node->job_api = kq_job_api_create (
         node->loop, node->settings.job_api_address, &job_api, &err);
@@ -612,6 +639,7 @@
   kq_job_api_destroy (node->job_api);
   kq_http_stop (node->readiness);
   kq_http_stop (node->metrics);
+  kq_relay_destroy (node->relay);
   kq_hop_destroy (node->hop);
   kq_http_client_destroy (node->http_client);
   kq_store_destroy (node->store);
@@ -644,6 +672,8 @@
   kq_call_register_metrics ();
   kq_job_api_register_metrics ();
   kq_loop_timing_register_metrics ();
+  kq_relay_register_metrics ();
+  kq_dispatch_register_metrics ();
   kq_gauges_register ();
   err = start (&node, options->metrics_port);
   if (err != 0)
--- a/node/owner.c
+++ b/node/owner.c
@@ -8,13 +8,13 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/dispatch.h"
 #include "node/gauges.h"
 #include "node/journal.h"
 #include "node/restore.h"
 #include "node/roster.h"
 #include "node/turns.h"
 #include "platform/advice.h"
-#include "platform/orders.h"
 #include "platform/submission.h"
 
 #define TICK_SEC 0.1
@@ -55,7 +55,7 @@
   struct kq_journal *journal;
   struct kq_restore *restore;
   struct kq_registrations *registrations;
-  struct kq_orders *orders;
+  struct kq_dispatch *dispatch;
   struct kq_advice *advice;
   struct kq_sched *sched;
   struct deferred_effect *deferred; /* not executed yet */
@@ -107,31 +107,45 @@
   owner->handler.on_superseded (owner->handler.arg);
 }
 
+/* Fills ORDER with a start order.  Returns false if it must not be sent. */
+static bool
+fill_start (struct kq_owner *owner, const struct kq_sched_effect *effect,
+            struct kq_sched_start *start, struct kq_order *order)
+{
+  if (kq_sched_start_order (owner->sched, current_time (), effect, start) != 0)
+    {
+      owner->needs_placement = true;
+      return false;
+    }
+  order->kind = KQ_ORDER_START;
+  order->address = start->address;
+  order->lease_end_ms = start->lease_end_ms;
+  order->text = start->text;
+  order->checkpoint = start->checkpoint;
+  order->ticket = start->ticket;
+  return true;
+}
+
 static void
 execute_order (struct kq_owner *owner, const struct kq_sched_effect *effect)
 {
-  const char *worker = effect->u.order.worker;
-  const struct kq_sched_run *run = &effect->u.order.run;
+  struct kq_order order
+      = { .kind
+          = effect->kind == KQ_SCHED_FX_PACE ? KQ_ORDER_PACE : KQ_ORDER_STOP,
+          .worker = effect->u.order.worker,
+          .run = effect->u.order.run,
+          .percent = effect->u.order.percent };
   struct kq_sched_start start;
-  const char *address;
 
   if (effect->kind == KQ_SCHED_FX_START)
     {
-      if (kq_sched_start_order (owner->sched, current_time (), effect, &start)
-          == 0)
-        kq_orders_start (owner->orders, worker, run, &start);
-      else
-        owner->needs_placement = true;
-      return;
+      if (!fill_start (owner, effect, &start, &order))
+        return;
     }
-  address = kq_sched_worker_address (owner->sched, worker);
-  if (address == NULL || address[0] == '\0')
-    return;
-  if (effect->kind == KQ_SCHED_FX_STOP)
-    kq_orders_stop (owner->orders, worker, address, run);
   else
-    kq_orders_pace (owner->orders, worker, address, run,
-                    effect->u.order.percent);
+    order.address = kq_sched_worker_address (owner->sched, order.worker);
+  if (order.address != NULL && order.address[0] != '\0')
+    kq_dispatch_send (owner->dispatch, &order);
 }
 
 static void
@@ -203,6 +217,19 @@
   }
 }
 
+static void
+send_poll (struct kq_owner *owner, const struct kq_sched_poll *poll)
+{
+  struct kq_order order = { .kind = KQ_ORDER_POLL,
+                            .worker = poll->worker,
+                            .address = poll->address,
+                            .lease_end_ms = poll->lease_end_ms,
+                            .acked = poll->acked,
+                            .wait_ms = poll->wait_ms };
+
+  kq_dispatch_send (owner->dispatch, &order);
+}
+
 static void
 send_polls (struct kq_owner *owner)
 {
@@ -213,7 +240,7 @@
   for (; sent < MAX_POLLS_PER_ITERATION
          && kq_sched_next_poll (owner->sched, current_time (), &poll);
        sent++)
-    kq_orders_poll (owner->orders, &poll);
+    send_poll (owner, &poll);
   if (sent == MAX_POLLS_PER_ITERATION)
     ev_timer_start (owner->loop, &owner->next_iteration);
   if (kq_sched_next_advice_request (owner->sched, current_time (), &request))
@@ -246,6 +273,7 @@
   if (owner->ended)
     return;
   send_polls (owner);
+  kq_dispatch_flush (owner->dispatch);
   kq_loop_timing_mark (&owner->timing, KQ_LOOP_POLLS);
   kq_sched_set_poll_interval (owner->sched,
                               kq_loop_timing_end (&owner->timing));
@@ -341,44 +369,38 @@
 static void
 on_registration (void *arg, const struct kq_sched_registration *registration)
 {
+  struct kq_owner *owner = arg;
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER };
 
+  kq_dispatch_set_worker (owner->dispatch, registration->id,
+                          registration->zone);
   event.u.report = registration;
-  handle_event (arg, &event);
+  handle_event (owner, &event);
 }
 
 static void
 on_registration_removed (void *arg, const char *worker)
 {
+  struct kq_owner *owner = arg;
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER_GONE };
 
+  kq_dispatch_remove_worker (owner->dispatch, worker);
   event.u.worker = worker;
-  handle_event (arg, &event);
+  handle_event (owner, &event);
 }
 
 static void
-on_order (void *arg, const struct kq_order_outcome *outcome)
+on_order_result (void *arg, const struct kq_order_result *result)
 {
-  struct kq_sched_event event = { .kind = outcome->kind };
+  struct kq_sched_event event = kq_order_event (result);
 
-  event.u.order.worker = outcome->worker;
-  event.u.order.run = outcome->run;
-  event.u.order.reply = outcome->reply;
-  event.u.order.worker_clock_ms = outcome->worker_clock_ms;
-  event.u.order.sent_at = outcome->sent_at;
   handle_event (arg, &event);
 }
 
 static void
-on_poll (void *arg, const struct kq_poll_outcome *outcome)
+on_relay_fenced (void *arg)
 {
-  struct kq_sched_event event = { .kind = KQ_SCHED_EV_POLLED };
-
-  event.u.polled.worker = outcome->worker;
-  event.u.polled.reply = outcome->reply;
-  event.u.polled.sent_at = outcome->sent_at;
-  event.u.polled.worker_status = &outcome->worker_status;
-  handle_event (arg, &event);
+  end_term (arg, "a relay follows an owner with a later fence");
 }
 
 static void
@@ -397,7 +419,6 @@
   int64_t own_term = kq_term_own_term (term);
   int count = kq_term_get_past (term, past);
 
-  kq_orders_set_fence (owner->orders, own_term);
   kq_sched_begin_term (owner->sched, own_term);
   for (int i = 0; i < count; i++)
     kq_sched_add_past_term (owner->sched, past[i].term,
@@ -405,13 +426,14 @@
 }
 
 static int
-create_modules (struct kq_owner *owner, const char *store, const char *advice,
-                const struct kq_term *term)
+create_modules (struct kq_owner *owner, const struct kq_owner_context *context)
 {
+  int64_t term = kq_term_own_term (context->term);
   struct kq_journal_handler journal
       = { .arg = owner, .on_stored = on_stored, .on_fenced = on_fenced };
-  struct kq_orders_handler orders
-      = { .arg = owner, .on_order = on_order, .on_poll = on_poll };
+  struct kq_dispatch_handler dispatch = { .arg = owner,
+                                          .on_result = on_order_result,
+                                          .on_fenced = on_relay_fenced };
   struct kq_registrations_handler registrations
       = { .arg = owner,
           .on_registration = on_registration,
@@ -421,15 +443,17 @@
   owner->http_client = kq_http_client_create (owner->loop, owner);
   if (owner->sched == NULL || owner->http_client == NULL)
     return KQ_ENOMEM;
-  owner->store = kq_store_create (owner->http_client, store);
-  owner->orders = kq_orders_create (owner->http_client, &orders);
-  owner->advice
-      = kq_advice_create (owner->http_client, advice, on_advice, owner);
-  if (owner->store == NULL || owner->orders == NULL || owner->advice == NULL)
+  owner->store = kq_store_create (owner->http_client, context->store);
+  owner->dispatch
+      = kq_dispatch_create (owner->loop, owner->http_client, context->hop,
+                            context->hosts, term, &dispatch);
+  owner->advice = kq_advice_create (owner->http_client, context->advice,
+                                    on_advice, owner);
+  if (owner->store == NULL || owner->dispatch == NULL || owner->advice == NULL)
     return KQ_ENOMEM;
-  begin_term (owner, term);
-  owner->journal = kq_journal_create (owner->loop, owner->store,
-                                      kq_term_own_term (term), &journal);
+  begin_term (owner, context->term);
+  owner->journal
+      = kq_journal_create (owner->loop, owner->store, term, &journal);
   owner->restore = kq_restore_create (owner->loop, owner->store, owner->sched,
                                       on_restored, owner);
   owner->registrations
@@ -441,12 +465,12 @@
 }
 
 struct kq_owner *
-kq_owner_create (struct ev_loop *loop, const char *store, const char *advice,
-                 const struct kq_term *term,
+kq_owner_create (const struct kq_owner_context *context,
                  const struct kq_sched_config *config,
                  const struct kq_owner_handler *handler)
 {
   struct kq_owner *owner = calloc (1, sizeof *owner);
+  struct ev_loop *loop = context->loop;
   char number[24];
 
   if (owner == NULL)
@@ -466,12 +490,13 @@
   ev_check_start (loop, &owner->check);
   kq_loop_timing_begin (&owner->timing);
   ev_timer_start (loop, &owner->tick);
-  if (create_modules (owner, store, advice, term) != 0)
+  if (create_modules (owner, context) != 0)
     {
       kq_owner_destroy (owner);
       return NULL;
     }
-  snprintf (number, sizeof number, "%" PRId64, kq_term_own_term (term));
+  snprintf (number, sizeof number, "%" PRId64,
+            kq_term_own_term (context->term));
   kq_log (KQ_LOG_INFO, "owner", "term begins", 0, "term", number, NULL);
   kq_owner_configure (owner, config);
   kq_journal_open (owner->journal);
@@ -495,7 +520,7 @@
   kq_restore_destroy (owner->restore);
   kq_journal_destroy (owner->journal);
   kq_http_client_destroy (owner->http_client);
-  kq_orders_destroy (owner->orders);
+  kq_dispatch_destroy (owner->dispatch);
   kq_advice_destroy (owner->advice);
   kq_store_destroy (owner->store);
   kq_sched_destroy (owner->sched);
@@ -559,6 +584,9 @@
     case KQ_HOP_PENDING:
       event.kind = KQ_SCHED_EV_PENDING;
       break;
+    case KQ_HOP_ORDERS:
+      report_result (owner, token, 0, KQ_EINVAL);
+      return;
     }
   handle_event (owner, &event);
 }
@@ -595,3 +623,16 @@
 {
   kq_sched_count (owner->sched, counts);
 }
+
+void
+kq_owner_update_hosts (struct kq_owner *owner)
+{
+  kq_dispatch_update_hosts (owner->dispatch);
+}
+
+void
+kq_owner_handle_results (struct kq_owner *owner, const char *address,
+                         const uint8_t *bytes, size_t size)
+{
+  kq_dispatch_handle_results (owner->dispatch, address, bytes, size);
+}
--- a/node/owner.h
+++ b/node/owner.h
@@ -11,6 +11,7 @@
 #include "node/hop.h"
 #include "platform/store.h"
 #include "sched/sched.h"
+#include "term/hosts.h"
 #include "term/term.h"
 
 struct kq_owner;
@@ -34,12 +35,20 @@
   void (*on_superseded) (void *arg);
 };
 
-/** Starts the term that this host has in TERM.  STORE and ADVICE are addresses
- *  of the platform's services; ADVICE may be empty, and CONFIG NULL.
+/** What an owner works with; all of it outlives the owner. */
+struct kq_owner_context
+{
+  struct ev_loop *loop;
+  const char *store;  /**< address of the platform's store */
+  const char *advice; /**< address of the policy service, or "" */
+  const struct kq_term *term;
+  const struct kq_hosts *hosts;
+  struct kq_hop *hop;
+};
+
+/** Starts the term that this host has in CONTEXT; CONFIG may be NULL.
  *  @return NULL when out of memory.  */
-struct kq_owner *kq_owner_create (struct ev_loop *loop, const char *store,
-                                  const char *advice,
-                                  const struct kq_term *term,
+struct kq_owner *kq_owner_create (const struct kq_owner_context *context,
                                   const struct kq_sched_config *config,
                                   const struct kq_owner_handler *handler);
 
@@ -61,6 +70,13 @@
  *  was sent at SENT_AT.  */
 void kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at);
 
+/** Takes the hosts of the cell anew. */
+void kq_owner_update_hosts (struct kq_owner *owner);
+
+/** Handles results that the relay at ADDRESS has sent. */
+void kq_owner_handle_results (struct kq_owner *owner, const char *address,
+                              const uint8_t *bytes, size_t size);
+
 /** Returns whether it has read all jobs and handles requests. */
 bool kq_owner_is_active (const struct kq_owner *owner);
 
--- /dev/null
+++ b/relay/message.h
@@ -0,0 +1,65 @@
+/** @file
+ * Batches of orders that an owner sends to a relay, and batches of their
+ * results.
+ */
+#ifndef KQ_RELAY_MESSAGE_H
+#define KQ_RELAY_MESSAGE_H
+
+#include "sched/order.h"
+
+/** A batch under construction. */
+struct kq_relay_batch
+{
+  uint8_t *bytes;
+  size_t size;
+  size_t capacity;
+  int count;         /**< of orders or results */
+  uint32_t texts;    /**< number of texts of jobs in it */
+  uint64_t last_job; /**< the last text is this job's */
+};
+
+/** Removes all content and frees the buffer. */
+void kq_relay_batch_clear (struct kq_relay_batch *batch);
+
+/** Adds ORDER to a batch of orders with the given FENCE.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_relay_add_order (struct kq_relay_batch *batch, int64_t fence,
+                        const struct kq_order *order);
+
+/** Calls VISIT for each order in a batch; malformed orders are left out.
+ *  @param fence set to the fence of the batch before the first call.
+ *  @return 0 or KQ_ESYNTAX.  */
+int kq_relay_read_orders (const uint8_t *bytes, size_t size, int64_t *fence,
+                          void (*visit) (void *arg,
+                                         const struct kq_order *order),
+                          void *arg);
+
+/** State of a relay that it sends along with results. */
+struct kq_relay_state
+{
+  int64_t fence;     /**< highest one that it has seen */
+  uint64_t received; /**< number of the last batch of orders received */
+  bool leaving;      /**< it is about to stop */
+};
+
+/** Adds RESULT to a batch of results.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_relay_add_result (struct kq_relay_batch *batch,
+                         const struct kq_order_result *result);
+
+/** Completes a batch of results with the state of the relay.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_relay_add_state (struct kq_relay_batch *batch,
+                        const struct kq_relay_state *state);
+
+/** Calls VISIT for each result in a batch.  The results carry tag, reply,
+ *  clock and status; the receiver knows the rest by the tag.  Malformed
+ * results are left out.
+ *  @param state set before the first call.
+ *  @return 0 or KQ_ESYNTAX.  */
+int kq_relay_read_results (
+    const uint8_t *bytes, size_t size, struct kq_relay_state *state,
+    void (*visit) (void *arg, const struct kq_order_result *result),
+    void *arg);
+
+#endif
--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -3,12 +3,14 @@
 # faults.
 # shellcheck shell=sh disable=SC2034,SC2154
 
+# With SITE_LARGE_WORKERS, orders go through relays (relay/plan.c).
 SITE_WORKERS=6
+SITE_LARGE_WORKERS=140
 SITE_HOSTS=3
 
 # Ports from $base on: the store, its workers, then five for each host.
 site_store () { echo "http://127.0.0.1:$base"; }
-site_port () { echo $((base + 10 + $1 * 5)); } # HOST: 1 to 3
+site_port () { echo $((base + SITE_WORKERS + 4 + $1 * 5)); } # HOST: 1 to 3
 
 site_settings () { # HOST
   port=$(site_port "$1")
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -22,7 +22,7 @@
 
 #include "t/standin/si-http.h"
 
-#define MAX_WORKERS 32
+#define MAX_WORKERS 512
 #define REGISTER_INTERVAL_SEC 0.5
 #define STOP_DELAY_MS 100
 #define POLL_INTERVAL_SEC 0.02
