platform: a call's time limit counts from when it was sent

Cause: libcurl checks a call's time limit before it reads its socket.

Now limits are checked by the client itself, after the sockets of the same iteration were served, and count from when the connection was begun and when the request was sent. Ruled out: raising the priority of the sockets alone (libcurl itself checks first).

test-call "a response that arrives during other work" fails without the change: 200 ms of limit, 400 ms of other work.

--- a/t/test-call.c
+++ b/t/test-call.c
@@ -1,12 +1,15 @@
 /* Guards against long iterations of the event loop after many workers have
-   restarted at once.  They come about when libcurl scans a large connection
-   pool again for each connection that has been closed. */
+   restarted at once: libcurl scans a large connection pool again for each
+   connection that has been closed.  And against timeouts of calls whose
+   response has arrived, or which were not sent in time, because this process
+   was busy: their repetition would keep it busy. */
 #include <ev.h>
 #include <microhttpd.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "platform/call.h"
@@ -198,8 +201,101 @@
   ev_loop_destroy (loop);
 }
 
+/* Starts a call that times out after LIMIT_MS in a loop that does nothing else
+   for BUSY_MS, either before it has sent the request or, if SENT, after. */
+static void
+call_beside_work (bool sent, int limit_ms, int busy_ms)
+{
+  int port = 0;
+  struct MHD_Daemon *server;
+  struct kq_http_client *http;
+  struct kq_call_request request = { .kind = KQ_CALL_HOLD,
+                                     .path = "/",
+                                     .timeout = limit_ms * KQ_USEC_PER_MSEC,
+                                     .done = on_done };
+  char authority[40];
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  http = kq_http_client_create (loop, NULL);
+  server = start_server (&port);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (http);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  snprintf (authority, sizeof authority, "127.0.0.1:%d", port);
+  request.authority = authority;
+  succeeded = 0;
+  in_flight = 0;
+  if (kq_http_client_send (http, &request) == 0)
+    in_flight++;
+  for (int i = 0; sent && i < 3 && in_flight > 0; i++)
+    ev_run (loop, EVRUN_NOWAIT);
+  usleep ((useconds_t)busy_ms * 1000);
+  wait_until_in_flight (0);
+  CU_ASSERT_EQUAL (succeeded, 1);
+  kq_http_client_destroy (http);
+  MHD_stop_daemon (server);
+  ev_loop_destroy (loop);
+}
+
+static void
+test_response_during_work (void)
+{
+  call_beside_work (true, 200, 400);
+}
+
+static void
+test_request_after_work (void)
+{
+  call_beside_work (false, 200, 400);
+}
+
+static enum MHD_Result
+send_nothing (void *arg, struct MHD_Connection *connection, const char *url,
+              const char *method, const char *version, const char *body,
+              size_t *size, void **state)
+{
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+/* A call without a response still ends in time. */
+static void
+test_call_without_response (void)
+{
+  struct MHD_Daemon *server = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      send_nothing, NULL, MHD_OPTION_END);
+  struct kq_call_request request = { .kind = KQ_CALL_HOLD,
+                                     .path = "/",
+                                     .timeout = 200 * KQ_USEC_PER_MSEC,
+                                     .done = on_done };
+  struct kq_http_client *http;
+  char authority[40];
+  kq_usec started = kq_clock_now ();
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  loop = ev_loop_new (EVFLAG_AUTO);
+  http = kq_http_client_create (loop, NULL);
+  snprintf (authority, sizeof authority, "127.0.0.1:%d",
+            MHD_get_daemon_info (server, MHD_DAEMON_INFO_BIND_PORT)->port);
+  request.authority = authority;
+  succeeded = 0;
+  in_flight = 0;
+  if (kq_http_client_send (http, &request) == 0)
+    in_flight++;
+  wait_until_in_flight (0);
+  CU_ASSERT_EQUAL (succeeded, 0);
+  CU_ASSERT (kq_clock_now () - started >= 200 * KQ_USEC_PER_MSEC);
+  CU_ASSERT (kq_clock_now () - started < KQ_USEC_PER_SEC);
+  kq_http_client_destroy (http);
+  MHD_quiesce_daemon (server);
+  ev_loop_destroy (loop);
+}
+
 static const struct kq_test tests[] = {
   { "many workers restart at once", test_many_restarts },
+  { "a response that arrives during other work", test_response_during_work },
+  { "a request that is sent after other work", test_request_after_work },
+  { "a call without a response", test_call_without_response },
 };
 
 KQ_TEST_MAIN ("test-call", tests)
