--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -71,7 +71,8 @@
   struct kq_sched_run run;
   kq_usec sent_at;
   kq_usec expires_at;
-  struct flight *next; /* of those that have expired */
+  struct flight *prev; /* list of all */
+  struct flight *next;
   UT_hash_handle hh;
 };
 
@@ -84,7 +85,8 @@
   struct kq_orders *orders; /* of this host's own calls */
   struct kq_relay_plan *plan;
   struct relay_link *links; /* by address */
-  struct flight *flights;   /* by tag */
+  struct flight *flights;
+  struct flight *flights_by_tag;
   int64_t fence;
   uint64_t last_tag;
   ev_timer tick;
@@ -113,8 +115,8 @@
   report (arg, result);
 }
 
-/* Ends FLIGHT, which is no longer in the table, with what its relay reported,
-   or without a reply if RELAYED is NULL. */
+/* Ends FLIGHT with what its relay reported, or without a reply if RELAYED is
+   NULL. */
 static void
 end_flight (struct kq_dispatch *dispatch, struct flight *flight,
             const struct kq_order_result *relayed)
@@ -125,6 +127,8 @@
                                     .reply = KQ_SCHED_NO_REPLY,
                                     .sent_at = flight->sent_at };
 
+  DL_DELETE (dispatch->flights, flight);
+  HASH_DEL (dispatch->flights_by_tag, flight);
   if (relayed != NULL)
     {
       result.reply = relayed->reply;
@@ -142,19 +146,13 @@
 end_expired (struct kq_dispatch *dispatch, const struct relay_link *link,
              kq_usec now)
 {
-  struct flight *expired = NULL;
   struct flight *flight;
   struct flight *next;
 
-  HASH_ITER (hh, dispatch->flights, flight, next)
+  DL_FOREACH_SAFE (dispatch->flights, flight, next)
   {
     if ((link != NULL && flight->link != link) || now < flight->expires_at)
       continue;
-    HASH_DEL (dispatch->flights, flight);
-    LL_PREPEND (expired, flight);
-  }
-  LL_FOREACH_SAFE (expired, flight, next)
-  {
     kq_metric_add (&lost_count, 1);
     end_flight (dispatch, flight, NULL);
   }
@@ -250,13 +248,8 @@
   if (dispatch == NULL)
     return;
   ev_timer_stop (dispatch->loop, &dispatch->tick);
-  flight = dispatch->flights;
-  HASH_CLEAR (hh, dispatch->flights);
-  for (; flight != NULL; flight = next_flight)
-    {
-      next_flight = flight->hh.next;
-      free (flight);
-    }
+  HASH_CLEAR (hh, dispatch->flights_by_tag);
+  DL_FOREACH_SAFE (dispatch->flights, flight, next_flight) { free (flight); }
   link = dispatch->links;
   HASH_CLEAR (hh, dispatch->links);
   for (; link != NULL; link = next_link)
@@ -334,7 +327,8 @@
       free (flight);
       return false;
     }
-  HASH_ADD (hh, dispatch->flights, tag, sizeof flight->tag, flight);
+  DL_APPEND (dispatch->flights, flight);
+  HASH_ADD (hh, dispatch->flights_by_tag, tag, sizeof flight->tag, flight);
   kq_metric_add (&relayed_count, 1);
   return true;
 }
@@ -393,16 +387,14 @@
   struct results *results = arg;
   struct flight *flight;
 
-  HASH_FIND (hh, results->dispatch->flights, &result->tag, sizeof result->tag,
-             flight);
+  HASH_FIND (hh, results->dispatch->flights_by_tag, &result->tag,
+             sizeof result->tag, flight);
   if (result->reply == KQ_SCHED_NO_REPLY)
     results->link->failures++;
   else
     results->link->answers++;
-  if (flight == NULL)
-    return;
-  HASH_DEL (results->dispatch->flights, flight);
-  end_flight (results->dispatch, flight, result);
+  if (flight != NULL)
+    end_flight (results->dispatch, flight, result);
 }
 
 static void
