sched: a search sees 64 workers that suit, and routine lines are left out

Now what is compared first shares a cache line, services are compared by number, and in a cell of more than 64 suitable workers the search ends after 64, and the next one goes on from there. Serving tasks, racks, labels and limits a worker still see all. A task's placing and end are logged for its second run on; each step has one line with the time to its first and last task.

Ruled out: a heap by free capacity (the score mixes load, neighbours and racks).

--- a/log/log.c
+++ b/log/log.c
@@ -85,6 +85,12 @@
   append_raw (line, "\"", 1);
 }
 
+bool
+kq_log_enabled (enum kq_log_level level)
+{
+  return level <= max_level;
+}
+
 void
 kq_log_setup (enum kq_log_level level, const char *host)
 {
--- a/log/log.h
+++ b/log/log.h
@@ -8,6 +8,8 @@
 #ifndef KQ_LOG_LOG_H
 #define KQ_LOG_LOG_H
 
+#include <stdbool.h>
+
 enum kq_log_level
 {
   KQ_LOG_ERROR,
@@ -36,6 +38,9 @@
  *  @return 0 or KQ_ESYNTAX.  */
 int kq_log_level_parse (const char *text, enum kq_log_level *level);
 
+/** Returns whether lines of LEVEL are written. */
+bool kq_log_enabled (enum kq_log_level level);
+
 /** Writes one line.  MODULE and EVENT are constant texts; ERR is 0 or an error
  *  number of base/err.h.  Pairs of const char * (field, value) follow, ended
  * by NULL.  A field that would make the line longer than 2 KiB is left out. */
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -115,6 +115,10 @@
   struct task *tasks;
   int ready_count;
   int done_count;
+  int run_count;           /* runs of its tasks that were placed */
+  kq_usec opened_at;       /* its prerequisites were done */
+  kq_usec first_placed_at; /* 0: no task was placed yet */
+  kq_usec last_placed_at;
   int measured_count;        /* tasks done whose run time is known */
   int64_t longest_ms;        /* longest run time among these */
   bool open;                 /* its prerequisites are done */
@@ -142,6 +146,7 @@
   uint64_t id;
   char queue_name[KQ_SCHED_NAME_SIZE];
   struct kq_sched_queue queue; /* copy of the current configuration */
+  int service;                 /* index of the queue's service */
   struct kq_sched_spec spec;
   uint8_t *body; /* NULL once its JobRecord is encoded */
   size_t body_size;
@@ -178,11 +183,14 @@
 
 struct worker
 {
-  struct kq_sched_registration report;
-  bool registered;
+  /* These and the capacity are read for each pair of a task and a worker: they
+     share a cache line. */
   struct kq_sched_demand used; /* by its tasks; CPU without fillers */
   int64_t filler_cpu;          /* demand of its fillers */
   int64_t idle_cpu;            /* reserved by serving tasks, but not used */
+  struct kq_sched_registration report;
+  int service; /* index among the known services */
+  bool registered;
   struct share_slot slots[MAX_SHARE_SLOTS];
   int slot_count;
   bool near_target;  /* fillers may push a serving task over its target */
@@ -239,10 +247,16 @@
   int64_t term; /* of this owner; 0: unknown */
   struct past_term past_terms[KQ_SCHED_MAX_PAST_TERMS];
   int past_term_count;
-  uint32_t dirty_grants; /* bit set of the buckets to be stored */
-  struct job *jobs;      /* by id */
-  struct worker *workers;
+  uint32_t dirty_grants;  /* bit set of the buckets to be stored */
+  struct job *jobs;       /* by id */
+  struct worker *workers; /* by id */
   struct worker *worker_list;
+  struct worker **worker_array; /* the same workers */
+  size_t worker_count;
+  size_t worker_array_size;
+  size_t next_candidate; /* index where the next search for a worker begins */
+  char (*services)[KQ_SCHED_NAME_SIZE];
+  int service_count;
   struct stage *queue; /* stages with ready tasks, in order of urgency */
   struct job *dirty;
   uint64_t position; /* position that the next batch of records closes */
@@ -270,6 +284,10 @@
                                           enum kq_sched_effect_kind kind,
                                           uint64_t after);
 
+/* Returns the index of the service NAME, which is added if it is new; -1 when
+   out of memory. */
+int sched_service (struct kq_sched *sched, const char *name);
+
 struct job *sched_new_job (struct kq_sched *sched, uint64_t id,
                            const char *queue, int64_t accepted_ms,
                            struct kq_sched_spec *spec);
@@ -318,6 +336,10 @@
                    struct kq_sched_now now, const char *why);
 struct kq_sched_run task_run (const struct task *task);
 void task_log (const struct task *task, const char *event, const char *why);
+void task_log_debug (const struct task *task, const char *event,
+                     const char *why);
+/* Logs what each task goes through; its step is logged when it is done. */
+void task_log_routine (const struct task *task, const char *event);
 void run_format (const struct kq_sched_run *run, char text[64]);
 
 /* worker.c */
--- a/sched/job.c
+++ b/sched/job.c
@@ -302,6 +302,7 @@
   if (stage->open || !prerequisites_done (stage))
     return;
   stage->open = true;
+  stage->opened_at = now.mono;
   for (int i = 0; i < stage->step->count; i++)
     if (stage->tasks[i].state == TASK_WAITING)
       task_make_ready (sched, &stage->tasks[i], now);
@@ -335,12 +336,55 @@
     }
 }
 
+static int64_t
+ms_between (kq_usec from, kq_usec to)
+{
+  return to > from ? (to - from) / KQ_USEC_PER_MSEC : 0;
+}
+
+/* Logs when the tasks of STAGE found a worker and how long they took, counted
+   from when its prerequisites were done. */
+static void
+log_stage_done (const struct stage *stage, struct kq_sched_now now)
+{
+  enum
+  {
+    OCCURRENCE,
+    STEP,
+    TASKS,
+    RUNS,
+    FIRST,
+    LAST,
+    TOOK,
+    COUNT
+  };
+  const int64_t numbers[COUNT]
+      = { [OCCURRENCE] = stage->occurrence,
+          [STEP] = stage->number,
+          [TASKS] = stage->step->count,
+          [RUNS] = stage->run_count,
+          [FIRST] = ms_between (stage->opened_at, stage->first_placed_at),
+          [LAST] = ms_between (stage->opened_at, stage->last_placed_at),
+          [TOOK] = ms_between (stage->opened_at, now.mono) };
+  char text[COUNT][24];
+  char id[24];
+
+  for (int i = 0; i < COUNT; i++)
+    snprintf (text[i], sizeof text[i], "%" PRId64, numbers[i]);
+  snprintf (id, sizeof id, "%016" PRIx64, stage->job->id);
+  kq_log (KQ_LOG_INFO, "sched", "step done", 0, "job", id, "queue",
+          stage->job->queue_name, "occurrence", text[OCCURRENCE], "step",
+          text[STEP], "tasks", text[TASKS], "runs", text[RUNS], "first_ms",
+          text[FIRST], "last_ms", text[LAST], "took_ms", text[TOOK], NULL);
+}
+
 static void
 stage_done (struct kq_sched *sched, struct stage *stage,
             struct kq_sched_now now)
 {
   struct job *job = stage->job;
 
+  log_stage_done (stage, now);
   job->stages_done++;
   if (job->stages_done == job->stage_count)
     job_end (sched, job, KQ_SCHED_COMPLETE, now);
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -88,8 +88,10 @@
   if (ended->how == KQ_SCHED_DONE && !task->stage->step->long_running)
     {
       worker->failed_jobs = 0;
-      task_log (task, "task done",
-                current ? "" : "completed by an earlier run");
+      if (current)
+        task_log_routine (task, "task done");
+      else
+        task_log (task, "task done", "completed by an earlier run");
       if (task->state == TASK_BOUND && !current)
         task_stop (sched, task, now);
       job_task_done (sched, task, now);
--- a/sched/place.c
+++ b/sched/place.c
@@ -47,6 +47,11 @@
    share the last one. */
 #define MAX_SERVICES 8
 
+/* Number of workers among which one is chosen in a large cell. The least
+   loaded of them is among the least loaded 5 percent of all with a probability
+   of 96 percent. */
+#define MAX_CANDIDATES 64
+
 /* Time for which a task waits for a worker other than the one where it last
    failed or stalled. */
 #define AVOID_WORKER_US (3 * KQ_USEC_PER_SEC)
@@ -54,7 +59,7 @@
 /* CPU of the usable workers of a service. */
 struct pool
 {
-  const char *service;
+  int service;
   int64_t capacity;
   int64_t used;
   bool is_blocking; /* a task of PRIORITY found no capacity in this pass */
@@ -75,10 +80,10 @@
 };
 
 static struct pool *
-pool_of_service (struct pass *pass, const char *service)
+pool_of_service (struct pass *pass, int service)
 {
   for (int i = 0; i < pass->pool_count; i++)
-    if (strcmp (pass->pools[i].service, service) == 0)
+    if (pass->pools[i].service == service)
       return &pass->pools[i];
   if (pass->pool_count == MAX_SERVICES)
     return &pass->pools[MAX_SERVICES - 1];
@@ -90,18 +95,17 @@
 sum_pools (const struct kq_sched *sched, struct pass *pass,
            struct kq_sched_now now)
 {
-  const struct worker *worker;
-
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    struct pool *pool;
+  for (size_t i = 0; i < sched->worker_count; i++)
+    {
+      const struct worker *worker = sched->worker_array[i];
+      struct pool *pool;
 
-    if (!worker_usable (worker, now))
-      continue;
-    pool = pool_of_service (pass, worker->report.service);
-    pool->capacity += worker->report.capacity.cpu;
-    pool->used += worker->used.cpu;
-  }
+      if (!worker_usable (worker, now))
+        continue;
+      pool = pool_of_service (pass, worker->service);
+      pool->capacity += worker->report.capacity.cpu;
+      pool->used += worker->used.cpu;
+    }
 }
 
 static bool
@@ -159,7 +163,7 @@
 {
   const struct kq_sched_step *step = stage->step;
 
-  if (strcmp (worker->report.service, stage->job->queue.service) != 0)
+  if (worker->service != stage->job->service)
     return false;
   if (step->label[0] != '\0' && strcmp (step->label, worker->report.kind) != 0
       && strcmp (step->label, worker->report.rack) != 0)
@@ -172,7 +176,7 @@
 place_fits (const struct worker *worker, const struct stage *stage,
             struct kq_sched_now now)
 {
-  return worker_usable (worker, now) && has_capacity (worker, stage->step)
+  return has_capacity (worker, stage->step) && worker_usable (worker, now)
          && place_meets_constraints (worker, stage);
 }
 
@@ -242,42 +246,71 @@
          && now.mono - task->ready_at < AVOID_WORKER_US;
 }
 
-/* Returns the worker with the lowest score that may run TASK, or NULL. If
-   DISTURBING, the interference on serving tasks may exceed its limit. */
+/* Whether the task must see all workers: few of them suit it, or it should be
+   packed on as few as possible. */
+static bool
+is_particular (const struct kq_sched_step *step, const char *rack)
+{
+  return rack != NULL || step->tail_target_ms > 0 || step->rack[0] != '\0'
+         || step->label[0] != '\0' || step->max_per_worker != 0;
+}
+
+/* Whether WORKER may run TASK; sets *INTERFERENCE on serving tasks there. */
+static bool
+suits (struct kq_sched *sched, struct worker *worker, const struct task *task,
+       struct kq_sched_now now, bool disturbing, double *interference)
+{
+  const struct stage *stage = task->stage;
+
+  if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
+      || !reserve_allows (worker, task)
+      || (stage->job->queue.advised
+          && advice_ticket (stage, worker, now) == NULL))
+    return false;
+  *interference = 0;
+  if (stage->step->filler && worker->serving_count > 0)
+    *interference = share_interference (sched, worker, stage->image,
+                                        stage->step->demand.cpu);
+  return disturbing || *interference <= MAX_INTERFERENCE;
+}
+
+/* Returns the worker with the lowest score that may run TASK, or NULL: of all
+   workers, or in a large cell of the first MAX_CANDIDATES that may, from where
+   the last search ended. If DISTURBING, the interference on serving tasks may
+   exceed its limit. */
 static struct worker *
 choose_worker (struct kq_sched *sched, const struct task *task,
                struct kq_sched_now now, const char *rack, bool disturbing)
 {
-  const struct stage *stage = task->stage;
   struct worker *best = NULL;
   int64_t best_score = 0;
-  struct worker *worker;
+  size_t count = sched->worker_count;
+  size_t candidates = 0;
+  size_t max_candidates
+      = is_particular (task->stage->step, rack) ? count : MAX_CANDIDATES;
+  size_t first = count > max_candidates ? sched->next_candidate : 0;
 
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    double interference = 0;
-    int64_t points;
+  for (size_t i = 0; i < count && candidates < max_candidates; i++)
+    {
+      size_t index = first + i < count ? first + i : first + i - count;
+      struct worker *worker = sched->worker_array[index];
+      double interference;
+      int64_t points;
 
-    if (avoids_worker (task, worker, now) || !reserve_allows (worker, task)
-        || !place_fits (worker, stage, now))
-      continue;
-    if (stage->job->queue.advised
-        && advice_ticket (stage, worker, now) == NULL)
-      continue;
-    if (stage->step->filler && worker->serving_count > 0)
-      interference = share_interference (sched, worker, stage->image,
-                                         stage->step->demand.cpu);
-    if (interference > MAX_INTERFERENCE && !disturbing)
-      continue;
-    points = score (worker, task, interference);
-    if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
-      points += WEIGHT_OTHER_RACK;
-    if (best == NULL || points < best_score)
-      {
-        best = worker;
-        best_score = points;
-      }
-  }
+      if (!suits (sched, worker, task, now, disturbing, &interference))
+        continue;
+      candidates++;
+      points = score (worker, task, interference);
+      if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
+        points += WEIGHT_OTHER_RACK;
+      if (best == NULL || points < best_score)
+        {
+          best = worker;
+          best_score = points;
+        }
+      if (candidates == max_candidates)
+        sched->next_candidate = (index + 1) % count;
+    }
   return best;
 }
 
@@ -308,7 +341,7 @@
   effect->u.order.run = task_run (task);
   strcpy (effect->u.order.worker, task->worker->report.id);
   sched->counts.starts++;
-  task_log (task, "task placed", "");
+  task_log_routine (task, "task placed");
 }
 
 static struct task *
@@ -503,7 +536,7 @@
   sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
-    struct pool *pool = pool_of_service (&pass, stage->job->queue.service);
+    struct pool *pool = pool_of_service (&pass, stage->job->service);
     const struct task *unplaced;
 
     if (is_blocked (pool, stage))
--- a/sched/share.c
+++ b/sched/share.c
@@ -204,7 +204,6 @@
           struct kq_sched_now now)
 {
   struct kq_sched_effect *effect;
-  char text[16];
 
   if (task->pace_percent == percent || task->phase != PHASE_RUNNING)
     return;
@@ -215,8 +214,13 @@
   task->pace_percent = percent;
   task->pace_changed_at = now.mono;
   task->progress_at = now.mono;
-  snprintf (text, sizeof text, "%d", percent);
-  task_log (task, "task pace in percent", text);
+  if (kq_log_enabled (KQ_LOG_DEBUG))
+    {
+      char text[16];
+
+      snprintf (text, sizeof text, "%d", percent);
+      task_log_debug (task, "task pace in percent", text);
+    }
   effect->u.order.run = task_run (task);
   effect->u.order.percent = percent;
   snprintf (effect->u.order.worker, sizeof effect->u.order.worker, "%s",
--- a/sched/task.c
+++ b/sched/task.c
@@ -25,18 +25,39 @@
                                 .run = task->run };
 }
 
-void
-task_log (const struct task *task, const char *event, const char *why)
+static void
+log_task (enum kq_log_level level, const struct task *task, const char *event,
+          const char *why)
 {
   struct kq_sched_run run = task_run (task);
   char name[64];
   char number[16];
 
+  if (!kq_log_enabled (level))
+    return;
   run_format (&run, name);
   snprintf (number, sizeof number, "%d", run.run);
-  kq_log (KQ_LOG_INFO, "sched", event, 0, "task", name, "run", number,
-          "worker", task->worker != NULL ? task->worker->report.id : "", "why",
-          why, NULL);
+  kq_log (level, "sched", event, 0, "task", name, "run", number, "worker",
+          task->worker != NULL ? task->worker->report.id : "", "why", why,
+          NULL);
+}
+
+void
+task_log (const struct task *task, const char *event, const char *why)
+{
+  log_task (KQ_LOG_INFO, task, event, why);
+}
+
+void
+task_log_debug (const struct task *task, const char *event, const char *why)
+{
+  log_task (KQ_LOG_DEBUG, task, event, why);
+}
+
+void
+task_log_routine (const struct task *task, const char *event)
+{
+  log_task (task->run > 1 ? KQ_LOG_INFO : KQ_LOG_DEBUG, task, event, "");
 }
 
 /* A late job earns little credit, and one later than three times its
@@ -177,6 +198,10 @@
   task->pace_percent = 100;
   task->stop_sent_at = 0;
   task->worker = worker;
+  task->stage->run_count++;
+  task->stage->last_placed_at = now.mono;
+  if (task->stage->first_placed_at == 0)
+    task->stage->first_placed_at = now.mono;
   DL_APPEND (worker->tasks, task);
   account_task (task, 1);
   sched->counts.bound_tasks++;
--- a/sched/types.h
+++ b/sched/types.h
@@ -115,16 +115,16 @@
 /** Registration of a worker: identity, capacity and drain state. */
 struct kq_sched_registration
 {
+  struct kq_sched_demand capacity;
+  int64_t incarnation_ms; /**< identifies the incarnation; grows at restarts */
+  bool draining;
+  int64_t remaining_ms; /**< time until it stops, at least; while draining */
   char id[KQ_SCHED_NAME_SIZE];
   char service[KQ_SCHED_NAME_SIZE];
   char address[KQ_SCHED_NAME_SIZE];
   char zone[KQ_SCHED_NAME_SIZE];
   char kind[KQ_SCHED_NAME_SIZE];
   char rack[KQ_SCHED_NAME_SIZE];
-  struct kq_sched_demand capacity;
-  int64_t incarnation_ms; /**< identifies the incarnation; grows at restarts */
-  bool draining;
-  int64_t remaining_ms; /**< time until it stops, at least; while draining */
 };
 
 /** Identifies one run (attempt) of a task; run numbers start at 1. */
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -31,6 +31,8 @@
    must have ended. */
 #define DRAIN_MARGIN_MS 500
 
+#define INITIAL_ARRAY_SIZE 64
+
 struct worker *
 worker_find (struct kq_sched *sched, const char *id)
 {
@@ -40,6 +42,24 @@
   return worker;
 }
 
+/* Makes room for one more worker in the array of all. */
+static bool
+extend_array (struct kq_sched *sched)
+{
+  size_t size = sched->worker_array_size > 0 ? sched->worker_array_size * 2
+                                             : INITIAL_ARRAY_SIZE;
+  struct worker **array;
+
+  if (sched->worker_count < sched->worker_array_size)
+    return true;
+  array = realloc (sched->worker_array, size * sizeof (struct worker *));
+  if (array == NULL)
+    return false;
+  sched->worker_array = array;
+  sched->worker_array_size = size;
+  return true;
+}
+
 struct worker *
 worker_find_or_add (struct kq_sched *sched, const char *id)
 {
@@ -47,9 +67,11 @@
 
   if (worker != NULL)
     return worker;
-  worker = calloc (1, sizeof *worker);
+  worker = extend_array (sched) ? calloc (1, sizeof *worker) : NULL;
   if (worker == NULL)
     return NULL;
+  worker->service = -1;
+  sched->worker_array[sched->worker_count++] = worker;
   snprintf (worker->report.id, sizeof worker->report.id, "%s", id);
   HASH_ADD_KEYPTR (hh, sched->workers, worker->report.id,
                    strlen (worker->report.id), worker);
@@ -129,6 +151,7 @@
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
+  worker->service = sched_service (sched, registration->service);
   worker->registered = true;
   if (registration->draining && !draining)
     {
