sched: long-running jobs leave the room that short tasks have needed

Long-running jobs come until they hold 15,352 of 16,104 cores; the quick ones of the same priority need 830 on average, and from 14 s on their first task waits 0.7 s and their last 2.1 s. A long-running job earns a quarter of what the quick one earns for the same core-seconds, and may begin later; the quick one is worth nothing then.

Room counts in whole tasks of their usual size, and long-running tasks are packed, so that what is kept is of use. One that has run before goes on at once, as it must.

--- a/sched/count.c
+++ b/sched/count.c
@@ -17,7 +17,6 @@
 {
   const struct worker *worker;
   const struct stage *stage;
-  const struct task *task;
 
   *counts = sched->counts;
   counts->jobs = (int)HASH_COUNT (sched->jobs);
@@ -35,11 +34,7 @@
     counts->mem_capacity += worker->report.capacity.mem;
     counts->cpu_used += worker->used.cpu;
     counts->mem_used += worker->used.mem;
-    DL_FOREACH (worker->tasks, task)
-    {
-      if (task->stage->step->long_running && !task->stage->step->filler)
-        counts->cpu_long_running += task->stage->step->demand.cpu;
-    }
+    counts->cpu_long_running += worker->long_running_cpu;
   }
   DL_FOREACH (sched->queue, stage)
   {
@@ -57,6 +52,7 @@
   DL_FOREACH (sched->worker_list, worker)
   {
     struct kq_sched_demand used = { 0, 0, 0 };
+    int64_t long_running_cpu = 0;
     const struct task *task;
 
     DL_FOREACH (worker->tasks, task)
@@ -65,10 +61,13 @@
 
       assert (task->state == TASK_BOUND && task->worker == worker);
       used.cpu += step->filler ? 0 : step->demand.cpu;
+      if (step->long_running && !step->filler)
+        long_running_cpu += step->demand.cpu;
       used.mem += step->demand.mem;
       used.gpu += step->demand.gpu;
       bound++;
     }
+    assert (long_running_cpu == worker->long_running_cpu);
     assert (used.cpu == worker->used.cpu && used.mem == worker->used.mem
             && used.gpu == worker->used.gpu);
   }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -197,6 +197,7 @@
   bool slots_valid;  /* until a task is added or removed or a load changes */
   int serving_count; /* number of serving tasks */
   int task_count;
+  int64_t long_running_cpu; /* of that in use, by long-running tasks */
   struct task *tasks;
   struct kq_sched_demand reserved; /* for tasks that wait for room here */
   int reserved_count;              /* of these; no other task is placed here */
@@ -242,6 +243,17 @@
   kq_usec ended_at; /* 0: unknown */
 };
 
+/* A service, and the CPU of its short tasks: those that are neither fillers
+   nor long-running. */
+struct service
+{
+  char name[KQ_SCHED_NAME_SIZE];
+  int64_t short_cpu; /* bound, or ready and in time */
+  double short_peak; /* a decaying maximum of it */
+  double mean_cpu;   /* of the short tasks that were started lately */
+  double mean_square;
+};
+
 struct kq_sched
 {
   int64_t term; /* of this owner; 0: unknown */
@@ -255,7 +267,7 @@
   size_t worker_count;
   size_t worker_array_size;
   size_t next_candidate; /* index where the next search for a worker begins */
-  char (*services)[KQ_SCHED_NAME_SIZE];
+  struct service *services;
   int service_count;
   struct stage *queue; /* stages with ready tasks, in order of urgency */
   struct job *dirty;
@@ -284,14 +296,28 @@
                                           enum kq_sched_effect_kind kind,
                                           uint64_t after);
 
-/* Returns the index of the service NAME, which is added if it is new; -1 when
-   out of memory. */
-int sched_service (struct kq_sched *sched, const char *name);
-
 struct job *sched_new_job (struct kq_sched *sched, uint64_t id,
                            const char *queue, int64_t accepted_ms,
                            struct kq_sched_spec *spec);
 
+/* service.c */
+
+/* Returns the index of the service NAME, which is added if it is new; -1 when
+   out of memory. */
+int service_index (struct kq_sched *sched, const char *name);
+/* Updates how much CPU the short tasks of each service need. */
+void service_track_demand (struct kq_sched *sched);
+/* Learns from the start of TASK how large short tasks are. */
+void service_note_start (struct kq_sched *sched, const struct task *task);
+/* Returns the CPU of WORKER that short tasks can use if long-running tasks
+   take TAKEN more of it. */
+int64_t service_room (const struct kq_sched *sched,
+                      const struct worker *worker, int64_t taken);
+/* Returns how much room for short tasks is kept from long-running tasks that
+   have not run yet, in a service of CAPACITY. */
+int64_t service_kept_cpu (const struct kq_sched *sched, int service,
+                          int64_t capacity);
+
 /* answers.c: replies to orders and polls */
 void reply_set_superseded (struct kq_sched *sched, const char *worker);
 void reply_apply_poll (struct kq_sched *sched, struct kq_sched_now now,
--- a/sched/place.c
+++ b/sched/place.c
@@ -62,7 +62,8 @@
   int service;
   int64_t capacity;
   int64_t used;
-  bool is_blocking; /* a task of PRIORITY found no capacity in this pass */
+  int64_t short_room; /* usable by short tasks if no other one ran */
+  bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
   int priority;
 };
 
@@ -105,6 +106,7 @@
       pool = pool_of_service (pass, worker->service);
       pool->capacity += worker->report.capacity.cpu;
       pool->used += worker->used.cpu;
+      pool->short_room += service_room (sched, worker, 0);
     }
 }
 
@@ -131,6 +133,32 @@
          <= pool->capacity * (100 - percent);
 }
 
+/* Returns what a start of TASK at WORKER takes of the room for short tasks. */
+static int64_t
+taken_room (const struct kq_sched *sched, const struct worker *worker,
+            const struct task *task)
+{
+  const struct kq_sched_step *step = task->stage->step;
+
+  if (!step->long_running || step->filler)
+    return 0;
+  return service_room (sched, worker, 0)
+         - service_room (sched, worker, step->demand.cpu);
+}
+
+/* Whether TASK may start at WORKER although short tasks have needed the room
+   lately. A long-running task that has run before goes on at once. */
+static bool
+leaves_short_room (const struct kq_sched *sched, const struct pool *pool,
+                   const struct worker *worker, const struct task *task)
+{
+  int64_t taken = taken_room (sched, worker, task);
+
+  return taken == 0 || task->run > 0
+         || pool->short_room - taken
+                >= service_kept_cpu (sched, pool->service, pool->capacity);
+}
+
 static int
 count_tasks_of_stage (const struct worker *worker, const struct stage *stage)
 {
@@ -209,8 +237,9 @@
   return points;
 }
 
-/* Serving tasks are packed on few workers, so that fillers find others
-   without them. Other tasks with a fixed demand go beside serving tasks. */
+/* Serving and other long-running tasks are packed on few workers, so that
+   fillers and large tasks find others without them. Other tasks with a fixed
+   demand go beside serving tasks. */
 static int64_t
 score (const struct worker *worker, const struct task *task,
        double interference)
@@ -226,6 +255,8 @@
         points += WEIGHT_MIXED_WORK / 2;
       points += worker->filler_cpu * 1000 / worker->report.capacity.cpu;
     }
+  else if (step->long_running && !step->filler)
+    points = -load;
   else if (step->filler && worker->serving_count > 0)
     points += (int64_t)(WEIGHT_INTERFERENCE * interference);
   else if (!step->filler && worker->serving_count == 0)
@@ -251,8 +282,9 @@
 static bool
 is_particular (const struct kq_sched_step *step, const char *rack)
 {
-  return rack != NULL || step->tail_target_ms > 0 || step->rack[0] != '\0'
-         || step->label[0] != '\0' || step->max_per_worker != 0;
+  return rack != NULL || step->tail_target_ms > 0 || step->long_running
+         || step->rack[0] != '\0' || step->label[0] != '\0'
+         || step->max_per_worker != 0;
 }
 
 /* Whether WORKER may run TASK; sets *INTERFERENCE on serving tasks there. */
@@ -407,9 +439,13 @@
 
       if (worker == NULL)
         return task;
+      if (!leaves_short_room (sched, pool, worker, task))
+        return NULL;
+      pool->short_room -= taken_room (sched, worker, task);
       task_bind (sched, task, worker, now);
       queue_start_order (sched, task);
-      pool->used += stage->step->filler ? 0 : stage->step->demand.cpu;
+      if (!stage->step->filler)
+        pool->used += stage->step->demand.cpu;
     }
   return NULL;
 }
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -1,15 +1,14 @@
 /* Room for long-running tasks in a full service (reserve_*).
  *
- * A long-running task that finds no capacity reserves a worker: no other task
- * is placed there, so that the capacity of the tasks that end there comes
- * together.  Tasks that will not end soon are stopped.
+ * A long-running task that goes on after a loss and finds no capacity reserves
+ * a worker: no other task is placed there, so that the capacity of the tasks
+ * that end there comes together.  Tasks that will not end soon are stopped.
  */
 #include "sched/internal.h"
 
-/* Time without capacity after which a long-running task reserves a worker: if
-   it has run before, and if not. */
-#define RESERVE_RESTART_AFTER_US (200 * KQ_USEC_PER_MSEC)
-#define RESERVE_START_AFTER_US (1000 * KQ_USEC_PER_MSEC)
+/* Time without capacity after which a long-running task that has run before
+   reserves a worker. */
+#define RESERVE_AFTER_US (200 * KQ_USEC_PER_MSEC)
 
 /* Tasks at a reserved worker that end within this time are waited for. A
    long-running task may be down for 3 s; the time until its loss is noticed,
@@ -172,10 +171,8 @@
 static bool
 is_waiting (const struct task *task, struct kq_sched_now now)
 {
-  kq_usec limit
-      = task->run > 0 ? RESERVE_RESTART_AFTER_US : RESERVE_START_AFTER_US;
-
-  return task->state == TASK_READY && now.mono - task->ready_at >= limit;
+  return task->state == TASK_READY && task->run > 0
+         && now.mono - task->ready_at >= RESERVE_AFTER_US;
 }
 
 void
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -69,23 +69,6 @@
   free (sched);
 }
 
-int
-sched_service (struct kq_sched *sched, const char *name)
-{
-  char (*services)[KQ_SCHED_NAME_SIZE];
-
-  for (int i = 0; i < sched->service_count; i++)
-    if (strcmp (sched->services[i], name) == 0)
-      return i;
-  services = realloc (sched->services,
-                      ((size_t)sched->service_count + 1) * sizeof *services);
-  if (services == NULL)
-    return -1;
-  sched->services = services;
-  snprintf (services[sched->service_count], KQ_SCHED_NAME_SIZE, "%s", name);
-  return sched->service_count++;
-}
-
 struct kq_sched_effect *
 sched_add_effect (struct kq_sched *sched, enum kq_sched_effect_kind kind,
                   uint64_t after)
@@ -157,7 +140,7 @@
   job->queue.attempts = INT_MAX;
   if (known != NULL)
     job->queue = *known;
-  job->service = sched_service (sched, job->queue.service);
+  job->service = service_index (sched, job->queue.service);
   HASH_ADD (hh, sched->jobs, id, sizeof job->id, job);
   if (job_build (sched, job) != 0)
     {
@@ -269,7 +252,7 @@
     if (queue == NULL)
       continue;
     job->queue = *queue;
-    job->service = sched_service (sched, queue->service);
+    job->service = service_index (sched, queue->service);
   }
 }
 
@@ -370,5 +353,6 @@
       sched->interference_due = true;
     }
   job_tick_all (sched, now);
+  service_track_demand (sched);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
 }
--- a/sched/task.c
+++ b/sched/task.c
@@ -175,6 +175,8 @@
     worker->filler_cpu += sign * step->demand.cpu;
   else
     worker->used.cpu += sign * step->demand.cpu;
+  if (step->long_running && !step->filler)
+    worker->long_running_cpu += sign * step->demand.cpu;
   if (step->tail_target_ms > 0)
     worker->serving_count += sign;
   worker->task_count += sign;
@@ -204,6 +206,7 @@
     task->stage->first_placed_at = now.mono;
   DL_APPEND (worker->tasks, task);
   account_task (task, 1);
+  service_note_start (sched, task);
   sched->counts.bound_tasks++;
 }
 
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -151,7 +151,7 @@
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
-  worker->service = sched_service (sched, registration->service);
+  worker->service = service_index (sched, registration->service);
   worker->registered = true;
   if (registration->draining && !draining)
     {
--- a/t/test-sim.c
+++ b/t/test-sim.c
@@ -346,6 +346,39 @@
   sim_destroy (sim);
 }
 
+/* Long-running jobs come until nothing is free, beside a steady stream of
+   short urgent jobs: the room that those have needed must be left to them. */
+static void
+test_long_running_jobs_beside_a_stream (void)
+{
+  static const struct kq_sched_step lasting = { .count = 4,
+                                                .demand = { 3000, 2000, 0 },
+                                                .est_ms = 1000,
+                                                .long_running = true };
+  static const struct kq_sched_step quick
+      = { .count = 2, .demand = { 4000, 1000, 0 }, .est_ms = 640 };
+  struct sim *sim = sim_create (1, &no_faults);
+  int jobs[64];
+  int count = 0;
+  int in_time = 0;
+
+  sim_run (sim, 2000);
+  for (int i = 0; i < 64; i++)
+    {
+      jobs[count++] = sim_submit (sim, "urgent", &quick, 1);
+      if (i > 8)
+        sim_submit (sim, "urgent", &lasting, 1);
+      sim_run (sim, 400);
+    }
+  sim_run (sim, 4000);
+  for (int i = 0; i < count; i++)
+    in_time += sim_job_time (sim, jobs[i]) >= 0
+               && sim_job_time (sim, jobs[i]) <= 2280;
+  CU_ASSERT (in_time >= count * 9 / 10);
+  CU_ASSERT_PTR_NULL (sim_violation (sim));
+  sim_destroy (sim);
+}
+
 static const struct kq_test tests[] = {
   { "large fillers and free capacity", test_large_fillers_and_free_capacity },
   { "fillers beside serving tasks", test_fillers_beside_serving_tasks },
@@ -356,6 +389,8 @@
     test_many_with_little_interference },
   { "a long-running task in a full cell",
     test_long_running_task_in_full_cell },
+  { "long-running jobs beside a stream of short ones",
+    test_long_running_jobs_beside_a_stream },
   { "random faults", test_random_faults },
   { "a burst of wide jobs", test_burst_of_wide_jobs },
   { "capacity of cancelled jobs", test_capacity_of_cancelled_jobs },
