sched, node: log when a worker's leases lapsed, and replies of other incarnations

Change: "worker's leases lapsed" with last_reply_ms and last_renewal_ms, "reply of another incarnation" with the order and the clock of the reply, and a counter of each. No decision is changed.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,8 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_LAPSED_WORKERS,
+  GAUGE_OTHER_INCARNATION,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -61,6 +63,10 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_lapsed_workers_total",
+    .help = "Workers whose runs ended with their leases." },
+  { .name = "kq_other_incarnation_replies_total",
+    .help = "Replies of another incarnation than the order was for." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -98,6 +104,9 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
+  kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
+                 counts->other_incarnation_replies);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/sched/answers.c
+++ b/sched/answers.c
@@ -1,6 +1,7 @@
 /* Applies the replies of workers to polls, start orders and stop orders
  * (reply_*); fills start orders.
  */
+#include <inttypes.h>
 #include <stdio.h>
 
 #include "base/err.h"
@@ -26,6 +27,20 @@
   sched_add_effect (sched, KQ_SCHED_FX_SUPERSEDED, 0);
 }
 
+/* Counts and logs a reply from another incarnation than the one that the order
+   was for, with the clock of the one that replied. */
+static void
+note_other_incarnation (struct kq_sched *sched, const char *worker,
+                        const char *order, int64_t worker_clock_ms)
+{
+  char clock[24];
+
+  sched->counts.other_incarnation_replies++;
+  snprintf (clock, sizeof clock, "%" PRId64, worker_clock_ms);
+  kq_log (KQ_LOG_INFO, "sched", "reply of another incarnation", 0, "worker",
+          worker, "order", order, "clock_ms", clock, NULL);
+}
+
 void
 reply_apply_poll (struct kq_sched *sched, struct kq_sched_now now,
                   const struct kq_sched_event *event)
@@ -40,6 +55,8 @@
   worker->next_poll_at = now.mono + POLL_RETRY_US;
   if (event->u.polled.reply == KQ_SCHED_FENCED)
     reply_set_superseded (sched, worker->report.id);
+  if (event->u.polled.reply == KQ_SCHED_OTHER_INCARNATION)
+    note_other_incarnation (sched, worker->report.id, "poll", 0);
   if (event->u.polled.reply != KQ_SCHED_OK)
     {
       worker->idle = false;
@@ -120,6 +137,9 @@
       reply_set_superseded (sched, event->u.order.worker);
       return;
     }
+  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION)
+    note_other_incarnation (sched, event->u.order.worker, "start",
+                            event->u.order.worker_clock_ms);
   if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
     worker_note_reply (sched, worker, now.mono,
                        event->u.order.worker_clock_ms);
@@ -162,6 +182,9 @@
       reply_set_superseded (sched, event->u.order.worker);
       return;
     }
+  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION)
+    note_other_incarnation (sched, event->u.order.worker, "stop",
+                            event->u.order.worker_clock_ms);
   if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
     worker_note_reply (sched, worker, now.mono,
                        event->u.order.worker_clock_ms);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -209,7 +209,8 @@
   kq_usec next_poll_at;
   int64_t worker_clock_ms; /* worker's clock at clock_read_at */
   kq_usec clock_read_at;
-  int64_t lease_end_ms;     /* latest end sent by this owner, worker's clock */
+  int64_t lease_end_ms; /* latest end sent by this owner, worker's clock */
+  kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
   kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
   int64_t grant_term;       /* last owner that may have renewed its lease */
   uint64_t grant_position;  /* position that stores this; 0: another term */
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -1,4 +1,5 @@
 /* Workers: registrations, incarnations, clocks, leases and polls. */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -261,6 +262,24 @@
   return clock > worker->lease_end_ms + LAPSE_MARGIN_MS;
 }
 
+static void
+log_lapse (const struct worker *worker, struct kq_sched_now now)
+{
+  char tasks[16];
+  char silent[24];
+  char renewed[24];
+
+  snprintf (tasks, sizeof tasks, "%d", worker->task_count);
+  snprintf (silent, sizeof silent, "%" PRId64,
+            (now.mono - worker->last_reply_at) / KQ_USEC_PER_MSEC);
+  snprintf (renewed, sizeof renewed, "%" PRId64,
+            (now.mono - worker->renewed_at) / KQ_USEC_PER_MSEC);
+  kq_log (KQ_LOG_WARN, "sched", "worker's leases lapsed", 0, "worker",
+          worker->report.id, "tasks", tasks, "last_reply_ms",
+          worker->last_reply_at != 0 ? silent : "", "last_renewal_ms",
+          worker->renewed_at != 0 ? renewed : "", NULL);
+}
+
 static void
 end_all_runs (struct kq_sched *sched, struct worker *worker,
               struct kq_sched_now now, const char *why)
@@ -297,7 +316,11 @@
   if (worker->tasks != NULL)
     {
       if (have_leases_lapsed (worker, now))
-        end_all_runs (sched, worker, now, "lease lapsed");
+        {
+          sched->counts.lapsed_workers++;
+          log_lapse (worker, now);
+          end_all_runs (sched, worker, now, "lease lapsed");
+        }
       else
         retry_stops (sched, worker, now);
       if (worker->report.draining)
@@ -321,6 +344,7 @@
     return 0;
   until = worker_clock (worker, now.mono) + KQ_SCHED_LEASE_MS;
   worker_note_lease (worker, until);
+  worker->renewed_at = now.mono;
   return until;
 }
 
