--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -395,7 +395,9 @@
   event.u.order.reply = reply;
   event.u.order.sent_at = order->at;
   event.u.order.worker_clock_ms
-      = reply == KQ_SCHED_NO_REPLY ? 0 : worker_clock (cell);
+      = reply == KQ_SCHED_NO_REPLY || reply == KQ_SCHED_OTHER_INCARNATION
+            ? 0
+            : worker_clock (cell);
   kq_sched_event (cell->sched, cell->now, &event);
   ts_process_pending (cell);
 }
@@ -458,17 +460,24 @@
 }
 
 void
-ts_fail_poll (struct ts_cell *cell, const char *worker)
+ts_refuse_poll (struct ts_cell *cell, const char *worker, kq_usec sent_at,
+                enum kq_sched_reply reply)
 {
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_POLLED };
 
   event.u.polled.worker = worker;
-  event.u.polled.reply = KQ_SCHED_NO_REPLY;
-  event.u.polled.sent_at = cell->now.mono;
+  event.u.polled.reply = reply;
+  event.u.polled.sent_at = sent_at;
   kq_sched_event (cell->sched, cell->now, &event);
   ts_process_pending (cell);
 }
 
+void
+ts_fail_poll (struct ts_cell *cell, const char *worker)
+{
+  ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_NO_REPLY);
+}
+
 const struct ts_order *
 ts_last_order (const struct ts_cell *cell, enum kq_sched_effect_kind kind,
                uint64_t job, int step, int index)
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -116,6 +116,11 @@
                 const struct kq_sched_advice_request *policy_request,
                 const char *allowed, const char *ticket, int64_t valid_ms);
 
+/** Answers a poll of WORKER that was sent at SENT_AT with REPLY, without a
+ *  status.  */
+void ts_refuse_poll (struct ts_cell *cell, const char *worker, kq_usec sent_at,
+                     enum kq_sched_reply reply);
+
 /** Lets the poll of WORKER fail without a reply. */
 void ts_fail_poll (struct ts_cell *cell, const char *worker);
 
