sched: a reply of another process ends the lost worker's runs

Cause: orders to a crashed worker reach the process that has its address now, which refuses them as another incarnation (421). Replies to starts and stops counted as signs of life whatever they said, so that the owner went on renewing the dead worker's leases in its books, and sent it further tasks. Class: a message was attributed to whom it was sent to, not to who answered. Ruled out: another owner, waiting for room, the clock of the other process.

Now such a reply says nothing good about the worker. It also proves that the incarnation has ended, since an order names the incarnation that it is for and two processes cannot have one address: its runs end at once, it gets no more tasks, and it counts as back when it replies itself. A refusal of an order that was sent before the current incarnation was known says nothing about that one. A worker that is only silent keeps its tasks until its leases have lapsed.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -1,7 +1,6 @@
 /* Applies the replies of workers to polls, start orders and stop orders
  * (reply_*); fills start orders.
  */
-#include <inttypes.h>
 #include <stdio.h>
 
 #include "base/err.h"
@@ -16,8 +15,8 @@
 /* Delay before a failed poll is repeated. */
 #define POLL_RETRY_US (100 * KQ_USEC_PER_MSEC)
 
-void
-reply_set_superseded (struct kq_sched *sched, const char *worker)
+static void
+set_superseded (struct kq_sched *sched, const char *worker)
 {
   if (sched->superseded)
     return;
@@ -27,18 +26,46 @@
   sched_add_effect (sched, KQ_SCHED_FX_SUPERSEDED, 0);
 }
 
-/* Counts and logs a reply from another incarnation than the one that the order
-   was for, with the clock of the one that replied. */
+/* Applies that an ORDER for WORKER, sent at SENT_AT, was refused by another
+   process. It says nothing good about WORKER. */
 static void
-note_other_incarnation (struct kq_sched *sched, const char *worker,
-                        const char *order, int64_t worker_clock_ms)
+apply_other_incarnation (struct kq_sched *sched, struct kq_sched_now now,
+                         const char *id, const char *order, kq_usec sent_at)
 {
-  char clock[24];
+  struct worker *worker = worker_find (sched, id);
 
   sched->counts.other_incarnation_replies++;
-  snprintf (clock, sizeof clock, "%" PRId64, worker_clock_ms);
   kq_log (KQ_LOG_INFO, "sched", "reply of another incarnation", 0, "worker",
-          worker, "order", order, "clock_ms", clock, NULL);
+          id, "order", order, NULL);
+  if (worker != NULL)
+    worker_lose (sched, worker, sent_at, now);
+}
+
+/* Applies what the reply to an ORDER other than a poll says about the worker.
+   Returns false if it says that this owner is superseded. */
+static bool
+apply_sender (struct kq_sched *sched, struct kq_sched_now now,
+              const struct kq_sched_event *event, const char *order)
+{
+  struct worker *worker = worker_find (sched, event->u.order.worker);
+
+  switch (event->u.order.reply)
+    {
+    case KQ_SCHED_FENCED:
+      set_superseded (sched, event->u.order.worker);
+      return false;
+    case KQ_SCHED_OTHER_INCARNATION:
+      apply_other_incarnation (sched, now, event->u.order.worker, order,
+                               event->u.order.sent_at);
+      return true;
+    case KQ_SCHED_NO_REPLY:
+      return true;
+    default:
+      if (worker != NULL)
+        worker_note_reply (sched, worker, now.mono,
+                           event->u.order.worker_clock_ms);
+      return true;
+    }
 }
 
 void
@@ -54,9 +81,10 @@
     worker->polls_in_flight--;
   worker->next_poll_at = now.mono + POLL_RETRY_US;
   if (event->u.polled.reply == KQ_SCHED_FENCED)
-    reply_set_superseded (sched, worker->report.id);
+    set_superseded (sched, worker->report.id);
   if (event->u.polled.reply == KQ_SCHED_OTHER_INCARNATION)
-    note_other_incarnation (sched, worker->report.id, "poll", 0);
+    apply_other_incarnation (sched, now, worker->report.id, "poll",
+                             event->u.polled.sent_at);
   if (event->u.polled.reply != KQ_SCHED_OK)
     {
       worker->idle = false;
@@ -67,7 +95,7 @@
     return;
   worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   if (worker_status->incarnation_ms > worker->report.incarnation_ms)
-    worker_start_incarnation (worker, worker_status->incarnation_ms);
+    worker_start_incarnation (worker, worker_status->incarnation_ms, now.mono);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
   worker_schedule_poll (sched, worker, now);
 }
@@ -129,20 +157,11 @@
 reply_apply_start (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_event *event)
 {
-  struct worker *worker = worker_find (sched, event->u.order.worker);
-  struct task *task = find_ordered_task (sched, event);
+  struct task *task;
 
-  if (event->u.order.reply == KQ_SCHED_FENCED)
-    {
-      reply_set_superseded (sched, event->u.order.worker);
-      return;
-    }
-  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION)
-    note_other_incarnation (sched, event->u.order.worker, "start",
-                            event->u.order.worker_clock_ms);
-  if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
-    worker_note_reply (sched, worker, now.mono,
-                       event->u.order.worker_clock_ms);
+  if (!apply_sender (sched, now, event, "start"))
+    return;
+  task = find_ordered_task (sched, event);
   if (task == NULL || task->phase == PHASE_STOPPING
       || task->phase == PHASE_STORING)
     return;
@@ -174,20 +193,11 @@
 reply_apply_stop (struct kq_sched *sched, struct kq_sched_now now,
                   const struct kq_sched_event *event)
 {
-  struct worker *worker = worker_find (sched, event->u.order.worker);
-  struct task *task = find_ordered_task (sched, event);
+  struct task *task;
 
-  if (event->u.order.reply == KQ_SCHED_FENCED)
-    {
-      reply_set_superseded (sched, event->u.order.worker);
-      return;
-    }
-  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION)
-    note_other_incarnation (sched, event->u.order.worker, "stop",
-                            event->u.order.worker_clock_ms);
-  if (worker != NULL && event->u.order.reply != KQ_SCHED_NO_REPLY)
-    worker_note_reply (sched, worker, now.mono,
-                       event->u.order.worker_clock_ms);
+  if (!apply_sender (sched, now, event, "stop"))
+    return;
+  task = find_ordered_task (sched, event);
   if (task == NULL)
     return;
   if (event->u.order.reply == KQ_SCHED_OK
@@ -205,6 +215,15 @@
     task_end_run (sched, task, now, "worker has restarted");
 }
 
+void
+reply_apply_pace (struct kq_sched *sched, struct kq_sched_now now,
+                  const struct kq_sched_event *event)
+{
+  if (event->u.order.reply == KQ_SCHED_FENCED
+      || event->u.order.reply == KQ_SCHED_OTHER_INCARNATION)
+    apply_sender (sched, now, event, "pace");
+}
+
 int
 kq_sched_start_order (struct kq_sched *sched, struct kq_sched_now now,
                       const struct kq_sched_effect *effect,
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -211,10 +211,12 @@
   kq_usec clock_read_at;
   int64_t lease_end_ms; /* latest end sent by this owner, worker's clock */
   kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
-  kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
-  int64_t grant_term;       /* last owner that may have renewed its lease */
-  uint64_t grant_position;  /* position that stores this; 0: another term */
-  bool has_restored_tasks;  /* an earlier owner has started tasks here */
+  kq_usec leases_lapsed_at;  /* end of all leases of earlier owners */
+  int64_t grant_term;        /* last owner that may have renewed its lease */
+  uint64_t grant_position;   /* position that stores this; 0: another term */
+  bool has_restored_tasks;   /* an earlier owner has started tasks here */
+  kq_usec incarnation_since; /* when its incarnation became known */
+  bool lost;                 /* another process has its address */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
@@ -320,13 +322,14 @@
                           int64_t capacity);
 
 /* answers.c: replies to orders and polls */
-void reply_set_superseded (struct kq_sched *sched, const char *worker);
 void reply_apply_poll (struct kq_sched *sched, struct kq_sched_now now,
                        const struct kq_sched_event *event);
 void reply_apply_start (struct kq_sched *sched, struct kq_sched_now now,
                         const struct kq_sched_event *event);
 void reply_apply_stop (struct kq_sched *sched, struct kq_sched_now now,
                        const struct kq_sched_event *event);
+void reply_apply_pace (struct kq_sched *sched, struct kq_sched_now now,
+                       const struct kq_sched_event *event);
 
 /* job.c */
 struct job *job_find (struct kq_sched *sched, uint64_t id);
@@ -380,7 +383,12 @@
                   struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
-void worker_start_incarnation (struct worker *worker, int64_t incarnation_ms);
+void worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
+                               kq_usec now);
+/* Applies a reply of another process to an order for WORKER that was sent at
+   SENT_AT: the worker's incarnation has ended, and so have its runs. */
+void worker_lose (struct kq_sched *sched, struct worker *worker,
+                  kq_usec sent_at, struct kq_sched_now now);
 void worker_schedule_poll (const struct kq_sched *sched, struct worker *worker,
                            struct kq_sched_now now);
 /* Makes the next poll of WORKER due, after the one in flight. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -315,8 +315,7 @@
       reply_apply_stop (sched, now, event);
       break;
     case KQ_SCHED_EV_PACED:
-      if (event->u.order.reply == KQ_SCHED_FENCED)
-        reply_set_superseded (sched, event->u.order.worker);
+      reply_apply_pace (sched, now, event);
       break;
     case KQ_SCHED_EV_ADVISED:
       advice_apply (sched, now, event->u.advice);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -25,6 +25,10 @@
    renewed; it has then missed two polls. */
 #define MAX_RENEWAL_SILENCE_US (2200 * KQ_USEC_PER_MSEC)
 
+/* Time between two polls of a lost worker, whose registration may last for a
+   few seconds more. */
+#define LOST_POLL_INTERVAL_US (1000 * KQ_USEC_PER_MSEC)
+
 /* Delay before a stop order without a reply is repeated. */
 #define STOP_RETRY_US (500 * KQ_USEC_PER_MSEC)
 
@@ -118,10 +122,13 @@
 /* A new incarnation starts with a new clock, new numbers of ended runs and
    no known fences. */
 void
-worker_start_incarnation (struct worker *worker, int64_t incarnation_ms)
+worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
+                          kq_usec now)
 {
   log_worker (worker, "worker in a new incarnation", "");
   worker->report.incarnation_ms = incarnation_ms;
+  worker->incarnation_since = now;
+  worker->lost = false;
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->clock_read_at = 0;
@@ -148,7 +155,7 @@
   if (registration->incarnation_ms < worker->report.incarnation_ms)
     return;
   if (registration->incarnation_ms > worker->report.incarnation_ms)
-    worker_start_incarnation (worker, registration->incarnation_ms);
+    worker_start_incarnation (worker, registration->incarnation_ms, now.mono);
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
@@ -188,6 +195,7 @@
 {
   worker->last_reply_at = now;
   worker->idle = false;
+  worker->lost = false;
   if (worker_clock_ms <= 0)
     return;
   if (worker->grant_position == 0)
@@ -239,7 +247,7 @@
 bool
 worker_usable (const struct worker *worker, struct kq_sched_now now)
 {
-  return worker->registered && !worker->report.draining
+  return worker->registered && !worker->lost && !worker->report.draining
          && worker->clock_read_at != 0 && now.mono >= worker->quarantined_until
          && now.mono >= worker->no_starts_until
          && now.mono - worker->last_reply_at
@@ -309,6 +317,22 @@
   }
 }
 
+/* An order names the incarnation that it is for, and two processes cannot
+   have one address. */
+void
+worker_lose (struct kq_sched *sched, struct worker *worker, kq_usec sent_at,
+             struct kq_sched_now now)
+{
+  if (sent_at < worker->incarnation_since)
+    return;
+  if (!worker->lost)
+    log_worker (worker, "worker lost", "another process has its address");
+  worker->lost = true;
+  worker->idle = false;
+  worker->next_poll_at = now.mono + LOST_POLL_INTERVAL_US;
+  end_all_runs (sched, worker, now, "worker lost");
+}
+
 void
 worker_tick (struct kq_sched *sched, struct worker *worker,
              struct kq_sched_now now)
