--- a/t/test-lost-worker.c
+++ b/t/test-lost-worker.c
@@ -30,8 +30,8 @@
   const struct ts_order *order
       = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
-  return *order;
+  CU_ASSERT_PTR_NOT_NULL (order);
+  return order != NULL ? *order : (struct ts_order){ .worker = "" };
 }
 
 static void
