--- /dev/null
+++ b/t/test-crash.c
@@ -0,0 +1,354 @@
+/* Guards against starting a task again and again that crashes each worker that
+ * starts it, and against giving up tasks that were only near it.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define DEADLY_JOB UINT64_C (0x11)
+#define OTHER_JOB UINT64_C (0x12)
+
+/* A task under which so many workers have crashed is given up. */
+#define MAX_CRASHES 3
+
+/* Time from the first start until a run has proved that it does not crash its
+   worker. */
+#define SETTLE_MS 1500
+
+#define MAX_WORKERS 16
+
+static const struct kq_sched_step one_task
+    = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 20000 };
+
+static const struct kq_sched_step lasting_task = {
+  .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 20000, .long_running = true
+};
+
+/* Workers "0", "1", ...; a crashed one is replaced by the next number. */
+struct site
+{
+  struct ts_cell cell;
+  int first;
+  int count;
+  bool crashed[MAX_WORKERS];
+};
+
+static void
+add_worker (struct site *site)
+{
+  char id[16];
+
+  CU_ASSERT_FATAL (site->count < MAX_WORKERS);
+  snprintf (id, sizeof id, "%d", site->count++);
+  ts_register_worker (&site->cell, id, 8000, 8000);
+  ts_reply_poll (&site->cell, id, NULL, 0, NULL, 0);
+}
+
+static struct site *
+start_site (int workers)
+{
+  struct site *site = calloc (1, sizeof *site);
+
+  ts_start (&site->cell);
+  while (site->count < workers)
+    add_worker (site);
+  return site;
+}
+
+static void
+stop_site (struct site *site)
+{
+  ts_stop (&site->cell);
+  free (site);
+}
+
+static enum kq_sched_state
+state_of (struct site *site, uint64_t job)
+{
+  uint64_t token = ts_query (&site->cell, job);
+
+  return ts_result_of (&site->cell, token)->state;
+}
+
+static int
+count_starts (const struct ts_cell *cell, uint64_t job)
+{
+  int count = 0;
+
+  for (int i = 0; i < cell->order_count; i++)
+    count += cell->orders[i].kind == KQ_SCHED_FX_START
+             && cell->orders[i].run.job == job;
+  return count;
+}
+
+/* Returns the last start order of the first task of JOB; its worker is "" if
+   there is none. */
+static struct ts_order
+last_start (const struct ts_cell *cell, uint64_t job)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+
+  return order != NULL ? *order : (struct ts_order){ .worker = "" };
+}
+
+/* Another process answers at the address of WORKER, and registers. */
+static void
+crash (struct site *site, const char *worker)
+{
+  site->crashed[atoi (worker)] = true;
+  add_worker (site);
+  ts_refuse_poll (&site->cell, worker, site->cell.now.mono,
+                  KQ_SCHED_OTHER_INCARNATION);
+}
+
+static bool
+is_at (const struct ts_cell *cell, uint64_t job, const char *worker)
+{
+  return strcmp (last_start (cell, job).worker, worker) == 0;
+}
+
+/* Lets MS pass in which all workers that have not crashed report the last runs
+   of DEADLY_JOB and OTHER_JOB as running. */
+static void
+run_on (struct site *site, int64_t ms)
+{
+  static const uint64_t jobs[] = { DEADLY_JOB, OTHER_JOB };
+
+  for (; ms > 0; ms -= 250)
+    {
+      ts_advance (&site->cell, 250);
+      for (int i = 0; i < site->count; i++)
+        {
+          struct kq_sched_running rows[2];
+          size_t row_count = 0;
+          char id[16];
+
+          snprintf (id, sizeof id, "%d", i);
+          if (site->crashed[i])
+            continue;
+          for (int j = 0; j < 2; j++)
+            if (is_at (&site->cell, jobs[j], id))
+              {
+                struct ts_order start = last_start (&site->cell, jobs[j]);
+
+                rows[row_count++] = ts_running (&start, 10);
+              }
+          ts_reply_poll (&site->cell, id, rows, row_count, NULL, 0);
+        }
+    }
+}
+
+/* Crashes each worker that starts the first task of JOB, until it is not
+   started any more; returns the number of crashes. */
+static int
+crash_each_worker_of (struct site *site, uint64_t job)
+{
+  int crashes = 0;
+
+  while (crashes == count_starts (&site->cell, job) - 1
+         && site->count < MAX_WORKERS)
+    {
+      struct ts_order start = last_start (&site->cell, job);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
+      crash (site, start.worker);
+      crashes++;
+    }
+  return crashes;
+}
+
+static void
+test_task_is_given_up (void)
+{
+  struct site *site = start_site (3);
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  run_on (site, 3000);
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_CRASHES);
+  stop_site (site);
+}
+
+/* A lasting task has no limit of failures, but one of crashes. */
+static void
+test_lasting_task_is_given_up (void)
+{
+  struct site *site = start_site (3);
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &lasting_task, 1);
+  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* The owner is lost after each crash, before it has noticed; what it stored
+   before counts. */
+static void
+test_crashes_count_across_takeovers (void)
+{
+  struct site *site = start_site (3);
+  int crashes = 0;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  while (crashes == count_starts (&site->cell, DEADLY_JOB) - 1
+         && site->count < MAX_WORKERS - 1)
+    {
+      struct ts_order start = last_start (&site->cell, DEADLY_JOB);
+
+      if (crashes > 0)
+        {
+          ts_take_over (&site->cell);
+          for (int i = 0; i < site->count; i++)
+            {
+              char id[16];
+
+              snprintf (id, sizeof id, "%d", i);
+              ts_register_worker (&site->cell, id, 8000, 8000);
+              if (!site->crashed[i] && strcmp (id, start.worker) != 0)
+                ts_reply_poll (&site->cell, id, NULL, 0, NULL, 0);
+            }
+        }
+      crash (site, start.worker);
+      crashes++;
+    }
+  CU_ASSERT (crashes <= MAX_CRASHES);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* Two tasks are lost together.  They are not started on one worker again, and
+   the one that settles is not given up. */
+static void
+test_tasks_lost_together_are_parted (void)
+{
+  struct site *site = start_site (1);
+  struct ts_order other;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  other = last_start (&site->cell, OTHER_JOB);
+  CU_ASSERT (is_at (&site->cell, DEADLY_JOB, "0"));
+  CU_ASSERT (is_at (&site->cell, OTHER_JOB, "0"));
+  add_worker (site);
+  add_worker (site);
+  crash (site, "0");
+  CU_ASSERT (!is_at (&site->cell, OTHER_JOB,
+                     last_start (&site->cell, DEADLY_JOB).worker));
+  other = last_start (&site->cell, OTHER_JOB);
+  ts_reply_order (&site->cell, &other, KQ_SCHED_OK);
+  crash_each_worker_of (site, DEADLY_JOB);
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), 2);
+  stop_site (site);
+}
+
+/* Workers crash under a task that had settled there: it is not the cause,
+   however often that happens. */
+static void
+test_settled_task_is_not_given_up (void)
+{
+  struct site *site = start_site (2);
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &lasting_task, 1);
+  for (int i = 0; i < 8; i++)
+    {
+      struct ts_order start = last_start (&site->cell, OTHER_JOB);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+      run_on (site, SETTLE_MS);
+      crash (site, start.worker);
+      CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), i + 2);
+    }
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* Crashes before a run that settled do not count any more. */
+static void
+test_settled_run_clears_the_count (void)
+{
+  struct site *site = start_site (2);
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  for (int i = 0; i < 6; i++)
+    {
+      struct ts_order start = last_start (&site->cell, OTHER_JOB);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+      if (i % 2 == 1)
+        run_on (site, SETTLE_MS);
+      crash (site, start.worker);
+    }
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* The crashed worker is back under its ID. */
+static void
+test_crash_of_a_worker_that_keeps_its_id (void)
+{
+  struct site *site = start_site (1);
+  int64_t incarnation_ms = 1;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  while (count_starts (&site->cell, DEADLY_JOB) == incarnation_ms
+         && incarnation_ms < 10)
+    {
+      struct ts_order start = last_start (&site->cell, DEADLY_JOB);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+      incarnation_ms++;
+      ts_register_incarnation (&site->cell, "0", 8000, 8000, incarnation_ms);
+      for (int i = 0; i < 3; i++)
+        {
+          ts_advance (&site->cell, 100);
+          ts_reply_poll_sent_at (&site->cell, "0", site->cell.now.mono,
+                                 incarnation_ms, NULL, 0, NULL, 0);
+        }
+    }
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* A worker that announced its end has not crashed. */
+static void
+test_end_of_a_draining_worker (void)
+{
+  struct site *site = start_site (2);
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  for (int i = 0; i < 6; i++)
+    {
+      struct ts_order start = last_start (&site->cell, OTHER_JOB);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+      ts_drain (&site->cell, start.worker);
+      crash (site, start.worker);
+      CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), i + 2);
+    }
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+static const struct kq_test tests[] = {
+  { "a task that crashes its workers is given up", test_task_is_given_up },
+  { "a lasting task that crashes its workers is given up",
+    test_lasting_task_is_given_up },
+  { "crashes count across takeovers", test_crashes_count_across_takeovers },
+  { "tasks lost together are parted", test_tasks_lost_together_are_parted },
+  { "a settled task is not given up", test_settled_task_is_not_given_up },
+  { "a settled run clears the count", test_settled_run_clears_the_count },
+  { "crash of a worker that keeps its ID",
+    test_crash_of_a_worker_that_keeps_its_id },
+  { "end of a draining worker", test_end_of_a_draining_worker },
+};
+
+KQ_TEST_MAIN ("test-crash", tests)
