sched: give up a task that crashes the workers that start it

Cause: a run that ended with its worker only made its task ready again. Class: work that takes down what serves it, retried without a limit.

Now a loss counts for each task whose run had not settled (been listed by a poll sent half a second after its start). Such tasks are parted, go where the least runs, and are kept apart from others until they settle; after three losses, or two with no other possible cause, the job fails. The count is stored with the task. A settled run clears it.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -251,6 +251,7 @@
       task_end_run (sched, task, now, "worker no longer usable");
       return KQ_ENOENT;
     }
+  crash_note_start (task, now);
   task->phase = PHASE_START_SENT;
   task->phase_since = now.mono;
   task->progress_at = now.mono;
--- a/sched/count.c
+++ b/sched/count.c
@@ -53,6 +53,7 @@
   {
     struct kq_sched_demand used = { 0, 0, 0 };
     int64_t long_running_cpu = 0;
+    int suspect_count = 0;
     const struct task *task;
 
     DL_FOREACH (worker->tasks, task)
@@ -63,11 +64,13 @@
       used.cpu += step->filler ? 0 : step->demand.cpu;
       if (step->long_running && !step->filler)
         long_running_cpu += step->demand.cpu;
+      suspect_count += crash_is_on_trial (task);
       used.mem += step->demand.mem;
       used.gpu += step->demand.gpu;
       bound++;
     }
     assert (long_running_cpu == worker->long_running_cpu);
+    assert (suspect_count == worker->suspect_count);
     assert (used.cpu == worker->used.cpu && used.mem == worker->used.mem
             && used.gpu == worker->used.gpu);
   }
--- /dev/null
+++ b/sched/crash.c
@@ -0,0 +1,166 @@
+/* Tasks that crash the workers that start them (crash_*).
+ *
+ * A run settles when its worker lists it some time after its start.  Each task
+ * whose run had not settled when its worker was lost may be the cause: the
+ * loss counts for it, and it goes on where no other such task starts, so that
+ * the next loss tells them apart.  A task with too many losses is given up,
+ * and its job fails.  A run that settles clears the count.
+ */
+#include <stdio.h>
+
+#include "log/log.h"
+#include "sched/internal.h"
+
+/* A run has settled if a poll that was sent this long after its start lists
+   it. */
+#define SETTLE_US (500 * KQ_USEC_PER_MSEC)
+
+/* Number of workers that may be lost under the runs of a task until it is
+   given up; the same if the last loss can have no other cause. */
+#define MAX_CRASHES 3
+#define MAX_CRASHES_ALONE 2
+
+bool
+crash_is_suspect (const struct task *task)
+{
+  return task->crashes > 0;
+}
+
+bool
+crash_is_on_trial (const struct task *task)
+{
+  return crash_is_suspect (task) && !task->settled;
+}
+
+void
+crash_note_start (struct task *task, struct kq_sched_now now)
+{
+  task->started_at = now.mono;
+  task->incarnation_ms = task->worker->report.incarnation_ms;
+}
+
+static void
+clear_suspicion (struct kq_sched *sched, struct task *task)
+{
+  if (crash_is_on_trial (task) && task->state == TASK_BOUND)
+    task->worker->suspect_count--;
+  if (crash_is_suspect (task))
+    job_mark_dirty (sched, task->stage->job);
+  task->settled = true;
+  task->crashes = 0;
+}
+
+void
+crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at)
+{
+  if (!task->settled && sent_at - task->started_at >= SETTLE_US)
+    clear_suspicion (sched, task);
+}
+
+void
+crash_note_end (struct kq_sched *sched, struct task *task)
+{
+  clear_suspicion (sched, task);
+}
+
+/* Whether the run of TASK may have begun and crashed its worker before it
+   settled. A restored run may have settled before, unless workers were lost
+   under the task already. */
+static bool
+may_have_crashed (const struct task *task)
+{
+  return task->phase != PHASE_STORING && !task->settled
+         && (task->phase != PHASE_RESTORED || crash_is_suspect (task));
+}
+
+bool
+crash_has_one_cause (const struct worker *worker)
+{
+  const struct job *job = NULL;
+  const struct task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->phase == PHASE_STORING || task->settled)
+      continue;
+    if (job != NULL && task->stage->job != job)
+      return false;
+    job = task->stage->job;
+  }
+  return true;
+}
+
+static void
+end_lost_run (struct kq_sched *sched, struct task *task,
+              struct kq_sched_now now, const char *why, bool one_cause)
+{
+  struct job *job = task->stage->job;
+  bool counts = may_have_crashed (task);
+  char text[16];
+
+  task_end_run (sched, task, now, why);
+  if (!counts)
+    return;
+  task->crashes++;
+  sched->counts.crashes++;
+  snprintf (text, sizeof text, "%d", task->crashes);
+  task_log (task, "worker lost before the run settled", text);
+  if (task->crashes >= MAX_CRASHES
+      || (one_cause && task->crashes >= MAX_CRASHES_ALONE))
+    {
+      job->given_up = true;
+      sched->job_given_up = true;
+    }
+}
+
+void
+crash_end_jobs (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct job *job;
+  struct job *next;
+
+  if (!sched->job_given_up)
+    return;
+  sched->job_given_up = false;
+  HASH_ITER (hh, sched->jobs, job, next)
+  {
+    if (!job->given_up || job_has_ended (job))
+      continue;
+    job_log (job, "job given up", "a task crashes its workers");
+    job_end (sched, job, KQ_SCHED_FAILED_JOB, now);
+  }
+}
+
+void
+crash_end_runs (struct kq_sched *sched, struct worker *worker,
+                struct kq_sched_now now, const char *why, bool proven)
+{
+  bool one_cause = proven && crash_has_one_cause (worker);
+  struct task *task;
+  struct task *next;
+
+  DL_FOREACH_SAFE (worker->tasks, task, next)
+  {
+    if (task->phase == PHASE_STORING)
+      continue;
+    if (worker->report.draining)
+      task_end_run (sched, task, now, why);
+    else
+      end_lost_run (sched, task, now, why, one_cause);
+  }
+  crash_end_jobs (sched, now);
+}
+
+void
+crash_end_missing_run (struct kq_sched *sched, struct task *task,
+                       struct kq_sched_now now, const char *why,
+                       bool one_cause)
+{
+  const struct worker *worker = task->worker;
+
+  if (worker->report.incarnation_ms > task->incarnation_ms
+      && task->incarnation_ms != 0 && !worker->ended_as_announced)
+    end_lost_run (sched, task, now, why, one_cause);
+  else
+    task_end_run (sched, task, now, why);
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -84,12 +84,16 @@
   enum task_phase phase;
   int run;              /* number of its latest run; 0: none yet */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
+  int crashes; /* workers lost under its runs since one of these settled */
   char checkpoint[KQ_SCHED_NAME_SIZE];
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
   kq_usec phase_since;
   kq_usec stop_sent_at;
+  kq_usec started_at;     /* its start order was sent */
+  int64_t incarnation_ms; /* of its worker then; 0: not sent */
+  bool settled;           /* its run does not crash the worker */
   bool stop_wanted;
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
@@ -154,6 +158,7 @@
   int64_t ended_ms;
   enum kq_sched_state state;
   bool started;         /* a task of it has started */
+  bool given_up;        /* a task of it crashes its workers */
   struct stage *stages; /* occurrences * steps */
   int stage_count;
   int stages_done;
@@ -217,6 +222,8 @@
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
+  bool ended_as_announced;   /* its earlier incarnation was draining */
+  int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
@@ -285,6 +292,7 @@
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
+  bool job_given_up;          /* a job is to be ended for its crashes */
   struct worker *next_polled; /* where the search for due polls continues */
   kq_usec next_search_at;     /* a new search starts no earlier than this */
   kq_usec confirmed_at;       /* last confirmation of the term by the store */
@@ -451,6 +459,34 @@
 void advice_apply (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_advice *advice);
 
+/* crash.c */
+
+/* Whether workers were lost under TASK before its runs settled. */
+bool crash_is_suspect (const struct task *task);
+/* Whether the current run of such a task has not settled yet. */
+bool crash_is_on_trial (const struct task *task);
+/* Records that the start order of TASK is sent. */
+void crash_note_start (struct task *task, struct kq_sched_now now);
+/* Records that a worker listed the run of TASK to a poll sent at SENT_AT. */
+void crash_note_listed (struct kq_sched *sched, struct task *task,
+                        kq_usec sent_at);
+/* Records that a worker reported the end of the run of TASK. */
+void crash_note_end (struct kq_sched *sched, struct task *task);
+/* Ends all runs at WORKER, which is lost. PROVEN: it has crashed and was not
+   only silent. */
+void crash_end_runs (struct kq_sched *sched, struct worker *worker,
+                     struct kq_sched_now now, const char *why, bool proven);
+/* Whether all runs at WORKER that have not settled belong to one job. */
+bool crash_has_one_cause (const struct worker *worker);
+/* Ends the run of TASK, which its worker has neither running nor ended.
+   ONE_CAUSE: crash_has_one_cause() before any such run was ended. */
+void crash_end_missing_run (struct kq_sched *sched, struct task *task,
+                            struct kq_sched_now now, const char *why,
+                            bool one_cause);
+/* Ends the jobs of tasks that were given up. Their other runs are stopped, so
+   that no list of tasks may be walked meanwhile. */
+void crash_end_jobs (struct kq_sched *sched, struct kq_sched_now now);
+
 /* listing.c: the status that a worker returns to a poll */
 void status_apply (struct kq_sched *sched, struct worker *worker,
                    struct kq_sched_now now, kq_usec sent_at,
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -85,6 +85,8 @@
     return;
   sched->counts.ends[ended->how]++;
   current = is_current (task, worker, ended->run.run);
+  if (current)
+    crash_note_end (sched, task);
   if (ended->how == KQ_SCHED_DONE && !task->stage->step->long_running)
     {
       worker->failed_jobs = 0;
@@ -138,7 +140,8 @@
 
 static void
 apply_progress (struct kq_sched *sched, struct task *task,
-                const struct kq_sched_running *row, struct kq_sched_now now)
+                const struct kq_sched_running *row, kq_usec sent_at,
+                struct kq_sched_now now)
 {
   struct job *job = task->stage->job;
 
@@ -160,6 +163,7 @@
   task->percent = row->percent;
   task->sample = row->sample;
   update_checkpoint (task, row->checkpoint);
+  crash_note_listed (sched, task, sent_at);
   if (is_stalled (task, now))
     {
       sched->counts.stalls++;
@@ -217,6 +221,7 @@
 {
   struct task *task;
   struct task *next;
+  bool one_cause = crash_has_one_cause (worker);
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
@@ -226,8 +231,10 @@
 
     if (replied_or_restored && task->phase_since < sent_at
         && !is_reported_running (worker_status, task))
-      task_end_run (sched, task, now, "run not found at the worker");
+      crash_end_missing_run (sched, task, now, "run not found at the worker",
+                             one_cause);
   }
+  crash_end_jobs (sched, now);
 }
 
 void
@@ -242,7 +249,7 @@
       struct task *task = find_task (sched, &row->run);
 
       if (task != NULL && is_current (task, worker, row->run.run))
-        apply_progress (sched, task, row, now);
+        apply_progress (sched, task, row, sent_at, now);
       else
         stop_unknown_run (sched, worker, &row->run);
     }
--- a/sched/place.c
+++ b/sched/place.c
@@ -12,6 +12,11 @@
 #define WEIGHT_FAILED_HERE 500
 #define WEIGHT_OTHER_RACK 1000
 
+/* A task under which workers were lost goes where the least would be lost with
+   it, and where no other such task is on trial; other tasks keep away. */
+#define WEIGHT_SUSPECT 50000
+#define WEIGHT_NEIGHBOUR 5000
+
 /* Fillers may reserve CPU of a worker up to this percentage: all of them
    then run a little slower, which costs less than waiting. */
 #define FILLER_OVERCOMMIT_PERCENT 110
@@ -264,6 +269,10 @@
   if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
     points += WEIGHT_FAR_RACK;
   points += (int64_t)worker->failed_jobs * WEIGHT_FAILED_HERE;
+  if (worker->suspect_count > 0)
+    points += WEIGHT_SUSPECT;
+  if (crash_is_suspect (task))
+    points += (int64_t)worker->task_count * WEIGHT_NEIGHBOUR;
   return points;
 }
 
@@ -280,11 +289,13 @@
 /* Whether the task must see all workers: few of them suit it, or it should be
    packed on as few as possible. */
 static bool
-is_particular (const struct kq_sched_step *step, const char *rack)
+is_particular (const struct task *task, const char *rack)
 {
-  return rack != NULL || step->tail_target_ms > 0 || step->long_running
-         || step->rack[0] != '\0' || step->label[0] != '\0'
-         || step->max_per_worker != 0;
+  const struct kq_sched_step *step = task->stage->step;
+
+  return crash_is_suspect (task) || rack != NULL || step->tail_target_ms > 0
+         || step->long_running || step->rack[0] != '\0'
+         || step->label[0] != '\0' || step->max_per_worker != 0;
 }
 
 /* Whether WORKER may run TASK; sets *INTERFERENCE on serving tasks there. */
@@ -318,8 +329,7 @@
   int64_t best_score = 0;
   size_t count = sched->worker_count;
   size_t candidates = 0;
-  size_t max_candidates
-      = is_particular (task->stage->step, rack) ? count : MAX_CANDIDATES;
+  size_t max_candidates = is_particular (task, rack) ? count : MAX_CANDIDATES;
   size_t first = count > max_candidates ? sched->next_candidate : 0;
 
   for (size_t i = 0; i < count && candidates < max_candidates; i++)
--- a/sched/record.c
+++ b/sched/record.c
@@ -65,6 +65,7 @@
   if (record->done)
     return;
   record->failed_runs = task->failed_runs;
+  record->crashes = (uint32_t)task->crashes;
   record->checkpoint = task->checkpoint;
   if (task->state == TASK_BOUND)
     {
@@ -272,6 +273,7 @@
 
   task->run = (int)record->run;
   task->failed_runs = record->failed_runs;
+  task->crashes = (int)record->crashes;
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
@@ -288,6 +290,7 @@
     return;
   task_bind (sched, task, worker, now);
   task->phase = PHASE_RESTORED;
+  task->incarnation_ms = record->born_ms;
   worker->has_restored_tasks = true;
 }
 
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -76,10 +76,14 @@
    */
   uint64_t failed_runs;
   char *checkpoint;
+  /*
+   * workers lost under its runs since one settled
+   */
+  uint32_t crashes;
 };
 #define KQ_SCHED__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__task_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/sched/task.c
+++ b/sched/task.c
@@ -179,6 +179,8 @@
     worker->long_running_cpu += sign * step->demand.cpu;
   if (step->tail_target_ms > 0)
     worker->serving_count += sign;
+  if (crash_is_on_trial (task))
+    worker->suspect_count += sign;
   worker->task_count += sign;
   worker->slots_valid = false;
 }
@@ -199,6 +201,9 @@
   task->may_disturb = false;
   task->pace_percent = 100;
   task->stop_sent_at = 0;
+  task->started_at = now.mono;
+  task->incarnation_ms = 0;
+  task->settled = false;
   task->worker = worker;
   task->stage->run_count++;
   task->stage->last_placed_at = now.mono;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -128,6 +128,7 @@
   log_worker (worker, "worker in a new incarnation", "");
   worker->report.incarnation_ms = incarnation_ms;
   worker->incarnation_since = now;
+  worker->ended_as_announced = worker->report.draining;
   worker->lost = false;
   worker->last_end = 0;
   worker->acked_end = 0;
@@ -288,20 +289,6 @@
           worker->renewed_at != 0 ? renewed : "", NULL);
 }
 
-static void
-end_all_runs (struct kq_sched *sched, struct worker *worker,
-              struct kq_sched_now now, const char *why)
-{
-  struct task *task;
-  struct task *next;
-
-  DL_FOREACH_SAFE (worker->tasks, task, next)
-  {
-    if (task->phase != PHASE_STORING)
-      task_end_run (sched, task, now, why);
-  }
-}
-
 static void
 retry_stops (struct kq_sched *sched, struct worker *worker,
              struct kq_sched_now now)
@@ -330,7 +317,7 @@
   worker->lost = true;
   worker->idle = false;
   worker->next_poll_at = now.mono + LOST_POLL_INTERVAL_US;
-  end_all_runs (sched, worker, now, "worker lost");
+  crash_end_runs (sched, worker, now, "worker lost", true);
 }
 
 void
@@ -343,7 +330,7 @@
         {
           sched->counts.lapsed_workers++;
           log_lapse (worker, now);
-          end_all_runs (sched, worker, now, "lease lapsed");
+          crash_end_runs (sched, worker, now, "lease lapsed", false);
         }
       else
         retry_stops (sched, worker, now);
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -148,12 +148,14 @@
 crash_each_worker_of (struct site *site, uint64_t job)
 {
   int crashes = 0;
+  int run = 0;
 
-  while (crashes == count_starts (&site->cell, job) - 1
+  while (last_start (&site->cell, job).run.run != run
          && site->count < MAX_WORKERS)
     {
       struct ts_order start = last_start (&site->cell, job);
 
+      run = start.run.run;
       ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
       crash (site, start.worker);
       crashes++;
