t: runs that a worker's new incarnation has accepted (fails, known red)

Cause: worker_start_incarnation() forgets the worker's clock, and without a clock have_leases_lapsed() asks when the leases of earlier owners lapsed, which is long past. The next tick, within 100 ms, ends each run at the worker, also a start that is under way to the new incarnation or that it has accepted, and the task is placed elsewhere: two runs of one task. Ruled out: that the status of the new incarnation comes first. Replies to starts do not name the incarnation, and its registration is read every 250 ms.

--- /dev/null
+++ b/t/test-new-incarnation.c
@@ -0,0 +1,167 @@
+/* Guards against taking the state of a worker's earlier incarnation for that
+ * of the one that runs under its ID now, which may have accepted orders before
+ * it was known.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define JOB UINT64_C (0x11)
+
+/* Time from a worker's last sign of life until its leases have lapsed. */
+#define LAPSE_MS 8000
+
+static const struct kq_sched_step step = {
+  .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 1000, .long_running = true
+};
+
+/* Returns the last start order for the only task of JOB. */
+static struct ts_order
+last_start (const struct ts_cell *cell)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+
+  CU_ASSERT_PTR_NOT_NULL (order);
+  return order != NULL ? *order : (struct ts_order){ .worker = "" };
+}
+
+static void
+assert_run (const struct ts_cell *cell, const char *worker, int run)
+{
+  struct ts_order start = last_start (cell);
+
+  CU_ASSERT_STRING_EQUAL (start.worker, worker);
+  CU_ASSERT_EQUAL (start.run.run, run);
+}
+
+/* Returns a cell that has sent worker "a" the start of a task, without a
+   reply so far. */
+static struct ts_cell *
+start_cell (void)
+{
+  struct ts_cell *cell = malloc (sizeof *cell);
+
+  ts_start (cell);
+  ts_register_worker (cell, "a", 4000, 4000);
+  ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+  ts_submit (cell, JOB, "batch", &step, 1);
+  assert_run (cell, "a", 1);
+  ts_register_worker (cell, "b", 4000, 4000);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  return cell;
+}
+
+static void
+stop_cell (struct ts_cell *cell)
+{
+  ts_stop (cell);
+  free (cell);
+}
+
+/* Lets MS pass in which only worker "b" replies to its polls. */
+static void
+advance_without_a (struct ts_cell *cell, int ms)
+{
+  for (int i = 0; i < ms; i += 100)
+    {
+      ts_advance (cell, 100);
+      ts_fail_poll (cell, "a");
+      ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+    }
+}
+
+/* The registration of the new incarnation is read while a start is under way
+   to it: the task must not start elsewhere as well. */
+static void
+test_registered_while_a_start_is_under_way (void)
+{
+  struct ts_cell *cell = start_cell ();
+
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  advance_without_a (cell, 500);
+  assert_run (cell, "a", 1);
+  stop_cell (cell);
+}
+
+/* The same for a start that the new incarnation accepted before its status
+   showed that it is one. */
+static void
+test_status_after_an_accepted_start (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 100);
+
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, &row, 1, NULL, 0);
+  advance_without_a (cell, 500);
+  assert_run (cell, "a", 1);
+  stop_cell (cell);
+}
+
+/* A new incarnation that never replies holds nothing for longer than a
+   lease. */
+static void
+test_new_incarnation_that_never_replies (void)
+{
+  struct ts_cell *cell = start_cell ();
+
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  advance_without_a (cell, LAPSE_MS);
+  assert_run (cell, "b", 2);
+  stop_cell (cell);
+}
+
+/* What a status listed has ended with its incarnation, and goes on elsewhere
+   at once although the new incarnation does not reply. */
+static void
+test_listed_run_of_the_earlier_incarnation (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 100);
+
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  advance_without_a (cell, 200);
+  assert_run (cell, "b", 2);
+  stop_cell (cell);
+}
+
+/* The first registration that a new owner reads does not begin an incarnation:
+   the wait for the leases of the earlier owner goes on as it was. */
+static void
+test_first_registration_after_a_takeover (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  ts_take_over (cell);
+  ts_register_worker (cell, "b", 4000, 4000);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  advance_without_a (cell, LAPSE_MS - 1000);
+  assert_run (cell, "a", 1);
+  ts_register_worker (cell, "a", 4000, 4000);
+  advance_without_a (cell, 2000);
+  assert_run (cell, "b", 2);
+  stop_cell (cell);
+}
+
+static const struct kq_test tests[] = {
+  { "registered while a start is under way",
+    test_registered_while_a_start_is_under_way },
+  { "status after an accepted start", test_status_after_an_accepted_start },
+  { "a new incarnation that never replies",
+    test_new_incarnation_that_never_replies },
+  { "a listed run of the earlier incarnation",
+    test_listed_run_of_the_earlier_incarnation },
+  { "the first registration after a takeover",
+    test_first_registration_after_a_takeover },
+};
+
+KQ_TEST_MAIN ("test-new-incarnation", tests)
