sched: runs that a worker's new incarnation may have accepted keep their lease

What a status of the earlier incarnation listed ends with the registration, so that lasting tasks do not wait. The first registration that an owner reads is no new incarnation. Ruled out: extending the wait at each takeover (a test bounds it).

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -93,9 +93,9 @@
   /* The reply of an earlier incarnation is obsolete. */
   if (worker_status->incarnation_ms < worker->report.incarnation_ms)
     return;
-  worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   if (worker_status->incarnation_ms > worker->report.incarnation_ms)
     worker_start_incarnation (worker, worker_status->incarnation_ms, now.mono);
+  worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
   worker_schedule_poll (sched, worker, now);
 }
--- a/sched/grant.c
+++ b/sched/grant.c
@@ -183,8 +183,6 @@
 grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
                  kq_usec now)
 {
-  worker->leases_lapsed_at = renewed_until (sched, worker, now)
-                             + (KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS)
-                                   * KQ_USEC_PER_MSEC * 100
-                                   / SLOWEST_CLOCK_PERCENT;
+  worker->leases_lapsed_at
+      = renewed_until (sched, worker, now) + LONGEST_LAPSE_US;
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -47,6 +47,12 @@
 /* Time after the end of a lease from which it counts as lapsed. */
 #define LAPSE_MARGIN_MS 300
 
+/* Time after which a lease that was granted or renewed has lapsed, also on the
+   slowest clock. */
+#define LONGEST_LAPSE_US                                                      \
+  ((KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS) * KQ_USEC_PER_MSEC * 100             \
+   / SLOWEST_CLOCK_PERCENT)
+
 /* Number of records among which the grants of all workers are split, so that
    a change of one writes few others again. */
 #define GRANT_BUCKETS 16
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -120,12 +120,16 @@
 }
 
 /* A new incarnation starts with a new clock, new numbers of ended runs and
-   no known fences. */
+   no known fences. Before it was known it may have accepted orders that were
+   meant for the earlier one. */
 void
 worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
                           kq_usec now)
 {
   log_worker (worker, "worker in a new incarnation", "");
+  if (worker->report.incarnation_ms != 0
+      && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
+    worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
   worker->report.incarnation_ms = incarnation_ms;
   worker->incarnation_since = now;
   worker->lost = false;
@@ -137,6 +141,21 @@
   worker->quarantined_until = 0;
 }
 
+/* Ends the runs that a status of the incarnation known so far listed. */
+static void
+end_listed_runs (struct kq_sched *sched, struct worker *worker,
+                 struct kq_sched_now now)
+{
+  struct task *task;
+  struct task *next;
+
+  DL_FOREACH_SAFE (worker->tasks, task, next)
+  {
+    if (task->percent >= 0)
+      task_end_run (sched, task, now, "worker has restarted");
+  }
+}
+
 void
 worker_register (struct kq_sched *sched, struct kq_sched_now now,
                  const struct kq_sched_registration *registration)
@@ -155,7 +174,11 @@
   if (registration->incarnation_ms < worker->report.incarnation_ms)
     return;
   if (registration->incarnation_ms > worker->report.incarnation_ms)
-    worker_start_incarnation (worker, registration->incarnation_ms, now.mono);
+    {
+      end_listed_runs (sched, worker, now);
+      worker_start_incarnation (worker, registration->incarnation_ms,
+                                now.mono);
+    }
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
