t: a worker's clock that began anew (fails, known red)

Cause: replies to starts and stops do not name the incarnation. If the new one under a worker's ID replies to such an order first and is gone before its registration or status is read, worker_note_reply() has set the clock to the new one, near 0, while the end of the lease is still one of the earlier clock. Effect: the lease lapses only after as long as the earlier incarnation had run; its lasting tasks stay down until then. Ruled out: that another limit ends the wait; nothing but the clock is compared. The test waits for hold_max_ms, 10 s, since the new incarnation may have cut an end of the earlier clock to that; it asks that the run is kept until then.

--- a/t/test-new-incarnation.c
+++ b/t/test-new-incarnation.c
@@ -13,6 +13,10 @@
 /* Time from a worker's last sign of life until its leases have lapsed. */
 #define LAPSE_MS 8000
 
+/* The longest lease that a worker grants.  It grants it for an end that an
+   earlier clock gave. */
+#define MAX_LEASE_MS 10000
+
 static const struct kq_sched_step step = {
   .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 1000, .long_running = true
 };
@@ -152,6 +156,43 @@
   stop_cell (cell);
 }
 
+/* Replies to ORDER, with WORKER_CLOCK_MS as the clock of who replies. */
+static void
+reply_with_clock (struct ts_cell *cell, const struct ts_order *order,
+                  int64_t worker_clock_ms)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_STOPPED };
+
+  event.u.order.worker = order->worker;
+  event.u.order.run = order->run;
+  event.u.order.reply = KQ_SCHED_OK;
+  event.u.order.sent_at = order->at;
+  event.u.order.worker_clock_ms = worker_clock_ms;
+  kq_sched_event (cell->sched, cell->now, &event);
+  ts_process_pending (cell);
+}
+
+/* The only sign of the new incarnation is its reply to a stop.  Its clock
+   began anew: the lease must not end at the time that the earlier clock gave.
+ */
+static void
+test_clock_that_began_anew (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct ts_order stop = { .kind = KQ_SCHED_FX_STOP, .worker = "a" };
+
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  advance_without_a (cell, 1000);
+  stop.at = cell->now.mono;
+  reply_with_clock (cell, &stop, 500);
+  advance_without_a (cell, MAX_LEASE_MS);
+  assert_run (cell, "a", 1);
+  advance_without_a (cell, 1000);
+  assert_run (cell, "b", 2);
+  stop_cell (cell);
+}
+
 static const struct kq_test tests[] = {
   { "registered while a start is under way",
     test_registered_while_a_start_is_under_way },
@@ -162,6 +203,7 @@
     test_listed_run_of_the_earlier_incarnation },
   { "the first registration after a takeover",
     test_first_registration_after_a_takeover },
+  { "a clock that began anew", test_clock_that_began_anew },
 };
 
 KQ_TEST_MAIN ("test-new-incarnation", tests)
