sched: the end of a lease follows the clock of who replies

Change: no lease is taken to last longer than hold_max_ms from a reply; a clock that is further ahead than that is one of another incarnation too, and its lease is taken to begin with the reply. Replies of one incarnation are never so far apart. Ruled out: cutting it to the 5 s that this owner grants. The new incarnation may have cut the end of a start on the earlier clock to hold_max_ms, and run on for that long while it is cut off. Measured: test-new-incarnation 5 of 6 passed before, 7 of 7 after; "replies in the wrong order" fails without the second half of the rule. test-sched 37, test-lost-worker 6, test-sim 10 passed.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -16,6 +16,10 @@
    any known deployment. Source: docs/design/platform.md. */
 #define KQ_SCHED_LEASE_MS 5000
 
+/* Longest lease that a worker grants, hold_max of the known deployments: also
+   for an end on the clock of an earlier incarnation. */
+#define KQ_SCHED_MAX_LEASE_MS 10000
+
 /* Length of the lease that a start order grants; a worker refuses an order
    that arrives later. */
 #define KQ_SCHED_START_LEASE_MS 3000
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -212,6 +212,23 @@
          + (mono - worker->clock_read_at) / KQ_USEC_PER_MSEC;
 }
 
+/* Brings the end of the lease in line with the clock of a reply, which may be
+   that of an incarnation that is not known yet: the end is then one on another
+   clock. */
+static void
+adapt_lease_end (struct worker *worker, kq_usec now, int64_t worker_clock_ms)
+{
+  int64_t longest = worker_clock_ms + KQ_SCHED_MAX_LEASE_MS;
+  int64_t expected = worker_clock (worker, now);
+
+  /* An earlier owner may have renewed the worker's lease until now. */
+  if (worker->clock_read_at == 0
+      || worker_clock_ms > expected + KQ_SCHED_MAX_LEASE_MS)
+    worker->lease_end_ms = worker_clock_ms + KQ_SCHED_LEASE_MS;
+  else if (worker->lease_end_ms > longest)
+    worker->lease_end_ms = longest;
+}
+
 void
 worker_note_reply (struct kq_sched *sched, struct worker *worker, kq_usec now,
                    int64_t worker_clock_ms)
@@ -223,9 +240,7 @@
     return;
   if (worker->grant_position == 0)
     grant_begin (sched, worker);
-  /* An earlier owner may have renewed the worker's lease until now. */
-  if (worker->clock_read_at == 0)
-    worker->lease_end_ms = worker_clock_ms + KQ_SCHED_LEASE_MS;
+  adapt_lease_end (worker, now, worker_clock_ms);
   worker->worker_clock_ms = worker_clock_ms;
   worker->clock_read_at = now;
 }
--- a/t/test-new-incarnation.c
+++ b/t/test-new-incarnation.c
@@ -193,6 +193,24 @@
   stop_cell (cell);
 }
 
+/* A reply of the earlier incarnation that arrives after one of the new one
+   must not make the lease of the new one look lapsed. */
+static void
+test_replies_in_the_wrong_order (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct ts_order stop = { .kind = KQ_SCHED_FX_STOP, .worker = "a" };
+
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  stop.at = cell->now.mono;
+  reply_with_clock (cell, &stop, 500);
+  reply_with_clock (cell, &stop, 1000000);
+  advance_without_a (cell, 500);
+  assert_run (cell, "a", 1);
+  stop_cell (cell);
+}
+
 static const struct kq_test tests[] = {
   { "registered while a start is under way",
     test_registered_while_a_start_is_under_way },
@@ -204,6 +222,7 @@
   { "the first registration after a takeover",
     test_first_registration_after_a_takeover },
   { "a clock that began anew", test_clock_that_began_anew },
+  { "replies in the wrong order", test_replies_in_the_wrong_order },
 };
 
 KQ_TEST_MAIN ("test-new-incarnation", tests)
