t: a late reply of a worker's earlier incarnation (fails, known red)

Cause: replies to starts and stops do not name the incarnation, and apply_sender() takes each for one of the incarnation known now. One of the earlier incarnation, sent before the new one was known and read after it (an owner that was frozen, a relay), sets the clock ahead: the leases count as lapsed in the next tick, and the task is placed again while the new incarnation runs it. Ruled out: polls. Their replies name the incarnation and are dropped.

--- a/t/test-new-incarnation.c
+++ b/t/test-new-incarnation.c
@@ -211,6 +211,27 @@
   stop_cell (cell);
 }
 
+/* The reply of the earlier incarnation to an order that was sent before the
+   new one was known says nothing about the new one's clock. */
+static void
+test_late_reply_of_the_earlier_incarnation (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct ts_order stop = { .kind = KQ_SCHED_FX_STOP, .worker = "a" };
+  int64_t clock_ms = start.lease_end_ms;
+
+  stop.at = cell->now.mono;
+  ts_advance (cell, 100);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, NULL, 0, NULL, 0);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  reply_with_clock (cell, &stop, clock_ms + 4000);
+  advance_without_a (cell, 500);
+  assert_run (cell, "a", 1);
+  stop_cell (cell);
+}
+
 static const struct kq_test tests[] = {
   { "registered while a start is under way",
     test_registered_while_a_start_is_under_way },
@@ -223,6 +244,8 @@
     test_first_registration_after_a_takeover },
   { "a clock that began anew", test_clock_that_began_anew },
   { "replies in the wrong order", test_replies_in_the_wrong_order },
+  { "a late reply of the earlier incarnation",
+    test_late_reply_of_the_earlier_incarnation },
 };
 
 KQ_TEST_MAIN ("test-new-incarnation", tests)
