--- a/sched/answers.c
+++ b/sched/answers.c
@@ -61,7 +61,9 @@
     case KQ_SCHED_NO_REPLY:
       return true;
     default:
-      if (worker != NULL)
+      /* The reply to an earlier order may be one of an earlier incarnation. */
+      if (worker != NULL
+          && event->u.order.sent_at >= worker->incarnation_since)
         worker_note_reply (sched, worker, now.mono,
                            event->u.order.worker_clock_ms);
       return true;
