t: refusals of an unhealthy worker (fails, known red)

Cause: a start refused with 429 or 503 by an unhealthy worker "has done nothing", also not taken the end of a lease, yet counts as a sign of life. With polls refused in the same way, a start each second (UNHEALTHY_BACKOFF_US) keeps last_reply_at younger than the 2.2 s within which leases are renewed in the books, without bound. Ruled out: that a poll bounds it; refused polls change nothing.

--- a/t/test-lost-worker.c
+++ b/t/test-lost-worker.c
@@ -202,6 +202,33 @@
   stop_cell (cell);
 }
 
+/* A worker refuses all orders since it is unhealthy, and so renews no lease.
+   The refusals of starts must not put off the time at which the leases count
+   as lapsed. */
+static void
+test_refusals_of_an_unhealthy_worker (void)
+{
+  struct ts_cell *cell = start_cell ();
+  kq_usec last_reply_at = cell->now.mono;
+  int refused_run = 0;
+
+  ts_submit (cell, OTHER_JOB, "batch", &step_at_a, 1);
+  while (last_start (cell, LASTING_JOB).run.run == 1
+         && cell->now.mono - last_reply_at < 20 * KQ_USEC_PER_SEC)
+    {
+      struct ts_order start = last_start (cell, OTHER_JOB);
+
+      if (start.run.run > refused_run)
+        ts_reply_order (cell, &start, KQ_SCHED_UNHEALTHY);
+      refused_run = start.run.run;
+      ts_advance (cell, 100);
+      ts_refuse_poll (cell, "a", cell->now.mono, KQ_SCHED_UNHEALTHY);
+      ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+    }
+  CU_ASSERT (cell->now.mono - last_reply_at < LAPSE_MS * KQ_USEC_PER_MSEC);
+  stop_cell (cell);
+}
+
 static const struct kq_test tests[] = {
   { "a stop refused by another incarnation",
     test_stop_refused_by_another_incarnation },
@@ -213,6 +240,7 @@
   { "a late refusal of an earlier incarnation",
     test_late_refusal_of_an_earlier_incarnation },
   { "a worker that replies again", test_worker_that_replies_again },
+  { "refusals of an unhealthy worker", test_refusals_of_an_unhealthy_worker },
 };
 
 KQ_TEST_MAIN ("test-lost-worker", tests)
