sched: refusals of an unhealthy worker are no sign of life

Change: a start or stop refused with 429 or 503 leaves the time of the last reply and the clock as they are, as a refused poll does. Ruled out: that an unhealthy worker whose polls are answered is now taken for silent; those replies count as before.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -59,6 +59,7 @@
                                event->u.order.sent_at);
       return true;
     case KQ_SCHED_NO_REPLY:
+    case KQ_SCHED_UNHEALTHY:
       return true;
     default:
       /* The reply to an earlier order may be one of an earlier incarnation. */
