term: a slow store gives a silent owner one more timeout, not one a read

Change: the timeout begins anew once after the last record of the owner that was read, or after another host named the owner; the next record allows it again. Ruled out: losing the owner at the end of an outage of the store: it still gets the full timeout then ("a store outage does not change the owner" passes). Measured: test-term 16 of 17 passed before, 17 of 17 after; test-hosts 4 passed.

--- a/term/term.c
+++ b/term/term.c
@@ -87,6 +87,7 @@
   kq_usec read_at; /* completion of the last read that reached the end */
   kq_usec owner_alive_at; /* last evidence that the owner is alive */
   kq_usec owner_heard_at; /* last record of the owner that was read */
+  bool timeout_extended;  /* since then, after the store did not reply */
   kq_usec suspected_until;
   kq_usec read_latency; /* of the first read */
   double cores;         /* available to this host */
@@ -237,6 +238,7 @@
   set_owner (term, now, record, number);
   term->owner_alive_at = now;
   term->owner_heard_at = now;
+  term->timeout_extended = false;
   if (is_own (term, record) && term->no_claim_until <= now)
     {
       term->own_term = number;
@@ -259,6 +261,7 @@
     set_owner (term, now, record, record->term);
   term->owner_alive_at = now;
   term->owner_heard_at = now;
+  term->timeout_extended = false;
   if (is_own (term, record) && record->term == term->own_term
       && record->age_ms == term->heartbeat_age_ms)
     term->confirmed_at = term->heartbeat_sent_at;
@@ -345,10 +348,14 @@
         }
     }
   /* Heartbeats could not be read while the store did not reply, so the owner
-     gets a full timeout again.  */
+     gets a full timeout again: once, since with a slow store each read may
+     take as long.  */
   if (term->caught_up && now - term->read_at > READ_MAX_AGE_US
-      && term->owner.incarnation[0] != '\0')
-    term->owner_alive_at = now;
+      && term->owner.incarnation[0] != '\0' && !term->timeout_extended)
+    {
+      term->owner_alive_at = now;
+      term->timeout_extended = true;
+    }
   term->read_at = now;
   if (!term->caught_up)
     {
@@ -629,6 +636,7 @@
   snprintf (owner->incarnation, sizeof owner->incarnation, "?");
   snprintf (owner->address, sizeof owner->address, "%s", address);
   term->owner_alive_at = now;
+  term->timeout_extended = false;
   end_own_term (term, now);
 }
 
