--- a/sched/answers.c
+++ b/sched/answers.c
@@ -59,9 +59,12 @@
                                event->u.order.sent_at);
       return true;
     case KQ_SCHED_NO_REPLY:
+    case KQ_SCHED_UNHEALTHY:
       return true;
     default:
-      if (worker != NULL)
+      /* The reply to an earlier order may be one of an earlier incarnation. */
+      if (worker != NULL
+          && event->u.order.sent_at >= worker->incarnation_since)
         worker_note_reply (sched, worker, now.mono,
                            event->u.order.worker_clock_ms);
       return true;
@@ -93,9 +96,9 @@
   /* The reply of an earlier incarnation is obsolete. */
   if (worker_status->incarnation_ms < worker->report.incarnation_ms)
     return;
-  worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   if (worker_status->incarnation_ms > worker->report.incarnation_ms)
     worker_start_incarnation (worker, worker_status->incarnation_ms, now.mono);
+  worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
   worker_schedule_poll (sched, worker, now);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -16,6 +16,10 @@
    any known deployment. Source: docs/design/platform.md. */
 #define KQ_SCHED_LEASE_MS 5000
 
+/* Longest lease that a worker grants, hold_max of the known deployments: also
+   for an end on the clock of an earlier incarnation. */
+#define KQ_SCHED_MAX_LEASE_MS 10000
+
 /* Length of the lease that a start order grants; a worker refuses an order
    that arrives later. */
 #define KQ_SCHED_START_LEASE_MS 3000
@@ -47,6 +51,12 @@
 /* Time after the end of a lease from which it counts as lapsed. */
 #define LAPSE_MARGIN_MS 300
 
+/* Time after which a lease that was granted or renewed has lapsed, also on the
+   slowest clock. */
+#define LONGEST_LAPSE_US                                                      \
+  ((KQ_SCHED_LEASE_MS + LAPSE_MARGIN_MS) * KQ_USEC_PER_MSEC * 100             \
+   / SLOWEST_CLOCK_PERCENT)
+
 /* Number of records among which the grants of all workers are split, so that
    a change of one writes few others again. */
 #define GRANT_BUCKETS 16
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -120,12 +120,16 @@
 }
 
 /* A new incarnation starts with a new clock, new numbers of ended runs and
-   no known fences. */
+   no known fences. Before it was known it may have accepted orders that were
+   meant for the earlier one. */
 void
 worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
                           kq_usec now)
 {
   log_worker (worker, "worker in a new incarnation", "");
+  if (worker->report.incarnation_ms != 0
+      && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
+    worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
   worker->report.incarnation_ms = incarnation_ms;
   worker->incarnation_since = now;
   worker->ended_as_announced = worker->report.draining;
@@ -138,6 +142,21 @@
   worker->quarantined_until = 0;
 }
 
+/* Ends the runs that a status of the incarnation known so far listed. */
+static void
+end_listed_runs (struct kq_sched *sched, struct worker *worker,
+                 struct kq_sched_now now)
+{
+  struct task *task;
+  struct task *next;
+
+  DL_FOREACH_SAFE (worker->tasks, task, next)
+  {
+    if (task->percent >= 0)
+      task_end_run (sched, task, now, "worker has restarted");
+  }
+}
+
 void
 worker_register (struct kq_sched *sched, struct kq_sched_now now,
                  const struct kq_sched_registration *registration)
@@ -156,7 +175,11 @@
   if (registration->incarnation_ms < worker->report.incarnation_ms)
     return;
   if (registration->incarnation_ms > worker->report.incarnation_ms)
-    worker_start_incarnation (worker, registration->incarnation_ms, now.mono);
+    {
+      end_listed_runs (sched, worker, now);
+      worker_start_incarnation (worker, registration->incarnation_ms,
+                                now.mono);
+    }
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
@@ -190,6 +213,23 @@
          + (mono - worker->clock_read_at) / KQ_USEC_PER_MSEC;
 }
 
+/* Brings the end of the lease in line with the clock of a reply, which may be
+   that of an incarnation that is not known yet: the end is then one on another
+   clock. */
+static void
+adapt_lease_end (struct worker *worker, kq_usec now, int64_t worker_clock_ms)
+{
+  int64_t longest = worker_clock_ms + KQ_SCHED_MAX_LEASE_MS;
+  int64_t expected = worker_clock (worker, now);
+
+  /* An earlier owner may have renewed the worker's lease until now. */
+  if (worker->clock_read_at == 0
+      || worker_clock_ms > expected + KQ_SCHED_MAX_LEASE_MS)
+    worker->lease_end_ms = worker_clock_ms + KQ_SCHED_LEASE_MS;
+  else if (worker->lease_end_ms > longest)
+    worker->lease_end_ms = longest;
+}
+
 void
 worker_note_reply (struct kq_sched *sched, struct worker *worker, kq_usec now,
                    int64_t worker_clock_ms)
@@ -201,9 +241,7 @@
     return;
   if (worker->grant_position == 0)
     grant_begin (sched, worker);
-  /* An earlier owner may have renewed the worker's lease until now. */
-  if (worker->clock_read_at == 0)
-    worker->lease_end_ms = worker_clock_ms + KQ_SCHED_LEASE_MS;
+  adapt_lease_end (worker, now, worker_clock_ms);
   worker->worker_clock_ms = worker_clock_ms;
   worker->clock_read_at = now;
 }
