sched: a loss without an accepted start is no proof against a task

Cause: its first start had no reply, since that worker had crashed before (14.81), and counted as if it had begun; the second worker crashed 10 ms after the start. Ruled out: a wrong count after a takeover (one owner from the first run on).

Now a loss is a crash for a task only if the worker had accepted its start and is known to have crashed; two or three crashes suffice as before. Other losses (no reply, restored runs, lapsed leases) count toward a limit of four losses of any kind, since a worker may crash before its reply arrives. A listed run that ends since its worker registered again counts as well. test-crash: "an unanswered start proves nothing" fails without the change (10 of 11 passed), 11 of 11 now.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -173,6 +173,7 @@
     case KQ_SCHED_OK:
       if (task->phase != PHASE_START_SENT)
         return;
+      task->accepted = true;
       task->phase = PHASE_RUNNING;
       task->phase_since = now.mono;
       task->progress_at = now.mono;
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -15,15 +15,23 @@
    it. */
 #define SETTLE_US (500 * KQ_USEC_PER_MSEC)
 
-/* Number of workers that may be lost under the runs of a task until it is
-   given up; the same if the last loss can have no other cause. */
+/* A task is given up after so many workers have crashed under its runs; after
+   fewer if the last crash can have no other cause; and after so many losses of
+   any kind, since a worker may crash before its reply to a start arrives. */
 #define MAX_CRASHES 3
 #define MAX_CRASHES_ALONE 2
+#define MAX_LOSSES 4
+
+static int
+count_losses (const struct task *task)
+{
+  return task->crashes + task->unproven_crashes;
+}
 
 bool
 crash_is_suspect (const struct task *task)
 {
-  return task->crashes > 0;
+  return count_losses (task) > 0;
 }
 
 bool
@@ -48,11 +56,13 @@
     job_mark_dirty (sched, task->stage->job);
   task->settled = true;
   task->crashes = 0;
+  task->unproven_crashes = 0;
 }
 
 void
 crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at)
 {
+  task->accepted = true;
   if (!task->settled && sent_at - task->started_at >= SETTLE_US)
     clear_suspicion (sched, task);
 }
@@ -90,23 +100,36 @@
   return true;
 }
 
+static bool
+is_given_up (const struct task *task, bool crash, bool one_cause)
+{
+  return task->crashes >= MAX_CRASHES || count_losses (task) >= MAX_LOSSES
+         || (crash && one_cause && task->crashes >= MAX_CRASHES_ALONE);
+}
+
+/* Ends the run of TASK at a lost worker. PROVEN: the worker has crashed. */
 static void
 end_lost_run (struct kq_sched *sched, struct task *task,
-              struct kq_sched_now now, const char *why, bool one_cause)
+              struct kq_sched_now now, const char *why, bool proven,
+              bool one_cause)
 {
   struct job *job = task->stage->job;
   bool counts = may_have_crashed (task);
-  char text[16];
+  bool crash = proven && task->accepted;
+  char text[32];
 
   task_end_run (sched, task, now, why);
   if (!counts)
     return;
-  task->crashes++;
+  if (crash)
+    task->crashes++;
+  else
+    task->unproven_crashes++;
   sched->counts.crashes++;
-  snprintf (text, sizeof text, "%d", task->crashes);
+  snprintf (text, sizeof text, "%d crashes of %d losses", task->crashes,
+            count_losses (task));
   task_log (task, "worker lost before the run settled", text);
-  if (task->crashes >= MAX_CRASHES
-      || (one_cause && task->crashes >= MAX_CRASHES_ALONE))
+  if (is_given_up (task, crash, one_cause))
     {
       job->given_up = true;
       sched->job_given_up = true;
@@ -135,7 +158,7 @@
 crash_end_runs (struct kq_sched *sched, struct worker *worker,
                 struct kq_sched_now now, const char *why, bool proven)
 {
-  bool one_cause = proven && crash_has_one_cause (worker);
+  bool one_cause = crash_has_one_cause (worker);
   struct task *task;
   struct task *next;
 
@@ -146,7 +169,7 @@
     if (worker->report.draining)
       task_end_run (sched, task, now, why);
     else
-      end_lost_run (sched, task, now, why, one_cause);
+      end_lost_run (sched, task, now, why, proven, one_cause);
   }
   crash_end_jobs (sched, now);
 }
@@ -160,7 +183,7 @@
 
   if (worker->report.incarnation_ms > task->incarnation_ms
       && task->incarnation_ms != 0 && !worker->ended_as_announced)
-    end_lost_run (sched, task, now, why, one_cause);
+    end_lost_run (sched, task, now, why, true, one_cause);
   else
     task_end_run (sched, task, now, why);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -94,7 +94,10 @@
   enum task_phase phase;
   int run;              /* number of its latest run; 0: none yet */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
-  int crashes; /* workers lost under its runs since one of these settled */
+  /* Workers lost under its runs since one of these settled: workers that have
+     crashed after they accepted the start, and all others. */
+  int crashes;
+  int unproven_crashes;
   char checkpoint[KQ_SCHED_NAME_SIZE];
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
@@ -103,6 +106,7 @@
   kq_usec stop_sent_at;
   kq_usec started_at;     /* its start order was sent */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
+  bool accepted;          /* the worker has accepted the start */
   bool settled;           /* its run does not crash the worker */
   bool stop_wanted;
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
--- a/sched/record.c
+++ b/sched/record.c
@@ -66,6 +66,7 @@
     return;
   record->failed_runs = task->failed_runs;
   record->crashes = (uint32_t)task->crashes;
+  record->unproven_crashes = (uint32_t)task->unproven_crashes;
   record->checkpoint = task->checkpoint;
   if (task->state == TASK_BOUND)
     {
@@ -274,6 +275,7 @@
   task->run = (int)record->run;
   task->failed_runs = record->failed_runs;
   task->crashes = (int)record->crashes;
+  task->unproven_crashes = (int)record->unproven_crashes;
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_sched__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[12] =
 {
   {
     "occurrence",
@@ -430,6 +430,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unproven_crashes",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, unproven_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__task_record__field_indices_by_name[] = {
   7,   /* field[7] = born_ms */
@@ -442,12 +454,13 @@
   0,   /* field[0] = occurrence */
   4,   /* field[4] = run */
   1,   /* field[1] = step */
+  11,   /* field[11] = unproven_crashes */
   6,   /* field[6] = worker */
 };
 static const ProtobufCIntRange kq_sched__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor kq_sched__task_record__descriptor =
 {
@@ -457,7 +470,7 @@
   "KqSched__TaskRecord",
   "kq_sched",
   sizeof(KqSched__TaskRecord),
-  11,
+  12,
   kq_sched__task_record__field_descriptors,
   kq_sched__task_record__field_indices_by_name,
   1,  kq_sched__task_record__number_ranges,
--- a/sched/task.c
+++ b/sched/task.c
@@ -203,6 +203,7 @@
   task->stop_sent_at = 0;
   task->started_at = now.mono;
   task->incarnation_ms = 0;
+  task->accepted = false;
   task->settled = false;
   task->worker = worker;
   task->stage->run_count++;
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -142,19 +142,22 @@
   worker->quarantined_until = 0;
 }
 
-/* Ends the runs that a status of the incarnation known so far listed. */
+/* Ends the runs that a status of the earlier incarnation listed. */
 static void
 end_listed_runs (struct kq_sched *sched, struct worker *worker,
                  struct kq_sched_now now)
 {
   struct task *task;
   struct task *next;
+  bool one_cause = crash_has_one_cause (worker);
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
     if (task->percent >= 0)
-      task_end_run (sched, task, now, "worker has restarted");
+      crash_end_missing_run (sched, task, now, "worker has restarted",
+                             one_cause);
   }
+  crash_end_jobs (sched, now);
 }
 
 void
@@ -176,9 +179,9 @@
     return;
   if (registration->incarnation_ms > worker->report.incarnation_ms)
     {
-      end_listed_runs (sched, worker, now);
       worker_start_incarnation (worker, registration->incarnation_ms,
                                 now.mono);
+      end_listed_runs (sched, worker, now);
     }
   sched->placement_due = true;
   draining = worker->report.draining;
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -11,9 +11,13 @@
 #define DEADLY_JOB UINT64_C (0x11)
 #define OTHER_JOB UINT64_C (0x12)
 
-/* A task under which so many workers have crashed is given up. */
+/* A task under which so many workers have crashed for certain is given up. */
 #define MAX_CRASHES 3
 
+/* A task may be started twice more after three workers have crashed under
+   it. */
+#define MAX_STARTS 5
+
 /* Time from the first start until a run has proved that it does not crash its
    worker. */
 #define SETTLE_MS 1500
@@ -142,10 +146,12 @@
     }
 }
 
-/* Crashes each worker that starts the first task of JOB, until it is not
-   started any more; returns the number of crashes. */
+/* Crashes each worker that starts the first task of JOB and has answered the
+   start with REPLY, until it is not started any more; returns the number of
+   crashes. */
 static int
-crash_each_worker_of (struct site *site, uint64_t job)
+crash_each_worker_of (struct site *site, uint64_t job,
+                      enum kq_sched_reply reply)
 {
   int crashes = 0;
   int run = 0;
@@ -156,7 +162,7 @@
       struct ts_order start = last_start (&site->cell, job);
 
       run = start.run.run;
-      ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
+      ts_reply_order (&site->cell, &start, reply);
       crash (site, start.worker);
       crashes++;
     }
@@ -169,7 +175,8 @@
   struct site *site = start_site (3);
 
   ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
-  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB, KQ_SCHED_OK)
+             <= MAX_CRASHES);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   run_on (site, 3000);
   CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_CRASHES);
@@ -183,7 +190,8 @@
   struct site *site = start_site (3);
 
   ts_submit (&site->cell, DEADLY_JOB, "urgent", &lasting_task, 1);
-  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB) <= MAX_CRASHES);
+  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB, KQ_SCHED_OK)
+             <= MAX_CRASHES);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   stop_site (site);
 }
@@ -218,11 +226,70 @@
       crash (site, start.worker);
       crashes++;
     }
-  CU_ASSERT (crashes <= MAX_CRASHES);
+  CU_ASSERT (crashes <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* The workers crash before their replies to the starts arrive. */
+static void
+test_crashes_without_replies (void)
+{
+  struct site *site = start_site (3);
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB, KQ_SCHED_NO_REPLY)
+             <= MAX_STARTS);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   stop_site (site);
 }
 
+/* A start without a reply may never have reached the worker, so that only one
+   worker has crashed under the task: its job must not fail for that. */
+static void
+test_unanswered_start_proves_nothing (void)
+{
+  struct site *site = start_site (3);
+  struct ts_order start;
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  start = last_start (&site->cell, OTHER_JOB);
+  ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
+  crash (site, start.worker);
+  start = last_start (&site->cell, OTHER_JOB);
+  ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+  crash (site, start.worker);
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), 3);
+  stop_site (site);
+}
+
+/* The same for workers that are only silent until their leases lapse. */
+static void
+test_silent_worker_proves_nothing (void)
+{
+  struct site *site = start_site (2);
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  for (int i = 0; i < 2; i++)
+    {
+      struct ts_order start = last_start (&site->cell, OTHER_JOB);
+
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+      site->crashed[atoi (start.worker)] = true;
+      add_worker (site);
+      for (int step = 0;
+           step < 100 && is_at (&site->cell, OTHER_JOB, start.worker); step++)
+        {
+          ts_fail_poll (&site->cell, start.worker);
+          run_on (site, 250);
+        }
+      CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), i + 2);
+    }
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
 /* Two tasks are lost together.  They are not started on one worker again, and
    the one that settles is not given up. */
 static void
@@ -243,7 +310,7 @@
                      last_start (&site->cell, DEADLY_JOB).worker));
   other = last_start (&site->cell, OTHER_JOB);
   ts_reply_order (&site->cell, &other, KQ_SCHED_OK);
-  crash_each_worker_of (site, DEADLY_JOB);
+  crash_each_worker_of (site, DEADLY_JOB, KQ_SCHED_OK);
   CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_CRASHES);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
@@ -345,6 +412,10 @@
   { "a lasting task that crashes its workers is given up",
     test_lasting_task_is_given_up },
   { "crashes count across takeovers", test_crashes_count_across_takeovers },
+  { "crashes without replies", test_crashes_without_replies },
+  { "an unanswered start proves nothing",
+    test_unanswered_start_proves_nothing },
+  { "a silent worker proves nothing", test_silent_worker_proves_nothing },
   { "tasks lost together are parted", test_tasks_lost_together_are_parted },
   { "a settled task is not given up", test_settled_task_is_not_given_up },
   { "a settled run clears the count", test_settled_run_clears_the_count },
