t: a worker whose capacity shrinks while it runs

A worker's registration may now show less capacity than before while it runs. The program shrinks a worker below what is bound there, also to nothing, and checks in virtual time: no start of a short, long-running or serving task, a gang or a filler there for 5 s, a start at once when the capacity grows again, runs that are being stopped count until their end is listed, a successor counts the runs that it restored, and a start refused for want of room is neither lost nor repeated more than five times a second. kq_sched_assert() holds throughout.

--- /dev/null
+++ b/t/test-capacity.c
@@ -0,0 +1,318 @@
+/* Guards against starts at a worker whose registered capacity has shrunk below
+ * what is bound there, against divisions by a capacity of zero, and against
+ * work that stays away after the capacity has grown again.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define JOB UINT64_C (0x21)
+
+#define MAX_ROWS 64
+
+#define CPU 8000
+#define MEM 8000
+
+static const struct kq_sched_step plain_step
+    = { .count = 1, .demand = { 2000, 1000, 0 }, .est_ms = 60000 };
+
+/* Suits worker "b" alone, whose rack is "r-b". */
+static const struct kq_sched_step step_at_b = {
+  .count = 1, .demand = { 2000, 1000, 0 }, .est_ms = 60000, .label = "r-b"
+};
+
+/* Returns a cell with the worker "a". */
+static struct ts_cell *
+start_cell (void)
+{
+  struct ts_cell *cell = malloc (sizeof *cell);
+
+  ts_start (cell);
+  ts_register_worker (cell, "a", CPU, MEM);
+  ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+  return cell;
+}
+
+static void
+stop_cell (struct ts_cell *cell)
+{
+  ts_stop (cell);
+  free (cell);
+}
+
+/* The registration of worker "a" with another capacity is read. */
+static void
+resize (struct ts_cell *cell, int64_t cpu, int64_t mem)
+{
+  ts_register_worker (cell, "a", cpu, mem);
+  ts_process_pending (cell);
+}
+
+static int
+count_starts (const struct ts_cell *cell)
+{
+  return ts_count_orders (cell, KQ_SCHED_FX_START);
+}
+
+static struct kq_sched_counts
+count (const struct ts_cell *cell)
+{
+  struct kq_sched_counts counts;
+
+  kq_sched_count (cell->sched, &counts);
+  return counts;
+}
+
+/* Returns the last start order for task INDEX of JOB. */
+static struct ts_order
+last_start (const struct ts_cell *cell, uint64_t job, int index)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, index);
+
+  CU_ASSERT_PTR_NOT_NULL (order);
+  return order != NULL ? *order : (struct ts_order){ .worker = "" };
+}
+
+/* Submits JOB with the only step STEP and accepts the start of its tasks. */
+static void
+submit_started (struct ts_cell *cell, uint64_t job,
+                const struct kq_sched_step *step)
+{
+  ts_submit (cell, job, "batch", step, 1);
+  for (int i = 0; i < step->count; i++)
+    {
+      struct ts_order order = last_start (cell, job, i);
+
+      ts_reply_order (cell, &order, KQ_SCHED_OK);
+    }
+}
+
+/* Returns a row for each run that was ever started at WORKER. */
+static size_t
+list_runs (const struct ts_cell *cell, const char *worker,
+           struct kq_sched_running *rows)
+{
+  size_t rows_used = 0;
+
+  for (int i = 0; i < cell->order_count && rows_used < MAX_ROWS; i++)
+    if (cell->orders[i].kind == KQ_SCHED_FX_START
+        && strcmp (cell->orders[i].worker, worker) == 0)
+      rows[rows_used++] = ts_running (&cell->orders[i], 100);
+  return rows_used;
+}
+
+/* Lets MS pass while worker "a" reports all runs that were started there. */
+static void
+advance (struct ts_cell *cell, int64_t ms)
+{
+  struct kq_sched_running rows[MAX_ROWS];
+
+  for (; ms > 0; ms -= 100)
+    {
+      ts_advance (cell, 100);
+      ts_reply_poll (cell, "a", rows, list_runs (cell, "a", rows), NULL, 0);
+    }
+}
+
+/* Each kind of work stays away while more is bound than the worker can carry,
+   and starts at once when the capacity has grown again. */
+static void
+assert_waits_for_room (const struct kq_sched_step *step, int64_t cpu,
+                       int64_t mem)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step bound = plain_step;
+
+  bound.count = 3;
+  submit_started (cell, JOB, &bound);
+  resize (cell, cpu, mem);
+  ts_submit (cell, JOB + 1, "urgent", step, 1);
+  advance (cell, 5000);
+  CU_ASSERT_EQUAL (count_starts (cell), 3);
+  CU_ASSERT_EQUAL (count (cell).bound_tasks, 3);
+  CU_ASSERT_EQUAL (count (cell).cpu_capacity, cpu);
+  resize (cell, CPU, MEM);
+  CU_ASSERT_EQUAL (count_starts (cell), 3 + step->count);
+  stop_cell (cell);
+}
+
+static void
+test_no_start_while_shrunk (void)
+{
+  struct kq_sched_step step = plain_step;
+
+  assert_waits_for_room (&step, 3000, MEM);
+  assert_waits_for_room (&step, CPU, 2000);
+  assert_waits_for_room (&step, 0, 0);
+  /* What is bound needs all of the room. */
+  assert_waits_for_room (&step, 6000, MEM);
+  step.long_running = true;
+  assert_waits_for_room (&step, 3000, MEM);
+  step.tail_target_ms = 100;
+  assert_waits_for_room (&step, 3000, MEM);
+  assert_waits_for_room (&step, 0, 0);
+}
+
+static void
+test_gang_waits_while_shrunk (void)
+{
+  struct kq_sched_step gang = {
+    .count = 2, .demand = { 1000, 100, 0 }, .est_ms = 60000, .gang = true
+  };
+
+  assert_waits_for_room (&gang, 7000, MEM);
+  assert_waits_for_room (&gang, 0, 0);
+}
+
+/* The CPU of fillers is not counted, their memory is. */
+static void
+test_filler_waits_while_shrunk (void)
+{
+  struct kq_sched_step filler = {
+    .count = 1, .demand = { 500, 1000, 0 }, .est_ms = 60000, .filler = true
+  };
+
+  assert_waits_for_room (&filler, CPU, 3500);
+  assert_waits_for_room (&filler, 0, 0);
+}
+
+/* Work for another worker is not held up by the one that has shrunk. */
+static void
+test_other_workers_are_used (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step step = plain_step;
+
+  step.count = 3;
+  submit_started (cell, JOB, &step);
+  ts_register_worker (cell, "b", CPU, MEM);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  resize (cell, 1000, 1000);
+  step.count = 4;
+  ts_submit (cell, JOB + 1, "batch", &step, 1);
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT_STRING_EQUAL (last_start (cell, JOB + 1, i).worker, "b");
+  stop_cell (cell);
+}
+
+/* A run that is being stopped counts until its end is listed. */
+static void
+test_stopping_runs_count (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step step = plain_step;
+  struct kq_sched_ended ends[2];
+  struct kq_sched_running row;
+
+  step.count = 2;
+  submit_started (cell, JOB, &step);
+  ts_cancel (cell, JOB);
+  for (int i = 0; i < 2; i++)
+    {
+      struct ts_order stop
+          = *ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, i);
+
+      ts_reply_order (cell, &stop, KQ_SCHED_OK);
+      ends[i] = ts_ended (&stop, i + 1, KQ_SCHED_STOPPED);
+    }
+  resize (cell, 2000, MEM);
+  ts_submit (cell, JOB + 1, "urgent", &plain_step, 1);
+  advance (cell, 300);
+  CU_ASSERT_EQUAL (count_starts (cell), 2);
+  row = ts_running (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 1), 100);
+  ts_reply_poll (cell, "a", &row, 1, ends, 1);
+  CU_ASSERT_EQUAL (count_starts (cell), 2);
+  ts_reply_poll (cell, "a", NULL, 0, &ends[1], 1);
+  CU_ASSERT_EQUAL (count_starts (cell), 3);
+  stop_cell (cell);
+}
+
+/* The successor counts the runs of its predecessor, also before the worker has
+   reported them. */
+static void
+test_takeover_while_shrunk (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step step = plain_step;
+  struct kq_sched_running rows[MAX_ROWS];
+
+  step.count = 3;
+  submit_started (cell, JOB, &step);
+  resize (cell, 3000, MEM);
+  ts_submit (cell, JOB + 1, "urgent", &plain_step, 1);
+  ts_take_over (cell);
+  CU_ASSERT_EQUAL (count (cell).bound_tasks, 3);
+  resize (cell, 3000, MEM);
+  ts_reply_poll (cell, "a", rows, list_runs (cell, "a", rows), NULL, 0);
+  advance (cell, 5000);
+  CU_ASSERT_EQUAL (count_starts (cell), 3);
+  CU_ASSERT_EQUAL (count (cell).cpu_used, 6000);
+  resize (cell, CPU, MEM);
+  CU_ASSERT_EQUAL (count_starts (cell), 4);
+  stop_cell (cell);
+}
+
+/* A worker that guards its capacity refuses what its registration still seemed
+   to allow: the task stays ready, and the worker is asked a few times a second
+   at most. */
+static void
+test_refused_for_want_of_room (void)
+{
+  struct ts_cell *cell = start_cell ();
+  int refusals = 0;
+
+  ts_submit (cell, JOB, "batch", &plain_step, 1);
+  for (int i = 0; i < 20; i++)
+    {
+      struct ts_order start;
+
+      ts_advance (cell, 100);
+      ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+      start = last_start (cell, JOB, 0);
+      if (start.run.run > refusals)
+        {
+          refusals = start.run.run;
+          ts_reply_order (cell, &start, KQ_SCHED_NO_CAPACITY);
+        }
+      CU_ASSERT_EQUAL (count (cell).ready_tasks, 1);
+    }
+  ts_register_worker (cell, "b", CPU, MEM);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  CU_ASSERT (refusals > 1 && refusals <= 10);
+  CU_ASSERT_STRING_EQUAL (last_start (cell, JOB, 0).worker, "b");
+  stop_cell (cell);
+}
+
+/* The callers' runs at a worker that has shrunk are not ended. */
+static void
+test_bound_runs_stay (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step step = plain_step;
+
+  step.count = 3;
+  submit_started (cell, JOB, &step);
+  ts_register_worker (cell, "b", CPU, MEM);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  submit_started (cell, JOB + 1, &step_at_b);
+  resize (cell, 1000, 1000);
+  advance (cell, 1000);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
+  stop_cell (cell);
+}
+
+static const struct kq_test tests[] = {
+  { "no start while the capacity is too small", test_no_start_while_shrunk },
+  { "a gang waits for room", test_gang_waits_while_shrunk },
+  { "a filler waits for memory", test_filler_waits_while_shrunk },
+  { "other workers are used", test_other_workers_are_used },
+  { "runs that are being stopped count", test_stopping_runs_count },
+  { "a takeover while the capacity is small", test_takeover_while_shrunk },
+  { "starts refused for want of room", test_refused_for_want_of_room },
+  { "runs that are bound stay", test_bound_runs_stay },
+};
+
+KQ_TEST_MAIN ("test-capacity", tests)
