--- a/t/test-capacity.c
+++ b/t/test-capacity.c
@@ -286,6 +286,39 @@
   stop_cell (cell);
 }
 
+/* Guards against a division by zero that ended the owner: a task that serves
+   and asks for no CPU fits a worker without CPU. */
+static void
+test_work_without_cpu_at_a_worker_without_cpu (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step step = { .count = 1, .demand = { 0, 100, 0 } };
+
+  submit_started (cell, JOB, &plain_step);
+  resize (cell, 0, MEM);
+  advance (cell, 100);
+  CU_ASSERT_EQUAL (count (cell).cpu_capacity, 0);
+  resize (cell, CPU, MEM);
+  step.long_running = true;
+  step.tail_target_ms = 100;
+  submit_started (cell, JOB + 1, &step);
+  resize (cell, 0, MEM);
+  advance (cell, 100);
+  stop_cell (cell);
+
+  cell = start_cell ();
+  resize (cell, 0, MEM);
+  submit_started (cell, JOB, &step);
+  CU_ASSERT_EQUAL (count_starts (cell), 1);
+  step.tail_target_ms = 0;
+  step.long_running = false;
+  step.filler = true;
+  submit_started (cell, JOB + 1, &step);
+  advance (cell, 2000);
+  CU_ASSERT_EQUAL (count_starts (cell), 2);
+  stop_cell (cell);
+}
+
 /* The callers' runs at a worker that has shrunk are not ended. */
 static void
 test_bound_runs_stay (void)
@@ -313,6 +346,8 @@
   { "a takeover while the capacity is small", test_takeover_while_shrunk },
   { "starts refused for want of room", test_refused_for_want_of_room },
   { "runs that are bound stay", test_bound_runs_stay },
+  { "work without CPU at a worker without CPU",
+    test_work_without_cpu_at_a_worker_without_cpu },
 };
 
 KQ_TEST_MAIN ("test-capacity", tests)
