sched: score a worker without CPU without a division by zero

Cause: score() divided the CPU of the fillers by the capacity of a worker; a registration of 0 CPU ended the owner with SIGFPE when a serving task that asks for no CPU was ready. The guard that load_with_milli() had now stands in one function, share_milli(), for both. Ruled out: refusing registrations of 0 CPU: a worker whose room has shrunk to nothing says so, and what it said before must not be used for starts.

--- a/sched/place.c
+++ b/sched/place.c
@@ -208,17 +208,24 @@
          && place_meets_constraints (worker, stage);
 }
 
-/* Returns the CPU load in thousandths, including fillers and the demand of
-   STEP. */
+/* Returns CPU in thousandths of the capacity of WORKER, which may be 0. */
 static int64_t
-load_with_milli (const struct worker *worker, const struct kq_sched_step *step)
+share_milli (const struct worker *worker, int64_t cpu)
 {
   int64_t capacity = worker->report.capacity.cpu;
-  int64_t cpu = worker->used.cpu + worker->filler_cpu + step->demand.cpu;
 
   return capacity > 0 ? cpu * 1000 / capacity : 0;
 }
 
+/* Returns the CPU load in thousandths, including fillers and the demand of
+   STEP. */
+static int64_t
+load_with_milli (const struct worker *worker, const struct kq_sched_step *step)
+{
+  return share_milli (worker, worker->used.cpu + worker->filler_cpu
+                                  + step->demand.cpu);
+}
+
 /* Penalty for mixing serving tasks of different images on a worker:
    separate images leave fillers more workers whose tasks they do not slow
    down. */
@@ -253,7 +260,7 @@
       points = -load + mixing_penalty (worker, task);
       if (worker->serving_count == 0)
         points += WEIGHT_MIXED_WORK / 2;
-      points += worker->filler_cpu * 1000 / worker->report.capacity.cpu;
+      points += share_milli (worker, worker->filler_cpu);
     }
   else if (step->long_running && !step->filler)
     points = -load;
