--- a/t/test-capacity.c
+++ b/t/test-capacity.c
@@ -319,6 +319,97 @@
   stop_cell (cell);
 }
 
+/* Guards against orders for more than the worker can carry: the starts of STEP
+   are decided, and wait for the store when the smaller capacity is read. Only
+   EXPECTED of them may be sent, the others find room later. */
+static void
+assert_decided_starts_wait (const struct kq_sched_step *step, int64_t cpu,
+                            int64_t mem, int expected)
+{
+  struct ts_cell *cell = start_cell ();
+
+  submit_started (cell, JOB, &plain_step);
+  cell->store_down = true;
+  ts_submit (cell, JOB + 1, "batch", step, 1);
+  CU_ASSERT_EQUAL (count (cell).bound_tasks, 1 + step->count);
+  CU_ASSERT_EQUAL (count_starts (cell), 1);
+  resize (cell, cpu, mem);
+  cell->store_down = false;
+  ts_process_pending (cell);
+  CU_ASSERT_EQUAL (count_starts (cell), 1 + expected);
+  advance (cell, 2000);
+  CU_ASSERT_EQUAL (count_starts (cell), 1 + expected);
+  resize (cell, CPU, MEM);
+  CU_ASSERT_EQUAL (count_starts (cell), 1 + step->count);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
+  stop_cell (cell);
+}
+
+static void
+test_decided_starts_wait (void)
+{
+  struct kq_sched_step step = plain_step;
+
+  step.count = 2;
+  assert_decided_starts_wait (&step, 6000, 3000, 2);
+  assert_decided_starts_wait (&step, 4000, MEM, 1);
+  assert_decided_starts_wait (&step, CPU, 2500, 1);
+  assert_decided_starts_wait (&step, 3000, MEM, 0);
+  assert_decided_starts_wait (&step, 0, 0, 0);
+  step.long_running = true;
+  assert_decided_starts_wait (&step, 4000, MEM, 1);
+}
+
+static void
+test_decided_gang_waits (void)
+{
+  struct kq_sched_step gang = {
+    .count = 3, .demand = { 2000, 100, 0 }, .est_ms = 60000, .gang = true
+  };
+
+  assert_decided_starts_wait (&gang, CPU, 1300, 3);
+  assert_decided_starts_wait (&gang, 6000, MEM, 0);
+  assert_decided_starts_wait (&gang, CPU, 1200, 0);
+}
+
+static void
+test_decided_fillers_wait (void)
+{
+  struct kq_sched_step filler = {
+    .count = 2, .demand = { 500, 1000, 0 }, .est_ms = 60000, .filler = true
+  };
+
+  assert_decided_starts_wait (&filler, 3000, 3000, 2);
+  assert_decided_starts_wait (&filler, CPU, 2000, 1);
+}
+
+/* A gang is on two workers and only one of them has shrunk: no member may
+   start, since it would wait for the others in vain. */
+static void
+test_decided_gang_on_two_workers (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step gang = {
+    .count = 2, .demand = { 6000, 100, 0 }, .est_ms = 60000, .gang = true
+  };
+
+  ts_register_worker (cell, "b", CPU, MEM);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  cell->store_down = true;
+  ts_submit (cell, JOB, "batch", &gang, 1);
+  CU_ASSERT_EQUAL (count (cell).bound_tasks, 2);
+  resize (cell, 5000, MEM);
+  cell->store_down = false;
+  ts_process_pending (cell);
+  CU_ASSERT_EQUAL (count_starts (cell), 0);
+  CU_ASSERT_EQUAL (count (cell).bound_tasks, 0);
+  resize (cell, CPU, MEM);
+  CU_ASSERT_EQUAL (count_starts (cell), 2);
+  CU_ASSERT_EQUAL (last_start (cell, JOB, 0).run.run,
+                   last_start (cell, JOB, 1).run.run);
+  stop_cell (cell);
+}
+
 /* The callers' runs at a worker that has shrunk are not ended. */
 static void
 test_bound_runs_stay (void)
@@ -346,6 +437,10 @@
   { "a takeover while the capacity is small", test_takeover_while_shrunk },
   { "starts refused for want of room", test_refused_for_want_of_room },
   { "runs that are bound stay", test_bound_runs_stay },
+  { "decided starts wait for room", test_decided_starts_wait },
+  { "a decided gang waits for room", test_decided_gang_waits },
+  { "decided fillers wait for memory", test_decided_fillers_wait },
+  { "a decided gang on two workers", test_decided_gang_on_two_workers },
   { "work without CPU at a worker without CPU",
     test_work_without_cpu_at_a_worker_without_cpu },
 };
