sched: starts that wait for the store are held to the worker's capacity

Cause: kq_sched_start_order() asked whether the worker is usable, not whether what is bound there still fits the capacity that was read since. Now a start that does not is withdrawn and its task is ready again; nothing was sent, so the run cannot appear. Starts are withdrawn in the order in which they were decided until the rest fits. Of a gang all members are withdrawn before one is sent: a member alone would wait for the others until it ends `alone`. Ruled out: checking at the reply of the worker: one that does not guard its capacity accepts the start. Conclusion: fixed; from the read of a smaller capacity on, no start is sent that exceeds it.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -224,6 +224,40 @@
     apply_sender (sched, now, event, "pace");
 }
 
+/* Whether the worker of TASK, and of all members of its gang that are to
+   start, still has the capacity for all that is bound there. */
+static bool
+has_room_to_start (const struct task *task)
+{
+  const struct stage *stage = task->stage;
+
+  if (!stage->step->gang)
+    return place_is_within_capacity (task->worker, stage->step);
+  for (int i = 0; i < stage->step->count; i++)
+    {
+      const struct task *member = &stage->tasks[i];
+
+      if (member->state == TASK_BOUND && member->phase == PHASE_STORING
+          && !place_is_within_capacity (member->worker, stage->step))
+        return false;
+    }
+  return true;
+}
+
+/* Ends the run of TASK, whose start was not sent, and with it those of its
+   gang, which would wait for it in vain. */
+static void
+withdraw_start (struct kq_sched *sched, struct task *task,
+                struct kq_sched_now now)
+{
+  struct stage *stage = task->stage;
+
+  for (int i = 0; stage->step->gang && i < stage->step->count; i++)
+    if (&stage->tasks[i] != task)
+      task_stop (sched, &stage->tasks[i], now);
+  task_end_run (sched, task, now, "worker's capacity has shrunk");
+}
+
 int
 kq_sched_start_order (struct kq_sched *sched, struct kq_sched_now now,
                       const struct kq_sched_effect *effect,
@@ -251,6 +285,11 @@
       task_end_run (sched, task, now, "worker no longer usable");
       return KQ_ENOENT;
     }
+  if (!has_room_to_start (task))
+    {
+      withdraw_start (sched, task, now);
+      return KQ_ENOENT;
+    }
   task->phase = PHASE_START_SENT;
   task->phase_since = now.mono;
   task->progress_at = now.mono;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -428,6 +428,12 @@
 bool place_meets_constraints (const struct worker *worker,
                               const struct stage *stage);
 
+/* Whether what is bound at WORKER does not exceed its capacity, which may have
+   shrunk, in anything that a task of STEP takes part in: the CPU of fillers is
+   not counted. */
+bool place_is_within_capacity (const struct worker *worker,
+                               const struct kq_sched_step *step);
+
 /* reserve.c */
 
 /* Reserves workers for the ready tasks of STAGE that have waited too long, if
--- a/sched/place.c
+++ b/sched/place.c
@@ -185,6 +185,17 @@
   return worker->used.cpu + demand->cpu <= capacity->cpu;
 }
 
+bool
+place_is_within_capacity (const struct worker *worker,
+                          const struct kq_sched_step *step)
+{
+  const struct kq_sched_demand *capacity = &worker->report.capacity;
+  const struct kq_sched_demand *used = &worker->used;
+
+  return used->mem <= capacity->mem && used->gpu <= capacity->gpu
+         && (step->filler || used->cpu <= capacity->cpu);
+}
+
 bool
 place_meets_constraints (const struct worker *worker,
                          const struct stage *stage)
