--- a/t/test-capacity.c
+++ b/t/test-capacity.c
@@ -410,6 +410,74 @@
   stop_cell (cell);
 }
 
+/* Lets MS pass in which "a" and "b" report COUNT of the runs in STARTS. */
+static void
+advance_with (struct ts_cell *cell, int64_t ms, const struct ts_order *starts,
+              int count_of_starts)
+{
+  for (; ms > 0; ms -= 100)
+    {
+      struct kq_sched_running rows[2][MAX_ROWS];
+      size_t sizes[2] = { 0, 0 };
+
+      ts_advance (cell, 100);
+      for (int i = 0; i < count_of_starts; i++)
+        {
+          int at = strcmp (starts[i].worker, "b") == 0;
+
+          rows[at][sizes[at]++] = ts_running (&starts[i], 50);
+        }
+      ts_reply_poll (cell, "a", rows[0], sizes[0], NULL, 0);
+      ts_reply_poll (cell, "b", rows[1], sizes[1], NULL, 0);
+    }
+}
+
+/* Guards against a lasting task that stays down: it waits for the room of a
+   worker that is reserved for it and has become too small. */
+static void
+test_reserved_worker_shrinks (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct kq_sched_step lasting = { .count = 1,
+                                   .demand = { CPU, 1000, 0 },
+                                   .est_ms = 1000,
+                                   .long_running = true };
+  struct kq_sched_step cheap = { .count = 1,
+                                 .demand = { CPU, 1000, 0 },
+                                 .est_ms = 60000,
+                                 .checkpointable = true };
+  struct kq_sched_step costly = step_at_b;
+  struct ts_order starts[2];
+  struct ts_order first;
+  struct kq_sched_ended ended;
+
+  submit_started (cell, JOB, &lasting);
+  first = last_start (cell, JOB, 0);
+  ts_register_worker (cell, "b", CPU, MEM);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  costly.demand.cpu = CPU;
+  submit_started (cell, JOB + 1, &costly);
+  starts[0] = last_start (cell, JOB + 1, 0);
+  ts_submit (cell, JOB + 2, "urgent", &cheap, 1);
+  ended = ts_ended (&first, 1, KQ_SCHED_LAPSED);
+  ts_reply_poll (cell, "a", NULL, 0, &ended, 1);
+  starts[1] = last_start (cell, JOB + 2, 0);
+  CU_ASSERT_STRING_EQUAL (starts[1].worker, "a");
+  ts_reply_order (cell, &starts[1], KQ_SCHED_OK);
+  advance_with (cell, 500, starts, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (cell, KQ_SCHED_FX_STOP, JOB + 2, 0, 0));
+  CU_ASSERT_PTR_NULL (ts_last_order (cell, KQ_SCHED_FX_STOP, JOB + 1, 0, 0));
+  resize (cell, CPU / 2, MEM);
+  advance_with (cell, 500, starts, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (cell, KQ_SCHED_FX_STOP, JOB + 1, 0, 0));
+  advance_with (cell, 100, &starts[1], 1);
+  CU_ASSERT_STRING_EQUAL (last_start (cell, JOB, 0).worker, "b");
+  CU_ASSERT_EQUAL (last_start (cell, JOB, 0).run.run, 2);
+  stop_cell (cell);
+}
+
 /* The callers' runs at a worker that has shrunk are not ended. */
 static void
 test_bound_runs_stay (void)
@@ -441,6 +509,7 @@
   { "a decided gang waits for room", test_decided_gang_waits },
   { "decided fillers wait for memory", test_decided_fillers_wait },
   { "a decided gang on two workers", test_decided_gang_on_two_workers },
+  { "a reserved worker shrinks", test_reserved_worker_shrinks },
   { "work without CPU at a worker without CPU",
     test_work_without_cpu_at_a_worker_without_cpu },
 };
