sched: give up a reservation that a smaller worker cannot keep

Cause: a reservation was held as long as its worker was usable, whatever capacity that worker had. Now, at each tick, a reservation whose room does not come free by what ends soon or is being stopped is given up, and the task reserves anew: another worker, or the same one with more stops. Ruled out: comparing the capacity with the task's demand alone: other lasting tasks that are bound there may need all of what is left. Conclusion: fixed; without a change of capacity the condition always holds, since no other task is placed at a reserved worker.

--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -168,6 +168,17 @@
     }
 }
 
+/* Whether the room that is reserved at WORKER comes free without further
+   stops. Its capacity may have shrunk since the reservation. */
+static bool
+reservations_hold (const struct worker *worker)
+{
+  static const struct kq_sched_demand nothing_more = { 0, 0, 0 };
+  struct room_plan plan;
+
+  return plan_room (worker, &nothing_more, &plan) && plan.stop_count == 0;
+}
+
 static bool
 is_waiting (const struct task *task, struct kq_sched_now now)
 {
@@ -190,7 +201,8 @@
       if (!is_waiting (task, now))
         continue;
       if (task->reserved_worker != NULL
-          && !worker_usable (task->reserved_worker, now))
+          && (!worker_usable (task->reserved_worker, now)
+              || !reservations_hold (task->reserved_worker)))
         reserve_clear (task);
       if (task->reserved_worker == NULL)
         reserve (sched, task, now);
