--- a/t/test-capacity.c
+++ b/t/test-capacity.c
@@ -478,6 +478,29 @@
   stop_cell (cell);
 }
 
+/* Guards against starts that are measured by the capacity of an earlier
+   incarnation: the worker is back under its ID, smaller and of another kind,
+   and a poll shows that before its registration is read. */
+static void
+test_incarnation_without_a_registration (void)
+{
+  struct ts_cell *cell = start_cell ();
+
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, NULL, 0, NULL, 0);
+  ts_submit (cell, JOB, "batch", &plain_step, 1);
+  ts_register_worker (cell, "a", CPU, MEM);
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, NULL, 0, NULL, 0);
+  ts_advance (cell, 500);
+  CU_ASSERT_EQUAL (count_starts (cell), 0);
+  ts_register_incarnation (cell, "a", 1000, MEM, 2);
+  ts_process_pending (cell);
+  CU_ASSERT_EQUAL (count_starts (cell), 0);
+  ts_register_incarnation (cell, "a", 2000, MEM, 2);
+  ts_process_pending (cell);
+  CU_ASSERT_EQUAL (count_starts (cell), 1);
+  stop_cell (cell);
+}
+
 /* The callers' runs at a worker that has shrunk are not ended. */
 static void
 test_bound_runs_stay (void)
@@ -510,6 +533,8 @@
   { "decided fillers wait for memory", test_decided_fillers_wait },
   { "a decided gang on two workers", test_decided_gang_on_two_workers },
   { "a reserved worker shrinks", test_reserved_worker_shrinks },
+  { "an incarnation without a registration",
+    test_incarnation_without_a_registration },
   { "work without CPU at a worker without CPU",
     test_work_without_cpu_at_a_worker_without_cpu },
 };
