sched: no starts by the registration of an earlier incarnation

Cause: worker_start_incarnation() kept the capacity, the kind and the rack of the earlier incarnation, and the worker was usable again as soon as its clock was known. Now it gets no tasks until a registration of its incarnation, or a later one, has been read. Ruled out: polling later: the owner must see at once that the runs are gone. A restarted worker is used as soon as both its registration and its clock are known, as before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -191,6 +191,7 @@
   struct kq_sched_registration report;
   int service; /* index among the known services */
   bool registered;
+  bool report_outdated; /* it describes an earlier incarnation */
   struct share_slot slots[MAX_SHARE_SLOTS];
   int slot_count;
   bool near_target;  /* fillers may push a serving task over its target */
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -127,6 +127,7 @@
 {
   log_worker (worker, "worker in a new incarnation", "");
   worker->report.incarnation_ms = incarnation_ms;
+  worker->report_outdated = true;
   worker->incarnation_since = now;
   worker->lost = false;
   worker->last_end = 0;
@@ -159,6 +160,7 @@
   sched->placement_due = true;
   draining = worker->report.draining;
   worker->report = *registration;
+  worker->report_outdated = false;
   worker->service = service_index (sched, registration->service);
   worker->registered = true;
   if (registration->draining && !draining)
@@ -247,8 +249,9 @@
 bool
 worker_usable (const struct worker *worker, struct kq_sched_now now)
 {
-  return worker->registered && !worker->lost && !worker->report.draining
-         && worker->clock_read_at != 0 && now.mono >= worker->quarantined_until
+  return worker->registered && !worker->report_outdated && !worker->lost
+         && !worker->report.draining && worker->clock_read_at != 0
+         && now.mono >= worker->quarantined_until
          && now.mono >= worker->no_starts_until
          && now.mono - worker->last_reply_at
                 < (worker->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
