--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -200,6 +200,58 @@
     CU_ASSERT_NOT_EQUAL (read_registration (texts[i], &registration), 0);
 }
 
+static int
+read_capacity (const char *capacity,
+               struct kq_sched_registration *registration)
+{
+  char text[256];
+
+  snprintf (text, sizeof text,
+            "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+            "\"capacity\":%s}",
+            capacity);
+  return read_registration (text, registration);
+}
+
+/* Guards against capacities that are taken for others, and against sums over
+   workers that overflow. */
+static void
+test_worker_capacities (void)
+{
+  static const char *const malformed[]
+      = { "null",
+          "[]",
+          "{}",
+          "{\"cpu\":1}",
+          "{\"mem_mb\":1}",
+          "{\"cpu\":-1,\"mem_mb\":1}",
+          "{\"cpu\":1,\"mem_mb\":-1}",
+          "{\"cpu\":1,\"mem_mb\":1,\"gpu\":-1}",
+          "{\"cpu\":1,\"mem_mb\":1,\"gpu\":null}",
+          "{\"cpu\":1.5,\"mem_mb\":1}",
+          "{\"cpu\":true,\"mem_mb\":1}",
+          "{\"cpu\":1,\"mem_mb\":[1]}",
+          "{\"cpu\":99999999999999999999,\"mem_mb\":1}",
+          "{\"cpu\":1000000000000000,\"mem_mb\":1}",
+          "{\"cpu\":1,\"mem_mb\":2147483648}",
+          "{\"cpu\":1,\"mem_mb\":1,\"gpu\":2147483648}" };
+  struct kq_sched_registration registration;
+
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (read_capacity (malformed[i], &registration), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (read_capacity ("{\"cpu\":2147483647,\"mem_mb\":2147483647,"
+                                  "\"gpu\":2147483647}",
+                                  &registration),
+                   0);
+  CU_ASSERT_EQUAL (registration.capacity.cpu, INT32_MAX);
+  CU_ASSERT_EQUAL (registration.capacity.gpu, INT32_MAX);
+  /* A worker whose room has shrunk to nothing says so. */
+  CU_ASSERT_EQUAL (
+      read_capacity ("{\"cpu\":0,\"mem_mb\":0,\"gpu\":0}", &registration), 0);
+  CU_ASSERT_EQUAL (registration.capacity.cpu, 0);
+  CU_ASSERT_EQUAL (registration.capacity.mem, 0);
+}
+
 static void
 test_worker_status (void)
 {
@@ -359,6 +411,7 @@
   { "configuration", test_config },
   { "worker registration", test_worker_registration },
   { "malformed worker registrations", test_malformed_registrations },
+  { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
   { "run names", test_run_names },
   { "advice", test_advice },
