sched: nothing is started by registrations that are over 2.2 s old

Cause: placement and kq_sched_start_order() used the registrations whatever their age. Now both ask when the last complete read of them was sent. A start that was decided and not sent is withdrawn, its task is ready again; leases, polls, stops and submissions are not concerned. Bound: with the smaller capacity in the store by T + one beat, the last read before that allows starts until T + one beat + 2.2 s; 0.8 s remain of the 3 s for an order that is under way. One lost read makes 1.4 s from read to read and does not reach the limit; two in a row hold starts up for up to 0.4 s. Ruled out: a longer limit for one read: it delays the next one as much. Conclusion: fixed in the decision; a read that is slow by more than 2.2 s in all stops starts while it is.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -278,6 +278,11 @@
       task_end_run (sched, task, now, "term not confirmed");
       return KQ_ENOENT;
     }
+  if (!worker_reports_are_current (sched, now))
+    {
+      task_end_run (sched, task, now, "registrations not read");
+      return KQ_ENOENT;
+    }
   if (!worker_usable (worker, now)
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -27,6 +27,11 @@
    Long-running tasks must go on 9 s after their last run. */
 #define KQ_SCHED_UNCONFIRMED_LIMIT_US (3 * KQ_USEC_PER_SEC)
 
+/* Age of the last complete read of the registrations from which nothing is
+   started: the 3 s after which a smaller capacity counts, less the longest
+   time for which an order may be under way. */
+#define KQ_SCHED_MAX_REGISTRATION_AGE_US (2200 * KQ_USEC_PER_MSEC)
+
 /* Minimum time between two polls of a worker that has reported ended runs
    which are not stored, and so not acknowledged, yet. */
 #define KQ_SCHED_UNACKED_POLL_INTERVAL_US (250 * KQ_USEC_PER_MSEC)
@@ -383,6 +388,9 @@
                         const char *id);
 void worker_tick (struct kq_sched *sched, struct worker *worker,
                   struct kq_sched_now now);
+/* Whether the registrations were read not too long ago. */
+bool worker_reports_are_current (const struct kq_sched *sched,
+                                 struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
 void worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
--- a/sched/place.c
+++ b/sched/place.c
@@ -585,7 +585,8 @@
   struct stage *next;
 
   if (sched->superseded || !sched->placement_due
-      || !grant_is_current (sched, now))
+      || !grant_is_current (sched, now)
+      || !worker_reports_are_current (sched, now))
     return;
   sched->placement_due = false;
   sum_pools (sched, &pass, now);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -246,6 +246,15 @@
     worker->lease_end_ms = lease_end_ms;
 }
 
+bool
+worker_reports_are_current (const struct kq_sched *sched,
+                            struct kq_sched_now now)
+{
+  return sched->registrations_at == 0
+         || now.mono - sched->registrations_at
+                <= KQ_SCHED_MAX_REGISTRATION_AGE_US;
+}
+
 bool
 worker_usable (const struct worker *worker, struct kq_sched_now now)
 {
