--- a/sched/internal.h
+++ b/sched/internal.h
@@ -31,6 +31,11 @@
    Long-running tasks must go on 9 s after their last run. */
 #define KQ_SCHED_UNCONFIRMED_LIMIT_US (3 * KQ_USEC_PER_SEC)
 
+/* Age of the last complete read of the registrations from which nothing is
+   started: the 3 s after which a smaller capacity counts, less the longest
+   time for which an order may be under way. */
+#define KQ_SCHED_MAX_REGISTRATION_AGE_US (2200 * KQ_USEC_PER_MSEC)
+
 /* Minimum time between two polls of a worker that has reported ended runs
    which are not stored, and so not acknowledged, yet. */
 #define KQ_SCHED_UNACKED_POLL_INTERVAL_US (250 * KQ_USEC_PER_MSEC)
@@ -211,6 +216,7 @@
   struct kq_sched_registration report;
   int service; /* index among the known services */
   bool registered;
+  bool report_outdated; /* it describes an earlier incarnation */
   struct share_slot slots[MAX_SHARE_SLOTS];
   int slot_count;
   bool near_target;  /* fillers may push a serving task over its target */
@@ -311,6 +317,7 @@
   struct worker *next_polled; /* where the search for due polls continues */
   kq_usec next_search_at;     /* a new search starts no earlier than this */
   kq_usec confirmed_at;       /* last confirmation of the term by the store */
+  kq_usec registrations_at;   /* all until then were read; 0: not reported */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
@@ -404,6 +411,9 @@
                         const char *id);
 void worker_tick (struct kq_sched *sched, struct worker *worker,
                   struct kq_sched_now now);
+/* Whether the registrations were read not too long ago. */
+bool worker_reports_are_current (const struct kq_sched *sched,
+                                 struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
 void worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
@@ -451,6 +461,12 @@
 bool place_meets_constraints (const struct worker *worker,
                               const struct stage *stage);
 
+/* Whether what is bound at WORKER does not exceed its capacity, which may have
+   shrunk, in anything that a task of STEP takes part in: the CPU of fillers is
+   not counted. */
+bool place_is_within_capacity (const struct worker *worker,
+                               const struct kq_sched_step *step);
+
 /* reserve.c */
 
 /* Reserves workers for the ready tasks of STAGE that have waited too long, if
