sched: a start without a reply is settled by the worker's list first

Callers saw: work that had been started and only its answer lost was stopped at once, and run again elsewhere. Cause: a start without a reply was followed by a stop, whether or not the worker had accepted it. Class: the absence of a reply taken as evidence.

Now the worker is polled at once; a run that it lists, running or ended, goes on; a stop follows if the list does not show it, or after 0.4 s without a list. Ruled out: waiting without a stop: the order may be carried out seconds later.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -181,11 +181,13 @@
       worker_poll_soon (task->worker, now);
       break;
     case KQ_SCHED_NO_REPLY:
+      /* The worker may have accepted it: its list tells. */
       task->phase = PHASE_UNCONFIRMED;
+      task->phase_since = now.mono;
       task->worker->idle = false;
       task_log (task, "no reply to start order", "");
       task->worker->no_starts_until = now.mono + FULL_BACKOFF_US;
-      task_stop (sched, task, now);
+      worker_poll_at_once (sched, task->worker);
       break;
     default:
       apply_refusal (sched, now, task, event->u.order.reply);
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -148,7 +148,7 @@
   if (task->phase == PHASE_START_SENT || task->phase == PHASE_RESTORED
       || task->phase == PHASE_UNCONFIRMED)
     {
-      if (task->phase != PHASE_UNCONFIRMED)
+      if (task->phase != PHASE_UNCONFIRMED || !task->stop_wanted)
         {
           /* Status replies may arrive out of order: a poll sent before this
              moment may not report the run yet. */
@@ -213,7 +213,8 @@
 
 /* A run that the worker accepted, or that was restored, before the poll was
    sent and that is in neither list of the status has been lost and cannot
-   appear later. */
+   appear later. One whose start had no reply may appear yet: a stop settles
+   it. */
 static void
 end_missing_runs (struct kq_sched *sched, struct worker *worker,
                   const struct kq_sched_status *worker_status, kq_usec sent_at,
@@ -229,10 +230,14 @@
                                || task->phase == PHASE_STOPPING
                                || task->phase == PHASE_RESTORED;
 
-    if (replied_or_restored && task->phase_since < sent_at
-        && !is_reported_running (worker_status, task))
+    if (task->phase_since >= sent_at
+        || is_reported_running (worker_status, task))
+      continue;
+    if (replied_or_restored)
       crash_end_missing_run (sched, task, now, "run not found at the worker",
                              one_cause);
+    else if (task->phase == PHASE_UNCONFIRMED && !task->stop_wanted)
+      task_stop (sched, task, now);
   }
   crash_end_jobs (sched, now);
 }
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -32,6 +32,10 @@
 /* Delay before a stop order without a reply is repeated. */
 #define STOP_RETRY_US (500 * KQ_USEC_PER_MSEC)
 
+/* A start without a reply is settled by a stop after this time, if no status
+   tells before whether the worker has accepted it. */
+#define UNCONFIRMED_START_US (400 * KQ_USEC_PER_MSEC)
+
 /* Time before the announced end of a draining worker by which its tasks
    must have ended. */
 #define DRAIN_MARGIN_MS 500
@@ -342,6 +346,8 @@
           worker->renewed_at != 0 ? renewed : "", NULL);
 }
 
+/* Orders the stops of runs whose start had no reply and that no status has
+   shown since, and repeats stop orders without a reply. */
 static void
 retry_stops (struct kq_sched *sched, struct worker *worker,
              struct kq_sched_now now)
@@ -351,8 +357,12 @@
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
-    if (task->stop_wanted && task->phase != PHASE_STOPPING
-        && now.mono - task->stop_sent_at > STOP_RETRY_US)
+    bool unconfirmed = task->phase == PHASE_UNCONFIRMED && !task->stop_wanted
+                       && now.mono - task->phase_since > UNCONFIRMED_START_US;
+    bool unanswered = task->stop_wanted && task->phase != PHASE_STOPPING
+                      && now.mono - task->stop_sent_at > STOP_RETRY_US;
+
+    if (unconfirmed || unanswered)
       task_stop (sched, task, now);
   }
 }
