--- /dev/null
+++ b/t/standin/si-runs.c
@@ -0,0 +1,351 @@
+#include "t/standin/si-runs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <utlist.h>
+
+#include "t/standin/si-store.h"
+
+#define STOP_DELAY_MS 100
+
+int64_t si_start_count;
+int64_t si_done_count;
+char si_violation[256];
+static struct task *tasks;
+
+static struct task *
+find_or_create_task (const char *name)
+{
+  struct task *task;
+
+  HASH_FIND_STR (tasks, name, task);
+  if (task != NULL)
+    return task;
+  task = calloc (1, sizeof *task);
+  snprintf (task->name, sizeof task->name, "%s", name);
+  HASH_ADD_STR (tasks, name, task);
+  return task;
+}
+
+static int64_t
+worker_clock_ms (const struct worker *worker)
+{
+  return (int64_t)((si_now () - worker->started_at) * 1000) + 1;
+}
+
+void
+si_register_worker (const struct worker *worker)
+{
+  char address[32];
+
+  snprintf (address, sizeof address, "127.0.0.1:%d", worker->port);
+  si_store_put ("keyed.servers", worker->id,
+                json_pack ("{ss ss ss ss si s{si si si} s[s s] sI si}",
+                           "service", "works", "addr", address, "zone", "z",
+                           "state", "ready", "slots", 8, "capacity", "cpu",
+                           8000, "mem_mb", 16000, "gpu", 0, "labels", "a",
+                           "r1", "born", (json_int_t)worker->incarnation_ms,
+                           "seq", 1));
+}
+
+void
+si_start_incarnation (struct worker *worker)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_REALTIME, &ts);
+  worker->incarnation_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  worker->started_at = si_now ();
+  worker->fence = 0;
+  worker->until_ms = 0;
+  worker->end_count = 0;
+  si_register_worker (worker);
+}
+
+static void
+note_highest_run (struct worker *worker, const char *name, int64_t run)
+{
+  struct highest_run *highest_run;
+
+  HASH_FIND_STR (worker->highest_run, name, highest_run);
+  if (highest_run == NULL)
+    {
+      highest_run = calloc (1, sizeof *highest_run);
+      snprintf (highest_run->task, sizeof highest_run->task, "%s", name);
+      HASH_ADD_STR (worker->highest_run, task, highest_run);
+    }
+  if (run > highest_run->run)
+    highest_run->run = run;
+}
+
+static void
+end_run (struct worker *worker, struct run *run, const char *outcome)
+{
+  struct ended_run *ended = calloc (1, sizeof *ended);
+
+  ended->number = ++worker->end_count;
+  snprintf (ended->task, sizeof ended->task, "%s", run->task);
+  ended->run = run->number;
+  ended->outcome = outcome;
+  DL_APPEND (worker->ended, ended);
+  note_highest_run (worker, run->task, run->number);
+  find_or_create_task (run->task)->running_count--;
+  si_done_count += strcmp (outcome, "done") == 0;
+  DL_DELETE (worker->runs, run);
+  free (run);
+}
+
+void
+si_restart_worker (struct worker *worker)
+{
+  struct run *run;
+  struct run *next_run;
+  struct ended_run *ended;
+  struct ended_run *next_ended;
+  struct highest_run *highest_run = worker->highest_run;
+  struct highest_run *next_highest_run;
+
+  DL_FOREACH_SAFE (worker->runs, run, next_run)
+  {
+    find_or_create_task (run->task)->running_count--;
+    DL_DELETE (worker->runs, run);
+    free (run);
+  }
+  DL_FOREACH_SAFE (worker->ended, ended, next_ended)
+  {
+    DL_DELETE (worker->ended, ended);
+    free (ended);
+  }
+  HASH_CLEAR (hh, worker->highest_run);
+  for (; highest_run != NULL; highest_run = next_highest_run)
+    {
+      next_highest_run = highest_run->hh.next;
+      free (highest_run);
+    }
+  si_start_incarnation (worker);
+}
+
+void
+si_advance_worker (struct worker *worker)
+{
+  struct run *run;
+  struct run *next;
+  double time = si_now ();
+
+  DL_FOREACH_SAFE (worker->runs, run, next)
+  {
+    if (worker_clock_ms (worker) > worker->until_ms)
+      end_run (worker, run, "lapsed");
+    else if (time >= run->ends_at)
+      end_run (worker, run, run->stopped ? "stopped" : "done");
+  }
+}
+
+static struct run *
+find_run (struct worker *worker, const char *task, int64_t number)
+{
+  struct run *run;
+
+  DL_FOREACH (worker->runs, run)
+  {
+    if (strcmp (run->task, task) == 0 && run->number == number)
+      return run;
+  }
+  return NULL;
+}
+
+static void
+respond_conflict (struct si_request *request, const struct worker *worker,
+                  const char *reason)
+{
+  si_respond_or_lose (request, MHD_HTTP_CONFLICT,
+                      json_pack ("{sI ss}", "clock_ms",
+                                 (json_int_t)worker_clock_ms (worker),
+                                 "reason", reason));
+}
+
+static void
+respond_done (struct si_request *request, const struct worker *worker)
+{
+  si_respond_or_lose (
+      request, MHD_HTTP_OK,
+      json_pack ("{sI}", "clock_ms", (json_int_t)worker_clock_ms (worker)));
+}
+
+/* Records a violation if NAME must not start now; keeps the first one. */
+static void
+check_start_allowed (const char *name)
+{
+  const struct task *task = find_or_create_task (name);
+
+  if (si_violation[0] != '\0')
+    return;
+  if (task->running_count > 0)
+    snprintf (si_violation, sizeof si_violation, "two runs of %s", name);
+  else if (task->end_acked)
+    snprintf (si_violation, sizeof si_violation, "start of %s after its end",
+              name);
+}
+
+static void
+start_run (struct si_request *request, struct worker *worker,
+           const json_t *body)
+{
+  const char *task = si_string (body, "task");
+  int64_t number = si_number (body, "run_id", 0);
+  int64_t until_ms = si_number (body, "until_ms", 0);
+  struct highest_run *highest_run;
+  struct run *run;
+
+  HASH_FIND_STR (worker->highest_run, task, highest_run);
+  if (find_run (worker, task, number) != NULL)
+    respond_done (request, worker);
+  else if (until_ms <= worker_clock_ms (worker))
+    respond_conflict (request, worker, "late");
+  else if (highest_run != NULL && number <= highest_run->run)
+    respond_conflict (request, worker, "old");
+  else
+    {
+      check_start_allowed (task);
+      run = calloc (1, sizeof *run);
+      snprintf (run->task, sizeof run->task, "%s", task);
+      run->number = number;
+      run->started_at = si_now ();
+      run->ends_at = si_now () + atof (si_string (body, "spec")) / 1000;
+      DL_APPEND (worker->runs, run);
+      find_or_create_task (task)->running_count++;
+      si_start_count++;
+      if (until_ms > worker->until_ms)
+        worker->until_ms = until_ms;
+      respond_done (request, worker);
+    }
+}
+
+static void
+stop_run (struct si_request *request, struct worker *worker,
+          const json_t *body)
+{
+  const char *task = si_string (body, "task");
+  int64_t number = si_number (body, "run_id", 0);
+  struct run *run = find_run (worker, task, number);
+
+  if (run == NULL)
+    note_highest_run (worker, task, number);
+  else
+    {
+      run->stopped = true;
+      run->ends_at = si_now () + STOP_DELAY_MS / 1000.0;
+    }
+  respond_done (request, worker);
+}
+
+static json_t *
+running_to_json (const struct worker *worker)
+{
+  json_t *rows = json_array ();
+  const struct run *run;
+
+  DL_FOREACH (worker->runs, run)
+  {
+    double progress
+        = (si_now () - run->started_at) / (run->ends_at - run->started_at);
+
+    json_array_append_new (rows, json_pack ("[s I s i]", run->task,
+                                            (json_int_t)run->number, "",
+                                            (int)(progress * 100)));
+  }
+  return rows;
+}
+
+static json_t *
+ended_to_json (const struct worker *worker)
+{
+  json_t *rows = json_array ();
+  const struct ended_run *ended;
+
+  DL_FOREACH (worker->ended, ended)
+  {
+    json_array_append_new (
+        rows, json_pack ("[I s I s s]", (json_int_t)ended->number, ended->task,
+                         (json_int_t)ended->run, ended->outcome, ""));
+  }
+  return rows;
+}
+
+static void
+remove_acked_ends (struct worker *worker, int64_t last_acked)
+{
+  struct ended_run *ended;
+  struct ended_run *next;
+
+  DL_FOREACH_SAFE (worker->ended, ended, next)
+  {
+    if (ended->number > last_acked)
+      continue;
+    if (strcmp (ended->outcome, "done") == 0)
+      find_or_create_task (ended->task)->end_acked = true;
+    DL_DELETE (worker->ended, ended);
+    free (ended);
+  }
+}
+
+/* Responds once a run has ended or the wait is over; else tries again. */
+static void
+respond_poll (struct si_request *request, void *context)
+{
+  struct worker *worker = context;
+
+  if (worker->ended == NULL && si_now () < request->deadline)
+    {
+      si_defer (request, SI_RETRY_INTERVAL_SEC, respond_poll, worker);
+      return;
+    }
+  si_respond_or_lose (request, MHD_HTTP_OK,
+                      json_pack ("{sI sI so so}", "clock_ms",
+                                 (json_int_t)worker_clock_ms (worker), "born",
+                                 (json_int_t)worker->incarnation_ms, "running",
+                                 running_to_json (worker), "ended",
+                                 ended_to_json (worker)));
+}
+
+static void
+handle_poll (struct si_request *request, struct worker *worker,
+             const json_t *body)
+{
+  int64_t until_ms = si_number (body, "until_ms", 0);
+
+  if (until_ms > worker->until_ms)
+    worker->until_ms = until_ms;
+  remove_acked_ends (worker, si_number (body, "last_seen", 0));
+  request->deadline
+      = si_now () + (double)si_number (body, "wait_ms", 0) / 1000;
+  respond_poll (request, worker);
+}
+
+void
+si_on_run_request (struct si_request *request, void *context)
+{
+  struct worker *worker = context;
+  json_t *body = si_parse_body (request);
+
+  if (body == NULL)
+    return;
+  si_advance_worker (worker);
+  if (si_number (body, "fence", 0) < worker->fence)
+    respond_conflict (request, worker, "fence");
+  else
+    {
+      worker->fence = si_number (body, "fence", 0);
+      if (si_request_matches (request, "POST", "/-/run-start"))
+        start_run (request, worker, body);
+      else if (si_request_matches (request, "POST", "/-/run-stop"))
+        stop_run (request, worker, body);
+      else if (si_request_matches (request, "POST", "/-/hold"))
+        handle_poll (request, worker, body);
+      else
+        respond_done (request, worker);
+    }
+  json_decref (body);
+}
--- /dev/null
+++ b/t/standin/si-runs.h
@@ -0,0 +1,84 @@
+/** @file
+ * The platform's workers: orders to them, their leases, the runs of tasks and
+ * which of these must not be.  A task runs for the number of milliseconds in
+ * its job's spec.
+ */
+#ifndef SI_RUNS_H
+#define SI_RUNS_H
+
+#include <uthash.h>
+
+#include "t/standin/si-http.h"
+
+struct run
+{
+  char task[64];
+  int64_t number;
+  double started_at;
+  double ends_at;
+  bool stopped; /* ends with outcome "stopped" */
+  struct run *next, *prev;
+};
+
+struct ended_run
+{
+  int64_t number; /* counts the ended runs of a worker from 1 */
+  char task[64];
+  int64_t run;
+  const char *outcome;
+  struct ended_run *next, *prev;
+};
+
+/* Highest run of a task that was stopped or has ended at a worker; lower or
+   equal runs are refused.  */
+struct highest_run
+{
+  char task[64];
+  int64_t run;
+  UT_hash_handle hh;
+};
+
+struct worker
+{
+  int port;
+  char id[16];
+  struct si_server *server;
+  double started_at;      /* start of the worker's clock, in seconds */
+  int64_t incarnation_ms; /* start time, in milliseconds since 1970 */
+  int64_t fence;
+  int64_t until_ms; /* end of the lease, on the worker's clock */
+  int64_t end_count;
+  struct run *runs;
+  struct ended_run *ended;
+  struct highest_run *highest_run;
+};
+
+/* State of a task across all workers. */
+struct task
+{
+  char name[64];
+  int running_count;
+  bool end_acked; /* a host acknowledged that it is done */
+  UT_hash_handle hh;
+};
+
+extern int64_t si_start_count;
+extern int64_t si_done_count;
+
+/** First violation found; "": none. */
+extern char si_violation[256];
+
+void si_register_worker (const struct worker *worker);
+void si_start_incarnation (struct worker *worker);
+
+/** Restarts WORKER: its runs, unacknowledged ends and refused run numbers are
+ *  lost.  */
+void si_restart_worker (struct worker *worker);
+
+/** Ends what is over at WORKER by now. */
+void si_advance_worker (struct worker *worker);
+
+/** Handles an order; CONTEXT is its worker. */
+void si_on_run_request (struct si_request *request, void *context);
+
+#endif
