t: crash workers in the soak and give their addresses to others

The stand-in did not even read Expect-Instance. Now a worker may crash, its entry outlives it by 1.75 s, and another ID or its own starts at the address after 0.5 to 2 s; or it is silent for 1.5 to 6 s, with its orders lost or carried out. Last a third of the workers crash, and a lasting job is cancelled 3.5 s later. New checks of the stand-in: a lasting task that was down for 9 s with the last 7 s calm; a start between an end and its acknowledgement, unless the lease lapsed. Nothing that was checked is checked less.

--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -65,6 +65,27 @@
   return 1
 }
 
+# Submits job NUMBER, whose four tasks run until it is cancelled.
+site_submit_lasting () { # NUMBER
+  body='{"spec":"lasting","steps":[{"count":4,"cpu":1000,"mem_mb":100,"est_ms":1000,"long_running":true}]}'
+  for try in 1 2 3 4 5 6 7 8 9 10 11 12; do
+    case $(site_call POST $((($1 + try) % SITE_HOSTS + 1)) \
+      "$(site_id "$1")" "$body") in *' 200') return 0 ;; esac
+    sleep 0.2
+  done
+  return 1
+}
+
+site_cancel () { # NUMBER
+  site_admin "{\"cancelled\":\"$(site_id "$1")\"}"
+  for host in 1 2 3; do
+    case $(site_call DELETE $host "$(site_id "$1")") in
+      *' 200' | *' 410') return 0 ;;
+    esac
+  done
+  return 1
+}
+
 site_is_complete () { # NUMBER
   for host in 1 2 3; do
     case $(site_call GET $host "$(site_id "$1")") in
@@ -85,6 +106,19 @@
   wait "$(cat "$work/host$1.pid")" 2>/dev/null
 }
 
+# Injects the worker fault KIND at WORKER for MS; it lasts on when the function
+# returns.  0 and 1: up to three workers crash and others take their addresses,
+# 2: a worker crashes and starts again under its ID, 3: a worker gets no orders,
+# 4: its replies are lost, 5: none.
+site_inject_worker_fault () { # KIND WORKER MS
+  case $1 in
+    0 | 1) site_admin "{\"crash\":$2,\"count\":$(($3 % 3 + 1)),\"ms\":$3}" ;;
+    2) site_admin "{\"crash\":$2,\"ms\":$3,\"same_id\":true}" ;;
+    3) site_admin "{\"silence\":$2,\"ms\":$(($3 * 3)),\"unregistered\":true}" ;;
+    4) site_admin "{\"silence\":$2,\"ms\":$(($3 * 3)),\"replies\":true}" ;;
+  esac
+}
+
 # Injects the fault with number KIND: 0 kill a host, 1 pause it, 2 the store
 # refuses, 3 the store hangs, 4 responses are lost, 5 restart a worker, 6 stop
 # a host, 7 kill all hosts.  The fault is over when the function returns; hosts
@@ -104,4 +138,14 @@
     7) for host in 1 2 3; do site_kill $host; done
        for host in 1 2 3; do site_start_host $host; done ;;
   esac
+  site_admin '{}'
+}
+
+# Crashes a third of the workers; others take their addresses after 1 s.  Job
+# NUMBER, which lasts, is cancelled 3.5 s after the crash: stops for the crashed
+# workers then reach others.
+site_crash_third () { # NUMBER
+  site_admin "{\"crash\":0,\"count\":$((SITE_WORKERS / 3)),\"ms\":1000}"
+  sleep 3.5
+  site_cancel "$1"
 }
--- a/t/standin/si-http.h
+++ b/t/standin/si-http.h
@@ -45,6 +45,7 @@
   si_handler deferred_handler;
   void *context;   /**< passed to deferred_handler */
   double deadline; /**< in seconds, for use by the handler */
+  int64_t life;    /**< life of the worker, for use by the handler */
   struct si_request *next, *prev;
 };
 
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -1,5 +1,6 @@
 #include "t/standin/si-runs.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,23 +13,34 @@
 
 int64_t si_start_count;
 int64_t si_done_count;
+int64_t si_other_id_count;
 char si_violation[256];
-static struct task *tasks;
+struct task *si_tasks;
 
 static struct task *
 find_or_create_task (const char *name)
 {
   struct task *task;
 
-  HASH_FIND_STR (tasks, name, task);
+  HASH_FIND_STR (si_tasks, name, task);
   if (task != NULL)
     return task;
   task = calloc (1, sizeof *task);
   snprintf (task->name, sizeof task->name, "%s", name);
-  HASH_ADD_STR (tasks, name, task);
+  HASH_ADD_STR (si_tasks, name, task);
   return task;
 }
 
+/* Records that a run of the task NAME is gone. */
+static void
+note_run_gone (const char *name)
+{
+  struct task *task = find_or_create_task (name);
+
+  if (--task->running_count == 0 && task->lasting)
+    task->down_since = si_now ();
+}
+
 static int64_t
 worker_clock_ms (const struct worker *worker)
 {
@@ -58,6 +70,9 @@
   clock_gettime (CLOCK_REALTIME, &ts);
   worker->incarnation_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
   worker->started_at = si_now ();
+  worker->life++;
+  worker->silence = SILENCE_NONE;
+  worker->unregisters_at = 0;
   worker->fence = 0;
   worker->until_ms = 0;
   worker->end_count = 0;
@@ -89,16 +104,17 @@
   snprintf (ended->task, sizeof ended->task, "%s", run->task);
   ended->run = run->number;
   ended->outcome = outcome;
+  ended->ended_at = si_now ();
   DL_APPEND (worker->ended, ended);
   note_highest_run (worker, run->task, run->number);
-  find_or_create_task (run->task)->running_count--;
+  note_run_gone (run->task);
   si_done_count += strcmp (outcome, "done") == 0;
   DL_DELETE (worker->runs, run);
   free (run);
 }
 
 void
-si_restart_worker (struct worker *worker)
+si_lose_runs (struct worker *worker)
 {
   struct run *run;
   struct run *next_run;
@@ -109,7 +125,7 @@
 
   DL_FOREACH_SAFE (worker->runs, run, next_run)
   {
-    find_or_create_task (run->task)->running_count--;
+    note_run_gone (run->task);
     DL_DELETE (worker->runs, run);
     free (run);
   }
@@ -124,6 +140,12 @@
       next_highest_run = highest_run->hh.next;
       free (highest_run);
     }
+}
+
+void
+si_restart_worker (struct worker *worker)
+{
+  si_lose_runs (worker);
   si_start_incarnation (worker);
 }
 
@@ -134,6 +156,8 @@
   struct run *next;
   double time = si_now ();
 
+  if (worker_clock_ms (worker) > worker->until_ms)
+    worker->lapsed_at = time;
   DL_FOREACH_SAFE (worker->runs, run, next)
   {
     if (worker_clock_ms (worker) > worker->until_ms)
@@ -156,22 +180,34 @@
   return NULL;
 }
 
+/* Sends the reply, unless the worker is silent or the reply is lost. */
+static void
+reply (struct si_request *request, const struct worker *worker,
+       unsigned status, json_t *body)
+{
+  if (worker->silence == SILENCE_NONE)
+    {
+      si_respond_or_lose (request, status, body);
+      return;
+    }
+  json_decref (body);
+  si_suspend (request);
+}
+
 static void
 respond_conflict (struct si_request *request, const struct worker *worker,
                   const char *reason)
 {
-  si_respond_or_lose (request, MHD_HTTP_CONFLICT,
-                      json_pack ("{sI ss}", "clock_ms",
-                                 (json_int_t)worker_clock_ms (worker),
-                                 "reason", reason));
+  reply (request, worker, MHD_HTTP_CONFLICT,
+         json_pack ("{sI ss}", "clock_ms",
+                    (json_int_t)worker_clock_ms (worker), "reason", reason));
 }
 
 static void
 respond_done (struct si_request *request, const struct worker *worker)
 {
-  si_respond_or_lose (
-      request, MHD_HTTP_OK,
-      json_pack ("{sI}", "clock_ms", (json_int_t)worker_clock_ms (worker)));
+  reply (request, worker, MHD_HTTP_OK,
+         json_pack ("{sI}", "clock_ms", (json_int_t)worker_clock_ms (worker)));
 }
 
 /* Records a violation if NAME must not start now; keeps the first one. */
@@ -189,6 +225,30 @@
               name);
 }
 
+/* Returns the time at which a run that starts now ends, if it is not stopped;
+   that of a lasting task is infinite.  */
+static double
+end_of_run (const json_t *start)
+{
+  const char *spec = si_string (start, "spec");
+
+  if (strcmp (spec, SI_LASTING_SPEC) == 0)
+    return INFINITY;
+  return si_now () + atof (spec) / 1000;
+}
+
+/* Records that a run of the task NAME has started. */
+static void
+note_run (const char *name, bool lasting)
+{
+  struct task *task = find_or_create_task (name);
+
+  task->running_count++;
+  task->lasting = lasting;
+  task->started_at = si_now ();
+  task->down_since = 0;
+}
+
 static void
 start_run (struct si_request *request, struct worker *worker,
            const json_t *body)
@@ -213,9 +273,9 @@
       snprintf (run->task, sizeof run->task, "%s", task);
       run->number = number;
       run->started_at = si_now ();
-      run->ends_at = si_now () + atof (si_string (body, "spec")) / 1000;
+      run->ends_at = end_of_run (body);
       DL_APPEND (worker->runs, run);
-      find_or_create_task (task)->running_count++;
+      note_run (task, isinf (run->ends_at));
       si_start_count++;
       if (until_ms > worker->until_ms)
         worker->until_ms = until_ms;
@@ -249,8 +309,10 @@
 
   DL_FOREACH (worker->runs, run)
   {
-    double progress
-        = (si_now () - run->started_at) / (run->ends_at - run->started_at);
+    double progress = isinf (run->ends_at)
+                          ? 1
+                          : (si_now () - run->started_at)
+                                / (run->ends_at - run->started_at);
 
     json_array_append_new (rows, json_pack ("[s I s i]", run->task,
                                             (json_int_t)run->number, "",
@@ -274,6 +336,21 @@
   return rows;
 }
 
+/* Records that a host acknowledged ENDED, which was done.  Unless the worker's
+   lease has lapsed since, no run may have started since either.  */
+static void
+acknowledge_done (const struct worker *worker, const struct ended_run *ended)
+{
+  struct task *task = find_or_create_task (ended->task);
+
+  task->end_acked = true;
+  if (task->started_at > ended->ended_at && worker->lapsed_at < ended->ended_at
+      && si_violation[0] == '\0')
+    snprintf (si_violation, sizeof si_violation,
+              "start of %s after an end that was acknowledged later",
+              ended->task);
+}
+
 static void
 remove_acked_ends (struct worker *worker, int64_t last_acked)
 {
@@ -285,7 +362,7 @@
     if (ended->number > last_acked)
       continue;
     if (strcmp (ended->outcome, "done") == 0)
-      find_or_create_task (ended->task)->end_acked = true;
+      acknowledge_done (worker, ended);
     DL_DELETE (worker->ended, ended);
     free (ended);
   }
@@ -297,17 +374,26 @@
 {
   struct worker *worker = context;
 
+  if (worker->silence != SILENCE_NONE)
+    {
+      si_suspend (request);
+      return;
+    }
+  if (request->life != worker->life)
+    {
+      si_drop (request);
+      return;
+    }
   if (worker->ended == NULL && si_now () < request->deadline)
     {
       si_defer (request, SI_RETRY_INTERVAL_SEC, respond_poll, worker);
       return;
     }
-  si_respond_or_lose (request, MHD_HTTP_OK,
-                      json_pack ("{sI sI so so}", "clock_ms",
-                                 (json_int_t)worker_clock_ms (worker), "born",
-                                 (json_int_t)worker->incarnation_ms, "running",
-                                 running_to_json (worker), "ended",
-                                 ended_to_json (worker)));
+  reply (request, worker, MHD_HTTP_OK,
+         json_pack (
+             "{sI sI so so}", "clock_ms", (json_int_t)worker_clock_ms (worker),
+             "born", (json_int_t)worker->incarnation_ms, "running",
+             running_to_json (worker), "ended", ended_to_json (worker)));
 }
 
 static void
@@ -319,21 +405,43 @@
   if (until_ms > worker->until_ms)
     worker->until_ms = until_ms;
   remove_acked_ends (worker, si_number (body, "last_seen", 0));
+  request->life = worker->life;
   request->deadline
       = si_now () + (double)si_number (body, "wait_ms", 0) / 1000;
   respond_poll (request, worker);
 }
 
+/* Responds to an order for another worker, without a body as the platform's
+   workers do.  */
+static void
+refuse_other_id (struct si_request *request, const struct worker *worker)
+{
+  si_other_id_count++;
+  if (worker->silence == SILENCE_NONE && !si_loses_response ())
+    si_respond (request, MHD_HTTP_MISDIRECTED_REQUEST, "", 0, NULL);
+  else
+    si_suspend (request);
+}
+
 void
 si_on_run_request (struct si_request *request, void *context)
 {
   struct worker *worker = context;
-  json_t *body = si_parse_body (request);
+  const char *intended_id = si_header (request, "Expect-Instance");
+  json_t *body;
 
+  if (worker->silence == SILENCE_LOST || worker->silence == SILENCE_DOWN)
+    {
+      si_suspend (request);
+      return;
+    }
+  body = si_parse_body (request);
   if (body == NULL)
     return;
   si_advance_worker (worker);
-  if (si_number (body, "fence", 0) < worker->fence)
+  if (intended_id != NULL && strcmp (intended_id, worker->id) != 0)
+    refuse_other_id (request, worker);
+  else if (si_number (body, "fence", 0) < worker->fence)
     respond_conflict (request, worker, "fence");
   else
     {
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -10,6 +10,8 @@
 
 #include "t/standin/si-http.h"
 
+#define SI_LASTING_SPEC "lasting"
+
 struct run
 {
   char task[64];
@@ -26,6 +28,7 @@
   char task[64];
   int64_t run;
   const char *outcome;
+  double ended_at;
   struct ended_run *next, *prev;
 };
 
@@ -38,15 +41,35 @@
   UT_hash_handle hh;
 };
 
+/* What a worker does with orders while it is silent. */
+enum silence
+{
+  SILENCE_NONE,
+  SILENCE_LOST,    /* orders are lost */
+  SILENCE_REPLIES, /* orders are carried out and replies are lost */
+  SILENCE_DOWN     /* it has crashed */
+};
+
+/* The process that has the address 127.0.0.1:PORT now. */
 struct worker
 {
   int port;
-  char id[16];
+  char id[24];
+  int number;      /* in its ID */
+  int replacement; /* also in its ID: how many processes had the address before
+                    */
   struct si_server *server;
   double started_at;      /* start of the worker's clock, in seconds */
   int64_t incarnation_ms; /* start time, in milliseconds since 1970 */
   int64_t fence;
   int64_t until_ms; /* end of the lease, on the worker's clock */
+  double lapsed_at; /* latest time at which it had no lease */
+  int64_t life;     /* counts its starts and crashes */
+  enum silence silence;
+  double silent_until;
+  bool replaced;     /* another process takes its address after the crash */
+  bool unregistered; /* it does not register while it is silent */
+  double unregisters_at; /* 0: it is registered or its entry is removed */
   int64_t end_count;
   struct run *runs;
   struct ended_run *ended;
@@ -59,11 +82,17 @@
   char name[64];
   int running_count;
   bool end_acked; /* a host acknowledged that it is done */
+  bool lasting;
+  bool cancelled;
+  double started_at; /* latest start */
+  double down_since; /* of a lasting task; 0: it runs */
   UT_hash_handle hh;
 };
 
 extern int64_t si_start_count;
 extern int64_t si_done_count;
+extern int64_t si_other_id_count; /* orders refused as for another worker */
+extern struct task *si_tasks;
 
 /** First violation found; "": none. */
 extern char si_violation[256];
@@ -75,6 +104,10 @@
  *  lost.  */
 void si_restart_worker (struct worker *worker);
 
+/** Ends all runs of WORKER without a trace, as a crash does, and forgets what
+ *  it knew of earlier runs.  */
+void si_lose_runs (struct worker *worker);
+
 /** Ends what is over at WORKER by now. */
 void si_advance_worker (struct worker *worker);
 
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -44,8 +44,8 @@
   return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
 }
 
-static bool
-loses_response (void)
+bool
+si_loses_response (void)
 {
   random_state = random_state * 1103515245u + 12345u;
   return (random_state >> 16) % 1000 < (unsigned)si_lose_permille;
@@ -54,7 +54,7 @@
 void
 si_respond_or_lose (struct si_request *request, unsigned status, json_t *body)
 {
-  if (loses_response ())
+  if (si_loses_response ())
     {
       json_decref (body);
       si_suspend (request);
@@ -291,7 +291,7 @@
 si_store_put (const char *name, const char *key, json_t *value)
 {
   struct topic *topic = find_or_create_topic (name);
-  char *text = json_dumps (value, JSON_COMPACT);
+  char *text = value != NULL ? json_dumps (value, JSON_COMPACT) : strdup ("");
   size_t key_size = strlen (key);
   size_t size = 1 + key_size + strlen (text);
   uint8_t *bytes = malloc (size + 1);
--- a/t/standin/si-store.h
+++ b/t/standin/si-store.h
@@ -19,6 +19,9 @@
 /** Sets the seed that decides which responses are lost. */
 void si_seed_losses (unsigned seed);
 
+/** Returns whether the next response is lost. */
+bool si_loses_response (void);
+
 /** Sends the response, or withholds it with a probability of
  *  si_lose_permille.  */
 void si_respond_or_lose (struct si_request *request, unsigned status,
@@ -29,7 +32,8 @@
 void si_store_read (struct si_request *request);
 void si_store_newest (struct si_request *request);
 
-/** Appends a keyed record, as the operator or a worker does. */
+/** Appends a keyed record, as the operator or a worker does.  Without a VALUE,
+ *  the key is dropped.  */
 void si_store_put (const char *topic, const char *key, json_t *value);
 
 #endif
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -3,17 +3,25 @@
  * checks that a task never has two runs at a time, and that no run starts
  * after a host has acknowledged that the task is done.
  *
- * A task runs for the number of milliseconds in its job's spec.
+ * A task runs for the number of milliseconds in its job's spec, or until it is
+ * stopped if that is "lasting"; such a task must run again within 9 s of its
+ * end if the last 7 s were without a disturbance.
  *
  * Tests control it on the store's port.  POST /admin takes
- * {"store":"up|refuse|hang", "lose_permille":N, "restart":WORKER}; GET /facts
- * returns the counters and the first violation found ("broken").
+ * {"store":"up|refuse|hang", "lose_permille":N, "restart":WORKER}, or
+ * {"crash":WORKER, "count":N, "ms":N, "same_id":BOOL}, after which that worker
+ * starts anew or, without same_id, another one at its address, or
+ * {"silence":WORKER, "ms":N, "replies":BOOL, "unregistered":BOOL}, for which
+ * it answers nothing, with "replies" although it carries orders out, or
+ * {"end_silence":BOOL}; each is a disturbance, also {}.  {"cancelled":ID}
+ * tells of a job that is cancelled next and is none.  GET /facts returns the
+ * counters and the first violation found ("broken").
  */
 #include <argtable2.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "t/standin/si-runs.h"
+#include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
 
 #define MAX_WORKERS 512
@@ -24,34 +32,87 @@
 static int worker_count;
 static char store_state[16] = "up";
 
+static void
+apply_crash (const json_t *body)
+{
+  int64_t first = si_number (body, "crash", 0);
+  int64_t count = si_number (body, "count", 1);
+  bool same_id = json_is_true (json_object_get (body, "same_id"));
+
+  for (int64_t i = 0; i < count; i++)
+    si_crash (&workers[(first + i) % worker_count],
+              si_number (body, "ms", 1000), same_id);
+}
+
+static void
+apply_silence (const json_t *body)
+{
+  bool replies = json_is_true (json_object_get (body, "replies"));
+  bool unregistered = json_is_true (json_object_get (body, "unregistered"));
+
+  si_silence (&workers[si_number (body, "silence", 0) % worker_count],
+              si_number (body, "ms", 1000),
+              replies ? SILENCE_REPLIES : SILENCE_LOST, unregistered);
+}
+
+/* Applies what a test does to workers. */
+static void
+apply_worker_fault (const json_t *body)
+{
+  int64_t worker = si_number (body, "restart", -1);
+
+  if (worker >= 0 && worker < worker_count
+      && workers[worker].silence != SILENCE_DOWN)
+    si_restart_worker (&workers[worker]);
+  if (si_number (body, "crash", -1) >= 0)
+    apply_crash (body);
+  if (si_number (body, "silence", -1) >= 0)
+    apply_silence (body);
+  for (int i = 0; i < worker_count; i++)
+    if (json_is_true (json_object_get (body, "end_silence")))
+      si_end_silence (&workers[i]);
+}
+
 static void
 handle_admin_request (struct si_request *request)
 {
   json_t *body = si_parse_body (request);
-  int64_t worker = si_number (body, "restart", -1);
 
   if (body == NULL)
     return;
+  if (si_string (body, "cancelled")[0] != '\0')
+    si_note_cancel (si_string (body, "cancelled"));
+  else
+    si_note_disturbance ();
   if (si_string (body, "store")[0] != '\0')
     snprintf (store_state, sizeof store_state, "%s",
               si_string (body, "store"));
   si_lose_permille = si_number (body, "lose_permille", si_lose_permille);
-  if (worker >= 0 && worker < worker_count)
-    si_restart_worker (&workers[worker]);
+  apply_worker_fault (body);
   json_decref (body);
   si_respond_json (request, MHD_HTTP_OK, json_object ());
 }
 
+static void
+respond_facts (struct si_request *request)
+{
+  si_respond_json (
+      request, MHD_HTTP_OK,
+      json_pack ("{sI sI sI sI sI si ss}", "starts",
+                 (json_int_t)si_start_count, "done", (json_int_t)si_done_count,
+                 "crashes", (json_int_t)si_crash_count, "other_id",
+                 (json_int_t)si_other_id_count, "longest_down_ms",
+                 (json_int_t)si_longest_down_ms, "lasting_running",
+                 si_lasting_running (), "broken", si_violation));
+}
+
 static void
 on_store_request (struct si_request *request, void *context)
 {
   if (si_request_matches (request, "POST", "/admin"))
     handle_admin_request (request);
   else if (si_request_matches (request, "GET", "/facts"))
-    si_respond_json (
-        request, MHD_HTTP_OK,
-        json_pack ("{sI sI ss}", "starts", (json_int_t)si_start_count, "done",
-                   (json_int_t)si_done_count, "broken", si_violation));
+    respond_facts (request);
   else if (strcmp (store_state, "hang") == 0)
     si_suspend (request);
   else if (strcmp (store_state, "refuse") == 0)
@@ -71,6 +132,7 @@
 {
   for (int i = 0; i < worker_count; i++)
     si_advance_worker (&workers[i]);
+  si_advance_faults (workers, worker_count, strcmp (store_state, "up") == 0);
 }
 
 static void
@@ -79,7 +141,8 @@
   if (strcmp (store_state, "up") != 0)
     return;
   for (int i = 0; i < worker_count; i++)
-    si_register_worker (&workers[i]);
+    if (workers[i].silence == SILENCE_NONE || !workers[i].unregistered)
+      si_register_worker (&workers[i]);
 }
 
 static void
@@ -125,6 +188,7 @@
   for (int i = 0; i < worker_count; i++)
     {
       workers[i].port = port->ival[0] + 1 + i;
+      workers[i].number = i;
       snprintf (workers[i].id, sizeof workers[i].id, "i-%d", i);
       workers[i].server = si_server_start (loop, workers[i].port,
                                            si_on_run_request, &workers[i]);
