t: simulate crash waves in which others take the addresses

Cause: in the simulator a crashed worker came back under its own ID only, so that no order ever reached another worker than the one that it was for. Now calls carry the ID that they are for; a worker with another ID refuses them as another incarnation, without a clock. test-sim-crash lets a third of the workers crash every 7 s, others take their addresses 1 s later, and cancels jobs 6 s after their submission, so that stops go to crashed workers.

--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -1,4 +1,4 @@
-#include "t/lib-sim.h"
+#include "t/lib-sim-internal.h"
 
 #include <math.h>
 #include <stdarg.h>
@@ -23,115 +23,6 @@
 #define BASE_TAIL_MS 10.0
 #define MAX_TAIL_MS 1000.0
 
-/* A run at a worker. */
-struct sim_run_state
-{
-  bool used;
-  struct kq_sched_run run;
-  const struct kq_sched_step *step;
-  double work_ms;   /* completed work */
-  int pace;         /* percent */
-  int64_t stops_at; /* 0: not stopped */
-  int64_t over_target_since;
-  bool fails;
-  double tail_ms;
-};
-
-struct sim_worker
-{
-  char id[16];
-  bool up;
-  int64_t restart_at;
-  int64_t unreachable_until;
-  int64_t incarnation_ms;
-  int64_t started_at;
-  int64_t fence;
-  int64_t lease_end_ms;
-  struct sim_run_state runs[SIM_RUNS];
-  struct kq_sched_ended ends[SIM_ENDS];
-  int end_count;
-  int64_t acked;
-  struct kq_sched_run refused_runs[SIM_ENDS]; /* stopped or ended runs */
-  int refused_count;
-};
-
-struct sim_task
-{
-  int done;       /* a run of it has ended with KQ_SCHED_DONE */
-  int done_acked; /* and the scheduler has acknowledged that */
-  int running;    /* number of runs at workers that are up */
-  bool started;
-  int64_t down_since; /* of a long-running task; 0: it runs */
-};
-
-struct sim_job
-{
-  uint64_t id;
-  struct kq_sched_step step;
-  int steps;
-  int64_t submitted_at;
-  int64_t ended_at;
-  bool accepted;
-  bool cancelled;
-  int state;
-  struct sim_task tasks[SIM_STEPS][64];
-};
-
-/* A call in flight to a worker. */
-struct sim_call
-{
-  bool used;
-  enum kq_sched_effect_kind kind; /* RESULT stands for a poll */
-  int64_t at;                     /* time of arrival */
-  bool reply_arrives;             /* whether the reply reaches the owner */
-  int64_t fence;
-  int worker; /* index; -1 - index: only the timeout of a lost call */
-  struct kq_sched_run run;
-  int percent;
-  int64_t lease_end_ms;
-  int64_t acked;
-  int64_t sent_at;
-  char checkpoint[KQ_SCHED_NAME_SIZE];
-};
-
-struct sim_record
-{
-  char key[24];
-  uint8_t *value;
-  size_t size;
-  struct sim_record *next;
-};
-
-struct sim
-{
-  gsl_rng *rng;
-  struct sim_faults faults;
-  sim_factors factors;
-  double load_phase; /* of the periodic load of serving jobs, in radians */
-  bool ignores_pace;
-  struct kq_sched *sched;
-  struct kq_sched_queue queues[2];
-  struct kq_sched_config config;
-  int64_t now;
-  int64_t fence;
-  int64_t confirmed_at; /* last confirmation of the owner by the store */
-  int64_t store_down_until;
-  struct sim_worker workers[SIM_WORKERS];
-  struct sim_job jobs[SIM_JOBS];
-  int job_count;
-  struct sim_call calls[SIM_CALLS];
-  struct sim_record *records;
-  struct kq_sched_effect deferred[SIM_CALLS]; /* until records are stored */
-  int deferred_count;
-  uint64_t stored;
-  int64_t storing_until; /* 0: no write in progress */
-  uint64_t storing;      /* journal position that is being stored */
-  int64_t over_target_ms;
-  int64_t longest_over_target_ms;
-  int64_t longest_down_ms;
-  char violation[160]; /* the first one; "": none */
-};
-
 static void
 set_violation (struct sim *sim, const char *format, ...)
 {
@@ -157,8 +48,8 @@
                                 .wall_ms = sim->now };
 }
 
-static void
-send_event (struct sim *sim, const struct kq_sched_event *event)
+void
+sim_send_event (struct sim *sim, const struct kq_sched_event *event)
 {
   kq_sched_event (sim->sched, now_of (sim), event);
 }
@@ -200,7 +91,7 @@
   snprintf (report.address, sizeof report.address, "10.0.0.1:%s",
             worker->id + 1);
   event.u.report = &report;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 static void
@@ -240,7 +131,7 @@
   sim->stored = 0;
   sim->storing_until = 0;
   event.u.config = &sim->config;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 struct sim *
@@ -340,7 +231,7 @@
   event.u.call.spec = &spec;
   event.u.call.body = &job->id;
   event.u.call.body_size = sizeof job->id;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
   return sim->job_count - 1;
 }
 
@@ -352,7 +243,7 @@
   event.u.call.token = sim->jobs[number].id;
   event.u.call.job = sim->jobs[number].id;
   sim->jobs[number].cancelled = true;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 /* Workers. */
@@ -391,8 +282,8 @@
   state->used = false;
 }
 
-static void
-crash_worker (struct sim *sim, struct sim_worker *worker)
+void
+sim_crash (struct sim *sim, struct sim_worker *worker)
 {
   worker->up = false;
   worker->restart_at = sim->now + OUTAGE_MS;
@@ -556,7 +447,7 @@
   event.u.polled.reply = KQ_SCHED_OK;
   event.u.polled.sent_at = call->sent_at * KQ_USEC_PER_MSEC;
   event.u.polled.worker_status = &worker_status;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 static void
@@ -577,23 +468,23 @@
   if (call->kind == KQ_SCHED_FX_RESULT)
     {
       event.kind = KQ_SCHED_EV_POLLED;
-      event.u.polled.worker = worker->id;
+      event.u.polled.worker = call->id;
       event.u.polled.reply = reply;
       event.u.polled.sent_at = call->sent_at * KQ_USEC_PER_MSEC;
-      send_event (sim, &event);
+      sim_send_event (sim, &event);
       return;
     }
   if (call->kind == KQ_SCHED_FX_STOP)
     event.kind = KQ_SCHED_EV_STOPPED;
   if (call->kind == KQ_SCHED_FX_PACE)
     event.kind = KQ_SCHED_EV_PACED;
-  event.u.order.worker = worker->id;
+  event.u.order.worker = call->id;
   event.u.order.run = call->run;
   event.u.order.reply = reply;
   event.u.order.sent_at = call->sent_at * KQ_USEC_PER_MSEC;
-  if (reply != KQ_SCHED_NO_REPLY)
+  if (reply != KQ_SCHED_NO_REPLY && reply != KQ_SCHED_OTHER_INCARNATION)
     event.u.order.worker_clock_ms = local_clock (sim, worker);
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 static bool
@@ -611,7 +502,9 @@
   call->used = false;
   if (is_reachable (sim, worker))
     {
-      reply = handle_order (sim, worker, call);
+      reply = strcmp (call->id, worker->id) == 0
+                  ? handle_order (sim, worker, call)
+                  : KQ_SCHED_OTHER_INCARNATION;
       if (reply == KQ_SCHED_OK && call->kind == KQ_SCHED_FX_RESULT)
         acknowledge_ends (sim, worker, call->acked);
     }
@@ -843,7 +736,7 @@
   sim->storing_until = 0;
   sim->stored = sim->storing;
   event.u.stored = sim->stored;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 static void
@@ -890,6 +783,7 @@
       return;
     }
   call.worker = worker_number (effect->u.order.worker);
+  strcpy (call.id, effect->u.order.worker);
   call.run = effect->u.order.run;
   call.percent = effect->u.order.percent;
   if (effect->kind == KQ_SCHED_FX_START)
@@ -933,6 +827,7 @@
                                .acked = poll.acked,
                                .sent_at = sim->now };
 
+      strcpy (call.id, poll.worker);
       add_call (sim, &call);
     }
 }
@@ -1001,7 +896,7 @@
   int i = (int)gsl_rng_uniform_int (sim->rng, SIM_WORKERS);
 
   if (happens (sim, faults->worker_crash) && sim->workers[i].up)
-    crash_worker (sim, &sim->workers[i]);
+    sim_crash (sim, &sim->workers[i]);
   if (happens (sim, faults->worker_unreachable))
     sim->workers[i].unreachable_until = sim->now + UNREACHABLE_MS;
   if (happens (sim, faults->store_down))
@@ -1013,7 +908,7 @@
 void
 sim_lose_worker (struct sim *sim, int number)
 {
-  crash_worker (sim, &sim->workers[number]);
+  sim_crash (sim, &sim->workers[number]);
   sim->workers[number].restart_at = INT64_MAX;
 }
 
@@ -1030,7 +925,7 @@
 
   event.u.call.token = job->id;
   event.u.call.job = job->id;
-  send_event (sim, &event);
+  sim_send_event (sim, &event);
 }
 
 static void
@@ -1046,6 +941,7 @@
 {
   for (int64_t end = sim->now + ms; sim->now < end; sim->now += STEP_MS)
     {
+      sim_advance_replacements (sim);
       advance_workers (sim);
       track_long_running (sim);
       advance_calls (sim);
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -84,6 +84,10 @@
 /** Crashes the worker NUMBER for good. */
 void sim_lose_worker (struct sim *sim, int number);
 
+/** Crashes the worker NUMBER. Its registration stays for 1.5 s; 1 s after the
+ *  crash a worker with another ID has its address.  */
+void sim_replace_worker (struct sim *sim, int number);
+
 /** Replaces the owner by a new one. */
 void sim_take_over (struct sim *sim);
 
