sched: count crashes that earlier owners had no time to notice

Cause: a restored run counted as settled unless its task had a count already. A crash is noticed 3.3 s after it; where each owner is lost within that time, no count ever came about, and the task was started without limit. Change: the record of a bound task names the time of placement; a restored run placed in the last 20 s counts like one that has not settled. The record is written with the start anyway, so that nothing more is stored. Ruled out: counting every restored run (lasting tasks of all lost workers would become suspects at once and lose their packing); storing that a run has settled (one more write a run). A clock that jumps by over 20 s brings back what was.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -15,6 +15,11 @@
    it. */
 #define SETTLE_US (500 * KQ_USEC_PER_MSEC)
 
+/* A restored run that was bound within this time before, on another host's
+   clock, may have crashed its worker without an earlier owner noticing: longer
+   than a lease and two takeovers. */
+#define UNNOTICED_CRASH_MS 20000
+
 /* A task is given up after so many workers have crashed under its runs; after
    fewer if the last crash can have no other cause; and after so many losses of
    any kind, since a worker may crash before its reply to a start arrives. */
@@ -40,6 +45,15 @@
   return crash_is_suspect (task) && !task->settled;
 }
 
+void
+crash_note_restored (struct task *task, int64_t placed_ms,
+                     struct kq_sched_now now)
+{
+  task->placed_ms = placed_ms;
+  task->placed_lately = placed_ms > now.wall_ms - UNNOTICED_CRASH_MS
+                        && placed_ms < now.wall_ms + UNNOTICED_CRASH_MS;
+}
+
 void
 crash_note_start (struct task *task, struct kq_sched_now now)
 {
@@ -75,12 +89,13 @@
 
 /* Whether the run of TASK may have begun and crashed its worker before it
    settled. A restored run may have settled before, unless workers were lost
-   under the task already. */
+   under the task already or earlier owners had little time to notice. */
 static bool
 may_have_crashed (const struct task *task)
 {
   return task->phase != PHASE_STORING && !task->settled
-         && (task->phase != PHASE_RESTORED || crash_is_suspect (task));
+         && (task->phase != PHASE_RESTORED || crash_is_suspect (task)
+             || task->placed_lately);
 }
 
 bool
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -107,6 +107,8 @@
   kq_usec started_at;     /* its start order was sent */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
   bool accepted;          /* the worker has accepted the start */
+  int64_t placed_ms;      /* wall clock when its latest run was bound */
+  bool placed_lately;     /* so shortly before it was restored */
   bool settled;           /* its run does not crash the worker */
   bool stop_wanted;
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
@@ -479,6 +481,9 @@
 bool crash_is_suspect (const struct task *task);
 /* Whether the current run of such a task has not settled yet. */
 bool crash_is_on_trial (const struct task *task);
+/* Records that TASK is restored with a run that was bound at PLACED_MS. */
+void crash_note_restored (struct task *task, int64_t placed_ms,
+                          struct kq_sched_now now);
 /* Records that the start order of TASK is sent. */
 void crash_note_start (struct task *task, struct kq_sched_now now);
 /* Records that a worker listed the run of TASK to a poll sent at SENT_AT. */
--- a/sched/record.c
+++ b/sched/record.c
@@ -73,6 +73,7 @@
       record->bound = true;
       record->worker = task->worker->report.id;
       record->born_ms = task->worker->report.incarnation_ms;
+      record->placed_ms = task->placed_ms;
     }
 }
 
@@ -293,6 +294,7 @@
   task_bind (sched, task, worker, now);
   task->phase = PHASE_RESTORED;
   task->incarnation_ms = record->born_ms;
+  crash_note_restored (task, record->placed_ms, now);
   worker->has_restored_tasks = true;
 }
 
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_sched__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[12] =
+static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[13] =
 {
   {
     "occurrence",
@@ -442,6 +442,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placed_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, placed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__task_record__field_indices_by_name[] = {
   7,   /* field[7] = born_ms */
@@ -452,6 +464,7 @@
   8,   /* field[8] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
+  12,   /* field[12] = placed_ms */
   4,   /* field[4] = run */
   1,   /* field[1] = step */
   11,   /* field[11] = unproven_crashes */
@@ -460,7 +473,7 @@
 static const ProtobufCIntRange kq_sched__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor kq_sched__task_record__descriptor =
 {
@@ -470,7 +483,7 @@
   "KqSched__TaskRecord",
   "kq_sched",
   sizeof(KqSched__TaskRecord),
-  12,
+  13,
   kq_sched__task_record__field_descriptors,
   kq_sched__task_record__field_indices_by_name,
   1,  kq_sched__task_record__number_ranges,
--- a/sched/task.c
+++ b/sched/task.c
@@ -204,6 +204,8 @@
   task->started_at = now.mono;
   task->incarnation_ms = 0;
   task->accepted = false;
+  task->placed_ms = now.wall_ms;
+  task->placed_lately = false;
   task->settled = false;
   task->worker = worker;
   task->stage->run_count++;
