t: starts that are carried out late (fails, known red)

Callers would see a task crash worker after worker where workers leave orders unanswered and carry them out seconds later. The age of a run is counted from its order: the first status that lists a late run clears its task's count, though the run has just begun. Ruled out: starts without any sign of life (the test without replies passes). Measured: 1 of 14 tests of test-crash fails; the starts pass the limit of five and the job is never shown as failed.

--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -26,6 +26,9 @@
    a new owner. */
 #define LONG_RUN_MS 30000
 
+/* Time after which a worker that answers no orders carries out a start. */
+#define LATE_START_MS 1000
+
 #define MAX_WORKERS 16
 
 static const struct kq_sched_step one_task
@@ -299,6 +302,41 @@
   stop_site (site);
 }
 
+/* The workers carry out the starts late, list them once and crash: a run that
+   has begun only lately must not clear the count, or the task is started
+   without limit. */
+static void
+test_starts_carried_out_late (void)
+{
+  struct site *site = start_site (3);
+  int run = 0;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  while (last_start (&site->cell, DEADLY_JOB).run.run != run
+         && site->count < MAX_WORKERS)
+    {
+      struct ts_order start = last_start (&site->cell, DEADLY_JOB);
+      struct kq_sched_running row = ts_running (&start, 0);
+
+      run = start.run.run;
+      ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
+      ts_advance (&site->cell, LATE_START_MS);
+      for (int i = 0; i < site->count; i++)
+        {
+          char id[16];
+
+          snprintf (id, sizeof id, "%d", i);
+          if (!site->crashed[i])
+            ts_reply_poll (&site->cell, id, &row,
+                           strcmp (id, start.worker) == 0, NULL, 0);
+        }
+      crash (site, start.worker);
+    }
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
 /* A start without a reply may never have reached the worker, so that only one
    worker has crashed under the task: its job must not fail for that. */
 static void
@@ -470,6 +508,7 @@
   { "crashes that no owner noticed", test_crashes_that_no_owner_noticed },
   { "long runs across takeovers", test_long_runs_across_takeovers },
   { "crashes without replies", test_crashes_without_replies },
+  { "starts carried out late", test_starts_carried_out_late },
   { "an unanswered start proves nothing",
     test_unanswered_start_proves_nothing },
   { "a silent worker proves nothing", test_silent_worker_proves_nothing },
