sched: the age of a run begins with the first sign of it, not with its order

Cause: a run counted as settled once a poll sent half a second after its order listed it. A worker that carries out orders late lists a run that has just begun, so that the count of its task was cleared each time. Change: the half second begins with the reply to the start, or with the first status that lists the run. The flag for that became the time. Ruled out: a longer time from the order (late orders come up to 3 s late, and each task would stay unsettled as long). With a prompt reply nothing changes.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -173,7 +173,7 @@
     case KQ_SCHED_OK:
       if (task->phase != PHASE_START_SENT)
         return;
-      task->accepted = true;
+      crash_note_accepted (task, now);
       task->phase = PHASE_RUNNING;
       task->phase_since = now.mono;
       task->progress_at = now.mono;
@@ -255,7 +255,7 @@
       task_end_run (sched, task, now, "worker no longer usable");
       return KQ_ENOENT;
     }
-  crash_note_start (task, now);
+  crash_note_start (task);
   task->phase = PHASE_START_SENT;
   task->phase_since = now.mono;
   task->progress_at = now.mono;
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -11,8 +11,8 @@
 #include "log/log.h"
 #include "sched/internal.h"
 
-/* A run has settled if a poll that was sent this long after its start lists
-   it. */
+/* A run has settled if a poll that was sent this long after the first sign of
+   it lists it: its worker may have carried out the order late. */
 #define SETTLE_US (500 * KQ_USEC_PER_MSEC)
 
 /* A restored run that was bound within this time before, on another host's
@@ -55,12 +55,18 @@
 }
 
 void
-crash_note_start (struct task *task, struct kq_sched_now now)
+crash_note_start (struct task *task)
 {
-  task->started_at = now.mono;
   task->incarnation_ms = task->worker->report.incarnation_ms;
 }
 
+void
+crash_note_accepted (struct task *task, struct kq_sched_now now)
+{
+  if (task->accepted_at == 0)
+    task->accepted_at = now.mono;
+}
+
 static void
 clear_suspicion (struct kq_sched *sched, struct task *task)
 {
@@ -74,10 +80,11 @@
 }
 
 void
-crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at)
+crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at,
+                   struct kq_sched_now now)
 {
-  task->accepted = true;
-  if (!task->settled && sent_at - task->started_at >= SETTLE_US)
+  crash_note_accepted (task, now);
+  if (!task->settled && sent_at - task->accepted_at >= SETTLE_US)
     clear_suspicion (sched, task);
 }
 
@@ -130,7 +137,7 @@
 {
   struct job *job = task->stage->job;
   bool counts = may_have_crashed (task);
-  bool crash = proven && task->accepted;
+  bool crash = proven && task->accepted_at != 0;
   char text[32];
 
   task_end_run (sched, task, now, why);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -104,9 +104,8 @@
   struct worker *reserved_worker; /* kept free for it while it is ready */
   kq_usec phase_since;
   kq_usec stop_sent_at;
-  kq_usec started_at;     /* its start order was sent */
+  kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
-  bool accepted;          /* the worker has accepted the start */
   int64_t placed_ms;      /* wall clock when its latest run was bound */
   bool placed_lately;     /* so shortly before it was restored */
   bool settled;           /* its run does not crash the worker */
@@ -485,10 +484,12 @@
 void crash_note_restored (struct task *task, int64_t placed_ms,
                           struct kq_sched_now now);
 /* Records that the start order of TASK is sent. */
-void crash_note_start (struct task *task, struct kq_sched_now now);
+void crash_note_start (struct task *task);
+/* Records that the worker has accepted the start order of TASK. */
+void crash_note_accepted (struct task *task, struct kq_sched_now now);
 /* Records that a worker listed the run of TASK to a poll sent at SENT_AT. */
 void crash_note_listed (struct kq_sched *sched, struct task *task,
-                        kq_usec sent_at);
+                        kq_usec sent_at, struct kq_sched_now now);
 /* Records that a worker reported the end of the run of TASK. */
 void crash_note_end (struct kq_sched *sched, struct task *task);
 /* Ends all runs at WORKER, which is lost. PROVEN: it has crashed and was not
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -163,7 +163,7 @@
   task->percent = row->percent;
   task->sample = row->sample;
   update_checkpoint (task, row->checkpoint);
-  crash_note_listed (sched, task, sent_at);
+  crash_note_listed (sched, task, sent_at, now);
   if (is_stalled (task, now))
     {
       sched->counts.stalls++;
--- a/sched/task.c
+++ b/sched/task.c
@@ -201,9 +201,8 @@
   task->may_disturb = false;
   task->pace_percent = 100;
   task->stop_sent_at = 0;
-  task->started_at = now.mono;
   task->incarnation_ms = 0;
-  task->accepted = false;
+  task->accepted_at = 0;
   task->placed_ms = now.wall_ms;
   task->placed_lately = false;
   task->settled = false;
