t: a job with too many tasks (fails, known red)

Callers would lose one owner after the other to a single submission: occurrences, steps and tasks of a step are limited each, but not their product, and the owner builds all tasks when it accepts the job. The caller's next attempt meets the next owner. Found by reading, for the class "work that takes down what serves it". Ruled out: a loop by the store (the record is appended after the job is built).

--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -104,6 +104,30 @@
   CU_ASSERT_EQUAL (read_job (body, &spec), KQ_EINVAL);
 }
 
+/* Each number is within its limit, but the tasks of all occurrences need
+   terabytes: the owner that built the job would end for lack of memory, and
+   the next one at the caller's next attempt. */
+static void
+test_job_with_too_many_tasks (void)
+{
+  struct kq_sched_spec spec;
+
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":10000,"
+                             "\"steps\":[{\"count\":10000}]}",
+                             &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_PTR_NULL (spec.steps);
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":1000,"
+                             "\"steps\":[{\"count\":60},{\"count\":41}]}",
+                             &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":1000,"
+                             "\"steps\":[{\"count\":60},{\"count\":40}]}",
+                             &spec),
+                   0);
+  kq_sched_spec_clear (&spec);
+}
+
 static void
 test_job_ids (void)
 {
@@ -355,6 +379,7 @@
   { "job", test_job },
   { "invalid jobs", test_invalid_jobs },
   { "length limit of the text of a job", test_spec_text_limit },
+  { "job with too many tasks", test_job_with_too_many_tasks },
   { "job IDs", test_job_ids },
   { "configuration", test_config },
   { "worker registration", test_worker_registration },
