sched: limit the number of tasks of a job

Cause: the limits of occurrences, steps and tasks of a step were checked each by itself; their product is 6.4 * 10^9 tasks, and the owner builds all of them. One submission could end one owner after the other for lack of memory. Change: at most 100,000 tasks over all; more is refused with 400 like any job over a limit. Each task takes 248 bytes and its stage 168 at most: 42 MB. Ruled out: building occurrences as they fall due (a larger change; the sum would still be without a limit); a lower limit (a job of 10,000 occurrences of a few tasks is plausible). What all jobs take together has no limit yet, and one job's state can outgrow a record: open.

--- a/sched/types.c
+++ b/sched/types.c
@@ -28,6 +28,16 @@
   return true;
 }
 
+static int64_t
+count_tasks (const struct kq_sched_spec *spec)
+{
+  int64_t count = 0;
+
+  for (int i = 0; i < spec->step_count; i++)
+    count += spec->steps[i].count;
+  return spec->times > 0 ? count * spec->times : count;
+}
+
 int
 kq_sched_spec_check (const struct kq_sched_spec *spec)
 {
@@ -39,7 +49,7 @@
   for (int i = 0; i < spec->step_count; i++)
     if (!is_step_valid (&spec->steps[i], i))
       return KQ_EINVAL;
-  return 0;
+  return count_tasks (spec) > KQ_SCHED_MAX_JOB_TASKS ? KQ_EINVAL : 0;
 }
 
 void
