t: a body that fills the record of its job (fails, known red)

The caller's next attempt does the same to the next owner. Measured: 1 of 15 tests of test-wire fails: such a body is read as valid.

--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -14,6 +14,9 @@
 #include "platform/wire-run.h"
 #include "t/kqtest.h"
 
+/* Size limit of a record in the store, with its key. */
+#define MAX_RECORD_BYTES 262144
+
 static int
 read_job (const char *body, struct kq_sched_spec *spec)
 {
@@ -128,6 +131,27 @@
   kq_sched_spec_clear (&spec);
 }
 
+/* The store refuses a record above its limit however often it is appended: a
+   body that fills the record of its job would stop the owner's journal, and
+   that of the next owner at the caller's next attempt. */
+static void
+test_body_that_fills_a_record (void)
+{
+  static const char job[] = "{\"spec\":\"x\",\"steps\":[{\"count\":1}]}";
+  char *body = malloc (MAX_RECORD_BYTES);
+  struct kq_sched_spec spec;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (body);
+  memset (body, ' ', MAX_RECORD_BYTES);
+  memcpy (body, job, strlen (job));
+  CU_ASSERT_EQUAL (kq_submission_read (body, MAX_RECORD_BYTES, &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_PTR_NULL (spec.steps);
+  CU_ASSERT_EQUAL (kq_submission_read (body, MAX_RECORD_BYTES / 2, &spec), 0);
+  kq_sched_spec_clear (&spec);
+  free (body);
+}
+
 static void
 test_job_ids (void)
 {
@@ -380,6 +404,7 @@
   { "invalid jobs", test_invalid_jobs },
   { "length limit of the text of a job", test_spec_text_limit },
   { "job with too many tasks", test_job_with_too_many_tasks },
+  { "body that fills a record", test_body_that_fills_a_record },
   { "job IDs", test_job_ids },
   { "configuration", test_config },
   { "worker registration", test_worker_registration },
