sched: check the rows and the outcome of a restored state

Cause: the reader of states trusted them: a second row of a task bound it again, so that its worker's list and sums were wrong, and an outcome that no job can have became the job's state. Change: only the first row of a task counts; a state with an unknown outcome is malformed, its job is logged as not restored and the others are. Ruled out: ending the process with a message (each owner would end in turn); dropping only the outcome (the job might have ended, and would run again).

--- a/sched/record.c
+++ b/sched/record.c
@@ -312,7 +312,8 @@
                                   .index = (int)record->index };
       struct task *task = job_task (job, &run);
 
-      if (task != NULL)
+      /* Only the first row of a task counts. */
+      if (task != NULL && task->state == TASK_WAITING && task->run == 0)
         restore_task (sched, now, task, record);
     }
 }
@@ -329,8 +330,10 @@
   if (state != NULL)
     {
       message = kq_sched__state_record__unpack (NULL, state_size, state);
-      if (message == NULL)
+      if (message == NULL || message->outcome > KQ_SCHED_CANCELLED)
         {
+          if (message != NULL)
+            kq_sched__state_record__free_unpacked (message, NULL);
           kq_sched_spec_clear (spec);
           return KQ_ESYNTAX;
         }
