t: simulate tasks that crash their workers, with takeovers and lost replies

Cause: in the simulation workers crashed at random only, so that no seed could show a count that is lost. A job can now be made deadly: its first task crashes each worker 10 ms after it was started there. The test: 400 seeds of 20 jobs, four of them deadly, 3% of the replies lost, 3% of the calls late, a takeover each 7 s. No deadly task is started more than five times, every other job completes.

--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -17,6 +17,9 @@
 #define STORE_LATENCY_MS 40
 #define UNREACHABLE_MS 8000
 #define OUTAGE_MS 2000
+
+/* Time from the start of a deadly task to the crash of its worker. */
+#define DEADLY_MS 10
 #define WORKER_CPU 16000
 #define WORKER_MEM 64000
 #define LOAD_PERIOD_MS 14000.0
@@ -42,6 +45,7 @@
   char id[16];
   bool up;
   int64_t restart_at;
+  int64_t crash_at; /* by a deadly task; 0: never */
   int64_t unreachable_until;
   int64_t incarnation_ms;
   int64_t started_at;
@@ -73,6 +77,8 @@
   int64_t ended_at;
   bool accepted;
   bool cancelled;
+  bool deadly; /* its first task crashes each worker that starts it */
+  int deadly_starts;
   int state;
   struct sim_task tasks[SIM_STEPS][64];
 };
@@ -395,6 +401,7 @@
 crash_worker (struct sim *sim, struct sim_worker *worker)
 {
   worker->up = false;
+  worker->crash_at = 0;
   worker->restart_at = sim->now + OUTAGE_MS;
   /* Delayed orders are lost in the crash. */
   for (int i = 0; i < SIM_CALLS; i++)
@@ -456,6 +463,12 @@
                                    = happens (sim, sim->faults.task_fails) };
   task_of (sim, &call->run)->running++;
   task_of (sim, &call->run)->started = true;
+  if (job_of (sim, call->run.job)->deadly && call->run.step == 0
+      && call->run.index == 0)
+    {
+      job_of (sim, call->run.job)->deadly_starts++;
+      worker->crash_at = sim->now + DEADLY_MS;
+    }
   if (call->lease_end_ms > worker->lease_end_ms)
     worker->lease_end_ms = call->lease_end_ms;
   return KQ_SCHED_OK;
@@ -765,6 +778,8 @@
     {
       struct sim_worker *worker = &sim->workers[i];
 
+      if (worker->crash_at != 0 && sim->now >= worker->crash_at)
+        crash_worker (sim, worker);
       if (!worker->up && sim->now >= worker->restart_at)
         start_worker (sim, worker);
       for (int j = 0; worker->up && j < SIM_RUNS; j++)
@@ -988,6 +1003,18 @@
       register_worker (sim, &sim->workers[i]);
 }
 
+void
+sim_make_deadly (struct sim *sim, int job)
+{
+  sim->jobs[job].deadly = true;
+}
+
+int
+sim_deadly_starts (const struct sim *sim, int job)
+{
+  return sim->jobs[job].deadly_starts;
+}
+
 void
 sim_take_over (struct sim *sim)
 {
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -84,6 +84,12 @@
 /** Crashes the worker NUMBER for good. */
 void sim_lose_worker (struct sim *sim, int number);
 
+/** Makes the first task of JOB crash each worker that starts it. */
+void sim_make_deadly (struct sim *sim, int job);
+
+/** Returns how often workers have started the first task of the deadly JOB. */
+int sim_deadly_starts (const struct sim *sim, int job);
+
 /** Replaces the owner by a new one. */
 void sim_take_over (struct sim *sim);
 
--- /dev/null
+++ b/t/test-deadly.c
@@ -0,0 +1,69 @@
+/* Guards against tasks that crash worker after worker while owners change and
+ * replies are lost: no such task may be started more than five times, and no
+ * job without such a task may fail for it.
+ */
+#include <stdio.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sim.h"
+
+#define SEEDS 400
+#define MAX_STARTS 5
+#define JOBS 20
+#define DEADLY_EACH 5
+
+static const struct sim_faults faults
+    = { .lose_reply = 0.03, .delayed = 0.03, .takeover = 0.15 };
+
+static const struct kq_sched_step work
+    = { .count = 3, .demand = { 1000, 1000, 0 }, .est_ms = 1500 };
+
+static void
+run_seed (unsigned long seed)
+{
+  struct sim *sim = sim_create (seed, &faults);
+
+  for (int i = 0; i < JOBS; i++)
+    {
+      sim_submit (sim, "urgent", &work, 1);
+      if (i % DEADLY_EACH == 0)
+        sim_make_deadly (sim, i);
+      sim_run (sim, 1000);
+    }
+  sim_run (sim, 40000);
+  sim_stop_faults (sim);
+  sim_run (sim, 20000);
+  if (sim_violation (sim) != NULL)
+    printf ("seed %lu: %s\n", seed, sim_violation (sim));
+  CU_ASSERT_PTR_NULL (sim_violation (sim));
+  for (int i = 0; i < JOBS; i++)
+    {
+      bool deadly = i % DEADLY_EACH == 0;
+      int state = sim_state (sim, i);
+      int starts = sim_deadly_starts (sim, i);
+
+      if (starts > MAX_STARTS)
+        printf ("seed %lu: job %d started %d times\n", seed, i, starts);
+      CU_ASSERT (starts <= MAX_STARTS);
+      if (state >= 0
+          && state != (deadly ? KQ_SCHED_FAILED_JOB : KQ_SCHED_COMPLETE))
+        printf ("seed %lu: job %d ends in state %d\n", seed, i, state);
+      CU_ASSERT (state < 0
+                 || state
+                        == (deadly ? KQ_SCHED_FAILED_JOB : KQ_SCHED_COMPLETE));
+    }
+  sim_destroy (sim);
+}
+
+static void
+test_deadly_tasks (void)
+{
+  for (unsigned long seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed);
+}
+
+static const struct kq_test tests[] = {
+  { "deadly tasks", test_deadly_tasks },
+};
+
+KQ_TEST_MAIN ("test-deadly", tests)
