--- a/sched/crash.c
+++ b/sched/crash.c
@@ -11,10 +11,15 @@
 #include "log/log.h"
 #include "sched/internal.h"
 
-/* A run has settled if a poll that was sent this long after its start lists
-   it. */
+/* A run has settled if a poll that was sent this long after the first sign of
+   it lists it: its worker may have carried out the order late. */
 #define SETTLE_US (500 * KQ_USEC_PER_MSEC)
 
+/* A restored run that was bound within this time before, on another host's
+   clock, may have crashed its worker without an earlier owner noticing: longer
+   than a lease and two takeovers. */
+#define UNNOTICED_CRASH_MS 20000
+
 /* A task is given up after so many workers have crashed under its runs; after
    fewer if the last crash can have no other cause; and after so many losses of
    any kind, since a worker may crash before its reply to a start arrives. */
@@ -45,19 +50,27 @@
 }
 
 void
-crash_note_restored (struct task *task, struct kq_sched_now now)
+crash_note_restored (struct task *task, int64_t placed_ms,
+                     struct kq_sched_now now)
 {
-  task->settled = !crash_is_suspect (task)
-                  && now.wall_ms - task->placed_ms > RESTORED_SETTLED_MS;
+  task->placed_ms = placed_ms;
+  task->placed_lately = placed_ms > now.wall_ms - UNNOTICED_CRASH_MS
+                        && placed_ms < now.wall_ms + UNNOTICED_CRASH_MS;
 }
 
 void
-crash_note_start (struct task *task, struct kq_sched_now now)
+crash_note_start (struct task *task)
 {
-  task->started_at = now.mono;
   task->incarnation_ms = task->worker->report.incarnation_ms;
 }
 
+void
+crash_note_accepted (struct task *task, struct kq_sched_now now)
+{
+  if (task->accepted_at == 0)
+    task->accepted_at = now.mono;
+}
+
 static void
 clear_suspicion (struct kq_sched *sched, struct task *task)
 {
@@ -71,10 +84,11 @@
 }
 
 void
-crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at)
+crash_note_listed (struct kq_sched *sched, struct task *task, kq_usec sent_at,
+                   struct kq_sched_now now)
 {
-  task->accepted = true;
-  if (!task->settled && sent_at - task->started_at >= SETTLE_US)
+  crash_note_accepted (task, now);
+  if (!task->settled && sent_at - task->accepted_at >= SETTLE_US)
     clear_suspicion (sched, task);
 }
 
@@ -85,11 +99,14 @@
 }
 
 /* Whether the run of TASK may have begun and crashed its worker before it
-   settled. */
+   settled. A restored run may have settled before, unless workers were lost
+   under the task already or earlier owners had little time to notice. */
 static bool
 may_have_crashed (const struct task *task)
 {
-  return task->phase != PHASE_STORING && !task->settled;
+  return task->phase != PHASE_STORING && !task->settled
+         && (task->phase != PHASE_RESTORED || crash_is_suspect (task)
+             || task->placed_lately);
 }
 
 bool
@@ -124,7 +141,7 @@
 {
   struct job *job = task->stage->job;
   bool counts = may_have_crashed (task);
-  bool crash = proven && task->accepted;
+  bool crash = proven && task->accepted_at != 0;
   char text[32];
 
   task_end_run (sched, task, now, why);
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -85,7 +85,7 @@
    */
   uint32_t unproven_crashes;
   /*
-   * wall clock of the placement of its latest run
+   * wall clock at which its latest run was bound
    */
   int64_t placed_ms;
 };
--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -27,6 +27,7 @@
   char id[24];
   bool up;
   int64_t restart_at;
+  int64_t crash_at; /* by a deadly task; 0: never */
   bool replaced;    /* another worker starts at its address */
   int replacement;  /* how many workers had the address before */
   char gone_id[24]; /* registration of a crashed worker */
@@ -62,6 +63,8 @@
   int64_t ended_at;
   bool accepted;
   bool cancelled;
+  bool deadly; /* its first task crashes each worker that starts it */
+  int deadly_starts;
   int state;
   struct sim_task tasks[SIM_STEPS][64];
 };
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -22,6 +22,13 @@
    worker. */
 #define SETTLE_MS 1500
 
+/* Time after which a run is not taken for one that has just begun, also by
+   a new owner. */
+#define LONG_RUN_MS 30000
+
+/* Time after which a worker that answers no orders carries out a start. */
+#define LATE_START_MS 1000
+
 #define MAX_WORKERS 16
 
 static const struct kq_sched_step one_task
@@ -196,10 +203,10 @@
   stop_site (site);
 }
 
-/* Replaces the owner, and lets all workers but the crashed ones and DOWN reply
-   to it. */
+/* Lets a new owner take over. All workers register with it, and all but the
+   crashed ones and SILENT reply. */
 static void
-take_over (struct site *site, const char *down)
+take_over (struct site *site, const char *silent)
 {
   ts_take_over (&site->cell);
   for (int i = 0; i < site->count; i++)
@@ -208,64 +215,72 @@
 
       snprintf (id, sizeof id, "%d", i);
       ts_register_worker (&site->cell, id, 8000, 8000);
-      if (!site->crashed[i] && strcmp (id, down) != 0)
+      if (!site->crashed[i] && strcmp (id, silent) != 0)
         ts_reply_poll (&site->cell, id, NULL, 0, NULL, 0);
     }
 }
 
-/* The owner is lost after each crash, before it has noticed, but for the first
-   HANDLED crashes. */
-static void
-check_crashes_across_takeovers (int handled)
+/* Crashes each worker that starts DEADLY_JOB until that is not started any
+   more. The owner is lost after each crash but the first KEPT ones, before it
+   has noticed. Returns the number of crashes. */
+static int
+crash_with_takeovers (struct site *site, int kept)
 {
-  struct site *site = start_site (3);
   int crashes = 0;
-  int run = 0;
 
-  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
-  while (last_start (&site->cell, DEADLY_JOB).run.run != run
+  while (crashes == count_starts (&site->cell, DEADLY_JOB) - 1
          && site->count < MAX_WORKERS - 1)
     {
       struct ts_order start = last_start (&site->cell, DEADLY_JOB);
 
-      run = start.run.run;
-      if (crashes >= handled)
+      if (crashes >= kept)
         take_over (site, start.worker);
       crash (site, start.worker);
       crashes++;
     }
-  CU_ASSERT (crashes <= MAX_STARTS);
-  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
-  stop_site (site);
+  return crashes;
 }
 
+/* What an owner stored before it was lost counts. */
 static void
 test_crashes_count_across_takeovers (void)
 {
-  check_crashes_across_takeovers (1);
+  struct site *site = start_site (3);
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  CU_ASSERT (crash_with_takeovers (site, 1) <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
 }
 
-/* The first crash must not be forgotten either. */
+/* Every owner is lost before it has noticed the crash, the first one too, so
+   that none has seen a loss when it starts the task: it would be started
+   without limit. */
 static void
-test_takeover_after_each_crash (void)
+test_crashes_that_no_owner_noticed (void)
 {
-  check_crashes_across_takeovers (0);
+  struct site *site = start_site (3);
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  CU_ASSERT (crash_with_takeovers (site, 0) <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
 }
 
-/* Workers are lost under a task that has run for long when the owner changes
-   each time: it is not the cause. */
+/* A run that was under way for long when an owner was lost says nothing
+   against its task if its worker crashes then. */
 static void
-test_old_run_across_takeovers (void)
+test_long_runs_across_takeovers (void)
 {
   struct site *site = start_site (3);
 
   ts_submit (&site->cell, OTHER_JOB, "urgent", &lasting_task, 1);
-  for (int i = 0; i < MAX_STARTS; i++)
+  for (int i = 0; i < 8; i++)
     {
       struct ts_order start = last_start (&site->cell, OTHER_JOB);
 
       ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
-      run_on (site, 20000);
+      run_on (site, LONG_RUN_MS);
       take_over (site, start.worker);
       crash (site, start.worker);
       CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB), i + 2);
@@ -287,6 +302,41 @@
   stop_site (site);
 }
 
+/* The workers carry out the starts late, list them once and crash: a run that
+   has begun only lately must not clear the count, or the task is started
+   without limit. */
+static void
+test_starts_carried_out_late (void)
+{
+  struct site *site = start_site (3);
+  int run = 0;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  while (last_start (&site->cell, DEADLY_JOB).run.run != run
+         && site->count < MAX_WORKERS)
+    {
+      struct ts_order start = last_start (&site->cell, DEADLY_JOB);
+      struct kq_sched_running row = ts_running (&start, 0);
+
+      run = start.run.run;
+      ts_reply_order (&site->cell, &start, KQ_SCHED_NO_REPLY);
+      ts_advance (&site->cell, LATE_START_MS);
+      for (int i = 0; i < site->count; i++)
+        {
+          char id[16];
+
+          snprintf (id, sizeof id, "%d", i);
+          if (!site->crashed[i])
+            ts_reply_poll (&site->cell, id, &row,
+                           strcmp (id, start.worker) == 0, NULL, 0);
+        }
+      crash (site, start.worker);
+    }
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
 /* A start without a reply may never have reached the worker, so that only one
    worker has crashed under the task: its job must not fail for that. */
 static void
@@ -455,9 +505,10 @@
   { "a lasting task that crashes its workers is given up",
     test_lasting_task_is_given_up },
   { "crashes count across takeovers", test_crashes_count_across_takeovers },
-  { "a takeover after each crash", test_takeover_after_each_crash },
-  { "an old run across takeovers", test_old_run_across_takeovers },
+  { "crashes that no owner noticed", test_crashes_that_no_owner_noticed },
+  { "long runs across takeovers", test_long_runs_across_takeovers },
   { "crashes without replies", test_crashes_without_replies },
+  { "starts carried out late", test_starts_carried_out_late },
   { "an unanswered start proves nothing",
     test_unanswered_start_proves_nothing },
   { "a silent worker proves nothing", test_silent_worker_proves_nothing },
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -14,6 +14,9 @@
 #include "platform/wire-run.h"
 #include "t/kqtest.h"
 
+/* Size limit of a record in the store, with its key. */
+#define MAX_RECORD_BYTES 262144
+
 static int
 read_job (const char *body, struct kq_sched_spec *spec)
 {
@@ -104,6 +107,49 @@
   CU_ASSERT_EQUAL (read_job (body, &spec), KQ_EINVAL);
 }
 
+/* Each number is within its limit, but the tasks of all occurrences need
+   terabytes: the owner that built the job would end for lack of memory, and
+   the next one at the caller's next attempt. */
+static void
+test_job_with_too_many_tasks (void)
+{
+  struct kq_sched_spec spec;
+
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":10000,"
+                             "\"steps\":[{\"count\":10000}]}",
+                             &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_PTR_NULL (spec.steps);
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":1000,"
+                             "\"steps\":[{\"count\":60},{\"count\":41}]}",
+                             &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_EQUAL (read_job ("{\"spec\":\"x\",\"times\":1000,"
+                             "\"steps\":[{\"count\":60},{\"count\":40}]}",
+                             &spec),
+                   0);
+  kq_sched_spec_clear (&spec);
+}
+
+/* The store refuses a record above its limit however often it is appended: a
+   body that fills the record of its job would stop the owner's journal, and
+   that of the next owner at the caller's next attempt. */
+static void
+test_body_that_fills_a_record (void)
+{
+  static const char job[] = "{\"spec\":\"x\",\"steps\":[{\"count\":1}]}";
+  static char body[MAX_RECORD_BYTES];
+  struct kq_sched_spec spec;
+
+  memset (body, ' ', MAX_RECORD_BYTES);
+  memcpy (body, job, sizeof job - 1);
+  CU_ASSERT_EQUAL (kq_submission_read (body, MAX_RECORD_BYTES, &spec),
+                   KQ_EINVAL);
+  CU_ASSERT_PTR_NULL (spec.steps);
+  CU_ASSERT_EQUAL (kq_submission_read (body, MAX_RECORD_BYTES / 2, &spec), 0);
+  kq_sched_spec_clear (&spec);
+}
+
 static void
 test_job_ids (void)
 {
@@ -407,6 +453,8 @@
   { "job", test_job },
   { "invalid jobs", test_invalid_jobs },
   { "length limit of the text of a job", test_spec_text_limit },
+  { "job with too many tasks", test_job_with_too_many_tasks },
+  { "body that fills a record", test_body_that_fills_a_record },
   { "job IDs", test_job_ids },
   { "configuration", test_config },
   { "worker registration", test_worker_registration },
