sched, node: settings of the workers and Retry-After in results

Cause: the parts that docs/design/load-and-locality.md asks for need the factor of remote data, that of cold workers and the time of a stop from the settings file, and a Retry-After from the owner; the message between hosts had a field for it that nothing set.

--- a/node/desk.c
+++ b/node/desk.c
@@ -42,6 +42,8 @@
    seconds. */
 #define RETRY_AFTER_S 1u
 
+#define MS_PER_S 1000
+
 static struct kq_metric success_count
     = { .name = "kq_desk_answered_total",
         .help = "Callers' requests that were answered with success." };
@@ -142,8 +144,9 @@
 }
 
 static void
-respond (struct kq_job_api *api, struct kq_http_request *request,
-         const char *job, unsigned status, int err, const char *body)
+respond_with_retry (struct kq_job_api *api, struct kq_http_request *request,
+                    const char *job, unsigned status, int err,
+                    const char *body, int64_t retry_ms)
 {
   char text[160];
   struct kq_http_response response
@@ -154,14 +157,24 @@
       snprintf (text, sizeof text, "{\"error\":\"%s\"}", kq_err_name (err));
       response.body = text;
     }
-  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
-    response.retry_s = RETRY_AFTER_S;
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE
+      || status == MHD_HTTP_TOO_MANY_REQUESTS)
+    response.retry_s = retry_ms > 0
+                           ? (unsigned)((retry_ms + MS_PER_S - 1) / MS_PER_S)
+                           : RETRY_AFTER_S;
   response.body_size = strlen (response.body);
   log_response (request, job, status, err);
   count_response (request, status);
   kq_http_respond (api->http, request, &response);
 }
 
+static void
+respond (struct kq_job_api *api, struct kq_http_request *request,
+         const char *job, unsigned status, int err, const char *body)
+{
+  respond_with_retry (api, request, job, status, err, body, 0);
+}
+
 static void
 remove_pending (struct kq_job_api *api, struct pending *pending)
 {
@@ -171,12 +184,12 @@
 
 static void
 complete_pending (struct kq_job_api *api, struct pending *pending,
-                  unsigned status, int err, const char *body)
+                  unsigned status, int err, const char *body, int64_t retry_ms)
 {
   char job[24];
 
   snprintf (job, sizeof job, "%016" PRIx64, pending->message.job);
-  respond (api, pending->request, job, status, err, body);
+  respond_with_retry (api, pending->request, job, status, err, body, retry_ms);
   remove_pending (api, pending);
 }
 
@@ -187,10 +200,10 @@
 {
   if (pending->unconfirmed_sends > 0)
     complete_pending (api, pending, MHD_HTTP_GATEWAY_TIMEOUT, KQ_ETIMEDOUT,
-                      NULL);
+                      NULL, 0);
   else
     complete_pending (api, pending, MHD_HTTP_SERVICE_UNAVAILABLE, KQ_ELOG_DOWN,
-                      NULL);
+                      NULL, 0);
 }
 
 static void
@@ -423,7 +436,8 @@
       return;
     }
   complete_pending (api, pending, reply->status, reply->err,
-                    format_body (pending, reply, text, sizeof text));
+                    format_body (pending, reply, text, sizeof text),
+                    reply->retry_ms);
 }
 
 void
--- a/node/desk.h
+++ b/node/desk.h
@@ -25,6 +25,8 @@
   enum kq_sched_state state;
   unsigned pending; /**< number of jobs of the queue that have not started */
   int err;
+  int64_t retry_ms; /**< 429 and 503: when the caller should try again; 0:
+                       unknown */
 };
 
 struct kq_job_api_handler
--- a/node/node.c
+++ b/node/node.c
@@ -112,7 +112,8 @@
                                         .status = (unsigned)result->status,
                                         .state = result->state,
                                         .pending = (unsigned)result->pending,
-                                        .err = result->err };
+                                        .err = result->err,
+                                        .retry_ms = result->retry_ms };
 
       kq_job_api_handle_reply (node->job_api, &reply);
       return;
@@ -121,6 +122,7 @@
   message.status = (uint32_t)result->status;
   message.state = result->state;
   message.pending = (uint32_t)result->pending;
+  message.retry_ms = (uint32_t)result->retry_ms;
   message.err = result->err;
   message.owner = (char *)owner->address;
   message.term = owner->term;
@@ -199,7 +201,8 @@
           .status = message->status,
           .state = (enum kq_sched_state)message->state,
           .pending = message->pending,
-          .err = message->err };
+          .err = message->err,
+          .retry_ms = message->retry_ms };
 
   if (message->results.len > 0)
     {
@@ -304,7 +307,8 @@
                                       .advice = node->settings.advice,
                                       .term = node->term,
                                       .hosts = node->hosts,
-                                      .hop = node->hop };
+                                      .hop = node->hop,
+                                      .settings = node->settings.sched };
 
   /* Without relays the owner of a large cell would open connections to all
      workers. */
--- a/node/owner.c
+++ b/node/owner.c
@@ -161,6 +161,7 @@
       result.err = effect->u.result.err;
       result.state = effect->u.result.state;
       result.pending = effect->u.result.pending;
+      result.retry_ms = effect->u.result.retry_ms;
       owner->handler.on_result (owner->handler.arg, &result);
       break;
     case KQ_SCHED_FX_START:
@@ -463,6 +464,7 @@
                                     on_advice, owner);
   if (owner->store == NULL || owner->dispatch == NULL || owner->advice == NULL)
     return KQ_ENOMEM;
+  kq_sched_set_settings (owner->sched, &context->settings);
   begin_term (owner, context->term);
   kq_sched_note_registrations (owner->sched, kq_clock_now ());
   owner->journal
--- a/node/owner.h
+++ b/node/owner.h
@@ -23,7 +23,9 @@
   int status;     /**< HTTP status; 0: this owner cannot decide, another may */
   int err;
   enum kq_sched_state state;
-  int pending; /**< number of jobs of the queue that have not started */
+  int pending;      /**< number of jobs of the queue that have not started */
+  int64_t retry_ms; /**< 429 and 503: when the caller should try again; 0:
+                       unknown */
 };
 
 struct kq_owner_handler
@@ -44,6 +46,7 @@
   const struct kq_term *term;
   const struct kq_hosts *hosts;
   struct kq_hop *hop;
+  struct kq_sched_settings settings;
   kq_usec first_polls_at; /**< before this it polls no workers */
 };
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -306,6 +306,7 @@
   uint64_t stored;
   struct effect_node *effects;
   const struct kq_sched_config *config;
+  struct kq_sched_settings settings;
   struct kq_interference *interference_model;
   struct queue_run_times *lengths;
   bool advice_in_flight;   /* a request to the policy service is in flight */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -26,6 +26,7 @@
   if (sched == NULL)
     return NULL;
   sched->position = 1;
+  sched->settings = KQ_SCHED_DEFAULT_SETTINGS;
   sched->interference_model = kq_interference_create ();
   if (sched->interference_model == NULL)
     {
@@ -326,6 +327,13 @@
     }
 }
 
+void
+kq_sched_set_settings (struct kq_sched *sched,
+                       const struct kq_sched_settings *settings)
+{
+  sched->settings = *settings;
+}
+
 void
 kq_sched_confirm_term (struct kq_sched *sched, kq_usec mono)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -153,7 +153,9 @@
       int status; /**< HTTP status: 200, 410 or 503 */
       int err;    /**< 0 or an error code that explains the status */
       enum kq_sched_state state;
-      int pending; /**< PENDING: number of jobs that have not started */
+      int pending;      /**< PENDING: number of jobs that have not started */
+      int64_t retry_ms; /**< 429 and 503: when the caller should try again;
+                           0: unknown */
     } result;
     struct
     {
@@ -207,6 +209,11 @@
 struct kq_sched *kq_sched_create (void);
 void kq_sched_destroy (struct kq_sched *sched);
 
+/** Sets the properties of the deployment; KQ_SCHED_DEFAULT_SETTINGS hold until
+ *  then.  */
+void kq_sched_set_settings (struct kq_sched *sched,
+                            const struct kq_sched_settings *settings);
+
 /** Handles one event; resulting effects are added to the effect queue. */
 void kq_sched_event (struct kq_sched *sched, struct kq_sched_now now,
                      const struct kq_sched_event *event);
--- a/sched/types.h
+++ b/sched/types.h
@@ -68,6 +68,21 @@
   int64_t interval_ms;
 };
 
+/** Properties of the deployment's workers that decisions depend on. */
+struct kq_sched_settings
+{
+  double remote_factor; /**< how many times longer a task runs off the rack of
+                           its data or of its group; at least 1 */
+  double warmup_excess; /**< how many times longer a task runs, at most, on a
+                           worker that is still warming up; at least 1 */
+  int64_t stop_ms;      /**< longest time that a worker takes for a stop */
+};
+
+/** Settings of a deployment that gives none of them. */
+#define KQ_SCHED_DEFAULT_SETTINGS                                             \
+  ((struct kq_sched_settings){                                                \
+      .remote_factor = 1, .warmup_excess = 1, .stop_ms = 400 })
+
 /** Frees the members of SPEC and clears it. */
 void kq_sched_spec_clear (struct kq_sched_spec *spec);
 
