sched: start nothing in a zone under evacuation

The event EVACUATE gives the full set of zones. A worker of such a zone is not usable, and a start that was decided but not sent is dropped, with its gang. Where the settings have evac_ms, an owner without a read of the requests, or whose last one is older than 2.2 s, starts nothing.

A request that was not read yet may be 2.2 s old, and a start is accepted by its worker for 3 s: 5.2 s, over the 5 s allowed. A shorter limit on the age was ruled out, since a read may wait 1 s at the store. The worker accepts a start only until evac_ms after the last read instead; with reads younger than 1.9 s that changes nothing.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/evacuate.h"
 #include "sched/internal.h"
 
 /* Time without new tasks for a worker that replied that it has no capacity,
@@ -254,14 +255,14 @@
    gang, which would wait for it in vain. */
 static void
 withdraw_start (struct kq_sched *sched, struct task *task,
-                struct kq_sched_now now)
+                struct kq_sched_now now, const char *why)
 {
   struct stage *stage = task->stage;
 
   for (int i = 0; stage->step->gang && i < stage->step->count; i++)
     if (&stage->tasks[i] != task)
       task_stop (sched, &stage->tasks[i], now);
-  task_end_run (sched, task, now, "worker's capacity has shrunk");
+  task_end_run (sched, task, now, why);
 }
 
 int
@@ -289,6 +290,17 @@
       task_end_run (sched, task, now, "registrations not read");
       return KQ_ENOENT;
     }
+  if (!evacuate_is_current (sched, now))
+    {
+      task_end_run (sched, task, now, "evacuations not read");
+      return KQ_ENOENT;
+    }
+  if (worker->evacuated)
+    {
+      sched->counts.evacuated_starts++;
+      withdraw_start (sched, task, now, "zone under evacuation");
+      return KQ_ENOENT;
+    }
   if (!worker_usable (worker, now)
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
@@ -298,7 +310,7 @@
     }
   if (!has_room_to_start (task))
     {
-      withdraw_start (sched, task, now);
+      withdraw_start (sched, task, now, "worker's capacity has shrunk");
       return KQ_ENOENT;
     }
   crash_note_start (task);
@@ -308,7 +320,7 @@
   snprintf (start->address, sizeof start->address, "%s",
             worker->report.address);
   start->lease_end_ms
-      = worker_clock (worker, now.mono) + KQ_SCHED_START_LEASE_MS;
+      = worker_clock (worker, now.mono) + evacuate_start_lease_ms (sched, now);
   worker_note_lease (worker, start->lease_end_ms);
   start->text = task->stage->job->spec.text;
   start->checkpoint = task->checkpoint;
--- a/sched/count.c
+++ b/sched/count.c
@@ -23,11 +23,13 @@
   counts->workers = (int)HASH_COUNT (sched->workers);
   counts->open_jobs = 0;
   counts->usable_workers = 0;
+  counts->evacuated_workers = 0;
   for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
     counts->open_jobs += !job_has_ended (job);
   DL_FOREACH (sched->worker_list, worker)
   {
-    if (!worker->registered || worker->report.draining)
+    counts->evacuated_workers += worker->registered && worker->evacuated;
+    if (!worker->registered || worker->report.draining || worker->evacuated)
       continue;
     counts->usable_workers++;
     counts->cpu_capacity += worker->report.capacity.cpu;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -243,6 +243,7 @@
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
+  bool evacuated;            /* its zone is under evacuation */
   bool ended_as_announced;   /* its earlier incarnation was draining */
   int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
@@ -314,11 +315,13 @@
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
-  bool job_given_up;          /* a job is to be ended for its crashes */
-  struct worker *next_polled; /* where the search for due polls continues */
-  kq_usec next_search_at;     /* a new search starts no earlier than this */
-  kq_usec confirmed_at;       /* last confirmation of the term by the store */
-  kq_usec registrations_at;   /* all until then were read; 0: not reported */
+  bool job_given_up;           /* a job is to be ended for its crashes */
+  struct worker *next_polled;  /* where the search for due polls continues */
+  kq_usec next_search_at;      /* a new search starts no earlier than this */
+  kq_usec confirmed_at;        /* last confirmation of the term by the store */
+  kq_usec registrations_at;    /* all until then were read; 0: not reported */
+  struct kq_sched_zones zones; /* under evacuation */
+  kq_usec zones_at;      /* all requests until then were read; 0: none yet */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
--- a/sched/place.c
+++ b/sched/place.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/evacuate.h"
 #include "sched/internal.h"
 
 /* Weights of the score in thousandths of a worker's load; the lowest score
@@ -596,7 +597,8 @@
 
   if (sched->superseded || !sched->placement_due
       || !grant_is_current (sched, now)
-      || !worker_reports_are_current (sched, now))
+      || !worker_reports_are_current (sched, now)
+      || !evacuate_is_current (sched, now))
     return;
   sched->placement_due = false;
   sum_pools (sched, &pass, now);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -9,6 +9,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/evacuate.h"
 #include "sched/internal.h"
 
 /* Interval at which the interference model is stored: a new owner that had
@@ -321,6 +322,9 @@
     case KQ_SCHED_EV_ADVISED:
       advice_apply (sched, now, event->u.advice);
       break;
+    case KQ_SCHED_EV_EVACUATE:
+      evacuate_apply (sched, event->u.zones);
+      break;
     case KQ_SCHED_EV_STORED:
       apply_stored (sched, event->u.stored);
       break;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -62,6 +62,7 @@
   KQ_SCHED_EV_STOPPED,     /**< result of a stop order */
   KQ_SCHED_EV_PACED,       /**< result of a pace order */
   KQ_SCHED_EV_ADVISED,     /**< result of a request to the policy service */
+  KQ_SCHED_EV_EVACUATE,    /**< the zones under evacuation were read */
   KQ_SCHED_EV_STORED       /**< the store holds records up to a position */
 };
 
@@ -111,7 +112,8 @@
     } call;
     const struct kq_sched_config *config; /**< must outlive its use */
     const struct kq_sched_registration *report;
-    const char *worker; /**< WORKER_GONE */
+    const char *worker;                 /**< WORKER_GONE */
+    const struct kq_sched_zones *zones; /**< EVACUATE: all of them */
     struct
     {
       const char *worker;
@@ -269,6 +271,11 @@
  *  a worker's capacity may have shrunk since.  */
 void kq_sched_note_registrations (struct kq_sched *sched, kq_usec mono);
 
+/** Records that the event EVACUATE has given the zones that the operator's
+ *  topic named at the time MONO. Where the settings have evac_ms, an owner
+ *  without such a read, or whose last one is too long ago, starts nothing.  */
+void kq_sched_note_zones (struct kq_sched *sched, kq_usec mono);
+
 /** Sets the time between a worker's reply and the next poll: 0 notices each
  *  ended run at once, a longer time saves calls.  */
 void kq_sched_set_poll_interval (struct kq_sched *sched, kq_usec interval);
@@ -350,7 +357,10 @@
   int64_t stalls;      /**< tasks stopped for lack of progress */
   int64_t preemptions; /**< tasks stopped for a long-running one */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
-  int64_t lapsed_workers; /**< workers whose runs ended with their leases */
+  int64_t lapsed_workers;   /**< workers whose runs ended with their leases */
+  int evacuated_workers;    /**< registered, in a zone under evacuation */
+  int64_t evacuated_starts; /**< starts dropped because their zone was to be
+                               evacuated */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
                                         the order was for */
   int64_t ends[KQ_SCHED_GANG_INCOMPLETE + 1];
--- a/sched/types.c
+++ b/sched/types.c
@@ -93,3 +93,38 @@
       return &config->queues[i];
   return NULL;
 }
+
+int
+kq_sched_zones_find (const struct kq_sched_zones *zones, const char *name)
+{
+  for (int i = 0; i < zones->count; i++)
+    if (strcmp (zones->names[i], name) == 0)
+      return i;
+  return -1;
+}
+
+int
+kq_sched_zones_add (struct kq_sched_zones *zones, const char *name)
+{
+  if (strlen (name) >= sizeof zones->names[0])
+    return KQ_ETOOBIG;
+  if (kq_sched_zones_find (zones, name) >= 0)
+    return 0;
+  if (zones->count == KQ_SCHED_MAX_ZONES)
+    return KQ_ENOMEM;
+  strcpy (zones->names[zones->count++], name);
+  return 0;
+}
+
+void
+kq_sched_zones_remove (struct kq_sched_zones *zones, const char *name)
+{
+  int at = kq_sched_zones_find (zones, name);
+
+  if (at < 0)
+    return;
+  zones->count--;
+  if (at < zones->count)
+    memcpy (zones->names[at], zones->names[zones->count],
+            sizeof zones->names[at]);
+}
--- a/sched/types.h
+++ b/sched/types.h
@@ -76,8 +76,32 @@
   double warmup_excess; /**< how many times longer a task runs, at most, on a
                            worker that is still warming up; at least 1 */
   int64_t stop_ms;      /**< longest time that a worker takes for a stop */
+  int64_t evac_ms;      /**< time after which nothing starts any more in a zone
+                           whose evacuation was requested; 0: the deployment
+                           has no evacuations */
 };
 
+/** Maximum number of zones that are under evacuation at once; deployments are
+ *  planned with 18 zones.  */
+#define KQ_SCHED_MAX_ZONES 64
+
+/** Set of availability zones. */
+struct kq_sched_zones
+{
+  int count;
+  char names[KQ_SCHED_MAX_ZONES][KQ_SCHED_NAME_SIZE];
+};
+
+/** Returns the index of NAME in ZONES, or -1. */
+int kq_sched_zones_find (const struct kq_sched_zones *zones, const char *name);
+
+/** Adds NAME to ZONES.
+ *  @return 0, also if it is there already, KQ_ETOOBIG if it is too long, or
+ *  KQ_ENOMEM if the set is full.  */
+int kq_sched_zones_add (struct kq_sched_zones *zones, const char *name);
+
+void kq_sched_zones_remove (struct kq_sched_zones *zones, const char *name);
+
 /** Settings of a deployment that gives none of them. */
 #define KQ_SCHED_DEFAULT_SETTINGS                                             \
   ((struct kq_sched_settings){                                                \
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/evacuate.h"
 #include "sched/internal.h"
 
 /* Maximum time for which a worker delays its reply to a poll while no run
@@ -194,6 +195,7 @@
   worker->report_outdated = false;
   worker->service = service_index (sched, registration->service);
   worker->registered = true;
+  evacuate_update_worker (sched, worker);
   if (registration->draining && !draining)
     {
       log_worker (worker, "worker draining", "registration");
@@ -305,8 +307,8 @@
 worker_usable (const struct worker *worker, struct kq_sched_now now)
 {
   return worker->registered && !worker->report_outdated && !worker->lost
-         && !worker->report.draining && worker->clock_read_at != 0
-         && now.mono >= worker->quarantined_until
+         && !worker->report.draining && !worker->evacuated
+         && worker->clock_read_at != 0 && now.mono >= worker->quarantined_until
          && now.mono >= worker->no_starts_until
          && now.mono - worker->last_reply_at
                 < (worker->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -299,6 +299,18 @@
   kq_sched_event (cell->sched, cell->now, &event);
 }
 
+void
+ts_register (struct ts_cell *cell, const struct kq_sched_registration *report)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER };
+  struct kq_sched_poll poll;
+
+  event.u.report = report;
+  kq_sched_event (cell->sched, cell->now, &event);
+  while (kq_sched_next_poll (cell->sched, cell->now, &poll))
+    ;
+}
+
 void
 ts_register_incarnation (struct ts_cell *cell, const char *id, int64_t cpu,
                          int64_t mem, int64_t incarnation_ms)
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -80,6 +80,9 @@
 void ts_register_incarnation (struct ts_cell *cell, const char *id,
                               int64_t cpu, int64_t mem,
                               int64_t incarnation_ms);
+/** Registers a worker as REPORT says, and takes its first polls. */
+void ts_register (struct ts_cell *cell,
+                  const struct kq_sched_registration *report);
 void ts_drain (struct ts_cell *cell, const char *id);
 
 /** Submits a job with COUNT copies of STEP, each after the previous one. */
