node: read the zones under evacuation from the operator's topic

The read that follows the configuration takes in the keys evacuate/ZONE. It follows all pages of the newest records, of which it read only the first, and starts again with them after a retention error: a zone whose key is not among them was taken back. A malformed record changes nothing and is logged and counted once. A read that follows a failed one does not wait at the store, so that starts do not wait for it either; an empty answer after the whole wait tells that there was no record during it.

No further calls in ordinary operation; one short read more after each failed one.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -34,6 +34,8 @@
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
+  GAUGE_EVACUATED_WORKERS,
+  GAUGE_EVACUATED_STARTS,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -70,6 +72,10 @@
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
     .help = "Replies of another incarnation than the order was for." },
+  { .name = "kq_evacuated_workers",
+    .help = "Registered, in a zone under evacuation." },
+  { .name = "kq_evacuated_starts_total",
+    .help = "Starts dropped because their zone was to be evacuated." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -111,6 +117,8 @@
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
+  kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
+  kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -26,6 +26,7 @@
 #include "node/relay.h"
 #include "node/turns.h"
 #include "node/watch.h"
+#include "node/zones.h"
 #include "platform/node-settings.h"
 #include "term/term.h"
 
@@ -74,6 +75,8 @@
   struct kq_owner *owner;
   struct kq_sched_config *config;
   struct kq_sched_config *old_config; /* may still be referenced */
+  struct kq_sched_zones zones;        /* under evacuation */
+  kq_usec zones_read_at;              /* 0: not read yet */
   struct owner_request *owner_requests;
   uint64_t last_token;
   int64_t owner_term; /* term of the last known owner */
@@ -308,7 +311,9 @@
                                       .term = node->term,
                                       .hosts = node->hosts,
                                       .hop = node->hop,
-                                      .settings = node->settings.sched };
+                                      .settings = node->settings.sched,
+                                      .zones = &node->zones,
+                                      .zones_read_at = node->zones_read_at };
 
   /* Without relays the owner of a large cell would open connections to all
      workers. */
@@ -382,6 +387,17 @@
     kq_owner_configure (node->owner, config);
 }
 
+static void
+on_zones (void *arg, const struct kq_sched_zones *zones, kq_usec read_at)
+{
+  struct node *node = arg;
+
+  node->zones = *zones;
+  node->zones_read_at = read_at;
+  if (node->owner != NULL)
+    kq_owner_evacuate (node->owner, zones, read_at);
+}
+
 static bool
 is_ready (const struct node *node)
 {
@@ -610,8 +626,10 @@
 static int
 start (struct node *node, int metrics_port)
 {
-  struct kq_watch_handler watch
-      = { .arg = node, .on_term = on_term_changed, .on_config = on_config };
+  struct kq_watch_handler watch = { .arg = node,
+                                    .on_term = on_term_changed,
+                                    .on_config = on_config,
+                                    .on_zones = on_zones };
   struct kq_host self;
   int err;
 
@@ -688,6 +706,7 @@
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
+  kq_zones_register_metrics ();
   kq_gauges_register ();
   err = start (&node, options->metrics_port);
   if (err != 0)
--- a/node/owner.c
+++ b/node/owner.c
@@ -515,6 +515,7 @@
             kq_term_own_term (context->term));
   kq_log (KQ_LOG_INFO, "owner", "term begins", 0, "term", number, NULL);
   kq_owner_configure (owner, config);
+  kq_owner_evacuate (owner, context->zones, context->zones_read_at);
   kq_journal_open (owner->journal);
   kq_registrations_start (owner->registrations);
   return owner;
@@ -619,6 +620,19 @@
   handle_event (owner, &event);
 }
 
+void
+kq_owner_evacuate (struct kq_owner *owner, const struct kq_sched_zones *zones,
+                   kq_usec read_at)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_EVACUATE };
+
+  if (zones == NULL || read_at == 0)
+    return;
+  event.u.zones = zones;
+  handle_event (owner, &event);
+  kq_sched_note_zones (owner->sched, read_at);
+}
+
 void
 kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at)
 {
--- a/node/owner.h
+++ b/node/owner.h
@@ -47,7 +47,9 @@
   const struct kq_hosts *hosts;
   struct kq_hop *hop;
   struct kq_sched_settings settings;
-  kq_usec first_polls_at; /**< before this it polls no workers */
+  const struct kq_sched_zones *zones; /**< under evacuation */
+  kq_usec zones_read_at;              /**< when they were read; 0: not yet */
+  kq_usec first_polls_at;             /**< before this it polls no workers */
 };
 
 /** Starts the term that this host has in CONTEXT; CONFIG may be NULL.
@@ -70,6 +72,11 @@
 void kq_owner_configure (struct kq_owner *owner,
                          const struct kq_sched_config *config);
 
+/** Sets the zones under evacuation, all that the operator's topic had at the
+ *  time READ_AT.  */
+void kq_owner_evacuate (struct kq_owner *owner,
+                        const struct kq_sched_zones *zones, kq_usec read_at);
+
 /** Records that the store confirmed the term by a record of the election that
  *  was sent at SENT_AT.  */
 void kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at);
--- a/node/watch.c
+++ b/node/watch.c
@@ -7,6 +7,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/zones.h"
 #include "platform/site.h"
 
 /* How long a read may wait at the store for a new record. The owner's
@@ -45,11 +46,17 @@
   bool store_unreachable; /* the last read got no reply */
   int64_t config_offset;
   bool config_newest_read;
+  char config_key[256];       /* last key of the pages of newest records */
+  kq_usec config_pages_since; /* when the first of them was asked for */
+  bool config_read_failed;    /* the last read of the topic */
+  int config_wait_ms;         /* for which the last read was to wait */
+  struct kq_zones zones;
   int64_t version; /* of the configuration; -1: none was read */
 };
 
 static void read_term (struct kq_watch *watch);
 static void read_config (struct kq_watch *watch);
+static void read_newest_config (struct kq_watch *watch);
 
 static void
 track_store_state (struct kq_watch *watch, int err)
@@ -216,42 +223,116 @@
   watch->handler.on_config (watch->handler.arg, config);
 }
 
+/* Returns until when a read of changes without records tells that there were
+   none: the store looks again after the time for which it waits. */
+static kq_usec
+no_changes_until (const struct kq_watch *watch,
+                  const struct kq_store_read_result *result)
+{
+  kq_usec waited = watch->config_wait_ms * KQ_USEC_PER_MSEC;
+
+  return kq_clock_now () - result->sent_at >= waited ? result->sent_at + waited
+                                                     : result->sent_at;
+}
+
+/* Reports that all records which the topic held at READ_AT were applied. */
 static void
-on_config_rows (void *arg, const struct kq_store_read_result *result)
+complete_config_read (struct kq_watch *watch, kq_usec read_at)
 {
-  struct kq_watch *watch = arg;
+  kq_zones_complete (&watch->zones);
+  watch->handler.on_zones (watch->handler.arg, &watch->zones.evacuated,
+                           read_at);
+}
 
+/* Handles what every read of the operator's topic has in common; returns false
+   if it brought no records. */
+static bool
+note_config_read (struct kq_watch *watch,
+                  const struct kq_store_read_result *result)
+{
   track_store_state (watch, result->err);
-  if (result->err == KQ_ELOG_RETENTION)
-    watch->config_newest_read = false;
-  else if (result->err != 0)
+  watch->config_read_failed
+      = result->err != 0 && result->err != KQ_ELOG_RETENTION;
+  if (watch->config_read_failed)
+    ev_timer_start (watch->loop, &watch->config_retry);
+  return result->err == 0;
+}
+
+static void
+on_config_changes (void *arg, const struct kq_store_read_result *result)
+{
+  struct kq_watch *watch = arg;
+
+  if (!note_config_read (watch, result))
     {
-      ev_timer_start (watch->loop, &watch->config_retry);
+      if (result->err == KQ_ELOG_RETENTION)
+        read_newest_config (watch);
       return;
     }
   for (size_t i = 0; i < result->count; i++)
     {
       apply_config (watch, &result->rows[i]);
-      if (watch->config_newest_read)
-        watch->config_offset = result->rows[i].offset + 1;
+      kq_zones_apply (&watch->zones, &result->rows[i]);
+      watch->config_offset = result->rows[i].offset + 1;
     }
-  if (!watch->config_newest_read && result->err == 0)
+  if (watch->config_offset >= result->end)
+    complete_config_read (watch, result->count == 0
+                                     ? no_changes_until (watch, result)
+                                     : result->sent_at);
+  read_config (watch);
+}
+
+static void
+on_newest_config (void *arg, const struct kq_store_read_result *result)
+{
+  struct kq_watch *watch = arg;
+
+  if (!note_config_read (watch, result))
+    {
+      if (result->err == KQ_ELOG_RETENTION)
+        read_newest_config (watch);
+      return;
+    }
+  if (watch->config_key[0] == '\0')
     {
-      watch->config_newest_read = true;
       watch->config_offset = result->end;
+      watch->config_pages_since = result->sent_at;
     }
+  for (size_t i = 0; i < result->count; i++)
+    {
+      apply_config (watch, &result->rows[i]);
+      kq_zones_apply (&watch->zones, &result->rows[i]);
+      snprintf (watch->config_key, sizeof watch->config_key, "%.*s",
+                (int)result->rows[i].key_size, result->rows[i].key);
+    }
+  watch->config_newest_read = !result->more || result->count == 0;
+  if (watch->config_newest_read)
+    complete_config_read (watch, watch->config_pages_since);
+  read_config (watch);
+}
+
+/* Reads the newest record of each key, from the first page on. */
+static void
+read_newest_config (struct kq_watch *watch)
+{
+  watch->config_newest_read = false;
+  watch->config_key[0] = '\0';
+  kq_zones_begin_newest (&watch->zones);
   read_config (watch);
 }
 
+/* A read that follows a failed one does not wait at the store: the time since
+   the last complete read bounds what may start. */
 static void
 read_config (struct kq_watch *watch)
 {
+  watch->config_wait_ms = watch->config_read_failed ? 0 : CONFIG_WAIT_MS;
   if (watch->config_newest_read)
     kq_store_read (watch->store, KQ_STORE_CONFIG, watch->config_offset,
-                   CONFIG_WAIT_MS, on_config_rows, watch);
+                   watch->config_wait_ms, on_config_changes, watch);
   else
-    kq_store_read_newest (watch->store, KQ_STORE_CONFIG, "", on_config_rows,
-                          watch);
+    kq_store_read_newest (watch->store, KQ_STORE_CONFIG, watch->config_key,
+                          on_newest_config, watch);
 }
 
 static void
@@ -305,7 +386,7 @@
 {
   ev_timer_start (watch->loop, &watch->append_timer);
   read_term (watch);
-  read_config (watch);
+  read_newest_config (watch);
 }
 
 kq_usec
--- a/node/watch.h
+++ b/node/watch.h
@@ -1,6 +1,7 @@
 /** @file
  * Follows two topics of the store on every host: the term, which names the
- * owner, and the operator's configuration.
+ * owner, and the operator's, which holds the configuration and the zones under
+ * evacuation.
  */
 #ifndef KQ_NODE_WATCH_H
 #define KQ_NODE_WATCH_H
@@ -20,6 +21,10 @@
   void (*on_term) (void *arg);
   /** A later configuration was read; ownership of CONFIG passes on. */
   void (*on_config) (void *arg, struct kq_sched_config *config);
+  /** ZONES are all zones that the operator's topic had under evacuation at the
+   *  time READ_AT; follows each complete read.  */
+  void (*on_zones) (void *arg, const struct kq_sched_zones *zones,
+                    kq_usec read_at);
 };
 
 /** Creates a watch that reads records into TERM and appends the records
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -378,6 +378,56 @@
   kq_sched_config_destroy (config);
 }
 
+static enum kq_site_evacuation
+read_evacuation (const char *key, const char *value, char *zone)
+{
+  return kq_site_evacuation_read (key, strlen (key), value, strlen (value),
+                                  zone);
+}
+
+/* Guards against a zone that is evacuated, or taken back, by a record that
+   does not say so. */
+static void
+test_evacuations (void)
+{
+  static const struct
+  {
+    const char *key;
+    const char *value;
+    enum kq_site_evacuation kind;
+  } cases[] = {
+    { "config", "{}", KQ_SITE_NO_EVACUATION },
+    { "evacuate", "{}", KQ_SITE_NO_EVACUATION },
+    { "evacuated/z-1", "{}", KQ_SITE_NO_EVACUATION },
+    { "evacuate/", "{}", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z 1", "{}", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z\n", "{}", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z-1", "[]", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z-1", "{", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z-1", "\xff", KQ_SITE_MALFORMED_EVACUATION },
+    { "evacuate/z-1", "{}", KQ_SITE_EVACUATE },
+    { "evacuate/z-1", "{\"since_ms\":5}", KQ_SITE_EVACUATE },
+    { "evacuate/z-1", "", KQ_SITE_TAKE_BACK },
+    { "evacuate/"
+      "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde",
+      "{}", KQ_SITE_EVACUATE },
+    { "evacuate/"
+      "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+      "{}", KQ_SITE_MALFORMED_EVACUATION },
+  };
+  char zone[KQ_SCHED_NAME_SIZE];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (read_evacuation (cases[i].key, cases[i].value, zone),
+                     cases[i].kind);
+  CU_ASSERT_EQUAL (read_evacuation ("evacuate/z-1", "{}", zone),
+                   KQ_SITE_EVACUATE);
+  CU_ASSERT_STRING_EQUAL (zone, "z-1");
+  CU_ASSERT_EQUAL (
+      kq_site_evacuation_read ("evacuate/z\0x", 12, "{}", 2, zone),
+      KQ_SITE_MALFORMED_EVACUATION);
+}
+
 static void
 test_run_names (void)
 {
@@ -402,24 +452,33 @@
       "\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"
       "\"platform\":{\"addr\":\"10.0.0.2:3\"},\"port_range\":[7720,7735],"
       "\"heartbeat_ms\":1100,\"bounds\":{\"hold_max_ms\":10000,"
-      "\"grace_s\":%s},\"limits\":{\"cpu_share\":0.25,\"cores\":2}}";
+      "\"grace_s\":%s%s},\"limits\":{\"cpu_share\":0.25,\"cores\":2}}";
 
+/* Reads settings with GRACE_S and the text MORE_BOUNDS after it. */
 static int
-read_settings (const char *grace_s, struct kq_node_settings *settings,
-               struct kq_node_settings_error *error)
+read_bounds (const char *grace_s, const char *more_bounds,
+             struct kq_node_settings *settings,
+             struct kq_node_settings_error *error)
 {
   char path[] = "/tmp/kq-test-wire-XXXXXX";
   int fd = mkstemp (path);
   FILE *file = fdopen (fd, "w");
   int err;
 
-  fprintf (file, settings_text, grace_s);
+  fprintf (file, settings_text, grace_s, more_bounds);
   fclose (file);
   err = kq_node_settings_read (path, settings, error);
   unlink (path);
   return err;
 }
 
+static int
+read_settings (const char *grace_s, struct kq_node_settings *settings,
+               struct kq_node_settings_error *error)
+{
+  return read_bounds (grace_s, "", settings, error);
+}
+
 static void
 test_settings (void)
 {
@@ -449,6 +508,27 @@
                    KQ_EIO);
 }
 
+/* An evacuation is armed by its setting alone, and a value that cannot be kept
+   to is refused. */
+static void
+test_evacuation_setting (void)
+{
+  struct kq_node_settings settings;
+  struct kq_node_settings_error error;
+
+  CU_ASSERT_EQUAL (read_settings ("6", &settings, &error), 0);
+  CU_ASSERT_EQUAL (settings.sched.evac_ms, 0);
+  CU_ASSERT_EQUAL (read_bounds ("6", ",\"evac_ms\":5000", &settings, &error),
+                   0);
+  CU_ASSERT_EQUAL (settings.sched.evac_ms, 5000);
+  CU_ASSERT_EQUAL (read_bounds ("6", ",\"evac_ms\":1999", &settings, &error),
+                   KQ_ESETTING);
+  CU_ASSERT_STRING_EQUAL (error.field, "bounds.evac_ms");
+  CU_ASSERT_STRING_EQUAL (error.why, "must be a number from 2000 to 600000");
+  CU_ASSERT_EQUAL (read_bounds ("6", ",\"evac_ms\":\"5\"", &settings, &error),
+                   KQ_ESETTING);
+}
+
 static const struct kq_test tests[] = {
   { "job", test_job },
   { "invalid jobs", test_invalid_jobs },
@@ -461,11 +541,13 @@
   { "malformed worker registrations", test_malformed_registrations },
   { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
+  { "evacuations", test_evacuations },
   { "run names", test_run_names },
   { "advice", test_advice },
   { "queue with advice", test_queue_with_advice },
   { "settings", test_settings },
   { "errors in settings name the field", test_invalid_settings },
+  { "setting of evacuations", test_evacuation_setting },
 };
 
 KQ_TEST_MAIN ("test-wire", tests)
