sched: fillers that may soon go on are not moved

Half of the learned factors lay near the limit from which a pair counts. Ruled out: weights in the choice of a worker (two trials, no fewer moves). Change: a filler is moved only if the pace that it needs now is low too; pairs count from a factor of 1.5, between the two groups that were measured.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -117,6 +117,8 @@
   bool stop_wanted;
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
+  int next_pace_percent; /* limit that it needs now; set after a delay if it is
+                            higher */
   kq_usec pace_changed_at;
   int percent;         /* reported progress; -1: none reported yet */
   kq_usec progress_at; /* last change of progress, phase or pace */
--- a/sched/share.c
+++ b/sched/share.c
@@ -29,9 +29,10 @@
 #define LOAD_SMOOTHING 0.3
 #define INITIAL_LOAD 0.45
 
-/* Pairs with a smaller factor are ignored: pairs either interfere clearly
-   or hardly, and small factors are mostly noise. */
-#define MIN_RELEVANT_FACTOR 0.8
+/* Pairs with a smaller factor are ignored. The factors come in two groups, 0
+   to 1.4 and 2.5 to 4.6: a limit within the lower group throttles fillers for
+   noise. Source: docs/design/platform.md, "Sharing". */
+#define MIN_RELEVANT_FACTOR 1.5
 
 /* Paces are multiples of the step and are raised at most once in the
    interval, as hysteresis against noisy samples. */
@@ -328,6 +329,7 @@
     if ((over_time >= 0 && pace_percent < 100)
         || over_time > PAUSE_ALL_AFTER_US)
       pace_percent = 0;
+    task->next_pace_percent = pace_percent;
     if (pace_percent > task->pace_percent && (!may_raise || over_time >= 0))
       continue;
     if (pace_percent != task->pace_percent)
@@ -337,7 +339,10 @@
 }
 
 /* Stops fillers that have been at a low pace for some time, if little of their
-   work is lost, so that they continue on another worker. */
+   work is lost, so that they continue on another worker. Those whose pace is
+   about to be raised stay: a raise is delayed for longer than MOVE_AFTER_US,
+   and without this condition half of the moved fillers were no longer in
+   anybody's way. */
 static void
 stop_throttled (struct kq_sched *sched, struct worker *worker,
                 struct kq_sched_now now)
@@ -347,7 +352,8 @@
 
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
-    if (task->pace_percent <= SLOW_PACE_PERCENT && !task->stop_wanted
+    if (task->pace_percent <= SLOW_PACE_PERCENT
+        && task->next_pace_percent <= SLOW_PACE_PERCENT && !task->stop_wanted
         && !task->may_disturb
         && now.mono - task->pace_changed_at > MOVE_AFTER_US
         && (task->stage->step->checkpointable
--- a/sched/task.c
+++ b/sched/task.c
@@ -200,6 +200,7 @@
   task->stop_wanted = false;
   task->may_disturb = false;
   task->pace_percent = 100;
+  task->next_pace_percent = 100;
   task->stop_sent_at = 0;
   task->incarnation_ms = 0;
   task->accepted_at = 0;
