node: state of the store as the results of appends show it

Cause: owner and front know only that an append is failing; every caller is held for 400 ms and told the same Retry-After, 1 s, so that callers who come back four times give up before an outage of 4.2 s ends. Change: kq_outage, pure: away after two consecutive failed calls or one that has no answer for 400 ms; Retry-After grows with the outage and is spread by the job's ID. Delays are rounded up or down to whole seconds by the hash, since the header has no fractions: a spread of a quarter of 1 s would vanish.

--- /dev/null
+++ b/t/test-outage.c
@@ -0,0 +1,122 @@
+/* Guards against refusing callers for a single failed append, against holding
+ * them while the store is away, and against a Retry-After after which callers
+ * give up before the outage ends or all come back at one moment.
+ */
+#include "node/outage.h"
+#include "t/kqtest.h"
+
+#define MS KQ_USEC_PER_MSEC
+#define START (1000 * KQ_USEC_PER_SEC)
+#define JOBS 1000
+
+/* Notes a call that was sent at AT ms and took TOOK ms. */
+static bool
+note (struct kq_outage *outage, enum kq_outage_result result, int at, int took)
+{
+  return kq_outage_note (outage, result, START + at * MS,
+                         START + (at + took) * MS);
+}
+
+static void
+test_one_refusal (void)
+{
+  struct kq_outage outage = { 0 };
+
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 0, 2));
+  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
+  CU_ASSERT_EQUAL (kq_outage_retry_ms (&outage, 1, START), 0);
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_ANSWERED, 60, 2));
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 120, 2));
+  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
+}
+
+static void
+test_two_failures (void)
+{
+  struct kq_outage outage = { 0 };
+
+  note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 5);
+  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
+  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_REFUSED, 60, 2));
+  CU_ASSERT_TRUE (kq_outage_is_away (&outage));
+  CU_ASSERT_EQUAL (outage.since, START);
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 120, 2));
+  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_ANSWERED, 180, 2));
+  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
+}
+
+static void
+test_one_append_without_answer (void)
+{
+  struct kq_outage outage = { 0 };
+
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 380));
+  note (&outage, KQ_OUTAGE_ANSWERED, 400, 2);
+  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_NO_ANSWER, 500, 400));
+  CU_ASSERT_EQUAL (outage.since, START + 500 * MS);
+  /* A refusal that took long is still a single refusal. */
+  outage = (struct kq_outage){ 0 };
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 0, 500));
+}
+
+/* Callers come back four times. */
+static void
+test_callers_outlast_an_outage (void)
+{
+  for (uint64_t job = 0; job < JOBS; job++)
+    {
+      struct kq_outage outage = { .failures = 2, .since = START };
+      kq_usec now = START + 100 * MS;
+
+      for (int i = 0; i < 4; i++)
+        now += kq_outage_retry_ms (&outage, job, now) * MS;
+      CU_ASSERT_TRUE (now - START > 4200 * MS);
+    }
+}
+
+static void
+test_limits_and_spread (void)
+{
+  static const struct
+  {
+    int lasted_ms;
+    int64_t min_ms;
+    int64_t max_ms;
+    int64_t mean_ms;
+  } cases[] = { { 100, 1000, 2000, 1125 },
+                { 3000, 3000, 4000, 3375 },
+                { 60000, 6000, 8000, 7200 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct kq_outage outage = { .failures = 2, .since = START };
+      int64_t sum = 0;
+      int64_t least = INT64_MAX;
+      int64_t most = 0;
+
+      for (uint64_t job = 0; job < JOBS; job++)
+        {
+          int64_t ms = kq_outage_retry_ms (&outage, job,
+                                           START + cases[i].lasted_ms * MS);
+
+          CU_ASSERT_EQUAL (ms % 1000, 0);
+          sum += ms;
+          least = ms < least ? ms : least;
+          most = ms > most ? ms : most;
+        }
+      CU_ASSERT_EQUAL (least, cases[i].min_ms);
+      CU_ASSERT_EQUAL (most, cases[i].max_ms);
+      CU_ASSERT_TRUE (sum / JOBS > cases[i].mean_ms - 100
+                      && sum / JOBS < cases[i].mean_ms + 100);
+    }
+}
+
+static const struct kq_test tests[] = {
+  { "one refusal refuses nobody", test_one_refusal },
+  { "two failed calls in a row", test_two_failures },
+  { "one append without an answer", test_one_append_without_answer },
+  { "callers outlast an outage of 4.2 s", test_callers_outlast_an_outage },
+  { "limits and spread of the delay", test_limits_and_spread },
+};
+
+KQ_TEST_MAIN ("test-outage", tests)
