sched: withdraw jobs that are certainly not stored

Cause: a job whose first record the store refuses waits in memory until its caller's deadline, and may be stored and run after the caller has given up. Change: kq_sched_withdraw removes such a job with its bound and ready tasks, turns its results into 503 and drops its orders. It refuses jobs whose position is stored or may be stored. Records are encoded in the order in which they should be stored: ends and cancels, then by priority, then deletions. kq_sched_assert also compares the number of ready tasks with the queue.

--- a/sched/count.c
+++ b/sched/count.c
@@ -12,6 +12,15 @@
   return job != NULL;
 }
 
+bool
+kq_sched_is_cancelled (const struct kq_sched *sched, uint64_t id)
+{
+  const struct job *job;
+
+  HASH_FIND (hh, sched->jobs, &id, sizeof id, job);
+  return job != NULL && job->state == KQ_SCHED_CANCELLED;
+}
+
 void
 kq_sched_count (const struct kq_sched *sched, struct kq_sched_counts *counts)
 {
@@ -47,7 +56,9 @@
 kq_sched_assert (const struct kq_sched *sched)
 {
   const struct worker *worker;
+  const struct stage *stage;
   int bound = 0;
+  int ready = 0;
 
   DL_FOREACH (sched->worker_list, worker)
   {
@@ -75,4 +86,6 @@
             && used.gpu == worker->used.gpu);
   }
   assert (bound == sched->counts.bound_tasks);
+  DL_FOREACH (sched->queue, stage) { ready += stage->ready_count; }
+  assert (ready == sched->counts.ready_tasks);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -182,10 +182,11 @@
   struct stage *stages; /* occurrences * steps */
   int stage_count;
   int stages_done;
-  int occurrences_opened;     /* number of occurrences that are due */
-  bool dirty;                 /* its state has changed and is not encoded */
-  bool record_due;            /* its JobRecord is not encoded yet */
-  bool expired;               /* its records are to be deleted */
+  int occurrences_opened; /* number of occurrences that are due */
+  bool dirty;             /* its state has changed and is not encoded */
+  bool record_due;        /* its JobRecord is not encoded yet */
+  bool has_new_end; /* a task of it has ended since its state was encoded */
+  bool expired;     /* its records are to be deleted */
   uint64_t changed_position;  /* journal position of its last change */
   uint64_t accepted_position; /* position that stores its JobRecord */
   struct job *dirty_prev;
@@ -304,6 +305,7 @@
   struct job *dirty;
   uint64_t position; /* position that the next batch of records closes */
   uint64_t stored;
+  uint64_t maybe_stored; /* the store may hold records up to here */
   struct effect_node *effects;
   const struct kq_sched_config *config;
   struct kq_sched_settings settings;
--- a/sched/job.c
+++ b/sched/job.c
@@ -415,6 +415,7 @@
   for (int i = 0; stage->step->gang && i < stage->step->count; i++)
     if (stage->tasks[i].state != TASK_DONE)
       mark_done (sched, &stage->tasks[i]);
+  stage->job->has_new_end = true;
   job_mark_dirty (sched, stage->job);
   if (stage->done_count == stage->step->count && !job_has_ended (stage->job))
     stage_done (sched, stage, now);
@@ -431,6 +432,7 @@
      a later owner, which must not count it twice. */
   if (bit >= 0)
     task->failed_runs |= UINT64_C (1) << bit;
+  job->has_new_end = true;
   job_mark_dirty (sched, job);
   if (!task->stage->step->long_running && !job_has_ended (job)
       && __builtin_popcountll (task->failed_runs) >= job->queue.attempts)
--- a/sched/record.c
+++ b/sched/record.c
@@ -29,6 +29,24 @@
   snprintf (record->key, sizeof record->key, "%c%016" PRIx64, kind, id);
 }
 
+/* Class of a changed job in the order in which jobs are stored: what has ended
+   comes first, since workers and callers wait for it; deletions come last. */
+static int
+storing_class (const struct job *job)
+{
+  if (job->expired)
+    return 2;
+  return !job->has_new_end && !job_has_ended (job);
+}
+
+static int
+compare_storing_order (const struct job *a, const struct job *b)
+{
+  int order = storing_class (a) - storing_class (b);
+
+  return order != 0 ? order : a->queue.priority - b->queue.priority;
+}
+
 static int
 encode_job (const struct job *job, struct kq_sched_record *record)
 {
@@ -139,10 +157,13 @@
     {
       if (encode_job (job, &records[count++]) != 0)
         return KQ_ENOMEM;
+      records[0].is_first = true;
+      records[0].job = job->id;
       job->record_due = false;
       free (job->body);
       job->body = NULL;
     }
+  job->has_new_end = false;
   if (encode_state (job, &records[count++]) != 0)
     return KQ_ENOMEM;
   if (records[count - 1].size == 0)
@@ -228,7 +249,7 @@
   struct job *job;
   int dirty = 0;
   int count = 0;
-  size_t bytes = 0;
+  size_t largest = 0;
 
   DL_FOREACH2 (sched->dirty, job, dirty_next) { dirty++; }
   if (dirty == 0 && !sched->interference_due && sched->dirty_grants == 0)
@@ -246,6 +267,7 @@
       free (collected);
       return 0;
     }
+  DL_SORT2 (sched->dirty, compare_storing_order, dirty_prev, dirty_next);
   while ((job = sched->dirty) != NULL)
     {
       int more = encode_changed_job (job, &collected[count]);
@@ -253,15 +275,15 @@
       if (more < 0)
         kq_log (KQ_LOG_ERROR, "sched", "job record not encoded", more, NULL);
       for (int i = 0; i < more; i++)
-        bytes += collected[count + i].size;
+        if (collected[count + i].size > largest)
+          largest = collected[count + i].size;
       count += more > 0 ? more : 0;
       record_clear_dirty (sched, job);
       if (job->expired)
         job_destroy (sched, job);
     }
-  if (bytes > max_bytes)
-    kq_log (KQ_LOG_WARN, "sched", "record batch over size limit", KQ_ETOOBIG,
-            NULL);
+  if (largest > max_bytes)
+    kq_log (KQ_LOG_WARN, "sched", "record over size limit", KQ_ETOOBIG, NULL);
   *records = collected;
   *position = sched->position++;
   return count;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -112,6 +112,8 @@
   effect->u.result.token = token;
   effect->u.result.status = status;
   effect->u.result.err = err;
+  effect->u.result.has_job = job != NULL;
+  effect->u.result.job = job != NULL ? job->id : 0;
   if (job != NULL)
     effect->u.result.state = job->state == KQ_SCHED_QUEUED && job->started
                                  ? KQ_SCHED_ACTIVE
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -156,6 +156,8 @@
       int pending;      /**< PENDING: number of jobs that have not started */
       int64_t retry_ms; /**< 429 and 503: when the caller should try again;
                            0: unknown */
+      bool has_job;     /**< the result tells the state of JOB */
+      uint64_t job;
     } result;
     struct
     {
@@ -183,6 +185,9 @@
   char key[24];
   uint8_t *value;
   size_t size;
+  bool is_first; /**< the store learns of JOB from it; the record of the job's
+                    state, if any, follows it */
+  uint64_t job;
 };
 
 /** Parameters of a poll: the call to a worker that renews its lease and
@@ -230,14 +235,34 @@
 bool kq_sched_next_effect (struct kq_sched *sched,
                            struct kq_sched_effect *effect);
 
-/** Encodes all changed jobs into a new array at RECORDS; logs a warning if the
- *  records exceed MAX_BYTES. Sets *POSITION to the journal position that they
- *  close.
+/** Encodes all changed jobs into a new array at RECORDS, in the order in which
+ *  they should be stored: what has ended first, then by priority; logs a
+ *  warning if one record exceeds MAX_BYTES. Sets *POSITION to the journal
+ *  position that they close.
  *  @return the number of records, 0 if nothing has changed, or KQ_ENOMEM.  */
 int kq_sched_encode_records (struct kq_sched *sched, size_t max_bytes,
                              struct kq_sched_record **records,
                              uint64_t *position);
 
+/** Records that the store holds, or may hold, some of the records up to
+ *  POSITION.  */
+void kq_sched_note_maybe_stored (struct kq_sched *sched, uint64_t position);
+
+/** Removes JOB, none of whose records is stored, nor can be stored later. Its
+ *  tasks are released; of the effects that were not taken yet, its results
+ *  become 503 and its orders are dropped.
+ *  @return 0, KQ_ENOENT if it is unknown, or KQ_EEXIST if it may be stored. */
+int kq_sched_withdraw (struct kq_sched *sched, uint64_t job);
+
+/** Changes an EFFECT that waits for the store when JOB is withdrawn.
+ *  @return false if it must be dropped.  */
+bool kq_sched_withdraw_effect (struct kq_sched_effect *effect, uint64_t job);
+
+/** Copies to JOBS up to MAX new jobs that were not encoded yet.
+ *  @return their number.  */
+int kq_sched_list_unsent (const struct kq_sched *sched, uint64_t *jobs,
+                          int max);
+
 /** Fills START for an order that is about to be sent, and records it as sent.
  *  If the worker is no longer usable, the run ends instead.
  *  @return 0, or KQ_ENOENT if the order must not be sent.  */
@@ -329,6 +354,9 @@
 /** Returns whether JOB is known. */
 bool kq_sched_has_job (const struct kq_sched *sched, uint64_t job);
 
+/** Returns whether JOB is known and was cancelled. */
+bool kq_sched_is_cancelled (const struct kq_sched *sched, uint64_t job);
+
 /** Counters for metrics and tests. */
 struct kq_sched_counts
 {
@@ -350,6 +378,7 @@
   int64_t stalls;      /**< tasks stopped for lack of progress */
   int64_t preemptions; /**< tasks stopped for a long-running one */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
+  int64_t withdrawals; /**< new jobs taken back because the store was away */
   int64_t lapsed_workers; /**< workers whose runs ended with their leases */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
                                         the order was for */
