node: refuse and take back at once while the store is away

Cause: in an outage of 4.2 s under load 67 callers got 504, 243 got 503 after 400 ms of repeats and 40 got no answer by their deadline: the owner answered "not the owner" for what it could not store, and kept what it had taken in. Change: the owner answers submissions, cancels and unknown states with 503 and a true Retry-After as soon as the store is away; repeats of what is or may be stored, states of known jobs and counts are answered. New jobs whose every attempt was refused, or that were never sent, are removed from the append, which keeps its sequence number and position, and their callers get 503. Appends are split at 1.5 MB instead of a warning. A front tells its caller of a refusal only when no other copy of its message is outstanding, since a copy that arrives after the outage is a new submission. Ruled out: keying effects by position alone; a start that waits for the refused append would be sent for a new job of the same ID before that one is stored.

--- a/node/desk.c
+++ b/node/desk.c
@@ -77,6 +77,7 @@
   kq_usec resend_at;
   kq_usec times_out_at;
   int unconfirmed_sends; /* sent messages that an owner may have accepted */
+  struct kq_job_api_reply refusal; /* of one of them; status 0: none */
   UT_hash_handle hh;
 };
 
@@ -193,6 +194,13 @@
   remove_pending (api, pending);
 }
 
+static void
+complete_with_refusal (struct kq_job_api *api, struct pending *pending)
+{
+  complete_pending (api, pending, pending->refusal.status,
+                    pending->refusal.err, NULL, pending->refusal.retry_ms);
+}
+
 /* If every sent message was rejected, nothing was done. Otherwise the outcome
    is unknown. */
 static void
@@ -418,6 +426,32 @@
   return text;
 }
 
+static bool
+is_refusal (unsigned status)
+{
+  return status == MHD_HTTP_SERVICE_UNAVAILABLE
+         || status == MHD_HTTP_TOO_MANY_REQUESTS;
+}
+
+/* Handles that nothing was done for one of the sent messages. Another copy of
+   the message may still be accepted, by this owner or by a later one: the
+   caller is told of a refusal once none is outstanding. */
+static void
+handle_rejection (struct kq_job_api *api, struct pending *pending,
+                  const struct kq_job_api_reply *reply)
+{
+  if (pending->unconfirmed_sends > 0)
+    pending->unconfirmed_sends--;
+  if (is_refusal (reply->status))
+    pending->refusal = *reply;
+  if (pending->refusal.status == 0)
+    pending->resend_at = kq_clock_now () + NOT_READY_RETRY_DELAY_US;
+  else if (pending->unconfirmed_sends == 0)
+    complete_with_refusal (api, pending);
+  else
+    pending->resend_at = pending->times_out_at;
+}
+
 void
 kq_job_api_handle_reply (struct kq_job_api *api,
                          const struct kq_job_api_reply *reply)
@@ -428,11 +462,9 @@
   HASH_FIND (hh, api->pending, &reply->number, sizeof reply->number, pending);
   if (pending == NULL)
     return;
-  if (reply->status == 0)
+  if (reply->status == 0 || is_refusal (reply->status))
     {
-      if (pending->unconfirmed_sends > 0)
-        pending->unconfirmed_sends--;
-      pending->resend_at = kq_clock_now () + NOT_READY_RETRY_DELAY_US;
+      handle_rejection (api, pending, reply);
       return;
     }
   complete_pending (api, pending, reply->status, reply->err,
--- a/node/gauges.c
+++ b/node/gauges.c
@@ -34,6 +34,8 @@
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
+  GAUGE_WITHDRAWALS,
+  GAUGE_REFUSALS,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -70,6 +72,10 @@
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
     .help = "Replies of another incarnation than the order was for." },
+  { .name = "kq_withdrawn_jobs_total",
+    .help = "New jobs taken back because the store was away." },
+  { .name = "kq_store_away_refusals_total",
+    .help = "Requests refused by the owner because the store was away." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -84,6 +90,12 @@
     kq_metric_register (&gauges[i]);
 }
 
+void
+kq_gauges_count_refusal (void)
+{
+  kq_metric_add (&gauges[GAUGE_REFUSALS], 1);
+}
+
 void
 kq_gauges_set (const struct kq_sched_counts *counts)
 {
@@ -111,6 +123,7 @@
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
+  kq_metric_set (&gauges[GAUGE_WITHDRAWALS], counts->withdrawals);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/node/gauges.h
+++ b/node/gauges.h
@@ -10,6 +10,9 @@
 /** Registers the gauges; must be called once. */
 void kq_gauges_register (void);
 
+/** Counts a request that the owner refused because the store is away. */
+void kq_gauges_count_refusal (void);
+
 /** Sets the owner's gauges from COUNTS; NULL if this host is not the owner. */
 void kq_gauges_set (const struct kq_sched_counts *counts);
 
--- a/node/journal.c
+++ b/node/journal.c
@@ -7,25 +7,21 @@
 #include "log/log.h"
 
 /* An append without a reply is repeated after INITIAL_TIMEOUT_US, which
-   doubles up to MAX_TIMEOUT_US. A slow store replies within a quarter of a
-   second. */
-#define INITIAL_TIMEOUT_US (400 * KQ_USEC_PER_MSEC)
+   doubles up to MAX_TIMEOUT_US. The first timeout shows that the store is
+   away. */
+#define INITIAL_TIMEOUT_US KQ_OUTAGE_NO_ANSWER_US
 #define MAX_TIMEOUT_US (1600 * KQ_USEC_PER_MSEC)
 
 /* Delay before an append that the store has refused is repeated. */
 #define RETRY_DELAY_SEC 0.06
 
-/* Maximum size of the records of one append. The platform limits a call to
-   2 MB. */
-#define MAX_APPEND_BYTES ((size_t)1500 * 1024)
-
 struct kq_journal
 {
   struct ev_loop *loop;
   struct kq_store *store;
   struct kq_journal_handler handler;
-  struct kq_store_batch batch;
-  uint64_t position; /* journal position that the batch closes */
+  struct kq_append append;
+  uint64_t position; /* journal position of the append */
   int64_t epoch;
   int64_t sequence;
   kq_usec timeout;
@@ -47,6 +43,12 @@
 retry_append (struct kq_journal *journal,
               const struct kq_store_append_result *result)
 {
+  if (!result->not_stored && !journal->append.maybe_stored)
+    {
+      journal->append.maybe_stored = true;
+      journal->handler.on_maybe_stored (journal->handler.arg,
+                                        journal->position);
+    }
   journal->failures++;
   if (journal->failures == 1)
     kq_log (KQ_LOG_WARN, "journal", "append failed", result->err, NULL);
@@ -55,6 +57,13 @@
   ev_timer_set (&journal->retry,
                 result->err == KQ_ELOG_UNKNOWN ? 0 : RETRY_DELAY_SEC, 0);
   ev_timer_start (journal->loop, &journal->retry);
+  /* An append for which memory is short tells nothing about the store. */
+  if (result->err != KQ_ENOMEM)
+    journal->handler.on_attempt (journal->handler.arg,
+                                 result->answered && result->not_stored
+                                     ? KQ_OUTAGE_REFUSED
+                                     : KQ_OUTAGE_NO_ANSWER,
+                                 result->sent_at);
 }
 
 static void
@@ -63,12 +72,21 @@
 {
   if (journal->failures > 0)
     kq_log (KQ_LOG_INFO, "journal", "append stored after failures", 0, NULL);
-  journal->append_in_flight = false;
   journal->failures = 0;
   journal->timeout = INITIAL_TIMEOUT_US;
   journal->sequence++;
   journal->confirmed_at = result->sent_at;
-  kq_store_batch_clear (&journal->batch);
+  journal->handler.on_attempt (journal->handler.arg, KQ_OUTAGE_ANSWERED,
+                               result->sent_at);
+  if (kq_append_advance (&journal->append))
+    {
+      journal->handler.on_maybe_stored (journal->handler.arg,
+                                        journal->position);
+      send_batch (journal);
+      return;
+    }
+  journal->append_in_flight = false;
+  kq_append_clear (&journal->append);
   journal->handler.on_stored (journal->handler.arg, journal->position);
 }
 
@@ -92,6 +110,8 @@
     {
       kq_log (KQ_LOG_WARN, "journal", "append sequence number corrected", 0,
               NULL);
+      journal->handler.on_attempt (journal->handler.arg, KQ_OUTAGE_ANSWERED,
+                                   result->sent_at);
       journal->sequence = result->expected_sequence;
       send_batch (journal);
     }
@@ -109,8 +129,8 @@
                                           .epoch = journal->epoch,
                                           .sequence = journal->sequence };
 
-  kq_store_append (journal->store, KQ_STORE_JOBS, &journal->batch, &condition,
-                   journal->timeout, on_appended, journal);
+  kq_store_append (journal->store, KQ_STORE_JOBS, &journal->append.batch,
+                   &condition, journal->timeout, on_appended, journal);
 }
 
 struct kq_journal *
@@ -137,7 +157,7 @@
   if (journal == NULL)
     return;
   ev_timer_stop (journal->loop, &journal->retry);
-  kq_store_batch_clear (&journal->batch);
+  kq_append_clear (&journal->append);
   free (journal);
 }
 
@@ -157,26 +177,24 @@
 
   if (journal->append_in_flight)
     return;
-  count = kq_sched_encode_records (sched, MAX_APPEND_BYTES, &records,
+  count = kq_sched_encode_records (sched, KQ_APPEND_MAX_BYTES, &records,
                                    &journal->position);
   if (count < 0)
     kq_log (KQ_LOG_ERROR, "journal", "records not encoded", count, NULL);
   if (records == NULL)
     return;
-  for (int i = 0; i < count; i++)
-    {
-      if (kq_store_batch_add (&journal->batch, records[i].key,
-                              records[i].value, records[i].size)
-          != 0)
-        kq_log (KQ_LOG_ERROR, "journal", "record not written", KQ_ENOMEM,
-                "key", records[i].key, NULL);
-      free (records[i].value);
-    }
-  free (records);
+  kq_append_begin (&journal->append, records, count);
   journal->append_in_flight = true;
   send_batch (journal);
 }
 
+int
+kq_journal_withdraw (struct kq_journal *journal, kq_append_withdraw *withdraw,
+                     void *arg)
+{
+  return kq_append_withdraw_jobs (&journal->append, withdraw, arg);
+}
+
 kq_usec
 kq_journal_confirmed_at (const struct kq_journal *journal)
 {
--- a/node/journal.h
+++ b/node/journal.h
@@ -1,14 +1,15 @@
 /** @file
  * Writes the owner's records to the store. At most one append is in flight;
- * the next one carries everything that has changed since. Appends have the
- * owner's term as epoch.
+ * the next one carries everything that has changed since, or what of it fits.
+ * Appends have the owner's term as epoch.
  */
 #ifndef KQ_NODE_JOURNAL_H
 #define KQ_NODE_JOURNAL_H
 
 #include <ev.h>
 
-#include "platform/store.h"
+#include "node/append.h"
+#include "node/outage.h"
 #include "sched/sched.h"
 
 struct kq_journal;
@@ -21,6 +22,12 @@
   void (*on_stored) (void *arg, uint64_t position);
   /** The store refused an append because a later owner has written. */
   void (*on_fenced) (void *arg);
+  /** The store holds, or may hold, some of the records of POSITION. */
+  void (*on_maybe_stored) (void *arg, uint64_t position);
+  /** An attempt that was sent at SENT_AT has ended, and none is in flight.
+   *  New jobs may be withdrawn now.  */
+  void (*on_attempt) (void *arg, enum kq_outage_result result,
+                      kq_usec sent_at);
 };
 
 struct kq_journal *
@@ -34,6 +41,13 @@
 /** Appends what has changed in SCHED, unless an append is in flight. */
 void kq_journal_write (struct kq_journal *journal, struct kq_sched *sched);
 
+/** Offers the new jobs of the append that has failed to WITHDRAW, and sends it
+ *  without those that are taken back from then on.  Jobs that the store may
+ *  hold are not offered.  Only to be called from on_attempt.
+ *  @return the number of jobs taken back.  */
+int kq_journal_withdraw (struct kq_journal *journal,
+                         kq_append_withdraw *withdraw, void *arg);
+
 /** Returns when the last stored append was sent. */
 kq_usec kq_journal_confirmed_at (const struct kq_journal *journal);
 
--- a/node/owner.c
+++ b/node/owner.c
@@ -4,19 +4,22 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/deferred.h"
 #include "node/dispatch.h"
 #include "node/gauges.h"
 #include "node/journal.h"
+#include "node/refusal.h"
 #include "node/restore.h"
 #include "node/roster.h"
 #include "node/turns.h"
 #include "platform/advice.h"
 #include "platform/submission.h"
 
+#define STATUS_UNAVAILABLE 503
+
 #define TICK_SEC 0.1
 
 /* The state of the cell is logged every 50 ticks, that is every 5 s. */
@@ -38,14 +41,6 @@
 #define MAX_POLLS_PER_ITERATION 64
 #define NEXT_ITERATION_SEC 0.001
 
-/* An effect whose journal position is not stored yet. */
-struct deferred_effect
-{
-  struct kq_sched_effect effect;
-  struct deferred_effect *prev;
-  struct deferred_effect *next;
-};
-
 struct kq_owner
 {
   struct ev_loop *loop;
@@ -58,7 +53,8 @@
   struct kq_dispatch *dispatch;
   struct kq_advice *advice;
   struct kq_sched *sched;
-  struct deferred_effect *deferred; /* not executed yet */
+  struct kq_deferred *deferred; /* effects that wait for the store */
+  struct kq_refusal refusal;    /* while the store is away */
   uint64_t stored_position; /* journal position up to which all is stored */
   kq_usec confirmed_at;     /* when the last call was sent by which the store
                                confirmed the term */
@@ -149,9 +145,10 @@
     kq_dispatch_send (owner->dispatch, &order);
 }
 
-static void
-execute_effect (struct kq_owner *owner, const struct kq_sched_effect *effect)
+static bool
+execute_effect (void *arg, const struct kq_sched_effect *effect)
 {
+  struct kq_owner *owner = arg;
   struct kq_owner_result result = { .token = effect->u.result.token };
 
   switch (effect->kind)
@@ -162,6 +159,9 @@
       result.state = effect->u.result.state;
       result.pending = effect->u.result.pending;
       result.retry_ms = effect->u.result.retry_ms;
+      if (result.status == STATUS_UNAVAILABLE && result.retry_ms == 0)
+        result.retry_ms
+            = kq_refusal_retry_ms (&owner->refusal, effect->u.result.job);
       owner->handler.on_result (owner->handler.arg, &result);
       break;
     case KQ_SCHED_FX_START:
@@ -173,20 +173,7 @@
       end_term (owner, "a worker has accepted orders with a later fence");
       break;
     }
-}
-
-static void
-defer_effect (struct kq_owner *owner, const struct kq_sched_effect *effect)
-{
-  struct deferred_effect *deferred = malloc (sizeof *deferred);
-
-  if (deferred == NULL)
-    {
-      kq_log (KQ_LOG_ERROR, "owner", "effect not executed", KQ_ENOMEM, NULL);
-      return;
-    }
-  deferred->effect = *effect;
-  DL_APPEND (owner->deferred, deferred);
+  return !owner->ended;
 }
 
 static void
@@ -198,25 +185,7 @@
     if (effect.after <= owner->stored_position)
       execute_effect (owner, &effect);
     else
-      defer_effect (owner, &effect);
-}
-
-static void
-execute_deferred (struct kq_owner *owner)
-{
-  struct deferred_effect *deferred;
-  struct deferred_effect *next;
-
-  DL_FOREACH_SAFE (owner->deferred, deferred, next)
-  {
-    if (deferred->effect.after > owner->stored_position)
-      continue;
-    DL_DELETE (owner->deferred, deferred);
-    execute_effect (owner, &deferred->effect);
-    free (deferred);
-    if (owner->ended)
-      return;
-  }
+      kq_deferred_add (owner->deferred, &effect);
 }
 
 static void
@@ -361,7 +330,26 @@
   owner->stored_position = position;
   event.u.stored = position;
   handle_event (owner, &event);
-  execute_deferred (owner);
+  kq_deferred_run (owner->deferred, owner->stored_position);
+}
+
+static void
+on_maybe_stored (void *arg, uint64_t position)
+{
+  struct kq_owner *owner = arg;
+
+  kq_sched_note_maybe_stored (owner->sched, position);
+}
+
+static void
+on_attempt (void *arg, enum kq_outage_result result, kq_usec sent_at)
+{
+  struct kq_owner *owner = arg;
+
+  if (kq_refusal_note_attempt (&owner->refusal, result, sent_at) == 0)
+    return;
+  owner->needs_placement = true;
+  kq_deferred_run (owner->deferred, owner->stored_position);
 }
 
 static void
@@ -441,8 +429,11 @@
 create_modules (struct kq_owner *owner, const struct kq_owner_context *context)
 {
   int64_t term = kq_term_own_term (context->term);
-  struct kq_journal_handler journal
-      = { .arg = owner, .on_stored = on_stored, .on_fenced = on_fenced };
+  struct kq_journal_handler journal = { .arg = owner,
+                                        .on_stored = on_stored,
+                                        .on_fenced = on_fenced,
+                                        .on_maybe_stored = on_maybe_stored,
+                                        .on_attempt = on_attempt };
   struct kq_dispatch_handler dispatch = { .arg = owner,
                                           .on_result = on_order_result,
                                           .on_fenced = on_relay_fenced };
@@ -453,8 +444,10 @@
           .on_caught_up = on_registrations_read };
 
   owner->sched = kq_sched_create ();
+  owner->deferred = kq_deferred_create (execute_effect, owner);
   owner->http_client = kq_http_client_create (owner->loop, owner);
-  if (owner->sched == NULL || owner->http_client == NULL)
+  if (owner->sched == NULL || owner->deferred == NULL
+      || owner->http_client == NULL)
     return KQ_ENOMEM;
   owner->store = kq_store_create (owner->http_client, context->store);
   owner->dispatch
@@ -476,6 +469,9 @@
   if (owner->journal == NULL || owner->restore == NULL
       || owner->registrations == NULL)
     return KQ_ENOMEM;
+  owner->refusal = (struct kq_refusal){ .sched = owner->sched,
+                                        .journal = owner->journal,
+                                        .deferred = owner->deferred };
   return 0;
 }
 
@@ -523,9 +519,6 @@
 void
 kq_owner_destroy (struct kq_owner *owner)
 {
-  struct deferred_effect *deferred;
-  struct deferred_effect *next;
-
   if (owner == NULL)
     return;
   ev_prepare_stop (owner->loop, &owner->prepare);
@@ -540,7 +533,7 @@
   kq_advice_destroy (owner->advice);
   kq_store_destroy (owner->store);
   kq_sched_destroy (owner->sched);
-  DL_FOREACH_SAFE (owner->deferred, deferred, next) { free (deferred); }
+  kq_deferred_destroy (owner->deferred);
   free (owner);
 }
 
@@ -565,24 +558,50 @@
   event->u.call.spec = NULL;
 }
 
+static void
+refuse_while_away (struct kq_owner *owner, uint64_t token, uint64_t job)
+{
+  struct kq_owner_result result
+      = { .token = token, .status = STATUS_UNAVAILABLE, .err = KQ_ELOG_DOWN };
+
+  result.retry_ms = kq_refusal_retry_ms (&owner->refusal, job);
+  kq_gauges_count_refusal ();
+  owner->handler.on_result (owner->handler.arg, &result);
+}
+
+/* Whether another owner may have to decide about the request, since the store
+   has not confirmed the term lately. */
+static bool
+is_for_another_owner (const struct kq_owner *owner, enum kq_hop_verb verb,
+                      uint64_t job)
+{
+  bool unconfirmed
+      = kq_clock_now () - owner->confirmed_at > UNCONFIRMED_TIMEOUT_US
+        || kq_journal_is_failing (owner->journal);
+
+  return unconfirmed && verb != KQ_HOP_PENDING
+         && (verb != KQ_HOP_STATE || !kq_sched_has_job (owner->sched, job));
+}
+
 void
 kq_owner_handle_request (struct kq_owner *owner, uint64_t token,
                          enum kq_hop_verb verb, uint64_t job,
                          const char *queue, const void *body, size_t size)
 {
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_QUERY };
-  bool unconfirmed
-      = kq_clock_now () - owner->confirmed_at > UNCONFIRMED_TIMEOUT_US
-        || kq_journal_is_failing (owner->journal);
+  bool away = kq_refusal_is_away (&owner->refusal);
 
   if (!owner->active || owner->ended
-      || (unconfirmed && verb != KQ_HOP_PENDING && verb != KQ_HOP_STATE)
-      || (unconfirmed && verb == KQ_HOP_STATE
-          && !kq_sched_has_job (owner->sched, job)))
+      || (!away && is_for_another_owner (owner, verb, job)))
     {
       report_result (owner, token, 0, KQ_ELOG_DOWN);
       return;
     }
+  if (kq_refusal_applies (&owner->refusal, verb, job))
+    {
+      refuse_while_away (owner, token, job);
+      return;
+    }
   event.u.call.token = token;
   event.u.call.job = job;
   event.u.call.queue = queue;
