--- a/node/gauges.c
+++ b/node/gauges.c
@@ -36,6 +36,8 @@
   GAUGE_OTHER_INCARNATION,
   GAUGE_EVACUATED_WORKERS,
   GAUGE_EVACUATED_STARTS,
+  GAUGE_WITHDRAWALS,
+  GAUGE_REFUSALS,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -76,6 +78,10 @@
     .help = "Registered, in a zone under evacuation." },
   { .name = "kq_evacuated_starts_total",
     .help = "Starts dropped because their zone was to be evacuated." },
+  { .name = "kq_withdrawn_jobs_total",
+    .help = "New jobs taken back because the store was away." },
+  { .name = "kq_store_away_refusals_total",
+    .help = "Requests refused by the owner because the store was away." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -90,6 +96,12 @@
     kq_metric_register (&gauges[i]);
 }
 
+void
+kq_gauges_count_refusal (void)
+{
+  kq_metric_add (&gauges[GAUGE_REFUSALS], 1);
+}
+
 void
 kq_gauges_set (const struct kq_sched_counts *counts)
 {
@@ -119,6 +131,7 @@
                  counts->other_incarnation_replies);
   kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
   kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
+  kq_metric_set (&gauges[GAUGE_WITHDRAWALS], counts->withdrawals);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
