node: appends are tried sooner after an outage, callers return in time

Ruled out: a constant time-out of 0.4 s; a store that is slower than that would never be heard. Change: the time-outs of 0.4 and 0.8 s alternate; a Retry-After of 503 ends 0.3 s before the caller's deadline where a whole second is left.

--- a/node/desk.c
+++ b/node/desk.c
@@ -11,6 +11,7 @@
 #include "log/log.h"
 #include "metrics/histogram.h"
 #include "metrics/metrics.h"
+#include "node/outage.h"
 #include "platform/submission.h"
 
 /* Timeout of a request without one of its own. It equals the longest deadline
@@ -38,12 +39,6 @@
 
 #define TIMER_INTERVAL_SEC 0.025
 
-/* Retry-After of refused requests. An owner is replaced within two
-   seconds. */
-#define RETRY_AFTER_S 1u
-
-#define MS_PER_S 1000
-
 static struct kq_metric success_count
     = { .name = "kq_desk_answered_total",
         .help = "Callers' requests that were answered with success." };
@@ -144,6 +139,19 @@
   kq_histogram_register (&response_times);
 }
 
+/* Returns the Retry-After of a response in seconds. Callers refused with 503
+   wait for the end of an outage of unknown length. */
+static unsigned
+retry_after_s (const struct kq_http_request *request, unsigned status,
+               int64_t retry_ms)
+{
+  kq_usec left = INT64_MAX;
+
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE && request->timeout > 0)
+    left = request->arrived_at + request->timeout - kq_clock_now ();
+  return kq_outage_retry_after_s (retry_ms, left);
+}
+
 static void
 respond_with_retry (struct kq_job_api *api, struct kq_http_request *request,
                     const char *job, unsigned status, int err,
@@ -160,9 +168,7 @@
     }
   if (status == MHD_HTTP_SERVICE_UNAVAILABLE
       || status == MHD_HTTP_TOO_MANY_REQUESTS)
-    response.retry_s = retry_ms > 0
-                           ? (unsigned)((retry_ms + MS_PER_S - 1) / MS_PER_S)
-                           : RETRY_AFTER_S;
+    response.retry_s = retry_after_s (request, status, retry_ms);
   response.body_size = strlen (response.body);
   log_response (request, job, status, err);
   count_response (request, status);
--- a/node/journal.c
+++ b/node/journal.c
@@ -6,11 +6,12 @@
 #include "base/err.h"
 #include "log/log.h"
 
-/* An append without a reply is repeated after INITIAL_TIMEOUT_US, which
-   doubles up to MAX_TIMEOUT_US. The first timeout shows that the store is
-   away. */
+/* An append without a reply is repeated after one of these times in turn. The
+   first timeout shows that the store is away, and a short one notices soon
+   that it is back: after an outage of 3 s, timeouts that double up to 1.6 s
+   cost 1.4 s more. The long one lets a very slow store reply at all. */
 #define INITIAL_TIMEOUT_US KQ_OUTAGE_NO_ANSWER_US
-#define MAX_TIMEOUT_US (1600 * KQ_USEC_PER_MSEC)
+#define MAX_TIMEOUT_US (800 * KQ_USEC_PER_MSEC)
 
 /* Delay before an append that the store has refused is repeated. */
 #define RETRY_DELAY_SEC 0.06
@@ -52,8 +53,9 @@
   journal->failures++;
   if (journal->failures == 1)
     kq_log (KQ_LOG_WARN, "journal", "append failed", result->err, NULL);
-  if (result->err == KQ_ELOG_UNKNOWN && journal->timeout < MAX_TIMEOUT_US)
-    journal->timeout *= 2;
+  if (result->err == KQ_ELOG_UNKNOWN)
+    journal->timeout = journal->timeout < MAX_TIMEOUT_US ? MAX_TIMEOUT_US
+                                                         : INITIAL_TIMEOUT_US;
   ev_timer_set (&journal->retry,
                 result->err == KQ_ELOG_UNKNOWN ? 0 : RETRY_DELAY_SEC, 0);
   ev_timer_start (journal->loop, &journal->retry);
--- a/node/outage.c
+++ b/node/outage.c
@@ -20,6 +20,14 @@
 
 #define MS_PER_S 1000
 
+/* Retry-After without a known delay. An owner is replaced within two seconds.
+ */
+#define DEFAULT_RETRY_S 1u
+
+/* A caller that is to try again does so this long before its deadline at the
+   latest, so that the response of that try reaches it. */
+#define RETRY_MARGIN_US (300 * KQ_USEC_PER_MSEC)
+
 bool
 kq_outage_note (struct kq_outage *outage, enum kq_outage_result result,
                 kq_usec sent_at, kq_usec now)
@@ -74,3 +82,16 @@
   ms += ms / SPREAD_DIVISOR * (int64_t)(hash >> 32 & 0xffff) / 0xffff;
   return round_to_seconds (ms, (uint32_t)hash);
 }
+
+unsigned
+kq_outage_retry_after_s (int64_t retry_ms, kq_usec left)
+{
+  unsigned delay = retry_ms > 0
+                       ? (unsigned)((retry_ms + MS_PER_S - 1) / MS_PER_S)
+                       : DEFAULT_RETRY_S;
+  kq_usec latest = left - RETRY_MARGIN_US;
+
+  if (latest < KQ_USEC_PER_SEC || latest >= (kq_usec)delay * KQ_USEC_PER_SEC)
+    return delay;
+  return (unsigned)(latest / KQ_USEC_PER_SEC);
+}
--- a/node/outage.h
+++ b/node/outage.h
@@ -46,4 +46,10 @@
 int64_t kq_outage_retry_ms (const struct kq_outage *outage, uint64_t job,
                             kq_usec now);
 
+/** Returns the Retry-After header for a delay of RETRY_MS, 0: unknown, in
+ *  whole seconds. LEFT is the time until the caller's deadline: since nobody
+ *  knows how long an outage lasts, a caller is not sent away for longer than
+ *  that if it can be avoided.  */
+unsigned kq_outage_retry_after_s (int64_t retry_ms, kq_usec left);
+
 #endif
--- a/t/test-outage.c
+++ b/t/test-outage.c
@@ -111,12 +111,35 @@
     }
 }
 
+/* Guards against callers who are told to return after their deadline, although
+   the store may be back before it. */
+static void
+test_retry_before_deadline (void)
+{
+  static const struct
+  {
+    int64_t retry_ms;
+    int64_t left_ms;
+    unsigned expected;
+  } cases[] = { { 0, 3000, 1 },    { 1000, 3000, 1 }, { 1001, 3000, 2 },
+                { 4000, 3000, 2 }, { 4000, 2200, 1 }, { 4000, 900, 4 },
+                { 8000, 60000, 8 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (
+        kq_outage_retry_after_s (cases[i].retry_ms,
+                                 cases[i].left_ms * KQ_USEC_PER_MSEC),
+        cases[i].expected);
+  CU_ASSERT_EQUAL (kq_outage_retry_after_s (30000, INT64_MAX), 30);
+}
+
 static const struct kq_test tests[] = {
   { "one refusal refuses nobody", test_one_refusal },
   { "two failed calls in a row", test_two_failures },
   { "one append without an answer", test_one_append_without_answer },
   { "callers outlast an outage of 4.2 s", test_callers_outlast_an_outage },
   { "limits and spread of the delay", test_limits_and_spread },
+  { "retry before the deadline", test_retry_before_deadline },
 };
 
 KQ_TEST_MAIN ("test-outage", tests)
