sched: preempt tasks of lower priority for urgent work

Cause: a burst of wide batch tasks holds the room of a service for many seconds, and urgent narrow jobs that come meanwhile are late, although they need little. Ruled out: reserving a whole worker, as for long-running tasks: a job of two cores would keep 16 and more idle for up to a second. Stopping for each waiting task by itself: a stage of which only a part finds room is late all the same. Freed room is held for the stage (sched/reserve.c); other tasks may use the rest of the worker.

--- a/sched/count.c
+++ b/sched/count.c
@@ -75,4 +75,5 @@
             && used.gpu == worker->used.gpu);
   }
   assert (bound == sched->counts.bound_tasks);
+  reserve_assert (sched);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "sched/length.h"
+#include "sched/preempt.h"
 #include "sched/pressure.h"
 #include "sched/sched.h"
 
@@ -69,6 +70,9 @@
 /* Maximum number of ended runs in one status. */
 #define KQ_SCHED_MAX_STATUS_ENDS 500
 
+/* Maximum number of rooms that are held for urgent tasks at a time. */
+#define MAX_HOLDS 64
+
 enum task_state
 {
   TASK_WAITING, /* for earlier steps, or until its occurrence is due */
@@ -107,6 +111,8 @@
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
+  int preempted_run;              /* last run stopped for others; 0: none */
+  kq_usec preempted_at;
   kq_usec phase_since;
   kq_usec stop_sent_at;
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
@@ -152,6 +158,9 @@
   int advice_count;
   int64_t due_ms;           /* wall clock by which the job should end */
   int64_t critical_path_ms; /* longest chain of steps from here, ms */
+  int64_t length_ms;        /* expected run time of a task */
+  int hold_count;           /* rooms that are held for its ready tasks */
+  kq_usec preempt_searched_at;
   int lateness; /* 0: in time, 1: late, 2: past three times its objective */
   struct stage *prev; /* queue of stages with ready tasks */
   struct stage *next;
@@ -202,6 +211,15 @@
   double max_interference; /* lowest limit of these serving tasks */
 };
 
+/* Room at a worker for one task of a stage; in the list of its worker. */
+struct hold
+{
+  struct stage *stage; /* NULL: unused */
+  struct worker *worker;
+  kq_usec until;
+  struct hold *next;
+};
+
 /* Maximum number of serving images per worker that have their own slot;
    further images share the last one. */
 #define MAX_SHARE_SLOTS 6
@@ -227,6 +245,8 @@
   struct task *tasks;
   struct kq_sched_demand reserved; /* for tasks that wait for room here */
   int reserved_count;              /* of these; no other task is placed here */
+  struct kq_sched_demand held;     /* sum of HOLDS */
+  struct hold *holds;
   /* poll state */
   int polls_in_flight; /* one may wait for an end, another is immediate */
   bool idle;           /* has no tasks and is polled rarely */
@@ -283,6 +303,7 @@
   double short_peak; /* a decaying maximum of it */
   double mean_cpu;   /* of the short tasks that were started lately */
   double mean_square;
+  struct kq_preempt preempt;
 };
 
 struct kq_sched
@@ -322,6 +343,9 @@
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
+  kq_usec preempt_searched_at; /* last search for tasks to be stopped */
+  struct hold holds[MAX_HOLDS];
+  int hold_count;
   struct kq_sched_counts counts;
 };
 
@@ -477,6 +501,36 @@
 void reserve_clear (struct task *task);
 /* Whether WORKER is not reserved for a task other than TASK. */
 bool reserve_allows (const struct worker *worker, const struct task *task);
+/* Adds (SIGN 1) or subtracts (SIGN -1) what the end of a task of STEP frees;
+   fillers take only CPU that is left over. */
+void reserve_add_freed (struct kq_sched_demand *free,
+                        const struct kq_sched_step *step, int sign);
+/* Whether COUNT more rooms can be held. */
+bool reserve_can_hold (const struct kq_sched *sched, int count);
+/* Holds the room for one task of STAGE at WORKER, which need not be free
+   yet. */
+void reserve_hold (struct kq_sched *sched, struct stage *stage,
+                   struct worker *worker, kq_usec until);
+void reserve_expire_holds (struct kq_sched *sched, struct kq_sched_now now);
+/* Releases the room for TASK, which is ready and is being bound to WORKER. */
+void reserve_note_bind (struct kq_sched *sched, const struct task *task,
+                        const struct worker *worker, struct kq_sched_now now);
+/* Releases the rooms of STAGE that exceed the number of its ready tasks. */
+void reserve_trim_holds (struct kq_sched *sched, const struct stage *stage);
+/* Aborts if the sums of the held rooms are wrong. */
+void reserve_assert (const struct kq_sched *sched);
+
+/* preempt.c */
+
+/* Begins a placement pass. */
+void preempt_begin_pass (struct kq_sched *sched);
+/* Stops tasks of lower priority for the ready tasks of STAGE, of which
+   UNPLACED found no room in this pass, if that is what lets them be in
+   time. */
+void preempt_for_stage (struct kq_sched *sched, struct stage *stage,
+                        const struct task *unplaced, struct kq_sched_now now);
+/* Records that TASK is stopped to make room for others. */
+void preempt_note_stop (struct task *task, struct kq_sched_now now);
 
 /* advice.c */
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -572,7 +572,7 @@
   const struct task *unplaced;
   int from = 0;
 
-  if (cannot_fit (pass, stage))
+  if (stage->hold_count == 0 && cannot_fit (pass, stage))
     return next_ready (stage, &from);
   if (stage->step->gang)
     {
@@ -599,13 +599,15 @@
       || !worker_reports_are_current (sched, now))
     return;
   sched->placement_due = false;
+  reserve_expire_holds (sched, now);
+  preempt_begin_pass (sched);
   sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
     struct pool *pool = pool_of_service (&pass, stage->job->service);
     const struct task *unplaced;
 
-    if (is_blocked (pool, stage))
+    if (stage->hold_count == 0 && is_blocked (pool, stage))
       {
         if (sched->reserve_due)
           reserve_for_stage (sched, stage, now);
@@ -618,6 +620,7 @@
       continue;
     if (sched->reserve_due)
       reserve_for_stage (sched, stage, now);
+    preempt_for_stage (sched, stage, unplaced, now);
     block_lower_priorities (pool, stage, unplaced->ready_at, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -3,7 +3,12 @@
  * A long-running task that goes on after a loss and finds no capacity reserves
  * a worker: no other task is placed there, so that the capacity of the tasks
  * that end there comes together.  Tasks that will not end soon are stopped.
+ *
+ * Room that preemption frees for urgent work (preempt.c) is held for a stage:
+ * of such a worker other tasks may use the rest.
  */
+#include <assert.h>
+
 #include "sched/internal.h"
 
 /* Time without capacity after which a long-running task that has run before
@@ -46,9 +51,170 @@
   task->reserved_worker = NULL;
 }
 
+static void
+change_held (struct worker *worker, const struct kq_sched_step *step, int sign)
+{
+  worker->held.cpu += sign * step->demand.cpu;
+  worker->held.mem += sign * step->demand.mem;
+  worker->held.gpu += sign * step->demand.gpu;
+}
+
+bool
+reserve_can_hold (const struct kq_sched *sched, int count)
+{
+  return sched->hold_count + count <= MAX_HOLDS;
+}
+
+void
+reserve_hold (struct kq_sched *sched, struct stage *stage,
+              struct worker *worker, kq_usec until)
+{
+  for (int i = 0; i < MAX_HOLDS; i++)
+    {
+      struct hold *hold = &sched->holds[i];
+
+      if (hold->stage != NULL)
+        continue;
+      hold->stage = stage;
+      hold->worker = worker;
+      hold->until = until;
+      LL_PREPEND (worker->holds, hold);
+      change_held (worker, stage->step, 1);
+      stage->hold_count++;
+      sched->hold_count++;
+      return;
+    }
+}
+
+static void
+release_hold (struct kq_sched *sched, struct hold *hold)
+{
+  LL_DELETE (hold->worker->holds, hold);
+  change_held (hold->worker, hold->stage->step, -1);
+  hold->stage->hold_count--;
+  hold->stage = NULL;
+  sched->hold_count--;
+}
+
+/* Releases one room that is held for STAGE: at WORKER, or anywhere if that is
+   NULL. Returns whether there was one. */
+static bool
+release_one_hold (struct kq_sched *sched, const struct stage *stage,
+                  const struct worker *worker)
+{
+  for (int i = 0; stage->hold_count > 0 && i < MAX_HOLDS; i++)
+    {
+      struct hold *hold = &sched->holds[i];
+
+      if (hold->stage != stage || (worker != NULL && hold->worker != worker))
+        continue;
+      release_hold (sched, hold);
+      return true;
+    }
+  return false;
+}
+
+/* Records that room which was freed for STAGE is not used. */
+static void
+note_useless (struct kq_sched *sched, const struct stage *stage,
+              struct kq_sched_now now, const char *why)
+{
+  job_log (stage->job, "preemption was of no use", why);
+  if (stage->job->service >= 0)
+    kq_preempt_note_useless (&sched->services[stage->job->service].preempt,
+                             now.mono);
+}
+
+void
+reserve_expire_holds (struct kq_sched *sched, struct kq_sched_now now)
+{
+  for (int i = 0; sched->hold_count > 0 && i < MAX_HOLDS; i++)
+    {
+      struct hold *hold = &sched->holds[i];
+
+      if (hold->stage == NULL || now.mono < hold->until)
+        continue;
+      note_useless (sched, hold->stage, now, "its room came free too late");
+      release_hold (sched, hold);
+    }
+}
+
+void
+reserve_note_bind (struct kq_sched *sched, const struct task *task,
+                   const struct worker *worker, struct kq_sched_now now)
+{
+  const struct stage *stage = task->stage;
+
+  if (stage->hold_count == 0 || release_one_hold (sched, stage, worker)
+      || stage->hold_count < stage->ready_count)
+    return;
+  release_one_hold (sched, stage, NULL);
+  note_useless (sched, stage, now, "its task was placed elsewhere");
+}
+
+void
+reserve_trim_holds (struct kq_sched *sched, const struct stage *stage)
+{
+  while (stage->hold_count > stage->ready_count
+         && release_one_hold (sched, stage, NULL))
+    ;
+}
+
+void
+reserve_assert (const struct kq_sched *sched)
+{
+  const struct worker *worker;
+  int count = 0;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    struct kq_sched_demand held = { 0, 0, 0 };
+    const struct hold *hold;
+
+    LL_FOREACH (worker->holds, hold)
+    {
+      held.cpu += hold->stage->step->demand.cpu;
+      held.mem += hold->stage->step->demand.mem;
+      held.gpu += hold->stage->step->demand.gpu;
+      count++;
+    }
+    assert (held.cpu == worker->held.cpu && held.mem == worker->held.mem
+            && held.gpu == worker->held.gpu);
+  }
+  assert (count == sched->hold_count);
+}
+
+/* Whether a task of STEP leaves free at WORKER what is held there. Fillers
+   take only CPU that is left over. */
+static bool
+leaves_held_room (const struct worker *worker,
+                  const struct kq_sched_step *step)
+{
+  const struct kq_sched_demand *capacity = &worker->report.capacity;
+  const struct kq_sched_demand *used = &worker->used;
+  const struct kq_sched_demand *held = &worker->held;
+  const struct kq_sched_demand *demand = &step->demand;
+
+  return (step->filler || demand->cpu == 0
+          || used->cpu + held->cpu + demand->cpu <= capacity->cpu)
+         && (demand->mem == 0
+             || used->mem + held->mem + demand->mem <= capacity->mem)
+         && (demand->gpu == 0
+             || used->gpu + held->gpu + demand->gpu <= capacity->gpu);
+}
+
 bool
 reserve_allows (const struct worker *worker, const struct task *task)
 {
+  const struct hold *hold;
+
+  LL_FOREACH (worker->holds, hold)
+  {
+    if (hold->stage == task->stage)
+      return true;
+  }
+  if (worker->holds != NULL && !leaves_held_room (worker, task->stage->step))
+    return false;
   return worker->reserved_count == 0 || task->reserved_worker == worker;
 }
 
@@ -85,14 +251,13 @@
          && free->gpu >= demand->gpu;
 }
 
-/* Adds what the end of a task of STEP frees; fillers take only CPU that is
-   left over. */
-static void
-add_freed (struct kq_sched_demand *free, const struct kq_sched_step *step)
+void
+reserve_add_freed (struct kq_sched_demand *free,
+                   const struct kq_sched_step *step, int sign)
 {
-  free->cpu += step->filler ? 0 : step->demand.cpu;
-  free->mem += step->demand.mem;
-  free->gpu += step->demand.gpu;
+  free->cpu += step->filler ? 0 : sign * step->demand.cpu;
+  free->mem += sign * step->demand.mem;
+  free->gpu += sign * step->demand.gpu;
 }
 
 /* Fills PLAN with the tasks at WORKER that have to be stopped for DEMAND.
@@ -104,10 +269,11 @@
   const struct kq_sched_demand *capacity = &worker->report.capacity;
   const struct kq_sched_demand *used = &worker->used;
   const struct kq_sched_demand *reserved = &worker->reserved;
+  const struct kq_sched_demand *held = &worker->held;
   struct kq_sched_demand free
-      = { .cpu = capacity->cpu - used->cpu - reserved->cpu,
-          .mem = capacity->mem - used->mem - reserved->mem,
-          .gpu = capacity->gpu - used->gpu - reserved->gpu };
+      = { .cpu = capacity->cpu - used->cpu - reserved->cpu - held->cpu,
+          .mem = capacity->mem - used->mem - reserved->mem - held->mem,
+          .gpu = capacity->gpu - used->gpu - reserved->gpu - held->gpu };
   struct task *task;
 
   plan->stop_count = 0;
@@ -115,7 +281,7 @@
   DL_FOREACH (worker->tasks, task)
   {
     if (ends_soon (task))
-      add_freed (&free, task->stage->step);
+      reserve_add_freed (&free, task->stage->step, 1);
   }
   DL_FOREACH (worker->tasks, task)
   {
@@ -125,7 +291,7 @@
       break;
     if (ends_soon (task) || !may_stop (task))
       continue;
-    add_freed (&free, step);
+    reserve_add_freed (&free, step, 1);
     plan->stops[plan->stop_count++] = task;
     plan->cost += step->demand.cpu;
     if (!step->checkpointable)
@@ -164,6 +330,7 @@
       sched->counts.preemptions++;
       task_log (best_plan.stops[i], "task preempted",
                 "a long-running task needs its room");
+      preempt_note_stop (best_plan.stops[i], now);
       task_stop (sched, best_plan.stops[i], now);
     }
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -346,9 +346,13 @@
   int64_t mem_used;         /**< MiB */
   int64_t starts;
   int64_t paces;
-  int64_t moves;       /**< fillers stopped to spare serving tasks */
-  int64_t stalls;      /**< tasks stopped for lack of progress */
-  int64_t preemptions; /**< tasks stopped for a long-running one */
+  int64_t moves;               /**< fillers stopped to spare serving tasks */
+  int64_t stalls;              /**< tasks stopped for lack of progress */
+  int64_t preemptions;         /**< tasks stopped for a long-running one */
+  int64_t urgent_preemptions;  /**< tasks stopped for urgent work */
+  int64_t preempted_work;      /**< discarded by these, in millionths of a
+                                  core-second */
+  int64_t preemptions_refused; /**< decisions that the budget did not allow */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
   int64_t lapsed_workers; /**< workers whose runs ended with their leases */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
--- a/sched/task.c
+++ b/sched/task.c
@@ -155,6 +155,7 @@
   reserve_clear (task);
   stage->ready_count--;
   sched->counts.ready_tasks--;
+  reserve_trim_holds (sched, stage);
   if (stage->ready_count == 0 && stage->queued)
     {
       DL_DELETE (sched->queue, stage);
@@ -189,6 +190,7 @@
 task_bind (struct kq_sched *sched, struct task *task, struct worker *worker,
            struct kq_sched_now now)
 {
+  reserve_note_bind (sched, task, worker, now);
   task_clear_ready (sched, task);
   task->state = TASK_BOUND;
   task->phase = PHASE_STORING;
