node: gauges of preemptions for urgent work

Tasks stopped, work discarded and decisions that the budget did not allow, beside the gauge of preemptions for long-running tasks. Result: builds; not shown by a test, as the other gauges of the owner.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,9 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_URGENT_PREEMPTIONS,
+  GAUGE_PREEMPTED_WORK,
+  GAUGE_PREEMPTIONS_REFUSED,
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
@@ -64,6 +67,12 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_urgent_preemptions_total",
+    .help = "Tasks stopped to make room for urgent work." },
+  { .name = "kq_urgent_preempted_core_ms_total",
+    .help = "Work discarded for urgent work, core-milliseconds." },
+  { .name = "kq_urgent_preemptions_refused_total",
+    .help = "Preemptions for urgent work that the budget did not allow." },
   { .name = "kq_crashes_total",
     .help = "Runs that had not settled when their worker was lost." },
   { .name = "kq_lapsed_workers_total",
@@ -107,6 +116,12 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_URGENT_PREEMPTIONS],
+                 counts->urgent_preemptions);
+  kq_metric_set (&gauges[GAUGE_PREEMPTED_WORK],
+                 counts->preempted_work / MILLICORES_PER_CORE);
+  kq_metric_set (&gauges[GAUGE_PREEMPTIONS_REFUSED],
+                 counts->preemptions_refused);
   kq_metric_set (&gauges[GAUGE_CRASHES], counts->crashes);
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
