--- a/sched/internal.h
+++ b/sched/internal.h
@@ -344,6 +344,7 @@
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
   kq_usec preempt_searched_at; /* last search for tasks to be stopped */
+  size_t preempt_next;         /* index where the next one begins */
   struct hold holds[MAX_HOLDS];
   int hold_count;
   struct kq_sched_counts counts;
