--- a/sched/count.c
+++ b/sched/count.c
@@ -90,4 +90,5 @@
   assert (bound == sched->counts.bound_tasks);
   DL_FOREACH (sched->queue, stage) { ready += stage->ready_count; }
   assert (ready == sched->counts.ready_tasks);
+  reserve_assert (sched);
 }
