node: answer a refused submission only when no later message is open

A front that has sent a submission twice got the refusal of the first message while the owner could still accept the second: the caller was told 429 for a job that runs. The owner sees the messages of a front in order, so the reply to the last one decides; without it the caller gets 504. Refusals have their own counter. Not tested by a program: the job API has no unit test without sockets.

--- a/node/desk.c
+++ b/node/desk.c
@@ -50,6 +50,9 @@
 static struct kq_metric not_accepted_count
     = { .name = "kq_desk_not_taken_total",
         .help = "Requests refused with 503: nothing was done." };
+static struct kq_metric refused_count
+    = { .name = "kq_desk_refused_total",
+        .help = "Submissions refused with 429: too late to be of use." };
 static struct kq_metric unknown_outcome_count
     = { .name = "kq_desk_unknown_total",
         .help = "Requests answered with 504: nobody knows what was done." };
@@ -119,6 +122,9 @@
     case MHD_HTTP_SERVICE_UNAVAILABLE:
       kq_metric_add (&not_accepted_count, 1);
       break;
+    case MHD_HTTP_TOO_MANY_REQUESTS:
+      kq_metric_add (&refused_count, 1);
+      break;
     case MHD_HTTP_GATEWAY_TIMEOUT:
       kq_metric_add (&unknown_outcome_count, 1);
       break;
@@ -136,6 +142,7 @@
 {
   kq_metric_register (&success_count);
   kq_metric_register (&not_accepted_count);
+  kq_metric_register (&refused_count);
   kq_metric_register (&unknown_outcome_count);
   kq_metric_register (&no_queue_count);
   kq_metric_register (&bad_input_count);
@@ -435,6 +442,15 @@
       pending->resend_at = kq_clock_now () + NOT_READY_RETRY_DELAY_US;
       return;
     }
+  /* The owner may still accept the message that was sent after the one that
+     it has refused: the reply to that one decides. */
+  if (reply->status == MHD_HTTP_TOO_MANY_REQUESTS
+      && pending->unconfirmed_sends > 1)
+    {
+      pending->unconfirmed_sends--;
+      pending->resend_at = INT64_MAX;
+      return;
+    }
   complete_pending (api, pending, reply->status, reply->err,
                     format_body (pending, reply, text, sizeof text),
                     reply->retry_ms);
