sched: keep room together for large tasks

In a cell that long-running jobs have filled, 1 of 10 jobs with a large task was served, of all 91 of 100; among more small tasks than fit 2 of 10, of all 71 of 100. Two causes, each with its own change:

- Small tasks of the same priority took each piece that came free.
A task larger than 1.25 times the usual size that has waited for 100 ms, and can still be in time, now gets the worker whose short tasks end soonest; equal and lower priorities leave its room there (sched/hold.c).
- Rests of workers that suit no large task could make up all of the room that is kept from long-running tasks.
Up to half of it, and always one piece, is now kept in pieces of the largest size seen lately, and a long-running task that would take such a piece goes to another worker (sched/service.c).

Without the holds "among too many" fails, without the pieces "in a full cell" does.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,7 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_HOLDS,
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
@@ -67,6 +68,8 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_holds_total",
+    .help = "Large tasks for which room was held at a worker." },
   { .name = "kq_crashes_total",
     .help = "Runs that had not settled when their worker was lost." },
   { .name = "kq_lapsed_workers_total",
@@ -116,6 +119,7 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_HOLDS], counts->holds);
   kq_metric_set (&gauges[GAUGE_CRASHES], counts->crashes);
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -108,6 +108,8 @@
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
+  struct worker *held_worker;     /* its room there is left to it while it is
+                                     ready (hold.c) */
   kq_usec phase_since;
   kq_usec stop_sent_at;
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
@@ -140,6 +142,7 @@
   struct task *tasks;
   int ready_count;
   int done_count;
+  int held_count;          /* tasks with a worker where room is held */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
@@ -233,6 +236,9 @@
   struct task *tasks;
   struct kq_sched_demand reserved; /* for tasks that wait for room here */
   int reserved_count;              /* of these; no other task is placed here */
+  struct kq_sched_demand held;     /* for large tasks that wait (hold.c) */
+  int held_count;                  /* of these */
+  int held_priority;               /* of these */
   /* poll state */
   int polls_in_flight; /* one may wait for an end, another is immediate */
   bool idle;           /* has no tasks and is polled rarely */
@@ -289,6 +295,11 @@
   double short_peak; /* a decaying maximum of it */
   double mean_cpu;   /* of the short tasks that were started lately */
   double mean_square;
+  /* Of the large ones, in the current span of time and in the one before: the
+     largest size, and the most that one stage needs at a time. */
+  int64_t large_size[2];
+  int64_t large_need[2];
+  int large_ticks; /* since the current span began */
   struct kq_admit_service admit;
   int64_t admission_room; /* CPU for short tasks, as summed up by a tick */
   double start_ms;        /* mean time from placement to start of a task */
@@ -331,6 +342,8 @@
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
+  int64_t spare_large_room; /* how much the task being placed may take */
+  bool large_room_denied;   /* for that a worker was passed over */
   struct kq_admit_refused refused;
   kq_usec admission_began_at;   /* first tick of this owner; 0: none yet */
   kq_usec admission_updated_at; /* last tick */
@@ -359,6 +372,27 @@
    take TAKEN more of it. */
 int64_t service_room (const struct kq_sched *sched,
                       const struct worker *worker, int64_t taken);
+/* Whether the tasks of STAGE are larger than the short ones there usually are.
+ */
+bool service_is_large (const struct kq_sched *sched,
+                       const struct stage *stage);
+/* The same in whole tasks of the size of the largest ones lately. */
+int64_t service_large_room (const struct kq_sched *sched,
+                            const struct worker *worker, int64_t taken);
+/* Returns what a start of TASK at WORKER takes of that. */
+int64_t service_taken_large_room (const struct kq_sched *sched,
+                                  const struct worker *worker,
+                                  const struct task *task);
+/* Returns how much of ROOM, the sum of that over a service of CAPACITY, TASK
+   may take. */
+int64_t service_spare_large_room (const struct kq_sched *sched,
+                                  const struct task *task, int64_t room,
+                                  int64_t capacity);
+/* Whether a start of TASK at WORKER takes more than that, which is set in
+   sched->spare_large_room; notes that it was denied. */
+bool service_takes_kept_pieces (struct kq_sched *sched,
+                                const struct worker *worker,
+                                const struct task *task);
 /* Returns how much room for short tasks is kept from long-running tasks that
    have not run yet, in a service of CAPACITY. */
 int64_t service_kept_cpu (const struct kq_sched *sched, int service,
@@ -509,6 +543,18 @@
 /* Whether WORKER is not reserved for a task other than TASK. */
 bool reserve_allows (const struct worker *worker, const struct task *task);
 
+/* hold.c */
+
+/* Holds room for the large ready tasks of STAGE that have waited. */
+void hold_for_stage (struct kq_sched *sched, struct stage *stage,
+                     struct kq_sched_now now);
+/* Gives up what is held for STAGE if it cannot be in time any more or the
+   worker is not usable. */
+void hold_check (struct stage *stage, struct kq_sched_now now);
+void hold_clear (struct task *task);
+/* Whether WORKER keeps the room that is held there if TASK is placed. */
+bool hold_allows (const struct worker *worker, const struct task *task);
+
 /* advice.c */
 
 /* Returns the valid ticket with which WORKER may run tasks of STAGE, or
--- a/sched/place.c
+++ b/sched/place.c
@@ -68,6 +68,7 @@
   int64_t capacity;
   int64_t used;
   int64_t short_room; /* usable by short tasks if no other one ran */
+  int64_t large_room; /* of that, by the largest ones */
   bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
   int priority;
 };
@@ -112,6 +113,7 @@
       pool->capacity += worker->report.capacity.cpu;
       pool->used += worker->used.cpu;
       pool->short_room += service_room (sched, worker, 0);
+      pool->large_room += service_large_room (sched, worker, 0);
     }
 }
 
@@ -324,9 +326,10 @@
   const struct stage *stage = task->stage;
 
   if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task)
+      || !reserve_allows (worker, task) || !hold_allows (worker, task)
       || (stage->job->queue.advised
-          && advice_ticket (stage, worker, now) == NULL))
+          && advice_ticket (stage, worker, now) == NULL)
+      || service_takes_kept_pieces (sched, worker, task))
     return false;
   *interference = 0;
   if (stage->step->filler && worker->serving_count > 0)
@@ -462,14 +465,19 @@
   while (leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker
-          = choose_worker (sched, task, now, common_rack (stage), false);
+      struct worker *worker;
 
+      sched->spare_large_room = service_spare_large_room (
+          sched, task, pool->large_room, pool->capacity);
+      sched->large_room_denied = false;
+      worker = choose_worker (sched, task, now, common_rack (stage), false);
+      sched->spare_large_room = INT64_MAX;
       if (worker == NULL)
-        return task;
+        return sched->large_room_denied ? NULL : task;
       if (!leaves_short_room (sched, pool, worker, task))
         return NULL;
       pool->short_room -= taken_room (sched, worker, task);
+      pool->large_room -= service_taken_large_room (sched, worker, task);
       task_bind (sched, task, worker, now);
       queue_start_order (sched, task);
       if (!stage->step->filler)
@@ -572,7 +580,7 @@
   const struct task *unplaced;
   int from = 0;
 
-  if (cannot_fit (pass, stage))
+  if (stage->held_count == 0 && cannot_fit (pass, stage))
     return next_ready (stage, &from);
   if (stage->step->gang)
     {
@@ -605,6 +613,7 @@
     struct pool *pool = pool_of_service (&pass, stage->job->service);
     const struct task *unplaced;
 
+    hold_check (stage, now);
     if (is_blocked (pool, stage))
       {
         if (sched->reserve_due)
@@ -617,7 +626,10 @@
     if (unplaced == NULL || stage->job->queue.advised)
       continue;
     if (sched->reserve_due)
-      reserve_for_stage (sched, stage, now);
+      {
+        reserve_for_stage (sched, stage, now);
+        hold_for_stage (sched, stage, now);
+      }
     block_lower_priorities (pool, stage, unplaced->ready_at, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -28,6 +28,7 @@
     return NULL;
   sched->position = 1;
   sched->settings = KQ_SCHED_DEFAULT_SETTINGS;
+  sched->spare_large_room = INT64_MAX;
   sched->interference_model = kq_interference_create ();
   if (sched->interference_model == NULL)
     {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -349,6 +349,7 @@
   int64_t moves;       /**< fillers stopped to spare serving tasks */
   int64_t stalls;      /**< tasks stopped for lack of progress */
   int64_t preemptions; /**< tasks stopped for a long-running one */
+  int64_t holds;       /**< workers whose room was held for a large task */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
   int64_t lapsed_workers; /**< workers whose runs ended with their leases */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
--- a/sched/task.c
+++ b/sched/task.c
@@ -153,6 +153,7 @@
   if (task->state != TASK_READY)
     return;
   reserve_clear (task);
+  hold_clear (task);
   stage->ready_count--;
   sched->counts.ready_tasks--;
   if (stage->ready_count == 0 && stage->queued)
