sched, node: fronts refuse the jobs of closed queues by themselves

In a burst of several times what a service can do, each refusal cost a message to the owner. A queue is now closed for up to 200 ms when even the smallest job with twice the longest objective of the last 64 jobs would be too late. The owner adds the closed queues to its replies (Tell), at most every 200 ms per front, and the front answers 429 itself.

- A closure is paid from the credit for refusals with the number of jobs that are expected meanwhile, so that still at most 60 percent are refused over 5 s.
- A front cannot know whether an ID is a repeat of an accepted job, which must not be refused.
So the owner sends a Bloom filter of the IDs that it knows (1 KB), accepts no job of a queue while that is closed, and the front counts the time from the arrival of the request and not of the reply: its closure ends no later than the owner's.
- A figure older than 500 ms refuses nothing; malformed ones change nothing.

Ruled out: closing without saving credit, which single refusals used up (at most 10 closures in 20 s of overload; the test asks for more), and closing for a fixed time only, which a rising rate of arrivals put off for ever.

Tests: "closed queues" and "a closed queue" in test-admit, test-admission. The hooks in node/desk.c and node/node.c run in no program test yet.

--- a/node/desk.c
+++ b/node/desk.c
@@ -11,6 +11,8 @@
 #include "log/log.h"
 #include "metrics/histogram.h"
 #include "metrics/metrics.h"
+#include "node/admission.h"
+#include "node/closures.h"
 #include "platform/submission.h"
 
 /* Timeout of a request without one of its own. It equals the longest deadline
@@ -53,6 +55,9 @@
 static struct kq_metric refused_count
     = { .name = "kq_desk_refused_total",
         .help = "Submissions refused with 429: too late to be of use." };
+static struct kq_metric closed_count
+    = { .name = "kq_desk_closed_total",
+        .help = "Of these, refused here since the owner closed their queue." };
 static struct kq_metric unknown_outcome_count
     = { .name = "kq_desk_unknown_total",
         .help = "Requests answered with 504: nobody knows what was done." };
@@ -91,6 +96,7 @@
   const struct kq_sched_config *config;
   struct pending *pending;
   uint64_t last_number;
+  struct kq_admission admission;
   ev_timer timer;
 };
 
@@ -143,6 +149,7 @@
   kq_metric_register (&success_count);
   kq_metric_register (&not_accepted_count);
   kq_metric_register (&refused_count);
+  kq_metric_register (&closed_count);
   kq_metric_register (&unknown_outcome_count);
   kq_metric_register (&no_queue_count);
   kq_metric_register (&bad_input_count);
@@ -283,6 +290,25 @@
   send_request (api, pending);
 }
 
+/* Refuses a job of a queue that the owner has closed. */
+static bool
+refuse_closed (struct kq_job_api *api, struct kq_http_request *request,
+               const struct kq_sched_queue *queue, uint64_t job,
+               const char *job_text)
+{
+  int64_t retry_ms;
+
+  if (strcmp (request->method, MHD_HTTP_METHOD_POST) != 0
+      || !kq_admission_refuses (&api->admission, queue, job, kq_clock_now (),
+                                &retry_ms)
+      || !kq_closures_may_refuse (request->body, request->body_size))
+    return false;
+  kq_metric_add (&closed_count, 1);
+  respond_with_retry (api, request, job_text, MHD_HTTP_TOO_MANY_REQUESTS,
+                      KQ_EREQ_OVERLOAD, NULL, retry_ms);
+  return true;
+}
+
 /* The path continues with a job's ID after the prefix, or ends there in a
    request for the number of jobs of a queue that have not started. */
 static bool
@@ -320,7 +346,7 @@
              NULL);
   else if (!read_job_id (request, job_text, &job))
     respond (api, request, job_text, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX, NULL);
-  else
+  else if (!refuse_closed (api, request, queue, job, job_text))
     forward (api, request, queue, job, job_text[0] != '\0');
 }
 
@@ -435,6 +461,8 @@
   HASH_FIND (hh, api->pending, &reply->number, sizeof reply->number, pending);
   if (pending == NULL)
     return;
+  kq_closures_note (&api->admission, reply->closures,
+                    pending->request->arrived_at);
   if (reply->status == 0)
     {
       if (pending->unconfirmed_sends > 0)
--- a/node/desk.h
+++ b/node/desk.h
@@ -25,6 +25,8 @@
   enum kq_sched_state state;
   unsigned pending; /**< number of jobs of the queue that have not started */
   int err;
+  const KqNode__Tell *closures; /**< from another host: with the queues that
+                                   its owner has closed; or NULL */
   int64_t retry_ms; /**< 429 and 503: when the caller should try again; 0:
                        unknown */
 };
--- a/node/gauges.c
+++ b/node/gauges.c
@@ -36,6 +36,7 @@
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
   GAUGE_REFUSED,
+  GAUGE_CLOSURES,
   GAUGE_ADMITTED_LATE,
   GAUGE_ADMITTED_TOO_LATE,
   GAUGE_CONFIG_VERSION,
@@ -78,6 +79,8 @@
     .help = "Replies of another incarnation than the order was for." },
   { .name = "kq_admission_refused_total",
     .help = "Jobs refused with 429: too late to be of use." },
+  { .name = "kq_admission_closures_total",
+    .help = "Times that a queue was closed to jobs of any size." },
   { .name = "kq_admission_late_total",
     .help = "Jobs accepted that are expected to be late, but of use." },
   { .name = "kq_admission_spared_total",
@@ -125,6 +128,7 @@
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
   kq_metric_set (&gauges[GAUGE_REFUSED], counts->refused);
+  kq_metric_set (&gauges[GAUGE_CLOSURES], counts->closures);
   kq_metric_set (&gauges[GAUGE_ADMITTED_LATE], counts->admitted_late);
   kq_metric_set (&gauges[GAUGE_ADMITTED_TOO_LATE], counts->admitted_too_late);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
--- a/node/hop.pb-c.c
+++ b/node/hop.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &kq_node__ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_node__closed__init
+                     (KqNode__Closed         *message)
+{
+  static const KqNode__Closed init_value = KQ_NODE__CLOSED__INIT;
+  *message = init_value;
+}
+size_t kq_node__closed__get_packed_size
+                     (const KqNode__Closed *message)
+{
+  assert(message->base.descriptor == &kq_node__closed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_node__closed__pack
+                     (const KqNode__Closed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_node__closed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_node__closed__pack_to_buffer
+                     (const KqNode__Closed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_node__closed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqNode__Closed *
+       kq_node__closed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqNode__Closed *)
+     protobuf_c_message_unpack (&kq_node__closed__descriptor,
+                                allocator, len, data);
+}
+void   kq_node__closed__free_unpacked
+                     (KqNode__Closed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_node__closed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_node__tell__init
                      (KqNode__Tell         *message)
 {
@@ -187,7 +232,71 @@
   (ProtobufCMessageInit) kq_node__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[9] =
+static const ProtobufCFieldDescriptor kq_node__closed__field_descriptors[3] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Closed, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Closed, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Closed, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_node__closed__field_indices_by_name[] = {
+  0,   /* field[0] = queue */
+  2,   /* field[2] = retry_ms */
+  1,   /* field[1] = until_ms */
+};
+static const ProtobufCIntRange kq_node__closed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kq_node__closed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_node.Closed",
+  "Closed",
+  "KqNode__Closed",
+  "kq_node",
+  sizeof(KqNode__Closed),
+  3,
+  kq_node__closed__field_descriptors,
+  kq_node__closed__field_indices_by_name,
+  1,  kq_node__closed__number_ranges,
+  (ProtobufCMessageInit) kq_node__closed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[11] =
 {
   {
     "number",
@@ -297,9 +406,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(KqNode__Tell, n_closed),
+    offsetof(KqNode__Tell, closed),
+    &kq_node__closed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_ids",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Tell, known_ids),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_node__tell__field_indices_by_name[] = {
+  9,   /* field[9] = closed */
   5,   /* field[5] = err */
+  10,   /* field[10] = known_ids */
   0,   /* field[0] = number */
   6,   /* field[6] = owner */
   3,   /* field[3] = pending */
@@ -312,7 +447,7 @@
 static const ProtobufCIntRange kq_node__tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor kq_node__tell__descriptor =
 {
@@ -322,7 +457,7 @@
   "KqNode__Tell",
   "kq_node",
   sizeof(KqNode__Tell),
-  9,
+  11,
   kq_node__tell__field_descriptors,
   kq_node__tell__field_indices_by_name,
   1,  kq_node__tell__number_ranges,
--- a/node/hop.pb-c.h
+++ b/node/hop.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct KqNode__Ask KqNode__Ask;
+typedef struct KqNode__Closed KqNode__Closed;
 typedef struct KqNode__Tell KqNode__Tell;
 
 
@@ -47,6 +48,25 @@
     , 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL} }
 
 
+/*
+ * A queue whose submissions the front refuses by itself, counted from when the
+ * request to which this is the reply arrived there.
+ */
+struct  KqNode__Closed
+{
+  ProtobufCMessage base;
+  char *queue;
+  uint32_t until_ms;
+  /*
+   * Retry-After before it is spread over the callers
+   */
+  uint32_t retry_ms;
+};
+#define KQ_NODE__CLOSED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_node__closed__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  KqNode__Tell
 {
   ProtobufCMessage base;
@@ -71,10 +91,16 @@
    * from a relay: kq_relay.OutcomeBatch
    */
   ProtobufCBinaryData results;
+  size_t n_closed;
+  KqNode__Closed **closed;
+  /*
+   * with closed: struct kq_idset of all known jobs
+   */
+  ProtobufCBinaryData known_ids;
 };
 #define KQ_NODE__TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_node__tell__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, {0,NULL} }
 
 
 /* KqNode__Ask methods */
@@ -96,6 +122,25 @@
 void   kq_node__ask__free_unpacked
                      (KqNode__Ask *message,
                       ProtobufCAllocator *allocator);
+/* KqNode__Closed methods */
+void   kq_node__closed__init
+                     (KqNode__Closed         *message);
+size_t kq_node__closed__get_packed_size
+                     (const KqNode__Closed   *message);
+size_t kq_node__closed__pack
+                     (const KqNode__Closed   *message,
+                      uint8_t             *out);
+size_t kq_node__closed__pack_to_buffer
+                     (const KqNode__Closed   *message,
+                      ProtobufCBuffer     *buffer);
+KqNode__Closed *
+       kq_node__closed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_node__closed__free_unpacked
+                     (KqNode__Closed *message,
+                      ProtobufCAllocator *allocator);
 /* KqNode__Tell methods */
 void   kq_node__tell__init
                      (KqNode__Tell         *message);
@@ -120,6 +165,9 @@
 typedef void (*KqNode__Ask_Closure)
                  (const KqNode__Ask *message,
                   void *closure_data);
+typedef void (*KqNode__Closed_Closure)
+                 (const KqNode__Closed *message,
+                  void *closure_data);
 typedef void (*KqNode__Tell_Closure)
                  (const KqNode__Tell *message,
                   void *closure_data);
@@ -130,6 +178,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor kq_node__ask__descriptor;
+extern const ProtobufCMessageDescriptor kq_node__closed__descriptor;
 extern const ProtobufCMessageDescriptor kq_node__tell__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/node/node.c
+++ b/node/node.c
@@ -15,6 +15,7 @@
 #include "log/log.h"
 #include "metrics/histogram.h"
 #include "metrics/metrics.h"
+#include "node/closures.h"
 #include "node/desk.h"
 #include "node/directory.h"
 #include "node/dispatch.h"
@@ -75,6 +76,7 @@
   struct kq_sched_config *config;
   struct kq_sched_config *old_config; /* may still be referenced */
   struct owner_request *owner_requests;
+  struct kq_admission_fronts fronts; /* told of closed queues */
   uint64_t last_token;
   int64_t owner_term; /* term of the last known owner */
   int64_t owner_changes;
@@ -126,7 +128,8 @@
   message.err = result->err;
   message.owner = (char *)owner->address;
   message.term = owner->term;
-  kq_hop_send_reply (node->hop, sender, &message);
+  kq_closures_send_reply (node->hop, node->owner, &node->fronts, sender,
+                          &message);
 }
 
 static void
@@ -202,7 +205,8 @@
           .state = (enum kq_sched_state)message->state,
           .pending = message->pending,
           .err = message->err,
-          .retry_ms = message->retry_ms };
+          .retry_ms = message->retry_ms,
+          .closures = message };
 
   if (message->results.len > 0)
     {
@@ -685,6 +689,7 @@
   kq_log_setup (options->log_level, node.settings.host);
   kq_call_register_metrics ();
   kq_job_api_register_metrics ();
+  kq_closures_register_metrics ();
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
--- a/node/owner.c
+++ b/node/owner.c
@@ -69,6 +69,8 @@
   ev_timer tick;
   ev_timer next_iteration; /* wakes the loop to send the remaining polls */
   int ticks;
+  struct kq_idset known_ids; /* of the jobs at the last closure of a queue */
+  int64_t known_closure;     /* number of that closure */
   bool active;
   bool ended;
   bool needs_placement; /* an event occurred after the last placement */
@@ -634,6 +636,25 @@
   return owner->active && !owner->ended;
 }
 
+/* No job of a closed queue is accepted, so that the IDs hold until the next
+   closure. */
+int
+kq_owner_closures (struct kq_owner *owner, struct kq_sched_closure *closures,
+                   int max, const struct kq_idset **known)
+{
+  int count = kq_sched_closures (owner->sched, current_time (), closures, max);
+  int64_t number = kq_sched_closure_number (owner->sched);
+
+  if (count > 0 && number != owner->known_closure)
+    {
+      owner->known_closure = number;
+      memset (&owner->known_ids, 0, sizeof owner->known_ids);
+      kq_sched_known_ids (owner->sched, &owner->known_ids);
+    }
+  *known = &owner->known_ids;
+  return count;
+}
+
 void
 kq_owner_count (const struct kq_owner *owner, struct kq_sched_counts *counts)
 {
--- a/node/owner.h
+++ b/node/owner.h
@@ -84,6 +84,13 @@
 /** Returns whether it has read all jobs and handles requests. */
 bool kq_owner_is_active (const struct kq_owner *owner);
 
+/** Fills CLOSURES with the queues that are closed, at most MAX, and sets
+ * *KNOWN to the IDs of all jobs, which are valid until the next call; returns
+ * the number of closures.  */
+int kq_owner_closures (struct kq_owner *owner,
+                       struct kq_sched_closure *closures, int max,
+                       const struct kq_idset **known);
+
 void kq_owner_count (const struct kq_owner *owner,
                      struct kq_sched_counts *counts);
 
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -32,6 +32,7 @@
   for (int i = 0; i < sched->service_count; i++)
     kq_admit_begin_update (&sched->services[i].admit, elapsed_ms);
   sched->admission_updated_at = now.mono;
+  sched->admission_elapsed_ms = elapsed_ms;
 }
 
 /* A task of JOB holds its room from placement, so longer than it runs. */
@@ -81,6 +82,40 @@
   return size > 0 ? left / size * size : left;
 }
 
+static bool
+is_measured (const struct kq_sched *sched, const struct queue_run_times *known,
+             struct kq_sched_now now)
+{
+  return known != NULL && kq_length_is_learned (&known->length)
+         && sched->admission_began_at != 0
+         && now.mono - sched->admission_began_at >= NEW_OWNER_US
+         && grant_is_current (sched, now)
+         && worker_reports_are_current (sched, now);
+}
+
+static void
+close_queues (struct kq_sched *sched, int64_t elapsed_ms,
+              struct kq_sched_now now)
+{
+  struct queue_run_times *known;
+
+  LL_FOREACH (sched->lengths, known)
+  {
+    const struct kq_sched_queue *queue
+        = kq_sched_config_queue (sched->config, known->queue);
+    int service = queue != NULL ? service_index (sched, queue->service) : -1;
+
+    if (service < 0 || queue->advised || !is_measured (sched, known, now)
+        || !kq_close_update (&known->close, &known->admit,
+                             &sched->services[service].admit, queue->priority,
+                             now.mono / KQ_USEC_PER_MSEC, elapsed_ms))
+      continue;
+    sched->counts.closures++;
+    kq_log (KQ_LOG_INFO, "sched", "queue closed", 0, "queue", known->queue,
+            "why", "a job of any size would be too late", NULL);
+  }
+}
+
 void
 admission_end_tick (struct kq_sched *sched, struct kq_sched_now now)
 {
@@ -97,6 +132,41 @@
   for (int i = 0; i < sched->service_count; i++)
     kq_admit_end_update (&sched->services[i].admit,
                          (double)sched->services[i].admission_room);
+  close_queues (sched, sched->admission_elapsed_ms, now);
+}
+
+int
+kq_sched_closures (const struct kq_sched *sched, struct kq_sched_now now,
+                   struct kq_sched_closure *closures, int max)
+{
+  const struct queue_run_times *known;
+  int64_t now_ms = now.mono / KQ_USEC_PER_MSEC;
+  int count = 0;
+
+  LL_FOREACH (sched->lengths, known)
+  {
+    if (known->close.until_ms <= now_ms || count == max)
+      continue;
+    snprintf (closures[count].queue, sizeof closures[count].queue, "%s",
+              known->queue);
+    closures[count].until_ms = known->close.until_ms - now_ms;
+    closures[count].retry_ms = known->close.retry_s * MS_PER_S;
+    count++;
+  }
+  return count;
+}
+
+int64_t
+kq_sched_closure_number (const struct kq_sched *sched)
+{
+  return sched->counts.closures;
+}
+
+void
+kq_sched_known_ids (const struct kq_sched *sched, struct kq_idset *ids)
+{
+  for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
+    kq_idset_add (ids, job->id);
 }
 
 void
@@ -117,12 +187,8 @@
 may_refuse (const struct kq_sched *sched, const struct job *job,
             const struct queue_run_times *known, struct kq_sched_now now)
 {
-  if (known == NULL || !kq_length_is_learned (&known->length)
-      || job->service < 0 || job->queue.advised || job->spec.times > 0
-      || sched->admission_began_at == 0
-      || now.mono - sched->admission_began_at < NEW_OWNER_US
-      || !grant_is_current (sched, now)
-      || !worker_reports_are_current (sched, now))
+  if (!is_measured (sched, known, now) || job->service < 0
+      || job->queue.advised || job->spec.times > 0)
     return false;
   for (int i = 0; i < job->spec.step_count; i++)
     if (job->spec.steps[i].long_running)
@@ -149,6 +215,15 @@
   known->refusals_logged_at = now.mono;
 }
 
+static void
+note_refusal (struct kq_sched *sched, struct queue_run_times *known,
+              int retry_s, int64_t *retry_ms, struct kq_sched_now now)
+{
+  *retry_ms = (int64_t)retry_s * MS_PER_S;
+  sched->counts.refused++;
+  log_refusals (known, retry_s, now);
+}
+
 bool
 admission_refuses (struct kq_sched *sched, const struct job *job,
                    struct kq_sched_now now, int64_t *retry_ms)
@@ -168,6 +243,16 @@
 
   if (!may_refuse (sched, job, known, now))
     return false;
+  if (known->close.until_ms > now.mono / KQ_USEC_PER_MSEC)
+    {
+      bool before = kq_admit_note_refused (&sched->refused, job->id);
+
+      retry_s = kq_admit_spread_retry_s (known->close.retry_s, job->id,
+                                         job->queue.priority, before);
+      note_refusal (sched, known, retry_s, retry_ms, now);
+      return true;
+    }
+  kq_close_note_job (&known->close, request.objective_ms);
   for (int i = 0; i < job->spec.step_count; i++)
     lengths[i] = held_ms (sched, job, job->stages[i].length_ms);
   service = &sched->services[job->service].admit;
@@ -181,8 +266,6 @@
     }
   retry_s = kq_admit_retry_s (
       &request, &estimate, kq_admit_note_refused (&sched->refused, job->id));
-  *retry_ms = (int64_t)retry_s * MS_PER_S;
-  sched->counts.refused++;
-  log_refusals (known, retry_s, now);
+  note_refusal (sched, known, retry_s, retry_ms, now);
   return true;
 }
--- a/sched/admit.c
+++ b/sched/admit.c
@@ -275,9 +275,13 @@
                  const struct kq_admit_estimate *estimate)
 {
   bool large = is_large (queue, estimate->work);
+  int max_credit = queue->bulk * REFUSE_COST > MAX_CREDIT
+                       ? queue->bulk * REFUSE_COST
+                       : MAX_CREDIT;
 
   add_size (queue, estimate->work);
-  if (estimate->verdict == KQ_ADMIT_TOO_LATE && queue->credit >= REFUSE_COST
+  if (estimate->verdict == KQ_ADMIT_TOO_LATE && !queue->saves
+      && queue->credit >= REFUSE_COST
       && (!large || queue->large_credit >= LARGE_CREDIT))
     {
       queue->credit -= REFUSE_COST;
@@ -286,13 +290,25 @@
       return false;
     }
   queue->credit += ADMIT_CREDIT;
-  if (queue->credit > MAX_CREDIT)
-    queue->credit = MAX_CREDIT;
+  if (queue->credit > max_credit)
+    queue->credit = max_credit;
   if (large)
     queue->large_credit = LARGE_CREDIT;
   return true;
 }
 
+int
+kq_admit_affordable (const struct kq_admit_queue *queue)
+{
+  return queue->credit / REFUSE_COST;
+}
+
+void
+kq_admit_take_credit (struct kq_admit_queue *queue, int count)
+{
+  queue->credit -= count * REFUSE_COST;
+}
+
 void
 kq_admit_add_job (struct kq_admit_service *service,
                   const struct kq_admit_request *request,
@@ -303,28 +319,44 @@
   service->levels[level_index (request->priority)].arrived += estimate->work;
 }
 
-/* Callers of urgent queues and those that come again are spread over the first
-   part of the time only. */
-int
-kq_admit_retry_s (const struct kq_admit_request *request,
-                  const struct kq_admit_estimate *estimate, bool before)
+int64_t
+kq_admit_base_retry_s (const struct kq_admit_request *request,
+                       const struct kq_admit_estimate *estimate)
 {
   double spare_ms = (double)request->slack_ms - estimate->path_ms;
   double base = ceil ((estimate->wait_ms - (spare_ms > 0 ? spare_ms : 0))
                       * estimate->drain / 1000);
-  double part = (double)XXH64 (&request->id, sizeof request->id, 0) / 0x1p64;
-  double seconds;
 
   if (base < KQ_ADMIT_MIN_RETRY_S)
-    base = KQ_ADMIT_MIN_RETRY_S;
-  if (base > KQ_ADMIT_MAX_RETRY_S)
-    base = KQ_ADMIT_MAX_RETRY_S;
-  if (request->priority == 0)
+    return KQ_ADMIT_MIN_RETRY_S;
+  return base < KQ_ADMIT_MAX_RETRY_S ? (int64_t)base : KQ_ADMIT_MAX_RETRY_S;
+}
+
+/* Callers of urgent queues and those that come again are spread over the first
+   part of the time only. */
+int
+kq_admit_spread_retry_s (int64_t base_s, uint64_t id, int priority,
+                         bool before)
+{
+  double part = (double)XXH64 (&id, sizeof id, 0) / 0x1p64;
+  int64_t most = base_s / 2;
+  int64_t seconds;
+
+  if (priority == 0)
     part /= 2;
   if (before)
     part /= 2;
-  seconds = base + floor (part * (floor (base / 2) + 1));
-  return seconds < KQ_ADMIT_MAX_RETRY_S ? (int)seconds : KQ_ADMIT_MAX_RETRY_S;
+  seconds = base_s + (int64_t)(part * (double)(most + 1));
+  return (int)(seconds < KQ_ADMIT_MAX_RETRY_S ? seconds
+                                              : KQ_ADMIT_MAX_RETRY_S);
+}
+
+int
+kq_admit_retry_s (const struct kq_admit_request *request,
+                  const struct kq_admit_estimate *estimate, bool before)
+{
+  return kq_admit_spread_retry_s (kq_admit_base_retry_s (request, estimate),
+                                  request->id, request->priority, before);
 }
 
 bool
--- a/sched/admit.h
+++ b/sched/admit.h
@@ -60,6 +60,8 @@
   int next_size;
   int credit;       /**< for refusals, gained by jobs that are admitted */
   int large_credit; /**< the same for the largest jobs */
+  int bulk;         /**< jobs for which credit is kept, if more than a few */
+  bool saves;       /**< credit is not spent on single jobs */
 };
 
 /** A job that arrives. */
@@ -129,6 +131,20 @@
                        const struct kq_admit_request *request,
                        const struct kq_admit_estimate *estimate);
 
+/** Returns how many refusals QUEUE has credit for. */
+int kq_admit_affordable (const struct kq_admit_queue *queue);
+
+/** Takes the credit for the refusal of COUNT jobs. */
+void kq_admit_take_credit (struct kq_admit_queue *queue, int count);
+
+/** Returns the Retry-After in seconds before it is spread over the callers. */
+int64_t kq_admit_base_retry_s (const struct kq_admit_request *request,
+                               const struct kq_admit_estimate *estimate);
+
+/** Spreads the Retry-After BASE_S of the job ID by up to a half of it. */
+int kq_admit_spread_retry_s (int64_t base_s, uint64_t id, int priority,
+                             bool before);
+
 /** Returns the Retry-After in seconds of a refused job: when the backlog has
  *  drained so far that it would be in time. BEFORE: it was refused before.  */
 int kq_admit_retry_s (const struct kq_admit_request *request,
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "sched/admit.h"
+#include "sched/close.h"
 #include "sched/length.h"
 #include "sched/pressure.h"
 #include "sched/sched.h"
@@ -169,6 +170,7 @@
   char queue[KQ_SCHED_NAME_SIZE];
   struct kq_length length;
   struct kq_admit_queue admit;
+  struct kq_close close;
   int refused_unlogged; /* refusals since the last log line */
   kq_usec refusals_logged_at;
   struct queue_run_times *next;
@@ -347,6 +349,7 @@
   struct kq_admit_refused refused;
   kq_usec admission_began_at;   /* first tick of this owner; 0: none yet */
   kq_usec admission_updated_at; /* last tick */
+  int64_t admission_elapsed_ms; /* between the last two ticks */
   struct kq_sched_counts counts;
 };
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -11,6 +11,7 @@
 #ifndef KQ_SCHED_SCHED_H
 #define KQ_SCHED_SCHED_H
 
+#include "sched/idset.h"
 #include "sched/types.h"
 
 struct kq_sched;
@@ -326,6 +327,26 @@
  *  last renewed them, or from now if it is unknown.  */
 void kq_sched_finish_restore (struct kq_sched *sched, struct kq_sched_now now);
 
+/** A queue that is closed: each of its jobs is refused, except those that
+ *  are never refused and repeats.  */
+struct kq_sched_closure
+{
+  char queue[KQ_SCHED_NAME_SIZE];
+  int64_t until_ms; /**< from now */
+  int64_t retry_ms;
+};
+
+/** Fills CLOSURES with the queues that are closed, at most MAX; returns their
+ *  number.  */
+int kq_sched_closures (const struct kq_sched *sched, struct kq_sched_now now,
+                       struct kq_sched_closure *closures, int max);
+
+/** Returns how often queues were closed in this term. */
+int64_t kq_sched_closure_number (const struct kq_sched *sched);
+
+/** Adds the IDs of all known jobs to IDS. */
+void kq_sched_known_ids (const struct kq_sched *sched, struct kq_idset *ids);
+
 /** Returns whether JOB is known. */
 bool kq_sched_has_job (const struct kq_sched *sched, uint64_t job);
 
@@ -355,6 +376,7 @@
   int64_t other_incarnation_replies; /**< replies of another incarnation than
                                         the order was for */
   int64_t refused;           /**< jobs that could be of no use any more */
+  int64_t closures;          /**< times that a queue was closed */
   int64_t admitted_late;     /**< jobs expected to be late, but of use */
   int64_t admitted_too_late; /**< jobs of no use that were admitted so that a
                                 queue or its largest jobs are not shut out */
--- a/t/test-admit.c
+++ b/t/test-admit.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "sched/admit.h"
+#include "sched/close.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 #include "t/lib-sim.h"
@@ -168,6 +168,60 @@
   kq_admit_forget_refused (&refused);
 }
 
+/* A closed queue refuses jobs that nobody judges. All the same no more than 60
+   percent may be refused over 5 s, and only while none could be of use. */
+static void
+test_closures (void)
+{
+  enum
+  {
+    TICKS = 300,
+    JOBS_PER_TICK = 20,
+    WINDOW = 50
+  };
+  static int refused[TICKS];
+  struct kq_admit_service service = { .room = ROOM };
+  struct kq_admit_queue queue = { .credit = 0 };
+  struct kq_admit_request request = request_of (1, 2);
+  struct kq_close closing = { .rate = 0 };
+  int closures = 0;
+
+  for (int tick = 0; tick < TICKS; tick++)
+    {
+      bool overloaded = tick >= TICKS / 3;
+
+      kq_admit_begin_update (&service, 100);
+      kq_admit_add_work (&service, 2, SLACK_MS / 2, false,
+                         overloaded ? ROOM * 60000.0 : 0);
+      kq_admit_end_update (&service, ROOM);
+      closures += kq_close_update (&closing, &queue, &service, 2,
+                                   INT64_C (100) * tick, 100);
+      CU_ASSERT (overloaded || closures == 0);
+      for (int i = 0; i < JOBS_PER_TICK; i++)
+        {
+          struct kq_admit_estimate estimate
+              = kq_admit_estimate (&service, &request);
+
+          if (closing.until_ms > INT64_C (100) * tick)
+            refused[tick]++;
+          else
+            {
+              kq_close_note_job (&closing, SLACK_MS);
+              refused[tick] += !kq_admit_decide (&queue, &estimate);
+            }
+        }
+    }
+  CU_ASSERT (closures > 10);
+  for (int first = 0; first + WINDOW <= TICKS; first++)
+    {
+      int sum = 0;
+
+      for (int tick = first; tick < first + WINDOW; tick++)
+        sum += refused[tick];
+      CU_ASSERT (sum * 100 <= 60 * WINDOW * JOBS_PER_TICK);
+    }
+}
+
 /* Tests of the whole scheduler. */
 
 #define LEARNED_JOBS 25
@@ -326,6 +380,38 @@
   ts_stop (&cell);
 }
 
+/* While a queue is closed no job of it may be accepted: fronts would refuse
+   its repeats otherwise. A new owner closes nothing. */
+static void
+test_closed_queue (void)
+{
+  static struct ts_cell cell;
+  struct kq_sched_closure closure = { .until_ms = 0 };
+  struct kq_idset known = { { 0 } };
+  uint64_t job = 1000;
+  int refused;
+
+  start_cell (&cell);
+  for (int i = 0; i < 12 && closure.until_ms == 0; i++)
+    {
+      flood (&cell, job, &refused);
+      job += FLOOD;
+      ts_advance (&cell, 100);
+      kq_sched_closures (cell.sched, cell.now, &closure, 1);
+    }
+  CU_ASSERT_STRING_EQUAL (closure.queue, "batch");
+  CU_ASSERT (closure.until_ms > 0 && closure.until_ms <= KQ_CLOSE_MS);
+  CU_ASSERT (closure.retry_ms >= 1000 && closure.retry_ms <= 30000);
+  kq_sched_known_ids (cell.sched, &known);
+  CU_ASSERT (kq_idset_may_have (&known, 1000));
+  flood (&cell, job, &refused);
+  CU_ASSERT_EQUAL (refused, FLOOD);
+  CU_ASSERT_EQUAL (submit_status (&cell, 1000, "batch", &pure_step), 200);
+  ts_take_over (&cell);
+  CU_ASSERT_EQUAL (kq_sched_closures (cell.sched, cell.now, &closure, 1), 0);
+  ts_stop (&cell);
+}
+
 /* No worker is known: jobs wait for one. */
 static void
 test_no_worker (void)
@@ -433,9 +519,11 @@
   { "Retry-After", test_retry_after },
   { "no kind of job is shut out", test_no_kind_is_shut_out },
   { "IDs of refused jobs", test_refused_ids },
+  { "closed queues", test_closures },
   { "a refusal is true", test_refusal_is_true },
   { "jobs that are never refused", test_exempt_jobs },
   { "a takeover", test_takeover },
+  { "a closed queue", test_closed_queue },
   { "no worker", test_no_worker },
   { "a burst beside urgent jobs", test_burst },
 };
