--- a/t/test-admit.c
+++ b/t/test-admit.c
@@ -227,33 +227,39 @@
 #define LEARNED_JOBS 25
 #define FLOOD 60
 
-/* Starts a cell with one worker in which a job has been done at a time, until
-   the lengths of the queue "batch" are known. */
+/* Starts a cell with one worker, and after WAIT_MS lets one job of LENGTH_MS
+   after the other be done until the lengths of the queue "batch" are known. */
 static void
-start_cell (struct ts_cell *cell)
+start_cell_after (struct ts_cell *cell, int64_t wait_ms, int64_t length_ms)
 {
   struct kq_sched_step step = pure_step;
 
   ts_start (cell);
   ts_register_worker (cell, "w", ROOM, 64000);
   ts_reply_poll (cell, "w", NULL, 0, NULL, 0);
-  ts_advance (cell, 2100);
+  ts_advance (cell, wait_ms);
   ts_reply_poll (cell, "w", NULL, 0, NULL, 0);
   step.count = 1;
   for (uint64_t job = 1; job <= LEARNED_JOBS; job++)
     {
+      const struct ts_order *order;
       struct kq_sched_ended end;
 
       ts_submit (cell, job, "batch", &step, 1);
-      ts_reply_order (cell, ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0),
-                      KQ_SCHED_OK);
-      ts_advance (cell, LENGTH_MS);
-      end = ts_ended (ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0),
-                      (int64_t)job, KQ_SCHED_DONE);
+      order = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+      ts_reply_order (cell, order, KQ_SCHED_OK);
+      ts_advance (cell, length_ms);
+      end = ts_ended (order, (int64_t)job, KQ_SCHED_DONE);
       ts_reply_poll (cell, "w", NULL, 0, &end, 1);
     }
 }
 
+static void
+start_cell (struct ts_cell *cell)
+{
+  start_cell_after (cell, 2100, LENGTH_MS);
+}
+
 static int
 submit_status (struct ts_cell *cell, uint64_t job, const char *queue,
                const struct kq_sched_step *step)
@@ -380,6 +386,26 @@
   ts_stop (&cell);
 }
 
+/* A new owner that has measured a queue still refuses nothing for 2 s: it does
+   not know the backlog yet. */
+static void
+test_new_owner (void)
+{
+  static struct ts_cell cell;
+  int refused;
+
+  start_cell_after (&cell, 100, 40);
+  for (uint64_t job = 1000; job < 1000 + 3 * FLOOD; job += FLOOD)
+    {
+      flood (&cell, job, &refused);
+      CU_ASSERT_EQUAL (refused, 0);
+    }
+  ts_advance (&cell, 1000);
+  flood (&cell, 2000, &refused);
+  CU_ASSERT (refused > 0);
+  ts_stop (&cell);
+}
+
 /* While a queue is closed no job of it may be accepted: fronts would refuse
    its repeats otherwise. A new owner closes nothing. */
 static void
@@ -523,6 +549,7 @@
   { "a refusal is true", test_refusal_is_true },
   { "jobs that are never refused", test_exempt_jobs },
   { "a takeover", test_takeover },
+  { "a new owner", test_new_owner },
   { "a closed queue", test_closed_queue },
   { "no worker", test_no_worker },
   { "a burst beside urgent jobs", test_burst },
