--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,7 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_HOLDS,
   GAUGE_URGENT_PREEMPTIONS,
   GAUGE_PREEMPTED_WORK,
   GAUGE_PREEMPTIONS_REFUSED,
@@ -41,6 +42,10 @@
   GAUGE_EVACUATED_STARTS,
   GAUGE_WITHDRAWALS,
   GAUGE_REFUSALS,
+  GAUGE_REFUSED,
+  GAUGE_CLOSURES,
+  GAUGE_ADMITTED_LATE,
+  GAUGE_ADMITTED_TOO_LATE,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -71,6 +76,8 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_holds_total",
+    .help = "Large tasks for which room was held at a worker." },
   { .name = "kq_urgent_preemptions_total",
     .help = "Tasks stopped to make room for urgent work." },
   { .name = "kq_urgent_preempted_core_ms_total",
@@ -91,6 +98,14 @@
     .help = "New jobs taken back because the store was away." },
   { .name = "kq_store_away_refusals_total",
     .help = "Requests refused by the owner because the store was away." },
+  { .name = "kq_admission_refused_total",
+    .help = "Jobs refused with 429: too late to be of use." },
+  { .name = "kq_admission_closures_total",
+    .help = "Times that a queue was closed to jobs of any size." },
+  { .name = "kq_admission_late_total",
+    .help = "Jobs accepted that are expected to be late, but of use." },
+  { .name = "kq_admission_spared_total",
+    .help = "Jobs of no use accepted so that no kind is shut out." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -134,6 +149,7 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_HOLDS], counts->holds);
   kq_metric_set (&gauges[GAUGE_URGENT_PREEMPTIONS],
                  counts->urgent_preemptions);
   kq_metric_set (&gauges[GAUGE_PREEMPTED_WORK],
@@ -147,6 +163,10 @@
   kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
   kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
   kq_metric_set (&gauges[GAUGE_WITHDRAWALS], counts->withdrawals);
+  kq_metric_set (&gauges[GAUGE_REFUSED], counts->refused);
+  kq_metric_set (&gauges[GAUGE_CLOSURES], counts->closures);
+  kq_metric_set (&gauges[GAUGE_ADMITTED_LATE], counts->admitted_late);
+  kq_metric_set (&gauges[GAUGE_ADMITTED_TOO_LATE], counts->admitted_too_late);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -7,6 +7,8 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "sched/admit.h"
+#include "sched/close.h"
 #include "sched/length.h"
 #include "sched/preempt.h"
 #include "sched/pressure.h"
@@ -113,6 +115,8 @@
   struct worker *reserved_worker; /* kept free for it while it is ready */
   int preempted_run;              /* last run stopped for others; 0: none */
   kq_usec preempted_at;
+  struct worker *large_worker; /* its room there is left to it while it is
+                                  ready (large.c) */
   kq_usec phase_since;
   kq_usec stop_sent_at;
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
@@ -147,6 +151,7 @@
   struct task *tasks;
   int ready_count;
   int done_count;
+  int large_count;         /* tasks with a worker where room is held */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
@@ -168,11 +173,16 @@
   struct stage *next;
 };
 
-/* Learned run times of the steps of one queue. */
+/* Learned run times of the steps of one queue, and what admission knows of
+   its jobs. */
 struct queue_run_times
 {
   char queue[KQ_SCHED_NAME_SIZE];
   struct kq_length length;
+  struct kq_admit_queue admit;
+  struct kq_close close;
+  int refused_unlogged; /* refusals since the last log line */
+  kq_usec refusals_logged_at;
   struct queue_run_times *next;
 };
 
@@ -250,6 +260,9 @@
   int reserved_count;              /* of these; no other task is placed here */
   struct kq_sched_demand held;     /* sum of HOLDS */
   struct hold *holds;
+  struct kq_sched_demand large_held; /* for large tasks that wait (large.c) */
+  int large_count;                   /* of these */
+  int large_priority;                /* of these */
   /* poll state */
   int polls_in_flight; /* one may wait for an end, another is immediate */
   bool idle;           /* has no tasks and is polled rarely */
@@ -308,6 +321,14 @@
   double mean_cpu;   /* of the short tasks that were started lately */
   double mean_square;
   struct kq_preempt preempt;
+  /* Of the large ones, in the current span of time and in the one before: the
+     largest size, and the most that one stage needs at a time. */
+  int64_t large_size[2];
+  int64_t large_need[2];
+  int large_ticks; /* since the current span began */
+  struct kq_admit_service admit;
+  int64_t admission_room; /* CPU for short tasks, as summed up by a tick */
+  double start_ms;        /* mean time from placement to start of a task */
 };
 
 struct kq_sched
@@ -354,6 +375,12 @@
   size_t preempt_next;         /* index where the next one begins */
   struct hold holds[MAX_HOLDS];
   int hold_count;
+  int64_t spare_large_room; /* how much the task being placed may take */
+  bool large_room_denied;   /* for that a worker was passed over */
+  struct kq_admit_refused refused;
+  kq_usec admission_began_at;   /* first tick of this owner; 0: none yet */
+  kq_usec admission_updated_at; /* last tick */
+  int64_t admission_elapsed_ms; /* between the last two ticks */
   struct kq_sched_counts counts;
 };
 
@@ -379,6 +406,27 @@
    take TAKEN more of it. */
 int64_t service_room (const struct kq_sched *sched,
                       const struct worker *worker, int64_t taken);
+/* Whether the tasks of STAGE are larger than the short ones there usually are.
+ */
+bool service_is_large (const struct kq_sched *sched,
+                       const struct stage *stage);
+/* The same in whole tasks of the size of the largest ones lately. */
+int64_t service_large_room (const struct kq_sched *sched,
+                            const struct worker *worker, int64_t taken);
+/* Returns what a start of TASK at WORKER takes of that. */
+int64_t service_taken_large_room (const struct kq_sched *sched,
+                                  const struct worker *worker,
+                                  const struct task *task);
+/* Returns how much of ROOM, the sum of that over a service of CAPACITY, TASK
+   may take. */
+int64_t service_spare_large_room (const struct kq_sched *sched,
+                                  const struct task *task, int64_t room,
+                                  int64_t capacity);
+/* Whether a start of TASK at WORKER takes more than that, which is set in
+   sched->spare_large_room; notes that it was denied. */
+bool service_takes_kept_pieces (struct kq_sched *sched,
+                                const struct worker *worker,
+                                const struct task *task);
 /* Returns how much room for short tasks is kept from long-running tasks that
    have not run yet, in a service of CAPACITY. */
 int64_t service_kept_cpu (const struct kq_sched *sched, int service,
@@ -414,6 +462,25 @@
 bool job_has_bound_task (const struct job *job);
 void job_log (const struct job *job, const char *event, const char *why);
 void job_tick_all (struct kq_sched *sched, struct kq_sched_now now);
+/* Returns what is known of QUEUE, or NULL when out of memory. */
+struct queue_run_times *job_run_times (struct kq_sched *sched,
+                                       const char *queue);
+
+/* admission.c */
+
+/* Whether JOB, which is submitted and not stored, is refused. Sets *RETRY_MS
+   to when its caller should try again. */
+bool admission_refuses (struct kq_sched *sched, const struct job *job,
+                        struct kq_sched_now now, int64_t *retry_ms);
+/* Collect room and backlog anew: the second is called for each job between the
+   others. */
+void admission_begin_tick (struct kq_sched *sched, struct kq_sched_now now);
+void admission_count_job (struct kq_sched *sched, const struct job *job,
+                          struct kq_sched_now now);
+/* Learns from TASK, which is done, how long a start takes. */
+void admission_note_done (struct kq_sched *sched, const struct task *task,
+                          struct kq_sched_now now);
+void admission_end_tick (struct kq_sched *sched, struct kq_sched_now now);
 
 /* task.c */
 void task_make_ready (struct kq_sched *sched, struct task *task,
@@ -540,6 +607,18 @@
 /* Records that TASK is stopped to make room for others. */
 void preempt_note_stop (struct task *task, struct kq_sched_now now);
 
+/* large.c */
+
+/* Holds room for the large ready tasks of STAGE that have waited. */
+void large_hold_room (struct kq_sched *sched, struct stage *stage,
+                      struct kq_sched_now now);
+/* Gives up what is held for STAGE if it cannot be in time any more or the
+   worker is not usable. */
+void large_check (struct stage *stage, struct kq_sched_now now);
+void large_clear (struct task *task);
+/* Whether WORKER keeps the room that is held there if TASK is placed. */
+bool large_allows (const struct worker *worker, const struct task *task);
+
 /* advice.c */
 
 /* Returns the valid ticket with which WORKER may run tasks of STAGE, or
--- a/sched/place.c
+++ b/sched/place.c
@@ -69,6 +69,7 @@
   int64_t capacity;
   int64_t used;
   int64_t short_room; /* usable by short tasks if no other one ran */
+  int64_t large_room; /* of that, by the largest ones */
   bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
   int priority;
 };
@@ -113,6 +114,7 @@
       pool->capacity += worker->report.capacity.cpu;
       pool->used += worker->used.cpu;
       pool->short_room += service_room (sched, worker, 0);
+      pool->large_room += service_large_room (sched, worker, 0);
     }
 }
 
@@ -325,9 +327,10 @@
   const struct stage *stage = task->stage;
 
   if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task)
+      || !reserve_allows (worker, task) || !large_allows (worker, task)
       || (stage->job->queue.advised
-          && advice_ticket (stage, worker, now) == NULL))
+          && advice_ticket (stage, worker, now) == NULL)
+      || service_takes_kept_pieces (sched, worker, task))
     return false;
   *interference = 0;
   if (stage->step->filler && worker->serving_count > 0)
@@ -463,14 +466,19 @@
   while (leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker
-          = choose_worker (sched, task, now, common_rack (stage), false);
+      struct worker *worker;
 
+      sched->spare_large_room = service_spare_large_room (
+          sched, task, pool->large_room, pool->capacity);
+      sched->large_room_denied = false;
+      worker = choose_worker (sched, task, now, common_rack (stage), false);
+      sched->spare_large_room = INT64_MAX;
       if (worker == NULL)
-        return task;
+        return sched->large_room_denied ? NULL : task;
       if (!leaves_short_room (sched, pool, worker, task))
         return NULL;
       pool->short_room -= taken_room (sched, worker, task);
+      pool->large_room -= service_taken_large_room (sched, worker, task);
       task_bind (sched, task, worker, now);
       queue_start_order (sched, task);
       if (!stage->step->filler)
@@ -573,7 +581,8 @@
   const struct task *unplaced;
   int from = 0;
 
-  if (stage->hold_count == 0 && cannot_fit (pass, stage))
+  if (stage->hold_count == 0 && stage->large_count == 0
+      && cannot_fit (pass, stage))
     return next_ready (stage, &from);
   if (stage->step->gang)
     {
@@ -609,6 +618,7 @@
     struct pool *pool = pool_of_service (&pass, stage->job->service);
     const struct task *unplaced;
 
+    large_check (stage, now);
     if (stage->hold_count == 0 && is_blocked (pool, stage))
       {
         if (sched->reserve_due)
@@ -621,7 +631,10 @@
     if (unplaced == NULL || stage->job->queue.advised)
       continue;
     if (sched->reserve_due)
-      reserve_for_stage (sched, stage, now);
+      {
+        reserve_for_stage (sched, stage, now);
+        large_hold_room (sched, stage, now);
+      }
     preempt_for_stage (sched, stage, unplaced, now);
     block_lower_priorities (pool, stage, unplaced->ready_at, now);
     if (stage->step->filler && is_under_half_used (pool))
--- a/sched/task.c
+++ b/sched/task.c
@@ -153,6 +153,7 @@
   if (task->state != TASK_READY)
     return;
   reserve_clear (task);
+  large_clear (task);
   stage->ready_count--;
   sched->counts.ready_tasks--;
   reserve_trim_holds (sched, stage);
