--- a/sched/large.c
+++ b/sched/large.c
@@ -1,4 +1,4 @@
-/* Room for large short tasks (hold_*). Load: small tasks of the same priority
+/* Room for large short tasks (large_*). Load: small tasks of the same priority
  * take each piece of a nearly full service as it comes free, so that a task
  * that needs more than one piece is never placed.
  *
