sched, node: fill cold workers step by step

Cause: workers that come back cold are empty, so that they draw all new tasks and run them for up to warmup_excess times as long.

A cold worker, by the warmup_left_ms of its registration, gets at most one task in 50 ms for each 8 cores, counts as smaller than it is in the score, and gets tasks whose slack is below the extra time only when no warm worker has room. Cold workers of that kind do not end the search among 64 candidates of a large cell, since a zone's workers register together. Without the field nothing changes.

A registration that describes no usable worker, which a malformed warmup_left_ms makes it, is counted, and logged once per worker.

--- a/node/node.c
+++ b/node/node.c
@@ -24,6 +24,7 @@
 #include "node/options.h"
 #include "node/owner.h"
 #include "node/relay.h"
+#include "node/roster.h"
 #include "node/turns.h"
 #include "node/watch.h"
 #include "node/zones.h"
@@ -707,6 +708,7 @@
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
   kq_zones_register_metrics ();
+  kq_registrations_register_metrics ();
   kq_gauges_register ();
   err = start (&node, options->metrics_port);
   if (err != 0)
--- a/node/roster.c
+++ b/node/roster.c
@@ -2,8 +2,10 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <uthash.h>
 
 #include "log/log.h"
+#include "metrics/metrics.h"
 #include "node/follower.h"
 #include "platform/site.h"
 
@@ -11,12 +13,65 @@
    at the latest. */
 #define READ_INTERVAL_SEC 0.25
 
+/* Maximum number of workers whose registration was reported as ignored. */
+#define MAX_REPORTED 1000
+
+static struct kq_metric ignored_count
+    = { .name = "kq_ignored_registrations_total",
+        .help = "Registrations that describe no usable worker." };
+
+/* A worker whose last registration was ignored. */
+struct ignored_worker
+{
+  char id[KQ_SCHED_NAME_SIZE];
+  UT_hash_handle hh;
+};
+
 struct kq_registrations
 {
   struct kq_follower *follower;
   struct kq_registrations_handler handler;
+  struct ignored_worker *ignored; /* by ID */
 };
 
+void
+kq_registrations_register_metrics (void)
+{
+  kq_metric_register (&ignored_count);
+}
+
+/* Counts an ignored registration of worker ID; logs the first in a row. */
+static void
+report_ignored (struct kq_registrations *registrations, const char *id,
+                int err)
+{
+  struct ignored_worker *worker;
+
+  kq_metric_add (&ignored_count, 1);
+  HASH_FIND_STR (registrations->ignored, id, worker);
+  if (worker != NULL || HASH_COUNT (registrations->ignored) >= MAX_REPORTED)
+    return;
+  kq_log (KQ_LOG_WARN, "roster", "registration of an unusable worker ignored",
+          err, "worker", id, NULL);
+  worker = calloc (1, sizeof *worker);
+  if (worker == NULL)
+    return;
+  snprintf (worker->id, sizeof worker->id, "%s", id);
+  HASH_ADD_STR (registrations->ignored, id, worker);
+}
+
+static void
+forget_ignored (struct kq_registrations *registrations, const char *id)
+{
+  struct ignored_worker *worker;
+
+  HASH_FIND_STR (registrations->ignored, id, worker);
+  if (worker == NULL)
+    return;
+  HASH_DEL (registrations->ignored, worker);
+  free (worker);
+}
+
 static void
 on_row (void *arg, const struct kq_store_row *row)
 {
@@ -28,18 +83,20 @@
   snprintf (id, sizeof id, "%.*s", (int)row->key_size, row->key);
   if (row->size == 0)
     {
+      forget_ignored (registrations, id);
       registrations->handler.on_removed (registrations->handler.arg, id);
       return;
     }
   err = kq_site_registration_read (row->key, row->key_size, row->value,
                                    row->size, &registration);
-  if (err == 0)
-    registrations->handler.on_registration (registrations->handler.arg,
-                                            &registration);
-  else
-    kq_log (KQ_LOG_DEBUG, "roster",
-            "registration of an unusable worker ignored", err, "worker", id,
-            NULL);
+  if (err != 0)
+    {
+      report_ignored (registrations, id, err);
+      return;
+    }
+  forget_ignored (registrations, id);
+  registrations->handler.on_registration (registrations->handler.arg,
+                                          &registration);
 }
 
 static void
@@ -75,9 +132,19 @@
 void
 kq_registrations_destroy (struct kq_registrations *registrations)
 {
+  struct ignored_worker *worker;
+  struct ignored_worker *next;
+
   if (registrations == NULL)
     return;
   kq_follower_destroy (registrations->follower);
+  worker = registrations->ignored;
+  HASH_CLEAR (hh, registrations->ignored);
+  for (; worker != NULL; worker = next)
+    {
+      next = worker->hh.next;
+      free (worker);
+    }
   free (registrations);
 }
 
--- a/node/roster.h
+++ b/node/roster.h
@@ -25,6 +25,8 @@
   void (*on_caught_up) (void *arg, kq_usec sent_at);
 };
 
+void kq_registrations_register_metrics (void);
+
 struct kq_registrations *
 kq_registrations_create (struct ev_loop *loop, struct kq_store *store,
                          const struct kq_registrations_handler *handler);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -151,6 +151,7 @@
   struct advice_row *advice; /* replies of the policy service */
   int advice_count;
   int64_t due_ms;           /* wall clock by which the job should end */
+  int64_t length_ms;        /* expected run time of one of its tasks */
   int64_t critical_path_ms; /* longest chain of steps from here, ms */
   int lateness; /* 0: in time, 1: late, 2: past three times its objective */
   struct stage *prev; /* queue of stages with ready tasks */
@@ -244,6 +245,8 @@
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
   bool evacuated;            /* its zone is under evacuation */
+  kq_usec cold_until;        /* its tasks take longer; 0: warm */
+  kq_usec next_cold_start;   /* no task is placed there before, while cold */
   bool ended_as_announced;   /* its earlier incarnation was draining */
   int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
@@ -323,6 +326,7 @@
   struct kq_sched_zones zones; /* under evacuation */
   kq_usec zones_at;      /* all requests until then were read; 0: none yet */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
+  kq_usec cold_retry_at; /* a cold worker may take a task then; 0: none does */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
   struct kq_sched_counts counts;
--- a/sched/job.c
+++ b/sched/job.c
@@ -239,6 +239,7 @@
       stage->step = &job->spec.steps[stage->number];
       stage->image = kq_interference_image (sched->interference_model,
                                             stage->step->image);
+      stage->length_ms = lengths[stage->number];
       stage->critical_path_ms
           = critical_path_ms (&job->spec, lengths, stage->number);
       stage->due_ms = due_ms (job, lengths, stage->occurrence);
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,6 +5,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/warmup.h"
 
 /* Weights of the score in thousandths of a worker's load; the lowest score
    is selected. Source: docs/design/platform.md, "Where work goes". */
@@ -325,7 +326,7 @@
   const struct stage *stage = task->stage;
 
   if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task)
+      || !reserve_allows (worker, task) || !warmup_allows (sched, worker, now)
       || (stage->job->queue.advised
           && advice_ticket (stage, worker, now) == NULL))
     return false;
@@ -360,8 +361,9 @@
 
       if (!suits (sched, worker, task, now, disturbing, &interference))
         continue;
-      candidates++;
-      points = score (worker, task, interference);
+      candidates += !warmup_is_too_slow (sched, worker, task, now);
+      points = score (worker, task, interference)
+               + warmup_points (sched, worker, task, now);
       if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
         points += WEIGHT_OTHER_RACK;
       if (best == NULL || points < best_score)
@@ -595,12 +597,14 @@
   struct stage *stage;
   struct stage *next;
 
-  if (sched->superseded || !sched->placement_due
+  if (sched->superseded
+      || (!sched->placement_due && !warmup_is_placement_due (sched, now))
       || !grant_is_current (sched, now)
       || !worker_reports_are_current (sched, now)
       || !evacuate_is_current (sched, now))
     return;
   sched->placement_due = false;
+  sched->cold_retry_at = 0;
   sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
--- a/sched/task.c
+++ b/sched/task.c
@@ -7,6 +7,7 @@
 
 #include "log/log.h"
 #include "sched/internal.h"
+#include "sched/warmup.h"
 
 void
 run_format (const struct kq_sched_run *run, char text[64])
@@ -214,6 +215,7 @@
   DL_APPEND (worker->tasks, task);
   account_task (task, 1);
   service_note_start (sched, task);
+  warmup_note_start (worker, now);
   sched->counts.bound_tasks++;
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -161,7 +161,8 @@
   struct kq_sched_demand capacity;
   int64_t incarnation_ms; /**< identifies the incarnation; grows at restarts */
   bool draining;
-  int64_t remaining_ms; /**< time until it stops, at least; while draining */
+  int64_t remaining_ms;   /**< time until it stops, at least; while draining */
+  int64_t warmup_left_ms; /**< time for which it stays slow after its start */
   char id[KQ_SCHED_NAME_SIZE];
   char service[KQ_SCHED_NAME_SIZE];
   char address[KQ_SCHED_NAME_SIZE];
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -7,6 +7,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/warmup.h"
 
 /* Maximum time for which a worker delays its reply to a poll while no run
    ends. It is shorter where tail latencies must be watched, since each
@@ -196,6 +197,7 @@
   worker->service = service_index (sched, registration->service);
   worker->registered = true;
   evacuate_update_worker (sched, worker);
+  warmup_note_registration (worker, now);
   if (registration->draining && !draining)
     {
       log_worker (worker, "worker draining", "registration");
--- a/t/lib-zones.c
+++ b/t/lib-zones.c
@@ -85,6 +85,7 @@
   *report = (struct kq_sched_registration){
     .capacity = { cpu, 1000000, 0 },
     .incarnation_ms = 1,
+    .warmup_left_ms = warmup_ms,
   };
   snprintf (report->id, sizeof report->id, "%d", site->worker_count++);
   snprintf (report->service, sizeof report->service, "s");
@@ -93,6 +94,13 @@
   add_report (site, worker);
 }
 
+void
+tz_reregister (struct tz_site *site, int index, int64_t warmup_ms)
+{
+  site->workers[index].report.warmup_left_ms = warmup_ms;
+  add_report (site, &site->workers[index]);
+}
+
 void
 tz_read_topic (struct tz_site *site)
 {
--- a/t/lib-zones.h
+++ b/t/lib-zones.h
@@ -7,7 +7,7 @@
 
 #include "t/lib-sched.h"
 
-#define TZ_WORKERS 40
+#define TZ_WORKERS 80
 #define TZ_RUNS 64
 #define TZ_JOBS 64
 
@@ -41,6 +41,9 @@
 void tz_add_worker (struct tz_site *site, const char *zone, int64_t cpu,
                     int64_t warmup_ms);
 
+/** Registers worker INDEX anew with WARMUP_MS. */
+void tz_reregister (struct tz_site *site, int index, int64_t warmup_ms);
+
 /** Reads the operator's topic. */
 void tz_read_topic (struct tz_site *site);
 
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -221,6 +221,14 @@
   CU_ASSERT_EQUAL (registration.remaining_ms, 900);
   CU_ASSERT_EQUAL (registration.capacity.cpu, 16000);
   CU_ASSERT_EQUAL (registration.capacity.gpu, 0);
+  CU_ASSERT_EQUAL (registration.warmup_left_ms, 0);
+  CU_ASSERT_EQUAL (
+      read_registration ("{\"service\":\"s\",\"addr\":\"a:1\","
+                         "\"state\":\"ready\",\"warmup_left_ms\":7500,"
+                         "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+                         &registration),
+      0);
+  CU_ASSERT_EQUAL (registration.warmup_left_ms, 7500);
 }
 
 /* Records that do not describe a usable worker are rejected. */
@@ -238,6 +246,10 @@
           "\"capacity\":7}",
           "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
           "\"capacity\":{\"cpu\":\"many\",\"mem_mb\":1}}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "\"warmup_left_ms\":-1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "\"warmup_left_ms\":\"5\",\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
           "{\"service\":5,\"addr\":\"a:1\",\"state\":\"ready\","
           "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}" };
   struct kq_sched_registration registration;
