sched: move running work out of a zone under evacuation

First tasks that resume from a checkpoint and would run for over 2 s more, then long-running tasks. A task is moved only when a usable worker outside the zones has room for it beside the other moves that are planned or on their way, and only by an owner that may start it again. Gangs end where they are: a stop of one member would end the members elsewhere. A tick makes at most 64 searches for room.

Each step counts its tasks that are at work. A long-running task may be moved while fewer than max_unavailable others of its step are away, for whatever cause; one at a time where the step does not say. Drains that leave time, and stops of throttled fillers that run for long, consult the same counter where the step has max_unavailable; otherwise they are as before. Ruled out: counting on demand, which visits all tasks of a step for each of them.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -36,6 +36,7 @@
   GAUGE_OTHER_INCARNATION,
   GAUGE_EVACUATED_WORKERS,
   GAUGE_EVACUATED_STARTS,
+  GAUGE_EVACUATION_MOVES,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -76,6 +77,8 @@
     .help = "Registered, in a zone under evacuation." },
   { .name = "kq_evacuated_starts_total",
     .help = "Starts dropped because their zone was to be evacuated." },
+  { .name = "kq_evacuation_moves_total",
+    .help = "Tasks stopped to move them out of a zone." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -119,6 +122,7 @@
                  counts->other_incarnation_replies);
   kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
   kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
+  kq_metric_set (&gauges[GAUGE_EVACUATION_MOVES], counts->evacuation_moves);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/sched/count.c
+++ b/sched/count.c
@@ -1,6 +1,7 @@
 /* Counters and invariant checks of the scheduler. */
 #include <assert.h>
 
+#include "sched/disruption.h"
 #include "sched/internal.h"
 
 bool
@@ -63,6 +64,7 @@
       const struct kq_sched_step *step = task->stage->step;
 
       assert (task->state == TASK_BOUND && task->worker == worker);
+      assert (task->at_work == disruption_is_at_work (task));
       used.cpu += step->filler ? 0 : step->demand.cpu;
       if (step->long_running && !step->filler)
         long_running_cpu += step->demand.cpu;
--- a/sched/evacuate.c
+++ b/sched/evacuate.c
@@ -3,11 +3,12 @@
  * Load: a zone with a sixth of the workers is evacuated and taken back while
  * the other zones are busy.
  *
- * Nothing starts in a zone under evacuation.  The operator's topic in the
- * store holds the requests; the set of zones is kept only here, and a
- * successor reads it anew.  A request that this owner has not read yet may be
- * as old as its last complete read, so that a start is accepted by its worker
- * for a shorter time the older that read is.
+ * Nothing starts in a zone under evacuation, and what runs there for long is
+ * moved out step by step, while other zones have room for it.  The operator's
+ * topic in the store holds the requests; the set of zones is kept only here,
+ * and a successor reads it anew.  A request that this owner has not read yet
+ * may be as old as its last complete read, so that a start is accepted by its
+ * worker for a shorter time the older that read is.
  */
 #include "sched/evacuate.h"
 
@@ -15,6 +16,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 
 /* Age of the last complete read of the operator's topic from which nothing is
    started, as for the registrations. */
@@ -28,6 +30,14 @@
    worker refuses one that takes longer than its lease. */
 #define ORDER_TIME_MS 800
 
+/* A task that ends within this time is left alone: a stop and a start
+   elsewhere take up to half of it. */
+#define MIN_REMAINING_MS 2000
+
+/* Maximum number of searches for room in one tick of 100 ms. Each visits all
+   workers, 5 us for 490 of them. */
+#define MAX_SEARCHES 64
+
 static void
 log_zone (const struct kq_sched *sched, const char *event, const char *zone)
 {
@@ -128,3 +138,158 @@
              ? KQ_SCHED_START_LEASE_MS
              : left;
 }
+
+/* State of the moves in one tick. */
+struct move_pass
+{
+  struct kq_sched *sched;
+  struct kq_sched_now now;
+  int searches;
+};
+
+/* Whether WORKER has room for STEP beside the other planned moves. */
+static bool
+has_unplanned_room (const struct worker *worker,
+                    const struct kq_sched_step *step)
+{
+  const struct kq_sched_demand *capacity = &worker->report.capacity;
+  const struct kq_sched_demand *used = &worker->used;
+  const struct kq_sched_demand *planned = &worker->planned;
+
+  return used->mem + planned->mem + step->demand.mem <= capacity->mem
+         && used->gpu + planned->gpu + step->demand.gpu <= capacity->gpu
+         && (step->filler
+             || used->cpu + planned->cpu + step->demand.cpu <= capacity->cpu);
+}
+
+/* Plans room for TASK at a worker outside the zones.  Returns false if none
+   has any. */
+static bool
+plan_room (struct move_pass *pass, const struct task *task)
+{
+  const struct kq_sched *sched = pass->sched;
+  struct stage *stage = task->stage;
+  const struct kq_sched_step *step = stage->step;
+
+  pass->searches++;
+  for (size_t i = 0; i < sched->worker_count; i++)
+    {
+      struct worker *worker = sched->worker_array[i];
+
+      if (!place_fits (worker, stage, pass->now)
+          || !reserve_allows (worker, task)
+          || !has_unplanned_room (worker, step))
+        continue;
+      worker->planned.cpu += step->filler ? 0 : step->demand.cpu;
+      worker->planned.mem += step->demand.mem;
+      worker->planned.gpu += step->demand.gpu;
+      return true;
+    }
+  stage->no_move_room_at = pass->now.mono;
+  return false;
+}
+
+/* Plans room for TASK, which was moved and has no worker yet. */
+static void
+plan_moved_task (struct move_pass *pass, const struct task *task)
+{
+  if (pass->searches < MAX_SEARCHES)
+    plan_room (pass, task);
+}
+
+static void
+plan_moves_in_progress (struct move_pass *pass)
+{
+  const struct stage *stage;
+  const struct worker *worker;
+  const struct task *task;
+
+  DL_FOREACH (pass->sched->queue, stage)
+  {
+    for (int i = 0; stage->moved && i < stage->step->count; i++)
+      if (stage->tasks[i].moved && stage->tasks[i].state == TASK_READY)
+        plan_moved_task (pass, &stage->tasks[i]);
+  }
+  DL_FOREACH (pass->sched->worker_list, worker)
+  {
+    if (!worker->evacuated)
+      continue;
+    DL_FOREACH (worker->tasks, task)
+    {
+      if (task->moved && task->stop_wanted)
+        plan_moved_task (pass, task);
+    }
+  }
+}
+
+/* Whether TASK resumes from a checkpoint and would still run for long. */
+static bool
+may_resume_elsewhere (const struct task *task)
+{
+  const struct stage *stage = task->stage;
+  int percent = task->percent > 0 ? task->percent : 0;
+
+  return stage->step->checkpointable && !stage->step->long_running
+         && stage->length_ms * (100 - percent) / 100 > MIN_REMAINING_MS;
+}
+
+static bool
+may_be_restarted (const struct task *task)
+{
+  return task->stage->step->long_running && disruption_allows_move (task);
+}
+
+/* A stop of a member of a gang would end all members, also those elsewhere. */
+static bool
+may_move (const struct move_pass *pass, const struct task *task)
+{
+  const struct stage *stage = task->stage;
+
+  return task->phase == PHASE_RUNNING && !task->stop_wanted
+         && !stage->step->gang && stage->no_move_room_at != pass->now.mono;
+}
+
+/* Moves the tasks to which IS_KIND applies. */
+static void
+move_tasks (struct move_pass *pass, bool (*is_kind) (const struct task *task))
+{
+  struct worker *worker;
+  struct task *task;
+  struct task *next;
+
+  DL_FOREACH (pass->sched->worker_list, worker)
+  {
+    if (!worker->evacuated)
+      continue;
+    DL_FOREACH_SAFE (worker->tasks, task, next)
+    {
+      if (pass->searches >= MAX_SEARCHES)
+        return;
+      if (!may_move (pass, task) || !is_kind (task) || !plan_room (pass, task))
+        continue;
+      task->moved = true;
+      task->stage->moved = true;
+      pass->sched->counts.evacuation_moves++;
+      task_log (task, "task moved", "zone under evacuation");
+      task_stop (pass->sched, task, pass->now);
+    }
+  }
+}
+
+/* An owner that may start nothing stops nothing either. */
+void
+evacuate_tick (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct move_pass pass = { .sched = sched, .now = now };
+
+  if (sched->zones.count == 0 || sched->superseded
+      || !grant_is_current (sched, now)
+      || !worker_reports_are_current (sched, now)
+      || !evacuate_is_current (sched, now))
+    return;
+  for (size_t i = 0; i < sched->worker_count; i++)
+    sched->worker_array[i]->planned = (struct kq_sched_demand){ 0, 0, 0 };
+  plan_moves_in_progress (&pass);
+  move_tasks (&pass, may_resume_elsewhere);
+  move_tasks (&pass, may_be_restarted);
+}
--- a/sched/evacuate.h
+++ b/sched/evacuate.h
@@ -15,6 +15,9 @@
 void evacuate_update_worker (const struct kq_sched *sched,
                              struct worker *worker);
 
+/* Moves running tasks out of the zones under evacuation. */
+void evacuate_tick (struct kq_sched *sched, struct kq_sched_now now);
+
 /* Whether the requests were read not too long ago, or the deployment has no
    evacuations. */
 bool evacuate_is_current (const struct kq_sched *sched,
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -115,6 +115,8 @@
   bool placed_lately;     /* so shortly before it was restored */
   bool settled;           /* its run does not crash the worker */
   bool stop_wanted;
+  bool at_work;     /* as disruption.c counts it */
+  bool moved;       /* stopped to move it out of a zone in this term */
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
   kq_usec pace_changed_at;
@@ -139,15 +141,18 @@
   struct task *tasks;
   int ready_count;
   int done_count;
+  int at_work_count;       /* of its tasks, those at work */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
   kq_usec last_placed_at;
-  int measured_count;        /* tasks done whose run time is known */
-  int64_t longest_ms;        /* longest run time among these */
-  bool open;                 /* its prerequisites are done */
-  bool queued;               /* in the queue of stages with ready tasks */
-  bool advice_wanted;        /* no worker with a valid ticket has capacity */
+  int measured_count;      /* tasks done whose run time is known */
+  int64_t longest_ms;      /* longest run time among these */
+  bool open;               /* its prerequisites are done */
+  bool queued;             /* in the queue of stages with ready tasks */
+  bool moved;              /* a task of it was moved out of a zone */
+  kq_usec no_move_room_at; /* last search for room that a move did not find */
+  bool advice_wanted;      /* no worker with a valid ticket has capacity */
   struct advice_row *advice; /* replies of the policy service */
   int advice_count;
   int64_t due_ms;           /* wall clock by which the job should end */
@@ -246,9 +251,11 @@
   bool lost;                 /* another process has its address */
   bool evacuated;            /* its zone is under evacuation */
   kq_usec cold_until;        /* its tasks take longer; 0: warm */
-  kq_usec next_cold_start;   /* no task is placed there before, while cold */
-  bool ended_as_announced;   /* its earlier incarnation was draining */
-  int suspect_count;         /* of its tasks, those on trial (crash.c) */
+  struct kq_sched_demand planned; /* of moves, while these are planned */
+  kq_usec report_read_at;         /* when its registration was read */
+  kq_usec next_cold_start; /* no task is placed there before, while cold */
+  bool ended_as_announced; /* its earlier incarnation was draining */
+  int suspect_count;       /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 #include "sched/internal.h"
 
 /* A task whose progress has not changed for this long plus a tenth of its
@@ -162,6 +163,7 @@
     task->progress_at = now.mono;
   task->percent = row->percent;
   task->sample = row->sample;
+  disruption_update (task);
   update_checkpoint (task, row->checkpoint);
   crash_note_listed (sched, task, sent_at, now);
   if (is_stalled (task, now))
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -373,4 +373,5 @@
   job_tick_all (sched, now);
   service_track_demand (sched);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
+  evacuate_tick (sched, now);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -359,6 +359,7 @@
   int64_t crashes; /**< runs that had not settled when their worker was lost */
   int64_t lapsed_workers;   /**< workers whose runs ended with their leases */
   int evacuated_workers;    /**< registered, in a zone under evacuation */
+  int64_t evacuation_moves; /**< tasks stopped to move them out of a zone */
   int64_t evacuated_starts; /**< starts dropped because their zone was to be
                                evacuated */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
--- a/sched/share.c
+++ b/sched/share.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 #include "sched/internal.h"
 
 /* Target for the utilization of a serving task: its tail latency is then
@@ -348,7 +349,7 @@
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
     if (task->pace_percent <= SLOW_PACE_PERCENT && !task->stop_wanted
-        && !task->may_disturb
+        && !task->may_disturb && !disruption_forbids_stop (task)
         && now.mono - task->pace_changed_at > MOVE_AFTER_US
         && (task->stage->step->checkpointable
             || task->percent < MAX_LOST_PERCENT))
--- a/sched/task.c
+++ b/sched/task.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 #include "sched/internal.h"
 #include "sched/warmup.h"
 
@@ -229,6 +230,7 @@
   task->worker = NULL;
   sched->placement_due = true;
   task->state = TASK_WAITING;
+  disruption_update (task);
   sched->counts.bound_tasks--;
 }
 
@@ -258,6 +260,7 @@
       return;
     }
   task->stop_wanted = true;
+  disruption_update (task);
   if (task->phase != PHASE_STOPPING)
     queue_stop_order (sched, task, now);
 }
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
 #include "sched/warmup.h"
@@ -42,6 +43,9 @@
    must have ended. */
 #define DRAIN_MARGIN_MS 500
 
+/* Time between two ticks of the owner. */
+#define TICK_MS 100
+
 #define INITIAL_ARRAY_SIZE 64
 
 struct worker *
@@ -90,8 +94,21 @@
   return worker;
 }
 
-/* Stops long-running tasks on a draining worker at once, and checkpointable
-   tasks that cannot end there in time. */
+/* Whether a task that is not stopped now at the draining WORKER can still be
+   stopped in time. */
+static bool
+leaves_time (const struct kq_sched *sched, const struct worker *worker,
+             struct kq_sched_now now)
+{
+  int64_t left = worker->report.remaining_ms
+                 - (now.mono - worker->report_read_at) / KQ_USEC_PER_MSEC;
+
+  return left > sched->settings.stop_ms + DRAIN_MARGIN_MS + TICK_MS;
+}
+
+/* Stops checkpointable tasks that cannot end at a draining worker in time, and
+   long-running tasks: at once, or if their step has max_unavailable, as that
+   allows while there is time. */
 static void
 stop_before_drain_end (struct kq_sched *sched, struct worker *worker,
                        struct kq_sched_now now)
@@ -108,6 +125,8 @@
         = !task->stage->step->long_running
           && remaining + DRAIN_MARGIN_MS < worker->report.remaining_ms;
 
+    if (leaves_time (sched, worker, now) && disruption_forbids_stop (task))
+      continue;
     if (!ends_in_time && !task->stop_wanted
         && (task->stage->step->long_running
             || task->stage->step->checkpointable))
@@ -194,6 +213,7 @@
   draining = worker->report.draining;
   worker->report = *registration;
   worker->report_outdated = false;
+  worker->report_read_at = now.mono;
   worker->service = service_index (sched, registration->service);
   worker->registered = true;
   evacuate_update_worker (sched, worker);
--- a/t/lib-zones.c
+++ b/t/lib-zones.c
@@ -165,6 +165,7 @@
       memcpy (worker->ended[worker->ended_count - 1].checkpoint, "cp", 3);
     }
   worker->runs[index] = worker->runs[--worker->run_count];
+  worker->stopped_at[index] = worker->stopped_at[worker->run_count];
 }
 
 static void
@@ -175,12 +176,13 @@
   if (order->kind == KQ_SCHED_FX_START)
     {
       CU_ASSERT_FATAL (worker->run_count < TZ_RUNS);
+      worker->stopped_at[worker->run_count] = 0;
       worker->runs[worker->run_count++] = *order;
     }
   for (int i = 0; order->kind == KQ_SCHED_FX_STOP && i < worker->run_count;
        i++)
     if (memcmp (&worker->runs[i].run, &order->run, sizeof order->run) == 0)
-      end_run (worker, i--, KQ_SCHED_STOPPED);
+      worker->stopped_at[i] = site->cell.now.mono;
   ts_reply_order (&site->cell, order, KQ_SCHED_OK);
 }
 
@@ -191,9 +193,13 @@
     {
       const struct kq_sched_step *step = step_of (site, &worker->runs[i]);
 
-      if (!step->long_running
-          && site->cell.now.mono - worker->runs[i].at
-                 >= step->est_ms * KQ_USEC_PER_MSEC)
+      if (worker->stopped_at[i] != 0
+          && site->cell.now.mono - worker->stopped_at[i]
+                 >= site->stop_ms * KQ_USEC_PER_MSEC)
+        end_run (worker, i--, KQ_SCHED_STOPPED);
+      else if (!step->long_running
+               && site->cell.now.mono - worker->runs[i].at
+                      >= step->est_ms * KQ_USEC_PER_MSEC)
         end_run (worker, i--, KQ_SCHED_DONE);
     }
 }
@@ -249,6 +255,24 @@
   return count;
 }
 
+int
+tz_at_work (const struct tz_site *site)
+{
+  int count = 0;
+
+  for (int i = 0; i < site->worker_count; i++)
+    for (int j = 0; j < site->workers[i].run_count; j++)
+      {
+        const struct ts_order *run = &site->workers[i].runs[j];
+
+        count += step_of (site, run)->long_running
+                 && site->workers[i].stopped_at[j] == 0
+                 && site->cell.now.mono - run->at
+                        >= site->startup_ms * KQ_USEC_PER_MSEC;
+      }
+  return count;
+}
+
 struct kq_sched_counts
 tz_counts (const struct tz_site *site)
 {
--- a/t/lib-zones.h
+++ b/t/lib-zones.h
@@ -15,6 +15,7 @@
 {
   struct kq_sched_registration report;
   struct ts_order runs[TZ_RUNS];
+  kq_usec stopped_at[TZ_RUNS]; /* of the runs; 0: not stopped */
   int run_count;
   struct kq_sched_ended ended[TZ_RUNS]; /* not reported yet */
   int ended_count;
@@ -30,6 +31,7 @@
   int worker_count;
   int handled_orders;
   struct kq_sched_step steps[TZ_JOBS]; /* of the jobs, by ID */
+  int64_t stop_ms;                     /* time that a stop takes */
   int64_t startup_ms; /* after which a long-running task is at work */
 };
 
@@ -67,6 +69,9 @@
 /** Returns the number of runs in ZONE. */
 int tz_runs (const struct tz_site *site, const char *zone);
 
+/** Returns the number of long-running tasks at work. */
+int tz_at_work (const struct tz_site *site);
+
 struct kq_sched_counts tz_counts (const struct tz_site *site);
 
 #endif
