--- a/node/watch.c
+++ b/node/watch.c
@@ -17,6 +17,9 @@
 #define TERM_WAIT_MS 500
 #define CONFIG_WAIT_MS 1000
 
+/* The store's timers may run out earlier than ours by this. */
+#define WAIT_TOLERANCE_US (50 * KQ_USEC_PER_MSEC)
+
 /* Interval between reads of the term by a host that need not follow it
    closely. */
 #define TERM_READ_INTERVAL_SEC 1.0
@@ -229,10 +232,12 @@
 no_changes_until (const struct kq_watch *watch,
                   const struct kq_store_read_result *result)
 {
-  kq_usec waited = watch->config_wait_ms * KQ_USEC_PER_MSEC;
+  kq_usec waited
+      = watch->config_wait_ms * KQ_USEC_PER_MSEC - WAIT_TOLERANCE_US;
 
-  return kq_clock_now () - result->sent_at >= waited ? result->sent_at + waited
-                                                     : result->sent_at;
+  return waited > 0 && kq_clock_now () - result->sent_at >= waited
+             ? result->sent_at + waited
+             : result->sent_at;
 }
 
 /* Reports that all records which the topic held at READ_AT were applied. */
--- a/sched/evacuate.c
+++ b/sched/evacuate.c
@@ -34,9 +34,11 @@
    elsewhere take up to half of it. */
 #define MIN_REMAINING_MS 2000
 
-/* Maximum number of searches for room in one tick of 100 ms. Each visits all
-   workers, 5 us for 490 of them. */
+/* Maximum numbers of searches for room of new moves in one tick of 100 ms, and
+   of moves in progress, which are searched for again in each tick. A search
+   takes 1 to 2 us with 490 workers, so that a tick stays below 0.5 ms. */
 #define MAX_SEARCHES 64
+#define MAX_IN_PROGRESS 256
 
 static void
 log_zone (const struct kq_sched *sched, const char *event, const char *zone)
@@ -144,6 +146,7 @@
 {
   struct kq_sched *sched;
   struct kq_sched_now now;
+  int in_progress;
   int searches;
 };
 
@@ -171,7 +174,6 @@
   struct stage *stage = task->stage;
   const struct kq_sched_step *step = stage->step;
 
-  pass->searches++;
   for (size_t i = 0; i < sched->worker_count; i++)
     {
       struct worker *worker = sched->worker_array[i];
@@ -193,7 +195,7 @@
 static void
 plan_moved_task (struct move_pass *pass, const struct task *task)
 {
-  if (pass->searches < MAX_SEARCHES)
+  if (pass->in_progress++ < MAX_IN_PROGRESS)
     plan_room (pass, task);
 }
 
@@ -263,10 +265,15 @@
       continue;
     DL_FOREACH_SAFE (worker->tasks, task, next)
     {
-      if (pass->searches >= MAX_SEARCHES)
+      if (pass->searches >= MAX_SEARCHES
+          || pass->in_progress >= MAX_IN_PROGRESS)
         return;
-      if (!may_move (pass, task) || !is_kind (task) || !plan_room (pass, task))
+      if (!may_move (pass, task) || !is_kind (task))
         continue;
+      pass->searches++;
+      if (!plan_room (pass, task))
+        continue;
+      pass->in_progress++;
       task->moved = true;
       task->stage->moved = true;
       pass->sched->counts.evacuation_moves++;
