--- a/node/gauges.c
+++ b/node/gauges.c
@@ -46,6 +46,7 @@
   GAUGE_CLOSURES,
   GAUGE_ADMITTED_LATE,
   GAUGE_ADMITTED_TOO_LATE,
+  GAUGE_EVACUATION_MOVES,
   GAUGE_CONFIG_VERSION,
   GAUGE_TERM,
   GAUGE_OWNER_CHANGES,
@@ -106,6 +107,8 @@
     .help = "Jobs accepted that are expected to be late, but of use." },
   { .name = "kq_admission_spared_total",
     .help = "Jobs of no use accepted so that no kind is shut out." },
+  { .name = "kq_evacuation_moves_total",
+    .help = "Tasks stopped to move them out of a zone." },
   { .name = "kq_config_version", .help = "Configuration in force here." },
   { .name = "kq_term", .help = "Term of the owner known here." },
   { .name = "kq_owner_changes_total", .help = "Owners seen by this process." },
@@ -167,6 +170,7 @@
   kq_metric_set (&gauges[GAUGE_CLOSURES], counts->closures);
   kq_metric_set (&gauges[GAUGE_ADMITTED_LATE], counts->admitted_late);
   kq_metric_set (&gauges[GAUGE_ADMITTED_TOO_LATE], counts->admitted_too_late);
+  kq_metric_set (&gauges[GAUGE_EVACUATION_MOVES], counts->evacuation_moves);
   kq_metric_set (&gauges[GAUGE_LOG_DROPPED], (int64_t)kq_log_dropped ());
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,6 +5,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/warmup.h"
 
 /* Weights of the score in thousandths of a worker's load; the lowest score
    is selected. Source: docs/design/platform.md, "Where work goes". */
@@ -328,6 +329,7 @@
 
   if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
       || !reserve_allows (worker, task) || !large_allows (worker, task)
+      || !warmup_allows (sched, worker, now)
       || (stage->job->queue.advised
           && advice_ticket (stage, worker, now) == NULL)
       || service_takes_kept_pieces (sched, worker, task))
@@ -363,8 +365,9 @@
 
       if (!suits (sched, worker, task, now, disturbing, &interference))
         continue;
-      candidates++;
-      points = score (worker, task, interference);
+      candidates += !warmup_is_too_slow (sched, worker, task, now);
+      points = score (worker, task, interference)
+               + warmup_points (sched, worker, task, now);
       if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
         points += WEIGHT_OTHER_RACK;
       if (best == NULL || points < best_score)
@@ -604,7 +607,8 @@
   struct stage *stage;
   struct stage *next;
 
-  if (sched->superseded || !sched->placement_due
+  if (sched->superseded
+      || (!sched->placement_due && !warmup_is_placement_due (sched, now))
       || !grant_is_current (sched, now)
       || !worker_reports_are_current (sched, now)
       || !evacuate_is_current (sched, now))
@@ -612,6 +616,7 @@
   sched->placement_due = false;
   reserve_expire_holds (sched, now);
   preempt_begin_pass (sched);
+  sched->cold_retry_at = 0;
   sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
--- a/sched/task.c
+++ b/sched/task.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/disruption.h"
 #include "sched/internal.h"
+#include "sched/warmup.h"
 
 void
 run_format (const struct kq_sched_run *run, char text[64])
@@ -218,6 +220,7 @@
   DL_APPEND (worker->tasks, task);
   account_task (task, 1);
   service_note_start (sched, task);
+  warmup_note_start (worker, now);
   sched->counts.bound_tasks++;
 }
 
@@ -231,6 +234,7 @@
   task->worker = NULL;
   sched->placement_due = true;
   task->state = TASK_WAITING;
+  disruption_update (task);
   sched->counts.bound_tasks--;
 }
 
@@ -260,6 +264,7 @@
       return;
     }
   task->stop_wanted = true;
+  disruption_update (task);
   if (task->phase != PHASE_STOPPING)
     queue_stop_order (sched, task, now);
 }
