t: give simulated workers racks

Runs off the rack of their data, or of a group that is spread, take a factor longer. The simulator counts starts off the rack, the core-seconds that they cost and the work of runs that did not end done, and hashes the sequence of starts. Room for 1,000 jobs instead of 400.

--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -119,6 +119,13 @@
   uint64_t stored;
   int64_t storing_until; /* 0: no write in progress */
   uint64_t storing;      /* journal position that is being stored */
+  int workers_per_rack;  /* 0: the workers name no rack */
+  double remote_factor;  /* how much longer runs take off their rack */
+  bool factor_is_known;  /* to the scheduler */
+  int far_starts;        /* away from the rack of the data */
+  uint64_t start_hash;   /* of all starts: time, worker and task */
+  double slowed_ms;      /* time that runs took longer off their rack */
+  double discarded_ms;   /* work of runs that did not end done */
   int64_t over_target_ms;
   int64_t longest_over_target_ms;
   int64_t longest_down_ms;
@@ -126,10 +133,22 @@
 };
 
 void sim_send_event (struct sim *sim, const struct kq_sched_event *event);
+void sim_register_worker (struct sim *sim, const struct sim_worker *worker);
 void sim_crash (struct sim *sim, struct sim_worker *worker);
 
 /* Gives the addresses of crashed workers to others and removes the
    registrations of the crashed ones. */
 void sim_advance_replacements (struct sim *sim);
 
+/* Writes the rack of WORKER to RACK. */
+void sim_name_rack (const struct sim *sim, const struct sim_worker *worker,
+                    char rack[KQ_SCHED_NAME_SIZE]);
+void sim_apply_settings (struct sim *sim);
+/* Returns by which factor the run of STATE takes longer at WORKER. */
+double sim_slowdown (const struct sim *sim, const struct sim_worker *worker,
+                     const struct sim_run_state *state);
+
+void sim_note_start (struct sim *sim, const struct sim_worker *worker,
+                     const struct sim_run_state *state);
+
 #endif
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -81,8 +81,8 @@
   return sim->now - worker->started_at + 1000;
 }
 
-static void
-register_worker (struct sim *sim, const struct sim_worker *worker)
+void
+sim_register_worker (struct sim *sim, const struct sim_worker *worker)
 {
   struct kq_sched_registration report
       = { .capacity = { WORKER_CPU, WORKER_MEM, 0 },
@@ -91,6 +91,7 @@
 
   strcpy (report.id, worker->id);
   strcpy (report.service, "s");
+  sim_name_rack (sim, worker, report.rack);
   snprintf (report.address, sizeof report.address, "10.0.0.1:%s",
             worker->id + 1);
   event.u.report = &report;
@@ -108,7 +109,7 @@
   worker->end_count = 0;
   worker->acked = 0;
   worker->refused_count = 0;
-  register_worker (sim, worker);
+  sim_register_worker (sim, worker);
 }
 
 static void
@@ -124,6 +125,7 @@
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
 
   sim->sched = kq_sched_create ();
+  sim_apply_settings (sim);
   if (sim->fence > 0)
     kq_sched_add_past_term (sim->sched, sim->fence,
                             sim->confirmed_at * KQ_USEC_PER_MSEC, 0);
@@ -279,6 +281,8 @@
                                   .how = how };
   if (state->step->checkpointable && how != KQ_SCHED_DONE)
     snprintf (end->checkpoint, sizeof end->checkpoint, "%.0f", state->work_ms);
+  if (how != KQ_SCHED_DONE)
+    sim->discarded_ms += state->work_ms * (double)state->step->demand.cpu;
   refuse_run (worker, &state->run);
   task_of (sim, &state->run)->done |= how == KQ_SCHED_DONE;
   task_of (sim, &state->run)->running--;
@@ -351,6 +355,7 @@
                                    = happens (sim, sim->faults.task_fails) };
   task_of (sim, &call->run)->running++;
   task_of (sim, &call->run)->started = true;
+  sim_note_start (sim, worker, state);
   if (job_of (sim, call->run.job)->deadly && call->run.step == 0
       && call->run.index == 0)
     {
@@ -654,7 +659,12 @@
     measure_tail (sim, worker, state);
   else
     {
-      state->work_ms += STEP_MS * state->pace / 100.0;
+      double work_ms
+          = STEP_MS * state->pace / 100.0 / sim_slowdown (sim, worker, state);
+
+      sim->slowed_ms += (STEP_MS * state->pace / 100.0 - work_ms)
+                        * (double)state->step->demand.cpu;
+      state->work_ms += work_ms;
       if (state->work_ms >= (double)state->step->est_ms)
         end_run (sim, worker, state,
                  state->fails ? KQ_SCHED_FAILED : KQ_SCHED_DONE);
@@ -892,7 +902,7 @@
   kq_sched_finish_restore (sim->sched, now_of (sim));
   for (int i = 0; i < SIM_WORKERS; i++)
     if (sim->workers[i].up)
-      register_worker (sim, &sim->workers[i]);
+      sim_register_worker (sim, &sim->workers[i]);
 }
 
 void
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -15,7 +15,7 @@
  *  ended runs per worker, calls in flight and images.  */
 #define SIM_WORKERS 12
 #define SIM_RUNS 64
-#define SIM_JOBS 400
+#define SIM_JOBS 1000
 #define SIM_STEPS 8
 #define SIM_ENDS 4096
 #define SIM_CALLS 4096
@@ -46,6 +46,27 @@
 /** Sets the interference factors, which are 0 by default. */
 void sim_set_factors (struct sim *sim, const sim_factors *factors);
 
+/** Divides the workers into racks "r0", "r1" and so on of PER_RACK workers
+ *  each. Off the rack of its data or group a run takes REMOTE_FACTOR times as
+ *  long, which the scheduler knows if KNOWN.  */
+void sim_set_racks (struct sim *sim, int per_rack, double remote_factor,
+                    bool known);
+
+/** Reads the counters of the current owner. */
+void sim_count (const struct sim *sim, struct kq_sched_counts *counts);
+
+/** Returns the work in core-seconds of runs that did not end done. */
+double sim_discarded (const struct sim *sim);
+
+/** Returns the core-seconds that runs took longer off their rack. */
+double sim_slowed (const struct sim *sim);
+
+/** Returns the number of starts away from the rack of the task's data. */
+int sim_far_starts (const struct sim *sim);
+
+/** Returns a hash of the sequence of all starts. */
+uint64_t sim_start_hash (const struct sim *sim);
+
 /** Makes workers ignore pace orders. */
 void sim_ignore_pace (struct sim *sim);
 
