sched: wait for room in the rack of a task's data or group

Where runs off the rack of their data take remote_factor times as long, a task started elsewhere at once even if its rack had room a moment later. Now it waits while the expected end near is sooner than far, at most for what the run near gains and half of its slack. How soon room comes free follows from the tasks that run in the rack and from how the ends there differed from what was expected; tasks that wait already count. A group takes the rack where all of it fits first. Tasks of others are not held up, and no room is kept.

Run times off the rack are no longer taken for the queue's length, and the chain of a stage whose rack has no worker counts the factor.

Ruled out: the time between ends as the learned figure.

test-near: 13 passed. With may_wait() false 6 of 13 fail; each of these taken out alone fails one: tasks ahead, gain, slack, limit, minimum of ends, overdue ends, normalised lengths, missing racks, cancelled waits, choice of groups.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,11 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_RACK_WAITING,
+  GAUGE_RACK_WAITS,
+  GAUGE_RACK_WAITS_PAID,
+  GAUGE_RACK_WAITS_LOST,
+  GAUGE_FAR_RUNS,
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
@@ -64,6 +69,14 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_rack_waiting",
+    .help = "Tasks and gangs that wait for room in a rack." },
+  { .name = "kq_rack_waits_total", .help = "Such waits begun." },
+  { .name = "kq_rack_waits_paid_total",
+    .help = "Waits that ended with a start in the rack, within their gain." },
+  { .name = "kq_rack_waits_lost_total", .help = "Waits that did not." },
+  { .name = "kq_far_runs_total",
+    .help = "Runs away from the rack of their data or group." },
   { .name = "kq_crashes_total",
     .help = "Runs that had not settled when their worker was lost." },
   { .name = "kq_lapsed_workers_total",
@@ -107,6 +120,11 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITING], counts->rack_waiting);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS], counts->rack_waits);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS_PAID], counts->rack_waits_paid);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS_LOST], counts->rack_waits_lost);
+  kq_metric_set (&gauges[GAUGE_FAR_RUNS], counts->far_runs);
   kq_metric_set (&gauges[GAUGE_CRASHES], counts->crashes);
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "sched/length.h"
+#include "sched/near.h"
 #include "sched/pressure.h"
 #include "sched/sched.h"
 
@@ -123,6 +124,9 @@
   kq_usec ready_at;
   int64_t sample; /* tail latency in ms if it serves, else CPU used */
   kq_usec over_target_since; /* its tail exceeds its target; 0: no */
+  kq_usec wait_began;        /* for room in a rack; 0: it does not wait */
+  int wait_expected_ms;      /* what it expected then */
+  bool wait_over;            /* such a wait did not pay off */
   struct task *prev;         /* list of its worker, while bound */
   struct task *next;
 };
@@ -153,7 +157,11 @@
   int64_t due_ms;           /* wall clock by which the job should end */
   int64_t critical_path_ms; /* longest chain of steps from here, ms */
   int lateness; /* 0: in time, 1: late, 2: past three times its objective */
-  struct stage *prev; /* queue of stages with ready tasks */
+  int64_t length_ms;           /* expected run time of its tasks */
+  struct worker *group_worker; /* one in the rack chosen for its group */
+  kq_usec group_look_at;       /* no rack is looked for before this time */
+  bool group_spread;           /* its tasks have run in more than one rack */
+  struct stage *prev;          /* queue of stages with ready tasks */
   struct stage *next;
 };
 
@@ -179,6 +187,7 @@
   enum kq_sched_state state;
   bool started;         /* a task of it has started */
   bool given_up;        /* a task of it crashes its workers */
+  bool names_rack;      /* a step of it names the rack of its data */
   struct stage *stages; /* occurrences * steps */
   int stage_count;
   int stages_done;
@@ -254,11 +263,43 @@
   kq_usec quarantined_until;
   kq_usec no_starts_until;
   kq_usec pace_changed_at;
+  struct kq_near_running short_running; /* its short tasks */
+  struct rack *rack; /* NULL: none, or no difference between racks */
+  struct worker *rack_prev;
+  struct worker *rack_next;
   struct worker *prev;
   struct worker *next;
   UT_hash_handle hh;
 };
 
+struct rack_key
+{
+  int service;
+  char name[KQ_SCHED_NAME_SIZE];
+};
+
+/* What stands between a task and a start in a rack. */
+struct rack_room
+{
+  int places; /* number of workers that may run it, busy or not */
+  struct kq_sched_demand missing; /* at the worker that misses least CPU */
+};
+
+/* The workers of a service in one rack. */
+struct rack
+{
+  struct rack_key key;
+  struct kq_near_ends ends;
+  struct worker *workers;
+  int worker_count;             /* of these, registered and not draining */
+  struct kq_sched_demand ahead; /* of tasks that wait for it, in this pass */
+  uint64_t pass;
+  bool full; /* no worker had room for FULL_FOR since the last change */
+  struct kq_sched_demand full_for;
+  struct rack_room room; /* at the last search */
+  UT_hash_handle hh;
+};
+
 struct effect_node
 {
   struct kq_sched_effect effect;
@@ -309,6 +350,9 @@
   struct kq_sched_settings settings;
   struct kq_interference *interference_model;
   struct queue_run_times *lengths;
+  struct rack *racks;      /* by service and name */
+  bool racks_overflow;     /* there are more racks than are learned */
+  uint64_t placement_pass; /* number of the current or last one */
   bool advice_in_flight;   /* a request to the policy service is in flight */
   kq_usec advice_retry_at; /* no request is sent before this time */
   kq_usec interference_stored_at; /* when the model's record last fell due */
@@ -383,6 +427,11 @@
 void job_log (const struct job *job, const char *event, const char *why);
 void job_tick_all (struct kq_sched *sched, struct kq_sched_now now);
 
+/* Returns the length in ms of the longest chain of steps that begins with step
+   NUMBER. */
+int64_t job_critical_path_ms (const struct kq_sched_spec *spec,
+                              const int64_t *lengths, int number);
+
 /* task.c */
 void task_make_ready (struct kq_sched *sched, struct task *task,
                       struct kq_sched_now now);
@@ -458,6 +507,12 @@
 bool place_fits (const struct worker *worker, const struct stage *stage,
                  struct kq_sched_now now);
 
+/* Whether WORKER may run TASK, which is no filler, now; sets *POINTS to its
+   score, which is the lower the better. */
+bool place_score (struct kq_sched *sched, struct worker *worker,
+                  const struct task *task, struct kq_sched_now now,
+                  int64_t *points);
+
 /* Whether WORKER may run tasks of STAGE, regardless of its capacity. */
 bool place_meets_constraints (const struct worker *worker,
                               const struct stage *stage);
@@ -468,6 +523,60 @@
 bool place_is_within_capacity (const struct worker *worker,
                                const struct kq_sched_step *step);
 
+/* rack.c: racks and what is learned there */
+
+/* Brings the rack of WORKER in line with its registration. */
+void rack_join (struct kq_sched *sched, struct worker *worker);
+void rack_tick (struct kq_sched *sched, struct kq_sched_now now);
+void rack_destroy_all (struct kq_sched *sched);
+/* Adds (SIGN 1) or subtracts (SIGN -1) TASK, if it is short. */
+void rack_add_running (struct kq_near_running *running,
+                       const struct task *task, int sign);
+/* Records that TASK is bound, or that its run is about to be released. */
+void rack_note_bind (struct kq_sched *sched, const struct task *task,
+                     struct kq_sched_now now);
+void rack_note_release (struct kq_sched *sched, const struct task *task,
+                        struct kq_sched_now now);
+/* Records that TASK is started at its worker. */
+void rack_note_start (struct kq_sched *sched, struct task *task,
+                      struct kq_sched_now now);
+/* Returns the length in ms of the longest chain of steps from STAGE on, whose
+   tasks run longer if the rack of their data has no worker. */
+int64_t rack_critical_path_ms (const struct kq_sched *sched,
+                               const struct stage *stage);
+/* Returns by which factor the run of TASK took longer for want of its rack; 0:
+   unknown. */
+double rack_run_factor (const struct kq_sched *sched, const struct task *task);
+struct rack *rack_find (const struct kq_sched *sched, int service,
+                        const char *name);
+
+/* delay.c: tasks that wait for room in the rack of their data or group */
+
+/* Ends the wait of TASK, if it waits, because of WHY. NEAR: it starts in the
+   rack that it waited for. */
+void rack_end_wait (struct kq_sched *sched, struct task *task, bool near,
+                    const char *why, struct kq_sched_now now);
+/* Returns the rack for which TASK may wait, or NULL. */
+struct rack *rack_of_task (const struct kq_sched *sched,
+                           const struct task *task);
+/* Returns the best worker in RACK that may run TASK now, or NULL. */
+struct worker *rack_choose_worker (struct kq_sched *sched, struct rack *rack,
+                                   const struct task *task,
+                                   struct kq_sched_now now);
+/* Whether TASK, which waits for RACK and finds no room there, goes on
+   waiting. */
+bool rack_keeps_waiting (struct kq_sched *sched, struct rack *rack,
+                         struct task *task, struct kq_sched_now now);
+/* Whether TASK, which finds no room in RACK, waits for it instead of starting
+   at WORKER. */
+bool rack_begins_wait (struct kq_sched *sched, struct rack *rack,
+                       struct task *task, const struct worker *worker,
+                       struct kq_sched_now now);
+/* Chooses the rack for the group of STAGE, if it is one, by when all of it
+   fits. Returns false if a gang waits for that. */
+bool rack_choose_for_group (struct kq_sched *sched, struct stage *stage,
+                            struct kq_sched_now now);
+
 /* reserve.c */
 
 /* Reserves workers for the ready tasks of STAGE that have waited too long, if
--- a/sched/job.c
+++ b/sched/job.c
@@ -150,10 +150,16 @@
   struct stage *stage = task->stage;
   int64_t took_ms = (now.mono - task->phase_since) / KQ_USEC_PER_MSEC;
   struct queue_run_times *lengths;
+  double factor;
 
   if (task->state != TASK_BOUND || task->phase != PHASE_RUNNING
       || task->checkpoint[0] != '\0' || !has_learnable_length (stage->step))
     return;
+  /* What is learned is the length of a run near its data. */
+  factor = rack_run_factor (sched, task);
+  if (factor < 1)
+    return;
+  took_ms = (int64_t)((double)took_ms / factor);
   stage->measured_count++;
   if (took_ms > stage->longest_ms)
     stage->longest_ms = took_ms;
@@ -186,11 +192,9 @@
   return longest;
 }
 
-/* Returns the length in ms of the longest chain of steps that begins with step
-   NUMBER. */
-static int64_t
-critical_path_ms (const struct kq_sched_spec *spec, const int64_t *lengths,
-                  int number)
+int64_t
+job_critical_path_ms (const struct kq_sched_spec *spec, const int64_t *lengths,
+                      int number)
 {
   int64_t rest[KQ_SCHED_MAX_STEPS] = { 0 };
 
@@ -240,8 +244,10 @@
       stage->image = kq_interference_image (sched->interference_model,
                                             stage->step->image);
       stage->critical_path_ms
-          = critical_path_ms (&job->spec, lengths, stage->number);
+          = job_critical_path_ms (&job->spec, lengths, stage->number);
       stage->due_ms = due_ms (job, lengths, stage->occurrence);
+      stage->length_ms = lengths[stage->number];
+      job->names_rack |= stage->step->rack[0] != '\0';
       stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
       if (stage->tasks == NULL)
         return KQ_ENOMEM;
@@ -393,8 +399,10 @@
 }
 
 static void
-mark_done (struct kq_sched *sched, struct task *task)
+mark_done (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
 {
+  rack_note_release (sched, task, now);
+  rack_end_wait (sched, task, false, "task ended", now);
   task_release (sched, task);
   task_clear_ready (sched, task);
   task->state = TASK_DONE;
@@ -410,11 +418,11 @@
   if (task->state == TASK_DONE)
     return;
   learn_length (sched, task, now);
-  mark_done (sched, task);
+  mark_done (sched, task, now);
   /* The first member of a gang that is done completes all members. */
   for (int i = 0; stage->step->gang && i < stage->step->count; i++)
     if (stage->tasks[i].state != TASK_DONE)
-      mark_done (sched, &stage->tasks[i]);
+      mark_done (sched, &stage->tasks[i], now);
   job_mark_dirty (sched, stage->job);
   if (stage->done_count == stage->step->count && !job_has_ended (stage->job))
     stage_done (sched, stage, now);
@@ -453,6 +461,7 @@
 
         if (task->state == TASK_READY)
           {
+            rack_end_wait (sched, task, false, "task ended", now);
             task_clear_ready (sched, task);
             task->state = TASK_WAITING;
           }
--- a/sched/place.c
+++ b/sched/place.c
@@ -335,6 +335,18 @@
   return disturbing || *interference <= MAX_INTERFERENCE;
 }
 
+bool
+place_score (struct kq_sched *sched, struct worker *worker,
+             const struct task *task, struct kq_sched_now now, int64_t *points)
+{
+  double interference;
+
+  if (!suits (sched, worker, task, now, false, &interference))
+    return false;
+  *points = score (worker, task, interference);
+  return true;
+}
+
 /* Returns the worker with the lowest score that may run TASK, or NULL: of all
    workers, or in a large cell of the first MAX_CANDIDATES that may, from where
    the last search ended. If DISTURBING, the interference on serving tasks may
@@ -387,13 +399,35 @@
   return NULL;
 }
 
+/* Returns the worker for TASK, or NULL; sets *WAITS to whether it waits for
+   room in the rack of its data or group. */
+static struct worker *
+choose_near_or_far (struct kq_sched *sched, struct task *task,
+                    struct kq_sched_now now, bool *waits)
+{
+  struct rack *rack = rack_of_task (sched, task);
+  struct worker *worker
+      = rack != NULL ? rack_choose_worker (sched, rack, task, now) : NULL;
+
+  *waits = rack != NULL && worker == NULL
+           && rack_keeps_waiting (sched, rack, task, now);
+  if (worker != NULL || *waits)
+    return worker;
+  worker = choose_worker (sched, task, now, common_rack (task->stage), false);
+  *waits = rack != NULL && worker != NULL
+           && rack_begins_wait (sched, rack, task, worker, now);
+  return *waits ? NULL : worker;
+}
+
 static void
-queue_start_order (struct kq_sched *sched, struct task *task)
+queue_start_order (struct kq_sched *sched, struct task *task,
+                   struct kq_sched_now now)
 {
   struct job *job = task->stage->job;
   struct kq_sched_effect *effect;
 
   task->run++;
+  rack_note_start (sched, task, now);
   job_mark_dirty (sched, job);
   effect = sched_add_effect (sched, KQ_SCHED_FX_START, job->changed_position);
   if (effect == NULL)
@@ -413,6 +447,21 @@
   return NULL;
 }
 
+/* Returns a worker for TASK of a gang, in the rack chosen for it if there is
+   one, or NULL. */
+static struct worker *
+choose_for_member (struct kq_sched *sched, const struct task *task,
+                   struct kq_sched_now now)
+{
+  struct rack *rack = rack_of_task (sched, task);
+  struct worker *worker
+      = rack != NULL ? rack_choose_worker (sched, rack, task, now) : NULL;
+
+  if (worker != NULL)
+    return worker;
+  return choose_worker (sched, task, now, common_rack (task->stage), false);
+}
+
 /* Places all members of a gang or none. */
 static void
 place_gang (struct kq_sched *sched, struct stage *stage,
@@ -422,18 +471,19 @@
   int run = 0;
   struct task *task;
 
-  if (stage->ready_count < stage->step->count - stage->done_count)
+  if (stage->ready_count < stage->step->count - stage->done_count
+      || !rack_choose_for_group (sched, stage, now))
     return;
   while ((task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker
-          = choose_worker (sched, task, now, common_rack (stage), false);
+      struct worker *worker = choose_for_member (sched, task, now);
 
       if (worker == NULL)
         {
           for (int i = 0; i < stage->step->count; i++)
             if (stage->tasks[i].state == TASK_BOUND)
               {
+                rack_note_release (sched, &stage->tasks[i], now);
                 task_release (sched, &stage->tasks[i]);
                 task_make_ready (sched, &stage->tasks[i], now);
               }
@@ -447,7 +497,7 @@
     if (stage->tasks[i].state == TASK_BOUND)
       {
         stage->tasks[i].run = run;
-        queue_start_order (sched, &stage->tasks[i]);
+        queue_start_order (sched, &stage->tasks[i], now);
       }
 }
 
@@ -459,19 +509,22 @@
   int from = 0;
   struct task *task;
 
+  rack_choose_for_group (sched, stage, now);
   while (leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from)) != NULL)
     {
-      struct worker *worker
-          = choose_worker (sched, task, now, common_rack (stage), false);
+      bool waits;
+      struct worker *worker = choose_near_or_far (sched, task, now, &waits);
 
+      if (waits)
+        continue;
       if (worker == NULL)
         return task;
       if (!leaves_short_room (sched, pool, worker, task))
         return NULL;
       pool->short_room -= taken_room (sched, worker, task);
       task_bind (sched, task, worker, now);
-      queue_start_order (sched, task);
+      queue_start_order (sched, task, now);
       if (!stage->step->filler)
         pool->used += stage->step->demand.cpu;
     }
@@ -496,7 +549,7 @@
     return;
   task_bind (sched, task, worker, now);
   task->may_disturb = true;
-  queue_start_order (sched, task);
+  queue_start_order (sched, task, now);
 }
 
 static bool
@@ -599,6 +652,7 @@
       || !worker_reports_are_current (sched, now))
     return;
   sched->placement_due = false;
+  sched->placement_pass++;
   sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -64,6 +64,7 @@
   while (kq_sched_next_effect (sched, &effect))
     ;
   kq_interference_destroy (sched->interference_model);
+  rack_destroy_all (sched);
   LL_FOREACH_SAFE (sched->lengths, lengths, next_lengths) { free (lengths); }
   free (sched->worker_array);
   free (sched->services);
@@ -366,6 +367,7 @@
       sched->interference_stored_at = now.mono;
       sched->interference_due = true;
     }
+  rack_tick (sched, now);
   job_tick_all (sched, now);
   service_track_demand (sched);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -349,6 +349,12 @@
   int64_t moves;       /**< fillers stopped to spare serving tasks */
   int64_t stalls;      /**< tasks stopped for lack of progress */
   int64_t preemptions; /**< tasks stopped for a long-running one */
+  int rack_waiting;    /**< tasks and gangs that wait for room in a rack */
+  int64_t rack_waits;  /**< waits begun; those that ended paid off or not */
+  int64_t rack_waits_paid; /**< a start in the rack, within the gain */
+  int64_t rack_waits_lost; /**< given up, or the task was not started at all */
+  int64_t far_runs; /**< starts away from the rack of the task's data or of
+                       its group, where a task runs longer there */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
   int64_t lapsed_workers; /**< workers whose runs ended with their leases */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
--- a/sched/task.c
+++ b/sched/task.c
@@ -65,10 +65,11 @@
    otherwise all jobs would be late one after the other. Source: the
    platform's rules on credit. */
 static int
-lateness_of (const struct stage *stage, struct kq_sched_now now)
+lateness_of (const struct kq_sched *sched, const struct stage *stage,
+             struct kq_sched_now now)
 {
   int64_t objective = stage->due_ms - stage->job->accepted_ms;
-  int64_t end = now.wall_ms + stage->critical_path_ms;
+  int64_t end = now.wall_ms + rack_critical_path_ms (sched, stage);
 
   if (stage->step->long_running || end <= stage->due_ms)
     return 0;
@@ -117,7 +118,7 @@
 
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
-    int lateness = lateness_of (stage, now);
+    int lateness = lateness_of (sched, stage, now);
 
     if (lateness == stage->lateness)
       continue;
@@ -182,6 +183,7 @@
   if (crash_is_on_trial (task))
     worker->suspect_count += sign;
   worker->task_count += sign;
+  rack_add_running (&worker->short_running, task, sign);
   worker->slots_valid = false;
 }
 
@@ -214,6 +216,7 @@
   DL_APPEND (worker->tasks, task);
   account_task (task, 1);
   service_note_start (sched, task);
+  rack_note_bind (sched, task, now);
   sched->counts.bound_tasks++;
 }
 
@@ -267,6 +270,7 @@
   struct job *job = task->stage->job;
 
   task_log (task, "run ended", why);
+  rack_note_release (sched, task, now);
   task_release (sched, task);
   job_mark_dirty (sched, job);
   if (!job_has_ended (job))
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -194,6 +194,7 @@
   worker->report_outdated = false;
   worker->service = service_index (sched, registration->service);
   worker->registered = true;
+  rack_join (sched, worker);
   if (registration->draining && !draining)
     {
       log_worker (worker, "worker draining", "registration");
