sched: settle waits also where the rack is no longer known

A start settled a wait by the rack of the task's data or of the other members that are bound. It now compares with the rack that was waited for, and also after the factor was set to 1. A group that has begun is told by its counts instead of a walk over its tasks.

--- a/sched/delay.c
+++ b/sched/delay.c
@@ -393,8 +393,8 @@
   return slots;
 }
 
-/* Returns the first ready task of STAGE if all others are ready or done and
-   none is suspect, else NULL. */
+/* Returns the first ready task of STAGE, or NULL if a task of it is suspect.
+ */
 static struct task *
 first_of_ready_group (const struct stage *stage)
 {
@@ -404,7 +404,7 @@
     {
       struct task *task = &stage->tasks[i];
 
-      if (task->state == TASK_BOUND || crash_is_suspect (task))
+      if (crash_is_suspect (task))
         return NULL;
       if (task->state == TASK_READY)
         first = task;
@@ -421,11 +421,12 @@
   int64_t count = stage->ready_count;
   int64_t slots;
 
-  if (!is_group (stage->step) || !may_wait (sched, stage))
+  /* A group that has begun keeps its rack. */
+  if (!is_group (stage->step) || !may_wait (sched, stage)
+      || stage->ready_count + stage->done_count < stage->step->count)
     return true;
   holder = first_of_ready_group (stage);
-  /* A group that has begun, or that would wait task by task, keeps its rack.
-   */
+  /* So does one whose tasks wait one by one. */
   if (holder == NULL || (!stage->step->gang && holder->wait_began != 0)
       || (holder->wait_began == 0 && now.mono < stage->group_look_at))
     return true;
--- a/sched/rack.c
+++ b/sched/rack.c
@@ -234,17 +234,17 @@
 rack_note_start (struct kq_sched *sched, struct task *task,
                  struct kq_sched_now now)
 {
+  bool near = task->worker->rack != NULL
+              && rack_of_task (sched, task) == task->worker->rack;
   bool off_group;
-  bool near;
 
+  rack_end_wait (sched, task, near, near ? "near" : "far", now);
+  task->wait_over = false;
   if (!is_enabled (sched))
     return;
   off_group = is_off_group (task);
-  near = !off_group && !is_off_data (task);
   task->stage->group_spread |= off_group;
-  sched->counts.far_runs += !near;
-  rack_end_wait (sched, task, near, near ? "near" : "far", now);
-  task->wait_over = false;
+  sched->counts.far_runs += off_group || is_off_data (task);
 }
 
 double
--- a/t/test-near.c
+++ b/t/test-near.c
@@ -100,6 +100,44 @@
   stop (sim);
 }
 
+/* A wait that did not pay off must not be followed by another one. */
+static void
+test_one_wait (void)
+{
+  struct sim *sim = create_trained (1, 2);
+  struct kq_sched_step step = step_near ("r0", 1, 1000);
+  int job;
+
+  fill (sim, 1, SLOTS, 800, 60);
+  job = sim_submit (sim, "batch", &step, 1);
+  job_find (sim->sched, sim->jobs[job].id)->stages[0].tasks[0].wait_over
+      = true;
+  sim_run (sim, 3000);
+  check_counts (sim);
+  CU_ASSERT_EQUAL (counts.rack_waits, 0);
+  CU_ASSERT_EQUAL (counts.far_runs, 1);
+  stop (sim);
+}
+
+/* A task that finds no room anywhere does not wait for its rack by choice, and
+   must go on to hold back what is less urgent. */
+static void
+test_full_cell (void)
+{
+  struct sim *sim = create_trained (1, 2);
+  struct kq_sched_step step = step_near ("r0", 1, 1000);
+  int job;
+
+  fill (sim, RACKS, SLOTS, 800, 60);
+  job = sim_submit (sim, "urgent", &step, 1);
+  sim_run (sim, 40);
+  check_counts (sim);
+  CU_ASSERT_EQUAL (counts.rack_waits, 0);
+  sim_run (sim, 4000);
+  CU_ASSERT (sim_job_time (sim, job) > 0);
+  stop (sim);
+}
+
 /* Of many tasks for a full rack only those may wait that find room before they
    would have been better off elsewhere. */
 static void
@@ -306,8 +344,10 @@
 static uint64_t
 hash_choices (unsigned long seed, double remote_factor, bool racked)
 {
-  const struct sim_faults faults
-      = { .lose_reply = 0.01, .task_fails = 0.02, .worker_crash = 0.1 };
+  const struct sim_faults faults = { .lose_reply = 0.01,
+                                     .task_fails = 0.02,
+                                     .worker_crash = 0.1,
+                                     .takeover = 0.05 };
   struct sim *sim = sim_create (seed, &faults);
   uint64_t hash;
 
@@ -328,10 +368,30 @@
       sim_run (sim, 60);
     }
   hash = sim_start_hash (sim);
+  sim_stop_faults (sim);
+  sim_run (sim, 60000);
+  for (int i = 0; i < 250; i++)
+    {
+      int state = sim_state (sim, i);
+
+      CU_ASSERT ((state != KQ_SCHED_QUEUED && state != KQ_SCHED_ACTIVE)
+                 || i % 50 == 0);
+    }
+  sim_count (sim, &counts);
+  CU_ASSERT_EQUAL (counts.rack_waiting, 0);
   stop (sim);
   return hash;
 }
 
+/* Losses of replies, workers and owners must not leave a task waiting, start
+   one twice or upset the counts. */
+static void
+test_faults (void)
+{
+  for (unsigned long seed = 1; seed <= 10; seed++)
+    hash_choices (seed, 2, true);
+}
+
 /* Without a difference between racks, or without steps that name one, each
    choice must be the same as if there were no waits. */
 static void
@@ -456,6 +516,8 @@
   { "expectation", test_expectation },
   { "limits of a wait", test_limits },
   { "rack full and emptying soon", test_emptying_soon },
+  { "one wait", test_one_wait },
+  { "full cell", test_full_cell },
   { "tasks ahead", test_tasks_ahead },
   { "rack full for long", test_full_for_long },
   { "hot rack", test_hot_rack },
@@ -464,6 +526,7 @@
   { "owner lost, no figures", test_takeover },
   { "cancel", test_cancel },
   { "unaffected choices", test_unaffected_choices },
+  { "faults", test_faults },
   { "learned length", test_learned_length },
   { "rack without workers", test_missing_rack },
 };
