--- a/node/gauges.c
+++ b/node/gauges.c
@@ -35,6 +35,11 @@
   GAUGE_URGENT_PREEMPTIONS,
   GAUGE_PREEMPTED_WORK,
   GAUGE_PREEMPTIONS_REFUSED,
+  GAUGE_RACK_WAITING,
+  GAUGE_RACK_WAITS,
+  GAUGE_RACK_WAITS_PAID,
+  GAUGE_RACK_WAITS_LOST,
+  GAUGE_FAR_RUNS,
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
@@ -85,6 +90,14 @@
     .help = "Work discarded for urgent work, core-milliseconds." },
   { .name = "kq_urgent_preemptions_refused_total",
     .help = "Preemptions for urgent work that the budget did not allow." },
+  { .name = "kq_rack_waiting",
+    .help = "Tasks and gangs that wait for room in a rack." },
+  { .name = "kq_rack_waits_total", .help = "Such waits begun." },
+  { .name = "kq_rack_waits_paid_total",
+    .help = "Waits that ended with a start in the rack, within their gain." },
+  { .name = "kq_rack_waits_lost_total", .help = "Waits that did not." },
+  { .name = "kq_far_runs_total",
+    .help = "Runs away from the rack of their data or group." },
   { .name = "kq_crashes_total",
     .help = "Runs that had not settled when their worker was lost." },
   { .name = "kq_lapsed_workers_total",
@@ -159,6 +172,11 @@
                  counts->preempted_work / MILLICORES_PER_CORE);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS_REFUSED],
                  counts->preemptions_refused);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITING], counts->rack_waiting);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS], counts->rack_waits);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS_PAID], counts->rack_waits_paid);
+  kq_metric_set (&gauges[GAUGE_RACK_WAITS_LOST], counts->rack_waits_lost);
+  kq_metric_set (&gauges[GAUGE_FAR_RUNS], counts->far_runs);
   kq_metric_set (&gauges[GAUGE_CRASHES], counts->crashes);
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -218,6 +218,7 @@
   worker->registered = true;
   evacuate_update_worker (sched, worker);
   warmup_note_registration (worker, now);
+  rack_join (sched, worker);
   if (registration->draining && !draining)
     {
       log_worker (worker, "worker draining", "registration");
