--- a/t/test-evacuate.c
+++ b/t/test-evacuate.c
@@ -242,6 +242,27 @@
     }
 }
 
+/* Guards against moves that leave no room for short tasks in the other zones:
+   of 6 cores there, short tasks have lately needed more than a seventh. */
+static void
+test_room_for_short_tasks_stays (void)
+{
+  const struct kq_sched_step lasting = { .demand = { 1000, 10, 0 },
+                                         .est_ms = 800,
+                                         .long_running = true,
+                                         .max_unavailable = 2 };
+  struct tz_site *site = start_full_zone (&lasting, 6, 6000, 0);
+
+  tz_submit (site, 2, 2, &brief);
+  tz_run (site, 1000);
+  CU_ASSERT_EQUAL (tz_counts (site).ends[KQ_SCHED_DONE], 2);
+  tz_evacuate (site, "a");
+  tz_run (site, 8000);
+  CU_ASSERT_EQUAL (tz_runs (site, 'b'), 5);
+  CU_ASSERT_EQUAL (tz_at_work (site), 6);
+  tz_destroy (site);
+}
+
 /* An owner that may start nothing moves nothing, nor one whose zone was taken
    back. */
 static void
@@ -272,6 +293,7 @@
   { "resumable tasks", test_resumable_tasks },
   { "moved tasks hold room", test_moved_tasks_hold_room },
   { "long-running tasks", test_long_running_tasks },
+  { "room for short tasks stays", test_room_for_short_tasks_stays },
   { "moves end", test_moves_end },
 };
 
