sched: admission counts only tasks ahead that a job cannot pass

Cause: small tasks pass larger ones that find no room, so the whole backlog ahead is no lower bound of their wait.

The backlog is now kept by size as well, and tasks of a larger class than all of a job's own do not count; the room is that in pieces of its size. The new assertion in "only what comes before counts" fails without the change.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -3,6 +3,7 @@
  * that is refused was never stored.
  */
 #include <stdio.h>
+#include <string.h>
 
 #include "log/log.h"
 #include "sched/internal.h"
@@ -64,22 +65,30 @@
       if (work > 0)
         kq_admit_add_work (&sched->services[job->service].admit,
                            job->queue.priority, stage->due_ms - now.wall_ms,
-                           late, work);
+                           late, stage->step->demand.cpu, work);
     }
 }
 
-/* Returns the CPU of WORKER for short tasks: what long-running ones leave, in
-   whole tasks of the mean size. Rests that suit none do not speed up the
-   backlog. */
-static int64_t
-short_room (const struct kq_sched *sched, const struct worker *worker)
+/* Adds the CPU of WORKER for short tasks to ROOM: what long-running ones
+   leave, in whole tasks of each size, but of the mean size at most. Rests that
+   suit none do not speed up the backlog. */
+static void
+add_room (const struct kq_sched *sched, const struct worker *worker,
+          double room[KQ_ADMIT_SIZE_CLASSES])
 {
   int64_t left = worker->report.capacity.cpu - worker->long_running_cpu;
-  int64_t size = (int64_t)sched->services[worker->service].mean_cpu;
+  int64_t mean = (int64_t)sched->services[worker->service].mean_cpu;
 
   if (left <= 0)
-    return 0;
-  return size > 0 ? left / size * size : left;
+    return;
+  for (int i = 0; i < KQ_ADMIT_SIZE_CLASSES; i++)
+    {
+      int64_t size = kq_admit_smallest_size (i);
+
+      if (size > mean)
+        size = mean;
+      room[i] += (double)(size > 0 ? left / size * size : left);
+    }
 }
 
 static bool
@@ -120,18 +129,19 @@
 admission_end_tick (struct kq_sched *sched, struct kq_sched_now now)
 {
   for (int i = 0; i < sched->service_count; i++)
-    sched->services[i].admission_room = 0;
+    memset (sched->services[i].admission_room, 0,
+            sizeof sched->services[i].admission_room);
   for (size_t i = 0; i < sched->worker_count; i++)
     {
       const struct worker *worker = sched->worker_array[i];
 
       if (worker->service >= 0 && worker_usable (worker, now))
-        sched->services[worker->service].admission_room
-            += short_room (sched, worker);
+        add_room (sched, worker,
+                  sched->services[worker->service].admission_room);
     }
   for (int i = 0; i < sched->service_count; i++)
     kq_admit_end_update (&sched->services[i].admit,
-                         (double)sched->services[i].admission_room);
+                         sched->services[i].admission_room);
   close_queues (sched, sched->admission_elapsed_ms, now);
 }
 
@@ -224,6 +234,17 @@
   log_refusals (known, retry_s, now);
 }
 
+static int64_t
+largest_cpu (const struct kq_sched_spec *spec)
+{
+  int64_t cpu = 0;
+
+  for (int i = 0; i < spec->step_count; i++)
+    if (!spec->steps[i].filler && spec->steps[i].demand.cpu > cpu)
+      cpu = spec->steps[i].demand.cpu;
+  return cpu;
+}
+
 bool
 admission_refuses (struct kq_sched *sched, const struct job *job,
                    struct kq_sched_now now, int64_t *retry_ms)
@@ -252,7 +273,8 @@
       note_refusal (sched, known, retry_s, retry_ms, now);
       return true;
     }
-  kq_close_note_job (&known->close, request.objective_ms);
+  kq_close_note_job (&known->close, request.objective_ms,
+                     largest_cpu (&job->spec));
   for (int i = 0; i < job->spec.step_count; i++)
     lengths[i] = held_ms (sched, job, job->stages[i].length_ms);
   service = &sched->services[job->service].admit;
--- a/sched/admit.c
+++ b/sched/admit.c
@@ -3,12 +3,16 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 #include <xxhash.h>
 
 /* Due times are told apart from this logarithm of the slack in ms on, four for
    each doubling. */
 #define MIN_SLACK_LOG2 6
-#define BINS_PER_DOUBLING_LOG2 2
+#define CLASSES_PER_DOUBLING_LOG2 2
+
+/* Task sizes are told apart from this logarithm of the CPU on: half a core. */
+#define MIN_CPU_LOG2 9
 
 /* Time over which the rate of arrivals is averaged: shorter than a burst of 6
    s, longer than the gaps between the jobs of a steady stream. */
@@ -48,29 +52,55 @@
   return priority < KQ_ADMIT_PRIORITIES ? priority : KQ_ADMIT_PRIORITIES - 1;
 }
 
-/* Returns the class of due times that SLACK_MS belongs to and sets *PART to
-   how much of the class lies before it. */
+/* Returns the class of VALUE among COUNT, four for each doubling from 2 to the
+   power of MIN_LOG2 on, and sets *PART to how much of the class lies below
+   VALUE. */
 static int
-bin_index (int64_t slack_ms, double *part)
+class_of (int64_t value, int min_log2, int count, double *part)
 {
-  int log2_slack;
+  int log2_value;
   int shift;
   int index;
 
   *part = 0;
-  if (slack_ms < INT64_C (1) << MIN_SLACK_LOG2)
+  if (value < INT64_C (1) << min_log2)
     return 0;
-  log2_slack = 63 - __builtin_clzll ((unsigned long long)slack_ms);
-  shift = log2_slack - BINS_PER_DOUBLING_LOG2;
-  index = ((log2_slack - MIN_SLACK_LOG2) << BINS_PER_DOUBLING_LOG2)
-          + (int)(slack_ms >> shift) - (1 << BINS_PER_DOUBLING_LOG2);
-  if (index >= KQ_ADMIT_BINS)
-    return KQ_ADMIT_BINS - 1;
-  *part = (double)(slack_ms & ((INT64_C (1) << shift) - 1))
+  log2_value = 63 - __builtin_clzll ((unsigned long long)value);
+  shift = log2_value - CLASSES_PER_DOUBLING_LOG2;
+  index = ((log2_value - min_log2) << CLASSES_PER_DOUBLING_LOG2)
+          + (int)(value >> shift) - (1 << CLASSES_PER_DOUBLING_LOG2);
+  if (index >= count)
+    return count - 1;
+  *part = (double)(value & ((INT64_C (1) << shift) - 1))
           / (double)(INT64_C (1) << shift);
   return index;
 }
 
+static int
+bin_index (int64_t slack_ms, double *part)
+{
+  return class_of (slack_ms, MIN_SLACK_LOG2, KQ_ADMIT_BINS, part);
+}
+
+int
+kq_admit_size_class (int64_t cpu)
+{
+  double part;
+
+  return class_of (cpu, MIN_CPU_LOG2, KQ_ADMIT_SIZE_CLASSES, &part);
+}
+
+int64_t
+kq_admit_smallest_size (int size_class)
+{
+  int part = size_class & ((1 << CLASSES_PER_DOUBLING_LOG2) - 1);
+  int doublings = size_class >> CLASSES_PER_DOUBLING_LOG2;
+
+  return (INT64_C (1) << (MIN_CPU_LOG2 + doublings
+                          - CLASSES_PER_DOUBLING_LOG2))
+         * ((1 << CLASSES_PER_DOUBLING_LOG2) + part);
+}
+
 void
 kq_admit_begin_update (struct kq_admit_service *service, int64_t elapsed_ms)
 {
@@ -81,36 +111,48 @@
   for (int i = 0; i < KQ_ADMIT_PRIORITIES; i++)
     {
       struct kq_admit_level *level = &service->levels[i];
-      double rate = elapsed_ms > 0 ? level->arrived / (double)elapsed_ms : 0;
-      double mean
-          = level->arrival_rate + weight * (rate - level->arrival_rate);
 
-      *level = (struct kq_admit_level){ .arrival_rate = mean };
+      for (int j = 0; j < KQ_ADMIT_SIZE_CLASSES; j++)
+        {
+          double rate
+              = elapsed_ms > 0 ? level->arrived[j] / (double)elapsed_ms : 0;
+
+          level->arrival_rate[j] += weight * (rate - level->arrival_rate[j]);
+        }
+      memset (level->in_time, 0, sizeof level->in_time);
+      memset (level->in_time_sum, 0, sizeof level->in_time_sum);
+      memset (level->late, 0, sizeof level->late);
+      memset (level->arrived, 0, sizeof level->arrived);
     }
 }
 
 void
 kq_admit_add_work (struct kq_admit_service *service, int priority,
-                   int64_t slack_ms, bool late, double work)
+                   int64_t slack_ms, bool late, int64_t cpu, double work)
 {
   struct kq_admit_level *level = &service->levels[level_index (priority)];
+  int size = kq_admit_size_class (cpu);
   double part;
 
   if (late)
     {
-      level->late += work;
+      level->late[size] += work;
       return;
     }
-  level->in_time[bin_index (slack_ms, &part)] += work;
-  level->in_time_sum += work;
+  level->in_time[bin_index (slack_ms, &part)][size] += work;
+  level->in_time_sum[size] += work;
 }
 
 void
-kq_admit_end_update (struct kq_admit_service *service, double room)
+kq_admit_end_update (struct kq_admit_service *service,
+                     const double room[KQ_ADMIT_SIZE_CLASSES])
 {
-  service->room *= 1 - ROOM_FADE;
-  if (service->room < room || room <= 0)
-    service->room = room;
+  for (int i = 0; i < KQ_ADMIT_SIZE_CLASSES; i++)
+    {
+      service->room[i] *= 1 - ROOM_FADE;
+      if (service->room[i] < room[i] || room[0] <= 0)
+        service->room[i] = room[i];
+    }
 }
 
 double
@@ -127,7 +169,8 @@
          const struct kq_sched_step *step, int64_t length_ms)
 {
   double waves
-      = ceil ((double)step->count * (double)step->demand.cpu / service->room);
+      = ceil ((double)step->count * (double)step->demand.cpu
+              / service->room[kq_admit_size_class (step->demand.cpu)]);
 
   /* The run time of fillers depends on what others leave; without them the
      estimate stays a lower bound. */
@@ -158,59 +201,66 @@
   return longest;
 }
 
-/* Returns the room that is left for a priority while work of others arrives
-   at RATE. */
+/* Returns the room for tasks of the class SIZE and smaller ones beside what
+   arrives of them of the priorities up to PRIORITY. */
+static double
+room_beside (const struct kq_admit_service *service, int size, int priority)
+{
+  double room = service->room[size];
+  double rate = 0;
+
+  for (int i = 0; i <= priority; i++)
+    for (int j = 0; j <= size; j++)
+      rate += service->levels[i].arrival_rate[j];
+  return room - rate > room * MIN_ROOM_SHARE ? room - rate
+                                             : room * MIN_ROOM_SHARE;
+}
+
+/* Returns the sum of WORK over the class SIZE and smaller ones. */
 static double
-room_beside (const struct kq_admit_service *service, double rate)
+sum_up_to (const double work[KQ_ADMIT_SIZE_CLASSES], int size)
 {
-  double least = service->room * MIN_ROOM_SHARE;
+  double sum = 0;
+
+  for (int i = 0; i <= size; i++)
+    sum += work[i];
+  return sum;
+}
 
-  return service->room - rate > least ? service->room - rate : least;
+static double
+all_work (const struct kq_admit_level *level, int size)
+{
+  return sum_up_to (level->in_time_sum, size) + sum_up_to (level->late, size);
 }
 
 /* Time until all that comes before a job in time has room. */
 static double
-wait_ms (const struct kq_admit_service *service, int priority,
+wait_ms (const struct kq_admit_service *service, int priority, int size,
          int64_t slack_ms)
 {
   const struct kq_admit_level *own = &service->levels[priority];
   double ahead = 0;
-  double rate = 0;
   double part;
   int bin = bin_index (slack_ms, &part);
 
   for (int i = 0; i < priority; i++)
-    {
-      ahead += service->levels[i].in_time_sum + service->levels[i].late;
-      rate += service->levels[i].arrival_rate;
-    }
+    ahead += all_work (&service->levels[i], size);
   for (int i = 0; i < bin; i++)
-    ahead += own->in_time[i];
-  ahead += own->in_time[bin] * part;
-  return ahead / room_beside (service, rate);
-}
-
-/* Returns the room left by what arrives of PRIORITY and of higher ones. */
-static double
-net_room (const struct kq_admit_service *service, int priority)
-{
-  double rate = 0;
-
-  for (int i = 0; i <= priority; i++)
-    rate += service->levels[i].arrival_rate;
-  return room_beside (service, rate);
+    ahead += sum_up_to (own->in_time[i], size);
+  ahead += sum_up_to (own->in_time[bin], size) * part;
+  return ahead / room_beside (service, size, priority - 1);
 }
 
 /* The same for a job that is late: all jobs of its priority that can be in
    time, also those that arrive later, come before it. */
 static double
-late_wait_ms (const struct kq_admit_service *service, int priority)
+late_wait_ms (const struct kq_admit_service *service, int priority, int size)
 {
   double ahead = 0;
 
   for (int i = 0; i <= priority; i++)
-    ahead += service->levels[i].in_time_sum + service->levels[i].late;
-  return ahead / net_room (service, priority);
+    ahead += all_work (&service->levels[i], size);
+  return ahead / room_beside (service, size, priority);
 }
 
 struct kq_admit_estimate
@@ -219,6 +269,7 @@
 {
   struct kq_admit_estimate estimate = { .verdict = KQ_ADMIT_IN_TIME };
   int priority = level_index (request->priority);
+  int size = 0;
 
   for (int i = 0; i < request->spec->step_count; i++)
     {
@@ -226,16 +277,18 @@
 
       estimate.work
           += kq_admit_step_work (step, step->count, request->lengths[i]);
+      if (!step->filler && kq_admit_size_class (step->demand.cpu) > size)
+        size = kq_admit_size_class (step->demand.cpu);
     }
-  if (service->room <= 0 || estimate.work <= 0)
+  if (service->room[size] <= 0 || estimate.work <= 0)
     return estimate;
   estimate.path_ms = path_ms (service, request);
-  estimate.wait_ms = wait_ms (service, priority, request->slack_ms);
+  estimate.wait_ms = wait_ms (service, priority, size, request->slack_ms);
   estimate.end_ms = estimate.wait_ms + estimate.path_ms;
   if (estimate.end_ms <= (double)request->slack_ms)
     return estimate;
-  estimate.end_ms = late_wait_ms (service, priority) + estimate.path_ms;
-  estimate.drain = service->room / net_room (service, priority);
+  estimate.end_ms = late_wait_ms (service, priority, size) + estimate.path_ms;
+  estimate.drain = service->room[size] / room_beside (service, size, priority);
   estimate.verdict = estimate.end_ms <= (double)(request->slack_ms
                                                  + (OF_USE_FACTOR - 1)
                                                        * request->objective_ms)
@@ -314,9 +367,20 @@
                   const struct kq_admit_request *request,
                   const struct kq_admit_estimate *estimate)
 {
-  kq_admit_add_work (service, request->priority, request->slack_ms,
-                     estimate->verdict != KQ_ADMIT_IN_TIME, estimate->work);
-  service->levels[level_index (request->priority)].arrived += estimate->work;
+  struct kq_admit_level *level
+      = &service->levels[level_index (request->priority)];
+
+  for (int i = 0; i < request->spec->step_count; i++)
+    {
+      const struct kq_sched_step *step = &request->spec->steps[i];
+      double work
+          = kq_admit_step_work (step, step->count, request->lengths[i]);
+
+      kq_admit_add_work (service, request->priority, request->slack_ms,
+                         estimate->verdict != KQ_ADMIT_IN_TIME,
+                         step->demand.cpu, work);
+      level->arrived[kq_admit_size_class (step->demand.cpu)] += work;
+    }
 }
 
 int64_t
--- a/sched/admit.h
+++ b/sched/admit.h
@@ -5,8 +5,9 @@
  *
  * The expected end of a job is a lower bound: the work ahead of it in the
  * order of the queue, divided by the room of its service, and its longest
- * chain of steps, each in as many waves as the room requires. Jobs that are
- * refused could therefore not have been in time.
+ * chain of steps, each in as many waves as the room requires. Tasks that are
+ * larger than all of its own are not ahead of it: they leave pieces of room
+ * that suit it. Jobs that are refused could therefore not have been in time.
  *
  * Work is in thousandths of a core times milliseconds.
  */
@@ -24,6 +25,10 @@
  *  minutes.  */
 #define KQ_ADMIT_BINS 64
 
+/** Number of classes of task sizes: four for each doubling from half a core to
+ *  32 cores.  */
+#define KQ_ADMIT_SIZE_CLASSES 24
+
 /** Number of jobs of a queue with which a new one's size is compared. */
 #define KQ_ADMIT_SIZES 64
 
@@ -34,21 +39,25 @@
 #define KQ_ADMIT_MIN_RETRY_S 1
 #define KQ_ADMIT_MAX_RETRY_S 30
 
-/** Work of one priority that is not started yet. */
+/** Work of one priority that is not started yet, by the size of its tasks. */
 struct kq_admit_level
 {
-  double in_time[KQ_ADMIT_BINS]; /**< by due time */
-  double in_time_sum;
-  double late;
-  double arrived;      /**< of that, admitted since the last update */
-  double arrival_rate; /**< mean over the last seconds, thousandths of a core
-                        */
+  /** by due time */
+  double in_time[KQ_ADMIT_BINS][KQ_ADMIT_SIZE_CLASSES];
+  double in_time_sum[KQ_ADMIT_SIZE_CLASSES];
+  double late[KQ_ADMIT_SIZE_CLASSES];
+  double arrived[KQ_ADMIT_SIZE_CLASSES]; /**< of that, admitted since the last
+                                            update */
+  /** mean over the last seconds, thousandths of a core */
+  double arrival_rate[KQ_ADMIT_SIZE_CLASSES];
 };
 
 /** Room and backlog of a service. */
 struct kq_admit_service
 {
-  double room; /**< CPU that long-running tasks leave; 0: unknown */
+  /** CPU that long-running tasks leave, in pieces for tasks of each size; 0:
+   *  unknown */
+  double room[KQ_ADMIT_SIZE_CLASSES];
   struct kq_admit_level levels[KQ_ADMIT_PRIORITIES];
 };
 
@@ -100,14 +109,20 @@
 void kq_admit_begin_update (struct kq_admit_service *service,
                             int64_t elapsed_ms);
 
-/** Adds WORK that waits for room, of a job that should end in SLACK_MS. */
+/** Adds WORK of tasks of CPU that wait for room, of a job that should end in
+ *  SLACK_MS.  */
 void kq_admit_add_work (struct kq_admit_service *service, int priority,
-                        int64_t slack_ms, bool late, double work);
+                        int64_t slack_ms, bool late, int64_t cpu, double work);
+
+/** Returns the class of tasks of CPU, and the smallest size of a class. */
+int kq_admit_size_class (int64_t cpu);
+int64_t kq_admit_smallest_size (int size_class);
 
-/** Completes the update; ROOM is the CPU for short tasks. Room that is gone
- *  fades over seconds: workers may be silent for a moment only. Without any
- *  room nothing is known, and all jobs count as in time.  */
-void kq_admit_end_update (struct kq_admit_service *service, double room);
+/** Completes the update; ROOM is the CPU for short tasks by size. Room that is
+ * gone fades over seconds: workers may be silent for a moment only. Without
+ * any room nothing is known, and all jobs count as in time.  */
+void kq_admit_end_update (struct kq_admit_service *service,
+                          const double room[KQ_ADMIT_SIZE_CLASSES]);
 
 /** Returns the work of a step: that of fillers, which take what is left over,
  *  and of long-running tasks is 0.  */
--- a/sched/close.c
+++ b/sched/close.c
@@ -13,8 +13,9 @@
 #define OBJECTIVE_MARGIN 2
 
 void
-kq_close_note_job (struct kq_close *close, int64_t objective_ms)
+kq_close_note_job (struct kq_close *close, int64_t objective_ms, int64_t cpu)
 {
+  close->cpus[close->next_job] = cpu;
   close->objectives[close->next_job] = objective_ms;
   close->next_job = (close->next_job + 1) % KQ_CLOSE_JOBS;
   if (close->job_count < KQ_CLOSE_JOBS)
@@ -36,20 +37,26 @@
   close->arrived = 0;
 }
 
-/* Estimates the end of the smallest job with the longest objective. */
+/* Estimates the end of a job with the longest objective and one task of the
+   smallest size. */
 static bool
 would_refuse_any (const struct kq_close *close,
                   const struct kq_admit_service *service, int priority,
-                  struct kq_admit_request *request,
+                  struct kq_sched_step *step, struct kq_admit_request *request,
                   struct kq_admit_estimate *estimate)
 {
   int64_t longest = 0;
 
   if (close->job_count < KQ_CLOSE_JOBS)
     return false;
+  step->demand.cpu = close->cpus[0];
   for (int i = 0; i < close->job_count; i++)
-    if (close->objectives[i] > longest)
-      longest = close->objectives[i];
+    {
+      if (close->objectives[i] > longest)
+        longest = close->objectives[i];
+      if (close->cpus[i] < step->demand.cpu)
+        step->demand.cpu = close->cpus[i];
+    }
   request->priority = priority;
   request->objective_ms = longest * OBJECTIVE_MARGIN;
   request->slack_ms = request->objective_ms;
@@ -62,7 +69,7 @@
                  const struct kq_admit_service *service, int priority,
                  int64_t now_ms, int64_t elapsed_ms)
 {
-  struct kq_sched_step step = { .count = 1, .demand = { .cpu = 1 } };
+  struct kq_sched_step step = { .count = 1 };
   const int64_t length_ms = 1;
   const struct kq_sched_spec spec = { .steps = &step, .step_count = 1 };
   struct kq_admit_request request = { .spec = &spec, .lengths = &length_ms };
@@ -80,8 +87,8 @@
   update_rate (close, elapsed_ms);
   queue->bulk = (int)ceil (close->rate * KQ_CLOSE_MS);
   /* Without this the credit would go to single refusals and never suffice. */
-  queue->saves
-      = would_refuse_any (close, service, priority, &request, &estimate);
+  queue->saves = would_refuse_any (close, service, priority, &step, &request,
+                                   &estimate);
   affordable_ms = close->rate > 0
                       ? (double)kq_admit_affordable (queue) / close->rate
                       : KQ_CLOSE_MS;
--- a/sched/close.h
+++ b/sched/close.h
@@ -21,6 +21,7 @@
 struct kq_close
 {
   int64_t objectives[KQ_CLOSE_JOBS]; /**< of the last jobs, ms; a ring */
+  int64_t cpus[KQ_CLOSE_JOBS];       /**< of their largest tasks */
   int job_count;
   int next_job;
   int arrived; /**< jobs since the last update */
@@ -29,8 +30,9 @@
   int64_t retry_s; /**< Retry-After while it is closed */
 };
 
-/** Counts a job that was judged. */
-void kq_close_note_job (struct kq_close *close, int64_t objective_ms);
+/** Counts a job that was judged; CPU is that of its largest tasks. */
+void kq_close_note_job (struct kq_close *close, int64_t objective_ms,
+                        int64_t cpu);
 
 /** Closes the queue if each job would be refused, for as long as the credit of
  *  QUEUE suffices. Called at each tick, ELAPSED_MS after the last one.
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -303,8 +303,8 @@
   int64_t large_need[2];
   int large_ticks; /* since the current span began */
   struct kq_admit_service admit;
-  int64_t admission_room; /* CPU for short tasks, as summed up by a tick */
-  double start_ms;        /* mean time from placement to start of a task */
+  double admission_room[KQ_ADMIT_SIZE_CLASSES]; /* as summed up by a tick */
+  double start_ms; /* mean time from placement to start of a task */
 };
 
 struct kq_sched
--- a/t/test-admit.c
+++ b/t/test-admit.c
@@ -31,6 +31,16 @@
                                     .objective_ms = SLACK_MS };
 }
 
+static void
+set_room (struct kq_admit_service *service)
+{
+  double room[KQ_ADMIT_SIZE_CLASSES];
+
+  for (int i = 0; i < KQ_ADMIT_SIZE_CLASSES; i++)
+    room[i] = ROOM;
+  kq_admit_end_update (service, room);
+}
+
 static enum kq_admit_verdict
 verdict_of (const struct kq_admit_service *service, int priority)
 {
@@ -43,20 +53,22 @@
 static void
 test_order (void)
 {
-  struct kq_admit_service service = { .room = 0 };
+  struct kq_admit_service service = { .room = { 0 } };
   double ten_seconds = ROOM * 10000.0;
 
   CU_ASSERT_EQUAL (verdict_of (&service, 2), KQ_ADMIT_IN_TIME);
-  kq_admit_end_update (&service, ROOM);
-  kq_admit_add_work (&service, 2, 2 * SLACK_MS, false, ten_seconds);
-  kq_admit_add_work (&service, 2, -1, true, ten_seconds);
+  set_room (&service);
+  kq_admit_add_work (&service, 2, 2 * SLACK_MS, false, 2000, ten_seconds);
+  kq_admit_add_work (&service, 2, -1, true, 2000, ten_seconds);
   CU_ASSERT_EQUAL (verdict_of (&service, 2), KQ_ADMIT_IN_TIME);
-  kq_admit_add_work (&service, 2, SLACK_MS / 2, false, ten_seconds / 10);
+  kq_admit_add_work (&service, 2, SLACK_MS / 2, false, 2000, ten_seconds / 10);
   CU_ASSERT_EQUAL (verdict_of (&service, 2), KQ_ADMIT_IN_TIME);
-  kq_admit_add_work (&service, 2, SLACK_MS / 2, false, ten_seconds / 10);
+  kq_admit_add_work (&service, 2, SLACK_MS / 2, false, 2000, ten_seconds / 10);
   CU_ASSERT_EQUAL (verdict_of (&service, 2), KQ_ADMIT_TOO_LATE);
   CU_ASSERT_EQUAL (verdict_of (&service, 1), KQ_ADMIT_IN_TIME);
-  kq_admit_add_work (&service, 0, SLACK_MS, true, ten_seconds);
+  kq_admit_add_work (&service, 0, SLACK_MS, false, 4000, ten_seconds);
+  CU_ASSERT_EQUAL (verdict_of (&service, 1), KQ_ADMIT_IN_TIME);
+  kq_admit_add_work (&service, 0, SLACK_MS, true, 2000, ten_seconds);
   CU_ASSERT_EQUAL (verdict_of (&service, 1), KQ_ADMIT_TOO_LATE);
   kq_admit_begin_update (&service, 100);
   CU_ASSERT_EQUAL (verdict_of (&service, 2), KQ_ADMIT_IN_TIME);
@@ -70,9 +82,10 @@
   struct kq_sched_step wide = pure_step;
   struct kq_sched_spec spec = { .steps = &wide, .step_count = 1 };
   struct kq_admit_request request = request_of (1, 2);
-  struct kq_admit_service service = { .room = ROOM };
+  struct kq_admit_service service = { .room = { 0 } };
   struct kq_admit_estimate estimate;
 
+  set_room (&service);
   request.spec = &spec;
   wide.count = 4 * ROOM / 2000;
   estimate = kq_admit_estimate (&service, &request);
@@ -180,7 +193,7 @@
     WINDOW = 50
   };
   static int refused[TICKS];
-  struct kq_admit_service service = { .room = ROOM };
+  struct kq_admit_service service = { .room = { 0 } };
   struct kq_admit_queue queue = { .credit = 0 };
   struct kq_admit_request request = request_of (1, 2);
   struct kq_close closing = { .rate = 0 };
@@ -191,9 +204,9 @@
       bool overloaded = tick >= TICKS / 3;
 
       kq_admit_begin_update (&service, 100);
-      kq_admit_add_work (&service, 2, SLACK_MS / 2, false,
+      kq_admit_add_work (&service, 2, SLACK_MS / 2, false, 2000,
                          overloaded ? ROOM * 60000.0 : 0);
-      kq_admit_end_update (&service, ROOM);
+      set_room (&service);
       closures += kq_close_update (&closing, &queue, &service, 2,
                                    INT64_C (100) * tick, 100);
       CU_ASSERT (overloaded || closures == 0);
@@ -206,7 +219,7 @@
             refused[tick]++;
           else
             {
-              kq_close_note_job (&closing, SLACK_MS);
+              kq_close_note_job (&closing, SLACK_MS, 2000);
               refused[tick] += !kq_admit_decide (&queue, &estimate);
             }
         }
