sched: clear a level of the backlog as a whole

GCC warned of an access beyond the array in the sanitized build, where the arrays of a level were cleared one by one: no program compiled with SAN=address,undefined.

--- a/sched/admit.c
+++ b/sched/admit.c
@@ -111,18 +111,18 @@
   for (int i = 0; i < KQ_ADMIT_PRIORITIES; i++)
     {
       struct kq_admit_level *level = &service->levels[i];
+      double rates[KQ_ADMIT_SIZE_CLASSES];
 
       for (int j = 0; j < KQ_ADMIT_SIZE_CLASSES; j++)
         {
           double rate
               = elapsed_ms > 0 ? level->arrived[j] / (double)elapsed_ms : 0;
 
-          level->arrival_rate[j] += weight * (rate - level->arrival_rate[j]);
+          rates[j] = level->arrival_rate[j]
+                     + weight * (rate - level->arrival_rate[j]);
         }
-      memset (level->in_time, 0, sizeof level->in_time);
-      memset (level->in_time_sum, 0, sizeof level->in_time_sum);
-      memset (level->late, 0, sizeof level->late);
-      memset (level->arrived, 0, sizeof level->arrived);
+      memset (level, 0, sizeof *level);
+      memcpy (level->arrival_rate, rates, sizeof rates);
     }
 }
 
