sched: bound the lengths of gangs in the backlog

Gangs are not measured, so their callers' estimates, which may be far too long, counted in full against the jobs behind them. Not shown by a test.

--- a/sched/job.c
+++ b/sched/job.c
@@ -219,6 +219,22 @@
          + (int64_t)(job->queue.stretch * (double)chain);
 }
 
+/* Returns how long admission expects the tasks of STEP to run, for which
+   LENGTH is expected otherwise. Gangs are not measured, and their callers may
+   be far off: the other steps of the queue are a bound. */
+static int64_t
+bounded_length_ms (struct kq_sched *sched, const struct job *job,
+                   const struct kq_sched_step *step, int64_t length)
+{
+  const struct queue_run_times *known = job_run_times (sched, job->queue_name);
+  int64_t learned;
+
+  if (!step->gang || known == NULL)
+    return length;
+  learned = kq_length_estimate (&known->length, step->est_ms);
+  return learned < length ? learned : length;
+}
+
 int
 job_build (struct kq_sched *sched, struct job *job)
 {
@@ -242,7 +258,8 @@
       stage->critical_path_ms
           = critical_path_ms (&job->spec, lengths, stage->number);
       stage->due_ms = due_ms (job, lengths, stage->occurrence);
-      stage->length_ms = lengths[stage->number];
+      stage->length_ms = bounded_length_ms (sched, job, stage->step,
+                                            lengths[stage->number]);
       stage->tasks = calloc ((size_t)stage->step->count, sizeof *stage->tasks);
       if (stage->tasks == NULL)
         return KQ_ENOMEM;
