--- a/sched/count.c
+++ b/sched/count.c
@@ -43,6 +43,29 @@
   }
 }
 
+/* What is held at workers is held for ready tasks. */
+static void
+assert_holds (const struct kq_sched *sched)
+{
+  const struct worker *worker;
+  const struct stage *stage;
+  int64_t cpu = 0;
+  int count = 0;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    assert (worker->held_count >= 0);
+    count += worker->held_count;
+    cpu += worker->held.cpu;
+  }
+  DL_FOREACH (sched->queue, stage)
+  {
+    count -= stage->held_count;
+    cpu -= stage->held_count * stage->step->demand.cpu;
+  }
+  assert (count == 0 && cpu == 0);
+}
+
 void
 kq_sched_assert (const struct kq_sched *sched)
 {
@@ -75,4 +98,5 @@
             && used.gpu == worker->used.gpu);
   }
   assert (bound == sched->counts.bound_tasks);
+  assert_holds (sched);
 }
