--- a/sched/count.c
+++ b/sched/count.c
@@ -55,6 +55,29 @@
   }
 }
 
+/* What is held at workers is held for ready tasks. */
+static void
+assert_large_holds (const struct kq_sched *sched)
+{
+  const struct worker *worker;
+  const struct stage *stage;
+  int64_t cpu = 0;
+  int count = 0;
+
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    assert (worker->large_count >= 0);
+    count += worker->large_count;
+    cpu += worker->large_held.cpu;
+  }
+  DL_FOREACH (sched->queue, stage)
+  {
+    count -= stage->large_count;
+    cpu -= stage->large_count * stage->step->demand.cpu;
+  }
+  assert (count == 0 && cpu == 0);
+}
+
 void
 kq_sched_assert (const struct kq_sched *sched)
 {
@@ -93,4 +116,5 @@
   DL_FOREACH (sched->queue, stage) { ready += stage->ready_count; }
   assert (ready == sched->counts.ready_tasks);
   reserve_assert (sched);
+  assert_large_holds (sched);
 }
