node: let heartbeats show the state of the store, and tell lost answers apart

Cause: an owner without anything to store learns of an outage only from the first submission, whose caller then waits for the answer of its append until its deadline. And when the answer of a single append was lost, the new jobs that waited behind it were taken back although its repetition was answered 1 ms later.

--- a/node/journal.c
+++ b/node/journal.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/outage.h"
 
 /* An append without a reply is repeated after INITIAL_TIMEOUT_US, which
    doubles up to MAX_TIMEOUT_US. The first timeout shows that the store is
@@ -57,13 +58,7 @@
   ev_timer_set (&journal->retry,
                 result->err == KQ_ELOG_UNKNOWN ? 0 : RETRY_DELAY_SEC, 0);
   ev_timer_start (journal->loop, &journal->retry);
-  /* An append for which memory is short tells nothing about the store. */
-  if (result->err != KQ_ENOMEM)
-    journal->handler.on_attempt (journal->handler.arg,
-                                 result->answered && result->not_stored
-                                     ? KQ_OUTAGE_REFUSED
-                                     : KQ_OUTAGE_NO_ANSWER,
-                                 result->sent_at);
+  journal->handler.on_attempt (journal->handler.arg, result);
 }
 
 static void
@@ -76,8 +71,7 @@
   journal->timeout = INITIAL_TIMEOUT_US;
   journal->sequence++;
   journal->confirmed_at = result->sent_at;
-  journal->handler.on_attempt (journal->handler.arg, KQ_OUTAGE_ANSWERED,
-                               result->sent_at);
+  journal->handler.on_attempt (journal->handler.arg, result);
   if (kq_append_advance (&journal->append))
     {
       journal->handler.on_maybe_stored (journal->handler.arg,
@@ -110,8 +104,7 @@
     {
       kq_log (KQ_LOG_WARN, "journal", "append sequence number corrected", 0,
               NULL);
-      journal->handler.on_attempt (journal->handler.arg, KQ_OUTAGE_ANSWERED,
-                                   result->sent_at);
+      journal->handler.on_attempt (journal->handler.arg, result);
       journal->sequence = result->expected_sequence;
       send_batch (journal);
     }
@@ -206,3 +199,9 @@
 {
   return journal->failures > 0;
 }
+
+bool
+kq_journal_is_idle (const struct kq_journal *journal)
+{
+  return !journal->append_in_flight;
+}
--- a/node/journal.h
+++ b/node/journal.h
@@ -9,7 +9,6 @@
 #include <ev.h>
 
 #include "node/append.h"
-#include "node/outage.h"
 #include "sched/sched.h"
 
 struct kq_journal;
@@ -24,10 +23,9 @@
   void (*on_fenced) (void *arg);
   /** The store holds, or may hold, some of the records of POSITION. */
   void (*on_maybe_stored) (void *arg, uint64_t position);
-  /** An attempt that was sent at SENT_AT has ended, and none is in flight.
-   *  New jobs may be withdrawn now.  */
-  void (*on_attempt) (void *arg, enum kq_outage_result result,
-                      kq_usec sent_at);
+  /** An attempt has ended with RESULT, and none is in flight. New jobs may be
+   *  withdrawn now.  */
+  void (*on_attempt) (void *arg, const struct kq_store_append_result *result);
 };
 
 struct kq_journal *
@@ -51,6 +49,9 @@
 /** Returns when the last stored append was sent. */
 kq_usec kq_journal_confirmed_at (const struct kq_journal *journal);
 
+/** Returns whether no append is in flight or to be repeated. */
+bool kq_journal_is_idle (const struct kq_journal *journal);
+
 /** Returns whether the append in flight has failed at least once. */
 bool kq_journal_is_failing (const struct kq_journal *journal);
 
--- a/node/node.c
+++ b/node/node.c
@@ -369,6 +369,15 @@
   follow_term (arg);
 }
 
+static void
+on_term_append (void *arg, const struct kq_store_append_result *result)
+{
+  struct node *node = arg;
+
+  if (node->owner != NULL)
+    kq_owner_note_term_append (node->owner, result);
+}
+
 static void
 on_config (void *arg, struct kq_sched_config *config)
 {
@@ -610,8 +619,10 @@
 static int
 start (struct node *node, int metrics_port)
 {
-  struct kq_watch_handler watch
-      = { .arg = node, .on_term = on_term_changed, .on_config = on_config };
+  struct kq_watch_handler watch = { .arg = node,
+                                    .on_term = on_term_changed,
+                                    .on_append = on_term_append,
+                                    .on_config = on_config };
   struct kq_host self;
   int err;
 
--- a/node/outage.c
+++ b/node/outage.c
@@ -28,9 +28,11 @@
 
   if (result == KQ_OUTAGE_ANSWERED)
     {
-      *outage = (struct kq_outage){ .failures = 0 };
+      *outage = (struct kq_outage){ .answered_at = now };
       return was_away;
     }
+  if (sent_at < outage->answered_at)
+    return false;
   if (outage->failures == 0)
     outage->first_failed_at = sent_at;
   outage->failures++;
--- a/node/outage.h
+++ b/node/outage.h
@@ -31,9 +31,11 @@
   int failures;            /**< consecutive failed calls */
   kq_usec first_failed_at; /**< when the first of them was sent */
   kq_usec since;           /**< start of the outage; 0: the store answers */
+  kq_usec answered_at;     /**< when the last answer arrived */
 };
 
-/** Records the RESULT of a call that was sent at SENT_AT and ended NOW.
+/** Records the RESULT of a call that was sent at SENT_AT and ended NOW. A
+ *  failure tells nothing if the store has answered another call meanwhile.
  *  @return whether the store has become available or unavailable.  */
 bool kq_outage_note (struct kq_outage *outage, enum kq_outage_result result,
                      kq_usec sent_at, kq_usec now);
--- a/node/owner.c
+++ b/node/owner.c
@@ -188,6 +188,15 @@
       kq_deferred_add (owner->deferred, &effect);
 }
 
+static void
+finish_withdrawals (struct kq_owner *owner, int count)
+{
+  if (count == 0)
+    return;
+  owner->needs_placement = true;
+  kq_deferred_run (owner->deferred, owner->stored_position);
+}
+
 static void
 send_poll (struct kq_owner *owner, const struct kq_sched_poll *poll)
 {
@@ -280,6 +289,7 @@
   if (!owner->active || owner->ended)
     return;
   kq_sched_tick (owner->sched, current_time ());
+  finish_withdrawals (owner, kq_refusal_tick (&owner->refusal));
   owner->needs_placement = true;
   if (owner->ticks++ % TICKS_PER_STATE_LOG == 0)
     {
@@ -342,14 +352,12 @@
 }
 
 static void
-on_attempt (void *arg, enum kq_outage_result result, kq_usec sent_at)
+on_attempt (void *arg, const struct kq_store_append_result *result)
 {
   struct kq_owner *owner = arg;
 
-  if (kq_refusal_note_attempt (&owner->refusal, result, sent_at) == 0)
-    return;
-  owner->needs_placement = true;
-  kq_deferred_run (owner->deferred, owner->stored_position);
+  finish_withdrawals (owner,
+                      kq_refusal_note_attempt (&owner->refusal, result));
 }
 
 static void
@@ -647,6 +655,15 @@
   kq_sched_confirm_term (owner->sched, sent_at);
 }
 
+void
+kq_owner_note_term_append (struct kq_owner *owner,
+                           const struct kq_store_append_result *result)
+{
+  if (owner->active && !owner->ended)
+    finish_withdrawals (owner,
+                        kq_refusal_note_term_append (&owner->refusal, result));
+}
+
 bool
 kq_owner_is_active (const struct kq_owner *owner)
 {
--- a/node/owner.h
+++ b/node/owner.h
@@ -74,6 +74,11 @@
  *  was sent at SENT_AT.  */
 void kq_owner_confirm (struct kq_owner *owner, kq_usec sent_at);
 
+/** Takes the result of an append of this host to the topic of the term, which
+ *  shows whether the store answers while there is nothing to store.  */
+void kq_owner_note_term_append (struct kq_owner *owner,
+                                const struct kq_store_append_result *result);
+
 /** Takes the hosts of the cell anew. */
 void kq_owner_update_hosts (struct kq_owner *owner);
 
--- a/node/refusal.h
+++ b/node/refusal.h
@@ -24,12 +24,22 @@
   struct kq_outage outage;
 };
 
-/** Records that an attempt to append, sent at SENT_AT, has ended with RESULT.
- *  While the store is away, takes back the new jobs that are certainly not
- *  stored; their results are due at once.
+/** Records that an attempt to append has ended with RESULT. While the store is
+ *  away, takes back the new jobs that are certainly not stored; their results
+ *  are due at once.
  *  @return the number of jobs taken back.  */
 int kq_refusal_note_attempt (struct kq_refusal *refusal,
-                             enum kq_outage_result result, kq_usec sent_at);
+                             const struct kq_store_append_result *result);
+
+/** The same for an append to the topic of the term. It counts only while the
+ *  journal has nothing to store: the partition of jobs may be away alone.  */
+int kq_refusal_note_term_append (struct kq_refusal *refusal,
+                                 const struct kq_store_append_result *result);
+
+/** Takes back the new jobs that wait behind an append whose repetition has no
+ *  answer either. Is called several times a second.
+ *  @return the number of jobs taken back.  */
+int kq_refusal_tick (struct kq_refusal *refusal);
 
 /** Returns whether the store is away. */
 bool kq_refusal_is_away (const struct kq_refusal *refusal);
--- a/node/watch.c
+++ b/node/watch.c
@@ -90,6 +90,7 @@
   struct kq_watch *watch = arg;
 
   report_append (watch, result);
+  watch->handler.on_append (watch->handler.arg, result);
   watch->handler.on_term (watch->handler.arg);
 }
 
--- a/node/watch.h
+++ b/node/watch.h
@@ -18,6 +18,8 @@
   void *arg;
   /** The known owner may have changed. */
   void (*on_term) (void *arg);
+  /** An append to the topic of the term has ended with RESULT. */
+  void (*on_append) (void *arg, const struct kq_store_append_result *result);
   /** A later configuration was read; ownership of CONFIG passes on. */
   void (*on_config) (void *arg, struct kq_sched_config *config);
 };
--- a/t/test-outage.c
+++ b/t/test-outage.c
@@ -59,6 +59,19 @@
   CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 0, 500));
 }
 
+/* The answer to a heartbeat is lost while the journal's appends are
+   answered. */
+static void
+test_lost_answer_beside_others (void)
+{
+  struct kq_outage outage = { 0 };
+
+  note (&outage, KQ_OUTAGE_ANSWERED, 100, 2);
+  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 500));
+  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
+  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_NO_ANSWER, 110, 500));
+}
+
 /* Callers come back four times. */
 static void
 test_callers_outlast_an_outage (void)
@@ -115,6 +128,7 @@
   { "one refusal refuses nobody", test_one_refusal },
   { "two failed calls in a row", test_two_failures },
   { "one append without an answer", test_one_append_without_answer },
+  { "a lost answer beside others", test_lost_answer_beside_others },
   { "callers outlast an outage of 4.2 s", test_callers_outlast_an_outage },
   { "limits and spread of the delay", test_limits_and_spread },
 };
--- a/t/test-withdraw.c
+++ b/t/test-withdraw.c
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "node/append.h"
 #include "node/deferred.h"
+#include "node/refusal.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
@@ -401,6 +402,38 @@
   kq_deferred_destroy (deferred);
 }
 
+/* A repeat of what was accepted, or may be, must not be told that it never
+   runs; what stores nothing is answered. */
+static void
+test_requests_while_away (void)
+{
+  static const struct
+  {
+    enum kq_hop_verb verb;
+    uint64_t job;
+    bool refused;
+  } cases[] = {
+    { KQ_HOP_SUBMIT, JOB, true },        { KQ_HOP_SUBMIT, OLD_JOB, false },
+    { KQ_HOP_STATE, JOB, true },         { KQ_HOP_STATE, OLD_JOB, false },
+    { KQ_HOP_CANCEL, JOB, true },        { KQ_HOP_CANCEL, OLD_JOB, true },
+    { KQ_HOP_CANCEL, OTHER_JOB, false }, { KQ_HOP_PENDING, 0, false },
+  };
+  struct outage_cell *cell = start_cell ();
+  struct kq_refusal refusal = { .sched = cell->ts.sched };
+
+  ts_submit (&cell->ts, OTHER_JOB, "batch", &step, 1);
+  ts_cancel (&cell->ts, OTHER_JOB);
+  for (int away = 0; away < 2; away++)
+    {
+      refusal.outage.since = away;
+      for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+        CU_ASSERT_EQUAL (
+            kq_refusal_applies (&refusal, cases[i].verb, cases[i].job),
+            away && cases[i].refused);
+    }
+  stop_cell (cell);
+}
+
 static const struct kq_test tests[] = {
   { "a refused job is withdrawn for good", test_refused_job },
   { "all callers of the job are told", test_all_callers_are_told },
@@ -409,6 +442,7 @@
   { "a withdrawn ID is submitted again", test_repeated_id },
   { "order of the records", test_order_of_records },
   { "size of appends", test_size_of_appends },
+  { "requests while the store is away", test_requests_while_away },
   { "deferred effects of a withdrawn job", test_deferred_effects },
 };
 
