node: count the copies of a request apart from the job API

Cause: the rule on when a front may tell its caller of a refusal, after all copies of the request were rejected, stood in the job API, where no test without sockets reaches it. Change: kq_sends, pure; the job API behaves as before.

--- a/node/desk.c
+++ b/node/desk.c
@@ -11,6 +11,7 @@
 #include "log/log.h"
 #include "metrics/histogram.h"
 #include "metrics/metrics.h"
+#include "node/sends.h"
 #include "platform/submission.h"
 
 /* Timeout of a request without one of its own. It equals the longest deadline
@@ -76,8 +77,7 @@
   kq_usec sent_at;
   kq_usec resend_at;
   kq_usec times_out_at;
-  int unconfirmed_sends; /* sent messages that an owner may have accepted */
-  struct kq_job_api_reply refusal; /* of one of them; status 0: none */
+  struct kq_sends sends;
   UT_hash_handle hh;
 };
 
@@ -194,19 +194,12 @@
   remove_pending (api, pending);
 }
 
-static void
-complete_with_refusal (struct kq_job_api *api, struct pending *pending)
-{
-  complete_pending (api, pending, pending->refusal.status,
-                    pending->refusal.err, NULL, pending->refusal.retry_ms);
-}
-
 /* If every sent message was rejected, nothing was done. Otherwise the outcome
    is unknown. */
 static void
 fail_pending (struct kq_job_api *api, struct pending *pending)
 {
-  if (pending->unconfirmed_sends > 0)
+  if (pending->sends.outstanding > 0)
     complete_pending (api, pending, MHD_HTTP_GATEWAY_TIMEOUT, KQ_ETIMEDOUT,
                       NULL, 0);
   else
@@ -222,10 +215,10 @@
   kq_metric_add (&resent_count, pending->sent_at != 0);
   pending->sent_at = now;
   pending->resend_at = now + RESEND_DELAY_US;
-  pending->unconfirmed_sends++;
+  kq_sends_add (&pending->sends);
   if (api->handler.on_forward (api->handler.arg, &pending->message))
     return;
-  pending->unconfirmed_sends--;
+  kq_sends_reject (&pending->sends, 0, 0, 0);
   pending->resend_at = now + NOT_READY_RETRY_DELAY_US;
 }
 
@@ -335,10 +328,10 @@
 static void
 check_timeouts (struct kq_job_api *api, struct pending *pending, kq_usec now)
 {
-  bool refused = pending->unconfirmed_sends == 0
+  bool refused = pending->sends.outstanding == 0
                  && now - pending->request->arrived_at > REFUSAL_TIMEOUT_US;
 
-  if (pending->unconfirmed_sends > 0
+  if (pending->sends.outstanding > 0
       && now - pending->sent_at > SUSPECT_DELAY_US)
     api->handler.on_no_reply (api->handler.arg);
   if (refused || now > pending->times_out_at)
@@ -433,23 +426,25 @@
          || status == MHD_HTTP_TOO_MANY_REQUESTS;
 }
 
-/* Handles that nothing was done for one of the sent messages. Another copy of
-   the message may still be accepted, by this owner or by a later one: the
-   caller is told of a refusal once none is outstanding. */
+/* Handles that nothing was done for one of the sent messages. */
 static void
 handle_rejection (struct kq_job_api *api, struct pending *pending,
                   const struct kq_job_api_reply *reply)
 {
-  if (pending->unconfirmed_sends > 0)
-    pending->unconfirmed_sends--;
-  if (is_refusal (reply->status))
-    pending->refusal = *reply;
-  if (pending->refusal.status == 0)
-    pending->resend_at = kq_clock_now () + NOT_READY_RETRY_DELAY_US;
-  else if (pending->unconfirmed_sends == 0)
-    complete_with_refusal (api, pending);
-  else
-    pending->resend_at = pending->times_out_at;
+  switch (kq_sends_reject (&pending->sends, reply->status, reply->err,
+                           reply->retry_ms))
+    {
+    case KQ_SENDS_RESEND:
+      pending->resend_at = kq_clock_now () + NOT_READY_RETRY_DELAY_US;
+      break;
+    case KQ_SENDS_WAIT:
+      pending->resend_at = pending->times_out_at;
+      break;
+    case KQ_SENDS_REFUSED:
+      complete_pending (api, pending, pending->sends.status,
+                        pending->sends.err, NULL, pending->sends.retry_ms);
+      break;
+    }
 }
 
 void
--- a/t/test-withdraw.c
+++ b/t/test-withdraw.c
@@ -9,6 +9,7 @@
 #include "node/append.h"
 #include "node/deferred.h"
 #include "node/refusal.h"
+#include "node/sends.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
@@ -411,6 +412,22 @@
   stop_cell (cell);
 }
 
+/* The copy that is still under way may be a new submission after the
+   outage. */
+static void
+test_copies_of_a_request (void)
+{
+  struct kq_sends sends = { 0 };
+
+  kq_sends_add (&sends);
+  CU_ASSERT_EQUAL (kq_sends_reject (&sends, 0, 0, 0), KQ_SENDS_RESEND);
+  kq_sends_add (&sends);
+  kq_sends_add (&sends);
+  CU_ASSERT_EQUAL (kq_sends_reject (&sends, 503, 0, 2000), KQ_SENDS_WAIT);
+  CU_ASSERT_EQUAL (kq_sends_reject (&sends, 0, 0, 0), KQ_SENDS_REFUSED);
+  CU_ASSERT_EQUAL (sends.retry_ms, 2000);
+}
+
 static const struct kq_test tests[] = {
   { "a refused job is withdrawn for good", test_refused_job },
   { "all callers of the job are told", test_all_callers_are_told },
@@ -420,6 +437,7 @@
   { "order of the records", test_order_of_records },
   { "size of appends", test_size_of_appends },
   { "requests while the store is away", test_requests_while_away },
+  { "copies of a request", test_copies_of_a_request },
   { "deferred effects of a withdrawn job", test_deferred_effects },
 };
 
