t: tables in place of single tests of the store's state

Change: one table of calls for the state; the results of all requests that depend on a withdrawn job are checked where it is withdrawn, a cancelled one too.

--- a/t/test-outage.c
+++ b/t/test-outage.c
@@ -9,67 +9,54 @@
 #define START (1000 * KQ_USEC_PER_SEC)
 #define JOBS 1000
 
-/* Notes a call that was sent at AT ms and took TOOK ms. */
-static bool
-note (struct kq_outage *outage, enum kq_outage_result result, int at, int took)
+/* Calls to the store, each sent at AT ms and ended after TOOK ms, and whether
+   the store is away after it; AT 0 begins anew. */
+static const struct
 {
-  return kq_outage_note (outage, result, START + at * MS,
-                         START + (at + took) * MS);
-}
-
-static void
-test_one_refusal (void)
-{
-  struct kq_outage outage = { 0 };
-
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 0, 2));
-  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
-  CU_ASSERT_EQUAL (kq_outage_retry_ms (&outage, 1, START), 0);
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_ANSWERED, 60, 2));
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 120, 2));
-  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
-}
-
-static void
-test_two_failures (void)
-{
-  struct kq_outage outage = { 0 };
-
-  note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 5);
-  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
-  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_REFUSED, 60, 2));
-  CU_ASSERT_TRUE (kq_outage_is_away (&outage));
-  CU_ASSERT_EQUAL (outage.since, START);
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 120, 2));
-  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_ANSWERED, 180, 2));
-  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
-}
-
-static void
-test_one_append_without_answer (void)
-{
-  struct kq_outage outage = { 0 };
-
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 380));
-  note (&outage, KQ_OUTAGE_ANSWERED, 400, 2);
-  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_NO_ANSWER, 500, 400));
-  CU_ASSERT_EQUAL (outage.since, START + 500 * MS);
-  /* A refusal that took long is still a single refusal. */
-  outage = (struct kq_outage){ 0 };
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_REFUSED, 0, 500));
-}
+  enum kq_outage_result result;
+  int at;
+  int took;
+  bool away;
+} calls[] = {
+  /* single refusals, also a slow one */
+  { KQ_OUTAGE_REFUSED, 0, 2, false },
+  { KQ_OUTAGE_ANSWERED, 60, 2, false },
+  { KQ_OUTAGE_REFUSED, 120, 500, false },
+  /* two failures in a row, and the return of the store */
+  { KQ_OUTAGE_NO_ANSWER, 0, 5, false },
+  { KQ_OUTAGE_REFUSED, 60, 2, true },
+  { KQ_OUTAGE_REFUSED, 120, 2, true },
+  { KQ_OUTAGE_ANSWERED, 180, 2, false },
+  /* one append without an answer */
+  { KQ_OUTAGE_NO_ANSWER, 0, 380, false },
+  { KQ_OUTAGE_ANSWERED, 400, 2, false },
+  { KQ_OUTAGE_NO_ANSWER, 500, 400, true },
+  /* the answer to a heartbeat is lost while appends are answered */
+  { KQ_OUTAGE_ANSWERED, 0, 102, false },
+  { KQ_OUTAGE_NO_ANSWER, 1, 500, false },
+  { KQ_OUTAGE_NO_ANSWER, 110, 500, true },
+};
 
-/* The answer to a heartbeat is lost while the journal's appends are
-   answered. */
 static void
-test_lost_answer_beside_others (void)
+test_state (void)
 {
   struct kq_outage outage = { 0 };
 
-  note (&outage, KQ_OUTAGE_ANSWERED, 100, 2);
-  CU_ASSERT_FALSE (note (&outage, KQ_OUTAGE_NO_ANSWER, 0, 500));
-  CU_ASSERT_FALSE (kq_outage_is_away (&outage));
-  CU_ASSERT_TRUE (note (&outage, KQ_OUTAGE_NO_ANSWER, 110, 500));
+  for (size_t i = 0; i < sizeof calls / sizeof calls[0]; i++)
+    {
+      kq_usec sent_at = START + calls[i].at * MS;
+      bool was_away;
+
+      if (calls[i].at == 0)
+        outage = (struct kq_outage){ 0 };
+      was_away = kq_outage_is_away (&outage);
+      CU_ASSERT_EQUAL (kq_outage_note (&outage, calls[i].result, sent_at,
+                                       sent_at + calls[i].took * MS),
+                       was_away != calls[i].away);
+      CU_ASSERT_EQUAL (kq_outage_is_away (&outage), calls[i].away);
+      CU_ASSERT_EQUAL (kq_outage_retry_ms (&outage, 1, sent_at) > 0,
+                       calls[i].away);
+    }
 }
 
 /* Callers come back four times. */
@@ -125,10 +112,7 @@
 }
 
 static const struct kq_test tests[] = {
-  { "one refusal refuses nobody", test_one_refusal },
-  { "two failed calls in a row", test_two_failures },
-  { "one append without an answer", test_one_append_without_answer },
-  { "a lost answer beside others", test_lost_answer_beside_others },
+  { "state of the store after each call", test_state },
   { "callers outlast an outage of 4.2 s", test_callers_outlast_an_outage },
   { "limits and spread of the delay", test_limits_and_spread },
 };
--- a/t/test-withdraw.c
+++ b/t/test-withdraw.c
@@ -169,12 +169,15 @@
 test_refused_job (void)
 {
   struct outage_cell *cell = start_cell ();
-  uint64_t token = ts_submit (&cell->ts, JOB, "urgent", &wide, 2);
+  uint64_t tokens[] = { ts_submit (&cell->ts, JOB, "urgent", &wide, 2),
+                        ts_submit (&cell->ts, JOB, "urgent", &wide, 2),
+                        ts_query (&cell->ts, JOB) };
 
   send_records (cell);
-  CU_ASSERT_EQUAL (status_of (cell, token), 0);
+  CU_ASSERT_EQUAL (status_of (cell, tokens[0]), 0);
   CU_ASSERT_EQUAL (withdraw_refused (cell), 1);
-  CU_ASSERT_EQUAL (status_of (cell, token), 503);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (status_of (cell, tokens[i]), 503);
   CU_ASSERT_FALSE (kq_sched_has_job (cell->ts.sched, JOB));
   store_records (cell);
   CU_ASSERT_EQUAL (count_starts (cell, JOB), 0);
@@ -187,24 +190,6 @@
   stop_cell (cell);
 }
 
-/* All requests that depend on the job are told so. */
-static void
-test_all_callers_are_told (void)
-{
-  struct outage_cell *cell = start_cell ();
-  uint64_t tokens[4];
-
-  tokens[0] = ts_submit (&cell->ts, JOB, "batch", &wide, 1);
-  tokens[1] = ts_submit (&cell->ts, JOB, "batch", &wide, 1);
-  tokens[2] = ts_query (&cell->ts, JOB);
-  send_records (cell);
-  tokens[3] = ts_cancel (&cell->ts, JOB);
-  CU_ASSERT_EQUAL (withdraw_refused (cell), 1);
-  for (int i = 0; i < 4; i++)
-    CU_ASSERT_EQUAL (status_of (cell, tokens[i]), 503);
-  stop_cell (cell);
-}
-
 /* A job that is known to the store stays, and so does what changed of it. */
 static void
 test_changes_stay (void)
@@ -240,12 +225,14 @@
   struct outage_cell *cell = start_cell ();
   uint64_t token = ts_submit (&cell->ts, JOB, "urgent", &step, 1);
   uint64_t unsent;
+  uint64_t cancel;
   uint64_t found;
 
   send_records (cell);
   cell->append.maybe_stored = true;
   kq_sched_note_maybe_stored (cell->ts.sched, cell->position);
   unsent = ts_submit (&cell->ts, OTHER_JOB, "urgent", &step, 1);
+  cancel = ts_cancel (&cell->ts, OTHER_JOB);
   CU_ASSERT_EQUAL (withdraw_refused (cell), 0);
   CU_ASSERT_EQUAL (kq_sched_withdraw (cell->ts.sched, JOB), KQ_EEXIST);
   /* What was never sent is certainly not stored. */
@@ -254,6 +241,7 @@
   CU_ASSERT_TRUE (withdraw_job (&cell->ts, found));
   ts_process_pending (&cell->ts);
   CU_ASSERT_EQUAL (status_of (cell, unsent), 503);
+  CU_ASSERT_EQUAL (status_of (cell, cancel), 503);
   CU_ASSERT_EQUAL (status_of (cell, token), 0);
   take_append (cell);
   take_over (cell);
@@ -430,7 +418,6 @@
 
 static const struct kq_test tests[] = {
   { "a refused job is withdrawn for good", test_refused_job },
-  { "all callers of the job are told", test_all_callers_are_told },
   { "changes of known jobs stay", test_changes_stay },
   { "a job that may be stored stays", test_unknown_attempt },
   { "a withdrawn ID is submitted again", test_repeated_id },
