--- a/node/node.c
+++ b/node/node.c
@@ -379,6 +379,15 @@
   follow_term (arg);
 }
 
+static void
+on_term_append (void *arg, const struct kq_store_append_result *result)
+{
+  struct node *node = arg;
+
+  if (node->owner != NULL)
+    kq_owner_note_term_append (node->owner, result);
+}
+
 static void
 on_config (void *arg, struct kq_sched_config *config)
 {
@@ -633,6 +642,7 @@
 {
   struct kq_watch_handler watch = { .arg = node,
                                     .on_term = on_term_changed,
+                                    .on_append = on_term_append,
                                     .on_config = on_config,
                                     .on_zones = on_zones };
   struct kq_host self;
