sched: store the time of a task's last stop in tenths of a second

Cause: two new fields took 16 bytes of each task, 1.6 MB of the largest job. Change: the time fits into a gap of the structure; 8 bytes remain.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -102,6 +102,7 @@
   enum task_state state;
   enum task_phase phase;
   int run;              /* number of its latest run; 0: none yet */
+  int preempted_run;    /* last run that was stopped for others; 0: none */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
   /* Workers lost under its runs since one of these settled: workers that have
      crashed after they accepted the start, and all others. */
@@ -111,8 +112,6 @@
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
-  int preempted_run;              /* last run stopped for others; 0: none */
-  kq_usec preempted_at;
   kq_usec phase_since;
   kq_usec stop_sent_at;
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
@@ -125,6 +124,7 @@
   int pace_percent; /* CPU limit set for a filler, percent */
   kq_usec pace_changed_at;
   int percent;         /* reported progress; -1: none reported yet */
+  int preempted_tenth; /* when that was, in tenths of a second */
   kq_usec progress_at; /* last change of progress, phase or pace */
   kq_usec ready_at;
   int64_t sample; /* tail latency in ms if it serves, else CPU used */
--- a/sched/preempt-search.c
+++ b/sched/preempt-search.c
@@ -2,7 +2,7 @@
 #include "sched/preempt-search.h"
 
 /* Minimum time between two stops of one task. */
-#define SAME_TASK_US (KQ_PREEMPT_WINDOW_SECONDS * KQ_USEC_PER_SEC)
+#define SAME_TASK_TENTHS (KQ_PREEMPT_WINDOW_SECONDS * INT64_C (10))
 
 /* Maximum number of tasks of a worker that are considered. */
 #define MAX_CANDIDATES 64
@@ -47,7 +47,8 @@
   if (task->preempted_run == 0)
     return true;
   return task->preempted_run != task->run - 1
-         && search->now.mono - task->preempted_at >= SAME_TASK_US;
+         && search->now.mono / KQ_PREEMPT_TENTH_US - task->preempted_tenth
+                > SAME_TASK_TENTHS;
 }
 
 /* Returns the time in ms for which the current run of TASK has lasted, as far
--- a/sched/preempt.c
+++ b/sched/preempt.c
@@ -59,7 +59,7 @@
 preempt_note_stop (struct task *task, struct kq_sched_now now)
 {
   task->preempted_run = task->run;
-  task->preempted_at = now.mono;
+  task->preempted_tenth = (int)(now.mono / KQ_PREEMPT_TENTH_US);
 }
 
 /* Returns how many rooms have to be made: those that are needed beyond the
--- a/sched/preempt.h
+++ b/sched/preempt.h
@@ -18,6 +18,10 @@
 /** Length of the window to which the budget applies. */
 #define KQ_PREEMPT_WINDOW_SECONDS 10
 
+/** Unit of the time that a task keeps of its last stop: a task has room for a
+ *  number of 32 bits.  */
+#define KQ_PREEMPT_TENTH_US (100 * KQ_USEC_PER_MSEC)
+
 /** Any window overlaps at most this many whole seconds. */
 #define KQ_PREEMPT_BUCKETS (KQ_PREEMPT_WINDOW_SECONDS + 1)
 
