node: bound the age of what is known of the operator's topic

Cause: with a way to the store and back of more than 0.57 s, or after a record that came late in a wait, what is known grows older than 2.2 s before the next answer, and an owner with evac_ms starts nothing meanwhile. A read without a wait was sent after failures alone.

The next read waits for 1 s as before, but less if its answer would come after what is known is 2 s old. A constant shorter wait was ruled out: it takes more calls on all hosts at all times.

--- a/node/watch.c
+++ b/node/watch.c
@@ -17,6 +17,9 @@
 #define TERM_WAIT_MS 500
 #define CONFIG_WAIT_MS 1000
 
+/* An owner starts nothing once its last complete read is 2.2 s old. */
+#define MAX_CONFIG_AGE_US (2000 * KQ_USEC_PER_MSEC)
+
 /* The store's timers may run out earlier than ours by this. */
 #define WAIT_TOLERANCE_US (50 * KQ_USEC_PER_MSEC)
 
@@ -51,8 +54,9 @@
   bool config_newest_read;
   char config_key[256];       /* last key of the pages of newest records */
   kq_usec config_pages_since; /* when the first of them was asked for */
-  bool config_read_failed;    /* the last read of the topic */
-  int config_wait_ms;         /* for which the last read was to wait */
+  kq_usec config_read_at;     /* all records until then were read */
+  kq_usec config_way; /* to the store and back, when it was last known */
+  int config_wait_ms; /* for which the last read was to wait */
   struct kq_zones zones;
   int64_t version; /* of the configuration; -1: none was read */
 };
@@ -226,17 +230,21 @@
   watch->handler.on_config (watch->handler.arg, config);
 }
 
-/* Returns until when a read of changes without records tells that there were
-   none: the store looks again after the time for which it waits. */
+/* Returns until when the answer RESULT to a read of changes is complete.  One
+   without records tells that there were none while the store waited for
+   them. */
 static kq_usec
-no_changes_until (const struct kq_watch *watch,
-                  const struct kq_store_read_result *result)
+complete_until (struct kq_watch *watch,
+                const struct kq_store_read_result *result)
 {
-  kq_usec waited
-      = watch->config_wait_ms * KQ_USEC_PER_MSEC - WAIT_TOLERANCE_US;
-
-  return waited > 0 && kq_clock_now () - result->sent_at >= waited
-             ? result->sent_at + waited
+  kq_usec elapsed = kq_clock_now () - result->sent_at;
+  kq_usec waited = watch->config_wait_ms * KQ_USEC_PER_MSEC;
+
+  if (result->count > 0 || elapsed < waited - WAIT_TOLERANCE_US)
+    return result->sent_at;
+  watch->config_way = elapsed > waited ? elapsed - waited : 0;
+  return waited > WAIT_TOLERANCE_US
+             ? result->sent_at + waited - WAIT_TOLERANCE_US
              : result->sent_at;
 }
 
@@ -244,6 +252,7 @@
 static void
 complete_config_read (struct kq_watch *watch, kq_usec read_at)
 {
+  watch->config_read_at = read_at;
   kq_zones_complete (&watch->zones);
   watch->handler.on_zones (watch->handler.arg, &watch->zones.evacuated,
                            read_at);
@@ -256,9 +265,7 @@
                   const struct kq_store_read_result *result)
 {
   track_store_state (watch, result->err);
-  watch->config_read_failed
-      = result->err != 0 && result->err != KQ_ELOG_RETENTION;
-  if (watch->config_read_failed)
+  if (result->err != 0 && result->err != KQ_ELOG_RETENTION)
     ev_timer_start (watch->loop, &watch->config_retry);
   return result->err == 0;
 }
@@ -281,9 +288,7 @@
       watch->config_offset = result->rows[i].offset + 1;
     }
   if (watch->config_offset >= result->end)
-    complete_config_read (watch, result->count == 0
-                                     ? no_changes_until (watch, result)
-                                     : result->sent_at);
+    complete_config_read (watch, complete_until (watch, result));
   read_config (watch);
 }
 
@@ -326,12 +331,22 @@
   read_config (watch);
 }
 
-/* A read that follows a failed one does not wait at the store: the time since
-   the last complete read bounds what may start. */
+/* Returns for how long the next read may wait at the store, so that its answer
+   comes before what is known is MAX_CONFIG_AGE_US old. */
+static int
+config_wait_ms (const struct kq_watch *watch)
+{
+  kq_usec age = kq_clock_now () - watch->config_read_at;
+  kq_usec left
+      = (MAX_CONFIG_AGE_US - age - watch->config_way) / KQ_USEC_PER_MSEC;
+
+  return left < 0 ? 0 : left < CONFIG_WAIT_MS ? (int)left : CONFIG_WAIT_MS;
+}
+
 static void
 read_config (struct kq_watch *watch)
 {
-  watch->config_wait_ms = watch->config_read_failed ? 0 : CONFIG_WAIT_MS;
+  watch->config_wait_ms = config_wait_ms (watch);
   if (watch->config_newest_read)
     kq_store_read (watch->store, KQ_STORE_CONFIG, watch->config_offset,
                    watch->config_wait_ms, on_config_changes, watch);
--- a/t/test-watch.c
+++ b/t/test-watch.c
@@ -210,8 +210,8 @@
 
 /* An answer without records after the whole wait tells that there were none in
    that time; any other one tells what held when it was asked for, and one that
-   is not complete or failed tells nothing. The next read after a failed one is
-   answered at once. */
+   is not complete or failed tells nothing.  The next wait is shorter by that
+   and by the way to the store and back. */
 static void
 test_age_of_reads (void)
 {
@@ -222,18 +222,21 @@
   CU_ASSERT_EQUAL (pending.wait_ms, 1000);
   answer (&rows[1], 1, false, 1080);
   CU_ASSERT (known_age_ms () < 300);
+  CU_ASSERT_EQUAL (pending.wait_ms, 1000);
   answer (&rows[1], 1, false, 600);
   CU_ASSERT (known_age_ms () >= 600);
-  answer (rows, 2, false, 1080);
-  CU_ASSERT (known_age_ms () >= 1080);
+  answer (rows, 2, false, 1200);
+  CU_ASSERT (known_age_ms () >= 1200);
+  CU_ASSERT (pending.wait_ms > 500 && pending.wait_ms <= 720);
   answer (rows, 5, false, 0);
   fail (KQ_ELOG_DOWN);
-  while (pending.wait_ms != 0)
+  pending.wait_ms = -1;
+  while (pending.wait_ms < 0)
     ev_run (EV_DEFAULT, EVRUN_ONCE);
   CU_ASSERT_EQUAL (reports, 4);
-  CU_ASSERT (known_age_ms () >= 1080);
-  answer (&rows[1], 2, false, 0);
-  CU_ASSERT_EQUAL (pending.wait_ms, 1000);
+  CU_ASSERT (pending.wait_ms <= 620);
+  answer (rows, 2, false, 2100);
+  CU_ASSERT_EQUAL (pending.wait_ms, 0);
   kq_watch_destroy (watch);
   kq_term_destroy (term);
 }
