--- a/sched/internal.h
+++ b/sched/internal.h
@@ -115,8 +115,6 @@
   bool placed_lately;     /* so shortly before it was restored */
   bool settled;           /* its run does not crash the worker */
   bool stop_wanted;
-  bool at_work;     /* as disruption.c counts it */
-  bool moved;       /* stopped to move it out of a zone in this term */
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
   kq_usec pace_changed_at;
@@ -127,6 +125,9 @@
   kq_usec over_target_since; /* its tail exceeds its target; 0: no */
   struct task *prev;         /* list of its worker, while bound */
   struct task *next;
+
+  bool at_work; /* as disruption.c counts it */
+  bool moved;   /* stopped to move it out of a zone in this term */
 };
 
 /* One occurrence of a step of a job. */
@@ -141,26 +142,27 @@
   struct task *tasks;
   int ready_count;
   int done_count;
-  int at_work_count;       /* of its tasks, those at work */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
   kq_usec last_placed_at;
-  int measured_count;      /* tasks done whose run time is known */
-  int64_t longest_ms;      /* longest run time among these */
-  bool open;               /* its prerequisites are done */
-  bool queued;             /* in the queue of stages with ready tasks */
-  bool moved;              /* a task of it was moved out of a zone */
-  kq_usec no_move_room_at; /* last search for room that a move did not find */
-  bool advice_wanted;      /* no worker with a valid ticket has capacity */
+  int measured_count;        /* tasks done whose run time is known */
+  int64_t longest_ms;        /* longest run time among these */
+  bool open;                 /* its prerequisites are done */
+  bool queued;               /* in the queue of stages with ready tasks */
+  bool advice_wanted;        /* no worker with a valid ticket has capacity */
   struct advice_row *advice; /* replies of the policy service */
   int advice_count;
   int64_t due_ms;           /* wall clock by which the job should end */
-  int64_t length_ms;        /* expected run time of one of its tasks */
   int64_t critical_path_ms; /* longest chain of steps from here, ms */
   int lateness; /* 0: in time, 1: late, 2: past three times its objective */
   struct stage *prev; /* queue of stages with ready tasks */
   struct stage *next;
+
+  int64_t length_ms;       /* expected run time of one of its tasks */
+  int at_work_count;       /* of its tasks, those at work */
+  bool moved;              /* a task of it was moved out of a zone */
+  kq_usec no_move_room_at; /* last search for room that a move did not find */
 };
 
 /* Learned run times of the steps of one queue. */
@@ -249,13 +251,8 @@
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
-  bool evacuated;            /* its zone is under evacuation */
-  kq_usec cold_until;        /* its tasks take longer; 0: warm */
-  struct kq_sched_demand planned; /* of moves, while these are planned */
-  kq_usec report_read_at;         /* when its registration was read */
-  kq_usec next_cold_start; /* no task is placed there before, while cold */
-  bool ended_as_announced; /* its earlier incarnation was draining */
-  int suspect_count;       /* of its tasks, those on trial (crash.c) */
+  bool ended_as_announced;   /* its earlier incarnation was draining */
+  int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
@@ -265,6 +262,13 @@
   kq_usec quarantined_until;
   kq_usec no_starts_until;
   kq_usec pace_changed_at;
+
+  bool evacuated;          /* its zone is under evacuation */
+  kq_usec cold_until;      /* its tasks take longer; 0: warm */
+  kq_usec next_cold_start; /* no task is placed there before, while cold */
+  kq_usec report_read_at;  /* when its registration was read */
+  struct kq_sched_demand planned; /* of moves, while these are planned */
+
   struct worker *prev;
   struct worker *next;
   UT_hash_handle hh;
@@ -325,18 +329,19 @@
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
-  bool job_given_up;           /* a job is to be ended for its crashes */
-  struct worker *next_polled;  /* where the search for due polls continues */
-  kq_usec next_search_at;      /* a new search starts no earlier than this */
-  kq_usec confirmed_at;        /* last confirmation of the term by the store */
-  kq_usec registrations_at;    /* all until then were read; 0: not reported */
-  struct kq_sched_zones zones; /* under evacuation */
-  kq_usec zones_at;      /* all requests until then were read; 0: none yet */
+  bool job_given_up;          /* a job is to be ended for its crashes */
+  struct worker *next_polled; /* where the search for due polls continues */
+  kq_usec next_search_at;     /* a new search starts no earlier than this */
+  kq_usec confirmed_at;       /* last confirmation of the term by the store */
+  kq_usec registrations_at;   /* all until then were read; 0: not reported */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
-  kq_usec cold_retry_at; /* a cold worker may take a task then; 0: none does */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
   struct kq_sched_counts counts;
+
+  struct kq_sched_zones zones; /* under evacuation */
+  kq_usec zones_at;      /* all requests until then were read; 0: none yet */
+  kq_usec cold_retry_at; /* a cold worker may take a task then; 0: none does */
 };
 
 /* sched.c */
--- a/sched/place.c
+++ b/sched/place.c
@@ -326,7 +326,8 @@
   const struct stage *stage = task->stage;
 
   if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task) || !warmup_allows (sched, worker, now)
+      || !reserve_allows (worker, task)
+      || (warmup_is_cold (worker, now) && !warmup_allows (sched, worker, now))
       || (stage->job->queue.advised
           && advice_ticket (stage, worker, now) == NULL))
     return false;
@@ -361,7 +362,7 @@
 
       if (!suits (sched, worker, task, now, disturbing, &interference))
         continue;
-      candidates += !warmup_is_too_slow (sched, worker, task, now);
+      candidates += warmup_is_candidate (sched, worker, task, now);
       points = score (worker, task, interference)
                + warmup_points (sched, worker, task, now);
       if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
--- a/sched/warmup.c
+++ b/sched/warmup.c
@@ -26,12 +26,6 @@
 /* Lateness of a stage that is past three times its objective. */
 #define NEVER_OF_USE 2
 
-static bool
-is_cold (const struct worker *worker, struct kq_sched_now now)
-{
-  return now.mono < worker->cold_until;
-}
-
 void
 warmup_note_registration (struct worker *worker, struct kq_sched_now now)
 {
@@ -45,7 +39,7 @@
 {
   int64_t cpu = worker->report.capacity.cpu;
 
-  if (is_cold (worker, now) && cpu > 0)
+  if (warmup_is_cold (worker, now) && cpu > 0)
     worker->next_cold_start
         = now.mono + START_INTERVAL_US * CPU_PER_START / cpu;
 }
@@ -56,7 +50,7 @@
 {
   kq_usec at = worker->next_cold_start;
 
-  if (!is_cold (worker, now) || now.mono >= at)
+  if (now.mono >= at)
     return true;
   if (at < now.mono + RETRY_INTERVAL_US)
     at = now.mono + RETRY_INTERVAL_US;
@@ -95,7 +89,7 @@
   const struct stage *stage = task->stage;
   int64_t slack_ms;
 
-  if (!is_cold (worker, now) || sched->settings.warmup_excess <= 1)
+  if (sched->settings.warmup_excess <= 1)
     return false;
   if (stage->step->tail_target_ms > 0)
     return true;
@@ -106,15 +100,13 @@
 }
 
 int64_t
-warmup_points (const struct kq_sched *sched, const struct worker *worker,
-               const struct task *task, struct kq_sched_now now)
+warmup_cold_points (const struct kq_sched *sched, const struct worker *worker,
+                    const struct task *task, struct kq_sched_now now)
 {
   int64_t cpu
       = worker->used.cpu + worker->filler_cpu + task->stage->step->demand.cpu;
   int64_t capacity = worker->report.capacity.cpu;
 
-  if (!is_cold (worker, now))
-    return 0;
   if (warmup_is_too_slow (sched, worker, task, now))
     return WEIGHT_TOO_SLOW;
   if (capacity == 0)
--- a/sched/warmup.h
+++ b/sched/warmup.h
@@ -6,14 +6,21 @@
 
 #include "sched/internal.h"
 
+/* Whether tasks take longer at WORKER. */
+static inline bool
+warmup_is_cold (const struct worker *worker, struct kq_sched_now now)
+{
+  return now.mono < worker->cold_until;
+}
+
 /* Records how long WORKER stays cold, from its registration just read. */
 void warmup_note_registration (struct worker *worker, struct kq_sched_now now);
 
 /* Records that a task was placed at WORKER. */
 void warmup_note_start (struct worker *worker, struct kq_sched_now now);
 
-/* Whether WORKER may be given a task now; if not, the placement is repeated
-   when it may. */
+/* Whether the cold WORKER may be given a task now; if not, the placement is
+   repeated when it may. */
 bool warmup_allows (struct kq_sched *sched, const struct worker *worker,
                     struct kq_sched_now now);
 
@@ -26,10 +33,29 @@
                          const struct worker *worker, const struct task *task,
                          struct kq_sched_now now);
 
-/* Returns what is added to the score of TASK at WORKER, in thousandths of a
-   worker's load; 0 if WORKER is warm. */
-int64_t warmup_points (const struct kq_sched *sched,
-                       const struct worker *worker, const struct task *task,
-                       struct kq_sched_now now);
+/* Returns what is added to the score of TASK at WORKER, which is cold, in
+   thousandths of a worker's load. */
+int64_t warmup_cold_points (const struct kq_sched *sched,
+                            const struct worker *worker,
+                            const struct task *task, struct kq_sched_now now);
+
+/* Whether WORKER counts as one of those among which a worker for TASK is
+   chosen: the search goes on behind cold workers where it may be late. */
+static inline bool
+warmup_is_candidate (const struct kq_sched *sched, const struct worker *worker,
+                     const struct task *task, struct kq_sched_now now)
+{
+  return !warmup_is_cold (worker, now)
+         || !warmup_is_too_slow (sched, worker, task, now);
+}
+
+static inline int64_t
+warmup_points (const struct kq_sched *sched, const struct worker *worker,
+               const struct task *task, struct kq_sched_now now)
+{
+  return warmup_is_cold (worker, now)
+             ? warmup_cold_points (sched, worker, task, now)
+             : 0;
+}
 
 #endif
--- a/t/lib-zones.c
+++ b/t/lib-zones.c
@@ -42,23 +42,22 @@
   free (site);
 }
 
-/* Whether RUN of STEP has run for its length. */
+static const struct kq_sched_step *
+step_of (const struct tz_site *site, const struct tz_run *run)
+{
+  return &site->steps[run->order.run.job];
+}
+
 static int
-percent_of (const struct tz_site *site, const struct tz_run *run,
-            const struct kq_sched_step *step)
+percent_of (const struct tz_site *site, const struct tz_run *run)
 {
+  const struct kq_sched_step *step = step_of (site, run);
   int64_t ms = (site->cell.now.mono - run->order.at) / KQ_USEC_PER_MSEC;
   int64_t length = step->long_running ? site->startup_ms : step->est_ms;
 
   return ms < length ? (int)(ms * 100 / length) : 100;
 }
 
-static const struct kq_sched_step *
-step_of (const struct tz_site *site, const struct tz_run *run)
-{
-  return &site->steps[run->order.run.job];
-}
-
 /* Ends the runs at WORKER that are over, and answers its poll. */
 static void
 report_status (struct tz_site *site, struct tz_worker *worker)
@@ -68,14 +67,13 @@
   for (int i = 0; i < worker->run_count; i++)
     {
       struct tz_run *run = &worker->runs[i];
-      const struct kq_sched_step *step = step_of (site, run);
       bool stopped = run->stopped_at != 0
                      && site->cell.now.mono - run->stopped_at
                             >= site->stop_ms * KQ_USEC_PER_MSEC;
-      int percent = percent_of (site, run, step);
+      int percent = percent_of (site, run);
 
       rows[i] = ts_running (&run->order, percent);
-      if (!stopped && (step->long_running || percent < 100))
+      if (!stopped && (step_of (site, run)->long_running || percent < 100))
         continue;
       worker->ended[worker->ended_count]
           = ts_ended (&run->order, ++worker->last_end,
@@ -193,19 +191,9 @@
   return count;
 }
 
-int
-tz_runs (const struct tz_site *site, char zone)
-{
-  int count = 0;
-
-  for (int i = 0; i < site->worker_count; i++)
-    if (site->workers[i].report.zone[0] == zone)
-      count += site->workers[i].run_count;
-  return count;
-}
-
-int
-tz_at_work (const struct tz_site *site)
+/* Counts the runs in ZONE, or the long-running tasks at work if it is 0. */
+static int
+count_runs (const struct tz_site *site, char zone)
 {
   int count = 0;
 
@@ -214,12 +202,26 @@
       {
         const struct tz_run *run = &site->workers[i].runs[j];
 
-        count += run->stopped_at == 0 && step_of (site, run)->long_running
-                 && percent_of (site, run, step_of (site, run)) == 100;
+        count += zone != 0 ? site->workers[i].report.zone[0] == zone
+                           : run->stopped_at == 0
+                                 && step_of (site, run)->long_running
+                                 && percent_of (site, run) == 100;
       }
   return count;
 }
 
+int
+tz_runs (const struct tz_site *site, char zone)
+{
+  return count_runs (site, zone);
+}
+
+int
+tz_at_work (const struct tz_site *site)
+{
+  return count_runs (site, 0);
+}
+
 struct kq_sched_counts
 tz_counts (const struct tz_site *site)
 {
