--- a/sched/internal.h
+++ b/sched/internal.h
@@ -126,8 +126,6 @@
   bool settled;           /* its run does not crash the worker */
   bool wait_over;         /* a wait for a rack did not pay off */
   bool stop_wanted;
-  bool at_work;     /* as disruption.c counts it */
-  bool moved;       /* stopped to move it out of a zone in this term */
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
   int next_pace_percent; /* limit that it needs now; set after a delay if it is
@@ -143,6 +141,9 @@
   kq_usec over_target_since; /* its tail exceeds its target; 0: no */
   struct task *prev;         /* list of its worker, while bound */
   struct task *next;
+
+  bool at_work; /* as disruption.c counts it */
+  bool moved;   /* stopped to move it out of a zone in this term */
 };
 
 /* One occurrence of a step of a job. */
@@ -158,19 +159,16 @@
   int ready_count;
   int done_count;
   int large_count;         /* tasks with a worker where room is held */
-  int at_work_count;       /* of its tasks, those at work */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
   kq_usec last_placed_at;
-  int measured_count;      /* tasks done whose run time is known */
-  int64_t longest_ms;      /* longest run time among these */
-  bool open;               /* its prerequisites are done */
-  bool queued;             /* in the queue of stages with ready tasks */
-  bool moved;              /* a task of it was moved out of a zone */
-  kq_usec no_move_room_at; /* last search for room that a move did not find */
-  bool advice_wanted;      /* no worker with a valid ticket has capacity */
-  bool group_spread;       /* its tasks have run in more than one rack */
+  int measured_count;        /* tasks done whose run time is known */
+  int64_t longest_ms;        /* longest run time among these */
+  bool open;                 /* its prerequisites are done */
+  bool queued;               /* in the queue of stages with ready tasks */
+  bool advice_wanted;        /* no worker with a valid ticket has capacity */
+  bool group_spread;         /* its tasks have run in more than one rack */
   struct advice_row *advice; /* replies of the policy service */
   int advice_count;
   int64_t due_ms;           /* wall clock by which the job should end */
@@ -183,6 +181,10 @@
   kq_usec group_look_at;       /* no rack is looked for before this time */
   struct stage *prev;          /* queue of stages with ready tasks */
   struct stage *next;
+
+  int at_work_count;       /* of its tasks, those at work */
+  bool moved;              /* a task of it was moved out of a zone */
+  kq_usec no_move_room_at; /* last search for room that a move did not find */
 };
 
 /* Learned run times of the steps of one queue, and what admission knows of
@@ -292,13 +294,8 @@
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
-  bool evacuated;            /* its zone is under evacuation */
-  kq_usec cold_until;        /* its tasks take longer; 0: warm */
-  struct kq_sched_demand planned; /* of moves, while these are planned */
-  kq_usec report_read_at;         /* when its registration was read */
-  kq_usec next_cold_start; /* no task is placed there before, while cold */
-  bool ended_as_announced; /* its earlier incarnation was draining */
-  int suspect_count;       /* of its tasks, those on trial (crash.c) */
+  bool ended_as_announced;   /* its earlier incarnation was draining */
+  int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
@@ -312,6 +309,13 @@
   struct rack *rack; /* NULL: none, or no difference between racks */
   struct worker *rack_prev;
   struct worker *rack_next;
+
+  bool evacuated;          /* its zone is under evacuation */
+  kq_usec cold_until;      /* its tasks take longer; 0: warm */
+  kq_usec next_cold_start; /* no task is placed there before, while cold */
+  kq_usec report_read_at;  /* when its registration was read */
+  struct kq_sched_demand planned; /* of moves, while these are planned */
+
   struct worker *prev;
   struct worker *next;
   UT_hash_handle hh;
@@ -413,15 +417,12 @@
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
-  bool job_given_up;           /* a job is to be ended for its crashes */
-  struct worker *next_polled;  /* where the search for due polls continues */
-  kq_usec next_search_at;      /* a new search starts no earlier than this */
-  kq_usec confirmed_at;        /* last confirmation of the term by the store */
-  kq_usec registrations_at;    /* all until then were read; 0: not reported */
-  struct kq_sched_zones zones; /* under evacuation */
-  kq_usec zones_at;      /* all requests until then were read; 0: none yet */
+  bool job_given_up;          /* a job is to be ended for its crashes */
+  struct worker *next_polled; /* where the search for due polls continues */
+  kq_usec next_search_at;     /* a new search starts no earlier than this */
+  kq_usec confirmed_at;       /* last confirmation of the term by the store */
+  kq_usec registrations_at;   /* all until then were read; 0: not reported */
   kq_usec poll_interval; /* time between a worker's reply and the next poll */
-  kq_usec cold_retry_at; /* a cold worker may take a task then; 0: none does */
   bool placement_due; /* capacity or tasks changed since the last placement */
   bool reserve_due;   /* the next placement may reserve workers */
   kq_usec preempt_searched_at; /* last search for tasks to be stopped */
@@ -435,6 +436,10 @@
   kq_usec admission_updated_at; /* last tick */
   int64_t admission_elapsed_ms; /* between the last two ticks */
   struct kq_sched_counts counts;
+
+  struct kq_sched_zones zones; /* under evacuation */
+  kq_usec zones_at;      /* all requests until then were read; 0: none yet */
+  kq_usec cold_retry_at; /* a cold worker may take a task then; 0: none does */
 };
 
 /* sched.c */
