daemon/front: give each front's control socket a name of its own

Cause: t/test-front failed now and then with 4 of 13 tests at the assertion that a front was started. The control socket was named after the address of the front, and a new front often has the address of one that was just freed; ZeroMQ forgets the name of a closed socket only when its reaper thread has run. Until then zmq_bind() fails with EADDRINUSE, kq_front_start() returns KQ_EIO, and the test takes the next of its 100 ports, all of them within milliseconds: each later test fails. Ruled out: ports in TIME_WAIT (up to 51 of the ports, 0 of 51 starts refused), descriptors (19 to 32 of 20,000), processes, other errors than KQ_EIO (none seen). Shown: reaper thread stopped for 20 ms after each wait (strace): 85 starts refused with EADDRINUSE, tests 10 to 13 fail. A loop that stops and starts a front 300 times, three runs: 201, 267 and 246 starts refused, 0 in each with the change. Change: a counter of the process names the socket. Result: with the reaper delayed by 20, 20 and 100 ms all 13 tests pass, no start refused. New test of 100 restarts: fails in 5 of 5 runs without the change, passes in 5 of 5 with it, also with ThreadSanitizer. Not mended: at a load of 6 to 9 "stop completes open requests" and "unresponsive connections" failed in 2 of 3 runs with the change and in 1 of 3 without, in none of 10 later ones (5 each); one more run with it had 2 failures that were not looked at.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -160,6 +160,17 @@
   return NULL;
 }
 
+/* Returns a name that no other front of this process has had. ZeroMQ keeps the
+   name of a closed socket until its own thread has run, so that the address of
+   a front, which may be that of an earlier one, would be refused at times.  */
+static void
+name_control (char address[64])
+{
+  static atomic_uint count;
+
+  snprintf (address, 64, "inproc://front-%u", atomic_fetch_add (&count, 1));
+}
+
 static int
 start_control (struct kq_front *front)
 {
@@ -167,7 +178,7 @@
   int fd;
   size_t size = sizeof fd;
 
-  snprintf (address, sizeof address, "inproc://front-%p", (void *)front);
+  name_control (address);
   front->control_in = zmq_socket (front->zmq_context, ZMQ_PAIR);
   front->control_out = zmq_socket (front->zmq_context, ZMQ_PAIR);
   if (front->control_in == NULL || front->control_out == NULL
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -17,9 +17,10 @@
 #include "t/lib-view.h"
 #include "trace/trace.h"
 
-#define FRONT_PORT 22600
-#define HOP_PORT 22700
-#define MAX_ENTRY_HOSTS 100
+#define FRONT_PORT 22400
+#define HOP_PORT 22600
+#define MAX_ENTRY_HOSTS 200
+#define RESTARTS 100
 #define FOREVER INT64_MAX
 
 static void *zmq_context;
@@ -561,6 +562,15 @@
   kq_test_endpoint_stop (endpoint);
 }
 
+/* Guards against fronts that are refused because of earlier ones whose sockets
+   ZeroMQ has not closed yet: the ports would not suffice.  */
+static void
+test_restarts_without_pause (void)
+{
+  for (int i = 0; i < RESTARTS; i++)
+    kq_front_stop (start_entry_host ("e1", "dakar-sandaga").front);
+}
+
 static const struct kq_test tests[] = {
   { "request without a view", test_request_without_view },
   { "response is forwarded", test_response_is_forwarded },
@@ -575,6 +585,7 @@
   { "stop completes open requests", test_stop_completes_open_requests },
   { "expired ownership", test_expired_ownership },
   { "trace", test_trace_across_hosts },
+  { "restarts without a pause", test_restarts_without_pause },
 };
 
 int
