sched: tasks that would be late elsewhere wait for their rack, too

Cause: a task may wait no longer than its slack, counted from the end of a start elsewhere. With a factor of 3 a job longer than a second has none, so that such tasks never waited, started far and were late, although a start in the rack was in time. Ruled out: no bound at all for them; the time that a start near leaves is one. Change: a task that would be late elsewhere in any case has the slack of a start near.

--- a/sched/near.c
+++ b/sched/near.c
@@ -137,8 +137,12 @@
 kq_near_pays (const struct kq_near_task *task, const struct kq_near_wait *wait)
 {
   kq_usec gain = kq_near_gain (task->length_ms, task->remote_factor);
-  kq_usec slack
-      = (kq_usec)(SLACK_SHARE * (double)task->slack_ms) * KQ_USEC_PER_MSEC;
+  /* A task that would be late elsewhere in any case has only the time that a
+     start near leaves. */
+  int64_t slack_ms = task->slack_ms >= 0
+                         ? task->slack_ms
+                         : task->slack_ms + gain / KQ_USEC_PER_MSEC;
+  kq_usec slack = (kq_usec)(SLACK_SHARE * (double)slack_ms) * KQ_USEC_PER_MSEC;
   /* The room elsewhere is idle during the wait if nobody behind takes it: then
      the wait must pay off even if ends come late. */
   kq_usec expected = wait->expected + (task->others_behind ? 0 : wait->spread);
--- a/t/test-near.c
+++ b/t/test-near.c
@@ -490,7 +490,8 @@
   CU_ASSERT_FALSE (kq_near_expect (&ends, &need, now, &wait));
 }
 
-/* A wait ends before its gain or its slack is used up. */
+/* A wait ends before its gain or its slack is used up. A task that would be
+   late elsewhere in any case has the slack of a start near. */
 static void
 test_limits (void)
 {
@@ -504,7 +505,9 @@
                 { { 500, 2, 550, 0, true }, true },
                 { { 500, 2, 1000, 420000, true }, false },
                 { { 500, 2, 180, 0, true }, false },
-                { { 500, 2, -10, 0, true }, false },
+                { { 500, 2, -10, 0, true }, true },
+                { { 500, 2, -150, 0, true }, false },
+                { { 500, 2, -600, 0, true }, false },
                 { { 500, 1, 1000, 0, true }, false },
                 { { 150, 2, 9000, 0, true }, false } };
 
