t/soak-site: inject evacuations, cold returns and refusal storms

The soak covered none of the faults that the parts of load-and-locality address: all workers were in one zone, the hosts had no evac_ms, and nothing was submitted while the store refused.

Workers and hosts are in three zones now. The stand-in records a start later than evac_ms after the request, and a start of a job that a caller was refused and never accepted with. The soak repeats each accepted job at the end, and one during a storm.

--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -15,12 +15,12 @@
 site_settings () { # HOST
   port=$(site_port "$1")
   cat >"$work/host$1.json" <<END
-{"node_name":"host$1","zone":"z","region":"r","ip":"127.0.0.1",
+{"node_name":"host$1","zone":"z$1","region":"r","ip":"127.0.0.1",
 "port_range":[$((port + 2)),$((port + 3))],"heartbeat_ms":500,
 "listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$((port + 1))"},
 "platform":{"addr":"127.0.0.1:$base"},
 "limits":{"cpu_share":1.0,"cores":1},
-"bounds":{"hold_max_ms":10000,"grace_s":6}}
+"bounds":{"hold_max_ms":10000,"grace_s":6,"evac_ms":5000,"warmup_excess":1.5}}
 END
 }
 
@@ -54,9 +54,11 @@
 
 site_id () { printf '%016x' "$1"; }
 
+short_body='{"spec":"400","steps":[{"count":3,"cpu":1000,"mem_mb":100,"est_ms":400},{"count":2,"cpu":1000,"mem_mb":100,"est_ms":400,"after":[0]}]}'
+
 # Submits job NUMBER to one host after the other until it is accepted.
 site_submit () { # NUMBER
-  body='{"spec":"400","steps":[{"count":3,"cpu":1000,"mem_mb":100,"est_ms":400},{"count":2,"cpu":1000,"mem_mb":100,"est_ms":400,"after":[0]}]}'
+  body=$short_body
   for try in 1 2 3 4 5 6 7 8 9 10 11 12; do
     case $(site_call POST $((($1 + try) % SITE_HOSTS + 1)) \
       "$(site_id "$1")" "$body") in *' 200') return 0 ;; esac
@@ -141,6 +143,77 @@
   site_admin '{}'
 }
 
+# Injects the fault that number INDEX of SEED's series has of those to the parts
+# of docs/design/load-and-locality.md.  The first three are an evacuation that
+# outlasts evac_ms, a storm and a cold return, in this order; then also short
+# evacuations, and none.  Except for the storm, it lasts on when the function
+# returns.
+site_inject_part_fault () { # SEED INDEX
+  # shellcheck disable=SC2046
+  set -- $(awk -v seed="$1" -v i="$2" -v workers="$SITE_WORKERS" \
+    'BEGIN { srand (seed * 100 + i); kind = int (rand () * 5)
+       print i <= 3 ? i : kind, int (rand () * 3) + 1, \
+         int (rand () * workers), int (rand () * 3000) }')
+  case $1 in
+    0) site_admin "{\"evacuate\":\"z$2\",\"ms\":$((500 + $4))}" ;;
+    1) site_admin "{\"evacuate\":\"z$2\",\"ms\":$((6500 + $4))}" ;;
+    2) site_begin_storm ;;
+    3) site_admin "{\"crash\":$3,\"count\":$2,\"ms\":500,\"same_id\":true,\"warmup_ms\":$((1000 + $4))}" ;;
+  esac
+}
+
+# Makes the store refuse requests while ten jobs are submitted, each once, and
+# the newest accepted job is repeated.
+site_begin_storm () {
+  site_admin '{"store":"refuse"}'
+  storm_pids=
+  for i in 1 2 3 4 5 6 7 8 9 10; do
+    storm_jobs=$((${storm_jobs:-2000} + 1))
+    site_submit_once $storm_jobs "0.$((i - 1))" &
+    storm_pids="$storm_pids $!"
+  done
+  for job in ${accepted##* }; do
+    site_submit_once "$job" 0.5 &
+    storm_pids="$storm_pids $!"
+  done
+}
+
+# Submits job NUMBER to one host after DELAY; writes the status to a file.
+site_submit_once () { # NUMBER DELAY
+  sleep "$2"
+  site_call POST $(($1 % SITE_HOSTS + 1)) "$(site_id "$1")" "$short_body" \
+    >"$work/storm-$1"
+}
+
+# Ends the storm: adds accepted jobs to $accepted, tells the stand-in of refused
+# ones, and adds accepted ones that were refused later to $refused_later.
+site_end_storm () {
+  [ -n "${storm_pids:-}" ] || return 0
+  site_admin '{"store":"up"}'
+  # shellcheck disable=SC2086
+  wait $storm_pids
+  storm_pids=
+  for file in "$work"/storm-*; do
+    job=${file##*-}
+    status=$(sed 's/.* //' "$file")
+    storm_statuses="${storm_statuses:-} $status"
+    rm "$file"
+    case "$status $accepted " in
+      4[0-9][0-9]*" $job "*) refused_later="$refused_later $job" ;;
+      *" $job "*) ;;
+      200*) accepted="$accepted $job" ;;
+      429* | 503*) site_admin "{\"refused\":\"$(site_id "$job")\"}" ;;
+    esac
+  done
+}
+
+# Succeeds unless accepted job NUMBER is refused when it is submitted again.
+site_is_kept () { # NUMBER
+  case $(site_call POST $(($1 % SITE_HOSTS + 1)) "$(site_id "$1")" \
+    "$short_body") in *' 200') return 0 ;; esac
+  return 1
+}
+
 # Crashes a third of the workers; others take their addresses after 1 s.  Job
 # NUMBER, which lasts, is cancelled 3.5 s after the crash: stops for the crashed
 # workers then reach others.
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -8,9 +8,13 @@
 #include <utlist.h>
 
 #include "t/standin/si-store.h"
+#include "t/standin/si-zones.h"
 
 #define STOP_DELAY_MS 100
 
+/* Setting bounds.warmup_excess of the entry hosts. */
+#define WARMUP_EXCESS 1.5
+
 int64_t si_start_count;
 int64_t si_done_count;
 int64_t si_other_id_count;
@@ -51,15 +55,18 @@
 si_register_worker (const struct worker *worker)
 {
   char address[32];
+  int64_t left_ms = si_warmup_left_ms (worker);
+  json_t *entry;
 
   snprintf (address, sizeof address, "127.0.0.1:%d", worker->port);
-  si_store_put ("keyed.servers", worker->id,
-                json_pack ("{ss ss ss ss si s{si si si} s[s s] sI si}",
-                           "service", "works", "addr", address, "zone", "z",
-                           "state", "ready", "slots", 8, "capacity", "cpu",
-                           8000, "mem_mb", 16000, "gpu", 0, "labels", "a",
-                           "r1", "born", (json_int_t)worker->incarnation_ms,
-                           "seq", 1));
+  entry = json_pack ("{ss ss ss ss si s{si si si} s[s s] sI si}", "service",
+                     "works", "addr", address, "zone", si_zone (worker),
+                     "state", "ready", "slots", 8, "capacity", "cpu", 8000,
+                     "mem_mb", 16000, "gpu", 0, "labels", "a", "r1", "born",
+                     (json_int_t)worker->incarnation_ms, "seq", 1);
+  if (left_ms > 0)
+    json_object_set_new (entry, "warmup_left_ms", json_integer (left_ms));
+  si_store_put ("keyed.servers", worker->id, entry);
 }
 
 void
@@ -70,6 +77,8 @@
   clock_gettime (CLOCK_REALTIME, &ts);
   worker->incarnation_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
   worker->started_at = si_now ();
+  worker->warm_at = worker->started_at + (double)worker->warmup_ms / 1000;
+  worker->warmup_ms = 0;
   worker->life++;
   worker->silence = SILENCE_NONE;
   worker->unregisters_at = 0;
@@ -210,12 +219,14 @@
          json_pack ("{sI}", "clock_ms", (json_int_t)worker_clock_ms (worker)));
 }
 
-/* Records a violation if NAME must not start now; keeps the first one. */
+/* Records a violation if NAME must not start at WORKER now; keeps the first
+   one.  */
 static void
-check_start_allowed (const char *name)
+check_start_allowed (const struct worker *worker, const char *name)
 {
   const struct task *task = find_or_create_task (name);
 
+  si_check_zone_and_job (worker, name);
   if (si_violation[0] != '\0')
     return;
   if (task->running_count > 0)
@@ -225,16 +236,17 @@
               name);
 }
 
-/* Returns the time at which a run that starts now ends, if it is not stopped;
-   that of a lasting task is infinite.  */
+/* Returns the time at which a run that starts at WORKER now ends, if it is not
+   stopped; that of a lasting task is infinite.  */
 static double
-end_of_run (const json_t *start)
+end_of_run (const struct worker *worker, const json_t *start)
 {
   const char *spec = si_string (start, "spec");
+  double factor = si_warmup_left_ms (worker) > 0 ? WARMUP_EXCESS : 1;
 
   if (strcmp (spec, SI_LASTING_SPEC) == 0)
     return INFINITY;
-  return si_now () + atof (spec) / 1000;
+  return si_now () + atof (spec) * factor / 1000;
 }
 
 /* Records that a run of the task NAME has started. */
@@ -268,12 +280,12 @@
     respond_conflict (request, worker, "old");
   else
     {
-      check_start_allowed (task);
+      check_start_allowed (worker, task);
       run = calloc (1, sizeof *run);
       snprintf (run->task, sizeof run->task, "%s", task);
       run->number = number;
       run->started_at = si_now ();
-      run->ends_at = end_of_run (body);
+      run->ends_at = end_of_run (worker, body);
       DL_APPEND (worker->runs, run);
       note_run (task, isinf (run->ends_at));
       si_start_count++;
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -62,9 +62,11 @@
   double started_at;      /* start of the worker's clock, in seconds */
   int64_t incarnation_ms; /* start time, in milliseconds since 1970 */
   int64_t fence;
-  int64_t until_ms; /* end of the lease, on the worker's clock */
-  double lapsed_at; /* latest time at which it had no lease */
-  int64_t life;     /* counts its starts and crashes */
+  int64_t until_ms;  /* end of the lease, on the worker's clock */
+  double lapsed_at;  /* latest time at which it had no lease */
+  int64_t life;      /* counts its starts and crashes */
+  int64_t warmup_ms; /* how long it is cold after its next start */
+  double warm_at;
   enum silence silence;
   double silent_until;
   bool replaced;     /* another process takes its address after the crash */
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -1,7 +1,9 @@
 /** @file
  * Test double for the platform: its store, and workers that run tasks.  It
  * checks that a task never has two runs at a time, and that no run starts
- * after a host has acknowledged that the task is done.
+ * after a host has acknowledged that the task is done, later than evac_ms
+ * after the request to evacuate its worker's zone, or for a job that was
+ * refused.
  *
  * A task runs for the number of milliseconds in its job's spec, or until it is
  * stopped if that is "lasting"; such a task must run again within 9 s of its
@@ -9,13 +11,16 @@
  *
  * Tests control it on the store's port.  POST /admin takes
  * {"store":"up|refuse|hang", "lose_permille":N, "restart":WORKER}, or
- * {"crash":WORKER, "count":N, "ms":N, "same_id":BOOL}, after which that worker
- * starts anew or, without same_id, another one at its address, or
+ * {"crash":WORKER, "count":N, "ms":N, "same_id":BOOL, "warmup_ms":N}, after
+ * which that worker starts anew or, without same_id, another one at its
+ * address, cold for warmup_ms, or {"evacuate":ZONE, "ms":N}, for which the
+ * operator requests the evacuation of that zone, or
  * {"silence":WORKER, "ms":N, "replies":BOOL, "unregistered":BOOL}, for which
  * it answers nothing, with "replies" although it carries orders out, or
  * {"end_silence":BOOL}; each is a disturbance, also {}.  {"cancelled":ID}
- * tells of a job that is cancelled next and is none.  GET /facts returns the
- * counters and the first violation found ("broken").
+ * tells of a job that is cancelled next, {"refused":ID} of one that a caller
+ * was refused (429 or 503) and never accepted with; these are none.  GET
+ * /facts returns the counters and the first violation found ("broken").
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -23,6 +28,7 @@
 
 #include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
+#include "t/standin/si-zones.h"
 
 #define MAX_WORKERS 512
 #define REGISTER_INTERVAL_SEC 0.5
@@ -40,8 +46,12 @@
   bool same_id = json_is_true (json_object_get (body, "same_id"));
 
   for (int64_t i = 0; i < count; i++)
-    si_crash (&workers[(first + i) % worker_count],
-              si_number (body, "ms", 1000), same_id);
+    {
+      struct worker *worker = &workers[(first + i) % worker_count];
+
+      si_crash (worker, si_number (body, "ms", 1000), same_id);
+      worker->warmup_ms = si_number (body, "warmup_ms", 0);
+    }
 }
 
 static void
@@ -82,12 +92,15 @@
     return;
   if (si_string (body, "cancelled")[0] != '\0')
     si_note_cancel (si_string (body, "cancelled"));
+  else if (si_string (body, "refused")[0] != '\0')
+    si_note_refused (si_string (body, "refused"));
   else
     si_note_disturbance ();
   if (si_string (body, "store")[0] != '\0')
     snprintf (store_state, sizeof store_state, "%s",
               si_string (body, "store"));
   si_lose_permille = si_number (body, "lose_permille", si_lose_permille);
+  si_evacuate (si_string (body, "evacuate"), si_number (body, "ms", 1000));
   apply_worker_fault (body);
   json_decref (body);
   si_respond_json (request, MHD_HTTP_OK, json_object ());
@@ -98,11 +111,15 @@
 {
   si_respond_json (
       request, MHD_HTTP_OK,
-      json_pack ("{sI sI sI sI sI si ss}", "starts",
+      json_pack ("{sI sI sI sI sI sI sI sI sI si ss}", "starts",
                  (json_int_t)si_start_count, "done", (json_int_t)si_done_count,
                  "crashes", (json_int_t)si_crash_count, "other_id",
                  (json_int_t)si_other_id_count, "longest_down_ms",
-                 (json_int_t)si_longest_down_ms, "lasting_running",
+                 (json_int_t)si_longest_down_ms, "evacuations",
+                 (json_int_t)si_evacuation_count, "cold_starts",
+                 (json_int_t)si_cold_start_count, "refused_jobs",
+                 (json_int_t)si_refused_job_count, "latest_zone_start_ms",
+                 (json_int_t)si_latest_zone_start_ms, "lasting_running",
                  si_lasting_running (), "broken", si_violation));
 }
 
@@ -132,6 +149,7 @@
 {
   for (int i = 0; i < worker_count; i++)
     si_advance_worker (&workers[i]);
+  si_advance_evacuations ();
   si_advance_faults (workers, worker_count, strcmp (store_state, "up") == 0);
 }
 
