sched/answers: don't count a start that another process got as a crash

Each start was answered by another process at the address 22 ms later; worker_lose() ran before the reply was applied to the task and counted the run, and four losses end the job.

An order that another process got first was never carried out, so that the run ends without a count, as apply_refusal() already intended. A start without a reply, and one whose reply arrived, count as before: test-crash and test-deadly pass unchanged. The new test in test-crash fails without the change.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -161,8 +161,13 @@
 reply_apply_start (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_event *event)
 {
-  struct task *task;
+  struct task *task = find_ordered_task (sched, event);
 
+  /* Another process got the order, so that the run never began and cannot have
+     crashed its worker: worker_lose() must not count it. */
+  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION && task != NULL
+      && task->phase == PHASE_START_SENT)
+    apply_refusal (sched, now, task, event->u.order.reply);
   if (!apply_sender (sched, now, event, "start"))
     return;
   task = find_ordered_task (sched, event);
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -357,6 +357,26 @@
   stop_site (site);
 }
 
+/* After a crash of many workers a task may be placed on several that have
+   crashed before its starts reach them: its job must not fail for that. */
+static void
+test_starts_at_crashed_workers (void)
+{
+  struct site *site = start_site (8);
+
+  ts_submit (&site->cell, OTHER_JOB, "urgent", &one_task, 1);
+  for (int i = 0; i < 6; i++)
+    {
+      struct ts_order start = last_start (&site->cell, OTHER_JOB);
+
+      CU_ASSERT_EQUAL (start.run.run, i + 1);
+      ts_reply_order (&site->cell, &start, KQ_SCHED_OTHER_INCARNATION);
+      ts_advance (&site->cell, 250);
+    }
+  CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
 /* The same for workers that are only silent until their leases lapse. */
 static void
 test_silent_worker_proves_nothing (void)
@@ -511,6 +531,7 @@
   { "starts carried out late", test_starts_carried_out_late },
   { "an unanswered start proves nothing",
     test_unanswered_start_proves_nothing },
+  { "starts at crashed workers", test_starts_at_crashed_workers },
   { "a silent worker proves nothing", test_silent_worker_proves_nothing },
   { "tasks lost together are parted", test_tasks_lost_together_are_parted },
   { "a settled task is not given up", test_settled_task_is_not_given_up },
