--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -56,14 +56,20 @@
 
 short_body='{"spec":"400","steps":[{"count":3,"cpu":1000,"mem_mb":100,"est_ms":400},{"count":2,"cpu":1000,"mem_mb":100,"est_ms":400,"after":[0]}]}'
 
-# Submits job NUMBER to one host after the other until it is accepted.
+# Submits job NUMBER to one host after the other until it is accepted.  Tells the
+# stand-in if each of them refused it.
 site_submit () { # NUMBER
-  body=$short_body
+  outcome=refused
   for try in 1 2 3 4 5 6 7 8 9 10 11 12; do
     case $(site_call POST $((($1 + try) % SITE_HOSTS + 1)) \
-      "$(site_id "$1")" "$body") in *' 200') return 0 ;; esac
+      "$(site_id "$1")" "$short_body") in
+      *' 200') return 0 ;;
+      *' 429' | *' 503') ;;
+      *) outcome=unknown ;;
+    esac
     sleep 0.2
   done
+  [ $outcome = unknown ] || site_admin "{\"refused\":\"$(site_id "$1")\"}"
   return 1
 }
 
@@ -144,9 +150,9 @@
 }
 
 # Injects the fault that number INDEX of SEED's series has of those to the parts
-# of docs/design/load-and-locality.md.  The first three are an evacuation that
-# outlasts evac_ms, a storm and a cold return, in this order; then also short
-# evacuations, and none.  Except for the storm, it lasts on when the function
+# of docs/design/load-and-locality.md.  The first three are a cold return,
+# an evacuation that outlasts evac_ms and a storm, in this order; then also
+# short evacuations, and none.  Except for the storm, it lasts on when the function
 # returns.
 site_inject_part_fault () { # SEED INDEX
   # shellcheck disable=SC2046
@@ -156,9 +162,9 @@
          int (rand () * workers), int (rand () * 3000) }')
   case $1 in
     0) site_admin "{\"evacuate\":\"z$2\",\"ms\":$((500 + $4))}" ;;
-    1) site_admin "{\"evacuate\":\"z$2\",\"ms\":$((6500 + $4))}" ;;
-    2) site_begin_storm ;;
-    3) site_admin "{\"crash\":$3,\"count\":$2,\"ms\":500,\"same_id\":true,\"warmup_ms\":$((1000 + $4))}" ;;
+    1) site_admin "{\"crash\":$3,\"count\":$2,\"ms\":500,\"same_id\":true,\"warmup_ms\":$((1000 + $4))}" ;;
+    2) site_admin "{\"evacuate\":\"z$2\",\"ms\":$((6500 + $4))}" ;;
+    3) site_begin_storm ;;
   esac
 }
 
@@ -189,6 +195,7 @@
 # ones, and adds accepted ones that were refused later to $refused_later.
 site_end_storm () {
   [ -n "${storm_pids:-}" ] || return 0
+  sleep 1 # the submissions are spread over 0.9 s
   site_admin '{"store":"up"}'
   # shellcheck disable=SC2086
   wait $storm_pids
