sched: explain where a job would be placed

Operators cannot see why a task waits or where a new job would go. The decision code changes what it touches (search position, rack figures, credit of admission), so that it cannot simply be called for a question.

kq_sched_explain() runs it on a copy of the scheduler's state and puts back racks, stage and first task. placement shares its search, now with a list of the best workers, and the steps of a pass (sched/place.h); admission's decision is split from what it counts. Running kq_sched_place() on the copy was ruled out: it binds tasks and logs. Decisions are as before: test-near, test-sim and test-sched pass.

Without putting back the racks 2 of 8 tests fail, without the pass over earlier stages 1, without the copy of the interference model 1.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -245,49 +245,93 @@
   return cpu;
 }
 
+/* What admission decides about a job. */
+struct verdict
+{
+  int64_t lengths[KQ_SCHED_MAX_STEPS];
+  struct kq_admit_request request;
+  struct kq_admit_estimate estimate;
+  bool refuses;
+  bool closed;    /* the queue is closed; there is no estimate */
+  int64_t base_s; /* Retry-After before it is spread over the callers */
+};
+
+/* Decides about JOB and counts it in KNOWN; nothing else changes. */
+static void
+decide (const struct kq_sched *sched, const struct job *job,
+        struct queue_run_times *known, struct kq_sched_now now,
+        struct verdict *verdict)
+{
+  verdict->request = (struct kq_admit_request){
+    .spec = &job->spec,
+    .lengths = verdict->lengths,
+    .id = job->id,
+    .priority = job->queue.priority,
+    .slack_ms = job->stages[0].due_ms - now.wall_ms,
+    .objective_ms = job->stages[0].due_ms - job->accepted_ms
+  };
+  verdict->closed = known->close.until_ms > now.mono / KQ_USEC_PER_MSEC;
+  verdict->refuses = verdict->closed;
+  verdict->base_s = known->close.retry_s;
+  if (verdict->closed)
+    return;
+  kq_close_note_job (&known->close, verdict->request.objective_ms,
+                     largest_cpu (&job->spec));
+  for (int i = 0; i < job->spec.step_count; i++)
+    verdict->lengths[i] = held_ms (sched, job, job->stages[i].length_ms);
+  verdict->estimate = kq_admit_estimate (&sched->services[job->service].admit,
+                                         &verdict->request);
+  verdict->refuses = !kq_admit_decide (&known->admit, &verdict->estimate);
+  verdict->base_s
+      = kq_admit_base_retry_s (&verdict->request, &verdict->estimate);
+}
+
 bool
 admission_refuses (struct kq_sched *sched, const struct job *job,
                    struct kq_sched_now now, int64_t *retry_ms)
 {
   struct queue_run_times *known = job_run_times (sched, job->queue_name);
-  int64_t lengths[KQ_SCHED_MAX_STEPS];
-  struct kq_admit_request request
-      = { .spec = &job->spec,
-          .lengths = lengths,
-          .id = job->id,
-          .priority = job->queue.priority,
-          .slack_ms = job->stages[0].due_ms - now.wall_ms,
-          .objective_ms = job->stages[0].due_ms - job->accepted_ms };
-  struct kq_admit_estimate estimate;
-  struct kq_admit_service *service;
-  int retry_s;
+  struct verdict verdict;
+  bool before;
 
   if (!may_refuse (sched, job, known, now))
     return false;
-  if (known->close.until_ms > now.mono / KQ_USEC_PER_MSEC)
+  decide (sched, job, known, now, &verdict);
+  if (!verdict.refuses)
     {
-      bool before = kq_admit_note_refused (&sched->refused, job->id);
+      enum kq_admit_verdict result = verdict.estimate.verdict;
 
-      retry_s = kq_admit_spread_retry_s (known->close.retry_s, job->id,
-                                         job->queue.priority, before);
-      note_refusal (sched, known, retry_s, retry_ms, now);
-      return true;
-    }
-  kq_close_note_job (&known->close, request.objective_ms,
-                     largest_cpu (&job->spec));
-  for (int i = 0; i < job->spec.step_count; i++)
-    lengths[i] = held_ms (sched, job, job->stages[i].length_ms);
-  service = &sched->services[job->service].admit;
-  estimate = kq_admit_estimate (service, &request);
-  if (kq_admit_decide (&known->admit, &estimate))
-    {
-      kq_admit_add_job (service, &request, &estimate);
-      sched->counts.admitted_late += estimate.verdict == KQ_ADMIT_LATE;
-      sched->counts.admitted_too_late += estimate.verdict == KQ_ADMIT_TOO_LATE;
+      kq_admit_add_job (&sched->services[job->service].admit, &verdict.request,
+                        &verdict.estimate);
+      sched->counts.admitted_late += result == KQ_ADMIT_LATE;
+      sched->counts.admitted_too_late += result == KQ_ADMIT_TOO_LATE;
       return false;
     }
-  retry_s = kq_admit_retry_s (
-      &request, &estimate, kq_admit_note_refused (&sched->refused, job->id));
-  note_refusal (sched, known, retry_s, retry_ms, now);
+  before = kq_admit_note_refused (&sched->refused, job->id);
+  note_refusal (sched, known,
+                kq_admit_spread_retry_s (verdict.base_s, job->id,
+                                         job->queue.priority, before),
+                retry_ms, now);
   return true;
 }
+
+bool
+admission_would_refuse (const struct kq_sched *sched, const struct job *job,
+                        struct kq_sched_now now, int64_t *retry_ms)
+{
+  const struct queue_run_times *known;
+  struct queue_run_times copy;
+  struct verdict verdict;
+
+  LL_FOREACH (sched->lengths, known)
+  {
+    if (strcmp (known->queue, job->queue_name) == 0)
+      break;
+  }
+  if (!may_refuse (sched, job, known, now))
+    return false;
+  copy = *known;
+  decide (sched, job, &copy, now, &verdict);
+  *retry_ms = verdict.base_s * MS_PER_S;
+  return verdict.refuses;
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -530,6 +530,11 @@
    to when its caller should try again. */
 bool admission_refuses (struct kq_sched *sched, const struct job *job,
                         struct kq_sched_now now, int64_t *retry_ms);
+/* Whether JOB would be refused if it was submitted now; nothing changes. Sets
+ *RETRY_MS before it is spread over the callers. */
+bool admission_would_refuse (const struct kq_sched *sched,
+                             const struct job *job, struct kq_sched_now now,
+                             int64_t *retry_ms);
 /* Collect room and backlog anew: the second is called for each job between the
    others. */
 void admission_begin_tick (struct kq_sched *sched, struct kq_sched_now now);
@@ -548,6 +553,11 @@
 /* task.c */
 void task_make_ready (struct kq_sched *sched, struct task *task,
                       struct kq_sched_now now);
+/* Returns the lateness of STAGE now. */
+int task_lateness (const struct kq_sched *sched, const struct stage *stage,
+                   struct kq_sched_now now);
+/* Returns a negative number if A comes before B in the queue. */
+int task_compare_urgency (const struct stage *a, const struct stage *b);
 void task_update_lateness (struct kq_sched *sched, struct kq_sched_now now);
 void task_clear_ready (struct kq_sched *sched, struct task *task);
 void task_bind (struct kq_sched *sched, struct task *task,
--- a/sched/place.c
+++ b/sched/place.c
@@ -4,7 +4,7 @@
 #include "base/err.h"
 #include "log/log.h"
 #include "sched/evacuate.h"
-#include "sched/internal.h"
+#include "sched/place.h"
 #include "sched/warmup.h"
 
 /* Weights of the score in thousandths of a worker's load; the lowest score
@@ -50,10 +50,6 @@
    as it comes free. After that time it is unlikely to be in time any more. */
 #define BLOCK_TIME_US (3 * KQ_USEC_PER_SEC)
 
-/* Maximum number of services that have their own entry; further services
-   share the last one. */
-#define MAX_SERVICES 8
-
 /* Number of workers among which one is chosen in a large cell. The least
    loaded of them is among the least loaded 5 percent of all with a probability
    of 96 percent. */
@@ -63,33 +59,8 @@
    failed or stalled. */
 #define AVOID_WORKER_US (3 * KQ_USEC_PER_SEC)
 
-/* CPU of the usable workers of a service. */
-struct pool
-{
-  int service;
-  int64_t capacity;
-  int64_t used;
-  int64_t short_room; /* usable by short tasks if no other one ran */
-  int64_t large_room; /* of that, by the largest ones */
-  bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
-  int priority;
-};
-
-/* State of one placement pass. It holds the smallest demand that no worker
-   could take, for the fillers of each image and for all other tasks; stages
-   that demand as much are skipped. */
-struct pass
-{
-  uint64_t failed_images; /* bit set of the images of fillers */
-  bool other_failed;
-  struct pool pools[MAX_SERVICES];
-  int pool_count;
-  struct kq_sched_demand smallest[KQ_INTERFERENCE_IMAGES];
-  struct kq_sched_demand smallest_other;
-};
-
-static struct pool *
-pool_of_service (struct pass *pass, int service)
+struct pool *
+place_pool (struct pass *pass, int service)
 {
   for (int i = 0; i < pass->pool_count; i++)
     if (pass->pools[i].service == service)
@@ -100,9 +71,9 @@
   return &pass->pools[pass->pool_count++];
 }
 
-static void
-sum_pools (const struct kq_sched *sched, struct pass *pass,
-           struct kq_sched_now now)
+void
+place_sum_pools (const struct kq_sched *sched, struct pass *pass,
+                 struct kq_sched_now now)
 {
   for (size_t i = 0; i < sched->worker_count; i++)
     {
@@ -111,7 +82,7 @@
 
       if (!worker_usable (worker, now))
         continue;
-      pool = pool_of_service (pass, worker->service);
+      pool = place_pool (pass, worker->service);
       pool->capacity += worker->report.capacity.cpu;
       pool->used += worker->used.cpu;
       pool->short_room += service_room (sched, worker, 0);
@@ -125,11 +96,9 @@
   return pool->used * 100 < pool->capacity * HALF_USED_PERCENT;
 }
 
-/* Whether the service keeps the reserve for the lateness of STAGE free
-   after one more task. */
-static bool
-leaves_reserve (const struct pool *pool, const struct stage *stage,
-                struct kq_sched_now now)
+bool
+place_leaves_reserve (const struct pool *pool, const struct stage *stage,
+                      struct kq_sched_now now)
 {
   const struct kq_sched_step *step = stage->step;
   int percent = reserve_percent[stage->lateness];
@@ -155,11 +124,9 @@
          - service_room (sched, worker, step->demand.cpu);
 }
 
-/* Whether TASK may start at WORKER although short tasks have needed the room
-   lately. A long-running task that has run before goes on at once. */
-static bool
-leaves_short_room (const struct kq_sched *sched, const struct pool *pool,
-                   const struct worker *worker, const struct task *task)
+bool
+place_leaves_short_room (const struct kq_sched *sched, const struct pool *pool,
+                         const struct worker *worker, const struct task *task)
 {
   int64_t taken = taken_room (sched, worker, task);
 
@@ -298,11 +265,9 @@
   return points;
 }
 
-/* A task returns to the worker where it failed or stalled only after it has
-   waited for another one. */
-static bool
-avoids_worker (const struct task *task, const struct worker *worker,
-               struct kq_sched_now now)
+bool
+place_avoids_worker (const struct task *task, const struct worker *worker,
+                     struct kq_sched_now now)
 {
   return worker == task->avoided_worker
          && now.mono - task->ready_at < AVOID_WORKER_US;
@@ -327,7 +292,8 @@
 {
   const struct stage *stage = task->stage;
 
-  if (!place_fits (worker, stage, now) || avoids_worker (task, worker, now)
+  if (!place_fits (worker, stage, now)
+      || place_avoids_worker (task, worker, now)
       || !reserve_allows (worker, task) || !large_allows (worker, task)
       || (warmup_is_cold (worker, now) && !warmup_allows (sched, worker, now))
       || (stage->job->queue.advised
@@ -353,16 +319,33 @@
   return true;
 }
 
-/* Returns the worker with the lowest score that may run TASK, or NULL: of all
-   workers, or in a large cell of the first MAX_CANDIDATES that may, from where
-   the last search ended. If DISTURBING, the interference on serving tasks may
-   exceed its limit. */
-static struct worker *
-choose_worker (struct kq_sched *sched, const struct task *task,
-               struct kq_sched_now now, const char *rack, bool disturbing)
+/* Inserts WORKER with POINTS into BEST, which has COUNT entries of at most
+   MAX; returns their new number. Of equal scores the one found first comes
+   first. */
+static int
+insert_candidate (struct place_candidate *best, int count, int max,
+                  struct worker *worker, int64_t points)
+{
+  int at = count;
+
+  while (at > 0 && points < best[at - 1].points)
+    at--;
+  if (at == max)
+    return count;
+  if (count < max)
+    count++;
+  for (int i = count - 1; i > at; i--)
+    best[i] = best[i - 1];
+  best[at] = (struct place_candidate){ worker, points };
+  return count;
+}
+
+int
+place_search (struct kq_sched *sched, const struct task *task,
+              struct kq_sched_now now, const char *rack, bool disturbing,
+              struct place_candidate *best, int max)
 {
-  struct worker *best = NULL;
-  int64_t best_score = 0;
+  int best_count = 0;
   size_t count = sched->worker_count;
   size_t candidates = 0;
   size_t max_candidates = is_particular (task, rack) ? count : MAX_CANDIDATES;
@@ -382,21 +365,27 @@
                + warmup_points (sched, worker, task, now);
       if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
         points += WEIGHT_OTHER_RACK;
-      if (best == NULL || points < best_score)
-        {
-          best = worker;
-          best_score = points;
-        }
+      best_count = insert_candidate (best, best_count, max, worker, points);
       if (candidates == max_candidates)
         sched->next_candidate = (index + 1) % count;
     }
-  return best;
+  return best_count;
+}
+
+/* Returns the best of these workers, or NULL. */
+static struct worker *
+choose_worker (struct kq_sched *sched, const struct task *task,
+               struct kq_sched_now now, const char *rack, bool disturbing)
+{
+  struct place_candidate best;
+
+  return place_search (sched, task, now, rack, disturbing, &best, 1) > 0
+             ? best.worker
+             : NULL;
 }
 
-/* Returns the rack of the bound tasks of STAGE if its tasks have to share
-   one, else NULL. */
-static const char *
-common_rack (const struct stage *stage)
+const char *
+place_common_rack (const struct stage *stage)
 {
   if (!stage->step->same_rack)
     return NULL;
@@ -420,7 +409,8 @@
            && rack_keeps_waiting (sched, rack, task, now);
   if (worker != NULL || *waits)
     return worker;
-  worker = choose_worker (sched, task, now, common_rack (task->stage), false);
+  worker = choose_worker (sched, task, now, place_common_rack (task->stage),
+                          false);
   *waits = rack != NULL && worker != NULL
            && rack_begins_wait (sched, rack, task, worker, now);
   return *waits ? NULL : worker;
@@ -466,7 +456,8 @@
 
   if (worker != NULL)
     return worker;
-  return choose_worker (sched, task, now, common_rack (task->stage), false);
+  return choose_worker (sched, task, now, place_common_rack (task->stage),
+                        false);
 }
 
 /* Places all members of a gang or none. */
@@ -517,7 +508,7 @@
   struct task *task;
 
   rack_choose_for_group (sched, stage, now);
-  while (leaves_reserve (pool, stage, now)
+  while (place_leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from)) != NULL)
     {
       struct worker *worker;
@@ -532,7 +523,7 @@
         continue;
       if (worker == NULL)
         return sched->large_room_denied ? NULL : task;
-      if (!leaves_short_room (sched, pool, worker, task))
+      if (!place_leaves_short_room (sched, pool, worker, task))
         return NULL;
       pool->short_room -= taken_room (sched, worker, task);
       pool->large_room -= service_taken_large_room (sched, worker, task);
@@ -557,7 +548,7 @@
   if (task == NULL || now.mono - task->ready_at < DISTURB_AFTER_US
       || job_has_bound_task (stage->job))
     return;
-  worker = choose_worker (sched, task, now, common_rack (stage), true);
+  worker = choose_worker (sched, task, now, place_common_rack (stage), true);
   if (worker == NULL)
     return;
   task_bind (sched, task, worker, now);
@@ -573,8 +564,8 @@
          && demand->gpu >= other->gpu;
 }
 
-static bool
-cannot_fit (const struct pass *pass, const struct stage *stage)
+bool
+place_cannot_fit (const struct pass *pass, const struct stage *stage)
 {
   const struct kq_sched_step *step = stage->step;
 
@@ -585,11 +576,9 @@
          && needs_as_much (&step->demand, &pass->smallest[stage->image]);
 }
 
-/* Blocks lower priorities for STAGE, which found no capacity and has a task
-   that has been ready since READY_AT. */
-static void
-block_lower_priorities (struct pool *pool, const struct stage *stage,
-                        kq_usec ready_at, struct kq_sched_now now)
+void
+place_block_lower (struct pool *pool, const struct stage *stage,
+                   kq_usec ready_at, struct kq_sched_now now)
 {
   const struct kq_sched_step *step = stage->step;
 
@@ -601,21 +590,20 @@
   pool->priority = stage->job->queue.priority;
 }
 
-static bool
-is_blocked (const struct pool *pool, const struct stage *stage)
+bool
+place_is_blocked (const struct pool *pool, const struct stage *stage)
 {
   return !stage->step->filler && pool->is_blocking
          && stage->job->queue.priority > pool->priority;
 }
 
-/* Records a demand that could not be placed only for lack of capacity. */
-static void
-remember_unplaced (struct pass *pass, const struct stage *stage)
+void
+place_remember_unplaced (struct pass *pass, const struct stage *stage)
 {
   const struct kq_sched_step *step = stage->step;
 
   if (step->label[0] != '\0' || step->max_per_worker != 0 || step->gang
-      || stage->job->queue.advised || cannot_fit (pass, stage))
+      || stage->job->queue.advised || place_cannot_fit (pass, stage))
     return;
   if (step->filler)
     {
@@ -639,7 +627,7 @@
   int from = 0;
 
   if (stage->hold_count == 0 && stage->large_count == 0
-      && cannot_fit (pass, stage))
+      && place_cannot_fit (pass, stage))
     return next_ready (stage, &from);
   if (stage->step->gang)
     {
@@ -650,7 +638,7 @@
   /* If a task avoids a worker, its failure does not show that capacity is
      short. */
   if (unplaced != NULL && unplaced->avoided_worker == NULL)
-    remember_unplaced (pass, stage);
+    place_remember_unplaced (pass, stage);
   return unplaced;
 }
 
@@ -672,14 +660,14 @@
   preempt_begin_pass (sched);
   sched->cold_retry_at = 0;
   sched->placement_pass++;
-  sum_pools (sched, &pass, now);
+  place_sum_pools (sched, &pass, now);
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
-    struct pool *pool = pool_of_service (&pass, stage->job->service);
+    struct pool *pool = place_pool (&pass, stage->job->service);
     const struct task *unplaced;
 
     large_check (stage, now);
-    if (stage->hold_count == 0 && is_blocked (pool, stage))
+    if (stage->hold_count == 0 && place_is_blocked (pool, stage))
       {
         if (sched->reserve_due)
           reserve_for_stage (sched, stage, now);
@@ -696,7 +684,7 @@
         large_hold_room (sched, stage, now);
       }
     preempt_for_stage (sched, stage, unplaced, now);
-    block_lower_priorities (pool, stage, unplaced->ready_at, now);
+    place_block_lower (pool, stage, unplaced->ready_at, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
   }
--- /dev/null
+++ b/sched/place.h
@@ -0,0 +1,94 @@
+/** @file
+ * What the placement of tasks (sched/place.c) shares with its explanation
+ * (sched/explain.c).
+ */
+#ifndef KQ_SCHED_PLACE_H
+#define KQ_SCHED_PLACE_H
+
+#include "sched/internal.h"
+
+/* Maximum number of services that have their own entry; further services
+   share the last one. */
+#define MAX_SERVICES 8
+
+/* CPU of the usable workers of a service. */
+struct pool
+{
+  int service;
+  int64_t capacity;
+  int64_t used;
+  int64_t short_room; /* usable by short tasks if no other one ran */
+  int64_t large_room; /* of that, by the largest ones */
+  bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
+  int priority;
+};
+
+/* State of one placement pass. It holds the smallest demand that no worker
+   could take, for the fillers of each image and for all other tasks; stages
+   that demand as much are skipped. */
+struct pass
+{
+  uint64_t failed_images; /* bit set of the images of fillers */
+  bool other_failed;
+  struct pool pools[MAX_SERVICES];
+  int pool_count;
+  struct kq_sched_demand smallest[KQ_INTERFERENCE_IMAGES];
+  struct kq_sched_demand smallest_other;
+};
+
+/* A worker that may run a task, with its score: the lower, the better. */
+struct place_candidate
+{
+  struct worker *worker;
+  int64_t points;
+};
+
+/* Returns the entry of SERVICE in PASS, which is added if it is new. */
+struct pool *place_pool (struct pass *pass, int service);
+
+/* Sums up the usable workers of each service. */
+void place_sum_pools (const struct kq_sched *sched, struct pass *pass,
+                      struct kq_sched_now now);
+
+/* Whether the service keeps the reserve for the lateness of STAGE free
+   after one more task. */
+bool place_leaves_reserve (const struct pool *pool, const struct stage *stage,
+                           struct kq_sched_now now);
+
+/* Whether TASK may start at WORKER although short tasks have needed the room
+   lately. A long-running task that has run before goes on at once. */
+bool place_leaves_short_room (const struct kq_sched *sched,
+                              const struct pool *pool,
+                              const struct worker *worker,
+                              const struct task *task);
+
+/* A task returns to the worker where it failed or stalled only after it has
+   waited for another one. */
+bool place_avoids_worker (const struct task *task, const struct worker *worker,
+                          struct kq_sched_now now);
+
+/* Returns the rack of the bound tasks of STAGE if its tasks have to share
+   one, else NULL. */
+const char *place_common_rack (const struct stage *stage);
+
+/* Fills BEST with the MAX workers of the lowest score that may run TASK, in
+   order: of all workers, or in a large cell of the first MAX_CANDIDATES that
+   may, from where the last search ended. With RACK, workers elsewhere score
+   higher. If DISTURBING, the interference on serving tasks may exceed its
+   limit. Returns their number. */
+int place_search (struct kq_sched *sched, const struct task *task,
+                  struct kq_sched_now now, const char *rack, bool disturbing,
+                  struct place_candidate *best, int max);
+
+/* Blocks lower priorities for STAGE, which found no capacity and has a task
+   that has been ready since READY_AT. */
+void place_block_lower (struct pool *pool, const struct stage *stage,
+                        kq_usec ready_at, struct kq_sched_now now);
+bool place_is_blocked (const struct pool *pool, const struct stage *stage);
+
+/* Records a demand that could not be placed only for lack of capacity. */
+void place_remember_unplaced (struct pass *pass, const struct stage *stage);
+/* Whether a demand of at most that of STAGE could not be placed. */
+bool place_cannot_fit (const struct pass *pass, const struct stage *stage);
+
+#endif
--- a/sched/pressure.c
+++ b/sched/pressure.c
@@ -64,6 +64,16 @@
   return model;
 }
 
+struct kq_interference *
+kq_interference_copy (const struct kq_interference *model)
+{
+  struct kq_interference *copy = malloc (sizeof *copy);
+
+  if (copy != NULL)
+    *copy = *model;
+  return copy;
+}
+
 void
 kq_interference_destroy (struct kq_interference *model)
 {
--- a/sched/pressure.h
+++ b/sched/pressure.h
@@ -30,6 +30,8 @@
 };
 
 struct kq_interference *kq_interference_create (void);
+struct kq_interference *
+kq_interference_copy (const struct kq_interference *model);
 void kq_interference_destroy (struct kq_interference *model);
 
 /** Returns the index of IMAGE and assigns one at the first use. */
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -385,6 +385,108 @@
 /** Returns whether JOB is known and was cancelled. */
 bool kq_sched_is_cancelled (const struct kq_sched *sched, uint64_t job);
 
+/** Maximum number of steps in an explanation, and of candidates for each. */
+#define KQ_SCHED_EXPLAINED_STEPS 16
+#define KQ_SCHED_EXPLAINED_CANDIDATES 5
+
+/** Why a worker may not run a task now; the first reason that applies. */
+enum kq_sched_ruled_out
+{
+  KQ_SCHED_OUT_SERVICE, /**< it belongs to another service */
+  KQ_SCHED_OUT_LABEL,   /**< it is of another kind and in another rack */
+  KQ_SCHED_OUT_DRAINING,
+  KQ_SCHED_OUT_EVACUATED, /**< its zone is under evacuation */
+  KQ_SCHED_OUT_QUARANTINED,
+  KQ_SCHED_OUT_SILENT, /**< no recent reply, or of another incarnation */
+  KQ_SCHED_OUT_CAPACITY,
+  KQ_SCHED_OUT_LIMIT,        /**< the step's limit per worker */
+  KQ_SCHED_OUT_AVOIDED,      /**< the task has just failed there */
+  KQ_SCHED_OUT_NO_TICKET,    /**< the policy service has given no ticket */
+  KQ_SCHED_OUT_RESERVED,     /**< reserved or held for other tasks */
+  KQ_SCHED_OUT_COLD,         /**< cold, and has just been given a task */
+  KQ_SCHED_OUT_INTERFERENCE, /**< it would slow down serving tasks */
+  KQ_SCHED_OUT_KINDS
+};
+
+/** Why the first candidate of a step is not given its task now. */
+enum kq_sched_held_back
+{
+  KQ_SCHED_NOT_HELD_BACK,
+  KQ_SCHED_HELD_NO_WORKER,  /**< there is no candidate */
+  KQ_SCHED_HELD_BLOCKED,    /**< more urgent tasks wait for room */
+  KQ_SCHED_HELD_RESERVE,    /**< the job is late, and the service is nearly
+                               full */
+  KQ_SCHED_HELD_SHORT_ROOM, /**< the room is kept for short tasks */
+  KQ_SCHED_HELD_GANG,       /**< there is no room for all of the gang */
+  KQ_SCHED_HELD_RACK        /**< it waits for room in a rack */
+};
+
+struct kq_sched_candidate
+{
+  char worker[KQ_SCHED_NAME_SIZE];
+  int64_t points; /**< score; the lower, the better */
+  bool near;      /**< in the rack of the task's data or group */
+  bool cold;
+  int64_t reply_age_ms; /**< since its last reply */
+  struct kq_sched_demand free;
+};
+
+/** A step that could start now. */
+struct kq_sched_step_explanation
+{
+  int step;
+  int occurrence;
+  int ready;    /**< number of its tasks that are to be placed */
+  int lateness; /**< 0: in time, 1: late, 2: past three times the objective */
+  enum kq_sched_held_back held_back;
+  char rack[KQ_SCHED_NAME_SIZE]; /**< that it prefers; "": none */
+  int64_t rack_wait_ms;          /**< expected wait for it */
+  int suitable;                  /**< number of workers that may run a task */
+  int ruled_out[KQ_SCHED_OUT_KINDS];
+  struct kq_sched_candidate candidates[KQ_SCHED_EXPLAINED_CANDIDATES];
+  int candidate_count;
+};
+
+/** Whether the owner may start anything, and the age of what it knows. Ages
+ *  are in ms, -1: never.  */
+struct kq_sched_owner_state
+{
+  int64_t term;
+  bool superseded;
+  bool term_current;
+  bool registrations_current;
+  bool evacuations_current;
+  bool has_evacuations; /**< the deployment has them */
+  int64_t term_age_ms;
+  int64_t registrations_age_ms;
+  int64_t evacuations_age_ms;
+};
+
+struct kq_sched_explanation
+{
+  struct kq_sched_owner_state owner;
+  bool known; /**< it is a job that was accepted */
+  char queue[KQ_SCHED_NAME_SIZE];
+  enum kq_sched_state state; /**< of a known job */
+  int bound;                 /**< number of its tasks that are bound */
+  int waiting;               /**< of those that wait for earlier steps */
+  int64_t starts_in_ms;      /**< of a new job with a schedule */
+  bool refused;              /**< admission would refuse the job */
+  int64_t retry_ms;          /**< at least, up to a half more by its ID */
+  int more_steps;            /**< that could start, but are not in STEPS */
+  struct kq_sched_step_explanation steps[KQ_SCHED_EXPLAINED_STEPS];
+  int step_count;
+};
+
+/** Explains where the tasks of JOB, or if SPEC is not NULL of a new job of
+ *  QUEUE, would be placed now. Nothing is placed, stored, counted or learned.
+ *  @return 0, KQ_EJOB_UNKNOWN, KQ_ENOENT if the queue is unknown, or
+ *  KQ_ENOMEM.  */
+int kq_sched_explain (struct kq_sched *sched, struct kq_sched_now now,
+                      uint64_t job, const char *queue,
+                      const struct kq_sched_spec *spec,
+                      struct kq_sched_explanation *explanation);
+
 /** Counters for metrics and tests. */
 struct kq_sched_counts
 {
--- a/sched/task.c
+++ b/sched/task.c
@@ -66,9 +66,9 @@
    objective earns none: both wait behind jobs that can be in time, because
    otherwise all jobs would be late one after the other. Source: the
    platform's rules on credit. */
-static int
-lateness_of (const struct kq_sched *sched, const struct stage *stage,
-             struct kq_sched_now now)
+int
+task_lateness (const struct kq_sched *sched, const struct stage *stage,
+               struct kq_sched_now now)
 {
   int64_t objective = stage->due_ms - stage->job->accepted_ms;
   int64_t end = now.wall_ms + rack_critical_path_ms (sched, stage);
@@ -78,8 +78,8 @@
   return end <= stage->due_ms + 2 * objective ? 1 : 2;
 }
 
-static int
-compare_urgency (const struct stage *a, const struct stage *b)
+int
+task_compare_urgency (const struct stage *a, const struct stage *b)
 {
   int first = a->job->queue.priority - b->job->queue.priority;
 
@@ -102,7 +102,7 @@
   stage->queued = true;
   DL_FOREACH (sched->queue, at)
   {
-    if (compare_urgency (stage, at) < 0)
+    if (task_compare_urgency (stage, at) < 0)
       break;
   }
   if (at != NULL)
@@ -120,7 +120,7 @@
 
   DL_FOREACH_SAFE (sched->queue, stage, next)
   {
-    int lateness = lateness_of (sched, stage, now);
+    int lateness = task_lateness (sched, stage, now);
 
     if (lateness == stage->lateness)
       continue;
