node, builtin: explain placements on the metrics address

An operator needs the explanation from any entry host, without a new listener. POST /explain?queue=NAME and GET /explain?job=ID are served where the metrics are. The owner answers from its state, at most once in 100 ms; other hosts forward the request with the verb EXPLAIN and wait 1 s, then answer 503 with the time since they last heard from an owner. The answer passes between hosts as JSON: its only reader is the tool, and a message with all fields would have to change with each reason. Hosts of an earlier version ignore the verb, so that they count as not reachable. The body limit is that of the job API.

Without the handler for the verb in on_hop_request() no host but the owner would answer.

--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -82,5 +82,6 @@
 int kq_cmd_configure (int argc, char **argv);
 int kq_cmd_shell (int argc, char **argv);
 int kq_cmd_load (int argc, char **argv);
+int kq_cmd_explain (int argc, char **argv);
 
 #endif
--- a/kumquatrack.c
+++ b/kumquatrack.c
@@ -28,6 +28,7 @@
   { "undrain", kq_cmd_undrain, "return a worker or entry host to service" },
   { "configure", kq_cmd_configure, "publish a configuration" },
   { "shell", kq_cmd_shell, "read commands from standard input" },
+  { "explain", kq_cmd_explain, "show where a job would be placed, and why" },
   { "load", kq_cmd_load, "send requests and measure the responses" },
 };
 
--- a/node/hop.h
+++ b/node/hop.h
@@ -25,7 +25,8 @@
   KQ_HOP_STATE,
   KQ_HOP_CANCEL,
   KQ_HOP_PENDING,
-  KQ_HOP_ORDERS /**< a batch of orders to workers, for a relay */
+  KQ_HOP_ORDERS, /**< a batch of orders to workers, for a relay */
+  KQ_HOP_EXPLAIN /**< where would a job be placed? (node/explain.h) */
 };
 
 /** Socket identity of the sender of a request, to which the reply goes. */
--- a/node/hop.pb-c.c
+++ b/node/hop.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_node__closed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[11] =
+static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[12] =
 {
   {
     "number",
@@ -430,10 +430,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "explanation",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Tell, explanation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_node__tell__field_indices_by_name[] = {
   9,   /* field[9] = closed */
   5,   /* field[5] = err */
+  11,   /* field[11] = explanation */
   10,   /* field[10] = known_ids */
   0,   /* field[0] = number */
   6,   /* field[6] = owner */
@@ -447,7 +460,7 @@
 static const ProtobufCIntRange kq_node__tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor kq_node__tell__descriptor =
 {
@@ -457,7 +470,7 @@
   "KqNode__Tell",
   "kq_node",
   sizeof(KqNode__Tell),
-  11,
+  12,
   kq_node__tell__field_descriptors,
   kq_node__tell__field_indices_by_name,
   1,  kq_node__tell__number_ranges,
--- a/node/hop.pb-c.h
+++ b/node/hop.pb-c.h
@@ -39,7 +39,7 @@
   uint64_t job;
   char *queue;
   /*
-   * a job; of verb ORDERS: kq_relay.OrderBatch
+   * a job; of verb ORDERS: kq_relay.OrderBatch; of
    */
   ProtobufCBinaryData body;
 };
@@ -97,10 +97,14 @@
    * with closed: struct kq_idset of all known jobs
    */
   ProtobufCBinaryData known_ids;
+  /*
+   * to verb EXPLAIN: the body of the response, JSON
+   */
+  ProtobufCBinaryData explanation;
 };
 #define KQ_NODE__TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_node__tell__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, {0,NULL}, {0,NULL} }
 
 
 /* KqNode__Ask methods */
--- a/node/http.c
+++ b/node/http.c
@@ -110,6 +110,15 @@
     }
 }
 
+const char *
+kq_http_argument (const struct kq_http_request *base, const char *name)
+{
+  const struct request *request = (const struct request *)base;
+
+  return MHD_lookup_connection_value (request->connection,
+                                      MHD_GET_ARGUMENT_KIND, name);
+}
+
 static void
 read_headers (struct request *request, struct MHD_Connection *connection)
 {
--- a/node/http.h
+++ b/node/http.h
@@ -54,6 +54,11 @@
                                int *err);
 void kq_http_stop (struct kq_http *http);
 
+/** Returns the argument NAME of the query string, or NULL; valid until the
+ *  response.  */
+const char *kq_http_argument (const struct kq_http_request *request,
+                              const char *name);
+
 /** Sends RESPONSE to REQUEST; ignored if REQUEST already has a response. */
 void kq_http_respond (struct kq_http *http, struct kq_http_request *request,
                       const struct kq_http_response *response);
--- a/node/node.c
+++ b/node/node.c
@@ -19,6 +19,7 @@
 #include "node/desk.h"
 #include "node/directory.h"
 #include "node/dispatch.h"
+#include "node/explain.h"
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
@@ -74,6 +75,7 @@
   struct kq_job_api *job_api;
   struct kq_http *readiness;
   struct kq_http *metrics;
+  struct kq_explain *explain;
   struct kq_owner *owner;
   struct kq_sched_config *config;
   struct kq_sched_config *old_config; /* may still be referenced */
@@ -195,6 +197,8 @@
 
   if (message->verb == KQ_HOP_ORDERS)
     kq_relay_handle_orders (node->relay, sender, message);
+  else if (message->verb == KQ_HOP_EXPLAIN)
+    kq_explain_handle_hop (node->explain, sender, message);
   else
     pass_to_owner (node, sender, message);
 }
@@ -224,7 +228,8 @@
   else
     kq_term_learn_owner (node->term, kq_clock_now (), message->owner,
                          message->term);
-  kq_job_api_handle_reply (node->job_api, &reply);
+  if (!kq_explain_handle_reply (node->explain, message))
+    kq_job_api_handle_reply (node->job_api, &reply);
 }
 
 /* Selects the host that a request is sent to: the owner, or any other host if
@@ -397,6 +402,8 @@
   node->old_config = node->config;
   node->config = config;
   kq_job_api_configure (node->job_api, config);
+  if (node->metrics != NULL)
+    kq_http_limit_body (node->metrics, config->max_body_bytes);
   if (node->owner != NULL)
     kq_owner_configure (node->owner, config);
 }
@@ -472,6 +479,8 @@
                                        .body = page };
   int length;
 
+  if (kq_explain_handle_http (node->explain, node->metrics, request))
+    return;
   set_gauges (node);
   length = print_metrics (page, sizeof page);
   if (length < 0)
@@ -481,6 +490,24 @@
   kq_http_respond (node->metrics, request, &response);
 }
 
+static void
+on_metrics_disconnect (void *arg, struct kq_http_request *request)
+{
+  const struct node *node = arg;
+
+  kq_explain_drop (node->explain, request);
+}
+
+static void
+on_explain_host (void *arg, struct kq_explain_host *host)
+{
+  const struct node *node = arg;
+
+  *host = (struct kq_explain_host){ .owner = node->owner,
+                                    .known = kq_term_owner (node->term),
+                                    .last_heard_at = node->owner_seen_at };
+}
+
 static void
 on_stop (struct ev_loop *loop, ev_signal *signal, int events)
 {
@@ -600,7 +627,11 @@
       = { .arg = node, .on_forward = on_forward, .on_no_reply = on_no_reply };
   struct kq_http_handler readiness
       = { .arg = node, .on_request = on_readiness };
-  struct kq_http_handler metrics = { .arg = node, .on_request = on_metrics };
+  struct kq_http_handler metrics = { .arg = node,
+                                     .on_request = on_metrics,
+                                     .on_disconnect = on_metrics_disconnect };
+  struct kq_explain_handler explain
+      = { .arg = node, .on_host = on_explain_host };
   char address[KQ_NODE_SETTINGS_TEXT + 8];
   int err = 0;
 
@@ -608,7 +639,8 @@
   if (err == 0)
     {
       node->relay = kq_relay_create (node->loop, node->hop);
-      err = node->relay != NULL ? 0 : KQ_ENOMEM;
+      node->explain = kq_explain_create (node->loop, node->hop, &explain);
+      err = node->relay != NULL && node->explain != NULL ? 0 : KQ_ENOMEM;
     }
   if (err == 0)
     node->job_api = kq_job_api_create (
@@ -685,6 +717,7 @@
   kq_directory_destroy (node->directory);
   kq_job_api_destroy (node->job_api);
   kq_http_stop (node->readiness);
+  kq_explain_destroy (node->explain);
   kq_http_stop (node->metrics);
   kq_relay_destroy (node->relay);
   kq_hop_destroy (node->hop);
@@ -719,6 +752,7 @@
   kq_call_register_metrics ();
   kq_job_api_register_metrics ();
   kq_closures_register_metrics ();
+  kq_explain_register_metrics ();
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
--- a/node/owner.c
+++ b/node/owner.c
@@ -631,6 +631,7 @@
       event.kind = KQ_SCHED_EV_PENDING;
       break;
     case KQ_HOP_ORDERS:
+    case KQ_HOP_EXPLAIN:
       report_result (owner, token, 0, KQ_EINVAL);
       return;
     }
@@ -705,6 +706,18 @@
   return count;
 }
 
+struct kq_sched *
+kq_owner_sched (struct kq_owner *owner)
+{
+  return owner->sched;
+}
+
+bool
+kq_owner_store_is_away (const struct kq_owner *owner)
+{
+  return kq_refusal_is_away (&owner->refusal);
+}
+
 void
 kq_owner_count (const struct kq_owner *owner, struct kq_sched_counts *counts)
 {
--- a/node/owner.h
+++ b/node/owner.h
@@ -103,6 +103,12 @@
                        struct kq_sched_closure *closures, int max,
                        const struct kq_idset **known);
 
+/** Returns the scheduler, for explanations only. */
+struct kq_sched *kq_owner_sched (struct kq_owner *owner);
+
+/** Returns whether submissions are refused because the store is away. */
+bool kq_owner_store_is_away (const struct kq_owner *owner);
+
 void kq_owner_count (const struct kq_owner *owner,
                      struct kq_sched_counts *counts);
 
--- a/node/refusal.c
+++ b/node/refusal.c
@@ -145,6 +145,7 @@
       return !kq_sched_is_cancelled (refusal->sched, job);
     case KQ_HOP_PENDING:
     case KQ_HOP_ORDERS:
+    case KQ_HOP_EXPLAIN:
       break;
     }
   return false;
--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -24,8 +24,14 @@
 END
 }
 
+# Port where HOST serves its metrics, if SITE_METRICS is set.
+site_metrics_port () { echo $(($(site_port "$1") + 4)); } # HOST
+
 site_start_host () { # HOST
-  KUMQUATRACK_NODE_FILE="$work/host$1.json" KUMQUATRACK_METRICS_PORT=0 \
+  metrics_port=0
+  [ -z "${SITE_METRICS:-}" ] || metrics_port=$(site_metrics_port "$1")
+  KUMQUATRACK_NODE_FILE="$work/host$1.json" \
+    KUMQUATRACK_METRICS_PORT=$metrics_port \
     "$BUILD/kumquatrackd" >>"$work/host$1.log" 2>&1 &
   echo $! >"$work/host$1.pid"
   pids="$pids $!"
--- a/t/session-tool.sh
+++ b/t/session-tool.sh
@@ -28,7 +28,8 @@
 
 expect 0 'kumquatrack 0.' --version
 expect 0 'Exit status:' --help
-for command in show why trace submit cancel drain undrain configure shell; do
+for command in show why trace submit cancel drain undrain configure shell \
+  explain; do
   expect 0 'the outcome is unknown' "$command" --help
   expect 0 "  $command " --help
 done
