--- a/builtin/explain-text.c
+++ b/builtin/explain-text.c
@@ -125,8 +125,9 @@
   const json_t *first
       = json_array_get (json_object_get (step, "candidates"), 0);
 
-  printf ("step %-5lld %lld tasks to place, %s; ", number (step, "step"),
-          number (step, "tasks"), text (step, "lateness"));
+  printf ("step %-5lld %lld task%s to place, %s; ", number (step, "step"),
+          number (step, "tasks"), number (step, "tasks") == 1 ? "" : "s",
+          text (step, "lateness"));
   if (flag (step, "starts"))
     printf ("the first goes to %s\n", text (first, "worker"));
   else
--- a/t/session-explain.sh
+++ b/t/session-explain.sh
@@ -72,7 +72,7 @@
 # Ten requests at once: most exceed the rate.
 sleep 0.2
 url="http://127.0.0.1:$(site_metrics_port 1)/explain?queue=r-jobs"
-for i in 1 2 3 4 5 6 7 8 9 10; do
+for _ in 1 2 3 4 5 6 7 8 9 10; do
   curl -s -m 3 -o /dev/null -w '%{http_code}\n' --data "$job" "$url" \
     >>"$work/statuses" &
   callers="${callers:-} $!"
