--- a/t/test-explain.c
+++ b/t/test-explain.c
@@ -327,6 +327,32 @@
   tz_destroy (site);
 }
 
+/* In a large cell a search begins where the last one ended: an explanation
+   must begin there too, and must not move it. */
+static void
+test_large_cell (void)
+{
+  static const struct kq_sched_step step
+      = { .count = 1, .demand = { 1000, 10, 0 }, .est_ms = 60000 };
+  struct tz_site *site = tz_create (0, 1);
+
+  tz_add_workers (site, TZ_WORKERS, 'a', 8000, 0);
+  for (uint64_t job = 1; job <= 40; job++)
+    {
+      const struct ts_order *order;
+
+      CU_ASSERT_EQUAL (explain_in (&site->cell, "batch", &step), 0);
+      CU_ASSERT_EQUAL (explanation.steps[0].suitable, TZ_WORKERS);
+      tz_submit (site, job, 1, &step);
+      order = ts_last_order (&site->cell, KQ_SCHED_FX_START, job, 0, 0);
+      CU_ASSERT_PTR_NOT_NULL (order);
+      if (order != NULL)
+        CU_ASSERT_STRING_EQUAL (order->worker,
+                                explanation.steps[0].candidates[0].worker);
+    }
+  tz_destroy (site);
+}
+
 /* The limit per worker counts the tasks that run. */
 static void
 test_limit (void)
@@ -425,6 +451,7 @@
   { "nothing changes", test_nothing_changes },
   { "nothing to store", test_nothing_to_store },
   { "reasons", test_reasons },
+  { "a large cell", test_large_cell },
   { "limit per worker", test_limit },
   { "refusals", test_refusals },
   { "the owner's state", test_owner_state },
