--- a/node/node.c
+++ b/node/node.c
@@ -7,14 +7,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
 #include <unistd.h>
 #include <uthash.h>
 
 #include "base/err.h"
 #include "log/log.h"
-#include "metrics/histogram.h"
-#include "metrics/metrics.h"
 #include "node/closures.h"
 #include "node/desk.h"
 #include "node/directory.h"
@@ -23,10 +20,12 @@
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
+#include "node/metrics-page.h"
 #include "node/options.h"
 #include "node/owner.h"
 #include "node/relay.h"
 #include "node/roster.h"
+#include "node/self.h"
 #include "node/turns.h"
 #include "node/watch.h"
 #include "node/zones.h"
@@ -56,7 +55,6 @@
 #define HOSTS_KNOWN_US (800 * KQ_USEC_PER_MSEC)
 
 #define TIMER_INTERVAL_SEC 0.05
-#define MAX_METRICS_BYTES ((size_t)64 * 1024)
 
 struct node
 {
@@ -457,37 +455,15 @@
                                 - kq_watch_last_reply_at (node->watch));
 }
 
-static int
-print_metrics (char *page, size_t size)
-{
-  int length = kq_metric_print (page, size);
-  int more;
-
-  if (length < 0)
-    return length;
-  more = kq_histogram_print (page + length, size - (size_t)length);
-  return more < 0 ? more : length + more;
-}
-
 static void
 on_metrics (void *arg, struct kq_http_request *request)
 {
   struct node *node = arg;
-  static char page[MAX_METRICS_BYTES];
-  struct kq_http_response response = { .status = MHD_HTTP_OK,
-                                       .type = "text/plain; version=0.0.4",
-                                       .body = page };
-  int length;
 
   if (kq_explain_handle_http (node->explain, node->metrics, request))
     return;
   set_gauges (node);
-  length = print_metrics (page, sizeof page);
-  if (length < 0)
-    response.status = MHD_HTTP_INTERNAL_SERVER_ERROR;
-  else
-    response.body_size = (size_t)length;
-  kq_http_respond (node->metrics, request, &response);
+  kq_metrics_page_respond (node->metrics, request);
 }
 
 static void
@@ -606,17 +582,6 @@
   watch_signal (node, &node->sighup, SIGHUP, on_sighup);
 }
 
-/* Generates an identifier that differs at each start of the process. */
-static void
-generate_incarnation (char *incarnation, size_t size)
-{
-  uint64_t number = 0;
-
-  if (getrandom (&number, sizeof number, 0) != sizeof number)
-    number = (uint64_t)kq_clock_wall () ^ (uint64_t)getpid () << 48;
-  snprintf (incarnation, size, "%016" PRIx64, number);
-}
-
 static int
 start_listeners (struct node *node, const char *hop_address, int metrics_port)
 {
@@ -654,21 +619,6 @@
   return err;
 }
 
-/* Describes this host as it announces itself. */
-static void
-describe_self (const struct kq_node_settings *settings, struct kq_host *self)
-{
-  *self = (struct kq_host){ .cores = settings->cores,
-                            .memory_mb = settings->memory_mb,
-                            .descriptors = settings->descriptors };
-  snprintf (self->name, sizeof self->name, "%s", settings->host);
-  snprintf (self->address, sizeof self->address, "%s:%d", settings->ip,
-            settings->first_port);
-  snprintf (self->zone, sizeof self->zone, "%s", settings->zone);
-  snprintf (self->region, sizeof self->region, "%s", settings->region);
-  generate_incarnation (self->incarnation, sizeof self->incarnation);
-}
-
 static int
 start (struct node *node, int metrics_port)
 {
@@ -681,7 +631,7 @@
   int err;
 
   node->started_at = kq_clock_now ();
-  describe_self (&node->settings, &self);
+  kq_self_describe (&node->settings, &self);
   node->loop = ev_loop_new (EVFLAG_AUTO);
   if (node->loop == NULL)
     return KQ_ENOMEM;
