--- a/sched/place.c
+++ b/sched/place.c
@@ -556,14 +556,6 @@
   queue_start_order (sched, task, now);
 }
 
-static bool
-needs_as_much (const struct kq_sched_demand *demand,
-               const struct kq_sched_demand *other)
-{
-  return demand->cpu >= other->cpu && demand->mem >= other->mem
-         && demand->gpu >= other->gpu;
-}
-
 bool
 place_cannot_fit (const struct pass *pass, const struct stage *stage)
 {
@@ -571,9 +563,9 @@
 
   if (!step->filler)
     return pass->other_failed
-           && needs_as_much (&step->demand, &pass->smallest_other);
+           && reserve_covers (&step->demand, &pass->smallest_other);
   return (pass->failed_images >> stage->image & 1) != 0
-         && needs_as_much (&step->demand, &pass->smallest[stage->image]);
+         && reserve_covers (&step->demand, &pass->smallest[stage->image]);
 }
 
 void
