sched: reserved tasks are tried first, and always

Ruled out: room kept for short or large tasks, cold workers (counted at the worker while the task waited; none kept it away). Change: tasks with a reserved worker are placed first, and their step is never skipped.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -159,6 +159,7 @@
   int ready_count;
   int done_count;
   int large_count;         /* tasks with a worker where room is held */
+  int reserved_count;      /* ready tasks with a reserved worker */
   int run_count;           /* runs of its tasks that were placed */
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
--- a/sched/place.c
+++ b/sched/place.c
@@ -499,6 +499,29 @@
       }
 }
 
+/* Places the tasks of STAGE that have a reserved worker with room now: the
+   first task may find none, and no other task may use that room. */
+static void
+place_reserved (struct kq_sched *sched, struct pool *pool, struct stage *stage,
+                struct kq_sched_now now)
+{
+  for (int i = 0; stage->reserved_count > 0 && i < stage->step->count; i++)
+    {
+      struct task *task = &stage->tasks[i];
+      struct worker *worker = task->reserved_worker;
+      double interference;
+
+      if (task->state != TASK_READY || worker == NULL
+          || !suits (sched, worker, task, now, false, &interference))
+        continue;
+      pool->short_room -= taken_room (sched, worker, task);
+      pool->large_room -= service_taken_large_room (sched, worker, task);
+      pool->used += stage->step->demand.cpu;
+      task_bind (sched, task, worker, now);
+      queue_start_order (sched, task, now);
+    }
+}
+
 /* Returns the first task without a suitable worker, or NULL. */
 static const struct task *
 place_single (struct kq_sched *sched, struct pool *pool, struct stage *stage,
@@ -507,6 +530,7 @@
   int from = 0;
   struct task *task;
 
+  place_reserved (sched, pool, stage, now);
   rack_choose_for_group (sched, stage, now);
   while (place_leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from)) != NULL)
@@ -561,6 +585,9 @@
 {
   const struct kq_sched_step *step = stage->step;
 
+  /* Room that is reserved was not open to the tasks that found none. */
+  if (stage->reserved_count > 0)
+    return false;
   if (!step->filler)
     return pass->other_failed
            && reserve_covers (&step->demand, &pass->smallest_other);
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -49,6 +49,7 @@
     return;
   change_reserved (task->reserved_worker, task->stage->step, -1);
   task->reserved_worker = NULL;
+  task->stage->reserved_count--;
 }
 
 static void
@@ -324,6 +325,7 @@
     return;
   change_reserved (best, stage->step, 1);
   task->reserved_worker = best;
+  task->stage->reserved_count++;
   task_log (task, "worker reserved", best->report.id);
   for (int i = 0; i < best_plan.stop_count; i++)
     {
