sched: log ends that a worker forgot before they were read

Neither log nor metrics could tell a run that its worker never had from one whose end was forgotten.

Ended runs are numbered without gaps in each incarnation, so that a gap in the list of a worker whose restart this owner has seen shows ends that somebody acknowledged before they were read. It is logged and counted (kq_unread_ends_total); the log also tells a restart under the same ID from a worker that is new. No behaviour changes.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -43,6 +43,7 @@
   GAUGE_CRASHES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
+  GAUGE_UNREAD_ENDS,
   GAUGE_EVACUATED_WORKERS,
   GAUGE_EVACUATED_STARTS,
   GAUGE_WITHDRAWALS,
@@ -104,6 +105,8 @@
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
     .help = "Replies of another incarnation than the order was for." },
+  { .name = "kq_unread_ends_total",
+    .help = "Ended runs that workers forgot before they were read." },
   { .name = "kq_evacuated_workers",
     .help = "Registered, in a zone under evacuation." },
   { .name = "kq_evacuated_starts_total",
@@ -181,6 +184,7 @@
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
+  kq_metric_set (&gauges[GAUGE_UNREAD_ENDS], counts->unread_ends);
   kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
   kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
   kq_metric_set (&gauges[GAUGE_WITHDRAWALS], counts->withdrawals);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -301,6 +301,7 @@
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
+  bool ends_known; /* no end of its incarnation was read by another owner */
   /* health */
   int failed_jobs; /* distinct jobs with consecutive failures here */
   uint64_t last_failed_job;
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -1,6 +1,7 @@
 /* Applies the status that a worker returns to a poll (status_*): the lists of
  * its running and of its ended runs.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -110,6 +111,23 @@
     end_interrupted_run (sched, task, ended, now);
 }
 
+/* Ends are numbered without gaps: an end that is missing before NUMBER was
+   acknowledged by an order that this owner did not mean for this
+   incarnation. */
+static void
+check_unread_ends (struct kq_sched *sched, const struct worker *worker,
+                   int64_t number)
+{
+  char count[24];
+
+  if (!worker->ends_known || number <= worker->last_end + 1)
+    return;
+  sched->counts.unread_ends += number - worker->last_end - 1;
+  snprintf (count, sizeof count, "%" PRId64, number - worker->last_end - 1);
+  kq_log (KQ_LOG_WARN, "sched", "ends acknowledged unread", 0, "worker",
+          worker->report.id, "ends", count, NULL);
+}
+
 static void
 apply_ends (struct kq_sched *sched, struct worker *worker,
             const struct kq_sched_status *worker_status,
@@ -119,6 +137,7 @@
     {
       if (worker_status->ended[i].number <= worker->last_end)
         continue;
+      check_unread_ends (sched, worker, worker_status->ended[i].number);
       apply_end (sched, worker, &worker_status->ended[i], now);
       worker->last_end = worker_status->ended[i].number;
       worker->last_end_position
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -529,6 +529,8 @@
   int64_t evacuated_starts; /**< starts dropped because their zone was to be
                                evacuated */
   int64_t withdrawals; /**< new jobs taken back because the store was away */
+  int64_t unread_ends; /**< ended runs that workers forgot before this owner
+                          read them */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
                                         the order was for */
   int64_t refused;           /**< jobs that could be of no use any more */
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -151,10 +151,13 @@
 worker_start_incarnation (struct worker *worker, int64_t incarnation_ms,
                           kq_usec now)
 {
-  log_worker (worker, "worker in a new incarnation", "");
-  if (worker->report.incarnation_ms != 0
-      && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
+  bool restarted = worker->report.incarnation_ms != 0;
+
+  log_worker (worker, "worker in a new incarnation",
+              restarted ? "restarted under its ID" : "");
+  if (restarted && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
     worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
+  worker->ends_known = restarted;
   worker->report.incarnation_ms = incarnation_ms;
   worker->report_outdated = true;
   worker->incarnation_since = now;
