sched: losses that an outage explains are no evidence against a task

Cause: sched/crash.c counted each loss of a worker by itself, and gave a task up after four of any kind. A task placed anew while its whole service restarts met four workers that had restarted before its starts reached them. Change: sched/evidence.c is told of each loss and says whether losses of others within 2 s, a third of the service, zone or rack, explain it, also afterwards. Such losses are set aside; a task with two waits for the end of the outage. A silent worker ends no job by itself, and five starts that may have crashed their workers are the most in any case, over takeovers too. After an outage nothing is placed on workers that have not replied since; they are polled at once. Three more wait 2.25 s before they look for the failed job, since a verdict that rests on starts without replies or on another owner's losses is taken once an outage would have shown; they check the bound of starts again after it.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -41,6 +41,8 @@
   GAUGE_RACK_WAITS_LOST,
   GAUGE_FAR_RUNS,
   GAUGE_CRASHES,
+  GAUGE_LOSSES_SET_ASIDE,
+  GAUGE_OUTAGES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
   GAUGE_EVACUATED_WORKERS,
@@ -100,6 +102,10 @@
     .help = "Runs away from the rack of their data or group." },
   { .name = "kq_crashes_total",
     .help = "Runs that had not settled when their worker was lost." },
+  { .name = "kq_losses_set_aside_total",
+    .help = "Of these, explained by an outage." },
+  { .name = "kq_outages_total",
+    .help = "Times that many workers were lost together." },
   { .name = "kq_lapsed_workers_total",
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
@@ -178,6 +184,8 @@
   kq_metric_set (&gauges[GAUGE_RACK_WAITS_LOST], counts->rack_waits_lost);
   kq_metric_set (&gauges[GAUGE_FAR_RUNS], counts->far_runs);
   kq_metric_set (&gauges[GAUGE_CRASHES], counts->crashes);
+  kq_metric_set (&gauges[GAUGE_LOSSES_SET_ASIDE], counts->losses_set_aside);
+  kq_metric_set (&gauges[GAUGE_OUTAGES], counts->outages);
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
--- a/sched/answers.c
+++ b/sched/answers.c
@@ -98,7 +98,11 @@
   if (worker_status->incarnation_ms < worker->report.incarnation_ms)
     return;
   if (worker_status->incarnation_ms > worker->report.incarnation_ms)
-    worker_start_incarnation (worker, worker_status->incarnation_ms, now.mono);
+    {
+      crash_note_incarnation (sched, worker, now);
+      worker_start_incarnation (worker, worker_status->incarnation_ms,
+                                now.mono);
+    }
   worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
   worker_schedule_poll (sched, worker, now);
@@ -306,7 +310,7 @@
       withdraw_start (sched, task, now, "zone under evacuation");
       return KQ_ENOENT;
     }
-  if (!worker_usable (worker, now)
+  if (!worker_usable (worker, now) || worker->unheard
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
     {
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -3,11 +3,16 @@
  * A run settles when its worker lists it some time after its start.  Each task
  * whose run had not settled when its worker was lost may be the cause: the
  * loss counts for it, and it goes on where no other such task starts, so that
- * the next loss tells them apart.  A task with too many losses is given up,
- * and its job fails.  A run that settles clears the count.
+ * the next loss tells them apart.  A loss that an outage explains is set aside
+ * (evidence.c), and a task with several of these waits for the end of the
+ * outage.  A task with too many losses that nothing explains is given up, and
+ * its job fails.  A run that settles clears the count.
  */
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
+#include "base/err.h"
 #include "log/log.h"
 #include "sched/internal.h"
 
@@ -21,16 +26,71 @@
 #define UNNOTICED_CRASH_MS 20000
 
 /* A task is given up after so many workers have crashed under its runs; after
-   fewer if the last crash can have no other cause; and after so many losses of
-   any kind, since a worker may crash before its reply to a start arrives. */
+   fewer if the last crash can have no other cause; after so many crashes if
+   the replies to some starts did not arrive, since a worker may crash before
+   it replies; and after so many crashes of any kind, since a task that crashes
+   its workers may be started twice more after three crashes. */
 #define MAX_CRASHES 3
 #define MAX_CRASHES_ALONE 2
-#define MAX_LOSSES 4
+#define MAX_UNPROVEN_CRASHES 4
+#define MAX_STARTS_THAT_CRASH 5
+
+/* A task with so many losses set aside waits for the end of the outage: this
+   long after the first such loss, twice as long after the next, and four times
+   from then on.  With the wait for calm this is below the 6 s after which a
+   long-running task must run again. */
+#define MAX_SET_ASIDE_AT_ONCE 2
+#define TRIAL_DELAY_US KQ_USEC_PER_SEC
+#define MAX_TRIAL_DELAY_DOUBLINGS 2
+
+/* An outage is over when no worker was lost for the first time; a task waits
+   for that no longer than the second. */
+#define CALM_US KQ_USEC_PER_SEC
+#define MAX_CALM_WAIT_US (1500 * KQ_USEC_PER_MSEC)
+
+/* A service that restarts as a whole does so within this time. */
+#define RAPID_US (500 * KQ_USEC_PER_MSEC)
+
+/* Kinds of losses under a task. */
+enum loss_kind
+{
+  LOSS_SILENT,   /* the worker may be only out of reach */
+  LOSS_UNPROVEN, /* it has crashed; the start may not have reached it */
+  LOSS_CRASH,    /* it has crashed after it accepted the start */
+  LOSS_SET_ASIDE /* it has crashed; an outage explains that */
+};
+
+struct crash_loss
+{
+  kq_usec at;
+  uint64_t number;             /* of the loss in sched->evidence */
+  const struct worker *worker; /* workers are never destroyed before jobs */
+  int64_t incarnation_ms;      /* the one that was lost */
+  enum loss_kind kind;
+  bool proven;
+  bool accepted;
+  bool one_cause;
+};
+
+/* Losses under a task in this term.  Further ones than those that give it up
+   replace the last. */
+struct crash_history
+{
+  struct task *task;
+  struct crash_loss losses[MAX_STARTS_THAT_CRASH];
+  int count;
+  bool held; /* the task is not READY, but waits here */
+  kq_usec held_until;
+  kq_usec held_at_most_until;
+  struct crash_history *prev;
+  struct crash_history *next;
+};
 
 static int
 count_losses (const struct task *task)
 {
-  return task->crashes + task->unproven_crashes;
+  return task->crashes + task->unproven_crashes + task->losses_set_aside
+         + task->silent_losses;
 }
 
 /* A run that was placed this long before its task is restored has settled: the
@@ -49,15 +109,6 @@
   return crash_is_suspect (task) && !task->settled;
 }
 
-void
-crash_note_restored (struct task *task, int64_t placed_ms,
-                     struct kq_sched_now now)
-{
-  task->placed_ms = placed_ms;
-  task->placed_lately = placed_ms > now.wall_ms - UNNOTICED_CRASH_MS
-                        && placed_ms < now.wall_ms + UNNOTICED_CRASH_MS;
-}
-
 void
 crash_note_start (struct task *task)
 {
@@ -71,6 +122,25 @@
     task->accepted_at = now.mono;
 }
 
+void
+crash_forget (struct kq_sched *sched, struct task *task)
+{
+  struct crash_history *history = task->crash_history;
+
+  if (history == NULL)
+    return;
+  DL_DELETE (sched->crash_histories, history);
+  free (history);
+  task->crash_history = NULL;
+}
+
+void
+crash_format (const struct task *task, char *text, size_t size)
+{
+  snprintf (text, size, "%d crashes of %d losses, %d set aside", task->crashes,
+            count_losses (task), task->losses_set_aside);
+}
+
 static void
 clear_suspicion (struct kq_sched *sched, struct task *task)
 {
@@ -81,6 +151,9 @@
   task->settled = true;
   task->crashes = 0;
   task->unproven_crashes = 0;
+  task->losses_set_aside = 0;
+  task->silent_losses = 0;
+  crash_forget (sched, task);
 }
 
 void
@@ -126,11 +199,342 @@
   return true;
 }
 
+/* Returns the only task whose run at WORKER has not settled, or NULL. */
+static const struct task *
+find_cause (const struct worker *worker)
+{
+  const struct task *cause = NULL;
+  const struct task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (!may_have_crashed (task))
+      continue;
+    if (cause != NULL)
+      return NULL;
+    cause = task;
+  }
+  return cause;
+}
+
+static struct kq_evidence_place
+place_of (const struct worker *worker)
+{
+  return (struct kq_evidence_place){ .service = worker->service,
+                                     .zone = worker->report.zone,
+                                     .rack = worker->report.rack };
+}
+
 static bool
-is_given_up (const struct task *task, bool crash, bool one_cause)
+is_in_scope (const struct worker *worker, enum kq_evidence_scope scope,
+             const struct worker *lost)
 {
-  return task->crashes >= MAX_CRASHES || count_losses (task) >= MAX_LOSSES
-         || (crash && one_cause && task->crashes >= MAX_CRASHES_ALONE);
+  if (worker->service != lost->service)
+    return false;
+  switch (scope)
+    {
+    case KQ_EVIDENCE_RACK:
+      return strcmp (worker->report.rack, lost->report.rack) == 0;
+    case KQ_EVIDENCE_ZONE:
+      return strcmp (worker->report.zone, lost->report.zone) == 0;
+    case KQ_EVIDENCE_SERVICE:
+    case KQ_EVIDENCE_NONE:
+      break;
+    }
+  return scope == KQ_EVIDENCE_SERVICE;
+}
+
+/* Polls all workers in SCOPE around LOST; until they reply no task is placed
+   there, since their state is older than the outage. */
+static void
+doubt_workers (struct kq_sched *sched, enum kq_evidence_scope scope,
+               const struct worker *lost)
+{
+  for (size_t i = 0; i < sched->worker_count; i++)
+    {
+      struct worker *worker = sched->worker_array[i];
+
+      if (!worker->registered || worker->clock_read_at == 0
+          || !is_in_scope (worker, scope, lost))
+        continue;
+      worker->unheard = true;
+      worker_poll_at_once (sched, worker);
+    }
+}
+
+/* Returns the number of the loss of WORKER, which the evidence is told of. */
+static uint64_t
+note_loss (struct kq_sched *sched, const struct worker *worker,
+           struct kq_sched_now now)
+{
+  const struct kq_evidence_loss loss = { .place = place_of (worker),
+                                         .worker = worker,
+                                         .cause = find_cause (worker),
+                                         .at = now.mono };
+  struct kq_evidence_finding finding;
+
+  if (kq_evidence_begin_count (sched->evidence, now.mono))
+    for (size_t i = 0; i < sched->worker_count; i++)
+      {
+        struct kq_evidence_place place = place_of (sched->worker_array[i]);
+
+        if (sched->worker_array[i]->registered)
+          kq_evidence_count_worker (sched->evidence, &place);
+      }
+  finding = kq_evidence_note_loss (sched->evidence, &loss);
+  if (finding.begins)
+    {
+      sched->counts.outages++;
+      kq_log (KQ_LOG_WARN, "sched", "workers lost together", 0, "worker",
+              worker->report.id, "scope",
+              kq_evidence_scope_name (finding.scope), "rack",
+              worker->report.rack, "zone", worker->report.zone, NULL);
+    }
+  if (finding.spreads)
+    doubt_workers (sched, finding.scope, worker);
+  return finding.number;
+}
+
+void
+crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
+                        struct kq_sched_now now)
+{
+  if (worker->report.incarnation_ms != 0 && !worker->report.draining)
+    note_loss (sched, worker, now);
+}
+
+static struct kq_evidence_query
+query_for (const struct crash_history *history, const struct crash_loss *loss,
+           uint64_t *own)
+{
+  for (int i = 0; i < history->count; i++)
+    own[i] = history->losses[i].number;
+  return (struct kq_evidence_query){ .place = place_of (loss->worker),
+                                     .cause = history->task,
+                                     .own = own,
+                                     .own_count = history->count,
+                                     .at = loss->at };
+}
+
+static int *
+counter_of (struct task *task, enum loss_kind kind)
+{
+  switch (kind)
+    {
+    case LOSS_SILENT:
+      return &task->silent_losses;
+    case LOSS_UNPROVEN:
+      return &task->unproven_crashes;
+    case LOSS_CRASH:
+      return &task->crashes;
+    case LOSS_SET_ASIDE:
+      break;
+    }
+  return &task->losses_set_aside;
+}
+
+/* Judges the loss at INDEX by what is known now: a worker that was silent may
+   have come back in a new incarnation, and other losses may explain it. */
+static void
+judge_loss (struct kq_sched *sched, struct crash_history *history, int index)
+{
+  struct crash_loss *loss = &history->losses[index];
+  uint64_t own[MAX_STARTS_THAT_CRASH];
+  const struct kq_evidence_query query = query_for (history, loss, own);
+  enum kq_evidence_scope scope;
+  enum loss_kind kind = loss->accepted ? LOSS_CRASH : LOSS_UNPROVEN;
+
+  if (loss->kind == LOSS_SET_ASIDE)
+    return;
+  loss->proven = loss->proven || loss->worker->lost
+                 || loss->worker->report.incarnation_ms > loss->incarnation_ms;
+  scope = kq_evidence_explain (sched->evidence, &query);
+  if (!loss->proven)
+    kind = LOSS_SILENT;
+  else if (scope != KQ_EVIDENCE_NONE)
+    {
+      kind = LOSS_SET_ASIDE;
+      sched->counts.losses_set_aside++;
+      task_log (history->task, "loss of a worker set aside",
+                kq_evidence_scope_name (scope));
+    }
+  --*counter_of (history->task, loss->kind);
+  ++*counter_of (history->task, kind);
+  loss->kind = kind;
+}
+
+static void
+judge_losses (struct kq_sched *sched, struct crash_history *history)
+{
+  for (int i = 0; i < history->count; i++)
+    judge_loss (sched, history, i);
+}
+
+/* Whether TASK may not be started again, whatever explains its losses. Two
+   crashes for certain are enough to hold silent workers against it too. */
+static bool
+has_used_all_starts (const struct task *task)
+{
+  return task->crashes + task->unproven_crashes + task->losses_set_aside
+             >= MAX_STARTS_THAT_CRASH
+         || (task->crashes >= MAX_CRASHES_ALONE
+             && count_losses (task) >= MAX_STARTS_THAT_CRASH);
+}
+
+/* Whether workers have crashed so often under the task of HISTORY after they
+   accepted its start that it is given up. */
+static bool
+has_crashed_enough (const struct crash_history *history)
+{
+  const struct task *task = history->task;
+  const struct crash_loss *last = &history->losses[history->count - 1];
+
+  return task->crashes >= MAX_CRASHES
+         || (last->kind == LOSS_CRASH && last->one_cause
+             && task->crashes >= MAX_CRASHES_ALONE);
+}
+
+static bool
+is_given_up (const struct crash_history *history)
+{
+  const struct task *task = history->task;
+
+  return has_crashed_enough (history) || has_used_all_starts (task)
+         || task->crashes + task->unproven_crashes >= MAX_UNPROVEN_CRASHES;
+}
+
+/* Whether the last two losses of HISTORY are close to each other. */
+static bool
+is_rapid (const struct crash_history *history)
+{
+  const struct crash_loss *last = &history->losses[history->count - 1];
+
+  return history->count > 1 && last[0].at - last[-1].at < RAPID_US;
+}
+
+/* Whether this owner cannot know yet of an outage in which an earlier owner
+   counted losses against the task of HISTORY. */
+static bool
+is_new_to (const struct kq_sched *sched, const struct crash_history *history)
+{
+  kq_usec last_at = history->losses[history->count - 1].at;
+
+  return count_losses (history->task) > history->count
+         && (sched->admission_began_at == 0
+             || last_at - sched->admission_began_at < KQ_EVIDENCE_WINDOW_US);
+}
+
+/* Whether an outage may yet show that explains a loss which counts against the
+   task of HISTORY: other workers were lost, this owner is new, or runs that
+   may not have begun were lost one right after the other. */
+static bool
+is_doubtful (const struct kq_sched *sched, const struct crash_history *history)
+{
+  uint64_t own[MAX_STARTS_THAT_CRASH];
+
+  if ((!has_crashed_enough (history) && is_rapid (history))
+      || is_new_to (sched, history))
+    return true;
+  for (int i = 0; i < history->count; i++)
+    {
+      const struct crash_loss *loss = &history->losses[i];
+      const struct kq_evidence_query query = query_for (history, loss, own);
+
+      if ((loss->kind == LOSS_CRASH || loss->kind == LOSS_UNPROVEN)
+          && kq_evidence_is_doubtful (sched->evidence, &query))
+        return true;
+    }
+  return false;
+}
+
+/* Takes the task of HISTORY out of the queue until AT, and for CALM longer at
+   most until no worker is lost. */
+static void
+hold (struct kq_sched *sched, struct crash_history *history, kq_usec at,
+      kq_usec calm)
+{
+  struct task *task = history->task;
+
+  if (task->state != TASK_READY)
+    return;
+  task_clear_ready (sched, task);
+  task->state = TASK_WAITING;
+  history->held = true;
+  history->held_until = at;
+  history->held_at_most_until = at + calm;
+}
+
+/* Returns when a task with COUNT losses set aside may be started again after a
+   loss. */
+static kq_usec
+trial_delay (int count)
+{
+  int doublings = count - MAX_SET_ASIDE_AT_ONCE;
+
+  if (doublings > MAX_TRIAL_DELAY_DOUBLINGS)
+    doublings = MAX_TRIAL_DELAY_DOUBLINGS;
+  return TRIAL_DELAY_US << doublings;
+}
+
+static void
+give_up (struct kq_sched *sched, struct task *task)
+{
+  task->stage->job->given_up = true;
+  sched->job_given_up = true;
+}
+
+void
+crash_note_restored (struct task *task, int64_t placed_ms,
+                     struct kq_sched_now now)
+{
+  task->placed_ms = placed_ms;
+  task->placed_lately = placed_ms > now.wall_ms - UNNOTICED_CRASH_MS
+                        && placed_ms < now.wall_ms + UNNOTICED_CRASH_MS;
+}
+
+void
+crash_note_restored_losses (struct kq_sched *sched, struct task *task)
+{
+  if (has_used_all_starts (task))
+    give_up (sched, task);
+}
+
+/* Decides how the task of HISTORY goes on after its last loss. */
+static void
+decide (struct kq_sched *sched, struct crash_history *history)
+{
+  const struct task *task = history->task;
+  kq_usec at = history->losses[history->count - 1].at;
+
+  if (is_given_up (history))
+    {
+      if (!has_used_all_starts (task) && is_doubtful (sched, history))
+        hold (sched, history, at + KQ_EVIDENCE_WINDOW_US, 0);
+      else
+        give_up (sched, history->task);
+    }
+  else if (task->losses_set_aside >= MAX_SET_ASIDE_AT_ONCE)
+    hold (sched, history, at + trial_delay (task->losses_set_aside),
+          MAX_CALM_WAIT_US);
+}
+
+static struct crash_history *
+find_or_add_history (struct kq_sched *sched, struct task *task)
+{
+  struct crash_history *history = task->crash_history;
+
+  if (history != NULL)
+    return history;
+  history = calloc (1, sizeof *history);
+  if (history == NULL)
+    {
+      kq_log (KQ_LOG_ERROR, "sched", "loss not counted", KQ_ENOMEM, NULL);
+      return NULL;
+    }
+  history->task = task;
+  task->crash_history = history;
+  DL_APPEND (sched->crash_histories, history);
+  return history;
 }
 
 /* Ends the run of TASK at a lost worker. PROVEN: the worker has crashed. */
@@ -139,27 +543,68 @@
               struct kq_sched_now now, const char *why, bool proven,
               bool one_cause)
 {
-  struct job *job = task->stage->job;
+  struct crash_loss loss = { .at = now.mono,
+                             .worker = task->worker,
+                             .incarnation_ms = task->incarnation_ms,
+                             .kind = LOSS_SILENT,
+                             .proven = proven,
+                             .accepted = task->accepted_at != 0,
+                             .one_cause = one_cause };
   bool counts = may_have_crashed (task);
-  bool crash = proven && task->accepted_at != 0;
-  char text[32];
+  struct crash_history *history;
+  char text[64];
 
+  loss.number = note_loss (sched, task->worker, now);
   task_end_run (sched, task, now, why);
-  if (!counts)
+  history = counts ? find_or_add_history (sched, task) : NULL;
+  if (history == NULL)
     return;
-  if (crash)
-    task->crashes++;
-  else
-    task->unproven_crashes++;
+  if (history->count == MAX_STARTS_THAT_CRASH)
+    history->count--;
+  history->losses[history->count++] = loss;
+  task->silent_losses++;
+  judge_losses (sched, history);
   sched->counts.crashes++;
-  snprintf (text, sizeof text, "%d crashes of %d losses", task->crashes,
-            count_losses (task));
+  crash_format (task, text, sizeof text);
   task_log (task, "worker lost before the run settled", text);
-  if (is_given_up (task, crash, one_cause))
-    {
-      job->given_up = true;
-      sched->job_given_up = true;
-    }
+  decide (sched, history);
+}
+
+/* Starts or gives up the task of HISTORY, which has waited long enough. */
+static void
+release (struct kq_sched *sched, struct crash_history *history,
+         struct kq_sched_now now)
+{
+  struct task *task = history->task;
+
+  history->held = false;
+  if (task->state != TASK_WAITING || job_has_ended (task->stage->job))
+    return;
+  judge_losses (sched, history);
+  job_mark_dirty (sched, task->stage->job);
+  if (is_given_up (history))
+    give_up (sched, task);
+  else
+    task_make_ready (sched, task, now);
+}
+
+void
+crash_tick (struct kq_sched *sched, struct kq_sched_now now)
+{
+  struct crash_history *history;
+  struct crash_history *next;
+
+  DL_FOREACH_SAFE (sched->crash_histories, history, next)
+  {
+    int service = history->task->stage->job->service;
+    bool calm = now.mono - kq_evidence_last_loss (sched->evidence, service)
+                >= CALM_US;
+
+    if (history->held && now.mono >= history->held_until
+        && (calm || now.mono >= history->held_at_most_until))
+      release (sched, history, now);
+  }
+  crash_end_jobs (sched, now);
 }
 
 void
@@ -188,6 +633,8 @@
   struct task *task;
   struct task *next;
 
+  if (!worker->report.draining)
+    note_loss (sched, worker, now);
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
     if (task->phase == PHASE_STORING)
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -67,7 +67,7 @@
   if (label[0] != '\0' && strcmp (label, worker->report.kind) != 0
       && strcmp (label, worker->report.rack) != 0)
     return KQ_SCHED_OUT_LABEL;
-  if (!worker_usable (worker, now))
+  if (!worker_usable (worker, now) || worker->unheard)
     return unusable_reason (worker, now);
   if (!place_meets_constraints (worker, stage))
     return KQ_SCHED_OUT_LIMIT;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -10,6 +10,7 @@
 #include "sched/admit.h"
 #include "sched/close.h"
 #include "sched/demand.h"
+#include "sched/evidence.h"
 #include "sched/length.h"
 #include "sched/near.h"
 #include "sched/preempt.h"
@@ -109,9 +110,14 @@
   int preempted_run;    /* last run that was stopped for others; 0: none */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
   /* Workers lost under its runs since one of these settled: workers that have
-     crashed after they accepted the start, and all others. */
+     crashed after they accepted the start, those that have crashed and may
+     have accepted it, those whose crash an outage explains, and those that may
+     only have been silent. */
   int crashes;
   int unproven_crashes;
+  int losses_set_aside;
+  int silent_losses;
+  struct crash_history *crash_history; /* these losses (crash.c), or NULL */
   char checkpoint[KQ_SCHED_NAME_SIZE];
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
@@ -296,6 +302,7 @@
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
+  bool unheard;              /* no reply since an outage around it */
   bool ended_as_announced;   /* its earlier incarnation was draining */
   int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
@@ -419,7 +426,9 @@
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
-  bool job_given_up;          /* a job is to be ended for its crashes */
+  bool job_given_up;            /* a job is to be ended for its crashes */
+  struct kq_evidence *evidence; /* losses of workers */
+  struct crash_history *crash_histories;
   struct worker *next_polled; /* where the search for due polls continues */
   kq_usec next_search_at;     /* a new search starts no earlier than this */
   kq_usec confirmed_at;       /* last confirmation of the term by the store */
@@ -780,9 +789,22 @@
 bool crash_is_suspect (const struct task *task);
 /* Whether the current run of such a task has not settled yet. */
 bool crash_is_on_trial (const struct task *task);
+/* Returns what is held against TASK, as "N crashes of M losses, K set aside",
+   in TEXT of SIZE bytes. */
+void crash_format (const struct task *task, char *text, size_t size);
+/* Forgets the losses under TASK, which is destroyed. */
+void crash_forget (struct kq_sched *sched, struct task *task);
+/* Records that a later incarnation of WORKER than the known one is seen; the
+   known one has crashed unless it announced its end. */
+void crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
+                             struct kq_sched_now now);
+/* Starts or gives up tasks that wait for the end of an outage. */
+void crash_tick (struct kq_sched *sched, struct kq_sched_now now);
 /* Records that TASK is restored with a run that was bound at PLACED_MS. */
 void crash_note_restored (struct task *task, int64_t placed_ms,
                           struct kq_sched_now now);
+/* Gives up TASK, which is restored, if its losses are too many. */
+void crash_note_restored_losses (struct kq_sched *sched, struct task *task);
 /* Records that the start order of TASK is sent. */
 void crash_note_start (struct task *task);
 /* Records that the worker has accepted the start order of TASK. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -286,6 +286,9 @@
   for (int i = 0; job->stages != NULL && i < job->stage_count; i++)
     {
       advice_clear (&job->stages[i]);
+      for (int j = 0;
+           job->stages[i].tasks != NULL && j < job->stages[i].step->count; j++)
+        crash_forget (sched, &job->stages[i].tasks[j]);
       free (job->stages[i].tasks);
     }
   free (job->stages);
--- a/sched/place.c
+++ b/sched/place.c
@@ -192,7 +192,7 @@
             struct kq_sched_now now)
 {
   return has_capacity (worker, stage->step) && worker_usable (worker, now)
-         && place_meets_constraints (worker, stage);
+         && !worker->unheard && place_meets_constraints (worker, stage);
 }
 
 /* Returns CPU in thousandths of the capacity of WORKER, which may be 0. */
@@ -679,6 +679,7 @@
   struct stage *stage;
   struct stage *next;
 
+  crash_end_jobs (sched, now);
   if (sched->superseded
       || (!sched->placement_due && !warmup_is_placement_due (sched, now))
       || !grant_is_current (sched, now)
--- a/sched/record.c
+++ b/sched/record.c
@@ -11,6 +11,9 @@
 #include "sched/internal.h"
 #include "sched/record.pb-c.h"
 
+/* More losses under a task than any decision tells apart. */
+#define MAX_RESTORED_LOSSES 1000
+
 /* One JobRecord and one StateRecord. */
 #define MAX_RECORDS_PER_JOB 2
 
@@ -85,6 +88,8 @@
   record->failed_runs = task->failed_runs;
   record->crashes = (uint32_t)task->crashes;
   record->unproven_crashes = (uint32_t)task->unproven_crashes;
+  record->losses_set_aside = (uint32_t)task->losses_set_aside;
+  record->silent_losses = (uint32_t)task->silent_losses;
   record->checkpoint = task->checkpoint;
   if (task->state == TASK_BOUND)
     {
@@ -289,6 +294,13 @@
   return count;
 }
 
+/* Returns a COUNT of losses that was read; sums of such do not overflow. */
+static int
+restored_losses (uint32_t count)
+{
+  return count < MAX_RESTORED_LOSSES ? (int)count : MAX_RESTORED_LOSSES;
+}
+
 static void
 restore_task (struct kq_sched *sched, struct kq_sched_now now,
               struct task *task, const KqSched__TaskRecord *record)
@@ -297,8 +309,10 @@
 
   task->run = (int)record->run;
   task->failed_runs = record->failed_runs;
-  task->crashes = (int)record->crashes;
-  task->unproven_crashes = (int)record->unproven_crashes;
+  task->crashes = restored_losses (record->crashes);
+  task->unproven_crashes = restored_losses (record->unproven_crashes);
+  task->losses_set_aside = restored_losses (record->losses_set_aside);
+  task->silent_losses = restored_losses (record->silent_losses);
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
@@ -312,7 +326,10 @@
     }
   worker = record->bound ? worker_find_or_add (sched, record->worker) : NULL;
   if (worker == NULL)
-    return;
+    {
+      crash_note_restored_losses (sched, task);
+      return;
+    }
   task_bind (sched, task, worker, now);
   task->phase = PHASE_RESTORED;
   task->incarnation_ms = record->born_ms;
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_sched__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[15] =
 {
   {
     "occurrence",
@@ -454,6 +454,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses_set_aside",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, losses_set_aside),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent_losses",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, silent_losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__task_record__field_indices_by_name[] = {
   7,   /* field[7] = born_ms */
@@ -463,9 +487,11 @@
   3,   /* field[3] = done */
   8,   /* field[8] = failed_runs */
   2,   /* field[2] = index */
+  13,   /* field[13] = losses_set_aside */
   0,   /* field[0] = occurrence */
   12,   /* field[12] = placed_ms */
   4,   /* field[4] = run */
+  14,   /* field[14] = silent_losses */
   1,   /* field[1] = step */
   11,   /* field[11] = unproven_crashes */
   6,   /* field[6] = worker */
@@ -473,7 +499,7 @@
 static const ProtobufCIntRange kq_sched__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor kq_sched__task_record__descriptor =
 {
@@ -483,7 +509,7 @@
   "KqSched__TaskRecord",
   "kq_sched",
   sizeof(KqSched__TaskRecord),
-  13,
+  15,
   kq_sched__task_record__field_descriptors,
   kq_sched__task_record__field_indices_by_name,
   1,  kq_sched__task_record__number_ranges,
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -88,10 +88,18 @@
    * wall clock at which its latest run was bound
    */
   int64_t placed_ms;
+  /*
+   * crashes that an outage explains
+   */
+  uint32_t losses_set_aside;
+  /*
+   * workers that may not have crashed at all
+   */
+  uint32_t silent_losses;
 };
 #define KQ_SCHED__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__task_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -31,8 +31,11 @@
   sched->settings = KQ_SCHED_DEFAULT_SETTINGS;
   sched->spare_large_room = INT64_MAX;
   sched->interference_model = kq_interference_create ();
-  if (sched->interference_model == NULL)
+  sched->evidence = kq_evidence_create ();
+  if (sched->interference_model == NULL || sched->evidence == NULL)
     {
+      kq_interference_destroy (sched->interference_model);
+      kq_evidence_destroy (sched->evidence);
       free (sched);
       return NULL;
     }
@@ -67,6 +70,7 @@
   while (kq_sched_next_effect (sched, &effect))
     ;
   kq_interference_destroy (sched->interference_model);
+  kq_evidence_destroy (sched->evidence);
   rack_destroy_all (sched);
   LL_FOREACH_SAFE (sched->lengths, lengths, next_lengths) { free (lengths); }
   kq_admit_forget_refused (&sched->refused);
@@ -403,5 +407,6 @@
   job_tick_all (sched, now);
   service_track_demand (sched);
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
+  crash_tick (sched, now);
   evacuate_tick (sched, now);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -523,6 +523,8 @@
                               or of its group, where a task runs longer
                               there */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
+  int64_t losses_set_aside; /**< of these, explained by an outage */
+  int64_t outages;          /**< times that many workers were lost together */
   int64_t lapsed_workers;   /**< workers whose runs ended with their leases */
   int evacuated_workers;    /**< registered, in a zone under evacuation */
   int64_t evacuation_moves; /**< tasks stopped to move them out of a zone */
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -205,6 +205,7 @@
     return;
   if (registration->incarnation_ms > worker->report.incarnation_ms)
     {
+      crash_note_incarnation (sched, worker, now);
       worker_start_incarnation (worker, registration->incarnation_ms,
                                 now.mono);
       end_listed_runs (sched, worker, now);
@@ -271,6 +272,7 @@
   worker->last_reply_at = now;
   worker->idle = false;
   worker->lost = false;
+  worker->unheard = false;
   if (worker_clock_ms <= 0)
     return;
   if (worker->grant_position == 0)
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -29,6 +29,10 @@
 /* Time after which a worker that answers no orders carries out a start. */
 #define LATE_START_MS 1000
 
+/* Time for which an outage may still show that explains crashes under starts
+   without replies, or under an earlier owner. */
+#define VERDICT_MS 2250
+
 #define MAX_WORKERS 16
 
 static const struct kq_sched_step one_task
@@ -153,6 +157,20 @@
     }
 }
 
+/* All workers that have not crashed answer a poll. */
+static void
+answer_polls (struct site *site)
+{
+  for (int i = 0; i < site->count; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "%d", i);
+      if (!site->crashed[i])
+        ts_reply_poll (&site->cell, id, NULL, 0, NULL, 0);
+    }
+}
+
 /* Crashes each worker that starts the first task of JOB and has answered the
    start with REPLY, until it is not started any more; returns the number of
    crashes. */
@@ -249,6 +267,8 @@
 
   ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
   CU_ASSERT (crash_with_takeovers (site, 1) <= MAX_STARTS);
+  run_on (site, VERDICT_MS);
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_STARTS);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   stop_site (site);
 }
@@ -263,6 +283,8 @@
 
   ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
   CU_ASSERT (crash_with_takeovers (site, 0) <= MAX_STARTS);
+  run_on (site, VERDICT_MS);
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_STARTS);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   stop_site (site);
 }
@@ -298,6 +320,8 @@
   ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
   CU_ASSERT (crash_each_worker_of (site, DEADLY_JOB, KQ_SCHED_NO_REPLY)
              <= MAX_STARTS);
+  run_on (site, VERDICT_MS);
+  CU_ASSERT (count_starts (&site->cell, DEADLY_JOB) <= MAX_STARTS);
   CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
   stop_site (site);
 }
@@ -371,6 +395,8 @@
 
       CU_ASSERT_EQUAL (start.run.run, i + 1);
       ts_reply_order (&site->cell, &start, KQ_SCHED_OTHER_INCARNATION);
+      site->crashed[atoi (start.worker)] = true;
+      answer_polls (site);
       ts_advance (&site->cell, 250);
     }
   CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
--- a/t/test-outage-jobs.c
+++ b/t/test-outage-jobs.c
@@ -199,7 +199,7 @@
 
   for (int i = 0; i < count; i++)
     left += is_up_in (site, i, rack);
-  for (int step_ms = RESTART_MS / left; left > 0; left--)
+  for (int step_ms = RESTART_MS / WORKERS; left > 0; left--)
     {
       int at = worker_of_job (site);
       int next = at;
