explain: name the workers lost under a job's tasks, and how many are set aside

Cause: a job that waits for the end of an outage was shown like one that waits for an earlier step. kumquatrack explain JOB now gives the losses, those set aside, and the tasks held. Besides, a lost worker that comes back in a new incarnation is no second loss: many that return at once would look like an outage. Ruled out: a line for each task; the log has these.

--- a/builtin/explain-text.c
+++ b/builtin/explain-text.c
@@ -68,6 +68,12 @@
               "later steps\n",
               text (job, "job"), text (job, "queue"), text (job, "state"),
               number (job, "tasks_bound"), number (job, "tasks_waiting"));
+      if (number (job, "worker_losses") > 0)
+        printf ("losses     %lld workers under its tasks, %lld set aside as "
+                "part of an outage; %lld tasks wait for its end\n",
+                number (job, "worker_losses"),
+                number (job, "worker_losses_set_aside"),
+                number (job, "tasks_held"));
       return;
     }
   printf ("job        new, queue %s", text (job, "queue"));
--- a/node/explain-json.c
+++ b/node/explain-json.c
@@ -114,11 +114,12 @@
                       "refused", explanation->refused, "retry_after_s",
                       (json_int_t)(explanation->retry_ms / MS_PER_S));
   snprintf (id, sizeof id, "%016" PRIx64, source->job);
-  return json_pack ("{ss sb ss ss si si}", "queue", explanation->queue,
-                    "known", 1, "job", id, "state",
-                    kq_submission_state_name (explanation->state),
-                    "tasks_bound", explanation->bound, "tasks_waiting",
-                    explanation->waiting);
+  return json_pack (
+      "{ss sb ss ss si si si si si}", "queue", explanation->queue, "known", 1,
+      "job", id, "state", kq_submission_state_name (explanation->state),
+      "tasks_bound", explanation->bound, "tasks_waiting", explanation->waiting,
+      "tasks_held", explanation->held, "worker_losses", explanation->losses,
+      "worker_losses_set_aside", explanation->losses_set_aside);
 }
 
 static char *
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -86,8 +86,8 @@
   struct crash_history *next;
 };
 
-static int
-count_losses (const struct task *task)
+int
+crash_count_losses (const struct task *task)
 {
   return task->crashes + task->unproven_crashes + task->losses_set_aside
          + task->silent_losses;
@@ -100,7 +100,7 @@
 bool
 crash_is_suspect (const struct task *task)
 {
-  return count_losses (task) > 0;
+  return crash_count_losses (task) > 0;
 }
 
 bool
@@ -122,6 +122,13 @@
     task->accepted_at = now.mono;
 }
 
+bool
+crash_is_held (const struct task *task)
+{
+  return task->state == TASK_WAITING && task->crash_history != NULL
+         && task->crash_history->held;
+}
+
 void
 crash_forget (struct kq_sched *sched, struct task *task)
 {
@@ -138,7 +145,7 @@
 crash_format (const struct task *task, char *text, size_t size)
 {
   snprintf (text, size, "%d crashes of %d losses, %d set aside", task->crashes,
-            count_losses (task), task->losses_set_aside);
+            crash_count_losses (task), task->losses_set_aside);
 }
 
 static void
@@ -264,7 +271,7 @@
 
 /* Returns the number of the loss of WORKER, which the evidence is told of. */
 static uint64_t
-note_loss (struct kq_sched *sched, const struct worker *worker,
+note_loss (struct kq_sched *sched, struct worker *worker,
            struct kq_sched_now now)
 {
   const struct kq_evidence_loss loss = { .place = place_of (worker),
@@ -282,6 +289,7 @@
           kq_evidence_count_worker (sched->evidence, &place);
       }
   finding = kq_evidence_note_loss (sched->evidence, &loss);
+  worker->loss_noted = true;
   if (finding.begins)
     {
       sched->counts.outages++;
@@ -299,7 +307,9 @@
 crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
                         struct kq_sched_now now)
 {
-  if (worker->report.incarnation_ms != 0 && !worker->report.draining)
+  /* A worker that was lost comes back: that is no second loss. */
+  if (worker->report.incarnation_ms != 0 && !worker->report.draining
+      && !worker->loss_noted)
     note_loss (sched, worker, now);
 }
 
@@ -378,7 +388,7 @@
   return task->crashes + task->unproven_crashes + task->losses_set_aside
              >= MAX_STARTS_THAT_CRASH
          || (task->crashes >= MAX_CRASHES_ALONE
-             && count_losses (task) >= MAX_STARTS_THAT_CRASH);
+             && crash_count_losses (task) >= MAX_STARTS_THAT_CRASH);
 }
 
 /* Whether workers have crashed so often under the task of HISTORY after they
@@ -419,7 +429,7 @@
 {
   kq_usec last_at = history->losses[history->count - 1].at;
 
-  return count_losses (history->task) > history->count
+  return crash_count_losses (history->task) > history->count
          && (sched->admission_began_at == 0
              || last_at - sched->admission_began_at < KQ_EVIDENCE_WINDOW_US);
 }
@@ -576,9 +586,10 @@
          struct kq_sched_now now)
 {
   struct task *task = history->task;
+  bool held = crash_is_held (task);
 
   history->held = false;
-  if (task->state != TASK_WAITING || job_has_ended (task->stage->job))
+  if (!held || job_has_ended (task->stage->job))
     return;
   judge_losses (sched, history);
   job_mark_dirty (sched, task->stage->job);
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -361,10 +361,13 @@
   for (int i = 0; i < job->stage_count; i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
       {
-        enum task_state state = job->stages[i].tasks[j].state;
+        const struct task *task = &job->stages[i].tasks[j];
 
-        explanation->bound += state == TASK_BOUND;
-        explanation->waiting += state == TASK_WAITING;
+        explanation->bound += task->state == TASK_BOUND;
+        explanation->waiting += task->state == TASK_WAITING;
+        explanation->held += crash_is_held (task);
+        explanation->losses += crash_count_losses (task);
+        explanation->losses_set_aside += task->losses_set_aside;
       }
   explain_stages (run, job, explanation);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -303,6 +303,7 @@
   kq_usec incarnation_since; /* when its incarnation became known */
   bool lost;                 /* another process has its address */
   bool unheard;              /* no reply since an outage around it */
+  bool loss_noted;           /* no reply since it was lost */
   bool ended_as_announced;   /* its earlier incarnation was draining */
   int suspect_count;         /* of its tasks, those on trial (crash.c) */
   int64_t last_end; /* highest number of an ended run that was applied */
@@ -789,6 +790,10 @@
 bool crash_is_suspect (const struct task *task);
 /* Whether the current run of such a task has not settled yet. */
 bool crash_is_on_trial (const struct task *task);
+/* Whether TASK waits for the end of an outage. */
+bool crash_is_held (const struct task *task);
+/* Returns the number of workers lost under TASK since a run settled. */
+int crash_count_losses (const struct task *task);
 /* Returns what is held against TASK, as "N crashes of M losses, K set aside",
    in TEXT of SIZE bytes. */
 void crash_format (const struct task *task, char *text, size_t size);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -470,10 +470,14 @@
   enum kq_sched_state state; /**< of a known job */
   int bound;                 /**< number of its tasks that are bound */
   int waiting;               /**< of those that wait for earlier steps */
-  int64_t starts_in_ms;      /**< of a new job with a schedule */
-  bool refused;              /**< admission would refuse the job */
-  int64_t retry_ms;          /**< at least, up to a half more by its ID */
-  int more_steps;            /**< that could start, but are not in STEPS */
+  int held;             /**< of these, until an outage of workers is over */
+  int losses;           /**< workers lost under its tasks before their
+                             runs settled */
+  int losses_set_aside; /**< of these, explained by an outage */
+  int64_t starts_in_ms; /**< of a new job with a schedule */
+  bool refused;         /**< admission would refuse the job */
+  int64_t retry_ms;     /**< at least, up to a half more by its ID */
+  int more_steps;       /**< that could start, but are not in STEPS */
   struct kq_sched_step_explanation steps[KQ_SCHED_EXPLAINED_STEPS];
   int step_count;
 };
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -273,6 +273,7 @@
   worker->idle = false;
   worker->lost = false;
   worker->unheard = false;
+  worker->loss_noted = false;
   if (worker_clock_ms <= 0)
     return;
   if (worker->grant_position == 0)
