--- a/sched/explain.c
+++ b/sched/explain.c
@@ -67,7 +67,7 @@
   if (label[0] != '\0' && strcmp (label, worker->report.kind) != 0
       && strcmp (label, worker->report.rack) != 0)
     return KQ_SCHED_OUT_LABEL;
-  if (!worker_usable (worker, now))
+  if (!worker_usable (worker, now) || worker->unheard)
     return unusable_reason (worker, now);
   if (!place_meets_constraints (worker, stage))
     return KQ_SCHED_OUT_LIMIT;
@@ -361,10 +361,13 @@
   for (int i = 0; i < job->stage_count; i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
       {
-        enum task_state state = job->stages[i].tasks[j].state;
+        const struct task *task = &job->stages[i].tasks[j];
 
-        explanation->bound += state == TASK_BOUND;
-        explanation->waiting += state == TASK_WAITING;
+        explanation->bound += task->state == TASK_BOUND;
+        explanation->waiting += task->state == TASK_WAITING;
+        explanation->held += crash_is_held (task);
+        explanation->losses += crash_count_losses (task);
+        explanation->losses_set_aside += task->losses_set_aside;
       }
   explain_stages (run, job, explanation);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -481,10 +481,14 @@
   enum kq_sched_state state; /**< of a known job */
   int bound;                 /**< number of its tasks that are bound */
   int waiting;               /**< of those that wait for earlier steps */
-  int64_t starts_in_ms;      /**< of a new job with a schedule */
-  bool refused;              /**< admission would refuse the job */
-  int64_t retry_ms;          /**< at least, up to a half more by its ID */
-  int more_steps;            /**< that could start, but are not in STEPS */
+  int held;             /**< of these, until an outage of workers is over */
+  int losses;           /**< workers lost under its tasks before their
+                             runs settled */
+  int losses_set_aside; /**< of these, explained by an outage */
+  int64_t starts_in_ms; /**< of a new job with a schedule */
+  bool refused;         /**< admission would refuse the job */
+  int64_t retry_ms;     /**< at least, up to a half more by its ID */
+  int more_steps;       /**< that could start, but are not in STEPS */
   struct kq_sched_step_explanation steps[KQ_SCHED_EXPLAINED_STEPS];
   int step_count;
 };
@@ -534,6 +538,8 @@
                               or of its group, where a task runs longer
                               there */
   int64_t crashes; /**< runs that had not settled when their worker was lost */
+  int64_t losses_set_aside; /**< of these, explained by an outage */
+  int64_t outages;          /**< times that many workers were lost together */
   int64_t lapsed_workers;   /**< workers whose runs ended with their leases */
   int evacuated_workers;    /**< registered, in a zone under evacuation */
   int64_t evacuation_moves; /**< tasks stopped to move them out of a zone */
