sched: no task is started a sixth time if owners change while its verdict waits

Cause: a verdict that was put off was forgotten at a takeover, and the limit of five left nothing for a crash that no owner saw. Change: a new owner gives up a restored task with enough losses for a verdict; beside two certain crashes four losses of any kind are enough.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -35,6 +35,10 @@
 #define MAX_UNPROVEN_CRASHES 4
 #define MAX_STARTS_THAT_CRASH 5
 
+/* The same for losses of any kind of a task under which two workers have
+   crashed for certain.  It leaves one start for a crash that was not seen. */
+#define MAX_LOSSES_BESIDE_CRASHES 4
+
 /* A task with so many losses set aside waits for the end of the outage: this
    long after the first such loss, twice as long after the next, and four times
    from then on.  With the wait for calm this is below the 6 s after which a
@@ -381,14 +385,15 @@
 }
 
 /* Whether TASK may not be started again, whatever explains its losses. Two
-   crashes for certain are enough to hold silent workers against it too. */
+   crashes for certain are enough to hold silent workers against it too: owners
+   that change may have missed a crash. */
 static bool
 has_used_all_starts (const struct task *task)
 {
   return task->crashes + task->unproven_crashes + task->losses_set_aside
              >= MAX_STARTS_THAT_CRASH
          || (task->crashes >= MAX_CRASHES_ALONE
-             && crash_count_losses (task) >= MAX_STARTS_THAT_CRASH);
+             && crash_count_losses (task) >= MAX_LOSSES_BESIDE_CRASHES);
 }
 
 /* Whether workers have crashed so often under the task of HISTORY after they
@@ -505,7 +510,11 @@
 void
 crash_note_restored_losses (struct kq_sched *sched, struct task *task)
 {
-  if (has_used_all_starts (task))
+  /* An earlier owner may have put the verdict off, but another start could be
+     the sixth. */
+  if (task->crashes >= MAX_CRASHES
+      || task->crashes + task->unproven_crashes >= MAX_UNPROVEN_CRASHES
+      || has_used_all_starts (task))
     give_up (sched, task);
 }
 
--- a/t/test-deadly.c
+++ b/t/test-deadly.c
@@ -12,6 +12,10 @@
 #define JOBS 20
 #define DEADLY_EACH 5
 
+/* Seeds in which a crash goes unseen at a change of owners, or a new owner
+   takes over while a verdict is put off: each start counts there. */
+static const unsigned long tight_seeds[] = { 478, 633, 668, 858, 1089, 1177 };
+
 static const struct sim_faults faults
     = { .lose_reply = 0.03, .delayed = 0.03, .takeover = 0.15 };
 
@@ -60,6 +64,8 @@
 {
   for (unsigned long seed = 1; seed <= SEEDS; seed++)
     run_seed (seed);
+  for (size_t i = 0; i < sizeof tight_seeds / sizeof tight_seeds[0]; i++)
+    run_seed (tight_seeds[i]);
 }
 
 static const struct kq_test tests[] = {
