sched: restarted workers get the new fence at once, and no run beside a listed one

A raised fence is sent with a poll at once. A task waits while another run of it is listed, 2 s at most after the last time. A start that was refused for an outdated fence ends at once and counts for nothing, as one that another process got.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -27,22 +27,6 @@
   sched_add_effect (sched, KQ_SCHED_FX_SUPERSEDED, 0);
 }
 
-/* Returns REPLY of the worker ID to an order with FENCE, or that there was
-   none if it refused the order for a fence that this owner has raised since:
-   it has done nothing then, and the order is repeated if it is still wanted.
- */
-static enum kq_sched_reply
-reply_to_current_fence (struct kq_sched *sched, const char *id, int64_t fence,
-                        enum kq_sched_reply reply)
-{
-  const struct worker *worker = worker_find (sched, id);
-
-  if (reply == KQ_SCHED_FENCED && worker != NULL
-      && fence_is_from_before (worker, fence))
-    return KQ_SCHED_NO_REPLY;
-  return reply;
-}
-
 /* Applies that an ORDER for WORKER, sent at SENT_AT, was refused by another
    process. It says nothing good about WORKER. */
 static void
@@ -61,8 +45,8 @@
 static enum kq_sched_reply
 order_reply (struct kq_sched *sched, const struct kq_sched_event *event)
 {
-  return reply_to_current_fence (sched, event->u.order.worker,
-                                 event->u.order.fence, event->u.order.reply);
+  return fence_check_reply (sched, event->u.order.worker, event->u.order.fence,
+                            event->u.order.reply);
 }
 
 /* Applies what the reply to an ORDER other than a poll says about the worker.
@@ -95,6 +79,16 @@
     }
 }
 
+/* Notes whether the latest poll of WORKER had no reply. */
+static void
+note_silence (struct worker *worker, enum kq_sched_reply reply,
+              kq_usec sent_at)
+{
+  if (sent_at < worker->silent_poll_at)
+    return;
+  worker->silent_poll_at = reply == KQ_SCHED_NO_REPLY ? sent_at : 0;
+}
+
 void
 reply_apply_poll (struct kq_sched *sched, struct kq_sched_now now,
                   const struct kq_sched_event *event)
@@ -102,15 +96,15 @@
   struct worker *worker = worker_find (sched, event->u.polled.worker);
   const struct kq_sched_status *worker_status = event->u.polled.worker_status;
   enum kq_sched_reply reply
-      = reply_to_current_fence (sched, event->u.polled.worker,
-                                event->u.polled.fence, event->u.polled.reply);
+      = fence_check_reply (sched, event->u.polled.worker,
+                           event->u.polled.fence, event->u.polled.reply);
 
   if (worker == NULL)
     return;
   if (worker->polls_in_flight > 0)
     worker->polls_in_flight--;
   worker->next_poll_at = now.mono + POLL_RETRY_US;
-  worker->unanswered = reply == KQ_SCHED_NO_REPLY;
+  note_silence (worker, reply, event->u.polled.sent_at);
   if (reply == KQ_SCHED_FENCED)
     set_superseded (sched, worker->report.id);
   if (reply == KQ_SCHED_OTHER_INCARNATION)
@@ -170,6 +164,9 @@
       worker->no_starts_until = now.mono + UNHEALTHY_BACKOFF_US;
       task_end_run (sched, task, now, "worker has restarted");
       break;
+    case KQ_SCHED_FENCED:
+      task_end_run (sched, task, now, "worker has restarted");
+      break;
     case KQ_SCHED_UNHEALTHY:
       worker->no_starts_until = now.mono + UNHEALTHY_BACKOFF_US;
       task_end_run (sched, task, now, "sick");
@@ -195,10 +192,13 @@
   struct task *task = find_ordered_task (sched, event);
   enum kq_sched_reply reply = order_reply (sched, event);
 
-  /* Another process got the order, so that the run never began and cannot have
-     crashed its worker: worker_lose() must not count it. */
-  if (event->u.order.reply == KQ_SCHED_OTHER_INCARNATION && task != NULL
-      && task->phase == PHASE_START_SENT)
+  bool refused_unread = event->u.order.reply == KQ_SCHED_OTHER_INCARNATION
+                        || (event->u.order.reply == KQ_SCHED_FENCED
+                            && reply == KQ_SCHED_NO_REPLY);
+
+  /* Another process or a later incarnation got the order, so that the run
+     never began and cannot have crashed its worker. */
+  if (refused_unread && task != NULL && task->phase == PHASE_START_SENT)
     apply_refusal (sched, now, task, event->u.order.reply);
   if (!apply_sender (sched, now, event, "start"))
     return;
@@ -302,54 +302,72 @@
   task_end_run (sched, task, now, why);
 }
 
-int
-kq_sched_start_order (struct kq_sched *sched, struct kq_sched_now now,
-                      const struct kq_sched_effect *effect,
-                      struct kq_sched_start *start)
+/* Ends the run of TASK, whose start was not sent yet, if it must not be sent.
+   Returns whether it did. */
+static bool
+end_forbidden_start (struct kq_sched *sched, struct task *task,
+                     struct kq_sched_now now)
 {
-  struct kq_sched_event probe = { .kind = KQ_SCHED_EV_STARTED };
-  struct task *task;
-  struct worker *worker;
+  const struct worker *worker = task->worker;
 
-  probe.u.order.run = effect->u.order.run;
-  probe.u.order.worker = effect->u.order.worker;
-  task = find_ordered_task (sched, &probe);
-  if (task == NULL || task->phase != PHASE_STORING || sched->superseded)
-    return KQ_ENOENT;
-  worker = task->worker;
   if (!grant_is_current (sched, now))
     {
       task_end_run (sched, task, now, "term not confirmed");
-      return KQ_ENOENT;
+      return true;
     }
   if (!worker_reports_are_current (sched, now))
     {
       task_end_run (sched, task, now, "registrations not read");
-      return KQ_ENOENT;
+      return true;
     }
   if (!evacuate_is_current (sched, now))
     {
       task_end_run (sched, task, now, "evacuations not read");
-      return KQ_ENOENT;
+      return true;
     }
   if (worker->evacuated)
     {
       sched->counts.evacuated_starts++;
       withdraw_start (sched, task, now, "zone under evacuation");
-      return KQ_ENOENT;
+      return true;
     }
   if (!worker_usable (worker, now) || worker->unheard
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
     {
       task_end_run (sched, task, now, "worker no longer usable");
-      return KQ_ENOENT;
+      return true;
+    }
+  if (task_awaits_other_run (task, now))
+    {
+      withdraw_start (sched, task, now, "another run of it is listed");
+      return true;
     }
   if (!has_room_to_start (task))
     {
       withdraw_start (sched, task, now, "worker's capacity has shrunk");
-      return KQ_ENOENT;
+      return true;
     }
+  return false;
+}
+
+int
+kq_sched_start_order (struct kq_sched *sched, struct kq_sched_now now,
+                      const struct kq_sched_effect *effect,
+                      struct kq_sched_start *start)
+{
+  struct kq_sched_event probe = { .kind = KQ_SCHED_EV_STARTED };
+  struct task *task;
+  struct worker *worker;
+
+  probe.u.order.run = effect->u.order.run;
+  probe.u.order.worker = effect->u.order.worker;
+  task = find_ordered_task (sched, &probe);
+  if (task == NULL || task->phase != PHASE_STORING || sched->superseded)
+    return KQ_ENOENT;
+  worker = task->worker;
+  if (end_forbidden_start (sched, task, now))
+    return KQ_ENOENT;
   crash_note_start (task);
   task->phase = PHASE_START_SENT;
   task->phase_since = now.mono;
--- a/sched/fence.c
+++ b/sched/fence.c
@@ -8,31 +8,46 @@
  * follows another one therefore gets a fence above all that orders to its
  * worker have carried, and no task is placed there before.
  */
+#include "log/log.h"
 #include "sched/internal.h"
 
-/* Gives the orders to WORKER the highest fence of this owner, if they have
-   none or if an earlier incarnation has had theirs. */
+/* Gives the orders to WORKER, whose earlier incarnation has had theirs, the
+   highest fence of this owner.  The worker enforces it from the first order on
+   that carries it, so that one is sent at once. */
 static void
-take_fence (const struct kq_sched *sched, struct worker *worker)
+raise_fence (struct kq_sched *sched, struct worker *worker)
 {
-  if ((worker->fence != 0 && !worker->fence_spent)
-      || sched->fence <= worker->fence)
+  if (sched->fence <= worker->fence)
     return;
   worker->fence = sched->fence;
   worker->fence_spent = false;
+  worker_poll_at_once (sched, worker);
 }
 
 void
-fence_begin_incarnation (const struct kq_sched *sched, struct worker *worker)
+fence_begin_incarnation (struct kq_sched *sched, struct worker *worker)
 {
-  worker->fence_spent = worker->report.incarnation_ms != 0;
-  take_fence (sched, worker);
+  if (worker->report.incarnation_ms == 0)
+    {
+      worker->fence = sched->term;
+      return;
+    }
+  worker->fence_spent = true;
+  raise_fence (sched, worker);
 }
 
-bool
-fence_is_from_before (const struct worker *worker, int64_t fence)
+enum kq_sched_reply
+fence_check_reply (struct kq_sched *sched, const char *id, int64_t fence,
+                   enum kq_sched_reply reply)
 {
-  return fence != 0 && fence < worker->fence;
+  const struct worker *worker = worker_find (sched, id);
+
+  if (reply != KQ_SCHED_FENCED || worker == NULL || fence == 0
+      || fence >= worker->fence)
+    return reply;
+  kq_log (KQ_LOG_INFO, "sched", "order with an outdated fence refused", 0,
+          "worker", id, NULL);
+  return KQ_SCHED_NO_REPLY;
 }
 
 int64_t
@@ -55,6 +70,6 @@
   DL_FOREACH (sched->worker_list, worker)
   {
     if (worker->fence_spent)
-      take_fence (sched, worker);
+      raise_fence (sched, worker);
   }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -138,11 +138,13 @@
   int next_pace_percent; /* limit that it needs now; set after a delay if it is
                             higher */
   kq_usec pace_changed_at;
-  int percent;          /* reported progress; -1: none reported yet */
-  int wait_expected_ms; /* what a wait for a rack expected as it began */
-  kq_usec wait_began;   /* 0: it does not wait for room in a rack */
-  kq_usec progress_at;  /* last change of progress, phase or pace */
-  int preempted_tenth;  /* when that was, in tenths of a second */
+  int percent;             /* reported progress; -1: none reported yet */
+  kq_usec other_run_until; /* a worker lists another run of it, which is being
+                              stopped: it is not started before */
+  int wait_expected_ms;    /* what a wait for a rack expected as it began */
+  kq_usec wait_began;      /* 0: it does not wait for room in a rack */
+  kq_usec progress_at;     /* last change of progress, phase or pace */
+  int preempted_tenth;     /* when that was, in tenths of a second */
   kq_usec ready_at;
   int64_t sample; /* tail latency in ms if it serves, else CPU used */
   kq_usec over_target_since; /* its tail exceeds its target; 0: no */
@@ -297,9 +299,10 @@
   int64_t lease_end_ms; /* latest end sent by this owner, worker's clock */
   kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
   kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
-  int64_t fence;            /* of its orders; 0: no incarnation is known */
-  bool fence_spent;   /* orders to an earlier incarnation have carried it */
-  int64_t grant_term; /* last owner that may have renewed its lease */
+  int64_t fence;            /* of its orders; 0: that of the owner's term */
+  bool
+      fence_spent; /* it was for an earlier incarnation: a higher one is due */
+  int64_t grant_term;        /* last owner that may have renewed its lease */
   uint64_t grant_position;   /* position that stores this; 0: another term */
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
   kq_usec incarnation_since; /* when its incarnation became known */
@@ -311,8 +314,9 @@
   int64_t last_end; /* highest number of an ended run that was applied */
   int64_t acked_end;
   uint64_t last_end_position;
-  bool unanswered; /* its last poll had no reply */
-  bool ends_known; /* no end of its incarnation was read by another owner */
+  kq_usec silent_poll_at; /* when the last poll was sent that had no reply, if
+                             none that was sent later had one; else 0 */
+  bool ends_known;        /* this owner has seen its incarnation begin */
   /* health */
   int failed_jobs; /* distinct jobs with consecutive failures here */
   uint64_t last_failed_job;
@@ -610,9 +614,8 @@
                                  struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
-void worker_start_incarnation (const struct kq_sched *sched,
-                               struct worker *worker, int64_t incarnation_ms,
-                               kq_usec now);
+void worker_start_incarnation (struct kq_sched *sched, struct worker *worker,
+                               int64_t incarnation_ms, kq_usec now);
 /* Applies a reply of another process to an order for WORKER that was sent at
    SENT_AT: the worker's incarnation has ended, and so have its runs. */
 void worker_lose (struct kq_sched *sched, struct worker *worker,
@@ -790,6 +793,10 @@
 void advice_apply (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_advice *advice);
 
+/* Whether TASK has to wait for the end of a run that this owner did not know.
+ */
+bool task_awaits_other_run (const struct task *task, struct kq_sched_now now);
+
 /* crash.c */
 
 /* Whether workers were lost under TASK before its runs settled. */
@@ -843,11 +850,14 @@
 /* fence.c */
 
 /* Begins an incarnation of WORKER, whose report still names the one before. */
-void fence_begin_incarnation (const struct kq_sched *sched,
-                              struct worker *worker);
-/* Whether an order to WORKER with FENCE (0: unknown) was for an earlier
-   incarnation of it: a refusal for its fence says nothing about this owner. */
-bool fence_is_from_before (const struct worker *worker, int64_t fence);
+void fence_begin_incarnation (struct kq_sched *sched, struct worker *worker);
+/* Returns REPLY of the worker ID to an order with FENCE (0: unknown), or that
+   there was none if it refused the order for a fence that this owner has
+   raised since: the worker has done nothing then, and no other owner is known.
+ */
+enum kq_sched_reply fence_check_reply (struct kq_sched *sched, const char *id,
+                                       int64_t fence,
+                                       enum kq_sched_reply reply);
 
 /* listing.c: the status that a worker returns to a poll */
 void status_apply (struct kq_sched *sched, struct worker *worker,
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -14,6 +14,10 @@
 #define STALL_TIME_US (1500 * KQ_USEC_PER_MSEC)
 #define STALL_ESTIMATE_DIVISOR 10
 
+/* A task waits so long for the end of a run that a worker lists and that this
+   owner took for settled: two polls, and the time of a stop. */
+#define OTHER_RUN_WAIT_US (2000 * KQ_USEC_PER_MSEC)
+
 /* A worker where a task has stalled, or where tasks of several jobs have
    failed in a row, gets no tasks for this long; then it is tried again. */
 #define QUARANTINE_US (5 * KQ_USEC_PER_SEC)
@@ -89,6 +93,8 @@
   current = is_current (task, worker, ended->run.run);
   if (current)
     crash_note_end (sched, task);
+  else
+    task->other_run_until = 0;
   if (ended->how == KQ_SCHED_DONE && !task->stage->step->long_running)
     {
       worker->failed_jobs = 0;
@@ -277,7 +283,11 @@
       if (task != NULL && is_current (task, worker, row->run.run))
         apply_progress (sched, task, row, sent_at, now);
       else
-        stop_unknown_run (sched, worker, &row->run);
+        {
+          if (task != NULL)
+            task->other_run_until = now.mono + OTHER_RUN_WAIT_US;
+          stop_unknown_run (sched, worker, &row->run);
+        }
     }
   /* If the list of ended runs is full, some may be missing. */
   if (worker_status->ended_count < KQ_SCHED_MAX_STATUS_ENDS)
--- a/sched/place.c
+++ b/sched/place.c
@@ -436,10 +436,11 @@
 }
 
 static struct task *
-next_ready (struct stage *stage, int *from)
+next_ready (struct stage *stage, int *from, struct kq_sched_now now)
 {
   for (; *from < stage->step->count; (*from)++)
-    if (stage->tasks[*from].state == TASK_READY)
+    if (stage->tasks[*from].state == TASK_READY
+        && !task_awaits_other_run (&stage->tasks[*from], now))
       return &stage->tasks[(*from)++];
   return NULL;
 }
@@ -472,7 +473,10 @@
   if (stage->ready_count < stage->step->count - stage->done_count
       || !rack_choose_for_group (sched, stage, now))
     return;
-  while ((task = next_ready (stage, &from)) != NULL)
+  for (int i = 0; i < stage->step->count; i++)
+    if (task_awaits_other_run (&stage->tasks[i], now))
+      return;
+  while ((task = next_ready (stage, &from, now)) != NULL)
     {
       struct worker *worker = choose_for_member (sched, task, now);
 
@@ -526,7 +530,8 @@
       struct worker *worker = task->reserved_worker;
       double interference;
 
-      if (task->state != TASK_READY || worker == NULL
+      if (task->state != TASK_READY || task_awaits_other_run (task, now)
+          || worker == NULL
           || !suits (sched, worker, task, now, false, &interference))
         continue;
       start_single (sched, pool, task, worker, now);
@@ -544,7 +549,7 @@
   place_reserved (sched, pool, stage, now);
   rack_choose_for_group (sched, stage, now);
   while (place_leaves_reserve (pool, stage, now)
-         && (task = next_ready (stage, &from)) != NULL)
+         && (task = next_ready (stage, &from, now)) != NULL)
     {
       struct worker *worker;
       bool waits;
@@ -572,7 +577,7 @@
                   struct kq_sched_now now)
 {
   int from = 0;
-  struct task *task = next_ready (stage, &from);
+  struct task *task = next_ready (stage, &from, now);
   struct worker *worker;
 
   if (task == NULL || now.mono - task->ready_at < DISTURB_AFTER_US
@@ -658,7 +663,7 @@
   int from = 0;
 
   if (place_cannot_fit (pass, stage))
-    return next_ready (stage, &from);
+    return next_ready (stage, &from, now);
   if (stage->step->gang)
     {
       place_gang (sched, stage, now);
--- a/sched/task.c
+++ b/sched/task.c
@@ -92,6 +92,12 @@
   return a->job->id < b->job->id ? -1 : a->job->id > b->job->id;
 }
 
+bool
+task_awaits_other_run (const struct task *task, struct kq_sched_now now)
+{
+  return task->other_run_until > now.mono;
+}
+
 static void
 enqueue_stage (struct kq_sched *sched, struct stage *stage)
 {
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -148,7 +148,7 @@
    no known fences. Before it was known it may have accepted orders that were
    meant for the earlier one. */
 void
-worker_start_incarnation (const struct kq_sched *sched, struct worker *worker,
+worker_start_incarnation (struct kq_sched *sched, struct worker *worker,
                           int64_t incarnation_ms, kq_usec now)
 {
   bool restarted = worker->report.incarnation_ms != 0;
@@ -482,10 +482,10 @@
       worker->polls_in_flight++;
       /* A worker that did not reply may have restarted: it would forget ends
          by the numbers of its earlier incarnation. */
-      poll->acked = worker->unanswered ? 0 : worker->acked_end;
+      poll->acked = worker->silent_poll_at != 0 ? 0 : worker->acked_end;
       poll->wait_ms = 0;
       if (worker->acked_end == worker->last_end && !worker->poll_at_once
-          && worker->clock_read_at != 0 && !worker->unanswered)
+          && worker->clock_read_at != 0 && worker->silent_poll_at == 0)
         poll->wait_ms
             = worker->near_target ? NEAR_TARGET_POLL_WAIT_MS : POLL_WAIT_MS;
       worker->poll_at_once = false;
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -36,6 +36,9 @@
 {
   cell->confirmed_at[cell->term] = cell->now.mono;
   kq_sched_confirm_term (cell->sched, cell->now.mono);
+  /* Heartbeats come after the claim of the term. */
+  if (cell->fence < TS_MAX_TERMS)
+    cell->fence = TS_MAX_TERMS;
   cell->fence++;
   kq_sched_note_fence (cell->sched, cell->fence);
 }
--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -110,7 +110,6 @@
   struct kq_sched_config config;
   int64_t now;
   int64_t term;         /* of the current owner */
-  int64_t first_fence;  /* of that term */
   int64_t fence;        /* highest one of any owner */
   int64_t confirmed_at; /* last confirmation of the owner by the store */
   int64_t store_down_until;
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -130,10 +130,9 @@
   if (sim->term > 0)
     kq_sched_add_past_term (sim->sched, sim->term,
                             sim->confirmed_at * KQ_USEC_PER_MSEC, 0);
-  sim->term++;
+  sim->term = ++sim->fence;
   kq_sched_begin_term (sim->sched, sim->term);
   confirm_term (sim);
-  sim->first_fence = sim->fence;
   sim->deferred_count = 0;
   sim->stored = 0;
   sim->storing_until = 0;
@@ -487,6 +486,7 @@
   event.u.polled.worker = worker->id;
   event.u.polled.reply = KQ_SCHED_OK;
   event.u.polled.sent_at = call->sent_at * KQ_USEC_PER_MSEC;
+  event.u.polled.fence = call->fence;
   event.u.polled.worker_status = &worker_status;
   sim_send_event (sim, &event);
 }
@@ -823,7 +823,7 @@
 {
   int64_t fence = kq_sched_order_fence (sim->sched, id);
 
-  return fence != 0 ? fence : sim->first_fence;
+  return fence != 0 ? fence : sim->term;
 }
 
 static void
@@ -1079,14 +1079,16 @@
 }
 
 struct sim *
-sim_run_restarts (unsigned long seed)
+sim_run_restarts (unsigned long seed, double takeovers, double store_down)
 {
-  static const struct sim_faults faults = { .delayed = 0.1,
-                                            .worker_crash = 0.5,
-                                            .lose_reply = 0.05,
-                                            .orders_outlive_crash = true };
   static const struct kq_sched_step step
       = { .count = 6, .demand = { 1000, 500, 0 }, .est_ms = 600 };
+  const struct sim_faults faults = { .delayed = 0.1,
+                                     .worker_crash = 0.5,
+                                     .lose_reply = 0.05,
+                                     .takeover = takeovers,
+                                     .store_down = store_down,
+                                     .orders_outlive_crash = true };
   struct sim *sim = sim_create (seed, &faults);
 
   sim_run (sim, 2000);
--- a/t/lib-sim.h
+++ b/t/lib-sim.h
@@ -92,8 +92,11 @@
 
 /** Runs a cell for 20 s under load, whose workers restart under their IDs 2 s
  *  after a crash while one order in ten is carried out up to 4 s late, by the
- *  next incarnation if need be.  The caller destroys it.  */
-struct sim *sim_run_restarts (unsigned long seed);
+ *  next incarnation if need be.  The probabilities of TAKEOVERS and of outages
+ *  of the store (STORE_DOWN) are per second.  The caller destroys the result.
+ */
+struct sim *sim_run_restarts (unsigned long seed, double takeovers,
+                              double store_down);
 
 /** Returns the first violated rule, or NULL. */
 const char *sim_violation (const struct sim *sim);
--- /dev/null
+++ b/t/test-unknown-run.c
@@ -0,0 +1,102 @@
+/* Guards against two runs of a task at once: a settled start is carried out by
+ * the next incarnation of its worker, which lists the run; the task must not
+ * be started again before that run has ended there.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define JOB UINT64_C (0x11)
+#define RESTARTED 1000
+
+static const struct kq_sched_step step
+    = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 20000 };
+
+static const char *
+other (const char *worker)
+{
+  return strcmp (worker, "a") == 0 ? "b" : "a";
+}
+
+/* Settles the first start of JOB, which had no reply, by a stop; returns the
+   order of the second one, at another worker. */
+static struct ts_order
+settle_first_start (struct ts_cell *cell, struct ts_order *first)
+{
+  struct ts_order second;
+  struct ts_order stop;
+
+  ts_start (cell);
+  ts_register_worker (cell, "a", 4000, 4000);
+  ts_register_worker (cell, "b", 4000, 4000);
+  ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+  ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
+  ts_submit (cell, JOB, "batch", &step, 1);
+  ts_advance (cell, 20);
+  *first = *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+  ts_reply_order (cell, first, KQ_SCHED_NO_REPLY);
+  ts_advance (cell, 20);
+  ts_reply_poll (cell, first->worker, NULL, 0, NULL, 0);
+  ts_advance (cell, 20);
+  stop = *ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0);
+  ts_reply_order (cell, &stop, KQ_SCHED_OK);
+  ts_advance (cell, 20);
+  ts_reply_poll (cell, first->worker, NULL, 0, NULL, 0);
+  ts_reply_poll (cell, other (first->worker), NULL, 0, NULL, 0);
+  ts_advance (cell, 20);
+  second = *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+  CU_ASSERT_EQUAL_FATAL (second.run.run, 2);
+  CU_ASSERT_STRING_NOT_EQUAL (second.worker, first->worker);
+  ts_reply_order (cell, &second, KQ_SCHED_OK);
+  ts_advance (cell, 20);
+  return second;
+}
+
+static void
+test_no_start_beside_listed_run (void)
+{
+  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_order first;
+  struct ts_order second = settle_first_start (cell, &first);
+  struct kq_sched_running row;
+  struct kq_sched_ended end;
+  int starts;
+
+  /* The first worker restarts and carries out the first start. */
+  row = ts_running (&first, 5);
+  ts_register_incarnation (cell, first.worker, 4000, 4000, RESTARTED);
+  ts_reply_poll_sent_at (cell, first.worker, cell->now.mono, RESTARTED, &row,
+                         1, NULL, 0);
+  /* The second one restarts without the second run. */
+  starts = ts_count_orders (cell, KQ_SCHED_FX_START);
+  ts_register_incarnation (cell, second.worker, 4000, 4000, RESTARTED);
+  ts_reply_poll_sent_at (cell, second.worker, cell->now.mono, RESTARTED, NULL,
+                         0, NULL, 0);
+  ts_advance (cell, 100);
+  ts_reply_poll_sent_at (cell, first.worker, cell->now.mono, RESTARTED, &row,
+                         1, NULL, 0);
+  ts_reply_poll_sent_at (cell, second.worker, cell->now.mono, RESTARTED, NULL,
+                         0, NULL, 0);
+  ts_advance (cell, 100);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), starts);
+
+  /* Once its end is listed the task goes on. */
+  end = ts_ended (&first, 1, KQ_SCHED_STOPPED);
+  ts_reply_poll_sent_at (cell, first.worker, cell->now.mono, RESTARTED, NULL,
+                         0, &end, 1);
+  ts_reply_poll_sent_at (cell, second.worker, cell->now.mono, RESTARTED, NULL,
+                         0, NULL, 0);
+  ts_advance (cell, 1000);
+  CU_ASSERT (ts_count_orders (cell, KQ_SCHED_FX_START) > starts);
+  ts_stop (cell);
+  free (cell);
+}
+
+static const struct kq_test tests[] = {
+  { "no start beside a listed run of the task",
+    test_no_start_beside_listed_run },
+};
+
+KQ_TEST_MAIN ("test-unknown-run", tests)
