sched: comments of the worker's fence in plain lines

Reading the change as a whole showed a field split over two lines by the formatter and two comments whose last line was empty. No code changes.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -191,7 +191,6 @@
 {
   struct task *task = find_ordered_task (sched, event);
   enum kq_sched_reply reply = order_reply (sched, event);
-
   bool refused_unread = event->u.order.reply == KQ_SCHED_OTHER_INCARNATION
                         || (event->u.order.reply == KQ_SCHED_FENCED
                             && reply == KQ_SCHED_NO_REPLY);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -300,8 +300,8 @@
   kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
   kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
   int64_t fence;            /* of its orders; 0: that of the owner's term */
-  bool
-      fence_spent; /* it was for an earlier incarnation: a higher one is due */
+  /* That fence was for an earlier incarnation: a higher one is due. */
+  bool fence_spent;
   int64_t grant_term;        /* last owner that may have renewed its lease */
   uint64_t grant_position;   /* position that stores this; 0: another term */
   bool has_restored_tasks;   /* an earlier owner has started tasks here */
@@ -793,8 +793,7 @@
 void advice_apply (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_advice *advice);
 
-/* Whether TASK has to wait for the end of a run that this owner did not know.
- */
+/* Whether TASK waits for the end of a run that this owner did not know. */
 bool task_awaits_other_run (const struct task *task, struct kq_sched_now now);
 
 /* crash.c */
@@ -853,8 +852,7 @@
 void fence_begin_incarnation (struct kq_sched *sched, struct worker *worker);
 /* Returns REPLY of the worker ID to an order with FENCE (0: unknown), or that
    there was none if it refused the order for a fence that this owner has
-   raised since: the worker has done nothing then, and no other owner is known.
- */
+   raised since: the worker has done nothing then. */
 enum kq_sched_reply fence_check_reply (struct kq_sched *sched, const char *id,
                                        int64_t fence,
                                        enum kq_sched_reply reply);
