sched: a few losses in a large service bring no polls of all its workers

The new test of test-evidence, which counts 27 losses of 490 workers, fails on the code before.

Losses that explain each other keep their threshold. Workers are in doubt only in a rack, zone or service that has lost a third.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -303,7 +303,7 @@
               worker->report.rack, "zone", worker->report.zone, NULL);
     }
   if (finding.spreads)
-    doubt_workers (sched, finding.scope, worker);
+    doubt_workers (sched, finding.spread_scope, worker);
   return finding.number;
 }
 
--- a/sched/evidence.c
+++ b/sched/evidence.c
@@ -235,13 +235,20 @@
   return count;
 }
 
+/* Returns the number of losses that are a large share of DOMAIN. */
 static int
-outage_threshold (const struct domain *domain)
+outage_share (const struct domain *domain)
 {
   int losses = domain->size / OUTAGE_DIVISOR;
 
-  if (losses < MIN_OUTAGE_LOSSES)
-    return MIN_OUTAGE_LOSSES;
+  return losses < MIN_OUTAGE_LOSSES ? MIN_OUTAGE_LOSSES : losses;
+}
+
+static int
+outage_threshold (const struct domain *domain)
+{
+  int losses = outage_share (domain);
+
   return losses < MAX_OUTAGE_LOSSES ? losses : MAX_OUTAGE_LOSSES;
 }
 
@@ -291,6 +298,19 @@
   return domain->losses[(domain->next - 1) % MAX_LOSSES_KEPT].at;
 }
 
+/* Notes that an outage of a large share of DOMAIN goes on. In a large service
+   16 losses explain each other, but say nothing about its other workers. */
+static void
+note_spread (struct domain *domain, kq_usec now,
+             struct kq_evidence_finding *finding)
+{
+  if (domain->spread_at != 0 && now - domain->spread_at < SPREAD_INTERVAL_US)
+    return;
+  domain->spread_at = now;
+  finding->spreads = true;
+  finding->spread_scope = (enum kq_evidence_scope)domain->key.scope;
+}
+
 /* Sets what a loss at NOW shows of the outage of DOMAIN. */
 static void
 note_outage (struct domain *domain, kq_usec now,
@@ -303,10 +323,6 @@
       domain->spread_at = 0;
     }
   domain->outage_at = now;
-  if (domain->spread_at != 0 && now - domain->spread_at < SPREAD_INTERVAL_US)
-    return;
-  domain->spread_at = now;
-  finding->spreads = true;
 }
 
 struct kq_evidence_finding
@@ -341,6 +357,8 @@
         continue;
       finding.scope = (enum kq_evidence_scope)scope;
       note_outage (domain, loss->at, &finding);
+      if (has_others (domain, &all, outage_share (domain)))
+        note_spread (domain, loss->at, &finding);
     }
   return finding;
 }
--- a/sched/evidence.h
+++ b/sched/evidence.h
@@ -51,7 +51,9 @@
   uint64_t number; /**< of the loss; a loss reported again keeps it */
   enum kq_evidence_scope scope; /**< outage that is going on now */
   bool begins;                  /**< that outage was not known before */
-  bool spreads; /**< no outage there has been found for a while */
+  bool spreads; /**< it takes a large share of SPREAD_SCOPE, which was not
+                     reported for a while */
+  enum kq_evidence_scope spread_scope;
 };
 
 /** What a task is charged with, and what cannot speak for it. */
--- a/t/test-evidence.c
+++ b/t/test-evidence.c
@@ -156,7 +156,36 @@
   kq_evidence_destroy (evidence);
 }
 
+/* 27 of 490 workers that flap must not bring polls of all others. */
+static void
+test_few_losses_of_a_large_service (void)
+{
+  struct kq_evidence *evidence = kq_evidence_create ();
+  struct kq_evidence_place place = { .service = 0, .zone = "", .rack = "" };
+  bool spreads = false;
+  bool begins = false;
+
+  kq_evidence_begin_count (evidence, START);
+  for (int i = 0; i < 490; i++)
+    kq_evidence_count_worker (evidence, &place);
+  for (intptr_t i = 1; i <= 27; i++)
+    {
+      struct kq_evidence_loss loss
+          = { .place = place, .worker = (const void *)i, .at = START + i };
+      struct kq_evidence_finding finding
+          = kq_evidence_note_loss (evidence, &loss);
+
+      begins |= finding.begins;
+      spreads |= finding.spreads;
+    }
+  CU_ASSERT_TRUE (begins);
+  CU_ASSERT_FALSE (spreads);
+  kq_evidence_destroy (evidence);
+}
+
 static const struct kq_test tests[] = {
+  { "few losses of a large service do not spread",
+    test_few_losses_of_a_large_service },
   { "the first loss of an outage", test_first_loss_of_an_outage },
   { "crashes of one task are no outage",
     test_crashes_of_one_task_are_no_outage },
