--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -564,6 +564,16 @@
   return w_worker_count - 1;
 }
 
+void
+w_set_busy (int index, bool busy)
+{
+  w_lock ();
+  w_workers[index].busy = busy;
+  w_note ("worker %s is %s", w_workers[index].id,
+          busy ? "unhealthy" : "healthy");
+  w_unlock ();
+}
+
 void
 w_crash_worker (int index)
 {
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -350,18 +350,25 @@
   return status;
 }
 
-void
-w_await_ready (int host)
+bool
+w_is_ready (int host)
 {
   char url[128];
   char answer[256];
-  double until = w_now () + 15;
 
   snprintf (url, sizeof url, "http://%s:%d/-/readyz", hosts[host].address,
             hosts[host].ready);
+  return call (url, "GET", NULL, answer, sizeof answer) == 200;
+}
+
+void
+w_await_ready (int host)
+{
+  double until = w_now () + 15;
+
   while (w_now () < until)
     {
-      if (call (url, "GET", NULL, answer, sizeof answer) == 200)
+      if (w_is_ready (host))
         {
           w_note ("host %d is ready", host + 1);
           return;
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -102,6 +102,8 @@
 /** A new worker comes at the address of the crashed WORKER, with its id if
  *  SAME_ID, else with another. */
 void w_return_worker (int worker, bool same_id);
+/** Makes WORKER unhealthy: it answers 503 to starts, and does nothing. */
+void w_set_busy (int worker, bool busy);
 /** Writes the configuration, a JSON text. */
 void w_configure (const char *config);
 
@@ -109,6 +111,8 @@
 int w_add_host (const char *zone);
 void w_start_host (int host);
 void w_signal_host (int host, int number);
+/** Returns whether HOST answers 200 to a readiness check. */
+bool w_is_ready (int host);
 /** Waits until HOST is ready; ends with W_CANNOT_RUN if it is not. */
 void w_await_ready (int host);
 /** Returns the host that wrote last to the store under a condition, or -1. */
