--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,5 +1,5 @@
-/* Two sound workers crash, one after the other, each a moment after it has
-   begun the only task of a job. */
+/* A job with a wide step is accepted; its record then grows beyond what the
+   store takes. */
 #include <stdio.h>
 #include <string.h>
 
@@ -7,82 +7,49 @@
 
 #define WORKERS 14
 #define HOSTS 3
-#define DOWN_S 4.5
+#define WIDE_TASKS 9000
+#define NARROW_TASKS 300
+#define OBSERVED_S 50
 
 static const char config[]
-    = "{\"version\":3,\"routes\":[{\"name\":\"r-devis\",\"host\":"
-      "\"orders.example\",\"prefix\":\"/devis/\",\"kind\":\"mutating\","
-      "\"timeout_ms\":3000,\"slo_ms\":300,\"priority\":0,\"service\":"
-      "\"comptoir\",\"attempts\":3,\"stretch\":1.5}],\"services\":[{\"name\":"
+    = "{\"version\":3,\"routes\":[{\"name\":\"r-fil\",\"host\":"
+      "\"orders.example\",\"prefix\":\"/fil/\",\"kind\":\"mutating\","
+      "\"timeout_ms\":3000,\"slo_ms\":1000,\"priority\":2,\"service\":"
+      "\"comptoir\",\"attempts\":3,\"stretch\":2}],\"services\":[{\"name\":"
       "\"comptoir\",\"health_path\":\"/healthz\",\"max_conns\":64,\"proto\":"
       "\"h1\",\"tls\":false,\"enforces_capacity\":true,\"standby\":false}],"
       "\"limits\":{\"max_body_bytes\":262144}}";
 
-static const char path[] = "/devis/5c0e7a21d94b36f8";
-static const char task[] = "5c0e7a21d94b36f8.0.0.0";
-static const char body[]
-    = "{\"spec\":\"ms 2200 cpu 1800 mem 3200\",\"steps\":[{\"count\":1,"
-      "\"cpu\":1800,\"mem_mb\":3200,\"est_ms\":2200}]}";
+static const char wide_path[] = "/fil/00000000000000b1";
+static const char small_path[] = "/fil/00000000000000a1";
+static const char small_body[]
+    = "{\"spec\":\"ms 4000 cpu 1800 mem 100\",\"steps\":[{\"count\":2,\"cpu\":"
+      "1800,\"mem_mb\":100,\"est_ms\":4000},{\"count\":2,\"cpu\":1800,"
+      "\"mem_mb\":100,\"est_ms\":4000,\"after\":[0]}]}";
 
-/* Waits until run NUMBER of the task runs; returns its worker, or -1. */
-static int
-await_run (int number, double seconds)
+static bool
+is_complete (const char *path)
 {
-  double until = w_now () + seconds;
-
-  while (w_now () < until)
-    {
-      int run;
-      int worker = -1;
+  char answer[256];
 
-      w_lock ();
-      run = w_find_run (task);
-      if (run >= 0 && w_runs[run].number >= number
-          && w_runs[run].ended_at == 0)
-        worker = w_runs[run].worker;
-      w_unlock ();
-      if (worker >= 0)
-        return worker;
-      w_sleep (0.005);
-    }
-  return -1;
+  return w_client (1, "GET", path, NULL, answer, sizeof answer) == 200
+         && strstr (answer, "complete") != NULL;
 }
 
+/* Sends one more small job; returns the status. */
 static int
-count_failed_ends (void)
+try_job (int number)
 {
-  int count = 0;
+  char path[64];
+  char answer[256];
 
-  w_lock ();
-  for (int i = 0; i < w_run_count; i++)
-    count += strcmp (w_runs[i].how, "failed") == 0;
-  w_unlock ();
-  return count;
+  snprintf (path, sizeof path, "/fil/00000000000001%02x", number);
+  return w_client (2, "POST", path, small_body, answer, sizeof answer);
 }
 
-/* Crashes the worker that has just begun the task; it is back, with another
-   id, after DOWN_S. */
 static void
-crash_under_task (int number)
+start_all (void)
 {
-  int worker = await_run (number, 15);
-
-  if (worker < 0)
-    w_finish (W_CANNOT_RUN, "the task is not started");
-  w_sleep (0.25);
-  if (w_trouble)
-    w_crash_worker (worker);
-}
-
-int
-main (int argc, char **argv)
-{
-  char answer[512] = "";
-  const char *last = "";
-  int crashed[2] = { -1, -1 };
-  double until;
-
-  w_begin (argc > 1 ? argv[1] : "review/3");
   for (int i = 0; i < WORKERS; i++)
     w_add_worker ("comptoir", i % 2 == 0 ? "dakar-sandaga" : "dakar-pikine",
                   "a", i % 2 == 0 ? "r1-1" : "r1-2", 16000, 64000, true);
@@ -92,31 +59,55 @@
   for (int i = 0; i < HOSTS; i++)
     w_await_ready (i);
   w_sleep (5);
-  if (w_client (0, "POST", path, body, answer, sizeof answer) != 200)
-    w_finish (W_CANNOT_RUN, "the job is not accepted");
-  for (int i = 0; i < 2; i++)
-    {
-      crashed[i] = await_run (i + 1, 15);
-      crash_under_task (i + 1);
-      if (!w_trouble)
-        break;
-      /* Another worker takes the address after the length of the site. */
-      w_sleep (DOWN_S);
-      w_return_worker (crashed[i], false);
-    }
-  until = w_now () + 40;
-  while (w_now () < until && strstr (last, "complete") == NULL
-         && strstr (last, "failed") == NULL)
+}
+
+int
+main (int argc, char **argv)
+{
+  char answer[256];
+  char body[512];
+  int accepted_later = 0;
+  int tries = 0;
+  int wide_runs = 0;
+  double until;
+  bool small = false;
+  bool wide = false;
+
+  w_begin (argc > 1 ? argv[1] : "review/3");
+  start_all ();
+  /* The wide step follows one of a single task. */
+  snprintf (
+      body, sizeof body,
+      "{\"spec\":\"ms 3000 cpu 20 mem 1\",\"steps\":[{\"count\":1,"
+      "\"cpu\":20,\"mem_mb\":1,\"est_ms\":3000},{\"count\":%d,\"cpu\":20,"
+      "\"mem_mb\":1,\"est_ms\":3000,\"after\":[0]}]}",
+      w_trouble ? WIDE_TASKS : NARROW_TASKS);
+  if (w_client (0, "POST", wide_path, body, answer, sizeof answer) != 200
+      || w_client (0, "POST", small_path, small_body, answer, sizeof answer)
+             != 200)
+    w_finish (W_CANNOT_RUN, "the jobs are not accepted");
+  until = w_now () + OBSERVED_S;
+  while (w_now () < until && !(small && wide))
     {
-      w_sleep (1);
-      w_client (1, "GET", path, NULL, answer, sizeof answer);
-      last = answer;
+      w_sleep (4);
+      small = small || is_complete (small_path);
+      wide = wide || is_complete (wide_path);
+      accepted_later += try_job (tries++) == 200;
     }
-  w_note ("%d ends were failed, of 3 attempts", count_failed_ends ());
-  if (strstr (answer, "failed") != NULL && count_failed_ends () < 3)
-    w_finish (W_BROKEN, "LOST: the job is shown as failed, and no run of its "
-                        "task has ended failed");
-  if (strstr (answer, "complete") != NULL)
-    w_finish (W_HELD, "the job is complete");
-  w_finish (W_CANNOT_RUN, "the job has not ended in time");
+  if (!(small && wide))
+    w_client (0, "DELETE", wide_path, NULL, answer, sizeof answer);
+  w_lock ();
+  for (int i = 0; i < w_run_count; i++)
+    wide_runs += strncmp (w_runs[i].task, "00000000000000b1.0.1.", 21) == 0;
+  w_unlock ();
+  w_note ("the wide step: %d starts; the small job: %s; %d of %d later jobs "
+          "accepted; the store refused %d appends",
+          wide_runs, small ? "complete" : "not complete", accepted_later,
+          tries, w_refused_appends ());
+  if (small && wide)
+    w_finish (W_HELD, "both jobs are complete");
+  if (!small && wide_runs == 0 && w_count_running ("0000000000000") == 0)
+    w_finish (W_BROKEN, "LOST: accepted jobs have nothing running, and no job "
+                        "is accepted any more");
+  w_finish (W_CANNOT_RUN, "neither complete nor at a standstill");
 }
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -21,6 +21,11 @@
 int w_run_count;
 static char address[32];
 static int next_id;
+/* The start order that gets no answer and is carried out later. */
+static bool late_wanted;
+static int late_worker = -1;
+static double late_at;
+static json_t *late_order;
 
 static int64_t
 clock_ms (const struct w_worker *worker)
@@ -216,6 +221,45 @@
   w_note ("store: the entry of worker %s is removed", worker->id);
 }
 
+static void
+extend (struct w_worker *worker, const json_t *body)
+{
+  int64_t until = json_integer_value (json_object_get (body, "until_ms"));
+  int64_t most = clock_ms (worker) + W_HOLD_MAX_MS;
+
+  if (until > most)
+    until = most;
+  if (until > worker->until_ms)
+    worker->until_ms = until;
+}
+
+static const char *refusal_of_start (int index, const json_t *body);
+static void start_run (int worker, const json_t *body);
+
+/* Carries out the order that got no answer, as the worker does then. */
+static void
+carry_out_late (double now)
+{
+  struct w_worker *worker;
+  const char *why;
+
+  if (late_at == 0 || now < late_at || !w_workers[late_worker].up)
+    return;
+  late_at = 0;
+  worker = &w_workers[late_worker];
+  why = json_integer_value (json_object_get (late_order, "fence"))
+                < worker->fence
+            ? "fence"
+            : refusal_of_start (late_worker, late_order);
+  w_note ("worker %s: carries out the late start: %s", worker->id,
+          why != NULL ? why : "accepted");
+  if (why != NULL)
+    return;
+  worker->fence = json_integer_value (json_object_get (late_order, "fence"));
+  extend (worker, late_order);
+  start_run (late_worker, late_order);
+}
+
 static void *
 tick (void *arg)
 {
@@ -233,6 +277,7 @@
           advance_run (&w_runs[i], now, (now - last) * 1000);
       for (int i = 0; i < w_worker_count; i++)
         forget_lost (&w_workers[i], now);
+      carry_out_late (now);
       last = now;
       w_unlock ();
     }
@@ -266,18 +311,6 @@
       request, 200, json_pack ("{sI}", "clock_ms", clock_ms (worker)));
 }
 
-static void
-extend (struct w_worker *worker, const json_t *body)
-{
-  int64_t until = json_integer_value (json_object_get (body, "until_ms"));
-  int64_t most = clock_ms (worker) + W_HOLD_MAX_MS;
-
-  if (until > most)
-    until = most;
-  if (until > worker->until_ms)
-    worker->until_ms = until;
-}
-
 /* A spec is words: "ms N" (work of a task; 0: it lasts), "cpu N", "mem N" (as
    in the job's steps, which a worker is not told otherwise), "gang N" (number
    of members), "saves 1". */
@@ -353,34 +386,46 @@
          && mem + spec_number (spec, "mem ", 0) <= w->mem;
 }
 
+/* Returns the reason for which a start is refused, or NULL. */
+static const char *
+refusal_of_start (int index, const json_t *body)
+{
+  const struct w_worker *worker = &w_workers[index];
+  const char *task = json_string_value (json_object_get (body, "task"));
+  const char *spec = json_string_value (json_object_get (body, "spec"));
+
+  if (json_integer_value (json_object_get (body, "until_ms"))
+      < clock_ms (worker))
+    return "late";
+  if (json_integer_value (json_object_get (body, "run_id"))
+      <= json_integer_value (json_object_get (worker->highest, task)))
+    return "old";
+  return worker->guards && !has_room (index, spec) ? "room" : NULL;
+}
+
 static enum MHD_Result
 handle_start (struct w_request *request, int index, const json_t *body)
 {
   struct w_worker *worker = &w_workers[index];
   const char *task = json_string_value (json_object_get (body, "task"));
-  const char *spec = json_string_value (json_object_get (body, "spec"));
   int number = (int)json_integer_value (json_object_get (body, "run_id"));
+  const char *why;
 
-  if (task == NULL || spec == NULL || number < 1)
+  if (task == NULL || number < 1
+      || json_string_value (json_object_get (body, "spec")) == NULL)
     return world_respond_json (request, 400,
                                json_pack ("{ss}", "error", "fields"));
   if (find_open_run (index, task, number) != NULL)
     return accept_order (request, worker);
-  if (json_integer_value (json_object_get (body, "until_ms"))
-      < clock_ms (worker))
-    return conflict (request, worker, "late");
-  if (number <= json_integer_value (json_object_get (worker->highest, task)))
-    {
-      extend (worker, body);
-      return conflict (request, worker, "old");
-    }
-  if (worker->guards && !has_room (index, spec))
+  why = refusal_of_start (index, body);
+  if (why == NULL || strcmp (why, "late") != 0)
+    extend (worker, body);
+  if (why != NULL)
     {
-      extend (worker, body);
-      w_note ("worker %s: no room for run %d of %s", worker->id, number, task);
-      return conflict (request, worker, "room");
+      w_note ("worker %s: refuses run %d of %s: %s", worker->id, number, task,
+              why);
+      return conflict (request, worker, why);
     }
-  extend (worker, body);
   start_run (index, body);
   return accept_order (request, worker);
 }
@@ -497,16 +542,54 @@
   if (strcmp (request->path, "/-/run-start") != 0)
     return world_respond_json (request, 404,
                                json_pack ("{ss}", "error", "path"));
-  if (worker->busy)
-    {
-      w_note ("worker %s: unhealthy, answers 503 to a start of %s", worker->id,
-              json_string_value (json_object_get (body, "task")));
-      return world_respond_json (request, 503,
-                                 json_pack ("{ss}", "error", "unhealthy"));
-    }
   return handle_start (request, index, body);
 }
 
+void
+w_delay_next_start (void)
+{
+  w_lock ();
+  late_wanted = true;
+  w_unlock ();
+}
+
+int
+w_late_worker (void)
+{
+  int worker;
+
+  w_lock ();
+  worker = late_worker;
+  w_unlock ();
+  return worker;
+}
+
+void
+w_carry_out_late (double seconds)
+{
+  w_lock ();
+  late_at = w_now () + seconds;
+  w_unlock ();
+}
+
+/* Keeps the order and lets its sender wait in vain. */
+static enum MHD_Result
+keep_order (struct w_request *request, int index, const json_t *body)
+{
+  double until = w_now () + 3;
+
+  late_wanted = false;
+  late_worker = index;
+  late_order = json_deep_copy (body);
+  w_note ("worker %s: the start of run %d of %s gets no answer",
+          w_workers[index].id,
+          (int)json_integer_value (json_object_get (body, "run_id")),
+          json_string_value (json_object_get (body, "task")));
+  while (w_now () < until && w_workers[index].up)
+    world_wait (0.1);
+  return MHD_NO;
+}
+
 static enum MHD_Result
 handle (struct w_request *request)
 {
@@ -524,7 +607,10 @@
         request, 421, json_pack ("{sI}", "clock_ms", clock_ms (worker)));
   body = json_loadb (request->body != NULL ? request->body : "", request->size,
                      0, NULL);
-  result = handle_order (request, index, body);
+  if (late_wanted && strcmp (request->path, "/-/run-start") == 0)
+    result = keep_order (request, index, body);
+  else
+    result = handle_order (request, index, body);
   json_decref (body);
   return result;
 }
@@ -564,16 +650,6 @@
   return w_worker_count - 1;
 }
 
-void
-w_set_busy (int index, bool busy)
-{
-  w_lock ();
-  w_workers[index].busy = busy;
-  w_note ("worker %s is %s", w_workers[index].id,
-          busy ? "unhealthy" : "healthy");
-  w_unlock ();
-}
-
 void
 w_crash_worker (int index)
 {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -47,7 +47,7 @@
   bool gathered;
 };
 
-/** What the spec of a job asks of its tasks; set by the spec's text. */
+/** A worker, in its current life. */
 struct w_worker
 {
   char id[32];
@@ -59,7 +59,6 @@
   int64_t mem;
   bool guards;
   bool up;
-  bool busy; /**< answers 503 to starts */
   int port;
   int64_t born_ms;
   double clock_at; /**< when its steady clock began */
@@ -102,8 +101,12 @@
 /** A new worker comes at the address of the crashed WORKER, with its id if
  *  SAME_ID, else with another. */
 void w_return_worker (int worker, bool same_id);
-/** Makes WORKER unhealthy: it answers 503 to starts, and does nothing. */
-void w_set_busy (int worker, bool busy);
+/** The next start order gets no answer; w_late_worker() then returns the
+ * worker that got it (-1: none yet), and w_carry_out_late() has it carried out
+ * there SECONDS later. */
+void w_delay_next_start (void);
+int w_late_worker (void);
+void w_carry_out_late (double seconds);
 /** Writes the configuration, a JSON text. */
 void w_configure (const char *config);
 
