--- a/review/build.sh
+++ b/review/build.sh
@@ -10,6 +10,6 @@
   # shellcheck disable=SC2046
   ${CC:-gcc} -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra \
     -Wno-unused-parameter -I. $(pkg-config --cflags $packages) \
-    "$case" review/standin/*.c -o "target/review/case$number" \
+    "$case" review/*.c -o "target/review/case$number" \
     $(pkg-config --libs $packages) -lpthread -lm
 done
--- a/review/standin/internal.h
+++ b/review/internal.h
@@ -6,7 +6,7 @@
 
 #include <microhttpd.h>
 
-#include "review/standin/world.h"
+#include "review/world.h"
 
 #define W_HEARTBEAT_MS 1100
 #define W_HOLD_MAX_MS 10000
--- a/review/standin/serve.c
+++ b/review/serve.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "review/standin/internal.h"
+#include "review/internal.h"
 
 struct server
 {
--- a/review/standin/store.c
+++ b/review/store.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "review/standin/internal.h"
+#include "review/internal.h"
 
 #define MAX_TOPICS 16
 #define REPEATS 5
--- a/review/standin/worker.c
+++ b/review/worker.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "review/standin/internal.h"
+#include "review/internal.h"
 
 #define STOP_TIME_S 0.1
 #define START_UP_MS 300
--- a/review/standin/world.c
+++ b/review/world.c
@@ -1,5 +1,5 @@
 /* The stand-ins' shared state, time, record, client and host processes. */
-#include "review/standin/world.h"
+#include "review/world.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -16,7 +16,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "review/standin/internal.h"
+#include "review/internal.h"
 
 struct host
 {
