sched: the state of a job is stored in parts that fit into a record

Cause: the state of a job was one record, 33 bytes a task that has run. The store takes 262,144 bytes (platform.record_bytes, which was not read), refuses the append with 400 each time, and appends go one at a time.

Ruled out: the size of the whole append (300 KB of 2 MB), the number of connections and of orders (no start was sent), and the grants and the interference model, which are bounded (docs/design/platform.md).

The state is divided by its tasks: part 0 is the record as before, the others have keys of their own and are written when they change. The records of a job go into one append if they fit, else in ascending order, so that a stored start implies the stored ends before it. The limits come from the settings.

The stand-in of the store refuses records above the limit now.

--- a/node/append.c
+++ b/node/append.c
@@ -6,33 +6,86 @@
 #include "base/err.h"
 #include "log/log.h"
 
+/* Number of characters of a key that are the same in all records of a job,
+   after the one that tells the kind. */
+#define JOB_KEY_CHARS 16
+
+static bool
+have_same_job (const struct kq_sched_record *a,
+               const struct kq_sched_record *b)
+{
+  return strlen (a->key) > JOB_KEY_CHARS
+         && strncmp (a->key + 1, b->key + 1, JOB_KEY_CHARS) == 0;
+}
+
+/* Returns the index after the records from FIRST on that have the same job. */
+static int
+end_of_job (const struct kq_append *append, int first)
+{
+  int next = first + 1;
+
+  while (next < append->count
+         && have_same_job (&append->records[first], &append->records[next]))
+    next++;
+  return next;
+}
+
+static size_t
+size_of (const struct kq_append *append, int first, int end)
+{
+  size_t size = 0;
+
+  for (int i = first; i < end; i++)
+    size += kq_store_record_size (append->records[i].key,
+                                  append->records[i].size);
+  return size;
+}
+
+static void
+add_record (struct kq_append *append, const struct kq_sched_record *record)
+{
+  int err = kq_store_batch_add (&append->batch, record->key, record->value,
+                                record->size);
+
+  if (err != 0)
+    kq_log (KQ_LOG_ERROR, "journal", "record not written", err, "key",
+            record->key, NULL);
+}
+
+/* A takeover between two appends with records of the same job would restore a
+   mix of two states. */
 static void
 fill_batch (struct kq_append *append)
 {
-  size_t bytes = 0;
+  size_t room = append->max_bytes;
 
   kq_store_batch_clear (&append->batch);
-  for (append->next = append->first; append->next < append->count;
-       append->next++)
+  append->next = append->first;
+  while (append->next < append->count)
     {
-      const struct kq_sched_record *record = &append->records[append->next];
+      int end = end_of_job (append, append->next);
+      size_t size = size_of (append, append->next, end);
 
-      bytes += record->size;
-      if (bytes > KQ_APPEND_MAX_BYTES && append->next > append->first)
+      /* The records of a very large job are divided. */
+      if (size > append->max_bytes)
+        {
+          end = append->next + 1;
+          size = size_of (append, append->next, end);
+        }
+      if (size > room && append->next > append->first)
         return;
-      if (kq_store_batch_add (&append->batch, record->key, record->value,
-                              record->size)
-          != 0)
-        kq_log (KQ_LOG_ERROR, "journal", "record not written", KQ_ENOMEM,
-                "key", record->key, NULL);
+      room -= size < room ? size : room;
+      while (append->next < end)
+        add_record (append, &append->records[append->next++]);
     }
 }
 
 void
 kq_append_begin (struct kq_append *append, struct kq_sched_record *records,
-                 int count)
+                 int count, size_t max_bytes)
 {
   kq_append_clear (append);
+  append->max_bytes = max_bytes;
   append->records = records;
   append->count = count;
   fill_batch (append);
@@ -49,15 +102,6 @@
   return true;
 }
 
-/* The record of a job's state has the key of its first record but for the
-   first character. */
-static bool
-is_state_of (const struct kq_sched_record *record,
-             const struct kq_sched_record *first)
-{
-  return strcmp (record->key + 1, first->key + 1) == 0;
-}
-
 int
 kq_append_withdraw_jobs (struct kq_append *append,
                          kq_append_withdraw *withdraw, void *arg)
@@ -67,19 +111,18 @@
 
   if (append->maybe_stored)
     return 0;
-  for (int i = 0; i < append->count; i++)
+  for (int i = 0, end; i < append->count; i = end)
     {
-      struct kq_sched_record *record = &append->records[i];
+      const struct kq_sched_record *record = &append->records[i];
+      bool keeps = !record->is_first || !withdraw (arg, record->job);
 
-      if (!record->is_first || !withdraw (arg, record->job))
-        {
-          append->records[kept++] = *record;
-          continue;
-        }
-      withdrawn++;
-      if (i + 1 < append->count && is_state_of (record + 1, record))
-        free (append->records[++i].value);
-      free (record->value);
+      end = end_of_job (append, i);
+      withdrawn += !keeps;
+      for (int j = i; j < end; j++)
+        if (keeps)
+          append->records[kept++] = append->records[j];
+        else
+          free (append->records[j].value);
     }
   append->count = kept;
   if (withdrawn > 0)
--- a/node/append.h
+++ b/node/append.h
@@ -13,15 +13,12 @@
 #include "platform/store.h"
 #include "sched/sched.h"
 
-/** Maximum size in bytes of the records of one append. The platform limits a
- *  call to 2 MB.  */
-#define KQ_APPEND_MAX_BYTES ((size_t)1500 * 1024)
-
 /** Records of a position; all zero if there are none. */
 struct kq_append
 {
   struct kq_sched_record *records;
   int count;
+  size_t max_bytes;            /**< maximum size of an append */
   int first;                   /**< first record of the current append */
   int next;                    /**< first record after it */
   struct kq_store_batch batch; /**< the current append */
@@ -33,9 +30,12 @@
  *  @return whether it was.  */
 typedef bool kq_append_withdraw (void *arg, uint64_t job);
 
-/** Takes the COUNT RECORDS of a position and makes the first append. */
+/** Takes the COUNT RECORDS of a position and makes the first append. An append
+ *  has at most MAX_BYTES, or one record; the records of a job that fit into
+ * one are stored together.  */
 void kq_append_begin (struct kq_append *append,
-                      struct kq_sched_record *records, int count);
+                      struct kq_sched_record *records, int count,
+                      size_t max_bytes);
 
 /** Makes the next append after the current one was stored.
  *  @return false if all records of the position are stored.  */
--- a/node/journal.c
+++ b/node/journal.c
@@ -17,10 +17,14 @@
 /* Delay before an append that the store has refused is repeated. */
 #define RETRY_DELAY_SEC 0.06
 
+/* A larger append might take longer than the first timeout. */
+#define MAX_APPEND_BYTES ((size_t)1500 * 1024)
+
 struct kq_journal
 {
   struct ev_loop *loop;
   struct kq_store *store;
+  struct kq_store_limits limits;
   struct kq_journal_handler handler;
   struct kq_append append;
   uint64_t position; /* journal position of the append */
@@ -129,7 +133,8 @@
 }
 
 struct kq_journal *
-kq_journal_create (struct ev_loop *loop, struct kq_store *store, int64_t epoch,
+kq_journal_create (struct ev_loop *loop, struct kq_store *store,
+                   const struct kq_store_limits *limits, int64_t epoch,
                    const struct kq_journal_handler *handler)
 {
   struct kq_journal *journal = calloc (1, sizeof *journal);
@@ -138,6 +143,9 @@
     return NULL;
   journal->loop = loop;
   journal->store = store;
+  journal->limits = *limits;
+  if (journal->limits.call_bytes > MAX_APPEND_BYTES)
+    journal->limits.call_bytes = MAX_APPEND_BYTES;
   journal->handler = *handler;
   journal->epoch = epoch;
   journal->timeout = INITIAL_TIMEOUT_US;
@@ -172,13 +180,15 @@
 
   if (journal->append_in_flight)
     return;
-  count = kq_sched_encode_records (sched, KQ_APPEND_MAX_BYTES, &records,
-                                   &journal->position);
+  count = kq_sched_encode_records (
+      sched, journal->limits.record_bytes - KQ_SCHED_KEY_SIZE, &records,
+      &journal->position);
   if (count < 0)
     kq_log (KQ_LOG_ERROR, "journal", "records not encoded", count, NULL);
   if (records == NULL)
     return;
-  kq_append_begin (&journal->append, records, count);
+  kq_append_begin (&journal->append, records, count,
+                   journal->limits.call_bytes);
   journal->append_in_flight = true;
   send_batch (journal);
 }
--- a/node/journal.h
+++ b/node/journal.h
@@ -28,8 +28,10 @@
   void (*on_attempt) (void *arg, const struct kq_store_append_result *result);
 };
 
+/** @return NULL when out of memory. */
 struct kq_journal *
-kq_journal_create (struct ev_loop *loop, struct kq_store *store, int64_t epoch,
+kq_journal_create (struct ev_loop *loop, struct kq_store *store,
+                   const struct kq_store_limits *limits, int64_t epoch,
                    const struct kq_journal_handler *handler);
 void kq_journal_destroy (struct kq_journal *journal);
 
--- a/node/node.c
+++ b/node/node.c
@@ -313,15 +313,17 @@
   struct kq_owner_handler handler = { .arg = node,
                                       .on_result = on_result,
                                       .on_superseded = on_superseded };
-  struct kq_owner_context context = { .loop = node->loop,
-                                      .store = node->settings.store,
-                                      .advice = node->settings.advice,
-                                      .term = node->term,
-                                      .hosts = node->hosts,
-                                      .hop = node->hop,
-                                      .settings = node->settings.sched,
-                                      .zones = &node->zones,
-                                      .zones_read_at = node->zones_read_at };
+  struct kq_owner_context context
+      = { .loop = node->loop,
+          .store = node->settings.store,
+          .store_limits = node->settings.store_limits,
+          .advice = node->settings.advice,
+          .term = node->term,
+          .hosts = node->hosts,
+          .hop = node->hop,
+          .settings = node->settings.sched,
+          .zones = &node->zones,
+          .zones_read_at = node->zones_read_at };
 
   /* Without relays the owner of a large cell would open connections to all
      workers. */
--- a/node/owner.c
+++ b/node/owner.c
@@ -41,6 +41,9 @@
 #define MAX_POLLS_PER_ITERATION 64
 #define NEXT_ITERATION_SEC 0.001
 
+/* Limit in bytes of the key and the fields of a JobRecord beside the body. */
+#define JOB_RECORD_OVERHEAD 256
+
 struct kq_owner
 {
   struct ev_loop *loop;
@@ -55,6 +58,7 @@
   struct kq_sched *sched;
   struct kq_deferred *deferred; /* effects that wait for the store */
   struct kq_refusal refusal;    /* while the store is away */
+  size_t max_body_bytes;        /* of a job whose record the store takes */
   uint64_t stored_position; /* journal position up to which all is stored */
   kq_usec confirmed_at;     /* when the last call was sent by which the store
                                confirmed the term */
@@ -477,8 +481,8 @@
   kq_sched_set_settings (owner->sched, &context->settings);
   begin_term (owner, context->term);
   kq_sched_note_registrations (owner->sched, kq_clock_now ());
-  owner->journal
-      = kq_journal_create (owner->loop, owner->store, term, &journal);
+  owner->journal = kq_journal_create (owner->loop, owner->store,
+                                      &context->store_limits, term, &journal);
   owner->restore = kq_restore_create (owner->loop, owner->store, owner->sched,
                                       on_restored, owner);
   owner->registrations
@@ -507,6 +511,8 @@
   owner->handler = *handler;
   owner->confirmed_at = kq_clock_now ();
   owner->first_polls_at = context->first_polls_at;
+  owner->max_body_bytes
+      = context->store_limits.record_bytes - JOB_RECORD_OVERHEAD;
   ev_prepare_init (&owner->prepare, on_prepare);
   owner->prepare.data = owner;
   ev_timer_init (&owner->tick, on_tick, TICK_SEC, TICK_SEC);
@@ -560,7 +566,9 @@
         size_t size)
 {
   struct kq_sched_spec spec;
-  int err = kq_submission_read (body, size, &spec);
+  int err = size <= owner->max_body_bytes
+                ? kq_submission_read (body, size, &spec)
+                : KQ_ETOOBIG;
 
   if (err != 0)
     {
--- a/node/owner.h
+++ b/node/owner.h
@@ -41,7 +41,8 @@
 struct kq_owner_context
 {
   struct ev_loop *loop;
-  const char *store;  /**< address of the platform's store */
+  const char *store; /**< address of the platform's store */
+  struct kq_store_limits store_limits;
   const char *advice; /**< address of the policy service, or "" */
   const struct kq_term *term;
   const struct kq_hosts *hosts;
--- a/node/restore.c
+++ b/node/restore.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include "base/err.h"
 #include "log/log.h"
@@ -13,7 +14,14 @@
 /* Delay before a failed read of a page is repeated. */
 #define RETRY_DELAY_SEC 0.05
 
-#define KEY_BYTES 24
+/* A further part of the state of a job. */
+struct stored_part
+{
+  int number;
+  size_t size;
+  struct stored_part *next;
+  uint8_t value[];
+};
 
 /* Records of one job as read from the store. */
 struct stored_job
@@ -23,6 +31,7 @@
   size_t job_size;
   uint8_t *state;
   size_t state_size;
+  struct stored_part *parts;
   UT_hash_handle hh;
 };
 
@@ -34,7 +43,7 @@
   void (*done) (void *arg);
   void *arg;
   struct stored_job *stored_jobs;
-  char last_key[KEY_BYTES];
+  char last_key[KQ_SCHED_KEY_SIZE];
   ev_timer retry;
 };
 
@@ -59,6 +68,8 @@
 {
   struct stored_job *stored_job = restore->stored_jobs;
   struct stored_job *next;
+  struct stored_part *part;
+  struct stored_part *next_part;
 
   HASH_CLEAR (hh, restore->stored_jobs);
   for (; stored_job != NULL; stored_job = next)
@@ -66,6 +77,7 @@
       next = stored_job->hh.next;
       free (stored_job->job);
       free (stored_job->state);
+      LL_FOREACH_SAFE (stored_job->parts, part, next_part) { free (part); }
       free (stored_job);
     }
 }
@@ -109,43 +121,99 @@
   return 0;
 }
 
+/* Copies ROW in place of an earlier one: pages are no snapshot. */
+static int
+keep_record (uint8_t **kept, size_t *kept_size, const struct kq_store_row *row)
+{
+  uint8_t *copy = malloc (row->size);
+
+  if (copy == NULL)
+    return KQ_ENOMEM;
+  memcpy (copy, row->value, row->size);
+  free (*kept);
+  *kept = copy;
+  *kept_size = row->size;
+  return 0;
+}
+
+static int
+compare_parts (const struct stored_part *a, const struct stored_part *b)
+{
+  return a->number - b->number;
+}
+
+static int
+keep_part (struct stored_job *stored_job, int number,
+           const struct kq_store_row *row)
+{
+  struct stored_part *part = malloc (sizeof *part + row->size);
+
+  if (part == NULL)
+    return KQ_ENOMEM;
+  part->number = number;
+  part->size = row->size;
+  memcpy (part->value, row->value, row->size);
+  LL_INSERT_INORDER (stored_job->parts, part, compare_parts);
+  return 0;
+}
+
+/* Keeps ROW if it belongs to one job. */
+static int
+collect_job_row (struct kq_restore *restore, const char *key,
+                 const struct kq_store_row *row)
+{
+  struct stored_job *stored_job;
+  uint64_t id;
+  int part = 0;
+
+  if (!kq_sched_part_key_read (key, &id, &part)
+      && ((key[0] != 'j' && key[0] != 's')
+          || !kq_submission_id_read (key + 1, &id)))
+    return 0;
+  stored_job = find_or_add_job (restore, id);
+  if (stored_job == NULL)
+    return KQ_ENOMEM;
+  if (part > 0)
+    return keep_part (stored_job, part, row);
+  if (key[0] == 'j')
+    return keep_record (&stored_job->job, &stored_job->job_size, row);
+  return keep_record (&stored_job->state, &stored_job->state_size, row);
+}
+
 static void
 collect_row (struct kq_restore *restore, const struct kq_store_row *row)
 {
-  char key[KEY_BYTES];
-  uint64_t id;
-  struct stored_job *stored_job;
-  uint8_t *copy;
+  char key[KQ_SCHED_KEY_SIZE];
 
   snprintf (key, sizeof key, "%.*s", (int)row->key_size, row->key);
   strcpy (restore->last_key, key);
-  if (row->size > 0 && restore_shared (restore, key, row) != 0)
+  if (row->size == 0)
+    return;
+  if (restore_shared (restore, key, row) != 0)
     kq_log (KQ_LOG_WARN, "restore", "malformed record ignored", KQ_ESYNTAX,
             "key", key, NULL);
-  if (row->size == 0 || !kq_submission_id_read (key + 1, &id))
-    return;
-  stored_job = find_or_add_job (restore, id);
-  copy = malloc (row->size);
-  if (stored_job == NULL || copy == NULL)
-    {
-      free (copy);
-      kq_log (KQ_LOG_ERROR, "restore", "record not restored", KQ_ENOMEM, "key",
-              key, NULL);
-      return;
-    }
-  memcpy (copy, row->value, row->size);
-  if (key[0] == 'j')
-    {
-      free (stored_job->job);
-      stored_job->job = copy;
-      stored_job->job_size = row->size;
-    }
-  else
-    {
-      free (stored_job->state);
-      stored_job->state = copy;
-      stored_job->state_size = row->size;
-    }
+  if (collect_job_row (restore, key, row) != 0)
+    kq_log (KQ_LOG_ERROR, "restore", "record not restored", KQ_ENOMEM, "key",
+            key, NULL);
+}
+
+static void
+restore_parts (struct kq_restore *restore, struct kq_sched_now now,
+               const struct stored_job *stored_job)
+{
+  const struct stored_part *part;
+  char number[16];
+
+  LL_FOREACH (stored_job->parts, part)
+  {
+    int err = kq_sched_restore_part (restore->sched, now, stored_job->id,
+                                     part->number, part->value, part->size);
+
+    snprintf (number, sizeof number, "%d", part->number);
+    if (err != 0)
+      kq_log (KQ_LOG_ERROR, "restore", "part of a state not restored", err,
+              "part", number, NULL);
+  }
 }
 
 static int
@@ -167,6 +235,8 @@
     err = kq_sched_restore_job (restore->sched, now, stored_job->id,
                                 record->queue, record->accepted_ms, &spec,
                                 stored_job->state, stored_job->state_size);
+  if (err == 0)
+    restore_parts (restore, now, stored_job);
   free (record);
   return err;
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -233,6 +233,8 @@
   bool record_due;        /* its JobRecord is not encoded yet */
   bool has_new_end; /* a task of it has ended since its state was encoded */
   bool expired;     /* its records are to be deleted */
+  uint64_t *part_hashes;      /* of the stored parts of its state (state.c) */
+  int part_count;             /* of these, with part 0, or 0 */
   uint64_t changed_position;  /* journal position of its last change */
   uint64_t accepted_position; /* position that stores its JobRecord */
   struct job *dirty_prev;
--- a/sched/job.c
+++ b/sched/job.c
@@ -292,6 +292,7 @@
       free (job->stages[i].tasks);
     }
   free (job->stages);
+  free (job->part_hashes);
   kq_sched_spec_clear (&job->spec);
   free (job->body);
   free (job);
--- a/sched/record.c
+++ b/sched/record.c
@@ -10,12 +10,7 @@
 #include "log/log.h"
 #include "sched/internal.h"
 #include "sched/record.pb-c.h"
-
-/* More losses under a task than any decision tells apart. */
-#define MAX_RESTORED_LOSSES 1000
-
-/* One JobRecord and one StateRecord. */
-#define MAX_RECORDS_PER_JOB 2
+#include "sched/state.h"
 
 void
 record_clear_dirty (struct kq_sched *sched, struct job *job)
@@ -27,9 +22,9 @@
 }
 
 static void
-set_key (struct kq_sched_record *record, char kind, uint64_t id)
+set_job_key (struct kq_sched_record *record, const struct job *job)
 {
-  snprintf (record->key, sizeof record->key, "%c%016" PRIx64, kind, id);
+  snprintf (record->key, sizeof record->key, "j%016" PRIx64, job->id);
 }
 
 /* Class of a changed job in the order in which jobs are stored: what has ended
@@ -59,7 +54,7 @@
   message.body.data = job->body;
   message.body.len = job->body_size;
   message.accepted_ms = job->accepted_ms;
-  set_key (record, 'j', job->id);
+  set_job_key (record, job);
   record->size = kq_sched__job_record__get_packed_size (&message);
   record->value = malloc (record->size);
   if (record->value == NULL)
@@ -68,95 +63,18 @@
   return 0;
 }
 
-static bool
-needs_record (const struct task *task)
-{
-  return task->state == TASK_DONE || task->run > 0;
-}
-
-static void
-fill_task_record (struct task *task, KqSched__TaskRecord *record)
-{
-  kq_sched__task_record__init (record);
-  record->occurrence = (uint32_t)task->stage->occurrence;
-  record->step = (uint32_t)task->stage->number;
-  record->index = (uint32_t)task->index;
-  record->done = task->state == TASK_DONE;
-  record->run = (uint32_t)task->run;
-  if (record->done)
-    return;
-  record->failed_runs = task->failed_runs;
-  record->crashes = (uint32_t)task->crashes;
-  record->unproven_crashes = (uint32_t)task->unproven_crashes;
-  record->losses_set_aside = (uint32_t)task->losses_set_aside;
-  record->silent_losses = (uint32_t)task->silent_losses;
-  record->checkpoint = task->checkpoint;
-  if (task->state == TASK_BOUND)
-    {
-      record->bound = true;
-      record->worker = task->worker->report.id;
-      record->born_ms = task->worker->report.incarnation_ms;
-      record->placed_ms = task->placed_ms;
-    }
-}
-
-static size_t
-count_tasks (const struct job *job)
-{
-  size_t count = 0;
-
-  for (int i = 0; i < job->stage_count; i++)
-    for (int j = 0; j < job->stages[i].step->count; j++)
-      count += needs_record (&job->stages[i].tasks[j]);
-  return count;
-}
-
-/* The done tasks of a complete job are not stored. */
-static int
-encode_state (struct job *job, struct kq_sched_record *record)
-{
-  KqSched__StateRecord message = KQ_SCHED__STATE_RECORD__INIT;
-  size_t count = job->state == KQ_SCHED_COMPLETE ? 0 : count_tasks (job);
-  KqSched__TaskRecord *tasks = calloc (count + 1, sizeof *tasks);
-  KqSched__TaskRecord **rows = calloc (count + 1, sizeof (void *));
-  size_t n = 0;
-
-  for (int i = 0;
-       count > 0 && tasks != NULL && rows != NULL && i < job->stage_count; i++)
-    for (int j = 0; j < job->stages[i].step->count; j++)
-      if (needs_record (&job->stages[i].tasks[j]))
-        {
-          fill_task_record (&job->stages[i].tasks[j], &tasks[n]);
-          rows[n] = &tasks[n];
-          n++;
-        }
-  message.outcome = job_has_ended (job) ? job->state : 0;
-  message.ended_ms = job->ended_ms;
-  message.n_tasks = n;
-  message.tasks = rows;
-  set_key (record, 's', job->id);
-  record->size = kq_sched__state_record__get_packed_size (&message);
-  record->value = malloc (record->size + 1);
-  if (record->value != NULL && rows != NULL && tasks != NULL)
-    kq_sched__state_record__pack (&message, record->value);
-  free (rows);
-  free (tasks);
-  return record->value == NULL ? KQ_ENOMEM : 0;
-}
-
-/* A record without a value deletes its key. A state that encodes to zero
-   bytes would also do that; such a state belongs to a job without any
-   start, which the JobRecord implies. */
+/* Returns the number of records, or KQ_ENOMEM. */
 static int
-encode_changed_job (struct job *job, struct kq_sched_record *records)
+encode_changed_job (struct job *job, size_t max_bytes,
+                    struct kq_sched_record *records)
 {
   int count = 0;
+  int more;
 
   if (job->expired)
     {
-      set_key (&records[0], 'j', job->id);
-      set_key (&records[1], 's', job->id);
-      return MAX_RECORDS_PER_JOB;
+      set_job_key (&records[0], job);
+      return 1 + state_delete (job, &records[1]);
     }
   if (job->record_due)
     {
@@ -169,14 +87,8 @@
       job->body = NULL;
     }
   job->has_new_end = false;
-  if (encode_state (job, &records[count++]) != 0)
-    return KQ_ENOMEM;
-  if (records[count - 1].size == 0)
-    {
-      free (records[count - 1].value);
-      count--;
-    }
-  return count;
+  more = state_encode (job, max_bytes, &records[count]);
+  return more < 0 ? more : count + more;
 }
 
 /* Returns 1 if RECORD was written, 0 if no image is known yet or memory is
@@ -252,22 +164,25 @@
 {
   struct kq_sched_record *collected;
   struct job *job;
-  int dirty = 0;
+  size_t max_count = 1 + GRANT_BUCKETS;
   int count = 0;
   size_t largest = 0;
 
-  DL_FOREACH2 (sched->dirty, job, dirty_next) { dirty++; }
-  if (dirty == 0 && !sched->interference_due && sched->dirty_grants == 0)
+  if (sched->dirty == NULL && !sched->interference_due
+      && sched->dirty_grants == 0)
     return 0;
-  collected = calloc ((size_t)dirty * MAX_RECORDS_PER_JOB + 1 + GRANT_BUCKETS,
-                      sizeof *collected);
+  DL_FOREACH2 (sched->dirty, job, dirty_next)
+  {
+    max_count += 1 + (size_t)state_max_records (job, max_bytes);
+  }
+  collected = calloc (max_count, sizeof *collected);
   if (collected == NULL)
     return KQ_ENOMEM;
   if (sched->interference_due)
     count = encode_interference (sched->interference_model, &collected[0]);
   sched->interference_due = false;
   count += grant_encode (sched, &collected[count]);
-  if (dirty == 0 && count == 0)
+  if (sched->dirty == NULL && count == 0)
     {
       free (collected);
       return 0;
@@ -275,7 +190,7 @@
   DL_SORT2 (sched->dirty, compare_storing_order, dirty_prev, dirty_next);
   while ((job = sched->dirty) != NULL)
     {
-      int more = encode_changed_job (job, &collected[count]);
+      int more = encode_changed_job (job, max_bytes, &collected[count]);
 
       if (more < 0)
         kq_log (KQ_LOG_ERROR, "sched", "job record not encoded", more, NULL);
@@ -294,69 +209,6 @@
   return count;
 }
 
-/* Returns a COUNT of losses that was read; sums of such do not overflow. */
-static int
-restored_losses (uint32_t count)
-{
-  return count < MAX_RESTORED_LOSSES ? (int)count : MAX_RESTORED_LOSSES;
-}
-
-static void
-restore_task (struct kq_sched *sched, struct kq_sched_now now,
-              struct task *task, const KqSched__TaskRecord *record)
-{
-  struct worker *worker;
-
-  task->run = (int)record->run;
-  task->failed_runs = record->failed_runs;
-  task->crashes = restored_losses (record->crashes);
-  task->unproven_crashes = restored_losses (record->unproven_crashes);
-  task->losses_set_aside = restored_losses (record->losses_set_aside);
-  task->silent_losses = restored_losses (record->silent_losses);
-  if (record->checkpoint != NULL)
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
-              record->checkpoint);
-  if (task->run > 0)
-    task->stage->job->started = true;
-  if (record->done)
-    {
-      task->state = TASK_DONE;
-      task->stage->done_count++;
-      return;
-    }
-  worker = record->bound ? worker_find_or_add (sched, record->worker) : NULL;
-  if (worker == NULL)
-    {
-      crash_note_restored_losses (sched, task);
-      return;
-    }
-  task_bind (sched, task, worker, now);
-  task->phase = PHASE_RESTORED;
-  task->incarnation_ms = record->born_ms;
-  crash_note_restored (task, record->placed_ms, now);
-  worker->has_restored_tasks = true;
-}
-
-static void
-restore_state (struct kq_sched *sched, struct kq_sched_now now,
-               struct job *job, const KqSched__StateRecord *message)
-{
-  job->state = (enum kq_sched_state)message->outcome;
-  job->ended_ms = message->ended_ms;
-  for (size_t i = 0; i < message->n_tasks; i++)
-    {
-      const KqSched__TaskRecord *record = message->tasks[i];
-      struct kq_sched_run run = { .occurrence = (int)record->occurrence,
-                                  .step = (int)record->step,
-                                  .index = (int)record->index };
-      struct task *task = job_task (job, &run);
-
-      /* Only the first row of a task counts. */
-      if (task != NULL && task->state == TASK_WAITING && task->run == 0)
-        restore_task (sched, now, task, record);
-    }
-}
-
 int
 kq_sched_restore_job (struct kq_sched *sched, struct kq_sched_now now,
                       uint64_t id, const char *queue, int64_t accepted_ms,
@@ -379,7 +231,7 @@
     }
   job = sched_new_job (sched, id, queue, accepted_ms, spec);
   if (job != NULL && message != NULL)
-    restore_state (sched, now, job, message);
+    state_restore (sched, now, job, message);
   if (message != NULL)
     kq_sched__state_record__free_unpacked (message, NULL);
   return job == NULL ? KQ_ENOMEM : 0;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -183,15 +183,18 @@
 /** Maximum number of earlier terms that a restore takes into account. */
 #define KQ_SCHED_MAX_PAST_TERMS 8
 
+/** Size in bytes of a record's key, including the terminating zero. */
+#define KQ_SCHED_KEY_SIZE 32
+
 /** A record for the store. The receiver owns VALUE; a size of 0 deletes the
  *  key.  */
 struct kq_sched_record
 {
-  char key[24];
+  char key[KQ_SCHED_KEY_SIZE];
   uint8_t *value;
   size_t size;
-  bool is_first; /**< the store learns of JOB from it; the record of the job's
-                    state, if any, follows it */
+  bool is_first; /**< the store learns of JOB from it; the records of the
+                    job's state, if any, follow it */
   uint64_t job;
 };
 
@@ -241,8 +244,9 @@
                            struct kq_sched_effect *effect);
 
 /** Encodes all changed jobs into a new array at RECORDS, in the order in which
- *  they should be stored: what has ended first, then by priority; logs a
- *  warning if one record exceeds MAX_BYTES. Sets *POSITION to the journal
+ *  they should be stored: what has ended first, then by priority. The records
+ *  of a job are next to each other; no value of its state exceeds MAX_BYTES,
+ *  and a warning is logged for others that do. Sets *POSITION to the journal
  *  position that they close.
  *  @return the number of records, 0 if nothing has changed, or KQ_ENOMEM.  */
 int kq_sched_encode_records (struct kq_sched *sched, size_t max_bytes,
@@ -329,6 +333,20 @@
                           struct kq_sched_spec *spec, const uint8_t *state,
                           size_t state_size);
 
+/** First character of the keys of the further parts of a job's state. */
+#define KQ_SCHED_PART_KEY 't'
+
+/** Reads the job and the number of a part, from 1 on, from its KEY.
+ *  @return whether it is such a key.  */
+bool kq_sched_part_key_read (const char *key, uint64_t *job, int *part);
+
+/** Restores a further PART of the state of JOB, which must be restored; before
+ *  kq_sched_finish_restore().
+ *  @return 0, KQ_ENOENT, KQ_EINVAL, KQ_ENOMEM or KQ_ESYNTAX.  */
+int kq_sched_restore_part (struct kq_sched *sched, struct kq_sched_now now,
+                           uint64_t job, int part, const uint8_t *value,
+                           size_t size);
+
 /** Restores the interference model that earlier owners stored with the key
  *  KQ_SCHED_INTERFERENCE_KEY.
  *  @return 0 or KQ_ESYNTAX.  */
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -132,7 +132,7 @@
       const struct kq_sched_record *state;
       struct kq_sched_spec spec;
       struct body body;
-      char key[24];
+      char key[KQ_SCHED_KEY_SIZE];
 
       if (record->key[0] == KQ_SCHED_GRANT_KEY)
         CU_ASSERT_EQUAL (
@@ -152,6 +152,19 @@
                             state != NULL ? state->size : 0);
       free (job);
     }
+  for (int i = 0; i < cell->record_count; i++)
+    {
+      const struct kq_sched_record *record = &cell->records[i];
+      uint64_t job;
+      int part;
+
+      if (record->size > 0
+          && kq_sched_part_key_read (record->key, &job, &part))
+        CU_ASSERT_EQUAL (kq_sched_restore_part (cell->sched, cell->now, job,
+                                                part, record->value,
+                                                record->size),
+                         0);
+    }
   kq_sched_finish_restore (cell->sched, cell->now);
 }
 
@@ -181,7 +194,10 @@
 
   if (cell->store_down)
     return;
-  count = kq_sched_encode_records (cell->sched, 1 << 20, &records, &position);
+  count = kq_sched_encode_records (
+      cell->sched,
+      cell->max_record_bytes > 0 ? cell->max_record_bytes : 1 << 20, &records,
+      &position);
   if (records == NULL)
     return;
   for (int i = 0; i < count; i++)
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -51,6 +51,7 @@
   struct kq_sched_record
       records[TS_MAX_RECORDS]; /* newest record of each key */
   int record_count;
+  size_t max_record_bytes; /* 0: 1 MB */
   uint64_t stored;
   int64_t term;                       /* of the current owner */
   int64_t fence;                      /* highest one of any owner */
--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -92,7 +92,7 @@
 
 struct sim_record
 {
-  char key[24];
+  char key[KQ_SCHED_KEY_SIZE];
   uint8_t *value;
   size_t size;
   struct sim_record *next;
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -914,7 +914,7 @@
       = kq_sched_job_record_read (record->value, record->size);
   const struct sim_record *state;
   struct kq_sched_spec spec;
-  char key[24];
+  char key[KQ_SCHED_KEY_SIZE];
   uint64_t id;
 
   memcpy (&id, job->body, sizeof id);
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -10,6 +10,9 @@
 
 #define LENGTH_BYTES 4
 
+/* Limit of a record with its key, as the platform has it. */
+#define MAX_RECORD_BYTES 262144
+
 struct record
 {
   char *key;      /* NULL in topics without keys */
@@ -202,6 +205,34 @@
   return true;
 }
 
+static uint32_t
+length_at (const uint8_t *at)
+{
+  uint32_t length;
+
+  memcpy (&length, at, LENGTH_BYTES);
+  return be32toh (length);
+}
+
+/* Whether each record of the request has a size that the store takes. */
+static bool
+are_sizes_valid (const struct si_request *request)
+{
+  const uint8_t *at = (const uint8_t *)request->body;
+  size_t remaining = request->size;
+
+  while (remaining > LENGTH_BYTES)
+    {
+      uint32_t length = length_at (at);
+
+      if (length > MAX_RECORD_BYTES || length > remaining - LENGTH_BYTES)
+        return false;
+      at += LENGTH_BYTES + length;
+      remaining -= LENGTH_BYTES + length;
+    }
+  return remaining == 0;
+}
+
 void
 si_store_append (struct si_request *request)
 {
@@ -209,6 +240,11 @@
   const uint8_t *at = (const uint8_t *)request->body;
   size_t remaining = request->size;
 
+  if (!are_sizes_valid (request))
+    {
+      si_respond_json (request, MHD_HTTP_BAD_REQUEST, json_object ());
+      return;
+    }
   if (respond_without_append (request, topic))
     return;
   topic->last_offset = topic->end;
@@ -219,10 +255,8 @@
     }
   while (remaining > LENGTH_BYTES)
     {
-      uint32_t length;
+      uint32_t length = length_at (at);
 
-      memcpy (&length, at, LENGTH_BYTES);
-      length = be32toh (length);
       add_record (topic, at + LENGTH_BYTES, length);
       at += LENGTH_BYTES + length;
       remaining -= LENGTH_BYTES + length;
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -525,6 +525,45 @@
   CU_ASSERT_STRING_EQUAL (error.why, "must be a number from 2000 to 600000");
 }
 
+/* Reads settings with the FIELDS of the store. */
+static int
+read_store_limits (const char *fields, struct kq_node_settings *settings,
+                   struct kq_node_settings_error *error)
+{
+  char rest[256];
+
+  snprintf (rest, sizeof rest,
+            "6},\"platform\":{\"addr\":\"10.0.0.2:3\"%s},\"x\":{\"y\":1",
+            fields);
+  return read_settings (rest, settings, error);
+}
+
+/* A wrong limit of the store lets it refuse records for ever. */
+static void
+test_store_limits (void)
+{
+  struct kq_node_settings settings;
+  struct kq_node_settings_error error;
+
+  CU_ASSERT_EQUAL (read_store_limits ("", &settings, &error), 0);
+  CU_ASSERT_EQUAL (settings.store_limits.record_bytes, 262144);
+  CU_ASSERT_EQUAL (settings.store_limits.call_bytes, 2097152);
+  CU_ASSERT_EQUAL (
+      read_store_limits (",\"record_bytes\":65536,\"call_bytes\":65536",
+                         &settings, &error),
+      0);
+  CU_ASSERT_EQUAL (settings.store_limits.record_bytes, 65536);
+  CU_ASSERT_EQUAL (settings.store_limits.call_bytes, 65536);
+  CU_ASSERT_EQUAL (
+      read_store_limits (",\"record_bytes\":32767", &settings, &error),
+      KQ_ESETTING);
+  CU_ASSERT_STRING_EQUAL (error.field, "platform.record_bytes");
+  CU_ASSERT_EQUAL (
+      read_store_limits (",\"call_bytes\":262143", &settings, &error),
+      KQ_ESETTING);
+  CU_ASSERT_STRING_EQUAL (error.field, "platform.call_bytes");
+}
+
 static const struct kq_test tests[] = {
   { "job", test_job },
   { "invalid jobs", test_invalid_jobs },
@@ -544,6 +583,7 @@
   { "settings", test_settings },
   { "errors in settings name the field", test_invalid_settings },
   { "setting of evacuations", test_evacuation_setting },
+  { "limits of the store", test_store_limits },
 };
 
 KQ_TEST_MAIN ("test-wire", tests)
--- a/t/test-withdraw.c
+++ b/t/test-withdraw.c
@@ -13,6 +13,8 @@
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
+#define MAX_APPEND_BYTES ((size_t)1500 * 1024)
+
 #define OLD_JOB UINT64_C (0x31)
 #define JOB UINT64_C (0x32)
 #define OTHER_JOB UINT64_C (0x33)
@@ -63,10 +65,10 @@
 send_records (struct outage_cell *cell)
 {
   struct kq_sched_record *records = NULL;
-  int count = kq_sched_encode_records (cell->ts.sched, KQ_APPEND_MAX_BYTES,
+  int count = kq_sched_encode_records (cell->ts.sched, MAX_APPEND_BYTES,
                                        &records, &cell->position);
 
-  kq_append_begin (&cell->append, records, count);
+  kq_append_begin (&cell->append, records, count, MAX_APPEND_BYTES);
 }
 
 static void
@@ -300,6 +302,12 @@
   return true;
 }
 
+static bool
+withdraw_zero (void *arg, uint64_t job)
+{
+  return job == 0;
+}
+
 /* The store refuses calls of more than 2 MB for ever. */
 static void
 test_size_of_appends (void)
@@ -322,7 +330,7 @@
       records[i].value = calloc (1, RECORD_BYTES);
       records[i].is_first = true;
     }
-  kq_append_begin (&append, records, COUNT);
+  kq_append_begin (&append, records, COUNT, MAX_APPEND_BYTES);
   do
     {
       CU_ASSERT_TRUE (append.batch.size < 2000000);
@@ -335,6 +343,85 @@
   kq_append_clear (&append);
 }
 
+/* Fills RECORD with a value of SIZE bytes; FORMAT makes its key of JOB. */
+static void
+fill_record (struct kq_sched_record *record, const char *format, unsigned job,
+             size_t size)
+{
+  snprintf (record->key, sizeof record->key, format, job);
+  record->size = size;
+  record->value = calloc (1, size);
+  record->is_first = record->key[0] == 'j';
+  record->job = job;
+  if (record->value == NULL)
+    abort ();
+}
+
+/* A takeover between two appends restores a mix of two states of a job. */
+static void
+test_records_of_a_job_together (void)
+{
+  static const char *const formats[] = { "j%016x", "s%016x", "t%016x.00001" };
+  enum
+  {
+    JOBS = 4,
+    RECORDS = 3,
+    RECORD_BYTES = 400
+  };
+  struct kq_append append = { .count = 0 };
+  struct kq_sched_record *records
+      = calloc ((size_t)JOBS * RECORDS, sizeof *records);
+  int stored = 0;
+
+  if (records == NULL)
+    abort ();
+  for (int i = 0; i < JOBS * RECORDS; i++)
+    fill_record (&records[i], formats[i % RECORDS], (unsigned)(i / RECORDS),
+                 RECORD_BYTES);
+  /* The first job is withdrawn with all its records. */
+  kq_append_begin (&append, records, JOBS * RECORDS, 2000);
+  CU_ASSERT_EQUAL (append.batch.count, RECORDS);
+  CU_ASSERT_EQUAL (kq_append_withdraw_jobs (&append, withdraw_zero, NULL), 1);
+  CU_ASSERT_EQUAL (append.count, (JOBS - 1) * RECORDS);
+  CU_ASSERT_STRING_EQUAL (append.records[0].key, "j0000000000000001");
+  do
+    {
+      CU_ASSERT_EQUAL (append.batch.count, RECORDS);
+      stored += append.batch.count;
+    }
+  while (kq_append_advance (&append));
+  CU_ASSERT_EQUAL (stored, (JOBS - 1) * RECORDS);
+  kq_append_clear (&append);
+}
+
+/* The records of one job exceed an append. */
+static void
+test_very_large_job (void)
+{
+  enum
+  {
+    RECORDS = 7,
+    RECORD_BYTES = 400
+  };
+  struct kq_append append = { .count = 0 };
+  struct kq_sched_record *records = calloc (RECORDS, sizeof *records);
+  int stored = 0;
+
+  if (records == NULL)
+    abort ();
+  for (int i = 0; i < RECORDS; i++)
+    fill_record (&records[i], "t%016x.00001", 1, RECORD_BYTES);
+  kq_append_begin (&append, records, RECORDS, 1000);
+  do
+    {
+      CU_ASSERT (append.batch.size <= 1000);
+      stored += append.batch.count;
+    }
+  while (kq_append_advance (&append));
+  CU_ASSERT_EQUAL (stored, RECORDS);
+  kq_append_clear (&append);
+}
+
 static bool
 note_token (void *arg, const struct kq_sched_effect *effect)
 {
@@ -423,6 +510,8 @@
   { "a withdrawn ID is submitted again", test_repeated_id },
   { "order of the records", test_order_of_records },
   { "size of appends", test_size_of_appends },
+  { "records of a job are stored together", test_records_of_a_job_together },
+  { "records of a very large job", test_very_large_job },
   { "requests while the store is away", test_requests_while_away },
   { "copies of a request", test_copies_of_a_request },
   { "deferred effects of a withdrawn job", test_deferred_effects },
