node: an append that the store refuses for good is no outage

Nothing decided is passed over: an end that is acknowledged but not stored would run again.

Ruled out: reading a refusal of a worker as silence; orders tell 400, 409, 421, 429 and 503 apart already. Reads of the store keep their errors: none is refused for its content.

--- a/node/journal.c
+++ b/node/journal.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "metrics/metrics.h"
 #include "node/outage.h"
 
 /* An append without a reply is repeated after one of these times in turn. The
@@ -17,6 +18,10 @@
 /* Delay before an append that the store has refused is repeated. */
 #define RETRY_DELAY_SEC 0.06
 
+/* The same for an append that is refused each time, as too large or malformed:
+   only another version of this program, or of the store, changes that. */
+#define REFUSED_RETRY_DELAY_SEC 1.0
+
 /* A larger append might take longer than the first timeout. */
 #define MAX_APPEND_BYTES ((size_t)1500 * 1024)
 
@@ -37,6 +42,16 @@
   int failures; /* failed attempts of the append in flight */
 };
 
+static struct kq_metric refused_count
+    = { .name = "kq_journal_refused_total",
+        .help = "Appends that the store refuses as too large or malformed." };
+
+void
+kq_journal_register_metrics (void)
+{
+  kq_metric_register (&refused_count);
+}
+
 static void send_batch (struct kq_journal *journal);
 
 static void
@@ -45,6 +60,29 @@
   send_batch (timer->data);
 }
 
+/* Reports an append that no repetition will store. */
+static void
+note_refused (const struct kq_append *append)
+{
+  char records[16];
+  char bytes[24];
+
+  kq_metric_add (&refused_count, 1);
+  snprintf (records, sizeof records, "%d", append->next - append->first);
+  snprintf (bytes, sizeof bytes, "%zu", append->batch.size);
+  kq_log (KQ_LOG_ERROR, "journal", "append refused for good", KQ_EINVAL,
+          "first_key", append->records[append->first].key, "records", records,
+          "bytes", bytes, NULL);
+}
+
+static double
+retry_delay (int err)
+{
+  if (err == KQ_ELOG_UNKNOWN)
+    return 0;
+  return err == KQ_EINVAL ? REFUSED_RETRY_DELAY_SEC : RETRY_DELAY_SEC;
+}
+
 static void
 retry_append (struct kq_journal *journal,
               const struct kq_store_append_result *result)
@@ -56,13 +94,14 @@
                                         journal->position);
     }
   journal->failures++;
-  if (journal->failures == 1)
+  if (result->err == KQ_EINVAL && journal->append.count > 0)
+    note_refused (&journal->append);
+  else if (journal->failures == 1)
     kq_log (KQ_LOG_WARN, "journal", "append failed", result->err, NULL);
   if (result->err == KQ_ELOG_UNKNOWN)
     journal->timeout = journal->timeout < MAX_TIMEOUT_US ? MAX_TIMEOUT_US
                                                          : INITIAL_TIMEOUT_US;
-  ev_timer_set (&journal->retry,
-                result->err == KQ_ELOG_UNKNOWN ? 0 : RETRY_DELAY_SEC, 0);
+  ev_timer_set (&journal->retry, retry_delay (result->err), 0);
   ev_timer_start (journal->loop, &journal->retry);
   journal->handler.on_attempt (journal->handler.arg, result);
 }
--- a/node/journal.h
+++ b/node/journal.h
@@ -28,6 +28,8 @@
   void (*on_attempt) (void *arg, const struct kq_store_append_result *result);
 };
 
+void kq_journal_register_metrics (void);
+
 /** @return NULL when out of memory. */
 struct kq_journal *
 kq_journal_create (struct ev_loop *loop, struct kq_store *store,
--- a/node/node.c
+++ b/node/node.c
@@ -20,6 +20,7 @@
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
+#include "node/journal.h"
 #include "node/metrics-page.h"
 #include "node/options.h"
 #include "node/owner.h"
@@ -705,6 +706,7 @@
   kq_call_register_metrics ();
   kq_job_api_register_metrics ();
   kq_closures_register_metrics ();
+  kq_journal_register_metrics ();
   kq_explain_register_metrics ();
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
