sched: a worker is reserved only for tasks that may run there

A worker whose label or service changed, that was unheard after an outage, or whose task's queue got a policy, stayed reserved as well.

A worker takes as many reservations of a step as may run there, and each placement ends those whose reason is gone (log line "reservation ended"). Room held for large tasks ends too when its worker has another label or service.

Two new tests of t/test-reserve fail before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -667,6 +667,9 @@
 bool place_meets_constraints (const struct worker *worker,
                               const struct stage *stage);
 
+/* Returns the number of tasks of STAGE that are bound at WORKER. */
+int place_count_tasks (const struct worker *worker, const struct stage *stage);
+
 /* Whether what is bound at WORKER does not exceed its capacity, which may have
    shrunk, in anything that a task of STEP takes part in: the CPU of fillers is
    not counted. */
@@ -734,6 +737,9 @@
 void reserve_for_stage (struct kq_sched *sched, struct stage *stage,
                         struct kq_sched_now now);
 void reserve_clear (struct task *task);
+/* Ends the reservations of tasks of STAGE at workers that may not run them any
+   more, or have no room for them without further stops. */
+void reserve_check (struct stage *stage, struct kq_sched_now now);
 /* Whether WORKER is not reserved for a task other than TASK. */
 bool reserve_allows (const struct worker *worker, const struct task *task);
 /* Adds (SIGN 1) or subtracts (SIGN -1) what the end of a task of STEP frees;
--- a/sched/large.c
+++ b/sched/large.c
@@ -230,7 +230,8 @@
       struct task *task = &stage->tasks[i];
 
       if (task->large_worker != NULL
-          && (stage->lateness > 0 || !worker_usable (task->large_worker, now)))
+          && (stage->lateness > 0 || !worker_usable (task->large_worker, now)
+              || !place_meets_constraints (task->large_worker, stage)))
         large_clear (task);
     }
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -135,8 +135,8 @@
                 >= service_kept_cpu (sched, pool->service, pool->capacity);
 }
 
-static int
-count_tasks_of_stage (const struct worker *worker, const struct stage *stage)
+int
+place_count_tasks (const struct worker *worker, const struct stage *stage)
 {
   const struct task *task;
   int count = 0;
@@ -184,7 +184,7 @@
       && strcmp (step->label, worker->report.rack) != 0)
     return false;
   return step->max_per_worker == 0
-         || count_tasks_of_stage (worker, stage) < step->max_per_worker;
+         || place_count_tasks (worker, stage) < step->max_per_worker;
 }
 
 bool
@@ -703,6 +703,7 @@
     const struct task *unplaced;
 
     large_check (stage, now);
+    reserve_check (stage, now);
     if (place_is_blocked (pool, stage))
       {
         if (sched->reserve_due)
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -293,6 +293,36 @@
   return demand_covers (&free, demand);
 }
 
+/* Returns the number of other tasks of the stage of TASK that have reserved
+   WORKER. */
+static int
+count_reserved (const struct worker *worker, const struct task *task)
+{
+  const struct stage *stage = task->stage;
+  int count = 0;
+
+  for (int i = 0; i < stage->step->count; i++)
+    count += stage->tasks[i].reserved_worker == worker
+             && &stage->tasks[i] != task;
+  return count;
+}
+
+/* Whether WORKER may run TASK once it has room. */
+static bool
+may_reserve (const struct worker *worker, const struct task *task,
+             struct kq_sched_now now)
+{
+  const struct stage *stage = task->stage;
+  int max = stage->step->max_per_worker;
+
+  if (!worker_usable (worker, now) || worker->unheard
+      || !place_meets_constraints (worker, stage))
+    return false;
+  return max == 0 || worker->reserved_count == 0
+         || place_count_tasks (worker, stage) + count_reserved (worker, task)
+                < max;
+}
+
 static void
 reserve (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
 {
@@ -305,8 +335,7 @@
   {
     struct room_plan plan;
 
-    if (worker == task->avoided_worker || !worker_usable (worker, now)
-        || !place_meets_constraints (worker, stage)
+    if (worker == task->avoided_worker || !may_reserve (worker, task, now)
         || !plan_room (worker, &stage->step->demand, &plan)
         || (best != NULL && plan.cost >= best_plan.cost))
       continue;
@@ -347,6 +376,23 @@
          && now.mono - task->ready_at >= RESERVE_AFTER_US;
 }
 
+void
+reserve_check (struct stage *stage, struct kq_sched_now now)
+{
+  for (int i = 0; stage->reserved_count > 0 && i < stage->step->count; i++)
+    {
+      struct task *task = &stage->tasks[i];
+      const struct worker *worker = task->reserved_worker;
+
+      if (worker == NULL
+          || (!stage->job->queue.advised && may_reserve (worker, task, now)
+              && reservations_hold (worker)))
+        continue;
+      task_log (task, "reservation ended", worker->report.id);
+      reserve_clear (task);
+    }
+}
+
 void
 reserve_for_stage (struct kq_sched *sched, struct stage *stage,
                    struct kq_sched_now now)
@@ -359,13 +405,7 @@
     {
       struct task *task = &stage->tasks[i];
 
-      if (!is_waiting (task, now))
-        continue;
-      if (task->reserved_worker != NULL
-          && (!worker_usable (task->reserved_worker, now)
-              || !reservations_hold (task->reserved_worker)))
-        reserve_clear (task);
-      if (task->reserved_worker == NULL)
+      if (task->reserved_worker == NULL && is_waiting (task, now))
         reserve (sched, task, now);
     }
 }
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -1,19 +1,35 @@
 /* Guards against long-running tasks that never start at the worker that is
  * reserved for them: a smaller short task that found no room, or another task
  * of the step without a reservation, kept them from being tried, while the
- * reservation kept all others away.
+ * reservation kept all others away; and against workers that stay reserved for
+ * a task that may not run there, so that two such tasks block each other's
+ * workers for ever.
  */
+#include <string.h>
+
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
 #define LASTING UINT64_C (1)
 #define BATCH UINT64_C (2)
 #define SHORT UINT64_C (3)
+#define OTHER_LASTING UINT64_C (4)
+#define OTHER_BATCH UINT64_C (5)
+
+#define MAX_RUNS 8
 
 static const struct kq_sched_step lasting = { .count = 1,
                                               .demand = { 3000, 100, 0 },
                                               .est_ms = 100000,
                                               .long_running = true };
+/* Its two tasks must not share a worker. */
+static const struct kq_sched_step apart = { .count = 2,
+                                            .demand = { 4000, 100, 0 },
+                                            .est_ms = 100000,
+                                            .long_running = true,
+                                            .max_per_worker = 1 };
+static const struct kq_sched_step small
+    = { .count = 1, .demand = { 500, 100, 0 }, .est_ms = 500 };
 static const struct kq_sched_step batch
     = { .count = 1, .demand = { 3000, 100, 0 }, .est_ms = 600 };
 static const struct kq_sched_step smaller
@@ -38,6 +54,57 @@
   return *order;
 }
 
+static void
+add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
+{
+  ts_register_worker (cell, id, cpu, 4000);
+  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
+}
+
+/* Answers a poll of WORKER: its runs go on, but those that were told to stop
+   have ended. */
+static void
+list_runs (struct ts_cell *cell, const char *worker)
+{
+  struct kq_sched_running running[MAX_RUNS];
+  struct kq_sched_ended ended[MAX_RUNS];
+  int running_count = 0;
+  int ended_count = 0;
+
+  for (int i = 0; i < cell->order_count; i++)
+    {
+      const struct ts_order *order = &cell->orders[i];
+      const struct ts_order *stop = ts_last_order (
+          cell, KQ_SCHED_FX_STOP, order->run.job, 0, order->run.index);
+
+      if (order->kind != KQ_SCHED_FX_START
+          || strcmp (order->worker, worker) != 0)
+        continue;
+      if (stop == NULL || stop->run.run < order->run.run)
+        running[running_count++] = ts_running (order, 10);
+      else
+        ended[ended_count++] = ts_ended (order, i + 1, KQ_SCHED_STOPPED);
+    }
+  ts_reply_poll (cell, worker, running, (size_t)running_count, ended,
+                 (size_t)ended_count);
+}
+
+static void
+lose_worker (struct ts_cell *cell, const char *worker)
+{
+  ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
+}
+
+/* Returns the number of the latest start of task INDEX of JOB. */
+static int
+run_of (const struct ts_cell *cell, uint64_t job, int index)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, index);
+
+  return order != NULL ? order->run.run : 0;
+}
+
 static void
 test_smaller_task_without_room (void)
 {
@@ -66,8 +133,93 @@
   ts_stop (&cell);
 }
 
+/* Starts two lasting jobs, with a task of each at the workers "c" and "d";
+   batch work fills "a" and "b". */
+static void
+start_lasting_jobs (struct ts_cell *cell)
+{
+  struct kq_sched_step filling = { .count = 2,
+                                   .demand = { 8000, 100, 0 },
+                                   .est_ms = 60000,
+                                   .checkpointable = true };
+
+  ts_start (cell);
+  add_idle_worker (cell, "a", 16000);
+  add_idle_worker (cell, "b", 16000);
+  ts_submit (cell, BATCH, "urgent", &filling, 1);
+  filling.checkpointable = false;
+  ts_submit (cell, OTHER_BATCH, "urgent", &filling, 1);
+  add_idle_worker (cell, "c", 8000);
+  add_idle_worker (cell, "d", 8000);
+  ts_submit (cell, LASTING, "urgent", &apart, 1);
+  ts_submit (cell, OTHER_LASTING, "urgent", &apart, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 8);
+  list_runs (cell, "a");
+  list_runs (cell, "b");
+}
+
+/* Both tasks of a step reserve the same worker, which may run one of them. */
+static void
+test_tasks_that_must_not_share_a_worker (void)
+{
+  struct ts_cell cell;
+
+  start_lasting_jobs (&cell);
+  lose_worker (&cell, "c");
+  lose_worker (&cell, "d");
+  list_runs (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 400);
+  list_runs (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 200);
+  for (int i = 0; i < 2; i++)
+    {
+      CU_ASSERT_EQUAL (run_of (&cell, LASTING, i), 2);
+      CU_ASSERT_EQUAL (run_of (&cell, OTHER_LASTING, i), 2);
+    }
+  ts_stop (&cell);
+}
+
+/* The reserved worker is given another label, but goes on. */
+static void
+test_worker_that_no_longer_suits (void)
+{
+  struct kq_sched_step labelled = lasting;
+  struct kq_sched_registration report = { .service = "s",
+                                          .address = "10.0.0.1:80",
+                                          .kind = "fast",
+                                          .capacity = { 4000, 4000, 0 },
+                                          .incarnation_ms = 1 };
+  struct ts_cell cell;
+
+  strcpy (labelled.label, "fast");
+  ts_start (&cell);
+  strcpy (report.id, "a");
+  ts_register (&cell, &report);
+  ts_reply_poll (&cell, "a", NULL, 0, NULL, 0);
+  ts_submit (&cell, LASTING, "urgent", &labelled, 1);
+  strcpy (report.id, "b");
+  ts_register (&cell, &report);
+  ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
+  ts_submit (&cell, BATCH, "urgent", &batch, 1);
+  lose_worker (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 400);
+  strcpy (report.kind, "slow");
+  ts_register (&cell, &report);
+  list_runs (&cell, "b");
+  ts_submit (&cell, SHORT, "urgent", &small, 1);
+  ts_advance (&cell, 200);
+  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
+  { "tasks that must not share a worker",
+    test_tasks_that_must_not_share_a_worker },
+  { "a worker that no longer suits", test_worker_that_no_longer_suits },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
