sched: tasks blocked by more urgent ones still take their reserved worker

A task that finds no room blocks lower priorities for up to 3 s, and each further one anew. Blocked steps were passed over whole, also lasting tasks whose reserved worker had room: nobody used it meanwhile, as no other task may.

They are placed at their reserved workers now; that takes nothing from the more urgent task, which may not use these workers.

Ruled out: that the block is short. It is counted for each urgent task from when it became ready, so that a stream of them keeps it up.

The new test of t/test-reserve fails without the change.

--- a/sched/place.c
+++ b/sched/place.c
@@ -706,6 +706,7 @@
     reserve_check (stage, now);
     if (place_is_blocked (pool, stage))
       {
+        place_reserved (sched, pool, stage, now);
         if (sched->reserve_due)
           reserve_for_stage (sched, stage, now);
         continue;
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -89,6 +89,26 @@
                  (size_t)ended_count);
 }
 
+/* The run of the only task of JOB ends HOW, as end NUMBER of its worker. */
+static void
+end_run_as (struct ts_cell *cell, uint64_t job, int64_t number,
+            enum kq_sched_end how)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+  struct kq_sched_ended ended;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+  ended = ts_ended (order, number, how);
+  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
+}
+
+static void
+end_run (struct ts_cell *cell, uint64_t job)
+{
+  end_run_as (cell, job, 1, KQ_SCHED_DONE);
+}
+
 static void
 lose_worker (struct ts_cell *cell, const char *worker)
 {
@@ -215,11 +235,36 @@
   ts_stop (&cell);
 }
 
+/* More urgent tasks that find no room do not keep a task from its reserved
+   worker, which is of no use to them. */
+static void
+test_blocked_by_urgent_tasks (void)
+{
+  struct ts_cell cell;
+  struct kq_sched_step large = smaller;
+
+  large.demand.cpu = 3500;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "batch", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, BATCH, "batch", &batch, 1);
+  lose_worker (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 400);
+  ts_submit (&cell, SHORT, "urgent", &large, 1);
+  end_run (&cell, BATCH);
+  ts_advance (&cell, 200);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
     test_tasks_that_must_not_share_a_worker },
   { "a worker that no longer suits", test_worker_that_no_longer_suits },
+  { "blocked by more urgent tasks", test_blocked_by_urgent_tasks },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
