sched: a lasting task that finds no other room takes a quarantined worker

Cause: two failures of different jobs in a row close a worker for 5 s, whether other workers have room or not. A worker full of lasting tasks has no task that ends well in between.

A lasting task that has run before and has waited for 1 s may start there if there is no other place. It has no limit on attempts, so that a worker that fails all costs it nothing that waiting would not. Other tasks keep away as before: on such a worker they would use up their attempts.

The new test of t/test-reserve fails before.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -330,7 +330,7 @@
       withdraw_start (sched, task, now, "zone under evacuation");
       return true;
     }
-  if (!worker_usable (worker, now) || worker->unheard
+  if (!place_may_start_at (worker, task, now) || worker->unheard
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
     {
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -49,7 +49,7 @@
     return KQ_SCHED_OUT_DRAINING;
   if (worker->evacuated)
     return KQ_SCHED_OUT_EVACUATED;
-  if (now.mono < worker->quarantined_until
+  if (worker_is_quarantined (worker, now)
       || now.mono < worker->no_starts_until)
     return KQ_SCHED_OUT_QUARANTINED;
   return KQ_SCHED_OUT_SILENT;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -615,6 +615,12 @@
 bool worker_reports_are_current (const struct kq_sched *sched,
                                  struct kq_sched_now now);
 bool worker_usable (const struct worker *worker, struct kq_sched_now now);
+/* The same for tasks that may start at a quarantined worker. */
+bool worker_takes_starts (const struct worker *worker,
+                          struct kq_sched_now now);
+/* Whether WORKER is left out for a while because tasks have failed there. */
+bool worker_is_quarantined (const struct worker *worker,
+                            struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
 void worker_start_incarnation (struct kq_sched *sched, struct worker *worker,
                                int64_t incarnation_ms, kq_usec now);
@@ -667,6 +673,10 @@
 bool place_meets_constraints (const struct worker *worker,
                               const struct stage *stage);
 
+/* Whether WORKER takes a start of TASK, regardless of its capacity. */
+bool place_may_start_at (const struct worker *worker, const struct task *task,
+                         struct kq_sched_now now);
+
 /* Returns the number of tasks of STAGE that are bound at WORKER. */
 int place_count_tasks (const struct worker *worker, const struct stage *stage);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -19,6 +19,14 @@
 #define WEIGHT_SUSPECT 50000
 #define WEIGHT_NEIGHBOUR 5000
 
+/* A quarantined worker is the last resort. */
+#define WEIGHT_QUARANTINED 100000
+
+/* Time without room elsewhere after which a long-running task that has run
+   before may start at a quarantined worker. Source: such a task may be down
+   for 3 s while there is room. */
+#define ACCEPT_QUARANTINED_US (1000 * KQ_USEC_PER_MSEC)
+
 /* Fillers may reserve CPU of a worker up to this percentage: all of them
    then run a little slower, which costs less than waiting. */
 #define FILLER_OVERCOMMIT_PERCENT 110
@@ -80,6 +88,7 @@
       const struct worker *worker = sched->worker_array[i];
       struct pool *pool;
 
+      pass->has_quarantined |= worker_is_quarantined (worker, now);
       if (!worker_usable (worker, now))
         continue;
       pool = place_pool (pass, worker->service);
@@ -187,12 +196,36 @@
          || place_count_tasks (worker, stage) < step->max_per_worker;
 }
 
+/* Whether WORKER has room for a task of STAGE, if it takes tasks at all. */
+static bool
+has_room (const struct worker *worker, const struct stage *stage)
+{
+  return has_capacity (worker, stage->step) && !worker->unheard
+         && place_meets_constraints (worker, stage);
+}
+
 bool
 place_fits (const struct worker *worker, const struct stage *stage,
             struct kq_sched_now now)
 {
-  return has_capacity (worker, stage->step) && worker_usable (worker, now)
-         && !worker->unheard && place_meets_constraints (worker, stage);
+  return has_room (worker, stage) && worker_usable (worker, now);
+}
+
+/* Whether TASK, which goes on after a loss, has waited for so long that a
+   worker where others have failed is better than none. */
+static bool
+accepts_quarantined (const struct task *task, struct kq_sched_now now)
+{
+  return task->stage->step->long_running && task->run > 0
+         && now.mono - task->ready_at >= ACCEPT_QUARANTINED_US;
+}
+
+bool
+place_may_start_at (const struct worker *worker, const struct task *task,
+                    struct kq_sched_now now)
+{
+  return accepts_quarantined (task, now) ? worker_takes_starts (worker, now)
+                                         : worker_usable (worker, now);
 }
 
 /* Returns CPU in thousandths of the capacity of WORKER, which may be 0. */
@@ -292,7 +325,7 @@
 {
   const struct stage *stage = task->stage;
 
-  if (!place_fits (worker, stage, now)
+  if (!has_room (worker, stage) || !place_may_start_at (worker, task, now)
       || place_avoids_worker (task, worker, now)
       || !reserve_allows (worker, task) || !large_allows (worker, task)
       || (warmup_is_cold (worker, now) && !warmup_allows (sched, worker, now))
@@ -363,6 +396,8 @@
       candidates += warmup_is_candidate (sched, worker, task, now);
       points = score (worker, task, interference)
                + warmup_points (sched, worker, task, now);
+      if (worker_is_quarantined (worker, now))
+        points += WEIGHT_QUARANTINED;
       if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
         points += WEIGHT_OTHER_RACK;
       best_count = insert_candidate (best, best_count, max, worker, points);
@@ -604,12 +639,15 @@
          && demand_covers (&step->demand, &pass->smallest[stage->image]);
 }
 
-/* Room that is kept for STAGE was not open to the tasks that found none. */
+/* Room that is kept for STAGE, or that only long-running tasks may use, was
+   not open to the tasks that found none. */
 bool
 place_cannot_fit (const struct pass *pass, const struct stage *stage)
 {
   return stage->hold_count == 0 && stage->large_count == 0
-         && stage->reserved_count == 0 && is_known_unplaced (pass, stage);
+         && stage->reserved_count == 0
+         && !(stage->step->long_running && pass->has_quarantined)
+         && is_known_unplaced (pass, stage);
 }
 
 void
--- a/sched/place.h
+++ b/sched/place.h
@@ -30,6 +30,7 @@
 {
   uint64_t failed_images; /* bit set of the images of fillers */
   bool other_failed;
+  bool has_quarantined; /* a worker is quarantined */
   struct pool pools[MAX_SERVICES];
   int pool_count;
   struct kq_sched_demand smallest[KQ_INTERFERENCE_IMAGES];
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -333,13 +333,25 @@
                 <= KQ_SCHED_MAX_REGISTRATION_AGE_US;
 }
 
+bool
+worker_is_quarantined (const struct worker *worker, struct kq_sched_now now)
+{
+  return now.mono < worker->quarantined_until;
+}
+
 bool
 worker_usable (const struct worker *worker, struct kq_sched_now now)
+{
+  return worker_takes_starts (worker, now)
+         && !worker_is_quarantined (worker, now);
+}
+
+bool
+worker_takes_starts (const struct worker *worker, struct kq_sched_now now)
 {
   return worker->registered && !worker->report_outdated && !worker->lost
          && !worker->fence_spent && !worker->report.draining
          && !worker->evacuated && worker->clock_read_at != 0
-         && now.mono >= worker->quarantined_until
          && now.mono >= worker->no_starts_until
          && now.mono - worker->last_reply_at
                 < (worker->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -259,12 +259,42 @@
   ts_stop (&cell);
 }
 
+/* A lasting task waits while the only worker with room is quarantined. */
+static void
+test_quarantined_worker (void)
+{
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
+    {
+      ts_submit (&cell, job, "batch", &small, 1);
+      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+    }
+  /* The failed tasks have no worker to go to. */
+  ts_submit (&cell, BATCH, "batch", &batch, 1);
+  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 0);
+  lose_worker (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 800);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 1);
+  list_runs (&cell, "b");
+  ts_advance (&cell, 400);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 0);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
     test_tasks_that_must_not_share_a_worker },
   { "a worker that no longer suits", test_worker_that_no_longer_suits },
   { "blocked by more urgent tasks", test_blocked_by_urgent_tasks },
+  { "a quarantined worker", test_quarantined_worker },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
