platform: entries without a usable address or ID name no worker

Reported by operators of other systems: an odd entry among the workers' (deeply nested, a number too large, a port out of range) ended the readers or stopped them.

But an address was checked only for being there, and an ID for its length: a worker at port 99999 was polled without end and counted as usable, a line break in an ID added headers to orders, and the removal of a key with a zero byte, or longer than an ID may be, removed the worker whose ID it begins with.

Such entries are ignored, logged once and counted. The list of hosts checks addresses and cores in the same way.

--- a/node/roster.c
+++ b/node/roster.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/err.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "node/follower.h"
@@ -80,7 +81,11 @@
   char id[KQ_SCHED_NAME_SIZE];
   int err;
 
-  snprintf (id, sizeof id, "%.*s", (int)row->key_size, row->key);
+  if (!kq_site_worker_id_read (row->key, row->key_size, id))
+    {
+      report_ignored (registrations, id, KQ_ESYNTAX);
+      return;
+    }
   if (row->size == 0)
     {
       forget_ignored (registrations, id);
--- a/t/test-hosts.c
+++ b/t/test-hosts.c
@@ -1,11 +1,13 @@
 /* Table of the hosts that announce themselves in the store.  Guards against
    records that name nobody, hosts that are gone for good but stay in the
    table, and an order of the hosts on which they do not agree.  */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "t/kqtest.h"
 #include "term/hosts.h"
+#include "term/term.pb-c.h"
 
 #define HOSTS 5
 
@@ -98,6 +100,20 @@
   kq_hosts_destroy (hosts);
 }
 
+/* Applies the record of a host at ADDRESS with CORES. */
+static void
+hear_from (struct kq_hosts *hosts, const char *address, double cores)
+{
+  KqTerm__HostRecord record = KQ_TERM__HOST_RECORD__INIT;
+  uint8_t bytes[KQ_HOSTS_MAX_BYTES];
+
+  record.address = (char *)address;
+  record.cores = cores;
+  kq_term__host_record__pack (&record, bytes);
+  kq_hosts_apply (hosts, 1, "h1", bytes,
+                  kq_term__host_record__get_packed_size (&record));
+}
+
 static void
 test_malformed_records_name_nobody (void)
 {
@@ -114,6 +130,10 @@
   kq_hosts_apply (hosts, 1, long_name, no_address, sizeof no_address);
   kq_hosts_apply (hosts, 1, "", no_address, sizeof no_address);
   kq_hosts_apply (hosts, 1, "h0", NULL, 0);
+  hear_from (hosts, "10.0.0.2:65536", 1);
+  hear_from (hosts, "host:1", 1);
+  hear_from (hosts, "10.0.0.2:1", INFINITY);
+  hear_from (hosts, "10.0.0.2:1", NAN);
   CU_ASSERT_EQUAL (kq_hosts_count (hosts), 1);
   kq_hosts_destroy (hosts);
 }
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -223,7 +223,7 @@
   CU_ASSERT_EQUAL (registration.capacity.gpu, 0);
   CU_ASSERT_EQUAL (registration.warmup_left_ms, 0);
   CU_ASSERT_EQUAL (
-      read_registration ("{\"service\":\"s\",\"addr\":\"a:1\","
+      read_registration ("{\"service\":\"s\",\"addr\":\"10.0.0.9:1\","
                          "\"state\":\"ready\",\"warmup_left_ms\":7500,"
                          "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
                          &registration),
@@ -240,17 +240,21 @@
           "\xff\xfe",
           "null",
           "{}",
-          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"odd\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"odd\","
           "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
-          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"capacity\":7}",
-          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"capacity\":{\"cpu\":\"many\",\"mem_mb\":1}}",
-          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"warmup_left_ms\":-1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
-          "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"warmup_left_ms\":\"5\",\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
-          "{\"service\":5,\"addr\":\"a:1\",\"state\":\"ready\","
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":99999999999999999999,\"mem_mb\":1}}",
+          "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":1e999,\"mem_mb\":1}}",
+          "{\"service\":5,\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}" };
   struct kq_sched_registration registration;
 
@@ -265,7 +269,7 @@
   char text[256];
 
   snprintf (text, sizeof text,
-            "{\"service\":\"s\",\"addr\":\"a:1\",\"state\":\"ready\","
+            "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":\"ready\","
             "\"capacity\":%s}",
             capacity);
   return read_registration (text, registration);
@@ -564,6 +568,70 @@
   CU_ASSERT_STRING_EQUAL (error.field, "platform.call_bytes");
 }
 
+/* Such a worker is polled without end and counted as one of the cell. */
+static void
+test_unusable_addresses (void)
+{
+  static const char *const addresses[]
+      = { "10.0.0.9:65536", "10.0.0.9:0",   "10.0.0.9:-1",  "10.0.0.9",
+          "10.0.0.9:",      "no address",   "10.0.0.9:1/x", "a@10.0.0.9:1",
+          "10.0.0.9:1 x",   "10.0.0.9:0x1", "10.0.0:1",     "" };
+  struct kq_sched_registration registration;
+  char text[256];
+
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"service\":\"s\",\"addr\":\"%s\",\"state\":\"ready\","
+                "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+                addresses[i]);
+      CU_ASSERT_NOT_EQUAL (read_registration (text, &registration), 0);
+    }
+}
+
+/* The parser must not use up the stack. */
+static void
+test_deep_registration (void)
+{
+  enum
+  {
+    DEPTH = 200000
+  };
+  struct kq_sched_registration registration;
+  char *text = malloc (DEPTH + 1);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+  memset (text, '[', DEPTH);
+  text[DEPTH] = '\0';
+  CU_ASSERT_NOT_EQUAL (read_registration (text, &registration), 0);
+  free (text);
+}
+
+/* An ID with a line break would add headers to orders. */
+static void
+test_worker_ids (void)
+{
+  static const struct
+  {
+    const char *key;
+    size_t size;
+    bool valid;
+  } cases[] = {
+    { "i-1", 3, true },        { "", 0, false },       { "i 1", 3, false },
+    { "i\r\nX: y", 7, false }, { "i-1\0x", 5, false }, { "\x7f", 1, false },
+  };
+  char longest[KQ_SCHED_NAME_SIZE + 1];
+  char id[KQ_SCHED_NAME_SIZE];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (kq_site_worker_id_read (cases[i].key, cases[i].size, id),
+                     cases[i].valid);
+  memset (longest, 'i', sizeof longest);
+  CU_ASSERT_TRUE (
+      kq_site_worker_id_read (longest, KQ_SCHED_NAME_SIZE - 1, id));
+  CU_ASSERT_FALSE (kq_site_worker_id_read (longest, KQ_SCHED_NAME_SIZE, id));
+}
+
 static const struct kq_test tests[] = {
   { "job", test_job },
   { "invalid jobs", test_invalid_jobs },
@@ -574,6 +642,9 @@
   { "configuration", test_config },
   { "worker registration", test_worker_registration },
   { "malformed worker registrations", test_malformed_registrations },
+  { "unusable addresses of workers", test_unusable_addresses },
+  { "deeply nested registration", test_deep_registration },
+  { "IDs of workers", test_worker_ids },
   { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
   { "evacuations", test_evacuations },
--- a/term/hosts.c
+++ b/term/hosts.c
@@ -1,6 +1,7 @@
 /* The hosts of the cell: see term/hosts.h. */
 #include "term/hosts.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,7 @@
 #include <utlist.h>
 #include <xxhash.h>
 
+#include "base/address.h"
 #include "term/term.pb-c.h"
 
 /* Time between two announcements of a host, and the time after which it counts
@@ -136,8 +138,12 @@
 static bool
 is_valid (const KqTerm__HostRecord *record)
 {
-  return record->address[0] != '\0'
-         && strlen (record->address) < KQ_HOST_TEXT_SIZE && record->cores > 0;
+  struct sockaddr_storage address;
+
+  return strlen (record->address) < KQ_HOST_TEXT_SIZE
+         && kq_address_parse (record->address, &address) && record->cores > 0
+         && isfinite (record->cores) && record->memory_mb <= INT32_MAX
+         && record->descriptors <= INT32_MAX;
 }
 
 void
