sched: the rows of a state are allocated for as many tasks as there are

The buffer for the rows of a part had room for 1,000 tasks, 130 KB, also for a job of one task: each changed job cleared as much.

--- a/sched/state.c
+++ b/sched/state.c
@@ -106,18 +106,24 @@
   return count > 0 ? (int)count : 1;
 }
 
+static int
+count_tasks (const struct job *job)
+{
+  int count = 0;
+
+  for (int i = 0; i < job->stage_count; i++)
+    count += job->stages[i].step->count;
+  return count;
+}
+
 /* Returns the number of parts, including those that an earlier owner has
-   stored under a larger limit. */
+   stored under a smaller limit. */
 static int
 count_parts (const struct job *job, size_t max_bytes)
 {
   int per_part = tasks_per_part (max_bytes);
-  int tasks = 0;
-  int parts;
+  int parts = (count_tasks (job) + per_part - 1) / per_part;
 
-  for (int i = 0; i < job->stage_count; i++)
-    tasks += job->stages[i].step->count;
-  parts = (tasks + per_part - 1) / per_part;
   return parts > job->part_count ? parts : job->part_count;
 }
 
@@ -269,10 +275,12 @@
 {
   int parts = count_parts (job, max_bytes);
   struct rows rows = { .max = tasks_per_part (max_bytes) };
+  int tasks = count_tasks (job);
+  size_t size = (size_t)(tasks < rows.max ? tasks : rows.max);
   int count = KQ_ENOMEM;
 
-  rows.records = calloc ((size_t)rows.max, sizeof *rows.records);
-  rows.pointers = calloc ((size_t)rows.max, sizeof (void *));
+  rows.records = calloc (size, sizeof *rows.records);
+  rows.pointers = calloc (size, sizeof (void *));
   if (rows.records != NULL && rows.pointers != NULL
       && extend_parts (job, parts) == 0)
     count = encode_parts (job, &rows, records, parts);
