--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -7,6 +7,7 @@
 SITE_WORKERS=6
 SITE_LARGE_WORKERS=140
 SITE_HOSTS=3
+SITE_RECORD_BYTES=262144
 
 # Ports from $base on: the store, its workers, then five for each host.
 site_store () { echo "http://127.0.0.1:$base"; }
@@ -18,7 +19,7 @@
 {"node_name":"host$1","zone":"z$1","region":"r","ip":"127.0.0.1",
 "port_range":[$((port + 2)),$((port + 3))],"heartbeat_ms":500,
 "listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$((port + 1))"},
-"platform":{"addr":"127.0.0.1:$base"},
+"platform":{"addr":"127.0.0.1:$base","record_bytes":$SITE_RECORD_BYTES},
 "limits":{"cpu_share":1.0,"cores":1},
 "bounds":{"hold_max_ms":10000,"grace_s":6,"evac_ms":5000,"warmup_excess":1.5}}
 END
@@ -39,7 +40,7 @@
 
 site_start () { # SEED
   "$BUILD/standin/site" --port "$base" --workers $SITE_WORKERS \
-    --seed "$1" >"$work/site.log" 2>&1 &
+    --record-bytes $SITE_RECORD_BYTES --seed "$1" >"$work/site.log" 2>&1 &
   pids="$pids $!"
   for host in 1 2 3; do
     site_settings $host
@@ -62,13 +63,19 @@
 
 short_body='{"spec":"400","steps":[{"count":3,"cpu":1000,"mem_mb":100,"est_ms":400},{"count":2,"cpu":1000,"mem_mb":100,"est_ms":400,"after":[0]}]}'
 
+# Prints a job with a step of TASKS tasks.  With more than 127 its state takes
+# several records if SITE_RECORD_BYTES is 32768.
+wide_body () { # TASKS
+  printf '{"spec":"400","steps":[{"count":1,"cpu":10,"mem_mb":1,"est_ms":400},{"count":%d,"cpu":10,"mem_mb":1,"est_ms":400,"after":[0]}]}' "$1"
+}
+
 # Submits job NUMBER to one host after the other until it is accepted.  Tells the
 # stand-in if each of them refused it.
-site_submit () { # NUMBER
+site_submit () { # NUMBER [BODY]
   outcome=refused
   for try in 1 2 3 4 5 6 7 8 9 10 11 12; do
     case $(site_call POST $((($1 + try) % SITE_HOSTS + 1)) \
-      "$(site_id "$1")" "$short_body") in
+      "$(site_id "$1")" "${2:-$short_body}") in
       *' 200') return 0 ;;
       *' 429' | *' 503') ;;
       *) outcome=unknown ;;
--- a/t/session-site.sh
+++ b/t/session-site.sh
@@ -1,12 +1,14 @@
 #!/bin/sh
 # Runs jobs with steps on entry hosts that use the stand-in of the platform.
 # All jobs must complete and no task may run twice although the owner and then
-# all entry hosts are killed.
+# all entry hosts are killed, and although the state of one job outgrows a record
+# of the store.
 cd "$(dirname "$0")/.." || exit 1
 . t/session-lib.sh
 . t/lib-site.sh
 session_start session-site 22100
 running=
+SITE_RECORD_BYTES=32768
 site_start 1
 
 for host in 1 2 3; do
@@ -27,6 +29,12 @@
   check "job $job completes" within 10 site_is_complete $job
 done
 
+check 'a wide job is accepted' site_submit 20 "$(wide_body 2000)"
+check 'a job beside it is accepted' site_submit 21
+for job in 20 21; do
+  check "job $job completes" within 20 site_is_complete $job
+done
+
 owner=$(sed -n 's/.*"event":"owner known","owner":"host\([1-3]\)".*/\1/p' \
   "$work/host1.log" | tail -n 1)
 for job in 5 6 7 8; do check "job $job is accepted" site_submit $job; done
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -10,8 +10,6 @@
 
 #define LENGTH_BYTES 4
 
-/* Limit of a record with its key, as the platform has it. */
-#define MAX_RECORD_BYTES 262144
 
 struct record
 {
@@ -35,6 +33,7 @@
 };
 
 int64_t si_lose_permille;
+uint32_t si_record_bytes = 262144;
 static struct topic *topics;
 static unsigned random_state = 1;
 
@@ -225,7 +224,7 @@
     {
       uint32_t length = length_at (at);
 
-      if (length > MAX_RECORD_BYTES || length > remaining - LENGTH_BYTES)
+      if (length > si_record_bytes || length > remaining - LENGTH_BYTES)
         return false;
       at += LENGTH_BYTES + length;
       remaining -= LENGTH_BYTES + length;
--- a/t/standin/si-store.h
+++ b/t/standin/si-store.h
@@ -13,6 +13,9 @@
 /** How many of a thousand responses are lost. */
 extern int64_t si_lose_permille;
 
+/** Limit in bytes of a record with its key; larger ones are refused. */
+extern uint32_t si_record_bytes;
+
 /** Returns the monotonic time in seconds. */
 double si_now (void);
 
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -186,12 +186,15 @@
       = arg_int1 (NULL, "workers", "N", "number of workers, 1 to 32");
   struct arg_int *seed
       = arg_int0 (NULL, "seed", "N", "random seed of lost responses");
+  struct arg_int *record_bytes
+      = arg_int0 (NULL, "record-bytes", "N", "limit of a record");
   struct arg_end *end = arg_end (8);
-  void *table[] = { port, count, seed, end };
+  void *table[] = { port, count, seed, record_bytes, end };
   ev_timer advance_timer;
   ev_timer register_timer;
 
   seed->ival[0] = 1;
+  record_bytes->ival[0] = (int)si_record_bytes;
   if (arg_parse (argc, argv, table) > 0 || count->ival[0] < 1
       || count->ival[0] > MAX_WORKERS)
     {
@@ -199,6 +202,7 @@
       return 2;
     }
   si_seed_losses ((unsigned)seed->ival[0]);
+  si_record_bytes = (uint32_t)record_bytes->ival[0];
   worker_count = count->ival[0];
   loop = ev_default_loop (0);
   put_configuration ();
