--- a/node/append.h
+++ b/node/append.h
@@ -31,8 +31,8 @@
 typedef bool kq_append_withdraw (void *arg, uint64_t job);
 
 /** Takes the COUNT RECORDS of a position and makes the first append. An append
- *  has at most MAX_BYTES, or one record; the records of a job that fit into
- * one are stored together.  */
+ *  has at most MAX_BYTES, or one record. The records of a job are in the same
+ *  append if they fit.  */
 void kq_append_begin (struct kq_append *append,
                       struct kq_sched_record *records, int count,
                       size_t max_bytes);
--- a/node/restore.c
+++ b/node/restore.c
@@ -203,7 +203,9 @@
 {
   const struct stored_part *part;
   char number[16];
+  char id[24];
 
+  snprintf (id, sizeof id, "%016" PRIx64, stored_job->id);
   LL_FOREACH (stored_job->parts, part)
   {
     int err = kq_sched_restore_part (restore->sched, now, stored_job->id,
@@ -212,7 +214,7 @@
     snprintf (number, sizeof number, "%d", part->number);
     if (err != 0)
       kq_log (KQ_LOG_ERROR, "restore", "part of a state not restored", err,
-              "part", number, NULL);
+              "job", id, "part", number, NULL);
   }
 }
 
