--- a/sched/state.c
+++ b/sched/state.c
@@ -279,8 +279,8 @@
   size_t size = (size_t)(tasks < rows.max ? tasks : rows.max);
   int count = KQ_ENOMEM;
 
-  rows.records = calloc (size, sizeof *rows.records);
-  rows.pointers = calloc (size, sizeof (void *));
+  rows.records = calloc (size + 1, sizeof *rows.records);
+  rows.pointers = calloc (size + 1, sizeof (void *));
   if (rows.records != NULL && rows.pointers != NULL
       && extend_parts (job, parts) == 0)
     count = encode_parts (job, &rows, records, parts);
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -10,7 +10,6 @@
 
 #define LENGTH_BYTES 4
 
-
 struct record
 {
   char *key;      /* NULL in topics without keys */
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -600,7 +600,8 @@
   struct kq_sched_registration registration;
   char *text = malloc (DEPTH + 1);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+  if (text == NULL)
+    abort ();
   memset (text, '[', DEPTH);
   text[DEPTH] = '\0';
   CU_ASSERT_NOT_EQUAL (read_registration (text, &registration), 0);
