--- a/sched/state.c
+++ b/sched/state.c
@@ -116,10 +116,9 @@
   return count;
 }
 
-/* Returns the number of parts, including those that an earlier owner has
-   stored under a smaller limit. */
-static int
-count_parts (const struct job *job, size_t max_bytes)
+/* Parts that an earlier owner has stored under a smaller limit count too. */
+int
+state_max_records (const struct job *job, size_t max_bytes)
 {
   int per_part = tasks_per_part (max_bytes);
   int parts = (count_tasks (job) + per_part - 1) / per_part;
@@ -127,12 +126,6 @@
   return parts > job->part_count ? parts : job->part_count;
 }
 
-int
-state_max_records (const struct job *job, size_t max_bytes)
-{
-  return count_parts (job, max_bytes);
-}
-
 /* Makes room to note COUNT parts. */
 static int
 extend_parts (struct job *job, int count)
@@ -152,13 +145,13 @@
 }
 
 static void
-set_part_key (struct kq_sched_record *record, const struct job *job, int part)
+format_part_key (char key[KQ_SCHED_KEY_SIZE], uint64_t job, unsigned part)
 {
   if (part == 0)
-    snprintf (record->key, sizeof record->key, "s%016" PRIx64, job->id);
+    snprintf (key, KQ_SCHED_KEY_SIZE, "s%016" PRIx64, job);
   else
-    snprintf (record->key, sizeof record->key, "%c%016" PRIx64 ".%05x",
-              KQ_SCHED_PART_KEY, job->id, (unsigned)part);
+    snprintf (key, KQ_SCHED_KEY_SIZE, "%c%016" PRIx64 ".%05x",
+              KQ_SCHED_PART_KEY, job, part);
 }
 
 bool
@@ -170,8 +163,7 @@
   if (sscanf (key, "t%16" SCNx64 ".%5x", job, &number) != 2)
     return false;
   *part = (int)number;
-  snprintf (expected, sizeof expected, "%c%016" PRIx64 ".%05x",
-            KQ_SCHED_PART_KEY, *job, number);
+  format_part_key (expected, *job, number);
   return number > 0 && strcmp (expected, key) == 0;
 }
 
@@ -234,7 +226,7 @@
     }
   message.n_tasks = (size_t)rows->count;
   message.tasks = rows->pointers;
-  set_part_key (record, job, part);
+  format_part_key (record->key, job->id, (unsigned)part);
   record->size = kq_sched__state_record__get_packed_size (&message);
   record->value = malloc (record->size + 1);
   if (record->value == NULL)
@@ -273,7 +265,7 @@
 state_encode (struct job *job, size_t max_bytes,
               struct kq_sched_record *records)
 {
-  int parts = count_parts (job, max_bytes);
+  int parts = state_max_records (job, max_bytes);
   struct rows rows = { .max = tasks_per_part (max_bytes) };
   int tasks = count_tasks (job);
   size_t size = (size_t)(tasks < rows.max ? tasks : rows.max);
@@ -294,10 +286,10 @@
 {
   int count = 0;
 
-  set_part_key (&records[count++], job, 0);
+  format_part_key (records[count++].key, job->id, 0);
   for (int i = 1; i < job->part_count; i++)
     if (job->part_hashes[i] != PART_ABSENT)
-      set_part_key (&records[count++], job, i);
+      format_part_key (records[count++].key, job->id, (unsigned)i);
   return count;
 }
 
