sched: the reservations of a worker are a list

To hold max_per_server the search for a worker counted the reservations of a step by a walk over all its tasks, for each reserved worker, and reserve_check() did so at each placement: work that grows with the square of a step's tasks. An intrusive list of the tasks that have reserved a worker gives the same count from the few that are there.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -122,6 +122,7 @@
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
+  struct task *reserved_next;     /* list of the reservations there */
   struct worker *large_worker;    /* its room there is left to it while it is
                                      ready (large.c) */
   kq_usec phase_since;
@@ -283,7 +284,8 @@
   int task_count;
   int64_t long_running_cpu; /* of that in use, by long-running tasks */
   struct task *tasks;
-  struct kq_sched_demand reserved; /* for tasks that wait for room here */
+  struct task *reservations;       /* tasks that wait for room here */
+  struct kq_sched_demand reserved; /* for these */
   int reserved_count;              /* of these; no other task is placed here */
   struct kq_sched_demand held;     /* sum of HOLDS */
   struct hold *holds;
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -48,6 +48,7 @@
   if (task->reserved_worker == NULL)
     return;
   change_reserved (task->reserved_worker, task->stage->step, -1);
+  LL_DELETE2 (task->reserved_worker->reservations, task, reserved_next);
   task->reserved_worker = NULL;
   task->stage->reserved_count--;
 }
@@ -298,12 +299,13 @@
 static int
 count_reserved (const struct worker *worker, const struct task *task)
 {
-  const struct stage *stage = task->stage;
+  const struct task *other;
   int count = 0;
 
-  for (int i = 0; i < stage->step->count; i++)
-    count += stage->tasks[i].reserved_worker == worker
-             && &stage->tasks[i] != task;
+  LL_FOREACH2 (worker->reservations, other, reserved_next)
+  {
+    count += other->stage == task->stage && other != task;
+  }
   return count;
 }
 
@@ -318,7 +320,7 @@
   if (!worker_usable (worker, now) || worker->unheard
       || !place_meets_constraints (worker, stage))
     return false;
-  return max == 0 || worker->reserved_count == 0
+  return max == 0
          || place_count_tasks (worker, stage) + count_reserved (worker, task)
                 < max;
 }
@@ -345,6 +347,7 @@
   if (best == NULL)
     return;
   change_reserved (best, stage->step, 1);
+  LL_PREPEND2 (best->reservations, task, reserved_next);
   task->reserved_worker = best;
   task->stage->reserved_count++;
   task_log (task, "worker reserved", best->report.id);
