sched: only steps that may use quarantined workers are tried for them

While any worker of any service was quarantined, each lasting step in the queue was searched for among all workers at each placement, also when a smaller demand had just found no room and none of its tasks may start at such a worker yet.

--- a/sched/explain-pass.c
+++ b/sched/explain-pass.c
@@ -126,7 +126,7 @@
   const struct task *task = explain_first_ready (other, false);
   struct place_candidate best;
 
-  if (place_cannot_fit (&run->pass, other))
+  if (place_cannot_fit (&run->pass, other, run->now))
     return explain_first_ready (other, true);
   add_waiting (run, other, other->step->gang ? other->ready_count : 1);
   if (*searches == MAX_SEARCHES)
--- a/sched/place.c
+++ b/sched/place.c
@@ -639,15 +639,25 @@
          && demand_covers (&step->demand, &pass->smallest[stage->image]);
 }
 
-/* Room that is kept for STAGE, or that only long-running tasks may use, was
-   not open to the tasks that found none. */
+static bool
+has_task_for_quarantined (const struct stage *stage, struct kq_sched_now now)
+{
+  for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
+    if (stage->tasks[i].state == TASK_READY
+        && accepts_quarantined (&stage->tasks[i], now))
+      return true;
+  return false;
+}
+
+/* Room that is kept for STAGE, and quarantined workers, were not open to the
+   tasks that found none. */
 bool
-place_cannot_fit (const struct pass *pass, const struct stage *stage)
+place_cannot_fit (const struct pass *pass, const struct stage *stage,
+                  struct kq_sched_now now)
 {
   return stage->hold_count == 0 && stage->large_count == 0
-         && stage->reserved_count == 0
-         && !(stage->step->long_running && pass->has_quarantined)
-         && is_known_unplaced (pass, stage);
+         && stage->reserved_count == 0 && is_known_unplaced (pass, stage)
+         && !(pass->has_quarantined && has_task_for_quarantined (stage, now));
 }
 
 void
@@ -700,7 +710,7 @@
   const struct task *unplaced;
   int from = 0;
 
-  if (place_cannot_fit (pass, stage))
+  if (place_cannot_fit (pass, stage, now))
     return next_ready (stage, &from, now);
   if (stage->step->gang)
     {
--- a/sched/place.h
+++ b/sched/place.h
@@ -93,6 +93,7 @@
 void place_remember_unplaced (struct pass *pass, const struct stage *stage);
 /* Whether a demand of at most that of STAGE could not be placed in this pass,
    and no room is kept for STAGE. */
-bool place_cannot_fit (const struct pass *pass, const struct stage *stage);
+bool place_cannot_fit (const struct pass *pass, const struct stage *stage,
+                       struct kq_sched_now now);
 
 #endif
