--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -80,6 +80,24 @@
     free (cell->records[i].value);
 }
 
+struct ts_cell *
+ts_create (void)
+{
+  struct ts_cell *cell = malloc (sizeof *cell);
+
+  if (cell == NULL)
+    abort ();
+  ts_start (cell);
+  return cell;
+}
+
+void
+ts_destroy (struct ts_cell *cell)
+{
+  ts_stop (cell);
+  free (cell);
+}
+
 static const struct kq_sched_record *
 find_record (const struct ts_cell *cell, const char *key)
 {
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -69,6 +69,10 @@
 void ts_start (struct ts_cell *cell);
 void ts_stop (struct ts_cell *cell);
 
+/** Creates a cell in memory of its own and starts it. */
+struct ts_cell *ts_create (void);
+void ts_destroy (struct ts_cell *cell);
+
 /** Replaces the owner: a new scheduler restores the stored records. */
 void ts_take_over (struct ts_cell *cell);
 
--- a/t/test-capacity.c
+++ b/t/test-capacity.c
@@ -27,21 +27,13 @@
 static struct ts_cell *
 start_cell (void)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", CPU, MEM);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 /* The registration of worker "a" with another capacity is read. */
 static void
 resize (struct ts_cell *cell, int64_t cpu, int64_t mem)
@@ -136,7 +128,7 @@
   CU_ASSERT_EQUAL (count (cell).cpu_capacity, cpu);
   resize (cell, CPU, MEM);
   CU_ASSERT_EQUAL (count_starts (cell), 3 + step->count);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -195,7 +187,7 @@
   ts_submit (cell, JOB + 1, "batch", &step, 1);
   for (int i = 0; i < 4; i++)
     CU_ASSERT_STRING_EQUAL (last_start (cell, JOB + 1, i).worker, "b");
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A run that is being stopped counts until its end is listed. */
@@ -227,7 +219,7 @@
   CU_ASSERT_EQUAL (count_starts (cell), 2);
   ts_reply_poll (cell, "a", NULL, 0, &ends[1], 1);
   CU_ASSERT_EQUAL (count_starts (cell), 3);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The successor counts the runs of its predecessor, also before the worker has
@@ -252,7 +244,7 @@
   CU_ASSERT_EQUAL (count (cell).cpu_used, 6000);
   resize (cell, CPU, MEM);
   CU_ASSERT_EQUAL (count_starts (cell), 4);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A worker that guards its capacity refuses what its registration still seemed
@@ -283,7 +275,7 @@
   ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
   CU_ASSERT (refusals > 1 && refusals <= 10);
   CU_ASSERT_STRING_EQUAL (last_start (cell, JOB, 0).worker, "b");
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against a division by zero that ended the owner: a task that serves
@@ -304,7 +296,7 @@
   submit_started (cell, JOB + 1, &step);
   resize (cell, 0, MEM);
   advance (cell, 100);
-  stop_cell (cell);
+  ts_destroy (cell);
 
   cell = start_cell ();
   resize (cell, 0, MEM);
@@ -316,7 +308,7 @@
   submit_started (cell, JOB + 1, &step);
   advance (cell, 2000);
   CU_ASSERT_EQUAL (count_starts (cell), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against orders for more than the worker can carry: the starts of STEP
@@ -342,7 +334,7 @@
   resize (cell, CPU, MEM);
   CU_ASSERT_EQUAL (count_starts (cell), 1 + step->count);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -407,7 +399,7 @@
   CU_ASSERT_EQUAL (count_starts (cell), 2);
   CU_ASSERT_EQUAL (last_start (cell, JOB, 0).run.run,
                    last_start (cell, JOB, 1).run.run);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Lets MS pass in which "a" and "b" report COUNT of the runs in STARTS. */
@@ -475,7 +467,7 @@
   advance_with (cell, 100, &starts[1], 1);
   CU_ASSERT_STRING_EQUAL (last_start (cell, JOB, 0).worker, "b");
   CU_ASSERT_EQUAL (last_start (cell, JOB, 0).run.run, 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against starts that are measured by the capacity of an earlier
@@ -498,7 +490,7 @@
   ts_register_incarnation (cell, "a", 2000, MEM, 2);
   ts_process_pending (cell);
   CU_ASSERT_EQUAL (count_starts (cell), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against starts by registrations that cannot be read any more, while
@@ -525,7 +517,7 @@
   kq_sched_note_registrations (cell->sched, cell->now.mono);
   advance (cell, 100);
   CU_ASSERT_EQUAL (count_starts (cell), 45);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The same for starts that are decided and wait for the store. */
@@ -548,7 +540,7 @@
   ts_process_pending (cell);
   CU_ASSERT_EQUAL (count_starts (cell), 1);
   CU_ASSERT_EQUAL (last_start (cell, JOB, 0).run.run, 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The callers' runs at a worker that has shrunk are not ended. */
@@ -566,7 +558,7 @@
   resize (cell, 1000, 1000);
   advance (cell, 1000);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-fence.c
+++ b/t/test-fence.c
@@ -19,21 +19,13 @@
 static struct ts_cell *
 start_cell (void)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 /* Restarts worker "a" under its ID as INCARNATION. */
 static void
 restart_as (struct ts_cell *cell, int64_t incarnation)
@@ -59,7 +51,7 @@
   CU_ASSERT_EQUAL (kq_sched_order_fence (cell->sched, "a"), before);
   restart (cell);
   CU_ASSERT (kq_sched_order_fence (cell->sched, "a") > before);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* While the store is away no fence is left for a second restart. */
@@ -79,7 +71,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
   ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The refusal of an order that was sent with the fence of an earlier
@@ -99,7 +91,7 @@
   ts_advance (cell, 300);
   CU_ASSERT_PTR_NOT_NULL (
       ts_last_order (cell, KQ_SCHED_FX_START, OTHER_JOB, 0, 0));
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A refusal for the fence that is in use comes from a later owner's. */
@@ -118,7 +110,7 @@
   ts_advance (cell, 300);
   CU_ASSERT_PTR_NULL (
       ts_last_order (cell, KQ_SCHED_FX_START, OTHER_JOB, 0, 0));
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A silent worker may have restarted, and would forget ends by the numbers of
@@ -146,7 +138,7 @@
   cell->now.mono += 5000 * KQ_USEC_PER_MSEC;
   CU_ASSERT_FATAL (kq_sched_next_poll (cell->sched, cell->now, &poll));
   CU_ASSERT_EQUAL (poll.acked, 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The start never began a run: four such refusals must not make the job
@@ -205,7 +197,7 @@
   CU_ASSERT_NOT_EQUAL (ts_result_of (cell, token)->state, KQ_SCHED_FAILED_JOB);
   kq_sched_count (cell->sched, &counts);
   CU_ASSERT_EQUAL (counts.crashes, 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Advances the time by MS and returns whether worker "a" is due for a poll. */
@@ -257,7 +249,7 @@
   kq_sched_event (cell->sched, cell->now, &event);
   ms = time_to_poll (cell);
   CU_ASSERT (ms < 500);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The same where a poll shows the restart: the worker has not seen the new
@@ -281,7 +273,7 @@
   CU_ASSERT (event.u.polled.fence < kq_sched_order_fence (cell->sched, "a"));
   ms = time_to_poll (cell);
   CU_ASSERT (ms < 500);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A poll without a reply that is overtaken by a later one: the reply to a poll
@@ -310,7 +302,7 @@
   cell->now.mono += 5000 * KQ_USEC_PER_MSEC;
   CU_ASSERT_FATAL (kq_sched_next_poll (cell->sched, cell->now, &poll));
   CU_ASSERT_EQUAL (poll.acked, 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 #define SEEDS 100
--- a/t/test-lost-worker.c
+++ b/t/test-lost-worker.c
@@ -48,9 +48,8 @@
 static struct ts_cell *
 start_cell (void)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
   submit (cell, LASTING_JOB, &lasting_step);
@@ -60,13 +59,6 @@
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 static void
 assert_lasting_task_at (const struct ts_cell *cell, const char *worker,
                         int run)
@@ -102,7 +94,7 @@
   other = *ts_last_order (cell, KQ_SCHED_FX_STOP, OTHER_JOB, 0, 0);
   ts_reply_order (cell, &other, KQ_SCHED_OTHER_INCARNATION);
   assert_lasting_task_at (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -115,7 +107,7 @@
   assert_lasting_task_at (cell, "a", 1);
   ts_refuse_poll (cell, "a", cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
   assert_lasting_task_at (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The refusal of a start must not make the worker look usable: the next tasks
@@ -133,7 +125,7 @@
   for (int i = 0; i < 30; i++)
     advance_without_a (cell);
   CU_ASSERT_EQUAL (last_start (cell, OTHER_JOB).run.run, 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The stop of a run that no task has any more is refused again and again, as
@@ -153,7 +145,7 @@
       ts_reply_order (cell, &stop, KQ_SCHED_OTHER_INCARNATION);
     }
   CU_ASSERT (cell->now.mono - last_reply_at < LAPSE_MS * KQ_USEC_PER_MSEC);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A worker starts again under its ID.  The refusal of an order to the earlier
@@ -180,7 +172,7 @@
   assert_lasting_task_at (cell, start.worker, 2);
   ts_submit (cell, OTHER_JOB, "batch", &step_at_a, 1);
   CU_ASSERT_STRING_EQUAL (last_start (cell, OTHER_JOB).worker, "a");
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A worker that replies itself is usable, whatever was refused before, and
@@ -199,7 +191,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 1);
   ts_submit (cell, OTHER_JOB, "batch", &step_at_a, 1);
   CU_ASSERT_STRING_EQUAL (last_start (cell, OTHER_JOB).worker, "a");
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A worker refuses all orders since it is unhealthy, and so renews no lease.
@@ -226,7 +218,7 @@
       ts_reply_poll (cell, "b", NULL, 0, NULL, 0);
     }
   CU_ASSERT (cell->now.mono - last_reply_at < LAPSE_MS * KQ_USEC_PER_MSEC);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-new-incarnation.c
+++ b/t/test-new-incarnation.c
@@ -46,9 +46,8 @@
 static struct ts_cell *
 start_cell (void)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
   ts_submit (cell, JOB, "batch", &step, 1);
@@ -58,13 +57,6 @@
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 /* Lets MS pass in which only worker "b" replies to its polls. */
 static void
 advance_without_a (struct ts_cell *cell, int ms)
@@ -87,7 +79,7 @@
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   advance_without_a (cell, 500);
   assert_run (cell, "a", 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The same for a start that the new incarnation accepted before its status
@@ -103,7 +95,7 @@
   ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, &row, 1, NULL, 0);
   advance_without_a (cell, 500);
   assert_run (cell, "a", 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A new incarnation that never replies holds nothing for longer than a
@@ -116,7 +108,7 @@
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   advance_without_a (cell, LAPSE_MS);
   assert_run (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* What a status listed has ended with its incarnation, and goes on elsewhere
@@ -133,7 +125,7 @@
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   advance_without_a (cell, 200);
   assert_run (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The first registration that a new owner reads does not begin an incarnation:
@@ -153,7 +145,7 @@
   ts_register_worker (cell, "a", 4000, 4000);
   advance_without_a (cell, 2000);
   assert_run (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Replies to ORDER, with WORKER_CLOCK_MS as the clock of who replies. */
@@ -190,7 +182,7 @@
   assert_run (cell, "a", 1);
   advance_without_a (cell, 1000);
   assert_run (cell, "b", 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A reply of the earlier incarnation that arrives after one of the new one
@@ -208,7 +200,7 @@
   reply_with_clock (cell, &stop, 1000000);
   advance_without_a (cell, 500);
   assert_run (cell, "a", 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The reply of the earlier incarnation to an order that was sent before the
@@ -229,7 +221,7 @@
   reply_with_clock (cell, &stop, clock_ms + 4000);
   advance_without_a (cell, 500);
   assert_run (cell, "a", 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-restarted-worker.c
+++ b/t/test-restarted-worker.c
@@ -18,9 +18,8 @@
 static struct ts_cell *
 restart_with_start (struct ts_order *start, bool replied)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
   ts_submit (cell, JOB, "batch", &step, 1);
@@ -45,8 +44,7 @@
   ts_reply_order (cell, &start, KQ_SCHED_OK);
   ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -57,8 +55,7 @@
 
   ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 /* The new incarnation may have replied to the order before it was known. */
@@ -70,8 +67,7 @@
 
   ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 /* A start that the old incarnation accepted: the new one does not list it. */
@@ -87,8 +83,7 @@
                          NULL, 0);
   ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-restore.c
+++ b/t/test-restore.c
@@ -51,13 +51,10 @@
 static void
 restore (KqSched__TaskRecord *rows, size_t count, uint32_t outcome)
 {
-  struct ts_cell *cell = calloc (1, sizeof *cell);
+  struct ts_cell *cell = ts_create ();
   KqSched__StateRecord state = KQ_SCHED__STATE_RECORD__INIT;
   KqSched__TaskRecord *pointers[MAX_ROWS];
 
-  if (cell == NULL)
-    abort ();
-  ts_start (cell);
   ts_submit (cell, JOB, "urgent", &two_tasks, 2);
   ts_process_pending (cell);
   state.outcome = outcome;
@@ -77,8 +74,7 @@
   kq_sched_assert (cell->sched);
   ts_advance (cell, 20000);
   kq_sched_assert (cell->sched);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 static void
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -15,9 +15,8 @@
 static struct ts_cell *
 start_cell (void)
 {
-  struct ts_cell *cell = malloc (sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  ts_start (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_register_worker (cell, "b", 4000, 4000);
   ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
@@ -25,13 +24,6 @@
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 /* Starts the only task of JOB and returns its start order. */
 static struct ts_order
 start_single_task (struct ts_cell *cell, uint64_t job,
@@ -64,7 +56,7 @@
   ts_process_pending (cell);
   CU_ASSERT_EQUAL (ts_result_of (cell, token)->status, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -77,7 +69,7 @@
   token = ts_submit (cell, JOB, "batch", &plain_step, 1);
   CU_ASSERT_EQUAL (ts_result_of (cell, token)->status, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -96,7 +88,7 @@
   ended = ts_ended (&first, 1, KQ_SCHED_DONE);
   ts_reply_poll (cell, first.worker, NULL, 0, &ended, 1);
   CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 1, 0));
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -114,7 +106,7 @@
   cell->store_down = false;
   ts_process_pending (cell);
   CU_ASSERT_EQUAL (ts_result_of (cell, token)->state, KQ_SCHED_COMPLETE);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against losing an end: if a poll acknowledged it before it is
@@ -143,7 +135,7 @@
     if (strcmp (poll.worker, first.worker) == 0)
       acked_end = poll.acked;
   CU_ASSERT_EQUAL (acked_end, 7);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -170,7 +162,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
   CU_ASSERT_EQUAL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->run.run,
                    2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against running work again whose start the worker has accepted, while
@@ -204,7 +196,7 @@
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, JOB))->state,
                    KQ_SCHED_COMPLETE);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The same for a run that has ended before the poll. */
@@ -227,7 +219,7 @@
                    KQ_SCHED_COMPLETE);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against waiting for a worker that answers neither the start nor the
@@ -247,7 +239,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 0);
   ts_advance (cell, 300);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_STOP), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Returns the next poll of WORKER; its worker is "" if none is due. */
@@ -296,7 +288,7 @@
   CU_ASSERT_STRING_EQUAL (poll.worker, first.worker);
   CU_ASSERT_EQUAL (poll.wait_ms, 0);
   CU_ASSERT_FALSE (kq_sched_next_poll (cell->sched, cell->now, &poll));
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against ending a run by an outdated status: two polls are in
@@ -322,7 +314,7 @@
   ts_reply_poll_sent_at (cell, first.worker, sent_at, 1, NULL, 0, NULL, 0);
   ts_advance (cell, 100);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against applying the ends of an earlier incarnation: its status
@@ -354,7 +346,7 @@
   ts_advance (cell, 100);
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, JOB))->state,
                    KQ_SCHED_COMPLETE);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Idle workers are polled rarely and still get tasks; one that does not
@@ -389,7 +381,7 @@
   ts_submit (cell, JOB + 2, "urgent", &one, 1);
   /* One starts at the other worker, none at the one that did not reply. */
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static bool
@@ -423,7 +415,7 @@
       CU_ASSERT_STRING_EQUAL (order != NULL ? order->ticket : "", "t1");
     }
   CU_ASSERT_FALSE (next_advice_request (cell, &policy_request));
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* After a worker refuses a ticket, a new one is requested before the task
@@ -449,7 +441,7 @@
   ts_advise (cell, &policy_request, "b", "t2", 3000);
   CU_ASSERT_STRING_EQUAL (
       ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->ticket, "t2");
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A failed request to the policy service is repeated after a delay, and a
@@ -477,7 +469,7 @@
   CU_ASSERT_FATAL (next_advice_request (cell, &policy_request));
   ts_advise (cell, &policy_request, "b", "t2", 3000);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Starts the only task of JOB, with a demand of CPU and an estimate of
@@ -528,7 +520,7 @@
   CU_ASSERT_PTR_NOT_NULL (order);
   /* The urgent task has started: batch tasks may use the rest. */
   CU_ASSERT (ts_count_orders (cell, KQ_SCHED_FX_START) > 5);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A cell with little free capacity: two long tasks hold 7.3 of 8 cores, and
@@ -611,7 +603,7 @@
   ts_reply_poll (nearly_full.cell, nearly_full.long_tasks[0].worker, NULL, 0,
                  &end, 1);
   CU_ASSERT (has_started (nearly_full.cell, 4));
-  stop_cell (nearly_full.cell);
+  ts_destroy (nearly_full.cell);
 }
 
 /* Guards against starvation of late tasks where no other task ends. */
@@ -625,7 +617,7 @@
   CU_ASSERT_FALSE (has_started (nearly_full.cell, 4));
   advance_seconds (&nearly_full, 15, 1);
   CU_ASSERT (has_started (nearly_full.cell, 4));
-  stop_cell (nearly_full.cell);
+  ts_destroy (nearly_full.cell);
 }
 
 /* Guards against restarting tasks that still run after a takeover: the new
@@ -650,7 +642,7 @@
                  strcmp (first.worker, "b") == 0, NULL, 0);
   ts_advance (cell, 500);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -668,7 +660,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
   CU_ASSERT_EQUAL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->run.run,
                    first.run.run + 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against running a task twice: after a takeover, the tasks of an
@@ -697,7 +689,7 @@
       ts_reply_poll (cell, other, NULL, 0, NULL, 0);
     }
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against waiting anew after each takeover: the worker has crashed
@@ -733,7 +725,7 @@
       ts_advance (cell, 1000);
     }
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against renewing a lease before the store holds who renews it. */
@@ -760,7 +752,7 @@
   poll = next_poll_of (cell, first.worker);
   CU_ASSERT_STRING_EQUAL (poll.worker, first.worker);
   CU_ASSERT (poll.lease_end_ms > 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against extending the lease of an unreachable worker: it is still
@@ -786,7 +778,7 @@
       ts_fail_poll (cell, first.worker);
     }
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -811,7 +803,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 3);
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, JOB))->state,
                    KQ_SCHED_FAILED_JOB);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* An owner without a confirmation by the store renews leases for 3 s and no
@@ -842,7 +834,7 @@
     ;
   CU_ASSERT_STRING_EQUAL (poll.worker, order.worker);
   CU_ASSERT_EQUAL (poll.lease_end_ms, 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Nor does it start tasks, although the store takes its records: a successor
@@ -861,7 +853,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
   ts_advance (cell, 100);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A start that waits for the store meanwhile is not sent either. */
@@ -882,7 +874,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
   ts_advance (cell, 100);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against counting a failure twice: the worker reports an end that
@@ -910,7 +902,7 @@
     }
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, JOB))->state,
                    KQ_SCHED_ACTIVE);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -933,7 +925,7 @@
   ts_advance (cell, 1000);
   CU_ASSERT_PTR_NOT_NULL (ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0));
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -949,7 +941,7 @@
   ended = ts_ended (&first, 1, KQ_SCHED_FAILED);
   ts_reply_poll (cell, first.worker, NULL, 0, &ended, 1);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* An occurrence starts when it is due and not before. */
@@ -975,7 +967,7 @@
   ts_advance (cell, 1000);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
   CU_ASSERT_EQUAL (cell->orders[1].run.occurrence, 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The members of a gang start with the same run number, or none starts. */
@@ -1000,7 +992,7 @@
   ts_reply_poll (cell, cell->orders[0].worker, NULL, 0, &ended, 1);
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, JOB + 1))->state,
                    KQ_SCHED_COMPLETE);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -1014,7 +1006,7 @@
   ts_submit (cell, JOB, "batch", &step, 1);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
   CU_ASSERT_STRING_NOT_EQUAL (cell->orders[0].worker, cell->orders[1].worker);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -1034,7 +1026,7 @@
   snprintf (step.label, sizeof step.label, "nowhere");
   ts_submit (cell, JOB + 2, "batch", &step, 1);
   CU_ASSERT_EQUAL (cell->order_count, 4);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* A worker where tasks of several jobs fail gets no tasks for some time. */
@@ -1060,7 +1052,7 @@
   ts_reply_poll (cell, first.worker, NULL, 0, NULL, 0);
   ts_advance (cell, 200);
   CU_ASSERT (cell->order_count > before);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Guards against loss of the interference model at a takeover: a restored
@@ -1097,7 +1089,7 @@
   CU_ASSERT (found);
   CU_ASSERT_NOT_EQUAL (
       kq_sched_restore_interference (cell->sched, bytes, size - 1), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -1107,7 +1099,7 @@
 
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_query (cell, 99))->status, 410);
   CU_ASSERT_EQUAL (ts_result_of (cell, ts_cancel (cell, 99))->status, 410);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -1120,7 +1112,7 @@
   for (int i = 0; i < cell->order_count; i++)
     CU_ASSERT_STRING_EQUAL (cell->orders[i].worker, "b");
   CU_ASSERT_EQUAL (cell->order_count, 2);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-state.c
+++ b/t/test-state.c
@@ -48,11 +48,8 @@
 static struct ts_cell *
 start_cell (size_t limit)
 {
-  struct ts_cell *cell = calloc (1, sizeof *cell);
+  struct ts_cell *cell = ts_create ();
 
-  if (cell == NULL)
-    abort ();
-  ts_start (cell);
   cell->max_record_bytes = limit;
   join_worker (cell, TASKS);
   ts_submit (cell, JOB, "urgent", &wide, 1);
@@ -63,13 +60,6 @@
   return cell;
 }
 
-static void
-stop_cell (struct ts_cell *cell)
-{
-  ts_stop (cell);
-  free (cell);
-}
-
 /* The runs of the tasks FROM to TO - 1 end. */
 static void
 end_tasks (struct ts_cell *cell, int from, int to)
@@ -146,7 +136,7 @@
   expect_completion (cell, 0);
   /* The state of a complete job names no tasks. */
   CU_ASSERT_EQUAL (count_records (cell, KQ_SCHED_PART_KEY), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
@@ -161,7 +151,7 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), TASKS);
   expect_completion (cell, ENDED);
   CU_ASSERT_EQUAL (count_records (cell, KQ_SCHED_PART_KEY), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* Takes over with the limit NEXT after an owner with the limit FIRST. */
@@ -181,7 +171,7 @@
     }
   expect_completion (cell, 2 * ENDED);
   CU_ASSERT_EQUAL (count_records (cell, KQ_SCHED_PART_KEY), 0);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 /* The state that earlier versions have stored is one record. */
@@ -211,7 +201,7 @@
     }
   free (records);
   CU_ASSERT_EQUAL (parts, 1);
-  stop_cell (cell);
+  ts_destroy (cell);
 }
 
 static void
--- a/t/test-unknown-run.c
+++ b/t/test-unknown-run.c
@@ -90,8 +90,7 @@
                          0, NULL, 0);
   ts_advance (cell, 1000);
   CU_ASSERT (ts_count_orders (cell, KQ_SCHED_FX_START) > starts);
-  ts_stop (cell);
-  free (cell);
+  ts_destroy (cell);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-withdraw.c
+++ b/t/test-withdraw.c
@@ -308,6 +308,30 @@
   return job == 0;
 }
 
+static struct kq_sched_record *
+create_records (int count)
+{
+  struct kq_sched_record *records = calloc ((size_t)count, sizeof *records);
+
+  if (records == NULL)
+    abort ();
+  return records;
+}
+
+/* Fills RECORD with a value of SIZE bytes; FORMAT makes its key of JOB. */
+static void
+fill_record (struct kq_sched_record *record, const char *format, unsigned job,
+             size_t size)
+{
+  snprintf (record->key, sizeof record->key, format, job);
+  record->size = size;
+  record->value = calloc (1, size);
+  record->is_first = record->key[0] == 'j';
+  record->job = job;
+  if (record->value == NULL)
+    abort ();
+}
+
 /* The store refuses calls of more than 2 MB for ever. */
 static void
 test_size_of_appends (void)
@@ -318,18 +342,11 @@
     RECORD_BYTES = 700 * 1024
   };
   struct kq_append append = { .count = 0 };
-  struct kq_sched_record *records = calloc (COUNT, sizeof *records);
+  struct kq_sched_record *records = create_records (COUNT);
   int stored = 0;
 
-  if (records == NULL)
-    abort ();
   for (int i = 0; i < COUNT; i++)
-    {
-      snprintf (records[i].key, sizeof records[i].key, "j%d", i);
-      records[i].size = RECORD_BYTES;
-      records[i].value = calloc (1, RECORD_BYTES);
-      records[i].is_first = true;
-    }
+    fill_record (&records[i], "j%u", (unsigned)i, RECORD_BYTES);
   kq_append_begin (&append, records, COUNT, MAX_APPEND_BYTES);
   do
     {
@@ -343,20 +360,6 @@
   kq_append_clear (&append);
 }
 
-/* Fills RECORD with a value of SIZE bytes; FORMAT makes its key of JOB. */
-static void
-fill_record (struct kq_sched_record *record, const char *format, unsigned job,
-             size_t size)
-{
-  snprintf (record->key, sizeof record->key, format, job);
-  record->size = size;
-  record->value = calloc (1, size);
-  record->is_first = record->key[0] == 'j';
-  record->job = job;
-  if (record->value == NULL)
-    abort ();
-}
-
 /* A takeover between two appends restores a mix of two states of a job. */
 static void
 test_records_of_a_job_together (void)
@@ -369,12 +372,9 @@
     RECORD_BYTES = 400
   };
   struct kq_append append = { .count = 0 };
-  struct kq_sched_record *records
-      = calloc ((size_t)JOBS * RECORDS, sizeof *records);
+  struct kq_sched_record *records = create_records (JOBS * RECORDS);
   int stored = 0;
 
-  if (records == NULL)
-    abort ();
   for (int i = 0; i < JOBS * RECORDS; i++)
     fill_record (&records[i], formats[i % RECORDS], (unsigned)(i / RECORDS),
                  RECORD_BYTES);
@@ -404,11 +404,9 @@
     RECORD_BYTES = 400
   };
   struct kq_append append = { .count = 0 };
-  struct kq_sched_record *records = calloc (RECORDS, sizeof *records);
+  struct kq_sched_record *records = create_records (RECORDS);
   int stored = 0;
 
-  if (records == NULL)
-    abort ();
   for (int i = 0; i < RECORDS; i++)
     fill_record (&records[i], "t%016x.00001", 1, RECORD_BYTES);
   kq_append_begin (&append, records, RECORDS, 1000);
