t: reservations under a new policy or after an outage, removals of odd keys

The last was told from reading only.

Room held for a large task whose worker gets another label still has no test.

--- a/t/session-odd-entries.sh
+++ b/t/session-odd-entries.sh
@@ -51,6 +51,7 @@
   put_entry 'odd-11\r\nX-Y: z' "$(entry 127.0.0.1:9 8000)" || return 1
   put_entry 'odd-12\377\376' "$(entry 127.0.0.1:9 8000)" || return 1
   put_entry 'odd-13' '' || return 1
+  put_entry 'i-1\000x' '' || return 1
   put_entry "$(repeat o 200)" "$(entry 127.0.0.1:9 8000)" || return 1
   put_entry '' "$(entry 127.0.0.1:9 8000)"
 }
@@ -66,6 +67,10 @@
   [ $known -eq $SITE_WORKERS ]
 }
 
+no_worker_removed () {
+  ! grep -qa '"worker deregistered"' "$work"/host[123].log
+}
+
 hosts_run () {
   for host in 1 2 3; do kill -0 "$(cat "$work/host$host.pid")" || return 1; done
 }
@@ -79,6 +84,7 @@
 check 'odd entries are stored' put_odd_entries
 sleep 3
 check 'all hosts run' hosts_run
+check 'no odd removal takes a worker away' no_worker_removed
 for job in 2 3; do check "job $job is accepted" site_submit $job; done
 for job in 2 3; do
   check "job $job completes" within 10 site_is_complete $job
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -7,6 +7,7 @@
  */
 #include <string.h>
 
+#include "sched/internal.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
@@ -235,6 +236,49 @@
   ts_stop (&cell);
 }
 
+/* The queue of a reserved task gets a policy, which names no worker yet. */
+static void
+test_queue_that_gets_a_policy (void)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "batch", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, BATCH, "urgent", &batch, 1);
+  lose_worker (&cell, "a");
+  list_runs (&cell, "b");
+  ts_advance (&cell, 400);
+  cell.queues[1].advised = true;
+  event.u.config = &cell.config;
+  kq_sched_event (cell.sched, cell.now, &event);
+  ts_submit (&cell, SHORT, "urgent", &small, 1);
+  ts_advance (&cell, 200);
+  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  ts_stop (&cell);
+}
+
+/* After an outage tasks are stopped only at workers that have replied since:
+   nothing could start at the others. */
+static void
+test_workers_unheard_since_an_outage (void)
+{
+  struct ts_cell cell;
+
+  start_lasting_jobs (&cell);
+  worker_find (cell.sched, "a")->unheard = true;
+  worker_find (cell.sched, "b")->unheard = true;
+  lose_worker (&cell, "c");
+  ts_advance (&cell, 400);
+  CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 0);
+  list_runs (&cell, "a");
+  ts_advance (&cell, 200);
+  CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 1);
+  ts_stop (&cell);
+}
+
 /* More urgent tasks that find no room do not keep a task from its reserved
    worker, which is of no use to them. */
 static void
@@ -293,6 +337,8 @@
   { "tasks that must not share a worker",
     test_tasks_that_must_not_share_a_worker },
   { "a worker that no longer suits", test_worker_that_no_longer_suits },
+  { "a queue that gets a policy", test_queue_that_gets_a_policy },
+  { "workers unheard since an outage", test_workers_unheard_since_an_outage },
   { "blocked by more urgent tasks", test_blocked_by_urgent_tasks },
   { "a quarantined worker", test_quarantined_worker },
 };
