sched: log what keeps long-running tasks from workers with room

A task that has not run for 2 s after a loss is compared with the workers that have room for it twice over, once a second, 16 tasks at most. The log names what keeps it off each of them; two metrics count such tasks and such checks. No decision changes.

--- a/node/explain-json.c
+++ b/node/explain-json.c
@@ -9,22 +9,6 @@
 
 #define MS_PER_S 1000
 
-static const char *const ruled_out_names[KQ_SCHED_OUT_KINDS] = {
-  [KQ_SCHED_OUT_SERVICE] = "service",
-  [KQ_SCHED_OUT_LABEL] = "label",
-  [KQ_SCHED_OUT_DRAINING] = "draining",
-  [KQ_SCHED_OUT_EVACUATED] = "evacuated",
-  [KQ_SCHED_OUT_QUARANTINED] = "quarantined",
-  [KQ_SCHED_OUT_SILENT] = "silent",
-  [KQ_SCHED_OUT_CAPACITY] = "capacity",
-  [KQ_SCHED_OUT_LIMIT] = "limit_per_worker",
-  [KQ_SCHED_OUT_AVOIDED] = "failed_there",
-  [KQ_SCHED_OUT_NO_TICKET] = "no_ticket",
-  [KQ_SCHED_OUT_RESERVED] = "reserved",
-  [KQ_SCHED_OUT_COLD] = "cold",
-  [KQ_SCHED_OUT_INTERFERENCE] = "interference",
-};
-
 static const char *const held_back_names[] = {
   [KQ_SCHED_NOT_HELD_BACK] = "",
   [KQ_SCHED_HELD_NO_WORKER] = "no worker is suitable",
@@ -66,7 +50,8 @@
   json_t *ruled_out = json_object ();
 
   for (int i = 0; i < KQ_SCHED_OUT_KINDS; i++)
-    json_object_set_new (ruled_out, ruled_out_names[i],
+    json_object_set_new (ruled_out,
+                         kq_sched_ruled_out_name ((enum kq_sched_ruled_out)i),
                          json_integer (step->ruled_out[i]));
   return json_pack ("{si si si ss sb ss ss sI si so so}", "step", step->step,
                     "occurrence", step->occurrence, "tasks", step->ready,
--- a/node/gauges.c
+++ b/node/gauges.c
@@ -31,6 +31,8 @@
   GAUGE_FILLERS_STOPPED,
   GAUGE_STALLS,
   GAUGE_PREEMPTIONS,
+  GAUGE_OVERDUE_TASKS,
+  GAUGE_OVERDUE_BESIDE_ROOM,
   GAUGE_HOLDS,
   GAUGE_URGENT_PREEMPTIONS,
   GAUGE_PREEMPTED_WORK,
@@ -85,6 +87,10 @@
   { .name = "kq_stalls_total", .help = "Tasks that stood still." },
   { .name = "kq_preemptions_total",
     .help = "Tasks stopped to make room for a long-running one." },
+  { .name = "kq_long_running_overdue",
+    .help = "Long-running tasks that have not run for 2 s after a loss." },
+  { .name = "kq_long_running_beside_room_total",
+    .help = "Checks in which a worker had room for such a task twice over." },
   { .name = "kq_holds_total",
     .help = "Large tasks for which room was held at a worker." },
   { .name = "kq_urgent_preemptions_total",
@@ -174,6 +180,9 @@
   kq_metric_set (&gauges[GAUGE_FILLERS_STOPPED], counts->moves);
   kq_metric_set (&gauges[GAUGE_STALLS], counts->stalls);
   kq_metric_set (&gauges[GAUGE_PREEMPTIONS], counts->preemptions);
+  kq_metric_set (&gauges[GAUGE_OVERDUE_TASKS], counts->overdue_tasks);
+  kq_metric_set (&gauges[GAUGE_OVERDUE_BESIDE_ROOM],
+                 counts->overdue_beside_room);
   kq_metric_set (&gauges[GAUGE_HOLDS], counts->holds);
   kq_metric_set (&gauges[GAUGE_URGENT_PREEMPTIONS],
                  counts->urgent_preemptions);
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -20,6 +20,28 @@
 #include "sched/place.h"
 #include "sched/warmup.h"
 
+static const char *const ruled_out_names[KQ_SCHED_OUT_KINDS] = {
+  [KQ_SCHED_OUT_SERVICE] = "service",
+  [KQ_SCHED_OUT_LABEL] = "label",
+  [KQ_SCHED_OUT_DRAINING] = "draining",
+  [KQ_SCHED_OUT_EVACUATED] = "evacuated",
+  [KQ_SCHED_OUT_QUARANTINED] = "quarantined",
+  [KQ_SCHED_OUT_SILENT] = "silent",
+  [KQ_SCHED_OUT_CAPACITY] = "capacity",
+  [KQ_SCHED_OUT_LIMIT] = "limit_per_worker",
+  [KQ_SCHED_OUT_AVOIDED] = "failed_there",
+  [KQ_SCHED_OUT_NO_TICKET] = "no_ticket",
+  [KQ_SCHED_OUT_RESERVED] = "reserved",
+  [KQ_SCHED_OUT_COLD] = "cold",
+  [KQ_SCHED_OUT_INTERFERENCE] = "interference",
+};
+
+const char *
+kq_sched_ruled_out_name (enum kq_sched_ruled_out reason)
+{
+  return ruled_out_names[reason];
+}
+
 static int64_t
 age_ms (kq_usec at, struct kq_sched_now now)
 {
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -436,6 +436,7 @@
   uint64_t placement_pass; /* number of the current or last one */
   bool advice_in_flight;   /* a request to the policy service is in flight */
   kq_usec advice_retry_at; /* no request is sent before this time */
+  kq_usec overdue_checked_at; /* last check for overdue tasks; 0: none yet */
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
   bool superseded;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -11,6 +11,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/overdue.h"
 
 /* Interval at which the interference model is stored: a new owner that had
    to learn it again would slow down serving tasks meanwhile. */
@@ -409,4 +410,5 @@
   DL_FOREACH (sched->worker_list, worker) { worker_tick (sched, worker, now); }
   crash_tick (sched, now);
   evacuate_tick (sched, now);
+  overdue_tick (sched, now);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -437,6 +437,9 @@
   KQ_SCHED_OUT_KINDS
 };
 
+/** Returns the name of REASON in logs and explanations. */
+const char *kq_sched_ruled_out_name (enum kq_sched_ruled_out reason);
+
 /** Why the first candidate of a step is not given its task now. */
 enum kq_sched_held_back
 {
@@ -544,6 +547,9 @@
   int64_t preempted_work;      /**< discarded by these, in millionths of a
                                   core-second */
   int64_t preemptions_refused; /**< decisions that the budget did not allow */
+  int overdue_tasks; /**< long-running, not run for 2 s after a loss */
+  int64_t overdue_beside_room; /**< times per second and step that a worker had
+                                  room for such a task twice over */
   int64_t holds;           /**< workers whose room was held for a large task */
   int rack_waiting;        /**< tasks and gangs that wait for room in a
                               rack */
