--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -332,6 +332,71 @@
   ts_stop (&cell);
 }
 
+/* A lasting task that has failed at the only worker with room keeps away from
+   it for a while; the other task of its step, whose worker is lost, need not.
+ */
+static void
+test_task_beside_one_that_avoids_the_worker (void)
+{
+  struct kq_sched_step pair = lasting;
+  struct kq_sched_ended failed;
+  const struct ts_order *first;
+  struct ts_cell cell;
+
+  pair.count = 2;
+  ts_start (&cell);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, LASTING, "urgent", &pair, 1);
+  add_idle_worker (&cell, "a", 4000);
+  ts_advance (&cell, 100);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 1);
+  ts_submit (&cell, SHORT, "batch", &small, 1);
+  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  first = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
+  CU_ASSERT_STRING_EQUAL (first->worker, "b");
+  end_run_as (&cell, SHORT, 1, KQ_SCHED_FAILED);
+  failed = ts_ended (first, 2, KQ_SCHED_FAILED);
+  ts_reply_poll (&cell, "b", NULL, 0, &failed, 1);
+  lose_worker (&cell, "a");
+  for (int ms = 0; ms < 1400; ms += 200)
+    {
+      ts_advance (&cell, 200);
+      ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
+    }
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  ts_stop (&cell);
+}
+
+/* The task that keeps the room of a reserved worker was to end soon, but takes
+   longer than it was declared to. */
+static void
+test_task_that_does_not_end_as_declared (void)
+{
+  struct kq_sched_running running;
+  struct kq_sched_ended stopped;
+  struct ts_order slow;
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  slow = start_job (&cell, BATCH, &batch);
+  lose_worker (&cell, "a");
+  for (int percent = 50; percent < 62; percent++)
+    {
+      running = ts_running (&slow, percent);
+      ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
+      ts_advance (&cell, 200);
+    }
+  CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 1);
+  stopped = ts_ended (&slow, 1, KQ_SCHED_STOPPED);
+  ts_reply_poll (&cell, "b", NULL, 0, &stopped, 1);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -341,6 +406,10 @@
   { "workers unheard since an outage", test_workers_unheard_since_an_outage },
   { "blocked by more urgent tasks", test_blocked_by_urgent_tasks },
   { "a quarantined worker", test_quarantined_worker },
+  { "a task beside one that avoids the worker",
+    test_task_beside_one_that_avoids_the_worker },
+  { "a task that does not end as declared",
+    test_task_that_does_not_end_as_declared },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
