sched: a full service keeps no task of another one from its workers

Callers saw jobs of one service wait beside idle workers for as long as another service was full: a placement pass remembered the smallest demand that found no worker for all services together, and skipped every stage that asks for as much.

That memory, and the one of fillers by image, belongs to the pool of a service now. Services beyond the eighth share a pool; what is remembered there is used for none of them but the first.

Ruled out: blocking by priority, which was by service already. Deployments with one service decide as before.

--- a/sched/explain-pass.c
+++ b/sched/explain-pass.c
@@ -126,7 +126,7 @@
   const struct task *task = explain_first_ready (other, false);
   struct place_candidate best;
 
-  if (place_cannot_fit (&run->pass, other, run->now))
+  if (place_cannot_fit (&run->pass, pool, other, run->now))
     return explain_first_ready (other, true);
   add_waiting (run, other, other->step->gang ? other->ready_count : 1);
   if (*searches == MAX_SEARCHES)
@@ -145,7 +145,7 @@
       > 0)
     return NULL;
   if (task->avoided_worker == NULL)
-    place_remember_unplaced (&run->pass, other);
+    place_remember_unplaced (pool, other);
   return task;
 }
 
@@ -155,7 +155,6 @@
   struct stage *other;
   int searches = 0;
 
-  memset (&run->pass, 0, sizeof run->pass);
   run->dry.placement_pass++;
   place_sum_pools (&run->dry, &run->pass, run->now);
   DL_FOREACH (run->dry.queue, other)
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -229,7 +229,7 @@
 
   if (place_is_blocked (pool, stage))
     return KQ_SCHED_HELD_BLOCKED;
-  if (place_cannot_fit (&run->pass, stage, run->now))
+  if (place_cannot_fit (&run->pass, pool, stage, run->now))
     return KQ_SCHED_HELD_NO_WORKER;
   if (!stage->step->gang && !place_leaves_reserve (pool, stage, run->now))
     return KQ_SCHED_HELD_RESERVE;
--- a/sched/place.c
+++ b/sched/place.c
@@ -70,19 +70,31 @@
 struct pool *
 place_pool (struct pass *pass, int service)
 {
+  struct pool *pool;
+
   for (int i = 0; i < pass->pool_count; i++)
     if (pass->pools[i].service == service)
       return &pass->pools[i];
   if (pass->pool_count == MAX_SERVICES)
     return &pass->pools[MAX_SERVICES - 1];
-  pass->pools[pass->pool_count].service = service;
-  return &pass->pools[pass->pool_count++];
+  pool = &pass->pools[pass->pool_count++];
+  pool->service = service;
+  pool->capacity = 0;
+  pool->used = 0;
+  pool->short_room = 0;
+  pool->large_room = 0;
+  pool->is_blocking = false;
+  pool->failed_images = 0;
+  pool->other_failed = false;
+  return pool;
 }
 
 void
 place_sum_pools (const struct kq_sched *sched, struct pass *pass,
                  struct kq_sched_now now)
 {
+  pass->has_quarantined = false;
+  pass->pool_count = 0;
   for (size_t i = 0; i < sched->worker_count; i++)
     {
       const struct worker *worker = sched->worker_array[i];
@@ -626,17 +638,20 @@
   queue_start_order (sched, task, now);
 }
 
-/* Whether a demand of at most that of STAGE found no room in this pass. */
+/* Whether a demand of at most that of STAGE found no room in this pass. An
+   entry that several services share says nothing about any of them. */
 static bool
-is_known_unplaced (const struct pass *pass, const struct stage *stage)
+is_known_unplaced (const struct pool *pool, const struct stage *stage)
 {
   const struct kq_sched_step *step = stage->step;
 
+  if (pool->service != stage->job->service)
+    return false;
   if (!step->filler)
-    return pass->other_failed
-           && demand_covers (&step->demand, &pass->smallest_other);
-  return (pass->failed_images >> stage->image & 1) != 0
-         && demand_covers (&step->demand, &pass->smallest[stage->image]);
+    return pool->other_failed
+           && demand_covers (&step->demand, &pool->smallest_other);
+  return (pool->failed_images >> stage->image & 1) != 0
+         && demand_covers (&step->demand, &pool->smallest[stage->image]);
 }
 
 static bool
@@ -652,11 +667,11 @@
 /* Room that is kept for STAGE, and quarantined workers, were not open to the
    tasks that found none. */
 bool
-place_cannot_fit (const struct pass *pass, const struct stage *stage,
-                  struct kq_sched_now now)
+place_cannot_fit (const struct pass *pass, const struct pool *pool,
+                  const struct stage *stage, struct kq_sched_now now)
 {
   return stage->hold_count == 0 && stage->large_count == 0
-         && stage->reserved_count == 0 && is_known_unplaced (pass, stage)
+         && stage->reserved_count == 0 && is_known_unplaced (pool, stage)
          && !(pass->has_quarantined && has_task_for_quarantined (stage, now));
 }
 
@@ -682,22 +697,23 @@
 }
 
 void
-place_remember_unplaced (struct pass *pass, const struct stage *stage)
+place_remember_unplaced (struct pool *pool, const struct stage *stage)
 {
   const struct kq_sched_step *step = stage->step;
 
-  if (step->label[0] != '\0' || step->max_per_worker != 0 || step->gang
-      || stage->job->queue.advised || is_known_unplaced (pass, stage))
+  if (pool->service != stage->job->service || step->label[0] != '\0'
+      || step->max_per_worker != 0 || step->gang || stage->job->queue.advised
+      || is_known_unplaced (pool, stage))
     return;
   if (step->filler)
     {
-      pass->failed_images |= UINT64_C (1) << stage->image;
-      pass->smallest[stage->image] = step->demand;
+      pool->failed_images |= UINT64_C (1) << stage->image;
+      pool->smallest[stage->image] = step->demand;
     }
   else if (!step->long_running)
     {
-      pass->other_failed = true;
-      pass->smallest_other = step->demand;
+      pool->other_failed = true;
+      pool->smallest_other = step->demand;
     }
 }
 
@@ -710,7 +726,7 @@
   const struct task *unplaced;
   int from = 0;
 
-  if (place_cannot_fit (pass, stage, now))
+  if (place_cannot_fit (pass, pool, stage, now))
     return next_ready (stage, &from, now);
   if (stage->step->gang)
     {
@@ -721,14 +737,14 @@
   /* If a task avoids a worker, its failure does not show that capacity is
      short. */
   if (unplaced != NULL && unplaced->avoided_worker == NULL)
-    place_remember_unplaced (pass, stage);
+    place_remember_unplaced (pool, stage);
   return unplaced;
 }
 
 void
 kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
 {
-  struct pass pass = { .failed_images = 0 };
+  struct pass pass;
   struct stage *stage;
   struct stage *next;
 
--- a/sched/place.h
+++ b/sched/place.h
@@ -11,7 +11,9 @@
    share the last one. */
 #define MAX_SERVICES 8
 
-/* CPU of the usable workers of a service. */
+/* State of a service in one placement pass: the CPU of its usable workers, and
+   the smallest demand that none of them could take, for the fillers of each
+   image and for all other tasks; stages that demand as much are skipped. */
 struct pool
 {
   int service;
@@ -21,20 +23,18 @@
   int64_t large_room; /* of that, by the largest ones */
   bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
   int priority;
+  uint64_t failed_images; /* bit set of the images of fillers */
+  bool other_failed;
+  struct kq_sched_demand smallest[KQ_INTERFERENCE_IMAGES];
+  struct kq_sched_demand smallest_other;
 };
 
-/* State of one placement pass. It holds the smallest demand that no worker
-   could take, for the fillers of each image and for all other tasks; stages
-   that demand as much are skipped. */
+/* State of one placement pass. */
 struct pass
 {
-  uint64_t failed_images; /* bit set of the images of fillers */
-  bool other_failed;
   bool has_quarantined; /* a worker is quarantined */
   struct pool pools[MAX_SERVICES];
   int pool_count;
-  struct kq_sched_demand smallest[KQ_INTERFERENCE_IMAGES];
-  struct kq_sched_demand smallest_other;
 };
 
 /* A worker that may run a task, with its score: the lower, the better. */
@@ -90,10 +90,10 @@
 bool place_is_blocked (const struct pool *pool, const struct stage *stage);
 
 /* Records a demand that could not be placed only for lack of capacity. */
-void place_remember_unplaced (struct pass *pass, const struct stage *stage);
+void place_remember_unplaced (struct pool *pool, const struct stage *stage);
 /* Whether a demand of at most that of STAGE could not be placed in this pass,
    and no room is kept for STAGE. */
-bool place_cannot_fit (const struct pass *pass, const struct stage *stage,
-                       struct kq_sched_now now);
+bool place_cannot_fit (const struct pass *pass, const struct pool *pool,
+                       const struct stage *stage, struct kq_sched_now now);
 
 #endif
