sched: a task that avoids a worker does not keep its siblings from it

Callers saw a task that is to last stay down for 3 s although a worker had room for it: the tasks of a step are tried in order, and the first without a worker ended the search for all. That one had failed at the only worker with room and was to avoid it; its sibling, whose worker was lost, was not tried.

A search that fails now ends those of the other tasks only if they could use no more workers: tasks that avoid another worker, that accept quarantined ones or, if they are to last, that have run before are still tried.

Ruled out: a reservation, which is not made at a quarantined worker.

--- a/sched/place.c
+++ b/sched/place.c
@@ -585,36 +585,114 @@
     }
 }
 
-/* Returns the first task without a suitable worker, or NULL. */
+/* What became of a task for which a worker was searched. */
+enum search_result
+{
+  SEARCH_STARTED,
+  SEARCH_WAITS,    /* for room in its rack */
+  SEARCH_KEPT_OFF, /* there is room, but it is kept for short tasks */
+  SEARCH_NO_ROOM
+};
+
+static enum search_result
+place_task (struct kq_sched *sched, struct pool *pool, struct task *task,
+            struct kq_sched_now now)
+{
+  struct worker *worker;
+  bool waits;
+
+  sched->spare_large_room = service_spare_large_room (
+      sched, task, pool->large_room, pool->capacity);
+  sched->large_room_denied = false;
+  worker = choose_near_or_far (sched, task, now, &waits);
+  sched->spare_large_room = INT64_MAX;
+  if (waits)
+    return SEARCH_WAITS;
+  if (worker == NULL)
+    return sched->large_room_denied ? SEARCH_KEPT_OFF : SEARCH_NO_ROOM;
+  if (!place_leaves_short_room (sched, pool, worker, task))
+    return SEARCH_KEPT_OFF;
+  start_single (sched, pool, task, worker, now);
+  return SEARCH_STARTED;
+}
+
+/* What the tasks of a stage that found no worker in this pass had in common.
+   Others of the stage are tried only if they differ from all of them. */
+struct failed_search
+{
+  bool any;
+  const struct worker *avoided; /* by all of them; NULL: none */
+  bool quarantined;             /* one of them accepted quarantined workers */
+  bool has_run;                 /* one of them had run before */
+};
+
+/* Whether a worker that was closed to the tasks of FAILED may be open to
+   TASK. */
+static bool
+may_find_more (const struct task *task, const struct failed_search *failed,
+               struct kq_sched_now now)
+{
+  if (!failed->any)
+    return true;
+  return (failed->avoided != NULL
+          && !place_avoids_worker (task, failed->avoided, now))
+         || (accepts_quarantined (task, now) && !failed->quarantined)
+         || (task->stage->step->long_running && task->run > 0
+             && !failed->has_run);
+}
+
+static void
+add_failure (struct failed_search *failed, const struct task *task,
+             struct kq_sched_now now)
+{
+  const struct worker *avoided
+      = failed->any ? failed->avoided : task->avoided_worker;
+
+  failed->avoided = avoided != NULL && place_avoids_worker (task, avoided, now)
+                        ? avoided
+                        : NULL;
+  failed->quarantined |= accepts_quarantined (task, now);
+  failed->has_run |= task->run > 0;
+  failed->any = true;
+}
+
+/* Whether no other task of STAGE needs to be tried. */
+static bool
+is_search_exhausted (const struct stage *stage,
+                     const struct failed_search *failed)
+{
+  return failed->any && failed->avoided == NULL
+         && (!stage->step->long_running
+             || (failed->quarantined && failed->has_run));
+}
+
+/* Returns a task without a suitable worker, or NULL. */
 static const struct task *
 place_single (struct kq_sched *sched, struct pool *pool, struct stage *stage,
               struct kq_sched_now now)
 {
+  const struct task *unplaced = NULL;
+  struct failed_search failed = { .any = false };
   int from = 0;
   struct task *task;
 
   place_reserved (sched, pool, stage, now);
   rack_choose_for_group (sched, stage, now);
-  while (place_leaves_reserve (pool, stage, now)
+  while (!is_search_exhausted (stage, &failed)
+         && place_leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from, now)) != NULL)
     {
-      struct worker *worker;
-      bool waits;
-
-      sched->spare_large_room = service_spare_large_room (
-          sched, task, pool->large_room, pool->capacity);
-      sched->large_room_denied = false;
-      worker = choose_near_or_far (sched, task, now, &waits);
-      sched->spare_large_room = INT64_MAX;
-      if (waits)
+      enum search_result result;
+
+      if (!may_find_more (task, &failed, now))
         continue;
-      if (worker == NULL)
-        return sched->large_room_denied ? NULL : task;
-      if (!place_leaves_short_room (sched, pool, worker, task))
-        return NULL;
-      start_single (sched, pool, task, worker, now);
+      result = place_task (sched, pool, task, now);
+      if (result == SEARCH_NO_ROOM)
+        unplaced = task;
+      if (result == SEARCH_NO_ROOM || result == SEARCH_KEPT_OFF)
+        add_failure (&failed, task, now);
     }
-  return NULL;
+  return unplaced;
 }
 
 /* Places one filler of a job where it causes the least interference, even
