sched: a reservation waits no longer than planned for tasks to end

A worker reserved for a task that is to last waited for as long as a task there claimed to end within a second. Declared lengths may be far off: one that was declared to take 600 ms and kept reporting progress held the worker for its whole length, closed to all others, and the lasting task stayed down.

After the planned second the tasks that still keep the room are stopped, as others are when the worker is reserved; the reservation ends if that cannot make room. Ruled out: the detection of stalled tasks, which needs a task without any progress.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -122,6 +122,7 @@
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   struct worker *reserved_worker; /* kept free for it while it is ready */
+  kq_usec reserved_at;            /* since when */
   struct task *reserved_next;     /* list of the reservations there */
   struct worker *large_worker;    /* its room there is left to it while it is
                                      ready (large.c) */
@@ -751,8 +752,10 @@
                         struct kq_sched_now now);
 void reserve_clear (struct task *task);
 /* Ends the reservations of tasks of STAGE at workers that may not run them any
-   more, or have no room for them without further stops. */
-void reserve_check (struct stage *stage, struct kq_sched_now now);
+   more, or will have no room for them; stops tasks there that were expected to
+   end and have not. */
+void reserve_check (struct kq_sched *sched, struct stage *stage,
+                    struct kq_sched_now now);
 /* Whether WORKER is not reserved for a task other than TASK. */
 bool reserve_allows (const struct worker *worker, const struct task *task);
 /* Adds (SIGN 1) or subtracts (SIGN -1) what the end of a task of STEP frees;
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -15,9 +15,10 @@
    reserves a worker. */
 #define RESERVE_AFTER_US (200 * KQ_USEC_PER_MSEC)
 
-/* Tasks at a reserved worker that end within this time are waited for. A
-   long-running task may be down for 3 s; the time until its loss is noticed,
-   the stop and the start take part of it. */
+/* Tasks at a reserved worker that end within this time are waited for, but no
+   longer: declared lengths may be far off. A long-running task may be down for
+   3 s; the time until its loss is noticed, the stop and the start take part of
+   it. */
 #define WAIT_FOR_END_MS 1000
 
 /* Maximum number of tasks stopped for one task. */
@@ -237,11 +238,13 @@
   return !step->long_running && !step->gang;
 }
 
+/* Whether the end of TASK is awaited; with IS_PATIENT, also that of one which
+   is expected to end by itself. */
 static bool
-ends_soon (const struct task *task)
+ends_soon (const struct task *task, bool is_patient)
 {
   return task->stop_wanted
-         || (!task->stage->step->long_running
+         || (is_patient && !task->stage->step->long_running
              && remaining_ms (task) <= WAIT_FOR_END_MS);
 }
 
@@ -254,11 +257,12 @@
   free->gpu += sign * step->demand.gpu;
 }
 
-/* Fills PLAN with the tasks at WORKER that have to be stopped for DEMAND.
-   Returns whether there is room then. */
+/* Fills PLAN with the tasks at WORKER that have to be stopped for DEMAND
+   beside what is reserved there; with IS_PATIENT, those that end soon are
+   waited for. Returns whether there is room then. */
 static bool
 plan_room (const struct worker *worker, const struct kq_sched_demand *demand,
-           struct room_plan *plan)
+           bool is_patient, struct room_plan *plan)
 {
   const struct kq_sched_demand *capacity = &worker->report.capacity;
   const struct kq_sched_demand *used = &worker->used;
@@ -274,7 +278,7 @@
   plan->cost = 0;
   DL_FOREACH (worker->tasks, task)
   {
-    if (ends_soon (task))
+    if (ends_soon (task, is_patient))
       reserve_add_freed (&free, task->stage->step, 1);
   }
   DL_FOREACH (worker->tasks, task)
@@ -283,7 +287,7 @@
 
     if (demand_covers (&free, demand) || plan->stop_count == MAX_STOPS)
       break;
-    if (ends_soon (task) || !may_stop (task))
+    if (ends_soon (task, is_patient) || !may_stop (task))
       continue;
     reserve_add_freed (&free, step, 1);
     plan->stops[plan->stop_count++] = task;
@@ -325,6 +329,20 @@
                 < max;
 }
 
+static void
+stop_planned (struct kq_sched *sched, const struct room_plan *plan,
+              struct kq_sched_now now)
+{
+  for (int i = 0; i < plan->stop_count; i++)
+    {
+      sched->counts.preemptions++;
+      task_log (plan->stops[i], "task preempted",
+                "a long-running task needs its room");
+      preempt_note_stop (plan->stops[i], now);
+      task_stop (sched, plan->stops[i], now);
+    }
+}
+
 static void
 reserve (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
 {
@@ -338,7 +356,7 @@
     struct room_plan plan;
 
     if (worker == task->avoided_worker || !may_reserve (worker, task, now)
-        || !plan_room (worker, &stage->step->demand, &plan)
+        || !plan_room (worker, &stage->step->demand, true, &plan)
         || (best != NULL && plan.cost >= best_plan.cost))
       continue;
     best = worker;
@@ -349,27 +367,37 @@
   change_reserved (best, stage->step, 1);
   LL_PREPEND2 (best->reservations, task, reserved_next);
   task->reserved_worker = best;
+  task->reserved_at = now.mono;
   task->stage->reserved_count++;
   task_log (task, "worker reserved", best->report.id);
-  for (int i = 0; i < best_plan.stop_count; i++)
-    {
-      sched->counts.preemptions++;
-      task_log (best_plan.stops[i], "task preempted",
-                "a long-running task needs its room");
-      preempt_note_stop (best_plan.stops[i], now);
-      task_stop (sched, best_plan.stops[i], now);
-    }
+  stop_planned (sched, &best_plan, now);
 }
 
-/* Whether the room that is reserved at WORKER comes free without further
-   stops. Its capacity may have shrunk since the reservation. */
+/* Fills PLAN with the tasks at WORKER that have to be stopped now for what is
+   reserved there. Its capacity may have shrunk since the reservations. */
 static bool
-reservations_hold (const struct worker *worker)
+plan_reserved_room (const struct worker *worker, bool is_patient,
+                    struct room_plan *plan)
 {
   static const struct kq_sched_demand nothing_more = { 0, 0, 0 };
-  struct room_plan plan;
 
-  return plan_room (worker, &nothing_more, &plan) && plan.stop_count == 0;
+  return plan_room (worker, &nothing_more, is_patient, plan);
+}
+
+/* Whether the worker reserved for TASK may run it, and has room for it at once
+   or after stops that the reservation waits for or may still order. */
+static bool
+reservation_holds (const struct task *task, struct room_plan *plan,
+                   struct kq_sched_now now)
+{
+  const struct worker *worker = task->reserved_worker;
+  bool is_patient
+      = now.mono - task->reserved_at < WAIT_FOR_END_MS * KQ_USEC_PER_MSEC;
+
+  if (task->stage->job->queue.advised || !may_reserve (worker, task, now)
+      || !plan_reserved_room (worker, is_patient, plan))
+    return false;
+  return !is_patient || plan->stop_count == 0;
 }
 
 static bool
@@ -380,18 +408,22 @@
 }
 
 void
-reserve_check (struct stage *stage, struct kq_sched_now now)
+reserve_check (struct kq_sched *sched, struct stage *stage,
+               struct kq_sched_now now)
 {
   for (int i = 0; stage->reserved_count > 0 && i < stage->step->count; i++)
     {
       struct task *task = &stage->tasks[i];
-      const struct worker *worker = task->reserved_worker;
+      struct room_plan plan;
 
-      if (worker == NULL
-          || (!stage->job->queue.advised && may_reserve (worker, task, now)
-              && reservations_hold (worker)))
+      if (task->reserved_worker == NULL)
         continue;
-      task_log (task, "reservation ended", worker->report.id);
+      if (reservation_holds (task, &plan, now))
+        {
+          stop_planned (sched, &plan, now);
+          continue;
+        }
+      task_log (task, "reservation ended", task->reserved_worker->report.id);
       reserve_clear (task);
     }
 }
