sched: no task is called overdue while nothing may be started

The conditions for starts stand in one function, place_is_permitted(), which the placement, the moves out of a zone and this check ask. No decision changes: test-sched and test-evacuate pass as before.

--- a/sched/evacuate.c
+++ b/sched/evacuate.c
@@ -316,10 +316,7 @@
 {
   struct move_pass pass = { .sched = sched, .now = now };
 
-  if (sched->zones.count == 0 || sched->superseded
-      || !grant_is_current (sched, now)
-      || !worker_reports_are_current (sched, now)
-      || !evacuate_is_current (sched, now))
+  if (sched->zones.count == 0 || !place_is_permitted (sched, now))
     return;
   for (size_t i = 0; i < sched->worker_count; i++)
     sched->worker_array[i]->planned = (struct kq_sched_demand){ 0, 0, 0 };
--- a/sched/overdue.c
+++ b/sched/overdue.c
@@ -127,7 +127,8 @@
   const struct stage *stage;
   int compared = 0;
 
-  if (now.mono - sched->overdue_checked_at < CHECK_INTERVAL_US)
+  if (now.mono - sched->overdue_checked_at < CHECK_INTERVAL_US
+      || !place_is_permitted (sched, now))
     return;
   sched->overdue_checked_at = now.mono;
   sched->counts.overdue_tasks = 0;
--- a/sched/place.c
+++ b/sched/place.c
@@ -819,6 +819,14 @@
   return unplaced;
 }
 
+bool
+place_is_permitted (const struct kq_sched *sched, struct kq_sched_now now)
+{
+  return !sched->superseded && grant_is_current (sched, now)
+         && worker_reports_are_current (sched, now)
+         && evacuate_is_current (sched, now);
+}
+
 void
 kq_sched_place (struct kq_sched *sched, struct kq_sched_now now)
 {
@@ -827,11 +835,8 @@
   struct stage *next;
 
   crash_end_jobs (sched, now);
-  if (sched->superseded
-      || (!sched->placement_due && !warmup_is_placement_due (sched, now))
-      || !grant_is_current (sched, now)
-      || !worker_reports_are_current (sched, now)
-      || !evacuate_is_current (sched, now))
+  if ((!sched->placement_due && !warmup_is_placement_due (sched, now))
+      || !place_is_permitted (sched, now))
     return;
   sched->placement_due = false;
   reserve_expire_holds (sched, now);
--- a/sched/place.h
+++ b/sched/place.h
@@ -44,6 +44,11 @@
   int64_t points;
 };
 
+/* Whether this owner may start tasks: its term, and what it has read of the
+   workers and of the zones under evacuation, are recent enough. */
+bool place_is_permitted (const struct kq_sched *sched,
+                         struct kq_sched_now now);
+
 /* Returns the entry of SERVICE in PASS, which is added if it is new. */
 struct pool *place_pool (struct pass *pass, int service);
 
