--- a/t/test-overdue.c
+++ b/t/test-overdue.c
@@ -80,10 +80,28 @@
   ts_stop (&cell);
 }
 
+/* Once the term of the owner is not confirmed nothing is started, whatever room
+   there is. */
+static void
+test_store_away (void)
+{
+  struct ts_cell cell;
+  int64_t checks;
+
+  lose_worker_beside (&cell, 6000);
+  cell.store_down = true;
+  ts_advance (&cell, 3000);
+  checks = count (&cell).overdue_beside_room;
+  ts_advance (&cell, 3000);
+  CU_ASSERT_EQUAL (count (&cell).overdue_beside_room, checks);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "room twice over", test_room_twice_over },
   { "room for one", test_room_for_one },
   { "a task that runs again", test_task_that_runs_again },
+  { "store away", test_store_away },
 };
 
 KQ_TEST_MAIN ("test-overdue", tests)
