sched: a younger and an avoiding task do not keep a third from a worker

Of a step that is to last, the first task had not waited long enough for a quarantined worker, the second had and avoided it as it had failed there, and the third, which may use it, was not tried: what the first and the second could not use was added up although neither knew this worker as full.

What is closed is kept by class now: new tasks, those that have run, and those that accept quarantined workers; a failure counts for its own class and those that may start at fewer workers.

--- a/sched/place.c
+++ b/sched/place.c
@@ -616,54 +616,73 @@
   return SEARCH_STARTED;
 }
 
-/* What the tasks of a stage that found no worker in this pass had in common.
-   Others of the stage are tried only if they differ from all of them. */
+/* Tasks of a stage by the workers that are closed to them: each may start
+   wherever those before it may, but for the worker that it avoids. */
+enum search_class
+{
+  CLASS_NEW,
+  CLASS_HAS_RUN,           /* a long-running task that goes on after a loss */
+  CLASS_TAKES_QUARANTINED, /* and has waited for long */
+  CLASS_COUNT
+};
+
+/* What the tasks of a stage left closed to a class that found no worker in
+   this pass. */
 struct failed_search
 {
   bool any;
   const struct worker *avoided; /* by all of them; NULL: none */
-  bool quarantined;             /* one of them accepted quarantined workers */
-  bool has_run;                 /* one of them had run before */
 };
 
+static enum search_class
+search_class (const struct task *task, struct kq_sched_now now)
+{
+  if (!task->stage->step->long_running || task->run == 0)
+    return CLASS_NEW;
+  return accepts_quarantined (task, now) ? CLASS_TAKES_QUARANTINED
+                                         : CLASS_HAS_RUN;
+}
+
 /* Whether a worker that was closed to the tasks of FAILED may be open to
    TASK. */
 static bool
-may_find_more (const struct task *task, const struct failed_search *failed,
+may_find_more (const struct task *task,
+               const struct failed_search failed[CLASS_COUNT],
                struct kq_sched_now now)
 {
-  if (!failed->any)
-    return true;
-  return (failed->avoided != NULL
-          && !place_avoids_worker (task, failed->avoided, now))
-         || (accepts_quarantined (task, now) && !failed->quarantined)
-         || (task->stage->step->long_running && task->run > 0
-             && !failed->has_run);
+  const struct failed_search *same = &failed[search_class (task, now)];
+
+  return !same->any
+         || (same->avoided != NULL
+             && !place_avoids_worker (task, same->avoided, now));
 }
 
 static void
-add_failure (struct failed_search *failed, const struct task *task,
+add_failure (struct failed_search failed[CLASS_COUNT], const struct task *task,
              struct kq_sched_now now)
 {
-  const struct worker *avoided
-      = failed->any ? failed->avoided : task->avoided_worker;
-
-  failed->avoided = avoided != NULL && place_avoids_worker (task, avoided, now)
-                        ? avoided
-                        : NULL;
-  failed->quarantined |= accepts_quarantined (task, now);
-  failed->has_run |= task->run > 0;
-  failed->any = true;
+  for (int i = search_class (task, now); i >= 0; i--)
+    {
+      const struct worker *avoided
+          = failed[i].any ? failed[i].avoided : task->avoided_worker;
+
+      failed[i].avoided
+          = avoided != NULL && place_avoids_worker (task, avoided, now)
+                ? avoided
+                : NULL;
+      failed[i].any = true;
+    }
 }
 
 /* Whether no other task of STAGE needs to be tried. */
 static bool
 is_search_exhausted (const struct stage *stage,
-                     const struct failed_search *failed)
+                     const struct failed_search failed[CLASS_COUNT])
 {
-  return failed->any && failed->avoided == NULL
-         && (!stage->step->long_running
-             || (failed->quarantined && failed->has_run));
+  const struct failed_search *last
+      = &failed[stage->step->long_running ? CLASS_COUNT - 1 : CLASS_NEW];
+
+  return last->any && last->avoided == NULL;
 }
 
 /* Returns a task without a suitable worker, or NULL. */
@@ -672,25 +691,25 @@
               struct kq_sched_now now)
 {
   const struct task *unplaced = NULL;
-  struct failed_search failed = { .any = false };
+  struct failed_search failed[CLASS_COUNT] = { { .any = false } };
   int from = 0;
   struct task *task;
 
   place_reserved (sched, pool, stage, now);
   rack_choose_for_group (sched, stage, now);
-  while (!is_search_exhausted (stage, &failed)
+  while (!is_search_exhausted (stage, failed)
          && place_leaves_reserve (pool, stage, now)
          && (task = next_ready (stage, &from, now)) != NULL)
     {
       enum search_result result;
 
-      if (!may_find_more (task, &failed, now))
+      if (!may_find_more (task, failed, now))
         continue;
       result = place_task (sched, pool, task, now);
       if (result == SEARCH_NO_ROOM)
         unplaced = task;
       if (result == SEARCH_NO_ROOM || result == SEARCH_KEPT_OFF)
-        add_failure (&failed, task, now);
+        add_failure (failed, task, now);
     }
   return unplaced;
 }
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -398,6 +398,46 @@
   ts_stop (&cell);
 }
 
+/* Of three tasks of a step the first has not waited long enough for a
+   quarantined worker, the second avoids it, and the third may use it. */
+static void
+test_task_beside_a_younger_and_an_avoiding_one (void)
+{
+  struct kq_sched_step three = lasting;
+  struct kq_sched_ended failed;
+  const struct ts_order *second;
+  struct ts_cell cell;
+
+  three.count = 3;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 3400);
+  ts_submit (&cell, LASTING, "urgent", &three, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_advance (&cell, 100);
+  add_idle_worker (&cell, "c", 3400);
+  ts_advance (&cell, 100);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 2), 1);
+  ts_submit (&cell, SHORT, "batch", &small, 1);
+  end_run_as (&cell, SHORT, 1, KQ_SCHED_FAILED);
+  second = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (second);
+  CU_ASSERT_STRING_EQUAL (second->worker, "b");
+  CU_ASSERT_STRING_EQUAL (
+      ts_last_order (&cell, KQ_SCHED_FX_START, SHORT, 0, 0)->worker, "b");
+  failed = ts_ended (second, 2, KQ_SCHED_FAILED);
+  ts_reply_poll (&cell, "b", NULL, 0, &failed, 1);
+  lose_worker (&cell, "c");
+  for (int ms = 0; ms < 1400; ms += 200)
+    {
+      if (ms == 800)
+        lose_worker (&cell, "a");
+      ts_advance (&cell, 200);
+      ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
+    }
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 2), 2);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -411,6 +451,8 @@
     test_task_beside_one_that_avoids_the_worker },
   { "a task that does not end as declared",
     test_task_that_does_not_end_as_declared },
+  { "a task beside a younger and an avoiding one",
+    test_task_beside_a_younger_and_an_avoiding_one },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
