sched: a large task starts at its room though another one waits

Room is held for the large tasks of a step at a worker each. If that of a later task came free first, the first task found no room, which ended the search, and the worker stayed closed to tasks of its priority and lower ones: the room was used by none until the tasks at the first worker ended.

Tasks with held room are tried at their worker first, as those with a reserved one are.

t/test-waits failed before on (no start order 200 ms after the room came free) and passes now.

--- a/sched/place.c
+++ b/sched/place.c
@@ -565,6 +565,22 @@
   queue_start_order (sched, task, now);
 }
 
+/* Starts TASK at WORKER, which keeps room for it, if it may start there now.
+ */
+static void
+start_at_kept_worker (struct kq_sched *sched, struct pool *pool,
+                      struct task *task, struct worker *worker,
+                      struct kq_sched_now now)
+{
+  double interference;
+
+  if (task->state != TASK_READY || task_awaits_other_run (task, now)
+      || worker == NULL
+      || !suits (sched, worker, task, now, false, &interference))
+    return;
+  start_single (sched, pool, task, worker, now);
+}
+
 /* Places the tasks of STAGE that have a reserved worker with room now: the
    first task may find none, and no other task may use that room. */
 static void
@@ -572,16 +588,21 @@
                 struct kq_sched_now now)
 {
   for (int i = 0; stage->reserved_count > 0 && i < stage->step->count; i++)
+    start_at_kept_worker (sched, pool, &stage->tasks[i],
+                          stage->tasks[i].reserved_worker, now);
+}
+
+/* The same for the large tasks of STAGE whose room is held. */
+static void
+place_large (struct kq_sched *sched, struct pool *pool, struct stage *stage,
+             struct kq_sched_now now)
+{
+  for (int i = 0; stage->large_count > 0 && i < stage->step->count; i++)
     {
       struct task *task = &stage->tasks[i];
-      struct worker *worker = task->reserved_worker;
-      double interference;
 
-      if (task->state != TASK_READY || task_awaits_other_run (task, now)
-          || worker == NULL
-          || !suits (sched, worker, task, now, false, &interference))
-        continue;
-      start_single (sched, pool, task, worker, now);
+      if (task->wait_began == 0 && place_leaves_reserve (pool, stage, now))
+        start_at_kept_worker (sched, pool, task, task->large_worker, now);
     }
 }
 
@@ -696,6 +717,7 @@
   struct task *task;
 
   place_reserved (sched, pool, stage, now);
+  place_large (sched, pool, stage, now);
   rack_choose_for_group (sched, stage, now);
   while (!is_search_exhausted (stage, failed)
          && place_leaves_reserve (pool, stage, now)
--- /dev/null
+++ b/t/test-waits.c
@@ -0,0 +1,77 @@
+/* Guards against tasks that wait beside a worker with room for them because
+ * another task may not start there.
+ */
+#include <string.h>
+
+#include "sched/internal.h"
+#include "t/kqtest.h"
+#include "t/lib-sched.h"
+
+#define FIRST_FILLS UINT64_C (3)
+#define SECOND_FILLS UINT64_C (4)
+#define LARGE UINT64_C (5)
+#define FIRST_SMALL UINT64_C (10)
+#define SMALL_JOBS 20
+
+static void
+add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
+{
+  ts_register_worker (cell, id, cpu, 4000);
+  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
+}
+
+static void
+end_run (struct ts_cell *cell, uint64_t job, int64_t number,
+         enum kq_sched_end how)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+  struct kq_sched_ended ended;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+  ended = ts_ended (order, number, how);
+  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
+}
+
+/* Room is held for two large tasks at a worker each, and that of the second
+   one comes free first. */
+static void
+test_large_task_whose_room_comes_free_first (void)
+{
+  static const struct kq_sched_step small
+      = { .count = 1, .demand = { 1000, 10, 0 }, .est_ms = 100 };
+  static const struct kq_sched_step large
+      = { .count = 2, .demand = { 10000, 100, 0 }, .est_ms = 5000 };
+  struct kq_sched_step filling
+      = { .count = 1, .demand = { 12000, 100, 0 }, .est_ms = 2000 };
+  struct ts_cell *cell = ts_create ();
+  const struct ts_order *start;
+  struct kq_sched_counts counts;
+
+  add_idle_worker (cell, "a", 16000);
+  ts_submit (cell, FIRST_FILLS, "urgent", &filling, 1);
+  add_idle_worker (cell, "b", 16000);
+  filling.est_ms = 1500;
+  ts_submit (cell, SECOND_FILLS, "urgent", &filling, 1);
+  /* Too small for a large task; a quarter of all room may be held. */
+  for (int i = 0; i < 6; i++)
+    add_idle_worker (cell, (char[]){ (char)('c' + i), '\0' }, 8000);
+  for (int i = 0; i < SMALL_JOBS; i++)
+    ts_submit (cell, FIRST_SMALL + (uint64_t)i, "urgent", &small, 1);
+  ts_submit (cell, LARGE, "urgent", &large, 1);
+  ts_advance (cell, 300);
+  kq_sched_count (cell->sched, &counts);
+  CU_ASSERT_EQUAL (counts.holds, 2);
+  end_run (cell, FIRST_FILLS, 1, KQ_SCHED_DONE);
+  ts_advance (cell, 200);
+  start = ts_last_order (cell, KQ_SCHED_FX_START, LARGE, 0, 1);
+  CU_ASSERT_PTR_NOT_NULL (start);
+  ts_destroy (cell);
+}
+
+static const struct kq_test tests[] = {
+  { "a large task whose room comes free first",
+    test_large_task_whose_room_comes_free_first },
+};
+
+KQ_TEST_MAIN ("test-waits", tests)
