sched: a task that avoids a worker blocks no lower priority

An urgent task that had failed at the only worker with room avoids it for 3 s, and for as long all tasks of lower priorities waited beside that worker: the task was taken for one that lacks capacity. It blocks them now only if the worker that it avoids has no room for it either.

t/test-waits, "a task behind one that avoids the worker", failed before on (no start order after 200 ms) and passes now.

--- a/sched/explain-pass.c
+++ b/sched/explain-pass.c
@@ -168,6 +168,6 @@
       continue;
     task = unplaced_task (run, other, &searches);
     if (task != NULL && !other->job->queue.advised)
-      place_block_lower (pool, other, task->ready_at, run->now);
+      place_block_lower (pool, task, run->now);
   }
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -794,15 +794,26 @@
          && !(pass->has_quarantined && has_task_for_quarantined (stage, now));
 }
 
+/* Whether TASK could start now if it did not avoid a worker. */
+static bool
+avoids_room (const struct task *task, struct kq_sched_now now)
+{
+  const struct worker *worker = task->avoided_worker;
+
+  return worker != NULL && place_avoids_worker (task, worker, now)
+         && place_fits (worker, task->stage, now);
+}
+
 void
-place_block_lower (struct pool *pool, const struct stage *stage,
-                   kq_usec ready_at, struct kq_sched_now now)
+place_block_lower (struct pool *pool, const struct task *task,
+                   struct kq_sched_now now)
 {
+  const struct stage *stage = task->stage;
   const struct kq_sched_step *step = stage->step;
 
   if (pool->is_blocking || stage->lateness != 0 || step->filler || step->gang
       || step->label[0] != '\0' || step->max_per_worker != 0
-      || now.mono - ready_at >= BLOCK_TIME_US)
+      || now.mono - task->ready_at >= BLOCK_TIME_US || avoids_room (task, now))
     return;
   pool->is_blocking = true;
   pool->priority = stage->job->queue.priority;
@@ -910,7 +921,7 @@
         large_hold_room (sched, stage, now);
       }
     preempt_for_stage (sched, stage, unplaced, now);
-    place_block_lower (pool, stage, unplaced->ready_at, now);
+    place_block_lower (pool, unplaced, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
   }
--- a/sched/place.h
+++ b/sched/place.h
@@ -86,10 +86,10 @@
                   struct kq_sched_now now, const char *rack, bool disturbing,
                   struct place_candidate *best, int max);
 
-/* Blocks lower priorities for STAGE, which found no capacity and has a task
-   that has been ready since READY_AT. */
-void place_block_lower (struct pool *pool, const struct stage *stage,
-                        kq_usec ready_at, struct kq_sched_now now);
+/* Blocks lower priorities for TASK, which found no capacity, unless it avoids
+   a worker that has some. */
+void place_block_lower (struct pool *pool, const struct task *task,
+                        struct kq_sched_now now);
 /* Whether the tasks of STAGE wait for more urgent ones. Those that have held
    room do not. */
 bool place_is_blocked (const struct pool *pool, const struct stage *stage);
--- a/t/test-waits.c
+++ b/t/test-waits.c
@@ -7,6 +7,8 @@
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
+#define URGENT UINT64_C (1)
+#define BATCH UINT64_C (2)
 #define FIRST_FILLS UINT64_C (3)
 #define SECOND_FILLS UINT64_C (4)
 #define LARGE UINT64_C (5)
@@ -33,6 +35,26 @@
   ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
 }
 
+/* An urgent task avoids the only worker, where it has failed: that shows no
+   lack of capacity to tasks of lower priority. */
+static void
+test_task_behind_one_that_avoids_the_worker (void)
+{
+  static const struct kq_sched_step step
+      = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 1000 };
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, URGENT, "urgent", &step, 1);
+  end_run (&cell, URGENT, 1, KQ_SCHED_FAILED);
+  ts_submit (&cell, BATCH, "batch", &step, 1);
+  ts_advance (&cell, 200);
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0));
+  ts_stop (&cell);
+}
+
 /* Room is held for two large tasks at a worker each, and that of the second
    one comes free first. */
 static void
@@ -70,6 +92,8 @@
 }
 
 static const struct kq_test tests[] = {
+  { "a task behind one that avoids the worker",
+    test_task_behind_one_that_avoids_the_worker },
   { "a large task whose room comes free first",
     test_large_task_whose_room_comes_free_first },
 };
