sched: services that share an entry of a pass do not block each other

Of nine services or more an urgent task without room of the ninth kept tasks of lower priority of the tenth from idle workers for up to 3 s.

t/test-services, "a task of a ninth service", failed before on and passes now. The capacity of shared entries is still added up (place_leaves_reserve, place_leaves_short_room).

--- a/sched/place.c
+++ b/sched/place.c
@@ -811,7 +811,8 @@
   const struct stage *stage = task->stage;
   const struct kq_sched_step *step = stage->step;
 
-  if (pool->is_blocking || stage->lateness != 0 || step->filler || step->gang
+  if (pool->service != stage->job->service || pool->is_blocking
+      || stage->lateness != 0 || step->filler || step->gang
       || step->label[0] != '\0' || step->max_per_worker != 0
       || now.mono - task->ready_at >= BLOCK_TIME_US || avoids_room (task, now))
     return;
@@ -823,6 +824,7 @@
 place_is_blocked (const struct pool *pool, const struct stage *stage)
 {
   return stage->hold_count == 0 && !stage->step->filler && pool->is_blocking
+         && pool->service == stage->job->service
          && stage->job->queue.priority > pool->priority;
 }
 
--- a/t/test-services.c
+++ b/t/test-services.c
@@ -81,9 +81,36 @@
   ts_stop (&cell);
 }
 
+/* Services beyond the eighth share an entry of a placement pass. */
+static void
+test_task_of_a_ninth_service (void)
+{
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
+  char name[] = "0";
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  strcpy (cell.queues[0].service, "s");
+  strcpy (cell.queues[1].service, "t");
+  event.u.config = &cell.config;
+  kq_sched_event (cell.sched, cell.now, &event);
+  for (; name[0] < '8'; name[0]++)
+    add_worker (&cell, name, name);
+  add_worker (&cell, "a", "s");
+  add_worker (&cell, "b", "t");
+  ts_submit (&cell, FILLS, "urgent", &step, 1);
+  ts_submit (&cell, WAITS, "urgent", &step, 1);
+  ts_submit (&cell, OTHER, "batch", &step, 1);
+  ts_advance (&cell, 100);
+  CU_ASSERT_FALSE (has_started (&cell, WAITS));
+  CU_ASSERT_TRUE (has_started (&cell, OTHER));
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a task of a service with room", test_task_of_a_service_with_room },
   { "a filler of a service with room", test_filler_of_a_service_with_room },
+  { "a task of a ninth service", test_task_of_a_ninth_service },
 };
 
 KQ_TEST_MAIN ("test-services", tests)
