sched: a task reserves a worker that it avoided once its time is over

A long-running task that had failed at a worker could start there again after 3 s but never reserve it, however long it waited: short tasks took each room that came free at the only worker that suits it.

--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -10,6 +10,7 @@
 #include <assert.h>
 
 #include "sched/internal.h"
+#include "sched/place.h"
 
 /* Time without capacity after which a long-running task that has run before
    reserves a worker. */
@@ -355,7 +356,8 @@
   {
     struct room_plan plan;
 
-    if (worker == task->avoided_worker || !may_reserve (worker, task, now)
+    if (place_avoids_worker (task, worker, now)
+        || !may_reserve (worker, task, now)
         || !plan_room (worker, &stage->step->demand, true, &plan)
         || (best != NULL && plan.cost >= best_plan.cost))
       continue;
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -438,6 +438,36 @@
   ts_stop (&cell);
 }
 
+/* A task that has failed at a worker avoids it for 3 s; after that it reserves
+   it as well. */
+static void
+test_worker_that_was_avoided (void)
+{
+  struct kq_sched_step slow = batch;
+  struct kq_sched_running running;
+  struct ts_order other;
+  struct ts_cell cell;
+
+  slow.est_ms = 60000;
+  ts_start (&cell);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  end_run_as (&cell, LASTING, 1, KQ_SCHED_FAILED);
+  ts_submit (&cell, BATCH, "urgent", &slow, 1);
+  ts_advance (&cell, 200);
+  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 1);
+  other = *ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0);
+  for (int i = 0; i < 20; i++)
+    {
+      running = ts_running (&other, 10 + i);
+      ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
+      ts_advance (&cell, 200);
+    }
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -453,6 +483,7 @@
     test_task_that_does_not_end_as_declared },
   { "a task beside a younger and an avoiding one",
     test_task_beside_a_younger_and_an_avoiding_one },
+  { "a worker that was avoided", test_worker_that_was_avoided },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
