sched: no filler is stopped for CPU that it does not hold

A lasting task without room had all tasks at its worker stopped in the order of their starts until there was room, also fillers, whose stop frees no CPU: their work was lost for nothing. As in preemption for urgent work, only tasks are stopped whose end brings more room.

t/test-reserve, "a filler whose stop does not help", failed before on (a stop order for the filler) and passes now.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -762,6 +762,10 @@
    fillers take only CPU that is left over. */
 void reserve_add_freed (struct kq_sched_demand *free,
                         const struct kq_sched_step *step, int sign);
+/* Whether the end of a task of STEP brings more room for DEMAND. */
+bool reserve_helps (const struct kq_sched_step *step,
+                    const struct kq_sched_demand *free,
+                    const struct kq_sched_demand *demand);
 /* Whether COUNT more rooms can be held. */
 bool reserve_can_hold (const struct kq_sched *sched, int count);
 /* Holds the room for one task of STAGE at WORKER, which need not be free
--- a/sched/preempt-search.c
+++ b/sched/preempt-search.c
@@ -121,16 +121,6 @@
   }
 }
 
-/* Whether the end of a task of STEP brings more room for DEMAND. */
-static bool
-helps (const struct kq_sched_step *step, const struct kq_sched_demand *free,
-       const struct kq_sched_demand *demand)
-{
-  return (free->cpu < demand->cpu && !step->filler && step->demand.cpu > 0)
-         || (free->mem < demand->mem && step->demand.mem > 0)
-         || (free->gpu < demand->gpu && step->demand.gpu > 0);
-}
-
 /* Leaves out of PLAN the tasks whose room is not needed for WANTED rooms:
    small ones that come before a large one which is enough by itself. */
 static void
@@ -170,7 +160,7 @@
 
   *plan = (struct plan){ .worker = worker };
   for (int i = 0; i < census->count && plan->stop_count < MAX_STOPS; i++)
-    if (helps (census->candidates[i]->stage->step, &free, &wanted))
+    if (reserve_helps (census->candidates[i]->stage->step, &free, &wanted))
       {
         reserve_add_freed (&free, census->candidates[i]->stage->step, 1);
         plan->stops[plan->stop_count++] = census->candidates[i];
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -258,6 +258,16 @@
   free->gpu += sign * step->demand.gpu;
 }
 
+bool
+reserve_helps (const struct kq_sched_step *step,
+               const struct kq_sched_demand *free,
+               const struct kq_sched_demand *demand)
+{
+  return (free->cpu < demand->cpu && !step->filler && step->demand.cpu > 0)
+         || (free->mem < demand->mem && step->demand.mem > 0)
+         || (free->gpu < demand->gpu && step->demand.gpu > 0);
+}
+
 /* Fills PLAN with the tasks at WORKER that have to be stopped for DEMAND
    beside what is reserved there; with IS_PATIENT, those that end soon are
    waited for. Returns whether there is room then. */
@@ -288,7 +298,8 @@
 
     if (demand_covers (&free, demand) || plan->stop_count == MAX_STOPS)
       break;
-    if (ends_soon (task, is_patient) || !may_stop (task))
+    if (ends_soon (task, is_patient) || !may_stop (task)
+        || !reserve_helps (step, &free, demand))
       continue;
     reserve_add_freed (&free, step, 1);
     plan->stops[plan->stop_count++] = task;
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -398,6 +398,33 @@
   ts_stop (&cell);
 }
 
+/* The stop of a filler brings no CPU for the lasting task. */
+static void
+test_filler_whose_stop_does_not_help (void)
+{
+  struct kq_sched_step filler = small;
+  struct kq_sched_step slow = batch;
+  struct ts_cell cell;
+
+  filler.filler = true;
+  filler.est_ms = 60000;
+  slow.est_ms = 60000;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, SHORT, "urgent", &filler, 1);
+  ts_submit (&cell, BATCH, "urgent", &slow, 1);
+  CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_START), 3);
+  list_runs (&cell, "b");
+  lose_worker (&cell, "a");
+  ts_advance (&cell, 400);
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
+  CU_ASSERT_PTR_NULL (ts_last_order (&cell, KQ_SCHED_FX_STOP, SHORT, 0, 0));
+  ts_stop (&cell);
+}
+
 /* Of three tasks of a step the first has not waited long enough for a
    quarantined worker, the second avoids it, and the third may use it. */
 static void
@@ -481,6 +508,8 @@
     test_task_beside_one_that_avoids_the_worker },
   { "a task that does not end as declared",
     test_task_that_does_not_end_as_declared },
+  { "a filler whose stop does not help",
+    test_filler_whose_stop_does_not_help },
   { "a task beside a younger and an avoiding one",
     test_task_beside_a_younger_and_an_avoiding_one },
   { "a worker that was avoided", test_worker_that_was_avoided },
