sched: a reservation that waited in vain is planned anew for all workers

After the planned second the tasks at the reserved worker were stopped whatever their stop lost, and where they may not be stopped the worker was reserved for the task again in the same pass, as its plan still cost nothing: beside a member of a gang that takes longer than declared a lasting task waited for ever, though a short task elsewhere could be stopped, and the worker was closed to all. One with 99 s of work done was stopped where another worker had a task that can be resumed.

The reservation ends now, and the worker for the next one is chosen without waiting for declared ends, by the work that is lost; only if no worker makes room so, one is waited for.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -752,10 +752,8 @@
                         struct kq_sched_now now);
 void reserve_clear (struct task *task);
 /* Ends the reservations of tasks of STAGE at workers that may not run them any
-   more, or will have no room for them; stops tasks there that were expected to
-   end and have not. */
-void reserve_check (struct kq_sched *sched, struct stage *stage,
-                    struct kq_sched_now now);
+   more, or have no room for them in time without further stops. */
+void reserve_check (struct stage *stage, struct kq_sched_now now);
 /* Whether WORKER is not reserved for a task other than TASK. */
 bool reserve_allows (const struct worker *worker, const struct task *task);
 /* Adds (SIGN 1) or subtracts (SIGN -1) what the end of a task of STEP frees;
--- a/sched/place.c
+++ b/sched/place.c
@@ -904,7 +904,7 @@
     const struct task *unplaced;
 
     large_check (stage, now);
-    reserve_check (sched, stage, now);
+    reserve_check (stage, now);
     if (place_is_blocked (pool, stage))
       {
         place_reserved (sched, pool, stage, now);
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -355,12 +355,15 @@
     }
 }
 
-static void
-reserve (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
+/* Returns the worker with the cheapest plan to make room for TASK, or NULL;
+   with IS_PATIENT, tasks that end soon are waited for. */
+static struct worker *
+choose_reserved (struct kq_sched *sched, const struct task *task,
+                 bool is_patient, struct room_plan *best_plan,
+                 struct kq_sched_now now)
 {
-  const struct stage *stage = task->stage;
+  const struct kq_sched_demand *demand = &task->stage->step->demand;
   struct worker *best = NULL;
-  struct room_plan best_plan = { .stop_count = 0 };
   struct worker *worker;
 
   DL_FOREACH (sched->worker_list, worker)
@@ -369,48 +372,57 @@
 
     if (place_avoids_worker (task, worker, now)
         || !may_reserve (worker, task, now)
-        || !plan_room (worker, &stage->step->demand, true, &plan)
-        || (best != NULL && plan.cost >= best_plan.cost))
+        || !plan_room (worker, demand, is_patient, &plan)
+        || (best != NULL && plan.cost >= best_plan->cost))
       continue;
     best = worker;
-    best_plan = plan;
+    *best_plan = plan;
   }
+  return best;
+}
+
+/* Whether the tasks that keep the room of a worker which was reserved at
+   SINCE are still waited for. */
+static bool
+is_patient (kq_usec since, struct kq_sched_now now)
+{
+  return now.mono - since < WAIT_FOR_END_MS * KQ_USEC_PER_MSEC;
+}
+
+static void
+reserve (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
+{
+  struct worker *best = NULL;
+  struct room_plan plan;
+
+  if (!is_patient (task->ready_at + RESERVE_AFTER_US, now))
+    best = choose_reserved (sched, task, false, &plan, now);
+  if (best == NULL)
+    best = choose_reserved (sched, task, true, &plan, now);
   if (best == NULL)
     return;
-  change_reserved (best, stage->step, 1);
+  change_reserved (best, task->stage->step, 1);
   LL_PREPEND2 (best->reservations, task, reserved_next);
   task->reserved_worker = best;
   task->reserved_at = now.mono;
   task->stage->reserved_count++;
   task_log (task, "worker reserved", best->report.id);
-  stop_planned (sched, &best_plan, now);
+  stop_planned (sched, &plan, now);
 }
 
-/* Fills PLAN with the tasks at WORKER that have to be stopped now for what is
-   reserved there. Its capacity may have shrunk since the reservations. */
+/* Whether the worker reserved for TASK may run it, and its room comes free
+   without further stops. Its capacity may have shrunk since. */
 static bool
-plan_reserved_room (const struct worker *worker, bool is_patient,
-                    struct room_plan *plan)
+reservation_holds (const struct task *task, struct kq_sched_now now)
 {
   static const struct kq_sched_demand nothing_more = { 0, 0, 0 };
-
-  return plan_room (worker, &nothing_more, is_patient, plan);
-}
-
-/* Whether the worker reserved for TASK may run it, and has room for it at once
-   or after stops that the reservation waits for or may still order. */
-static bool
-reservation_holds (const struct task *task, struct room_plan *plan,
-                   struct kq_sched_now now)
-{
   const struct worker *worker = task->reserved_worker;
-  bool is_patient
-      = now.mono - task->reserved_at < WAIT_FOR_END_MS * KQ_USEC_PER_MSEC;
+  struct room_plan plan;
 
-  if (task->stage->job->queue.advised || !may_reserve (worker, task, now)
-      || !plan_reserved_room (worker, is_patient, plan))
-    return false;
-  return !is_patient || plan->stop_count == 0;
+  return !task->stage->job->queue.advised && may_reserve (worker, task, now)
+         && plan_room (worker, &nothing_more,
+                       is_patient (task->reserved_at, now), &plan)
+         && plan.stop_count == 0;
 }
 
 static bool
@@ -421,21 +433,14 @@
 }
 
 void
-reserve_check (struct kq_sched *sched, struct stage *stage,
-               struct kq_sched_now now)
+reserve_check (struct stage *stage, struct kq_sched_now now)
 {
   for (int i = 0; stage->reserved_count > 0 && i < stage->step->count; i++)
     {
       struct task *task = &stage->tasks[i];
-      struct room_plan plan;
 
-      if (task->reserved_worker == NULL)
+      if (task->reserved_worker == NULL || reservation_holds (task, now))
         continue;
-      if (reservation_holds (task, &plan, now))
-        {
-          stop_planned (sched, &plan, now);
-          continue;
-        }
       task_log (task, "reservation ended", task->reserved_worker->report.id);
       reserve_clear (task);
     }
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -398,6 +398,82 @@
   ts_stop (&cell);
 }
 
+/* Lets the run of ORDER go on at PERCENT beside the other runs in RUNNING. */
+static void
+go_on (struct ts_cell *cell, const struct ts_order *order, int percent)
+{
+  struct kq_sched_running running = ts_running (order, percent);
+
+  ts_reply_poll (cell, order->worker, &running, 1, NULL, 0);
+}
+
+/* A member of a gang, which is not stopped, keeps the room of the reserved
+   worker for longer than declared; at another one a short task can be stopped.
+ */
+static void
+test_gang_that_does_not_end_as_declared (void)
+{
+  struct kq_sched_step gang = batch;
+  struct kq_sched_step slow = batch;
+  struct ts_order member;
+  struct ts_order other;
+  struct ts_cell cell;
+
+  gang.gang = true;
+  slow.est_ms = 60000;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  member = start_job (&cell, BATCH, &gang);
+  add_idle_worker (&cell, "c", 4000);
+  other = start_job (&cell, OTHER_BATCH, &slow);
+  lose_worker (&cell, "a");
+  for (int i = 0; i < 12; i++)
+    {
+      go_on (&cell, &member, 50 + i);
+      go_on (&cell, &other, 10);
+      ts_advance (&cell, 200);
+    }
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, OTHER_BATCH, 0, 0));
+  ts_stop (&cell);
+}
+
+/* The room of the worker reserved first does not come free in time: another
+   one is reserved if the stops there lose less work. */
+static void
+test_task_that_is_nearly_done (void)
+{
+  struct kq_sched_step nearly_done = batch;
+  struct kq_sched_step resumable = batch;
+  struct ts_order first;
+  struct ts_order second;
+  struct ts_cell cell;
+
+  nearly_done.est_ms = 100000;
+  resumable.est_ms = 60000;
+  resumable.checkpointable = true;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  first = start_job (&cell, BATCH, &nearly_done);
+  add_idle_worker (&cell, "c", 4000);
+  second = start_job (&cell, OTHER_BATCH, &resumable);
+  lose_worker (&cell, "a");
+  for (int i = 0; i < 9; i++)
+    {
+      go_on (&cell, &first, 99);
+      go_on (&cell, &second, 10);
+      ts_advance (&cell, 200);
+    }
+  CU_ASSERT_PTR_NULL (ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, OTHER_BATCH, 0, 0));
+  ts_stop (&cell);
+}
+
 /* The stop of a filler brings no CPU for the lasting task. */
 static void
 test_filler_whose_stop_does_not_help (void)
@@ -508,6 +584,9 @@
     test_task_beside_one_that_avoids_the_worker },
   { "a task that does not end as declared",
     test_task_that_does_not_end_as_declared },
+  { "a gang that does not end as declared",
+    test_gang_that_does_not_end_as_declared },
+  { "a task that is nearly done", test_task_that_is_nearly_done },
   { "a filler whose stop does not help",
     test_filler_whose_stop_does_not_help },
   { "a task beside a younger and an avoiding one",
