sched: a small task kept from held room does not keep a lost gang from it

A gang that is to last and lost its worker was not tried while a smaller short task of its service, tried before it, found no room, though a worker had some: it was held for a large short task, and only the short task has to leave it. Single lasting tasks came around this after 0.2 s by a reservation; gangs reserve nothing and waited as long as the short task.

--- a/sched/place.c
+++ b/sched/place.c
@@ -94,6 +94,7 @@
                  struct kq_sched_now now)
 {
   pass->has_quarantined = false;
+  pass->has_large_held = false;
   pass->pool_count = 0;
   for (size_t i = 0; i < sched->worker_count; i++)
     {
@@ -101,6 +102,7 @@
       struct pool *pool;
 
       pass->has_quarantined |= worker_is_quarantined (worker, now);
+      pass->has_large_held |= worker->large_count > 0;
       if (!worker_usable (worker, now))
         continue;
       pool = place_pool (pass, worker->service);
@@ -783,15 +785,25 @@
   return false;
 }
 
-/* Room that is kept for STAGE, and quarantined workers, were not open to the
-   tasks that found none. */
+static bool
+has_task_after_loss (const struct stage *stage)
+{
+  for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
+    if (stage->tasks[i].state == TASK_READY && stage->tasks[i].run > 0)
+      return true;
+  return false;
+}
+
+/* Room that is kept for STAGE or held for large tasks, and quarantined
+   workers, were not open to the tasks that found none. */
 bool
 place_cannot_fit (const struct pass *pass, const struct pool *pool,
                   const struct stage *stage, struct kq_sched_now now)
 {
   return stage->hold_count == 0 && stage->large_count == 0
          && stage->reserved_count == 0 && is_known_unplaced (pool, stage)
-         && !(pass->has_quarantined && has_task_for_quarantined (stage, now));
+         && !(pass->has_quarantined && has_task_for_quarantined (stage, now))
+         && !(pass->has_large_held && has_task_after_loss (stage));
 }
 
 /* Whether TASK could start now if it did not avoid a worker. */
--- a/sched/place.h
+++ b/sched/place.h
@@ -33,6 +33,7 @@
 struct pass
 {
   bool has_quarantined; /* a worker is quarantined */
+  bool has_large_held;  /* room is held for a large task (large.c) */
   struct pool pools[MAX_SERVICES];
   int pool_count;
 };
--- a/t/test-waits.c
+++ b/t/test-waits.c
@@ -91,11 +91,68 @@
   ts_destroy (cell);
 }
 
+/* Room is held at the only worker with some, which keeps a small task from it
+   but not a gang that goes on after a loss. */
+static void
+test_gang_behind_a_smaller_task (void)
+{
+  static const struct kq_sched_step small
+      = { .count = 1, .demand = { 1000, 10, 0 }, .est_ms = 100 };
+  static const struct kq_sched_step waiting
+      = { .count = 1, .demand = { 2000, 10, 0 }, .est_ms = 100 };
+  static const struct kq_sched_step large
+      = { .count = 1, .demand = { 10000, 100, 0 }, .est_ms = 5000 };
+  static const struct kq_sched_step filling
+      = { .count = 1, .demand = { 12000, 100, 0 }, .est_ms = 2000 };
+  static const struct kq_sched_step gang = { .count = 1,
+                                             .demand = { 3000, 100, 0 },
+                                             .est_ms = 100000,
+                                             .gang = true,
+                                             .long_running = true };
+  struct ts_cell *cell = ts_create ();
+  const struct ts_order *start;
+
+  add_idle_worker (cell, "z", 3000);
+  ts_submit (cell, BATCH, "urgent", &gang, 1);
+  add_idle_worker (cell, "a", 16000);
+  ts_submit (cell, FIRST_FILLS, "urgent", &filling, 1);
+  for (int i = 0; i < 32; i++)
+    add_idle_worker (cell, (char[]){ 'c', (char)('A' + i), '\0' }, 1000);
+  for (int i = 0; i < 36; i++)
+    ts_submit (cell, FIRST_SMALL + (uint64_t)i, "urgent", &small, 1);
+  ts_submit (cell, LARGE, "urgent", &large, 1);
+  ts_advance (cell, 300);
+  CU_ASSERT_PTR_NOT_NULL (
+      job_find (cell->sched, LARGE)->stages[0].tasks[0].large_worker);
+  for (int i = 0; i < 36; i++)
+    {
+      start = ts_last_order (cell, KQ_SCHED_FX_START,
+                             FIRST_SMALL + (uint64_t)i, 0, 0);
+      if (strcmp (start->worker, "a") == 0)
+        end_run (cell, FIRST_SMALL + (uint64_t)i, i + 1, KQ_SCHED_DONE);
+    }
+  ts_submit (cell, URGENT, "urgent", &waiting, 1);
+  ts_refuse_poll (cell, "z", cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
+  for (int i = 0; i < 5; i++)
+    {
+      start = ts_last_order (cell, KQ_SCHED_FX_START, FIRST_FILLS, 0, 0);
+      ts_reply_poll (cell, "a",
+                     (struct kq_sched_running[]){ ts_running (start, 10) }, 1,
+                     NULL, 0);
+      ts_advance (cell, 200);
+    }
+  CU_ASSERT_PTR_NULL (ts_last_order (cell, KQ_SCHED_FX_START, URGENT, 0, 0));
+  start = ts_last_order (cell, KQ_SCHED_FX_START, BATCH, 0, 0);
+  CU_ASSERT_EQUAL (start->run.run, 2);
+  ts_destroy (cell);
+}
+
 static const struct kq_test tests[] = {
   { "a task behind one that avoids the worker",
     test_task_behind_one_that_avoids_the_worker },
   { "a large task whose room comes free first",
     test_large_task_whose_room_comes_free_first },
+  { "a gang behind a smaller task", test_gang_behind_a_smaller_task },
 };
 
 KQ_TEST_MAIN ("test-waits", tests)
