sched: what a later reservation waits for is not stopped for an earlier one

Two lasting tasks may reserve one worker. When the planned second of the first one was over, the room of both was planned without waiting, so that tasks which the second reservation waited for were stopped 0.3 s after it was made: work lost for nothing.

A plan has two parts now: room for the task whose time is over, by stops only, and beside it room for the other reservations, for which tasks that end soon are waited for. An overdue reservation ends no others.

--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -239,14 +239,13 @@
   return !step->long_running && !step->gang;
 }
 
-/* Whether the end of TASK is awaited; with IS_PATIENT, also that of one which
-   is expected to end by itself. */
+/* Whether TASK is expected to end by itself in the time for which a
+   reservation waits. */
 static bool
-ends_soon (const struct task *task, bool is_patient)
+ends_soon (const struct task *task)
 {
-  return task->stop_wanted
-         || (is_patient && !task->stage->step->long_running
-             && remaining_ms (task) <= WAIT_FOR_END_MS);
+  return !task->stage->step->long_running
+         && remaining_ms (task) <= WAIT_FOR_END_MS;
 }
 
 void
@@ -268,46 +267,88 @@
          || (free->gpu < demand->gpu && step->demand.gpu > 0);
 }
 
-/* Fills PLAN with the tasks at WORKER that have to be stopped for DEMAND
-   beside what is reserved there; with IS_PATIENT, those that end soon are
-   waited for. Returns whether there is room then. */
+/* Room of a worker while a plan is made. */
+struct room_ahead
+{
+  struct kq_sched_demand now;   /* free, or being stopped */
+  struct kq_sched_demand later; /* that, and what ends soon */
+};
+
+static struct room_ahead
+room_ahead (const struct worker *worker)
+{
+  struct kq_sched_demand free = worker->report.capacity;
+  struct room_ahead room;
+  const struct task *task;
+
+  demand_add (&free, &worker->used, -1);
+  demand_add (&free, &worker->held, -1);
+  room = (struct room_ahead){ .now = free, .later = free };
+  DL_FOREACH (worker->tasks, task)
+  {
+    const struct kq_sched_step *step = task->stage->step;
+
+    if (task->stop_wanted)
+      reserve_add_freed (&room.now, step, 1);
+    if (task->stop_wanted || ends_soon (task))
+      reserve_add_freed (&room.later, step, 1);
+  }
+  return room;
+}
+
+/* Fills PLAN with the tasks at WORKER that have to be stopped for URGENT,
+   which waits for none to end by itself, and beside it for PATIENT, which
+   does. Returns whether there is room for both then. */
 static bool
-plan_room (const struct worker *worker, const struct kq_sched_demand *demand,
-           bool is_patient, struct room_plan *plan)
+plan_room (const struct worker *worker, const struct kq_sched_demand *urgent,
+           const struct kq_sched_demand *patient, struct room_plan *plan)
 {
-  const struct kq_sched_demand *capacity = &worker->report.capacity;
-  const struct kq_sched_demand *used = &worker->used;
-  const struct kq_sched_demand *reserved = &worker->reserved;
-  const struct kq_sched_demand *held = &worker->held;
-  struct kq_sched_demand free
-      = { .cpu = capacity->cpu - used->cpu - reserved->cpu - held->cpu,
-          .mem = capacity->mem - used->mem - reserved->mem - held->mem,
-          .gpu = capacity->gpu - used->gpu - reserved->gpu - held->gpu };
+  struct room_ahead room = room_ahead (worker);
+  struct kq_sched_demand both = *urgent;
   struct task *task;
 
+  demand_add (&both, patient, 1);
   plan->stop_count = 0;
   plan->cost = 0;
   DL_FOREACH (worker->tasks, task)
-  {
-    if (ends_soon (task, is_patient))
-      reserve_add_freed (&free, task->stage->step, 1);
-  }
-  DL_FOREACH (worker->tasks, task)
   {
     const struct kq_sched_step *step = task->stage->step;
+    bool soon = ends_soon (task);
 
-    if (demand_covers (&free, demand) || plan->stop_count == MAX_STOPS)
+    if (plan->stop_count == MAX_STOPS)
       break;
-    if (ends_soon (task, is_patient) || !may_stop (task)
-        || !reserve_helps (step, &free, demand))
+    if (task->stop_wanted || !may_stop (task)
+        || !(reserve_helps (step, &room.now, urgent)
+             || (!soon && reserve_helps (step, &room.later, &both))))
       continue;
-    reserve_add_freed (&free, step, 1);
+    reserve_add_freed (&room.now, step, 1);
+    if (!soon)
+      reserve_add_freed (&room.later, step, 1);
     plan->stops[plan->stop_count++] = task;
     plan->cost += step->demand.cpu;
     if (!step->checkpointable)
       plan->cost += (step->est_ms - remaining_ms (task)) * step->demand.cpu;
   }
-  return demand_covers (&free, demand);
+  return demand_covers (&room.now, urgent)
+         && demand_covers (&room.later, &both);
+}
+
+/* The same for TASK, which has or may get a reservation at WORKER, beside the
+   other reservations there. */
+static bool
+plan_room_for (const struct worker *worker, const struct task *task,
+               bool is_patient, struct room_plan *plan)
+{
+  static const struct kq_sched_demand nothing = { 0, 0, 0 };
+  const struct kq_sched_demand *demand = &task->stage->step->demand;
+  struct kq_sched_demand others = worker->reserved;
+
+  if (task->reserved_worker == worker)
+    demand_add (&others, demand, -1);
+  if (!is_patient)
+    return plan_room (worker, demand, &others, plan);
+  demand_add (&others, demand, 1);
+  return plan_room (worker, &nothing, &others, plan);
 }
 
 /* Returns the number of other tasks of the stage of TASK that have reserved
@@ -362,7 +403,6 @@
                  bool is_patient, struct room_plan *best_plan,
                  struct kq_sched_now now)
 {
-  const struct kq_sched_demand *demand = &task->stage->step->demand;
   struct worker *best = NULL;
   struct worker *worker;
 
@@ -372,7 +412,7 @@
 
     if (place_avoids_worker (task, worker, now)
         || !may_reserve (worker, task, now)
-        || !plan_room (worker, demand, is_patient, &plan)
+        || !plan_room_for (worker, task, is_patient, &plan)
         || (best != NULL && plan.cost >= best_plan->cost))
       continue;
     best = worker;
@@ -384,7 +424,7 @@
 /* Whether the tasks that keep the room of a worker which was reserved at
    SINCE are still waited for. */
 static bool
-is_patient (kq_usec since, struct kq_sched_now now)
+waits_for_ends (kq_usec since, struct kq_sched_now now)
 {
   return now.mono - since < WAIT_FOR_END_MS * KQ_USEC_PER_MSEC;
 }
@@ -395,7 +435,7 @@
   struct worker *best = NULL;
   struct room_plan plan;
 
-  if (!is_patient (task->ready_at + RESERVE_AFTER_US, now))
+  if (!waits_for_ends (task->ready_at + RESERVE_AFTER_US, now))
     best = choose_reserved (sched, task, false, &plan, now);
   if (best == NULL)
     best = choose_reserved (sched, task, true, &plan, now);
@@ -415,13 +455,12 @@
 static bool
 reservation_holds (const struct task *task, struct kq_sched_now now)
 {
-  static const struct kq_sched_demand nothing_more = { 0, 0, 0 };
   const struct worker *worker = task->reserved_worker;
   struct room_plan plan;
 
   return !task->stage->job->queue.advised && may_reserve (worker, task, now)
-         && plan_room (worker, &nothing_more,
-                       is_patient (task->reserved_at, now), &plan)
+         && plan_room_for (worker, task,
+                           waits_for_ends (task->reserved_at, now), &plan)
          && plan.stop_count == 0;
 }
 
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -474,6 +474,46 @@
   ts_stop (&cell);
 }
 
+/* Two tasks reserve one worker, the second one later: what that one waits for
+   is not stopped when the time of the first is over. */
+static void
+test_second_reservation_of_a_worker (void)
+{
+  struct kq_sched_step slow = batch;
+  struct kq_sched_running running[2];
+  struct ts_order first;
+  struct ts_order second;
+  struct ts_cell cell;
+
+  slow.est_ms = 60000;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "c", 4000);
+  ts_submit (&cell, OTHER_LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 8000);
+  ts_submit (&cell, BATCH, "urgent", &batch, 1);
+  ts_submit (&cell, OTHER_BATCH, "urgent", &slow, 1);
+  first = *ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0);
+  second = *ts_last_order (&cell, KQ_SCHED_FX_START, OTHER_BATCH, 0, 0);
+  list_runs (&cell, "b");
+  lose_worker (&cell, "a");
+  for (int i = 0; i < 7; i++)
+    {
+      if (i == 3)
+        lose_worker (&cell, "c");
+      running[0] = ts_running (&first, 50 + i);
+      running[1] = ts_running (&second, i < 3 ? 50 : 99);
+      ts_reply_poll (&cell, "b", running, 2, NULL, 0);
+      ts_advance (&cell, 200);
+    }
+  CU_ASSERT_PTR_NOT_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
+  CU_ASSERT_PTR_NULL (
+      ts_last_order (&cell, KQ_SCHED_FX_STOP, OTHER_BATCH, 0, 0));
+  ts_stop (&cell);
+}
+
 /* The stop of a filler brings no CPU for the lasting task. */
 static void
 test_filler_whose_stop_does_not_help (void)
@@ -587,6 +627,7 @@
   { "a gang that does not end as declared",
     test_gang_that_does_not_end_as_declared },
   { "a task that is nearly done", test_task_that_is_nearly_done },
+  { "a second reservation of a worker", test_second_reservation_of_a_worker },
   { "a filler whose stop does not help",
     test_filler_whose_stop_does_not_help },
   { "a task beside a younger and an avoiding one",
