sched: a refused start does not make its task wait anew

Callers saw a task that is to last stay down for 3 s and more beside a worker with room: another worker, sick or with less room than known, refused each start, and each refusal set the time since which the task was ready. Limits that count from there never passed: a quarantined worker is accepted after 1 s (the sick one is open again after just that), a full one reserved after 0.2 s (as long as one without capacity is left alone), and a worker where the task had failed avoided for 3 s.

A run that was withdrawn before it began leaves that time as it was. A start refused as already stopped may have run, and one that was not parsed makes the task avoid its worker: both set it as before. Ruled out: longer back-offs, which close the worker to all other tasks and only move the tie.

t/test-reserve, "refusals beside a quarantined worker" and "refusals beside a full worker", failed before (after 3 s the task had been started at the refusing worker alone, 3 and 15 times) and pass now.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -152,28 +152,28 @@
     {
     case KQ_SCHED_NO_CAPACITY:
       worker->no_starts_until = now.mono + FULL_BACKOFF_US;
-      task_end_run (sched, task, now, "no capacity at the worker");
+      task_withdraw_run (sched, task, now, "no capacity at the worker");
       break;
     case KQ_SCHED_STALE_RUN:
       task_end_run (sched, task, now, "run already stopped at the worker");
       break;
     case KQ_SCHED_ORDER_EXPIRED:
-      task_end_run (sched, task, now, "late");
+      task_withdraw_run (sched, task, now, "late");
       break;
     case KQ_SCHED_OTHER_INCARNATION:
       worker->no_starts_until = now.mono + UNHEALTHY_BACKOFF_US;
-      task_end_run (sched, task, now, "worker has restarted");
+      task_withdraw_run (sched, task, now, "worker has restarted");
       break;
     case KQ_SCHED_FENCED:
-      task_end_run (sched, task, now, "worker has restarted");
+      task_withdraw_run (sched, task, now, "worker has restarted");
       break;
     case KQ_SCHED_UNHEALTHY:
       worker->no_starts_until = now.mono + UNHEALTHY_BACKOFF_US;
-      task_end_run (sched, task, now, "sick");
+      task_withdraw_run (sched, task, now, "sick");
       break;
     case KQ_SCHED_BAD_TICKET:
       advice_invalidate (task->stage, worker);
-      task_end_run (sched, task, now, "ticket rejected by the worker");
+      task_withdraw_run (sched, task, now, "ticket rejected by the worker");
       break;
     case KQ_SCHED_BAD_ORDER:
       task->avoided_worker = worker;
@@ -298,7 +298,7 @@
   for (int i = 0; stage->step->gang && i < stage->step->count; i++)
     if (&stage->tasks[i] != task)
       task_stop (sched, &stage->tasks[i], now);
-  task_end_run (sched, task, now, why);
+  task_withdraw_run (sched, task, now, why);
 }
 
 /* Ends the run of TASK, whose start was not sent yet, if it must not be sent.
@@ -311,17 +311,17 @@
 
   if (!grant_is_current (sched, now))
     {
-      task_end_run (sched, task, now, "term not confirmed");
+      task_withdraw_run (sched, task, now, "term not confirmed");
       return true;
     }
   if (!worker_reports_are_current (sched, now))
     {
-      task_end_run (sched, task, now, "registrations not read");
+      task_withdraw_run (sched, task, now, "registrations not read");
       return true;
     }
   if (!evacuate_is_current (sched, now))
     {
-      task_end_run (sched, task, now, "evacuations not read");
+      task_withdraw_run (sched, task, now, "evacuations not read");
       return true;
     }
   if (worker->evacuated)
@@ -334,7 +334,7 @@
       || (task->stage->job->queue.advised
           && advice_ticket (task->stage, worker, now) == NULL))
     {
-      task_end_run (sched, task, now, "worker no longer usable");
+      task_withdraw_run (sched, task, now, "worker no longer usable");
       return true;
     }
   if (task_awaits_other_run (task, now))
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -147,8 +147,8 @@
   kq_usec wait_began;      /* 0: it does not wait for room in a rack */
   kq_usec progress_at;     /* last change of progress, phase or pace */
   int preempted_tenth;     /* when that was, in tenths of a second */
-  kq_usec ready_at;
-  int64_t sample; /* tail latency in ms if it serves, else CPU used */
+  kq_usec ready_at; /* since when it waits; refused starts change nothing */
+  int64_t sample;   /* tail latency in ms if it serves, else CPU used */
   kq_usec over_target_since; /* its tail exceeds its target; 0: no */
   struct task *prev;         /* list of its worker, while bound */
   struct task *next;
@@ -584,6 +584,10 @@
 /* task.c */
 void task_make_ready (struct kq_sched *sched, struct task *task,
                       struct kq_sched_now now);
+/* Makes TASK ready again, whose run has not begun: it has waited since it was
+   ready for that run. */
+void task_make_ready_again (struct kq_sched *sched, struct task *task,
+                            struct kq_sched_now now);
 /* Returns the lateness of STAGE now. */
 int task_lateness (const struct kq_sched *sched, const struct stage *stage,
                    struct kq_sched_now now);
@@ -598,6 +602,9 @@
                 struct kq_sched_now now);
 void task_end_run (struct kq_sched *sched, struct task *task,
                    struct kq_sched_now now, const char *why);
+/* The same for a run that has not begun and will not. */
+void task_withdraw_run (struct kq_sched *sched, struct task *task,
+                        struct kq_sched_now now, const char *why);
 struct kq_sched_run task_run (const struct task *task);
 void task_log (const struct task *task, const char *event, const char *why);
 void task_log_debug (const struct task *task, const char *event,
--- a/sched/task.c
+++ b/sched/task.c
@@ -154,6 +154,16 @@
   enqueue_stage (sched, task->stage);
 }
 
+void
+task_make_ready_again (struct kq_sched *sched, struct task *task,
+                       struct kq_sched_now now)
+{
+  kq_usec ready_at = task->ready_at;
+
+  task_make_ready (sched, task, now);
+  task->ready_at = ready_at;
+}
+
 void
 task_clear_ready (struct kq_sched *sched, struct task *task)
 {
@@ -269,7 +279,7 @@
     return;
   if (task->phase == PHASE_STORING)
     {
-      task_end_run (sched, task, now, "start order not sent");
+      task_withdraw_run (sched, task, now, "start order not sent");
       return;
     }
   task->stop_wanted = true;
@@ -278,16 +288,30 @@
     queue_stop_order (sched, task, now);
 }
 
-void
-task_end_run (struct kq_sched *sched, struct task *task,
-              struct kq_sched_now now, const char *why)
+static void
+release_run (struct kq_sched *sched, struct task *task,
+             struct kq_sched_now now, const char *why)
 {
-  struct job *job = task->stage->job;
-
   task_log (task, "run ended", why);
   rack_note_release (sched, task, now);
   task_release (sched, task);
-  job_mark_dirty (sched, job);
-  if (!job_has_ended (job))
+  job_mark_dirty (sched, task->stage->job);
+}
+
+void
+task_end_run (struct kq_sched *sched, struct task *task,
+              struct kq_sched_now now, const char *why)
+{
+  release_run (sched, task, now, why);
+  if (!job_has_ended (task->stage->job))
     task_make_ready (sched, task, now);
 }
+
+void
+task_withdraw_run (struct kq_sched *sched, struct task *task,
+                   struct kq_sched_now now, const char *why)
+{
+  release_run (sched, task, now, why);
+  if (!job_has_ended (task->stage->job))
+    task_make_ready_again (sched, task, now);
+}
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -611,6 +611,85 @@
   ts_stop (&cell);
 }
 
+/* Refuses each start of the only task of JOB at WORKER after its first run
+   with REFUSAL while MS pass; other workers accept it. */
+static void
+refuse_starts (struct ts_cell *cell, uint64_t job, const char *worker,
+               enum kq_sched_reply refusal, int ms)
+{
+  int answered = 1;
+
+  for (; ms > 0; ms -= 100)
+    {
+      ts_advance (cell, 100);
+      while (run_of (cell, job, 0) > answered)
+        {
+          const struct ts_order *order
+              = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+
+          answered = order->run.run;
+          ts_reply_order (cell, order,
+                          strcmp (order->worker, worker) == 0 ? refusal
+                                                              : KQ_SCHED_OK);
+        }
+      list_runs (cell, "b");
+      ts_reply_poll (cell, worker, NULL, 0, NULL, 0);
+    }
+}
+
+static const char *
+worker_of (const struct ts_cell *cell, uint64_t job)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+
+  return order != NULL ? order->worker : "";
+}
+
+/* A worker that refuses each start makes a lasting task wait anew each time:
+   it never starts at a quarantined worker with room. */
+static void
+test_refusals_beside_a_quarantined_worker (void)
+{
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
+    {
+      ts_submit (&cell, job, "batch", &small, 1);
+      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_cancel (&cell, job);
+    }
+  add_idle_worker (&cell, "c", 4000);
+  lose_worker (&cell, "a");
+  refuse_starts (&cell, LASTING, "c", KQ_SCHED_UNHEALTHY, 3000);
+  CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
+  ts_stop (&cell);
+}
+
+/* The same for a lasting task that would reserve a full worker. */
+static void
+test_refusals_beside_a_full_worker (void)
+{
+  struct kq_sched_step long_batch = batch;
+  struct ts_cell cell;
+
+  long_batch.est_ms = 60000;
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, BATCH, "batch", &long_batch, 1);
+  add_idle_worker (&cell, "c", 4000);
+  lose_worker (&cell, "a");
+  refuse_starts (&cell, LASTING, "c", KQ_SCHED_NO_CAPACITY, 3000);
+  CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -633,6 +712,9 @@
   { "a task beside a younger and an avoiding one",
     test_task_beside_a_younger_and_an_avoiding_one },
   { "a worker that was avoided", test_worker_that_was_avoided },
+  { "refusals beside a quarantined worker",
+    test_refusals_beside_a_quarantined_worker },
+  { "refusals beside a full worker", test_refusals_beside_a_full_worker },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
