sched: a gang that finds room in part does not wait anew

Callers saw a gang wait for up to 3 s more beside room for all of it: its members that had found a worker in a pass in which others did not were made ready again with a new time, so that a member that had failed at the worker avoided it anew, and one that accepted a quarantined worker no longer did.

They keep the time since which they wait, like tasks whose start is refused. Ruled out: reservations and waits for a rack, which count from other times.

t/test-reserve, "a gang that finds room in part", failed before (not started 0.3 s after the room came free, 3.6 s after the failure) and passes now.

--- a/sched/place.c
+++ b/sched/place.c
@@ -536,7 +536,7 @@
               {
                 rack_note_release (sched, &stage->tasks[i], now);
                 task_release (sched, &stage->tasks[i]);
-                task_make_ready (sched, &stage->tasks[i], now);
+                task_make_ready_again (sched, &stage->tasks[i], now);
               }
           return;
         }
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -690,6 +690,47 @@
   ts_stop (&cell);
 }
 
+/* A gang finds room for one of its two members when the other no longer avoids
+   the only worker; that one must not avoid it anew. */
+static void
+test_gang_that_finds_room_in_part (void)
+{
+  struct kq_sched_step gang = {
+    .count = 2, .demand = { 2000, 100, 0 }, .est_ms = 100000, .gang = true
+  };
+  struct kq_sched_ended ends[2];
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, LASTING, "batch", &gang, 1);
+  for (int i = 0; i < 2; i++)
+    {
+      const struct ts_order *order
+          = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, i);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+      ends[i] = ts_ended (order, i + 1,
+                          i == 0 ? KQ_SCHED_FAILED : KQ_SCHED_GANG_BROKEN);
+    }
+  ts_reply_poll (&cell, "b", NULL, 0, ends, 2);
+  ts_submit (&cell, BATCH, "urgent", &smaller, 1);
+  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 1);
+  for (int ms = 0; ms < 3300; ms += 100)
+    {
+      struct kq_sched_running running = ts_running (
+          ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0), ms / 100);
+
+      ts_advance (&cell, 100);
+      ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
+    }
+  end_run_as (&cell, BATCH, 3, KQ_SCHED_DONE);
+  ts_advance (&cell, 300);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -715,6 +756,7 @@
   { "refusals beside a quarantined worker",
     test_refusals_beside_a_quarantined_worker },
   { "refusals beside a full worker", test_refusals_beside_a_full_worker },
+  { "a gang that finds room in part", test_gang_that_finds_room_in_part },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
