sched: a failure long ago does not keep a task from a worker

Callers saw a task that is to last stay down for 3 s beside a worker with room when its worker was lost: it had failed at the other one, however long ago. It keeps away from such a worker for 3 s, but these were counted from the time at which it was ready again, for whatever cause. After a loss that is noticed only as the leases lapse, 3 s more are too many.

The 3 s count from the failure, stall or unparsed order now. Ruled out: clearing avoided_worker when a run settles; preempt.c, large.c and delay.c read it and would decide differently.

t/test-reserve, "a failure long before a loss", failed before (not started 0.2 s after the loss, 4 s after the failure) and passes now.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -176,7 +176,7 @@
       task_withdraw_run (sched, task, now, "ticket rejected by the worker");
       break;
     case KQ_SCHED_BAD_ORDER:
-      task->avoided_worker = worker;
+      place_avoid_worker (task, worker, now);
       worker->no_starts_until = now.mono + UNHEALTHY_BACKOFF_US;
       task_end_run (sched, task, now, "order not parsed by the worker");
       break;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -121,6 +121,7 @@
   char checkpoint[KQ_SCHED_NAME_SIZE];
   struct worker *worker;          /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
+  kq_usec avoided_until;          /* it does not return there before */
   struct worker *reserved_worker; /* kept free for it while it is ready */
   kq_usec reserved_at;            /* since when */
   struct task *reserved_next;     /* list of the reservations there */
@@ -688,6 +689,11 @@
 bool place_may_start_at (const struct worker *worker, const struct task *task,
                          struct kq_sched_now now);
 
+/* Records that TASK has failed or stalled at WORKER, or that it cannot read
+   the order: the task keeps away from it for a while. */
+void place_avoid_worker (struct task *task, struct worker *worker,
+                         struct kq_sched_now now);
+
 /* Returns the number of tasks of STAGE that are bound at WORKER. */
 int place_count_tasks (const struct worker *worker, const struct stage *stage);
 
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -110,7 +110,7 @@
   if (ended->how == KQ_SCHED_FAILED && task->state != TASK_DONE)
     {
       count_failed_job (worker, task, now);
-      task->avoided_worker = worker;
+      place_avoid_worker (task, worker, now);
       job_task_failed (sched, task, ended->run.run, now);
     }
   if (current && task->state == TASK_BOUND)
@@ -195,7 +195,7 @@
     {
       sched->counts.stalls++;
       task_log (task, "task stalled", "");
-      task->avoided_worker = task->worker;
+      place_avoid_worker (task, task->worker, now);
       quarantine (task->worker, now, "a task stalled");
       task_stop (sched, task, now);
     }
--- a/sched/place.c
+++ b/sched/place.c
@@ -63,8 +63,8 @@
    of 96 percent. */
 #define MAX_CANDIDATES 64
 
-/* Time for which a task waits for a worker other than the one where it last
-   failed or stalled. */
+/* Time after a failure or stall of a task for which it waits for another
+   worker. */
 #define AVOID_WORKER_US (3 * KQ_USEC_PER_SEC)
 
 struct pool *
@@ -312,12 +312,19 @@
   return points;
 }
 
+void
+place_avoid_worker (struct task *task, struct worker *worker,
+                    struct kq_sched_now now)
+{
+  task->avoided_worker = worker;
+  task->avoided_until = now.mono + AVOID_WORKER_US;
+}
+
 bool
 place_avoids_worker (const struct task *task, const struct worker *worker,
                      struct kq_sched_now now)
 {
-  return worker == task->avoided_worker
-         && now.mono - task->ready_at < AVOID_WORKER_US;
+  return worker == task->avoided_worker && now.mono < task->avoided_until;
 }
 
 /* Whether the task must see all workers: few of them suit it, or it should be
--- a/sched/place.h
+++ b/sched/place.h
@@ -69,8 +69,8 @@
                               const struct worker *worker,
                               const struct task *task);
 
-/* A task returns to the worker where it failed or stalled only after it has
-   waited for another one. */
+/* A task returns to the worker where it failed or stalled only some time
+   later. */
 bool place_avoids_worker (const struct task *task, const struct worker *worker,
                           struct kq_sched_now now);
 
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -731,6 +731,72 @@
   ts_stop (&cell);
 }
 
+/* A lasting task that has failed at a worker, and has run elsewhere for long
+   since, goes there at once when its other worker is lost. */
+static void
+test_failure_long_before_a_loss (void)
+{
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, LASTING, "urgent", &lasting, 1);
+  end_run_as (&cell, LASTING, 100, KQ_SCHED_FAILED);
+  add_idle_worker (&cell, "a", 4000);
+  for (int ms = 0; ms < 4000; ms += 100)
+    {
+      ts_advance (&cell, 100);
+      list_runs (&cell, "a");
+      ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
+    }
+  CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "a");
+  lose_worker (&cell, "a");
+  ts_advance (&cell, 200);
+  CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
+  ts_stop (&cell);
+}
+
+/* A gang whose members accept a quarantined worker finds room there for one of
+   them first; that one must not wait anew to accept it. */
+static void
+test_gang_at_a_quarantined_worker (void)
+{
+  struct kq_sched_step gang = { .count = 2,
+                                .demand = { 2000, 100, 0 },
+                                .est_ms = 100000,
+                                .long_running = true,
+                                .gang = true };
+  struct ts_cell cell;
+
+  ts_start (&cell);
+  add_idle_worker (&cell, "a", 4000);
+  ts_submit (&cell, LASTING, "urgent", &gang, 1);
+  add_idle_worker (&cell, "b", 4000);
+  ts_submit (&cell, BATCH, "batch", &smaller, 1);
+  for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
+    {
+      ts_submit (&cell, job, "batch", &small, 1);
+      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_cancel (&cell, job);
+    }
+  CU_ASSERT_STRING_EQUAL (worker_of (&cell, BATCH), "b");
+  lose_worker (&cell, "a");
+  for (int ms = 0; ms < 1300; ms += 100)
+    {
+      struct kq_sched_running running = ts_running (
+          ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0), ms / 100);
+
+      ts_advance (&cell, 100);
+      ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
+    }
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 1);
+  end_run_as (&cell, BATCH, 10, KQ_SCHED_DONE);
+  ts_advance (&cell, 300);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -757,6 +823,8 @@
     test_refusals_beside_a_quarantined_worker },
   { "refusals beside a full worker", test_refusals_beside_a_full_worker },
   { "a gang that finds room in part", test_gang_that_finds_room_in_part },
+  { "a gang at a quarantined worker", test_gang_at_a_quarantined_worker },
+  { "a failure long before a loss", test_failure_long_before_a_loss },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
