sched: a job with nothing running accepts a quarantined worker

Callers saw a job wait for more than 3 s in an idle service: tasks of two other jobs failed wherever they started, and each worker where both had failed got no tasks for 5 s, and for 5 s more after each further failure. Only a completed short task ends that count, so that it goes on where lasting tasks fail. The failing tasks, more urgent ones without a worker, also blocked the job.

One task of a job without a bound task may start at a quarantined worker now when it has waited for 1.5 s, no other worker has room and less than half of the service's CPU is in use, quarantined workers included: a job may have nothing running for 3 s then. A worker where everything fails still gets no other tasks. Gangs and queues with a policy wait as before.

Ruled out: not counting failures of tasks that had failed elsewhere, since a second faulty worker would then not be found by tasks that failed at the first.

t/test-reserve, "tasks that fail everywhere", failed before (three idle workers; not started in the 4 s that the test waits) and passes now. Without the change for blocked stages it fails too.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -136,6 +136,8 @@
   bool settled;           /* its run does not crash the worker */
   bool wait_over;         /* a wait for a rack did not pay off */
   bool stop_wanted;
+  bool may_use_quarantined; /* its job has nothing running, and it found no
+                               other worker */
   bool may_disturb; /* slows down serving tasks, but is throttled, not moved */
   int pace_percent; /* CPU limit set for a filler, percent */
   int next_pace_percent; /* limit that it needs now; set after a delay if it is
--- a/sched/place.c
+++ b/sched/place.c
@@ -27,6 +27,11 @@
    for 3 s while there is room. */
 #define ACCEPT_QUARANTINED_US (1000 * KQ_USEC_PER_MSEC)
 
+/* Time after which one task of a job without a bound task may start there too,
+   while less than HALF_USED_PERCENT of the CPU is in use.  Source: a job may
+   have nothing running for 3 s then. */
+#define ACCEPT_FOR_IDLE_JOB_US (1500 * KQ_USEC_PER_MSEC)
+
 /* Fillers may reserve CPU of a worker up to this percentage: all of them
    then run a little slower, which costs less than waiting. */
 #define FILLER_OVERCOMMIT_PERCENT 110
@@ -81,6 +86,8 @@
   pool->service = service;
   pool->capacity = 0;
   pool->used = 0;
+  pool->quarantined_capacity = 0;
+  pool->quarantined_used = 0;
   pool->short_room = 0;
   pool->large_room = 0;
   pool->is_blocking = false;
@@ -103,9 +110,15 @@
 
       pass->has_quarantined |= worker_is_quarantined (worker, now);
       pass->has_large_held |= worker->large_count > 0;
-      if (!worker_usable (worker, now))
+      if (!worker_takes_starts (worker, now))
         continue;
       pool = place_pool (pass, worker->service);
+      if (worker_is_quarantined (worker, now))
+        {
+          pool->quarantined_capacity += worker->report.capacity.cpu;
+          pool->quarantined_used += worker->used.cpu;
+          continue;
+        }
       pool->capacity += worker->report.capacity.cpu;
       pool->used += worker->used.cpu;
       pool->short_room += service_room (sched, worker, 0);
@@ -225,13 +238,14 @@
   return has_room (worker, stage) && worker_usable (worker, now);
 }
 
-/* Whether TASK, which goes on after a loss, has waited for so long that a
-   worker where others have failed is better than none. */
+/* Whether TASK has waited for so long that a worker where others have failed
+   is better than none. */
 static bool
 accepts_quarantined (const struct task *task, struct kq_sched_now now)
 {
-  return task->stage->step->long_running && task->run > 0
-         && now.mono - task->ready_at >= ACCEPT_QUARANTINED_US;
+  return task->may_use_quarantined
+         || (task->stage->step->long_running && task->run > 0
+             && now.mono - task->ready_at >= ACCEPT_QUARANTINED_US);
 }
 
 bool
@@ -766,6 +780,33 @@
   queue_start_order (sched, task, now);
 }
 
+/* Starts one task of a job that has nothing running, at a quarantined worker
+   if no other has room for it, while the service has.  It need not wait for
+   more urgent tasks, which want no such worker. */
+static void
+place_at_quarantined (struct kq_sched *sched, struct pool *pool,
+                      struct stage *stage, struct kq_sched_now now)
+{
+  int64_t used = pool->used + pool->quarantined_used;
+  int64_t capacity = pool->capacity + pool->quarantined_capacity;
+  int from = 0;
+  struct task *task = next_ready (stage, &from, now);
+  struct worker *worker;
+
+  if (task == NULL || pool->service != stage->job->service || stage->step->gang
+      || stage->job->queue.advised
+      || now.mono - task->ready_at < ACCEPT_FOR_IDLE_JOB_US
+      || used * 100 >= capacity * HALF_USED_PERCENT
+      || job_has_bound_task (stage->job))
+    return;
+  task->may_use_quarantined = true;
+  worker = choose_worker (sched, task, now, place_common_rack (stage), false);
+  if (worker != NULL)
+    start_single (sched, pool, task, worker, now);
+  else
+    task->may_use_quarantined = false;
+}
+
 /* Whether a demand of at most that of STAGE found no room in this pass. An
    entry that several services share says nothing about any of them. */
 static bool
@@ -929,6 +970,8 @@
         place_reserved (sched, pool, stage, now);
         if (sched->reserve_due)
           reserve_for_stage (sched, stage, now);
+        if (pool->quarantined_capacity > 0)
+          place_at_quarantined (sched, pool, stage, now);
         continue;
       }
     unplaced = place_stage (sched, &pass, pool, stage, now);
@@ -943,6 +986,8 @@
       }
     preempt_for_stage (sched, stage, unplaced, now);
     place_block_lower (pool, unplaced, now);
+    if (pool->quarantined_capacity > 0)
+      place_at_quarantined (sched, pool, stage, now);
     if (stage->step->filler && is_under_half_used (pool))
       place_disturbing (sched, stage, now);
   }
--- a/sched/place.h
+++ b/sched/place.h
@@ -19,6 +19,8 @@
   int service;
   int64_t capacity;
   int64_t used;
+  int64_t quarantined_capacity; /* of workers that are only quarantined */
+  int64_t quarantined_used;
   int64_t short_room; /* usable by short tasks if no other one ran */
   int64_t large_room; /* of that, by the largest ones */
   bool is_blocking;   /* a task of PRIORITY found no capacity in this pass */
--- a/sched/task.c
+++ b/sched/task.c
@@ -147,6 +147,7 @@
                  struct kq_sched_now now)
 {
   task->state = TASK_READY;
+  task->may_use_quarantined = false;
   sched->placement_due = true;
   task->ready_at = now.mono;
   task->stage->ready_count++;
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -797,6 +797,47 @@
   ts_stop (&cell);
 }
 
+/* Two lasting tasks fail wherever they start.  That must not close all workers
+   to a job with nothing running, for which an idle service has room. */
+static void
+test_tasks_that_fail_everywhere (void)
+{
+  static const char *const workers[] = { "a", "b", "c" };
+  struct kq_sched_step failing = small;
+  int answered[2] = { 0, 0 };
+  int64_t number = 0;
+  int waited = 0;
+  struct ts_cell cell;
+
+  failing.long_running = true;
+  ts_start (&cell);
+  for (int i = 0; i < 3; i++)
+    add_idle_worker (&cell, workers[i], 4000);
+  ts_submit (&cell, LASTING, "urgent", &failing, 1);
+  ts_submit (&cell, OTHER_LASTING, "urgent", &failing, 1);
+  for (int ms = 0; ms < 14000; ms += 100)
+    {
+      if (ms == 10000)
+        ts_submit (&cell, SHORT, "batch", &small, 1);
+      ts_advance (&cell, 100);
+      for (int i = 0; i < 2; i++)
+        {
+          uint64_t job = i == 0 ? LASTING : OTHER_LASTING;
+
+          if (run_of (&cell, job, 0) == answered[i])
+            continue;
+          answered[i] = run_of (&cell, job, 0);
+          end_run_as (&cell, job, ++number, KQ_SCHED_FAILED);
+        }
+      for (int i = 0; i < 3; i++)
+        ts_reply_poll (&cell, workers[i], NULL, 0, NULL, 0);
+      if (ms >= 10000 && run_of (&cell, SHORT, 0) == 0)
+        waited += 100;
+    }
+  CU_ASSERT (waited < 3000);
+  ts_stop (&cell);
+}
+
 static const struct kq_test tests[] = {
   { "a smaller task without room", test_smaller_task_without_room },
   { "tasks that must not share a worker",
@@ -825,6 +866,7 @@
   { "a gang that finds room in part", test_gang_that_finds_room_in_part },
   { "a gang at a quarantined worker", test_gang_at_a_quarantined_worker },
   { "a failure long before a loss", test_failure_long_before_a_loss },
+  { "tasks that fail everywhere", test_tasks_that_fail_everywhere },
 };
 
 KQ_TEST_MAIN ("test-reserve", tests)
