sched: a run that never began does not make a task one to go on after a loss

A task that is to last and whose start was decided but withdrawn (the worker's capacity had shrunk) counted as one that goes on after a loss, since its run has a number: it reserved the worker, and since the short task there was stopped after a second. A task that has never run is owed no such haste.

What counts now is whether a run that has ended may have begun: an end other than a withdrawal or a refusal, or a run restored from the store.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -107,6 +107,7 @@
   enum task_state state;
   enum task_phase phase;
   int run;              /* number of its latest run; 0: none yet */
+  bool has_run;         /* a run that has ended may have begun */
   int preempted_run;    /* last run that was stopped for others; 0: none */
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
   /* Workers lost under its runs since one of these settled: workers that have
--- a/sched/large.c
+++ b/sched/large.c
@@ -61,7 +61,7 @@
 
   if (worker->large_count == 0 || task->large_worker == worker
       || stage->job->queue.priority < worker->large_priority
-      || stage->step->filler || (stage->step->long_running && task->run > 0))
+      || stage->step->filler || (stage->step->long_running && task->has_run))
     return true;
   room = free_room (worker);
   return demand_covers (&room, &stage->step->demand);
--- a/sched/overdue.c
+++ b/sched/overdue.c
@@ -37,7 +37,7 @@
 static bool
 is_overdue (const struct task *task, struct kq_sched_now now)
 {
-  return task->state == TASK_READY && task->run > 0
+  return task->state == TASK_READY && task->has_run
          && now.mono - task->ready_at >= OVERDUE_US;
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -166,7 +166,7 @@
 {
   int64_t taken = taken_room (sched, worker, task);
 
-  return taken == 0 || task->run > 0
+  return taken == 0 || task->has_run
          || pool->short_room - taken
                 >= service_kept_cpu (sched, pool->service, pool->capacity);
 }
@@ -244,7 +244,7 @@
 accepts_quarantined (const struct task *task, struct kq_sched_now now)
 {
   return task->may_use_quarantined
-         || (task->stage->step->long_running && task->run > 0
+         || (task->stage->step->long_running && task->has_run
              && now.mono - task->ready_at >= ACCEPT_QUARANTINED_US);
 }
 
@@ -681,7 +681,7 @@
 static enum search_class
 search_class (const struct task *task, struct kq_sched_now now)
 {
-  if (!task->stage->step->long_running || task->run == 0)
+  if (!task->stage->step->long_running || !task->has_run)
     return CLASS_NEW;
   return accepts_quarantined (task, now) ? CLASS_TAKES_QUARANTINED
                                          : CLASS_HAS_RUN;
@@ -837,7 +837,7 @@
 has_task_after_loss (const struct stage *stage)
 {
   for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
-    if (stage->tasks[i].state == TASK_READY && stage->tasks[i].run > 0)
+    if (stage->tasks[i].state == TASK_READY && stage->tasks[i].has_run)
       return true;
   return false;
 }
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -467,7 +467,7 @@
 static bool
 is_waiting (const struct task *task, struct kq_sched_now now)
 {
-  return task->state == TASK_READY && task->run > 0
+  return task->state == TASK_READY && task->has_run
          && now.mono - task->ready_at >= RESERVE_AFTER_US;
 }
 
--- a/sched/service.c
+++ b/sched/service.c
@@ -253,7 +253,7 @@
 {
   int64_t kept = kept_large_cpu (sched, task->stage->job->service, capacity);
 
-  if (!task->stage->step->long_running || task->run > 0 || kept == 0)
+  if (!task->stage->step->long_running || task->has_run || kept == 0)
     return INT64_MAX;
   return room - kept;
 }
--- a/sched/state.c
+++ b/sched/state.c
@@ -307,6 +307,7 @@
   struct worker *worker;
 
   task->run = (int)record->run;
+  task->has_run = task->run > 0;
   task->failed_runs = record->failed_runs;
   task->crashes = restored_losses (record->crashes);
   task->unproven_crashes = restored_losses (record->unproven_crashes);
--- a/sched/task.c
+++ b/sched/task.c
@@ -303,6 +303,7 @@
 task_end_run (struct kq_sched *sched, struct task *task,
               struct kq_sched_now now, const char *why)
 {
+  task->has_run = true;
   release_run (sched, task, now, why);
   if (!job_has_ended (task->stage->job))
     task_make_ready (sched, task, now);
