t: idle workers and lists of runs come from the harness

test-reserve, test-overdue and test-waits each had their own function that adds an idle worker; those that list the runs of a worker and number the runs of a task are wanted by a further program. They stand in t/lib-sched.c now.

--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -9,6 +9,9 @@
 /* Difference between the clocks of the workers and of the scheduler. */
 #define CLOCK_AHEAD_MS 100000
 
+/* Maximum number of runs in a status that ts_list_runs() makes up. */
+#define MAX_LISTED_RUNS 64
+
 #define SPEC "text"
 
 static struct kq_sched_queue
@@ -570,3 +573,45 @@
                                   .run = order->run,
                                   .how = how };
 }
+
+void
+ts_add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
+{
+  ts_register_worker (cell, id, cpu, 4000);
+  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
+}
+
+int
+ts_run_of (const struct ts_cell *cell, uint64_t job, int index)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, index);
+
+  return order != NULL ? order->run.run : 0;
+}
+
+void
+ts_list_runs (struct ts_cell *cell, const char *worker)
+{
+  struct kq_sched_running running[MAX_LISTED_RUNS];
+  struct kq_sched_ended ended[MAX_LISTED_RUNS];
+  int running_count = 0;
+  int ended_count = 0;
+
+  for (int i = 0; i < cell->order_count; i++)
+    {
+      const struct ts_order *order = &cell->orders[i];
+      const struct ts_order *stop = ts_last_order (
+          cell, KQ_SCHED_FX_STOP, order->run.job, 0, order->run.index);
+
+      if (order->kind != KQ_SCHED_FX_START
+          || strcmp (order->worker, worker) != 0)
+        continue;
+      if (stop == NULL || stop->run.run < order->run.run)
+        running[running_count++] = ts_running (order, 10);
+      else
+        ended[ended_count++] = ts_ended (order, i + 1, KQ_SCHED_STOPPED);
+    }
+  ts_reply_poll (cell, worker, running, (size_t)running_count, ended,
+                 (size_t)ended_count);
+}
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -149,4 +149,15 @@
 struct kq_sched_ended ts_ended (const struct ts_order *order, int64_t number,
                                 enum kq_sched_end how);
 
+/** Registers a worker with CPU and 4000 MiB, which runs nothing. */
+void ts_add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu);
+
+/** Returns the number of the latest run of task INDEX of the first step of JOB
+ *  that was started; 0: none.  */
+int ts_run_of (const struct ts_cell *cell, uint64_t job, int index);
+
+/** Answers a poll of WORKER: its runs go on, but those that were told to stop
+ *  have ended.  */
+void ts_list_runs (struct ts_cell *cell, const char *worker);
+
 #endif
--- a/t/test-overdue.c
+++ b/t/test-overdue.c
@@ -12,22 +12,15 @@
                                               .est_ms = 100000,
                                               .long_running = true };
 
-static void
-add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
-{
-  ts_register_worker (cell, id, cpu, 4000);
-  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
-}
-
 /* The worker of a lasting task is lost; another one with CPU is left, which
    has not replied since an outage. */
 static void
 lose_worker_beside (struct ts_cell *cell, int64_t cpu)
 {
   ts_start (cell);
-  add_idle_worker (cell, "a", 4000);
+  ts_add_idle_worker (cell, "a", 4000);
   ts_submit (cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (cell, "b", cpu);
+  ts_add_idle_worker (cell, "b", cpu);
   worker_find (cell->sched, "b")->unheard = true;
   ts_refuse_poll (cell, "a", cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
 }
@@ -80,8 +73,8 @@
   ts_stop (&cell);
 }
 
-/* Once the term of the owner is not confirmed nothing is started, whatever room
-   there is. */
+/* Once the term of the owner is not confirmed nothing is started, whatever
+   room there is. */
 static void
 test_store_away (void)
 {
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -17,8 +17,6 @@
 #define OTHER_LASTING UINT64_C (4)
 #define OTHER_BATCH UINT64_C (5)
 
-#define MAX_RUNS 8
-
 static const struct kq_sched_step lasting = { .count = 1,
                                               .demand = { 3000, 100, 0 },
                                               .est_ms = 100000,
@@ -55,41 +53,6 @@
   return *order;
 }
 
-static void
-add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
-{
-  ts_register_worker (cell, id, cpu, 4000);
-  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
-}
-
-/* Answers a poll of WORKER: its runs go on, but those that were told to stop
-   have ended. */
-static void
-list_runs (struct ts_cell *cell, const char *worker)
-{
-  struct kq_sched_running running[MAX_RUNS];
-  struct kq_sched_ended ended[MAX_RUNS];
-  int running_count = 0;
-  int ended_count = 0;
-
-  for (int i = 0; i < cell->order_count; i++)
-    {
-      const struct ts_order *order = &cell->orders[i];
-      const struct ts_order *stop = ts_last_order (
-          cell, KQ_SCHED_FX_STOP, order->run.job, 0, order->run.index);
-
-      if (order->kind != KQ_SCHED_FX_START
-          || strcmp (order->worker, worker) != 0)
-        continue;
-      if (stop == NULL || stop->run.run < order->run.run)
-        running[running_count++] = ts_running (order, 10);
-      else
-        ended[ended_count++] = ts_ended (order, i + 1, KQ_SCHED_STOPPED);
-    }
-  ts_reply_poll (cell, worker, running, (size_t)running_count, ended,
-                 (size_t)ended_count);
-}
-
 /* The run of the only task of JOB ends HOW, as end NUMBER of its worker. */
 static void
 end_run_as (struct ts_cell *cell, uint64_t job, int64_t number,
@@ -116,16 +79,6 @@
   ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
 }
 
-/* Returns the number of the latest start of task INDEX of JOB. */
-static int
-run_of (const struct ts_cell *cell, uint64_t job, int index)
-{
-  const struct ts_order *order
-      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, index);
-
-  return order != NULL ? order->run.run : 0;
-}
-
 static void
 test_smaller_task_without_room (void)
 {
@@ -165,18 +118,18 @@
                                    .checkpointable = true };
 
   ts_start (cell);
-  add_idle_worker (cell, "a", 16000);
-  add_idle_worker (cell, "b", 16000);
+  ts_add_idle_worker (cell, "a", 16000);
+  ts_add_idle_worker (cell, "b", 16000);
   ts_submit (cell, BATCH, "urgent", &filling, 1);
   filling.checkpointable = false;
   ts_submit (cell, OTHER_BATCH, "urgent", &filling, 1);
-  add_idle_worker (cell, "c", 8000);
-  add_idle_worker (cell, "d", 8000);
+  ts_add_idle_worker (cell, "c", 8000);
+  ts_add_idle_worker (cell, "d", 8000);
   ts_submit (cell, LASTING, "urgent", &apart, 1);
   ts_submit (cell, OTHER_LASTING, "urgent", &apart, 1);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 8);
-  list_runs (cell, "a");
-  list_runs (cell, "b");
+  ts_list_runs (cell, "a");
+  ts_list_runs (cell, "b");
 }
 
 /* Both tasks of a step reserve the same worker, which may run one of them. */
@@ -188,16 +141,16 @@
   start_lasting_jobs (&cell);
   lose_worker (&cell, "c");
   lose_worker (&cell, "d");
-  list_runs (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "a");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
-  list_runs (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "a");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 200);
   for (int i = 0; i < 2; i++)
     {
-      CU_ASSERT_EQUAL (run_of (&cell, LASTING, i), 2);
-      CU_ASSERT_EQUAL (run_of (&cell, OTHER_LASTING, i), 2);
+      CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, i), 2);
+      CU_ASSERT_EQUAL (ts_run_of (&cell, OTHER_LASTING, i), 2);
     }
   ts_stop (&cell);
 }
@@ -225,14 +178,14 @@
   ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
   ts_submit (&cell, BATCH, "urgent", &batch, 1);
   lose_worker (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   strcpy (report.kind, "slow");
   ts_register (&cell, &report);
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   ts_submit (&cell, SHORT, "urgent", &small, 1);
   ts_advance (&cell, 200);
-  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, SHORT, 0), 1);
   ts_stop (&cell);
 }
 
@@ -244,19 +197,19 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "batch", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "urgent", &batch, 1);
   lose_worker (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   cell.queues[1].advised = true;
   event.u.config = &cell.config;
   kq_sched_event (cell.sched, cell.now, &event);
   ts_submit (&cell, SHORT, "urgent", &small, 1);
   ts_advance (&cell, 200);
-  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, SHORT, 0), 1);
   ts_stop (&cell);
 }
 
@@ -273,7 +226,7 @@
   lose_worker (&cell, "c");
   ts_advance (&cell, 400);
   CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 0);
-  list_runs (&cell, "a");
+  ts_list_runs (&cell, "a");
   ts_advance (&cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 1);
   ts_stop (&cell);
@@ -289,17 +242,17 @@
 
   large.demand.cpu = 3500;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "batch", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "batch", &batch, 1);
   lose_worker (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   ts_submit (&cell, SHORT, "urgent", &large, 1);
   end_run (&cell, BATCH);
   ts_advance (&cell, 200);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
   ts_stop (&cell);
 }
 
@@ -310,9 +263,9 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
@@ -320,15 +273,15 @@
     }
   /* The failed tasks have no worker to go to. */
   ts_submit (&cell, BATCH, "batch", &batch, 1);
-  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 0);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 0);
   lose_worker (&cell, "a");
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 800);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 1);
-  list_runs (&cell, "b");
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 1);
+  ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
-  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 0);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 0);
   ts_stop (&cell);
 }
 
@@ -345,13 +298,13 @@
 
   pair.count = 2;
   ts_start (&cell);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "urgent", &pair, 1);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_advance (&cell, 100);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 1);
   ts_submit (&cell, SHORT, "batch", &small, 1);
-  CU_ASSERT_EQUAL (run_of (&cell, SHORT, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, SHORT, 0), 1);
   first = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 0);
   CU_ASSERT_PTR_NOT_NULL_FATAL (first);
   CU_ASSERT_STRING_EQUAL (first->worker, "b");
@@ -364,7 +317,7 @@
       ts_advance (&cell, 200);
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
     }
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 2);
   ts_stop (&cell);
 }
 
@@ -379,9 +332,9 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   slow = start_job (&cell, BATCH, &batch);
   lose_worker (&cell, "a");
   for (int percent = 50; percent < 62; percent++)
@@ -394,7 +347,7 @@
       ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
   stopped = ts_ended (&slow, 1, KQ_SCHED_STOPPED);
   ts_reply_poll (&cell, "b", NULL, 0, &stopped, 1);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
   ts_stop (&cell);
 }
 
@@ -422,11 +375,11 @@
   gang.gang = true;
   slow.est_ms = 60000;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   member = start_job (&cell, BATCH, &gang);
-  add_idle_worker (&cell, "c", 4000);
+  ts_add_idle_worker (&cell, "c", 4000);
   other = start_job (&cell, OTHER_BATCH, &slow);
   lose_worker (&cell, "a");
   for (int i = 0; i < 12; i++)
@@ -455,11 +408,11 @@
   resumable.est_ms = 60000;
   resumable.checkpointable = true;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   first = start_job (&cell, BATCH, &nearly_done);
-  add_idle_worker (&cell, "c", 4000);
+  ts_add_idle_worker (&cell, "c", 4000);
   second = start_job (&cell, OTHER_BATCH, &resumable);
   lose_worker (&cell, "a");
   for (int i = 0; i < 9; i++)
@@ -487,16 +440,16 @@
 
   slow.est_ms = 60000;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "c", 4000);
+  ts_add_idle_worker (&cell, "c", 4000);
   ts_submit (&cell, OTHER_LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 8000);
+  ts_add_idle_worker (&cell, "b", 8000);
   ts_submit (&cell, BATCH, "urgent", &batch, 1);
   ts_submit (&cell, OTHER_BATCH, "urgent", &slow, 1);
   first = *ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0);
   second = *ts_last_order (&cell, KQ_SCHED_FX_START, OTHER_BATCH, 0, 0);
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   lose_worker (&cell, "a");
   for (int i = 0; i < 7; i++)
     {
@@ -526,13 +479,13 @@
   filler.est_ms = 60000;
   slow.est_ms = 60000;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, SHORT, "urgent", &filler, 1);
   ts_submit (&cell, BATCH, "urgent", &slow, 1);
   CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_START), 3);
-  list_runs (&cell, "b");
+  ts_list_runs (&cell, "b");
   lose_worker (&cell, "a");
   ts_advance (&cell, 400);
   CU_ASSERT_PTR_NOT_NULL (
@@ -553,13 +506,13 @@
 
   three.count = 3;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 3400);
+  ts_add_idle_worker (&cell, "a", 3400);
   ts_submit (&cell, LASTING, "urgent", &three, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_advance (&cell, 100);
-  add_idle_worker (&cell, "c", 3400);
+  ts_add_idle_worker (&cell, "c", 3400);
   ts_advance (&cell, 100);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 2), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 2), 1);
   ts_submit (&cell, SHORT, "batch", &small, 1);
   end_run_as (&cell, SHORT, 1, KQ_SCHED_FAILED);
   second = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 1);
@@ -577,7 +530,7 @@
       ts_advance (&cell, 200);
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
     }
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 2), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 2), 2);
   ts_stop (&cell);
 }
 
@@ -593,12 +546,12 @@
 
   slow.est_ms = 60000;
   ts_start (&cell);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
   end_run_as (&cell, LASTING, 1, KQ_SCHED_FAILED);
   ts_submit (&cell, BATCH, "urgent", &slow, 1);
   ts_advance (&cell, 200);
-  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 1);
   other = *ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0);
   for (int i = 0; i < 20; i++)
     {
@@ -622,7 +575,7 @@
   for (; ms > 0; ms -= 100)
     {
       ts_advance (cell, 100);
-      while (run_of (cell, job, 0) > answered)
+      while (ts_run_of (cell, job, 0) > answered)
         {
           const struct ts_order *order
               = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
@@ -632,7 +585,7 @@
                           strcmp (order->worker, worker) == 0 ? refusal
                                                               : KQ_SCHED_OK);
         }
-      list_runs (cell, "b");
+      ts_list_runs (cell, "b");
       ts_reply_poll (cell, worker, NULL, 0, NULL, 0);
     }
 }
@@ -654,16 +607,16 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
       end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
       ts_cancel (&cell, job);
     }
-  add_idle_worker (&cell, "c", 4000);
+  ts_add_idle_worker (&cell, "c", 4000);
   lose_worker (&cell, "a");
   refuse_starts (&cell, LASTING, "c", KQ_SCHED_UNHEALTHY, 3000);
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
@@ -679,11 +632,11 @@
 
   long_batch.est_ms = 60000;
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "batch", &long_batch, 1);
-  add_idle_worker (&cell, "c", 4000);
+  ts_add_idle_worker (&cell, "c", 4000);
   lose_worker (&cell, "a");
   refuse_starts (&cell, LASTING, "c", KQ_SCHED_NO_CAPACITY, 3000);
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
@@ -702,7 +655,7 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "batch", &gang, 1);
   for (int i = 0; i < 2; i++)
     {
@@ -715,7 +668,7 @@
     }
   ts_reply_poll (&cell, "b", NULL, 0, ends, 2);
   ts_submit (&cell, BATCH, "urgent", &smaller, 1);
-  CU_ASSERT_EQUAL (run_of (&cell, BATCH, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 1);
   for (int ms = 0; ms < 3300; ms += 100)
     {
       struct kq_sched_running running = ts_running (
@@ -726,8 +679,8 @@
     }
   end_run_as (&cell, BATCH, 3, KQ_SCHED_DONE);
   ts_advance (&cell, 300);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 2);
   ts_stop (&cell);
 }
 
@@ -739,14 +692,14 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
   end_run_as (&cell, LASTING, 100, KQ_SCHED_FAILED);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   for (int ms = 0; ms < 4000; ms += 100)
     {
       ts_advance (&cell, 100);
-      list_runs (&cell, "a");
+      ts_list_runs (&cell, "a");
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
     }
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "a");
@@ -769,9 +722,9 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, LASTING, "urgent", &gang, 1);
-  add_idle_worker (&cell, "b", 4000);
+  ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "batch", &smaller, 1);
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
@@ -789,11 +742,11 @@
       ts_advance (&cell, 100);
       ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
     }
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 1);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 1);
   end_run_as (&cell, BATCH, 10, KQ_SCHED_DONE);
   ts_advance (&cell, 300);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 0), 2);
-  CU_ASSERT_EQUAL (run_of (&cell, LASTING, 1), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
+  CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 2);
   ts_stop (&cell);
 }
 
@@ -812,7 +765,7 @@
   failing.long_running = true;
   ts_start (&cell);
   for (int i = 0; i < 3; i++)
-    add_idle_worker (&cell, workers[i], 4000);
+    ts_add_idle_worker (&cell, workers[i], 4000);
   ts_submit (&cell, LASTING, "urgent", &failing, 1);
   ts_submit (&cell, OTHER_LASTING, "urgent", &failing, 1);
   for (int ms = 0; ms < 14000; ms += 100)
@@ -824,14 +777,14 @@
         {
           uint64_t job = i == 0 ? LASTING : OTHER_LASTING;
 
-          if (run_of (&cell, job, 0) == answered[i])
+          if (ts_run_of (&cell, job, 0) == answered[i])
             continue;
-          answered[i] = run_of (&cell, job, 0);
+          answered[i] = ts_run_of (&cell, job, 0);
           end_run_as (&cell, job, ++number, KQ_SCHED_FAILED);
         }
       for (int i = 0; i < 3; i++)
         ts_reply_poll (&cell, workers[i], NULL, 0, NULL, 0);
-      if (ms >= 10000 && run_of (&cell, SHORT, 0) == 0)
+      if (ms >= 10000 && ts_run_of (&cell, SHORT, 0) == 0)
         waited += 100;
     }
   CU_ASSERT (waited < 3000);
--- a/t/test-waits.c
+++ b/t/test-waits.c
@@ -15,13 +15,6 @@
 #define FIRST_SMALL UINT64_C (10)
 #define SMALL_JOBS 20
 
-static void
-add_idle_worker (struct ts_cell *cell, const char *id, int64_t cpu)
-{
-  ts_register_worker (cell, id, cpu, 4000);
-  ts_reply_poll (cell, id, NULL, 0, NULL, 0);
-}
-
 static void
 end_run (struct ts_cell *cell, uint64_t job, int64_t number,
          enum kq_sched_end how)
@@ -45,7 +38,7 @@
   struct ts_cell cell;
 
   ts_start (&cell);
-  add_idle_worker (&cell, "a", 4000);
+  ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, URGENT, "urgent", &step, 1);
   end_run (&cell, URGENT, 1, KQ_SCHED_FAILED);
   ts_submit (&cell, BATCH, "batch", &step, 1);
@@ -70,14 +63,14 @@
   const struct ts_order *start;
   struct kq_sched_counts counts;
 
-  add_idle_worker (cell, "a", 16000);
+  ts_add_idle_worker (cell, "a", 16000);
   ts_submit (cell, FIRST_FILLS, "urgent", &filling, 1);
-  add_idle_worker (cell, "b", 16000);
+  ts_add_idle_worker (cell, "b", 16000);
   filling.est_ms = 1500;
   ts_submit (cell, SECOND_FILLS, "urgent", &filling, 1);
   /* Too small for a large task; a quarter of all room may be held. */
   for (int i = 0; i < 6; i++)
-    add_idle_worker (cell, (char[]){ (char)('c' + i), '\0' }, 8000);
+    ts_add_idle_worker (cell, (char[]){ (char)('c' + i), '\0' }, 8000);
   for (int i = 0; i < SMALL_JOBS; i++)
     ts_submit (cell, FIRST_SMALL + (uint64_t)i, "urgent", &small, 1);
   ts_submit (cell, LARGE, "urgent", &large, 1);
@@ -112,12 +105,12 @@
   struct ts_cell *cell = ts_create ();
   const struct ts_order *start;
 
-  add_idle_worker (cell, "z", 3000);
+  ts_add_idle_worker (cell, "z", 3000);
   ts_submit (cell, BATCH, "urgent", &gang, 1);
-  add_idle_worker (cell, "a", 16000);
+  ts_add_idle_worker (cell, "a", 16000);
   ts_submit (cell, FIRST_FILLS, "urgent", &filling, 1);
   for (int i = 0; i < 32; i++)
-    add_idle_worker (cell, (char[]){ 'c', (char)('A' + i), '\0' }, 1000);
+    ts_add_idle_worker (cell, (char[]){ 'c', (char)('A' + i), '\0' }, 1000);
   for (int i = 0; i < 36; i++)
     ts_submit (cell, FIRST_SMALL + (uint64_t)i, "urgent", &small, 1);
   ts_submit (cell, LARGE, "urgent", &large, 1);
