sched: urgent tasks without room do not keep back interrupted lasting ones

Callers of a queue of lower priority saw lasting tasks that were stopped stay down beside a worker with room, for as long as tasks of higher priority came that found none.

A task without room blocks lower priorities for 3 s, so that freed pieces add up for it, and each further task begins that time anew. Only tasks that can reserve a worker were let through; gangs and tasks of queues with a policy reserve none.

A stage with a long-running task that goes on after a loss is not blocked any more. It comes behind the urgent tasks in the pass as before, so that it takes only room that they found too small. The special case for reservations in a blocked stage goes.

Ruled out: reservations for gangs (they would stop other work for all members at once) and a shorter time of blocking (it serves urgent work, and the next urgent task begins it anew). Tasks of such a stage that have never run are let through with the others.

--- a/sched/place.c
+++ b/sched/place.c
@@ -833,8 +833,9 @@
   return false;
 }
 
+/* Whether a long-running task of STAGE goes on after a loss. */
 static bool
-has_task_after_loss (const struct stage *stage)
+has_interrupted_task (const struct stage *stage)
 {
   for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
     if (stage->tasks[i].state == TASK_READY && stage->tasks[i].has_run)
@@ -851,7 +852,7 @@
   return stage->hold_count == 0 && stage->large_count == 0
          && stage->reserved_count == 0 && is_known_unplaced (pool, stage)
          && !(pass->has_quarantined && has_task_for_quarantined (stage, now))
-         && !(pass->has_large_held && has_task_after_loss (stage));
+         && !(pass->has_large_held && has_interrupted_task (stage));
 }
 
 /* Whether TASK could start now if it did not avoid a worker. */
@@ -885,7 +886,8 @@
 {
   return stage->hold_count == 0 && !stage->step->filler && pool->is_blocking
          && pool->service == stage->job->service
-         && stage->job->queue.priority > pool->priority;
+         && stage->job->queue.priority > pool->priority
+         && !has_interrupted_task (stage);
 }
 
 void
@@ -967,9 +969,6 @@
     reserve_check (stage, now);
     if (place_is_blocked (pool, stage))
       {
-        place_reserved (sched, pool, stage, now);
-        if (sched->reserve_due)
-          reserve_for_stage (sched, stage, now);
         if (pool->quarantined_capacity > 0)
           place_at_quarantined (sched, pool, stage, now);
         continue;
--- a/sched/place.h
+++ b/sched/place.h
@@ -94,7 +94,9 @@
 void place_block_lower (struct pool *pool, const struct task *task,
                         struct kq_sched_now now);
 /* Whether the tasks of STAGE wait for more urgent ones. Those that have held
-   room do not. */
+   room do not, nor do long-running ones that go on after a loss: they may be
+   down for a few seconds only, and urgent tasks may find no room for longer.
+ */
 bool place_is_blocked (const struct pool *pool, const struct stage *stage);
 
 /* Records a demand that could not be placed only for lack of capacity. */
