sched: a lasting filler reserves no worker

Callers of other queues waited beside a worker with room: it was reserved for a lasting filler that could not start there, and closed to all others.

A reservation counts the CPU of a filler like that of other tasks and what fillers use not at all, so that it finds room at a worker which is full of fillers, or where the serving tasks bear no more. A placement does not, and a reservation ends only when the worker can't take the task by the former count.

Fillers make no reservations any more: they take CPU that is left over, which none makes. What they lose is room in memory made by stops; a lasting filler waits for that like any other task. Ruled out: reservations that count fillers (the interference on serving tasks changes with every status, so that they would come and go).

--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -491,7 +491,10 @@
 {
   const struct kq_sched_step *step = stage->step;
 
-  if (!step->long_running || step->gang || stage->job->queue.advised)
+  /* A filler takes CPU that others leave unused; that of a reserved worker may
+     be in use by other fillers, or its tasks may bear none. */
+  if (!step->long_running || step->filler || step->gang
+      || stage->job->queue.advised)
     return;
   for (int i = 0; i < step->count; i++)
     {
