sched: an idle service lets a starved job into the room kept for short tasks

Callers saw a job that is to last run nothing although most of its service was idle: the room it needs was kept for short tasks.

What long-running tasks leave of a worker counts in whole tasks of the usual size. In a service of few workers, or with tasks that fill most of one, a small long-running task takes the last such piece, which is kept while the peak of the short tasks' demand is remembered at all.

A job without a bound task may have nothing running for 3 s while less than half of the service is in use. The exception that fillers and quarantined workers had for that holds for the room for short and for large tasks too: after 1.5 s, for one task of the job. Ruled out: a faster decay of the peak, or pieces left out of the count (both give room away that busy services need).

--- a/sched/explain.c
+++ b/sched/explain.c
@@ -240,7 +240,7 @@
   if (stage->step->gang)
     return slots < stage->ready_count ? KQ_SCHED_HELD_GANG
                                       : KQ_SCHED_NOT_HELD_BACK;
-  return place_leaves_short_room (&run->dry, pool, worker, task)
+  return place_leaves_short_room (&run->dry, pool, worker, task, run->now)
              ? KQ_SCHED_NOT_HELD_BACK
              : KQ_SCHED_HELD_SHORT_ROOM;
 }
@@ -261,8 +261,8 @@
   int64_t slots;
   bool waits;
 
-  run->dry.spare_large_room = service_spare_large_room (
-      &run->dry, task, pool->large_room, pool->capacity);
+  run->dry.spare_large_room
+      = place_spare_large_room (&run->dry, pool, task, run->now);
   worker = list_candidates (run, task, rack, step);
   slots = count_workers (run, task, step);
   run->dry.spare_large_room = INT64_MAX;
--- a/sched/place.c
+++ b/sched/place.c
@@ -27,11 +27,6 @@
    for 3 s while there is room. */
 #define ACCEPT_QUARANTINED_US (1000 * KQ_USEC_PER_MSEC)
 
-/* Time after which one task of a job without a bound task may start there too,
-   while less than HALF_USED_PERCENT of the CPU is in use.  Source: a job may
-   have nothing running for 3 s then. */
-#define ACCEPT_FOR_IDLE_JOB_US (1500 * KQ_USEC_PER_MSEC)
-
 /* Fillers may reserve CPU of a worker up to this percentage: all of them
    then run a little slower, which costs less than waiting. */
 #define FILLER_OVERCOMMIT_PERCENT 110
@@ -41,11 +36,13 @@
 #define MAX_INTERFERENCE 1.1
 #define WEIGHT_INTERFERENCE 1500
 
-/* A filler that has been ready for this long, of a job without a bound
-   task, is placed although it will be throttled, while less than
-   HALF_USED_PERCENT of the CPU is in use. Source: a job may have nothing
-   running for 3 s then. */
-#define DISTURB_AFTER_US (1500 * KQ_USEC_PER_MSEC)
+/* Of a job without a bound task, a task that has been ready for this long gets
+   what it is otherwise denied for the sake of other tasks while less than
+   HALF_USED_PERCENT of the CPU is in use: a filler is placed although it will
+   be throttled, a long-running task takes room that short ones have needed
+   lately, and one task may start at a quarantined worker. Source: a job may
+   have nothing running for 3 s then. */
+#define STARVED_AFTER_US (1500 * KQ_USEC_PER_MSEC)
 #define HALF_USED_PERCENT 50
 
 /* Percentage of a service's CPU that tasks of each lateness leave free, so
@@ -126,10 +123,15 @@
     }
 }
 
+/* Whether the job of TASK must not wait any longer, as most of CAPACITY is not
+   USED. */
 static bool
-is_under_half_used (const struct pool *pool)
+is_starved (int64_t used, int64_t capacity, const struct task *task,
+            struct kq_sched_now now)
 {
-  return pool->used * 100 < pool->capacity * HALF_USED_PERCENT;
+  return used * 100 < capacity * HALF_USED_PERCENT
+         && now.mono - task->ready_at >= STARVED_AFTER_US
+         && !job_has_bound_task (task->stage->job);
 }
 
 bool
@@ -162,13 +164,25 @@
 
 bool
 place_leaves_short_room (const struct kq_sched *sched, const struct pool *pool,
-                         const struct worker *worker, const struct task *task)
+                         const struct worker *worker, const struct task *task,
+                         struct kq_sched_now now)
 {
   int64_t taken = taken_room (sched, worker, task);
 
   return taken == 0 || task->has_run
          || pool->short_room - taken
-                >= service_kept_cpu (sched, pool->service, pool->capacity);
+                >= service_kept_cpu (sched, pool->service, pool->capacity)
+         || is_starved (pool->used, pool->capacity, task, now);
+}
+
+int64_t
+place_spare_large_room (const struct kq_sched *sched, const struct pool *pool,
+                        const struct task *task, struct kq_sched_now now)
+{
+  return is_starved (pool->used, pool->capacity, task, now)
+             ? INT64_MAX
+             : service_spare_large_room (sched, task, pool->large_room,
+                                         pool->capacity);
 }
 
 int
@@ -645,8 +659,7 @@
   struct worker *worker;
   bool waits;
 
-  sched->spare_large_room = service_spare_large_room (
-      sched, task, pool->large_room, pool->capacity);
+  sched->spare_large_room = place_spare_large_room (sched, pool, task, now);
   sched->large_room_denied = false;
   worker = choose_near_or_far (sched, task, now, &waits);
   sched->spare_large_room = INT64_MAX;
@@ -654,7 +667,7 @@
     return SEARCH_WAITS;
   if (worker == NULL)
     return sched->large_room_denied ? SEARCH_KEPT_OFF : SEARCH_NO_ROOM;
-  if (!place_leaves_short_room (sched, pool, worker, task))
+  if (!place_leaves_short_room (sched, pool, worker, task, now))
     return SEARCH_KEPT_OFF;
   start_single (sched, pool, task, worker, now);
   return SEARCH_STARTED;
@@ -762,15 +775,14 @@
 /* Places one filler of a job where it causes the least interference, even
    if it exceeds the limit everywhere; it then runs throttled. */
 static void
-place_disturbing (struct kq_sched *sched, struct stage *stage,
-                  struct kq_sched_now now)
+place_disturbing (struct kq_sched *sched, const struct pool *pool,
+                  struct stage *stage, struct kq_sched_now now)
 {
   int from = 0;
   struct task *task = next_ready (stage, &from, now);
   struct worker *worker;
 
-  if (task == NULL || now.mono - task->ready_at < DISTURB_AFTER_US
-      || job_has_bound_task (stage->job))
+  if (task == NULL || !is_starved (pool->used, pool->capacity, task, now))
     return;
   worker = choose_worker (sched, task, now, place_common_rack (stage), true);
   if (worker == NULL)
@@ -794,10 +806,7 @@
   struct worker *worker;
 
   if (task == NULL || pool->service != stage->job->service || stage->step->gang
-      || stage->job->queue.advised
-      || now.mono - task->ready_at < ACCEPT_FOR_IDLE_JOB_US
-      || used * 100 >= capacity * HALF_USED_PERCENT
-      || job_has_bound_task (stage->job))
+      || stage->job->queue.advised || !is_starved (used, capacity, task, now))
     return;
   task->may_use_quarantined = true;
   worker = choose_worker (sched, task, now, place_common_rack (stage), false);
@@ -987,8 +996,8 @@
     place_block_lower (pool, unplaced, now);
     if (pool->quarantined_capacity > 0)
       place_at_quarantined (sched, pool, stage, now);
-    if (stage->step->filler && is_under_half_used (pool))
-      place_disturbing (sched, stage, now);
+    if (stage->step->filler)
+      place_disturbing (sched, pool, stage, now);
   }
   sched->reserve_due = false;
 }
--- a/sched/place.h
+++ b/sched/place.h
@@ -65,11 +65,21 @@
                            struct kq_sched_now now);
 
 /* Whether TASK may start at WORKER although short tasks have needed the room
-   lately. A long-running task that has run before goes on at once. */
+   lately. A long-running task that has run before goes on at once; one of a
+   job that runs nothing waits for a short time only, if most of POOL is idle.
+ */
 bool place_leaves_short_room (const struct kq_sched *sched,
                               const struct pool *pool,
                               const struct worker *worker,
-                              const struct task *task);
+                              const struct task *task,
+                              struct kq_sched_now now);
+
+/* Returns how much room in pieces for large tasks TASK may take from POOL;
+   INT64_MAX if any. */
+int64_t place_spare_large_room (const struct kq_sched *sched,
+                                const struct pool *pool,
+                                const struct task *task,
+                                struct kq_sched_now now);
 
 /* A task returns to the worker where it failed or stalled only some time
    later. */
