sched: a policy is asked for quarantined workers that a task accepts

Callers of a queue with a policy saw a lasting task that was stopped stay down for as long as the only workers with room were quarantined.

After 1 s without room such a task accepts a quarantined worker, but the policy service was asked only for workers that are not quarantined, so that it had no ticket there. Candidates include quarantined workers now for steps with a task that accepts them. Ruled out: candidates of any kind in the first request (they would take the place of sound workers, and each costs the policy time).

--- a/sched/advice.c
+++ b/sched/advice.c
@@ -86,7 +86,7 @@
       && row->incarnation_ms == worker->report.incarnation_ms)
     return false;
   return advice_ticket (stage, worker, now) == NULL
-         && place_fits (worker, stage, now);
+         && place_fits_some_task (worker, stage, now);
 }
 
 static int64_t
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -678,6 +678,10 @@
 bool place_fits (const struct worker *worker, const struct stage *stage,
                  struct kq_sched_now now);
 
+/* The same, or WORKER is quarantined and a task of STAGE accepts that. */
+bool place_fits_some_task (const struct worker *worker,
+                           const struct stage *stage, struct kq_sched_now now);
+
 /* Whether WORKER may run TASK, which is no filler, now; sets *POINTS to its
    score, which is the lower the better. */
 bool place_score (struct kq_sched *sched, struct worker *worker,
--- a/sched/place.c
+++ b/sched/place.c
@@ -864,6 +864,16 @@
          && !(pass->has_large_held && has_interrupted_task (stage));
 }
 
+bool
+place_fits_some_task (const struct worker *worker, const struct stage *stage,
+                      struct kq_sched_now now)
+{
+  return has_room (worker, stage)
+         && (worker_usable (worker, now)
+             || (worker_takes_starts (worker, now)
+                 && has_task_for_quarantined (stage, now)));
+}
+
 /* Whether TASK could start now if it did not avoid a worker. */
 static bool
 avoids_room (const struct task *task, struct kq_sched_now now)
