sched: the placement in three files by what they ask

What concerns a task and a worker (capacity, score, search) stands in place-worker.c now, what a pass knows of each service in place-pool.c; place.c has the pass. Functions that the parts share have the prefix of the module.

--- a/sched/place.c
+++ b/sched/place.c
@@ -1,473 +1,10 @@
-/* Selects a worker for each ready task. */
+/* Places ready tasks on workers, stage by stage in order of urgency. */
 #include <string.h>
 
-#include "base/err.h"
-#include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/place.h"
 #include "sched/warmup.h"
 
-/* Weights of the score in thousandths of a worker's load; the lowest score
-   is selected. Source: docs/design/platform.md, "Where work goes". */
-#define WEIGHT_FAR_RACK 2000
-#define WEIGHT_MIXED_WORK 4000
-#define WEIGHT_FAILED_HERE 500
-#define WEIGHT_OTHER_RACK 1000
-
-/* A task under which workers were lost goes where the least would be lost with
-   it, and where no other such task is on trial; other tasks keep away. */
-#define WEIGHT_SUSPECT 50000
-#define WEIGHT_NEIGHBOUR 5000
-
-/* A quarantined worker is the last resort. */
-#define WEIGHT_QUARANTINED 100000
-
-/* Time without room elsewhere after which a long-running task that has run
-   before may start at a quarantined worker. Source: such a task may be down
-   for 3 s while there is room. */
-#define ACCEPT_QUARANTINED_US (1000 * KQ_USEC_PER_MSEC)
-
-/* Fillers may reserve CPU of a worker up to this percentage: all of them
-   then run a little slower, which costs less than waiting. */
-#define FILLER_OVERCOMMIT_PERCENT 110
-
-/* Fillers are not placed where the interference on serving tasks would
-   exceed this share of their limit. */
-#define MAX_INTERFERENCE 1.1
-#define WEIGHT_INTERFERENCE 1500
-
-/* Of a job without a bound task, a task that has been ready for this long gets
-   what it is otherwise denied for the sake of other tasks while less than
-   HALF_USED_PERCENT of the CPU is in use: a filler is placed although it will
-   be throttled, a long-running task takes room that short ones have needed
-   lately, and one task may start at a quarantined worker. Source: a job may
-   have nothing running for 3 s then. */
-#define STARVED_AFTER_US (1500 * KQ_USEC_PER_MSEC)
-#define HALF_USED_PERCENT 50
-
-/* Percentage of a service's CPU that tasks of each lateness leave free, so
-   that tasks that can still be in time start at once instead of waiting for
-   those that cannot. Source: docs/design/platform.md, "Overload". */
-static const int reserve_percent[] = { 0, 4, 8 };
-
-/* Tasks that are late by this much leave less free: they would never run
-   where long-running tasks hold nearly all of the CPU. */
-#define VERY_LATE_MS 30000
-#define VERY_LATE_RESERVE_PERCENT 1
-
-/* A task that finds no capacity blocks tasks of lower priority, other than
-   fillers, for this long, because they would take capacity in small pieces
-   as it comes free. After that time it is unlikely to be in time any more. */
-#define BLOCK_TIME_US (3 * KQ_USEC_PER_SEC)
-
-/* Number of workers among which one is chosen in a large cell. The least
-   loaded of them is among the least loaded 5 percent of all with a probability
-   of 96 percent. */
-#define MAX_CANDIDATES 64
-
-/* Time after a failure or stall of a task for which it waits for another
-   worker. */
-#define AVOID_WORKER_US (3 * KQ_USEC_PER_SEC)
-
-struct pool *
-place_pool (struct pass *pass, int service)
-{
-  struct pool *pool;
-
-  for (int i = 0; i < pass->pool_count; i++)
-    if (pass->pools[i].service == service)
-      return &pass->pools[i];
-  if (pass->pool_count == MAX_SERVICES)
-    return &pass->pools[MAX_SERVICES - 1];
-  pool = &pass->pools[pass->pool_count++];
-  pool->service = service;
-  pool->capacity = 0;
-  pool->used = 0;
-  pool->quarantined_capacity = 0;
-  pool->quarantined_used = 0;
-  pool->short_room = 0;
-  pool->large_room = 0;
-  pool->is_blocking = false;
-  pool->failed_images = 0;
-  pool->other_failed = false;
-  return pool;
-}
-
-void
-place_sum_pools (const struct kq_sched *sched, struct pass *pass,
-                 struct kq_sched_now now)
-{
-  pass->has_quarantined = false;
-  pass->has_large_held = false;
-  pass->pool_count = 0;
-  for (size_t i = 0; i < sched->worker_count; i++)
-    {
-      const struct worker *worker = sched->worker_array[i];
-      struct pool *pool;
-
-      pass->has_quarantined |= worker_is_quarantined (worker, now);
-      pass->has_large_held |= worker->large_count > 0;
-      if (!worker_takes_starts (worker, now))
-        continue;
-      pool = place_pool (pass, worker->service);
-      if (worker_is_quarantined (worker, now))
-        {
-          pool->quarantined_capacity += worker->report.capacity.cpu;
-          pool->quarantined_used += worker->used.cpu;
-          continue;
-        }
-      pool->capacity += worker->report.capacity.cpu;
-      pool->used += worker->used.cpu;
-      pool->short_room += service_room (sched, worker, 0);
-      pool->large_room += service_large_room (sched, worker, 0);
-    }
-}
-
-/* Whether the job of TASK must not wait any longer, as most of CAPACITY is not
-   USED. */
-static bool
-is_starved (int64_t used, int64_t capacity, const struct task *task,
-            struct kq_sched_now now)
-{
-  return used * 100 < capacity * HALF_USED_PERCENT
-         && now.mono - task->ready_at >= STARVED_AFTER_US
-         && !job_has_bound_task (task->stage->job);
-}
-
-bool
-place_leaves_reserve (const struct pool *pool, const struct stage *stage,
-                      struct kq_sched_now now)
-{
-  const struct kq_sched_step *step = stage->step;
-  int percent = reserve_percent[stage->lateness];
-
-  if (stage->lateness == 0 || step->filler || step->long_running)
-    return true;
-  if (now.wall_ms - stage->due_ms > VERY_LATE_MS)
-    percent = VERY_LATE_RESERVE_PERCENT;
-  return (pool->used + step->demand.cpu) * 100
-         <= pool->capacity * (100 - percent);
-}
-
-/* Returns what a start of TASK at WORKER takes of the room for short tasks. */
-static int64_t
-taken_room (const struct kq_sched *sched, const struct worker *worker,
-            const struct task *task)
-{
-  const struct kq_sched_step *step = task->stage->step;
-
-  if (!step->long_running || step->filler)
-    return 0;
-  return service_room (sched, worker, 0)
-         - service_room (sched, worker, step->demand.cpu);
-}
-
-bool
-place_leaves_short_room (const struct kq_sched *sched, const struct pool *pool,
-                         const struct worker *worker, const struct task *task,
-                         struct kq_sched_now now)
-{
-  int64_t taken = taken_room (sched, worker, task);
-
-  return taken == 0 || task->has_run
-         || pool->short_room - taken
-                >= service_kept_cpu (sched, pool->service, pool->capacity)
-         || is_starved (pool->used, pool->capacity, task, now);
-}
-
-int64_t
-place_spare_large_room (const struct kq_sched *sched, const struct pool *pool,
-                        const struct task *task, struct kq_sched_now now)
-{
-  return is_starved (pool->used, pool->capacity, task, now)
-             ? INT64_MAX
-             : service_spare_large_room (sched, task, pool->large_room,
-                                         pool->capacity);
-}
-
-int
-place_count_tasks (const struct worker *worker, const struct stage *stage)
-{
-  const struct task *task;
-  int count = 0;
-
-  DL_FOREACH (worker->tasks, task) { count += task->stage == stage; }
-  return count;
-}
-
-static bool
-has_capacity (const struct worker *worker, const struct kq_sched_step *step)
-{
-  const struct kq_sched_demand *capacity = &worker->report.capacity;
-  const struct kq_sched_demand *demand = &step->demand;
-
-  if (worker->used.mem + demand->mem > capacity->mem
-      || worker->used.gpu + demand->gpu > capacity->gpu)
-    return false;
-  if (step->filler)
-    return worker->used.cpu - worker->idle_cpu + worker->filler_cpu
-               + demand->cpu
-           <= capacity->cpu * FILLER_OVERCOMMIT_PERCENT / 100;
-  return worker->used.cpu + demand->cpu <= capacity->cpu;
-}
-
-bool
-place_is_within_capacity (const struct worker *worker,
-                          const struct kq_sched_step *step)
-{
-  const struct kq_sched_demand *capacity = &worker->report.capacity;
-  const struct kq_sched_demand *used = &worker->used;
-
-  return used->mem <= capacity->mem && used->gpu <= capacity->gpu
-         && (step->filler || used->cpu <= capacity->cpu);
-}
-
-bool
-place_meets_constraints (const struct worker *worker,
-                         const struct stage *stage)
-{
-  const struct kq_sched_step *step = stage->step;
-
-  if (worker->service != stage->job->service)
-    return false;
-  if (step->label[0] != '\0' && strcmp (step->label, worker->report.kind) != 0
-      && strcmp (step->label, worker->report.rack) != 0)
-    return false;
-  return step->max_per_worker == 0
-         || place_count_tasks (worker, stage) < step->max_per_worker;
-}
-
-/* Whether WORKER has room for a task of STAGE, if it takes tasks at all. */
-static bool
-has_room (const struct worker *worker, const struct stage *stage)
-{
-  return has_capacity (worker, stage->step) && !worker->unheard
-         && place_meets_constraints (worker, stage);
-}
-
-bool
-place_fits (const struct worker *worker, const struct stage *stage,
-            struct kq_sched_now now)
-{
-  return has_room (worker, stage) && worker_usable (worker, now);
-}
-
-/* Whether TASK has waited for so long that a worker where others have failed
-   is better than none. */
-static bool
-accepts_quarantined (const struct task *task, struct kq_sched_now now)
-{
-  return task->may_use_quarantined
-         || (task->stage->step->long_running && task->has_run
-             && now.mono - task->ready_at >= ACCEPT_QUARANTINED_US);
-}
-
-bool
-place_may_start_at (const struct worker *worker, const struct task *task,
-                    struct kq_sched_now now)
-{
-  return accepts_quarantined (task, now) ? worker_takes_starts (worker, now)
-                                         : worker_usable (worker, now);
-}
-
-/* Returns CPU in thousandths of the capacity of WORKER, which may be 0. */
-static int64_t
-share_milli (const struct worker *worker, int64_t cpu)
-{
-  int64_t capacity = worker->report.capacity.cpu;
-
-  return capacity > 0 ? cpu * 1000 / capacity : 0;
-}
-
-/* Returns the CPU load in thousandths, including fillers and the demand of
-   STEP. */
-static int64_t
-load_with_milli (const struct worker *worker, const struct kq_sched_step *step)
-{
-  return share_milli (worker, worker->used.cpu + worker->filler_cpu
-                                  + step->demand.cpu);
-}
-
-/* Penalty for mixing serving tasks of different images on a worker:
-   separate images leave fillers more workers whose tasks they do not slow
-   down. */
-static int64_t
-mixing_penalty (const struct worker *worker, const struct task *task)
-{
-  const struct task *other;
-  int64_t points = 0;
-
-  DL_FOREACH (worker->tasks, other)
-  {
-    if (other->stage->step->tail_target_ms > 0
-        && other->stage->image != task->stage->image)
-      points = WEIGHT_MIXED_WORK;
-  }
-  return points;
-}
-
-/* Serving and other long-running tasks are packed on few workers, so that
-   fillers and large tasks find others without them. Other tasks with a fixed
-   demand go beside serving tasks. */
-static int64_t
-score (const struct worker *worker, const struct task *task,
-       double interference)
-{
-  const struct kq_sched_step *step = task->stage->step;
-  int64_t load = load_with_milli (worker, step);
-  int64_t points = load;
-
-  if (step->tail_target_ms > 0)
-    {
-      points = -load + mixing_penalty (worker, task);
-      if (worker->serving_count == 0)
-        points += WEIGHT_MIXED_WORK / 2;
-      points += share_milli (worker, worker->filler_cpu);
-    }
-  else if (step->long_running && !step->filler)
-    points = -load;
-  else if (step->filler && worker->serving_count > 0)
-    points += (int64_t)(WEIGHT_INTERFERENCE * interference);
-  else if (!step->filler && worker->serving_count == 0)
-    points += WEIGHT_MIXED_WORK / 4;
-  if (step->rack[0] != '\0' && strcmp (step->rack, worker->report.rack) != 0)
-    points += WEIGHT_FAR_RACK;
-  points += (int64_t)worker->failed_jobs * WEIGHT_FAILED_HERE;
-  if (worker->suspect_count > 0)
-    points += WEIGHT_SUSPECT;
-  if (crash_is_suspect (task))
-    points += (int64_t)worker->task_count * WEIGHT_NEIGHBOUR;
-  return points;
-}
-
-void
-place_avoid_worker (struct task *task, struct worker *worker,
-                    struct kq_sched_now now)
-{
-  task->avoided_worker = worker;
-  task->avoided_until = now.mono + AVOID_WORKER_US;
-}
-
-bool
-place_avoids_worker (const struct task *task, const struct worker *worker,
-                     struct kq_sched_now now)
-{
-  return worker == task->avoided_worker && now.mono < task->avoided_until;
-}
-
-/* Whether the task must see all workers: few of them suit it, or it should be
-   packed on as few as possible. */
-static bool
-is_particular (const struct task *task, const char *rack)
-{
-  const struct kq_sched_step *step = task->stage->step;
-
-  return crash_is_suspect (task) || rack != NULL || step->tail_target_ms > 0
-         || step->long_running || step->rack[0] != '\0'
-         || step->label[0] != '\0' || step->max_per_worker != 0;
-}
-
-/* Whether WORKER may run TASK; sets *INTERFERENCE on serving tasks there. */
-static bool
-suits (struct kq_sched *sched, struct worker *worker, const struct task *task,
-       struct kq_sched_now now, bool disturbing, double *interference)
-{
-  const struct stage *stage = task->stage;
-
-  if (!has_room (worker, stage) || !place_may_start_at (worker, task, now)
-      || place_avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task) || !large_allows (worker, task)
-      || (warmup_is_cold (worker, now) && !warmup_allows (sched, worker, now))
-      || (stage->job->queue.advised
-          && advice_ticket (stage, worker, now) == NULL)
-      || service_takes_kept_pieces (sched, worker, task))
-    return false;
-  *interference = 0;
-  if (stage->step->filler && worker->serving_count > 0)
-    *interference = share_interference (sched, worker, stage->image,
-                                        stage->step->demand.cpu);
-  return disturbing || *interference <= MAX_INTERFERENCE;
-}
-
-bool
-place_score (struct kq_sched *sched, struct worker *worker,
-             const struct task *task, struct kq_sched_now now, int64_t *points)
-{
-  double interference;
-
-  if (!suits (sched, worker, task, now, false, &interference))
-    return false;
-  *points = score (worker, task, interference);
-  return true;
-}
-
-/* Inserts WORKER with POINTS into BEST, which has COUNT entries of at most
-   MAX; returns their new number. Of equal scores the one found first comes
-   first. */
-static int
-insert_candidate (struct place_candidate *best, int count, int max,
-                  struct worker *worker, int64_t points)
-{
-  int at = count;
-
-  while (at > 0 && points < best[at - 1].points)
-    at--;
-  if (at == max)
-    return count;
-  if (count < max)
-    count++;
-  for (int i = count - 1; i > at; i--)
-    best[i] = best[i - 1];
-  best[at] = (struct place_candidate){ worker, points };
-  return count;
-}
-
-int
-place_search (struct kq_sched *sched, const struct task *task,
-              struct kq_sched_now now, const char *rack, bool disturbing,
-              struct place_candidate *best, int max)
-{
-  int best_count = 0;
-  size_t count = sched->worker_count;
-  size_t candidates = 0;
-  size_t max_candidates = is_particular (task, rack) ? count : MAX_CANDIDATES;
-  size_t first = count > max_candidates ? sched->next_candidate : 0;
-
-  for (size_t i = 0; i < count && candidates < max_candidates; i++)
-    {
-      size_t index = first + i < count ? first + i : first + i - count;
-      struct worker *worker = sched->worker_array[index];
-      double interference;
-      int64_t points;
-
-      if (!suits (sched, worker, task, now, disturbing, &interference))
-        continue;
-      candidates += warmup_is_candidate (sched, worker, task, now);
-      points = score (worker, task, interference)
-               + warmup_points (sched, worker, task, now);
-      if (worker_is_quarantined (worker, now))
-        points += WEIGHT_QUARANTINED;
-      if (rack != NULL && strcmp (rack, worker->report.rack) != 0)
-        points += WEIGHT_OTHER_RACK;
-      best_count = insert_candidate (best, best_count, max, worker, points);
-      if (candidates == max_candidates)
-        sched->next_candidate = (index + 1) % count;
-    }
-  return best_count;
-}
-
-/* Returns the best of these workers, or NULL. */
-static struct worker *
-choose_worker (struct kq_sched *sched, const struct task *task,
-               struct kq_sched_now now, const char *rack, bool disturbing)
-{
-  struct place_candidate best;
-
-  return place_search (sched, task, now, rack, disturbing, &best, 1) > 0
-             ? best.worker
-             : NULL;
-}
-
 const char *
 place_common_rack (const struct stage *stage)
 {
@@ -493,8 +30,8 @@
            && rack_keeps_waiting (sched, rack, task, now);
   if (worker != NULL || *waits)
     return worker;
-  worker = choose_worker (sched, task, now, place_common_rack (task->stage),
-                          false);
+  worker = place_choose_worker (sched, task, now,
+                                place_common_rack (task->stage), false);
   *waits = rack != NULL && worker != NULL
            && rack_begins_wait (sched, rack, task, worker, now);
   return *waits ? NULL : worker;
@@ -541,8 +78,8 @@
 
   if (worker != NULL)
     return worker;
-  return choose_worker (sched, task, now, place_common_rack (task->stage),
-                        false);
+  return place_choose_worker (sched, task, now,
+                              place_common_rack (task->stage), false);
 }
 
 /* Places all members of a gang or none. */
@@ -594,7 +131,7 @@
 {
   const struct kq_sched_step *step = task->stage->step;
 
-  pool->short_room -= taken_room (sched, worker, task);
+  pool->short_room -= place_taken_room (sched, worker, task);
   pool->large_room -= service_taken_large_room (sched, worker, task);
   if (!step->filler)
     pool->used += step->demand.cpu;
@@ -613,7 +150,7 @@
 
   if (task->state != TASK_READY || task_awaits_other_run (task, now)
       || worker == NULL
-      || !suits (sched, worker, task, now, false, &interference))
+      || !place_suits (sched, worker, task, now, false, &interference))
     return;
   start_single (sched, pool, task, worker, now);
 }
@@ -696,8 +233,8 @@
 {
   if (!task->stage->step->long_running || !task->has_run)
     return CLASS_NEW;
-  return accepts_quarantined (task, now) ? CLASS_TAKES_QUARANTINED
-                                         : CLASS_HAS_RUN;
+  return place_accepts_quarantined (task, now) ? CLASS_TAKES_QUARANTINED
+                                               : CLASS_HAS_RUN;
 }
 
 /* Whether a worker that was closed to the tasks of FAILED may be open to
@@ -782,9 +319,11 @@
   struct task *task = next_ready (stage, &from, now);
   struct worker *worker;
 
-  if (task == NULL || !is_starved (pool->used, pool->capacity, task, now))
+  if (task == NULL
+      || !place_is_starved (pool->used, pool->capacity, task, now))
     return;
-  worker = choose_worker (sched, task, now, place_common_rack (stage), true);
+  worker = place_choose_worker (sched, task, now, place_common_rack (stage),
+                                true);
   if (worker == NULL)
     return;
   task_bind (sched, task, worker, now);
@@ -806,130 +345,18 @@
   struct worker *worker;
 
   if (task == NULL || pool->service != stage->job->service || stage->step->gang
-      || stage->job->queue.advised || !is_starved (used, capacity, task, now))
+      || stage->job->queue.advised
+      || !place_is_starved (used, capacity, task, now))
     return;
   task->may_use_quarantined = true;
-  worker = choose_worker (sched, task, now, place_common_rack (stage), false);
+  worker = place_choose_worker (sched, task, now, place_common_rack (stage),
+                                false);
   if (worker != NULL)
     start_single (sched, pool, task, worker, now);
   else
     task->may_use_quarantined = false;
 }
 
-/* Whether a demand of at most that of STAGE found no room in this pass. An
-   entry that several services share says nothing about any of them. */
-static bool
-is_known_unplaced (const struct pool *pool, const struct stage *stage)
-{
-  const struct kq_sched_step *step = stage->step;
-
-  if (pool->service != stage->job->service)
-    return false;
-  if (!step->filler)
-    return pool->other_failed
-           && demand_covers (&step->demand, &pool->smallest_other);
-  return (pool->failed_images >> stage->image & 1) != 0
-         && demand_covers (&step->demand, &pool->smallest[stage->image]);
-}
-
-static bool
-has_task_for_quarantined (const struct stage *stage, struct kq_sched_now now)
-{
-  for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
-    if (stage->tasks[i].state == TASK_READY
-        && accepts_quarantined (&stage->tasks[i], now))
-      return true;
-  return false;
-}
-
-/* Whether a long-running task of STAGE goes on after a loss. */
-static bool
-has_interrupted_task (const struct stage *stage)
-{
-  for (int i = 0; stage->step->long_running && i < stage->step->count; i++)
-    if (stage->tasks[i].state == TASK_READY && stage->tasks[i].has_run)
-      return true;
-  return false;
-}
-
-/* Room that is kept for STAGE or held for large tasks, and quarantined
-   workers, were not open to the tasks that found none. */
-bool
-place_cannot_fit (const struct pass *pass, const struct pool *pool,
-                  const struct stage *stage, struct kq_sched_now now)
-{
-  return stage->hold_count == 0 && stage->large_count == 0
-         && stage->reserved_count == 0 && is_known_unplaced (pool, stage)
-         && !(pass->has_quarantined && has_task_for_quarantined (stage, now))
-         && !(pass->has_large_held && has_interrupted_task (stage));
-}
-
-bool
-place_fits_some_task (const struct worker *worker, const struct stage *stage,
-                      struct kq_sched_now now)
-{
-  return has_room (worker, stage)
-         && (worker_usable (worker, now)
-             || (worker_takes_starts (worker, now)
-                 && has_task_for_quarantined (stage, now)));
-}
-
-/* Whether TASK could start now if it did not avoid a worker. */
-static bool
-avoids_room (const struct task *task, struct kq_sched_now now)
-{
-  const struct worker *worker = task->avoided_worker;
-
-  return worker != NULL && place_avoids_worker (task, worker, now)
-         && place_fits (worker, task->stage, now);
-}
-
-void
-place_block_lower (struct pool *pool, const struct task *task,
-                   struct kq_sched_now now)
-{
-  const struct stage *stage = task->stage;
-  const struct kq_sched_step *step = stage->step;
-
-  if (pool->service != stage->job->service || pool->is_blocking
-      || stage->lateness != 0 || step->filler || step->gang
-      || step->label[0] != '\0' || step->max_per_worker != 0
-      || now.mono - task->ready_at >= BLOCK_TIME_US || avoids_room (task, now))
-    return;
-  pool->is_blocking = true;
-  pool->priority = stage->job->queue.priority;
-}
-
-bool
-place_is_blocked (const struct pool *pool, const struct stage *stage)
-{
-  return stage->hold_count == 0 && !stage->step->filler && pool->is_blocking
-         && pool->service == stage->job->service
-         && stage->job->queue.priority > pool->priority
-         && !has_interrupted_task (stage);
-}
-
-void
-place_remember_unplaced (struct pool *pool, const struct stage *stage)
-{
-  const struct kq_sched_step *step = stage->step;
-
-  if (pool->service != stage->job->service || step->label[0] != '\0'
-      || step->max_per_worker != 0 || step->gang || stage->job->queue.advised
-      || is_known_unplaced (pool, stage))
-    return;
-  if (step->filler)
-    {
-      pool->failed_images |= UINT64_C (1) << stage->image;
-      pool->smallest[stage->image] = step->demand;
-    }
-  else if (!step->long_running)
-    {
-      pool->other_failed = true;
-      pool->smallest_other = step->demand;
-    }
-}
-
 /* Places the ready tasks of STAGE; returns a task that found no capacity,
    or NULL. */
 static const struct task *
--- a/sched/place.h
+++ b/sched/place.h
@@ -86,6 +86,36 @@
 bool place_avoids_worker (const struct task *task, const struct worker *worker,
                           struct kq_sched_now now);
 
+/* Whether the job of TASK must not wait any longer, as most of CAPACITY is not
+   USED. */
+bool place_is_starved (int64_t used, int64_t capacity, const struct task *task,
+                       struct kq_sched_now now);
+
+/* Returns what a start of TASK at WORKER takes of the room for short tasks. */
+int64_t place_taken_room (const struct kq_sched *sched,
+                          const struct worker *worker,
+                          const struct task *task);
+
+/* Whether WORKER has room for a task of STAGE, if it takes tasks at all. */
+bool place_has_room (const struct worker *worker, const struct stage *stage);
+
+/* Whether TASK has waited for so long that a worker where others have failed
+   is better than none. */
+bool place_accepts_quarantined (const struct task *task,
+                                struct kq_sched_now now);
+
+/* Whether WORKER may run TASK; sets *INTERFERENCE on serving tasks there. */
+bool place_suits (struct kq_sched *sched, struct worker *worker,
+                  const struct task *task, struct kq_sched_now now,
+                  bool disturbing, double *interference);
+
+/* Returns the best worker for TASK, or NULL; RACK and DISTURBING as for
+   place_search(). */
+struct worker *place_choose_worker (struct kq_sched *sched,
+                                    const struct task *task,
+                                    struct kq_sched_now now, const char *rack,
+                                    bool disturbing);
+
 /* Returns the rack of the bound tasks of STAGE if its tasks have to share
    one, else NULL. */
 const char *place_common_rack (const struct stage *stage);
