--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -615,3 +615,22 @@
   ts_reply_poll (cell, worker, running, (size_t)running_count, ended,
                  (size_t)ended_count);
 }
+
+void
+ts_end_run (struct ts_cell *cell, uint64_t job, int64_t number,
+            enum kq_sched_end how)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+  struct kq_sched_ended ended;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+  ended = ts_ended (order, number, how);
+  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
+}
+
+void
+ts_lose_worker (struct ts_cell *cell, const char *worker)
+{
+  ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
+}
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -160,4 +160,12 @@
  *  have ended.  */
 void ts_list_runs (struct ts_cell *cell, const char *worker);
 
+/** The run of the only task of JOB ends HOW, as end NUMBER of its worker,
+ * which runs nothing else.  */
+void ts_end_run (struct ts_cell *cell, uint64_t job, int64_t number,
+                 enum kq_sched_end how);
+
+/** Lets another process answer at the address of WORKER. */
+void ts_lose_worker (struct ts_cell *cell, const char *worker);
+
 #endif
--- a/t/test-reserve.c
+++ b/t/test-reserve.c
@@ -53,32 +53,6 @@
   return *order;
 }
 
-/* The run of the only task of JOB ends HOW, as end NUMBER of its worker. */
-static void
-end_run_as (struct ts_cell *cell, uint64_t job, int64_t number,
-            enum kq_sched_end how)
-{
-  const struct ts_order *order
-      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
-  struct kq_sched_ended ended;
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
-  ended = ts_ended (order, number, how);
-  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
-}
-
-static void
-end_run (struct ts_cell *cell, uint64_t job)
-{
-  end_run_as (cell, job, 1, KQ_SCHED_DONE);
-}
-
-static void
-lose_worker (struct ts_cell *cell, const char *worker)
-{
-  ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
-}
-
 static void
 test_smaller_task_without_room (void)
 {
@@ -139,8 +113,8 @@
   struct ts_cell cell;
 
   start_lasting_jobs (&cell);
-  lose_worker (&cell, "c");
-  lose_worker (&cell, "d");
+  ts_lose_worker (&cell, "c");
+  ts_lose_worker (&cell, "d");
   ts_list_runs (&cell, "a");
   ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
@@ -177,7 +151,7 @@
   ts_register (&cell, &report);
   ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
   ts_submit (&cell, BATCH, "urgent", &batch, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   strcpy (report.kind, "slow");
@@ -201,7 +175,7 @@
   ts_submit (&cell, LASTING, "batch", &lasting, 1);
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "urgent", &batch, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   cell.queues[1].advised = true;
@@ -223,7 +197,7 @@
   start_lasting_jobs (&cell);
   worker_find (cell.sched, "a")->unheard = true;
   worker_find (cell.sched, "b")->unheard = true;
-  lose_worker (&cell, "c");
+  ts_lose_worker (&cell, "c");
   ts_advance (&cell, 400);
   CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_STOP), 0);
   ts_list_runs (&cell, "a");
@@ -246,11 +220,11 @@
   ts_submit (&cell, LASTING, "batch", &lasting, 1);
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "batch", &batch, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_list_runs (&cell, "b");
   ts_advance (&cell, 400);
   ts_submit (&cell, SHORT, "urgent", &large, 1);
-  end_run (&cell, BATCH);
+  ts_end_run (&cell, BATCH, 1, KQ_SCHED_DONE);
   ts_advance (&cell, 200);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
   ts_stop (&cell);
@@ -269,12 +243,12 @@
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
-      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_end_run (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
     }
   /* The failed tasks have no worker to go to. */
   ts_submit (&cell, BATCH, "batch", &batch, 1);
   CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 0);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_list_runs (&cell, "b");
   ts_advance (&cell, 800);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 1);
@@ -308,10 +282,10 @@
   first = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 0);
   CU_ASSERT_PTR_NOT_NULL_FATAL (first);
   CU_ASSERT_STRING_EQUAL (first->worker, "b");
-  end_run_as (&cell, SHORT, 1, KQ_SCHED_FAILED);
+  ts_end_run (&cell, SHORT, 1, KQ_SCHED_FAILED);
   failed = ts_ended (first, 2, KQ_SCHED_FAILED);
   ts_reply_poll (&cell, "b", NULL, 0, &failed, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int ms = 0; ms < 1400; ms += 200)
     {
       ts_advance (&cell, 200);
@@ -336,7 +310,7 @@
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
   ts_add_idle_worker (&cell, "b", 4000);
   slow = start_job (&cell, BATCH, &batch);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int percent = 50; percent < 62; percent++)
     {
       running = ts_running (&slow, percent);
@@ -381,7 +355,7 @@
   member = start_job (&cell, BATCH, &gang);
   ts_add_idle_worker (&cell, "c", 4000);
   other = start_job (&cell, OTHER_BATCH, &slow);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int i = 0; i < 12; i++)
     {
       go_on (&cell, &member, 50 + i);
@@ -414,7 +388,7 @@
   first = start_job (&cell, BATCH, &nearly_done);
   ts_add_idle_worker (&cell, "c", 4000);
   second = start_job (&cell, OTHER_BATCH, &resumable);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int i = 0; i < 9; i++)
     {
       go_on (&cell, &first, 99);
@@ -450,11 +424,11 @@
   first = *ts_last_order (&cell, KQ_SCHED_FX_START, BATCH, 0, 0);
   second = *ts_last_order (&cell, KQ_SCHED_FX_START, OTHER_BATCH, 0, 0);
   ts_list_runs (&cell, "b");
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int i = 0; i < 7; i++)
     {
       if (i == 3)
-        lose_worker (&cell, "c");
+        ts_lose_worker (&cell, "c");
       running[0] = ts_running (&first, 50 + i);
       running[1] = ts_running (&second, i < 3 ? 50 : 99);
       ts_reply_poll (&cell, "b", running, 2, NULL, 0);
@@ -486,7 +460,7 @@
   ts_submit (&cell, BATCH, "urgent", &slow, 1);
   CU_ASSERT_EQUAL (ts_count_orders (&cell, KQ_SCHED_FX_START), 3);
   ts_list_runs (&cell, "b");
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_advance (&cell, 400);
   CU_ASSERT_PTR_NOT_NULL (
       ts_last_order (&cell, KQ_SCHED_FX_STOP, BATCH, 0, 0));
@@ -514,7 +488,7 @@
   ts_advance (&cell, 100);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 2), 1);
   ts_submit (&cell, SHORT, "batch", &small, 1);
-  end_run_as (&cell, SHORT, 1, KQ_SCHED_FAILED);
+  ts_end_run (&cell, SHORT, 1, KQ_SCHED_FAILED);
   second = ts_last_order (&cell, KQ_SCHED_FX_START, LASTING, 0, 1);
   CU_ASSERT_PTR_NOT_NULL_FATAL (second);
   CU_ASSERT_STRING_EQUAL (second->worker, "b");
@@ -522,11 +496,11 @@
       ts_last_order (&cell, KQ_SCHED_FX_START, SHORT, 0, 0)->worker, "b");
   failed = ts_ended (second, 2, KQ_SCHED_FAILED);
   ts_reply_poll (&cell, "b", NULL, 0, &failed, 1);
-  lose_worker (&cell, "c");
+  ts_lose_worker (&cell, "c");
   for (int ms = 0; ms < 1400; ms += 200)
     {
       if (ms == 800)
-        lose_worker (&cell, "a");
+        ts_lose_worker (&cell, "a");
       ts_advance (&cell, 200);
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
     }
@@ -548,7 +522,7 @@
   ts_start (&cell);
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  end_run_as (&cell, LASTING, 1, KQ_SCHED_FAILED);
+  ts_end_run (&cell, LASTING, 1, KQ_SCHED_FAILED);
   ts_submit (&cell, BATCH, "urgent", &slow, 1);
   ts_advance (&cell, 200);
   CU_ASSERT_EQUAL (ts_run_of (&cell, BATCH, 0), 1);
@@ -613,11 +587,11 @@
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
-      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_end_run (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
       ts_cancel (&cell, job);
     }
   ts_add_idle_worker (&cell, "c", 4000);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   refuse_starts (&cell, LASTING, "c", KQ_SCHED_UNHEALTHY, 3000);
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
   ts_stop (&cell);
@@ -637,7 +611,7 @@
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, BATCH, "batch", &long_batch, 1);
   ts_add_idle_worker (&cell, "c", 4000);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   refuse_starts (&cell, LASTING, "c", KQ_SCHED_NO_CAPACITY, 3000);
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
   ts_stop (&cell);
@@ -677,7 +651,7 @@
       ts_advance (&cell, 100);
       ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
     }
-  end_run_as (&cell, BATCH, 3, KQ_SCHED_DONE);
+  ts_end_run (&cell, BATCH, 3, KQ_SCHED_DONE);
   ts_advance (&cell, 300);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 2);
@@ -694,7 +668,7 @@
   ts_start (&cell);
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, LASTING, "urgent", &lasting, 1);
-  end_run_as (&cell, LASTING, 100, KQ_SCHED_FAILED);
+  ts_end_run (&cell, LASTING, 100, KQ_SCHED_FAILED);
   ts_add_idle_worker (&cell, "a", 4000);
   for (int ms = 0; ms < 4000; ms += 100)
     {
@@ -703,7 +677,7 @@
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
     }
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "a");
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   ts_advance (&cell, 200);
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, LASTING), "b");
   ts_stop (&cell);
@@ -729,11 +703,11 @@
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
-      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_end_run (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
       ts_cancel (&cell, job);
     }
   CU_ASSERT_STRING_EQUAL (worker_of (&cell, BATCH), "b");
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int ms = 0; ms < 1300; ms += 100)
     {
       struct kq_sched_running running = ts_running (
@@ -743,7 +717,7 @@
       ts_reply_poll (&cell, "b", &running, 1, NULL, 0);
     }
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 1);
-  end_run_as (&cell, BATCH, 10, KQ_SCHED_DONE);
+  ts_end_run (&cell, BATCH, 10, KQ_SCHED_DONE);
   ts_advance (&cell, 300);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 2);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 1), 2);
@@ -780,7 +754,7 @@
           if (ts_run_of (&cell, job, 0) == answered[i])
             continue;
           answered[i] = ts_run_of (&cell, job, 0);
-          end_run_as (&cell, job, ++number, KQ_SCHED_FAILED);
+          ts_end_run (&cell, job, ++number, KQ_SCHED_FAILED);
         }
       for (int i = 0; i < 3; i++)
         ts_reply_poll (&cell, workers[i], NULL, 0, NULL, 0);
--- a/t/test-starved.c
+++ b/t/test-starved.c
@@ -30,32 +30,6 @@
                                                    .demand = { 1500, 100, 0 },
                                                    .est_ms = 100000,
                                                    .long_running = true };
-/* The run of the only task of JOB ends HOW, as end NUMBER of its worker. */
-static void
-end_run_as (struct ts_cell *cell, uint64_t job, int64_t number,
-            enum kq_sched_end how)
-{
-  const struct ts_order *order
-      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
-  struct kq_sched_ended ended;
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
-  ended = ts_ended (order, number, how);
-  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
-}
-
-static void
-end_run (struct ts_cell *cell, uint64_t job)
-{
-  end_run_as (cell, job, 1, KQ_SCHED_DONE);
-}
-
-static void
-lose_worker (struct ts_cell *cell, const char *worker)
-{
-  ts_refuse_poll (cell, worker, cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
-}
-
 /* Answers the polls of WORKERS, of which each letter names one, for MS. With
    URGENT, a job of that step comes each second. */
 static void
@@ -94,7 +68,7 @@
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, OTHER_LASTING, "urgent", &lasting_small, 1);
   ts_submit (&cell, SHORT, "urgent", &large, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   run_workers (&cell, "b", 3000, &large);
   for (int i = 0; i < 2; i++)
     CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, i), 2);
@@ -127,7 +101,7 @@
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, OTHER_LASTING, "urgent", &lasting_small, 1);
   ts_submit (&cell, SHORT, "urgent", &large, 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int ms = 0; ms < 3000; ms += 1000)
     {
       advise (&cell, "b");
@@ -185,7 +159,7 @@
   ts_add_idle_worker (&cell, "b", 4000);
   ts_submit (&cell, OTHER_BATCH, "batch", &filler, 1);
   CU_ASSERT_EQUAL (ts_run_of (&cell, OTHER_BATCH, 0), 1);
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   run_workers (&cell, "b", 1000, NULL);
   ts_submit (&cell, SHORT, "urgent", &small, 1);
   run_workers (&cell, "b", 3000, NULL);
@@ -207,7 +181,7 @@
   ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, SHORT, "urgent", &wide, 1);
   ts_advance (&cell, 100);
-  end_run (&cell, SHORT);
+  ts_end_run (&cell, SHORT, 1, KQ_SCHED_DONE);
   ts_submit (&cell, LASTING, "urgent", &lasting_wide, 1);
   run_workers (&cell, "a", 3000, NULL);
   CU_ASSERT_EQUAL (ts_run_of (&cell, LASTING, 0), 1);
@@ -229,9 +203,9 @@
   for (uint64_t job = SHORT; job <= OTHER_LASTING; job++)
     {
       ts_submit (&cell, job, "batch", &small, 1);
-      end_run_as (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
+      ts_end_run (&cell, job, (int64_t)job, KQ_SCHED_FAILED);
     }
-  lose_worker (&cell, "a");
+  ts_lose_worker (&cell, "a");
   for (int ms = 0; ms < 3000; ms += 200)
     {
       ts_reply_poll (&cell, "b", NULL, 0, NULL, 0);
--- a/t/test-waits.c
+++ b/t/test-waits.c
@@ -15,19 +15,6 @@
 #define FIRST_SMALL UINT64_C (10)
 #define SMALL_JOBS 20
 
-static void
-end_run (struct ts_cell *cell, uint64_t job, int64_t number,
-         enum kq_sched_end how)
-{
-  const struct ts_order *order
-      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
-  struct kq_sched_ended ended;
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (order);
-  ended = ts_ended (order, number, how);
-  ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
-}
-
 /* An urgent task avoids the only worker, where it has failed: that shows no
    lack of capacity to tasks of lower priority. */
 static void
@@ -40,7 +27,7 @@
   ts_start (&cell);
   ts_add_idle_worker (&cell, "a", 4000);
   ts_submit (&cell, URGENT, "urgent", &step, 1);
-  end_run (&cell, URGENT, 1, KQ_SCHED_FAILED);
+  ts_end_run (&cell, URGENT, 1, KQ_SCHED_FAILED);
   ts_submit (&cell, BATCH, "batch", &step, 1);
   ts_advance (&cell, 200);
   CU_ASSERT_PTR_NOT_NULL (
@@ -77,7 +64,7 @@
   ts_advance (cell, 300);
   kq_sched_count (cell->sched, &counts);
   CU_ASSERT_EQUAL (counts.holds, 2);
-  end_run (cell, FIRST_FILLS, 1, KQ_SCHED_DONE);
+  ts_end_run (cell, FIRST_FILLS, 1, KQ_SCHED_DONE);
   ts_advance (cell, 200);
   start = ts_last_order (cell, KQ_SCHED_FX_START, LARGE, 0, 1);
   CU_ASSERT_PTR_NOT_NULL (start);
@@ -122,7 +109,7 @@
       start = ts_last_order (cell, KQ_SCHED_FX_START,
                              FIRST_SMALL + (uint64_t)i, 0, 0);
       if (strcmp (start->worker, "a") == 0)
-        end_run (cell, FIRST_SMALL + (uint64_t)i, i + 1, KQ_SCHED_DONE);
+        ts_end_run (cell, FIRST_SMALL + (uint64_t)i, i + 1, KQ_SCHED_DONE);
     }
   ts_submit (cell, URGENT, "urgent", &waiting, 1);
   ts_refuse_poll (cell, "z", cell->now.mono, KQ_SCHED_OTHER_INCARNATION);
