node: a stop writes the answers that are ready

Callers whose requests are pending when a host ends after a planned stop get the 503 or 504 that the job API gives them; until now their connections were closed without it. Requests that arrive at that moment are refused with 503.

Cause: kq_http_respond() marks a response as ready, and libmicrohttpd writes it when it is run again; the loop that runs it has ended by then. kq_http_stop() now runs it until all is written, for at most 150 ms of the 700 ms that a host's three servers share before it would be killed.

Ruled out: a kill before the answers (each stop logs its end), connections lost between hosts.

--- a/node/desk.h
+++ b/node/desk.h
@@ -48,7 +48,8 @@
                                       const char *address,
                                       const struct kq_job_api_handler *handler,
                                       int *err);
-/** Fails pending requests and closes all connections. */
+/** Fails pending requests, writes all responses (kq_http_stop()) and closes
+ * all connections.  */
 void kq_job_api_destroy (struct kq_job_api *api);
 
 /** Sets the configuration; CONFIG must outlive its use. */
--- a/node/http.c
+++ b/node/http.c
@@ -17,6 +17,13 @@
    platform's idle time, 15 s. */
 #define IDLE_TIMEOUT_SEC 20u
 
+/* A stop waits at most this long until its responses are written.  A host
+   stops three servers in the 700 ms before it would be killed (node/node.c).
+ */
+#define MAX_STOP_WRITE_US (150 * KQ_USEC_PER_MSEC)
+
+#define STOP_WAIT_MS 10
+
 #define CONNECTION_MEMORY_BYTES ((size_t)24 * 1024)
 #define DEFAULT_MAX_BODY_BYTES ((size_t)256 * 1024)
 
@@ -34,6 +41,7 @@
   bool run_pending;
   bool running;
   bool keep_alive_disabled;
+  bool stopping;
   size_t body_limit;
   size_t unsent_responses;
 };
@@ -192,6 +200,22 @@
                              request->response);
 }
 
+/* Refuses a request that nobody has handled. */
+static void
+refuse (struct request *request)
+{
+  struct kq_http_response response = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                                       .type = "application/json",
+                                       .retry_s = 1 };
+  char text[80];
+
+  snprintf (text, sizeof text, "{\"error\":\"%s\"}",
+            kq_err_name (KQ_ESTOPPING));
+  response.body = text;
+  response.body_size = strlen (text);
+  kq_http_respond (request->http, &request->base, &response);
+}
+
 static enum MHD_Result
 on_access (void *arg, struct MHD_Connection *connection, const char *path,
            const char *method, const char *version, const char *data,
@@ -216,7 +240,10 @@
   if (request->dispatched)
     return MHD_YES;
   request->dispatched = true;
-  http->handler.on_request (http->handler.arg, &request->base);
+  if (http->stopping)
+    refuse (request);
+  else
+    http->handler.on_request (http->handler.arg, &request->base);
   if (request->has_response)
     return send_response (request);
   request->suspended = true;
@@ -345,11 +372,35 @@
   return http;
 }
 
+/* Writes the responses of HTTP without its loop. */
+static void
+write_responses (struct kq_http *http)
+{
+  kq_usec deadline = kq_clock_now () + MAX_STOP_WRITE_US;
+  size_t count = http->unsent_responses;
+  char ready[24];
+  char unwritten[24];
+
+  http->stopping = true;
+  /* Also receives requests that have arrived. */
+  MHD_run (http->daemon);
+  while (http->unsent_responses > 0 && kq_clock_now () < deadline)
+    MHD_run_wait (http->daemon, STOP_WAIT_MS);
+  if (count == 0 && http->unsent_responses == 0)
+    return;
+  snprintf (ready, sizeof ready, "%zu", count);
+  snprintf (unwritten, sizeof unwritten, "%zu", http->unsent_responses);
+  kq_log (http->unsent_responses > 0 ? KQ_LOG_WARN : KQ_LOG_INFO, "http",
+          "responses written at the stop", 0, "ready", ready, "unwritten",
+          unwritten, NULL);
+}
+
 void
 kq_http_stop (struct kq_http *http)
 {
   if (http == NULL)
     return;
+  write_responses (http);
   ev_io_stop (http->loop, &http->io);
   ev_timer_stop (http->loop, &http->timer);
   ev_prepare_stop (http->loop, &http->prepare);
--- a/node/http.h
+++ b/node/http.h
@@ -52,6 +52,11 @@
 struct kq_http *kq_http_start (struct ev_loop *loop, const char *address,
                                const struct kq_http_handler *handler,
                                int *err);
+
+/** Closes the server.  Responses that were given are written first, for at
+ * most 0.4 s; requests that arrive meanwhile are refused with 503.  Each
+ * request must have a response before, and the handler is not called any more.
+ */
 void kq_http_stop (struct kq_http *http);
 
 /** Returns the argument NAME of the query string, or NULL; valid until the
