sched: a run number is no start after a takeover

After a takeover, `pending` counts the jobs of which no task has begun, and such jobs are shown as `queued`; until now those with an order that was refused or never sent were left out and shown as `active`.

Cause: the number of a run is stored before its order is sent, and restore_task() took it for a start. The state of a job now says whether a task has begun; a task that is done, has failed or has a checkpoint shows it too, and so does any run or end that a worker lists. A start alone causes no write. Each takeover logs how many jobs were restored and how many have not begun.

Ruled out: jobs that are missing after the takeover.

--- a/sched/listing.c
+++ b/sched/listing.c
@@ -90,6 +90,8 @@
   if (task == NULL)
     return;
   sched->counts.ends[ended->how]++;
+  /* An earlier owner may have started it. */
+  task->stage->job->started = true;
   current = is_current (task, worker, ended->run.run);
   if (current)
     crash_note_end (sched, task);
@@ -169,8 +171,6 @@
                 const struct kq_sched_running *row, kq_usec sent_at,
                 struct kq_sched_now now)
 {
-  struct job *job = task->stage->job;
-
   if (task->phase == PHASE_START_SENT || task->phase == PHASE_RESTORED
       || task->phase == PHASE_UNCONFIRMED)
     {
@@ -182,7 +182,6 @@
           task->phase_since = now.mono;
         }
       task->progress_at = now.mono;
-      job->started = true;
     }
   if (row->percent != task->percent)
     task->progress_at = now.mono;
@@ -280,6 +279,8 @@
       const struct kq_sched_running *row = &worker_status->running[i];
       struct task *task = find_task (sched, &row->run);
 
+      if (task != NULL)
+        task->stage->job->started = true;
       if (task != NULL && is_current (task, worker, row->run.run))
         apply_progress (sched, task, row, sent_at, now);
       else
--- a/sched/record.c
+++ b/sched/record.c
@@ -249,6 +249,27 @@
   job_open_due_occurrences (sched, job, now);
 }
 
+static void
+log_restored (const struct kq_sched *sched)
+{
+  char jobs[24];
+  char ended[24];
+  char not_started[24];
+  int ended_count = 0;
+  int not_started_count = 0;
+
+  for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
+    {
+      ended_count += job_has_ended (job);
+      not_started_count += !job_has_ended (job) && !job->started;
+    }
+  snprintf (jobs, sizeof jobs, "%u", HASH_COUNT (sched->jobs));
+  snprintf (ended, sizeof ended, "%d", ended_count);
+  snprintf (not_started, sizeof not_started, "%d", not_started_count);
+  kq_log (KQ_LOG_INFO, "sched", "jobs restored", 0, "jobs", jobs, "ended",
+          ended, "not_started", not_started, NULL);
+}
+
 void
 kq_sched_finish_restore (struct kq_sched *sched, struct kq_sched_now now)
 {
@@ -257,6 +278,7 @@
 
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
+  log_restored (sched);
   DL_FOREACH (sched->worker_list, worker)
   {
     grant_set_lapse (sched, worker, now.mono);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -516,7 +516,7 @@
   (ProtobufCMessageInit) kq_sched__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[4] =
 {
   {
     "outcome",
@@ -554,16 +554,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__StateRecord, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__state_record__field_indices_by_name[] = {
   1,   /* field[1] = ended_ms */
   0,   /* field[0] = outcome */
+  3,   /* field[3] = started */
   2,   /* field[2] = tasks */
 };
 static const ProtobufCIntRange kq_sched__state_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kq_sched__state_record__descriptor =
 {
@@ -573,7 +586,7 @@
   "KqSched__StateRecord",
   "kq_sched",
   sizeof(KqSched__StateRecord),
-  3,
+  4,
   kq_sched__state_record__field_descriptors,
   kq_sched__state_record__field_indices_by_name,
   1,  kq_sched__state_record__number_ranges,
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -49,7 +49,7 @@
 
 
 /*
- * A task that is done or has been started.
+ * A task that is done or has a run, whose start may not have been accepted.
  */
 struct  KqSched__TaskRecord
 {
@@ -115,10 +115,14 @@
   int64_t ended_ms;
   size_t n_tasks;
   KqSched__TaskRecord **tasks;
+  /*
+   * a task of the job has begun
+   */
+  protobuf_c_boolean started;
 };
 #define KQ_SCHED__STATE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__state_record__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/sched/state.c
+++ b/sched/state.c
@@ -223,6 +223,7 @@
     {
       message.outcome = job_has_ended (job) ? job->state : 0;
       message.ended_ms = job->ended_ms;
+      message.started = job->started;
     }
   message.n_tasks = (size_t)rows->count;
   message.tasks = rows->pointers;
@@ -300,6 +301,15 @@
   return count < MAX_RESTORED_LOSSES ? (int)count : MAX_RESTORED_LOSSES;
 }
 
+/* Whether RECORD shows that its task has begun.  The number of its run does
+   not: it is stored before the start order is sent. */
+static bool
+has_begun (const KqSched__TaskRecord *record)
+{
+  return record->done || record->failed_runs != 0
+         || (record->checkpoint != NULL && record->checkpoint[0] != '\0');
+}
+
 static void
 restore_task (struct kq_sched *sched, struct kq_sched_now now,
               struct task *task, const KqSched__TaskRecord *record)
@@ -316,7 +326,7 @@
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
-  if (task->run > 0)
+  if (has_begun (record))
     task->stage->job->started = true;
   if (record->done)
     {
@@ -361,6 +371,7 @@
 {
   job->state = (enum kq_sched_state)message->outcome;
   job->ended_ms = message->ended_ms;
+  job->started = message->started;
   restore_rows (sched, now, job, message);
 }
 
