sched: a gang has one checkpoint for all members

All members of a gang are started with the same checkpoint, the newest that any member has reached: of the latest run, and there of the member with the most progress. Until now each was started with its own, and the gang could end as `alone` each time.

Cause: a worker's list updated the checkpoint of the listed task only, and nothing compared those of a gang. The same for restored records that differ: the first one counts, as the parts of a job are written in ascending order.

Ruled out, by the code: a value that changes between the starts of one run, as they are sent in one pass.

--- a/sched/count.c
+++ b/sched/count.c
@@ -1,5 +1,6 @@
 /* Counters and invariant checks of the scheduler. */
 #include <assert.h>
+#include <string.h>
 
 #include "sched/disruption.h"
 #include "sched/internal.h"
@@ -78,6 +79,20 @@
   assert (count == 0 && cpu == 0);
 }
 
+/* All members of a gang are started with the same checkpoint. */
+static void
+assert_gang_checkpoints (const struct kq_sched *sched)
+{
+  const struct stage *stage;
+
+  DL_FOREACH (sched->queue, stage)
+  {
+    for (int i = 1; stage->step->gang && i < stage->step->count; i++)
+      assert (strcmp (stage->tasks[i].checkpoint, stage->tasks[0].checkpoint)
+              == 0);
+  }
+}
+
 void
 kq_sched_assert (const struct kq_sched *sched)
 {
@@ -117,4 +132,5 @@
   assert (ready == sched->counts.ready_tasks);
   reserve_assert (sched);
   assert_large_holds (sched);
+  assert_gang_checkpoints (sched);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -119,8 +119,9 @@
   int losses_set_aside;
   int silent_losses;
   struct crash_history *crash_history; /* these losses (crash.c), or NULL */
-  char checkpoint[KQ_SCHED_NAME_SIZE];
-  struct worker *worker;          /* while bound */
+  char checkpoint[KQ_SCHED_NAME_SIZE]; /* the same for all members of a gang */
+  uint32_t listed_checkpoint; /* hash of the one that a member listed last */
+  struct worker *worker;      /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   kq_usec avoided_until;          /* it does not return there before */
   struct worker *reserved_worker; /* kept free for it while it is ready */
@@ -179,8 +180,10 @@
   kq_usec opened_at;       /* its prerequisites were done */
   kq_usec first_placed_at; /* 0: no task was placed yet */
   kq_usec last_placed_at;
-  int measured_count;        /* tasks done whose run time is known */
-  int64_t longest_ms;        /* longest run time among these */
+  int measured_count; /* tasks done whose run time is known */
+  int64_t longest_ms; /* longest run time among these */
+  int checkpoint_run; /* of a gang: the run whose member had its checkpoint */
+  int checkpoint_percent;    /* and the progress of that member then */
   bool open;                 /* its prerequisites are done */
   bool queued;               /* in the queue of stages with ready tasks */
   bool advice_wanted;        /* no worker with a valid ticket has capacity */
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "log/log.h"
 #include "sched/disruption.h"
@@ -63,10 +64,38 @@
     quarantine (worker, now, "consecutive task failures of several jobs");
 }
 
+/* Gives all members of a gang CHECKPOINT, which the member TASK has reached,
+   if it is the newest: of a later run, or of a member with more progress.  Any
+   member may resume from it, but all must resume from the same.  The starts of
+   a run are sent together, so that it does not change between them. */
+static void
+update_gang_checkpoint (struct task *task, const char *checkpoint)
+{
+  struct stage *stage = task->stage;
+  uint32_t hash = XXH32 (checkpoint, strlen (checkpoint), 0);
+
+  if (hash == task->listed_checkpoint)
+    return;
+  task->listed_checkpoint = hash;
+  if (task->run < stage->checkpoint_run
+      || (task->run == stage->checkpoint_run
+          && task->percent < stage->checkpoint_percent))
+    return;
+  stage->checkpoint_run = task->run;
+  stage->checkpoint_percent = task->percent;
+  for (int i = 0; i < stage->step->count; i++)
+    snprintf (stage->tasks[i].checkpoint, sizeof stage->tasks[i].checkpoint,
+              "%s", checkpoint);
+}
+
 static void
 update_checkpoint (struct task *task, const char *checkpoint)
 {
-  if (checkpoint[0] != '\0')
+  if (checkpoint[0] == '\0')
+    return;
+  if (task->stage->step->gang)
+    update_gang_checkpoint (task, checkpoint);
+  else
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s", checkpoint);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -1,6 +1,9 @@
 /* Places ready tasks on workers, stage by stage in order of urgency. */
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/place.h"
 #include "sched/warmup.h"
@@ -82,6 +85,22 @@
                               place_common_rack (task->stage), false);
 }
 
+static void
+log_gang (const struct stage *stage, int run)
+{
+  char id[24];
+  char step[16];
+  char number[16];
+
+  if (stage->tasks[0].checkpoint[0] == '\0')
+    return;
+  snprintf (id, sizeof id, "%016" PRIx64, stage->job->id);
+  snprintf (step, sizeof step, "%d", stage->number);
+  snprintf (number, sizeof number, "%d", run);
+  kq_log (KQ_LOG_INFO, "sched", "gang resumes", 0, "job", id, "step", step,
+          "run", number, "checkpoint", stage->tasks[0].checkpoint, NULL);
+}
+
 /* Places all members of a gang or none. */
 static void
 place_gang (struct kq_sched *sched, struct stage *stage,
@@ -122,6 +141,7 @@
         stage->tasks[i].run = run;
         queue_start_order (sched, &stage->tasks[i], now);
       }
+  log_gang (stage, run + 1);
 }
 
 /* Starts TASK at WORKER, and takes what it needs from POOL. */
--- a/sched/record.c
+++ b/sched/record.c
@@ -237,12 +237,32 @@
   return job == NULL ? KQ_ENOMEM : 0;
 }
 
+/* The records of a gang's members may hold different checkpoints if not all
+   were written.  The first one is the newest, since the parts of a job are
+   written in ascending order. */
+static void
+share_checkpoint (struct stage *stage)
+{
+  const char *checkpoint = "";
+
+  for (int i = 0; i < stage->step->count && checkpoint[0] == '\0'; i++)
+    checkpoint = stage->tasks[i].checkpoint;
+  for (int i = 0; i < stage->step->count; i++)
+    if (stage->tasks[i].checkpoint != checkpoint)
+      snprintf (stage->tasks[i].checkpoint, sizeof stage->tasks[i].checkpoint,
+                "%s", checkpoint);
+}
+
 static void
 resume_job (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
 {
   for (int i = 0; i < job->stage_count; i++)
-    job->stages_done
-        += job->stages[i].done_count == job->stages[i].step->count;
+    {
+      job->stages_done
+          += job->stages[i].done_count == job->stages[i].step->count;
+      if (job->stages[i].step->gang)
+        share_checkpoint (&job->stages[i]);
+    }
   for (int i = 0; i < job->stage_count && job_has_ended (job); i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
       job->stages[i].tasks[j].stop_wanted = true;
