t, node: names of three test programs, the time that a stop may take

test-desk, test-gang and test-pending print their names with the prefix that the other programs have. The comment of kq_http_stop() named 0.4 s, the constant is 150 ms.

--- a/node/http.h
+++ b/node/http.h
@@ -54,7 +54,7 @@
                                int *err);
 
 /** Closes the server.  Responses that were given are written first, for at
- * most 0.4 s; requests that arrive meanwhile are refused with 503.  Each
+ * most 0.15 s; requests that arrive meanwhile are refused with 503.  Each
  * request must have a response before, and the handler is not called any more.
  */
 void kq_http_stop (struct kq_http *http);
--- a/t/test-desk.c
+++ b/t/test-desk.c
@@ -274,4 +274,4 @@
     test_stop_ends_in_time },
 };
 
-KQ_TEST_MAIN ("desk", tests)
+KQ_TEST_MAIN ("test-desk", tests)
--- a/t/test-gang.c
+++ b/t/test-gang.c
@@ -221,4 +221,4 @@
   { "the value is kept in a takeover", test_takeover },
 };
 
-KQ_TEST_MAIN ("gang", tests)
+KQ_TEST_MAIN ("test-gang", tests)
--- a/t/test-pending.c
+++ b/t/test-pending.c
@@ -141,4 +141,4 @@
   { "a start is stored with the next change", test_begun_is_stored },
 };
 
-KQ_TEST_MAIN ("pending", tests)
+KQ_TEST_MAIN ("test-pending", tests)
