sched: a run is stored with the incarnation that it was started in

A task under which a worker crashed is not started a sixth time any more when owners change beside that: callers see its job failed instead.

Cause: the record of a bound task took the incarnation from the worker's last registration. If a worker restarted under its ID and the job was written before the run was ended, a new owner restored the run as one of the later incarnation, found it missing there and took that for no loss.

--- a/sched/state.c
+++ b/sched/state.c
@@ -78,7 +78,11 @@
     {
       record->bound = true;
       record->worker = task->worker->report.id;
-      record->born_ms = task->worker->report.incarnation_ms;
+      /* A later incarnation may be known while the run of the earlier one is
+         still bound: a new owner must see that it was lost. */
+      record->born_ms = task->phase == PHASE_STORING
+                            ? task->worker->report.incarnation_ms
+                            : task->incarnation_ms;
       record->placed_ms = task->placed_ms;
     }
 }
--- a/t/test-deadly.c
+++ b/t/test-deadly.c
@@ -19,13 +19,21 @@
 static const struct sim_faults faults
     = { .lose_reply = 0.03, .delayed = 0.03, .takeover = 0.15 };
 
+/* Sound workers crash and fall silent too, one at a time, while owners change.
+ */
+static const struct sim_faults rough_changing
+    = { .takeover = 0.15, .worker_crash = 0.3, .worker_unreachable = 0.1 };
+
+/* Seeds in which tasks were started six times. */
+static const unsigned long changing_seeds[] = { 69 };
+
 static const struct kq_sched_step work
     = { .count = 3, .demand = { 1000, 1000, 0 }, .est_ms = 1500 };
 
 static void
-run_seed (unsigned long seed)
+run_seed (unsigned long seed, const struct sim_faults *kind)
 {
-  struct sim *sim = sim_create (seed, &faults);
+  struct sim *sim = sim_create (seed, kind);
 
   for (int i = 0; i < JOBS; i++)
     {
@@ -63,13 +71,22 @@
 test_deadly_tasks (void)
 {
   for (unsigned long seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed);
+    run_seed (seed, &faults);
   for (size_t i = 0; i < sizeof tight_seeds / sizeof tight_seeds[0]; i++)
-    run_seed (tight_seeds[i]);
+    run_seed (tight_seeds[i], &faults);
+}
+
+/* A deadly task must not gain starts because other workers crash too. */
+static void
+test_rough_service (void)
+{
+  for (size_t i = 0; i < sizeof changing_seeds / sizeof changing_seeds[0]; i++)
+    run_seed (changing_seeds[i], &rough_changing);
 }
 
 static const struct kq_test tests[] = {
   { "deadly tasks", test_deadly_tasks },
+  { "deadly tasks where workers crash", test_rough_service },
 };
 
 KQ_TEST_MAIN ("test-deadly", tests)
