sched: two lost workers end no job, five losses of any look do

Callers: a sound job is not shown as failed because two workers crashed under it; a task that crashes its workers is started five times at most also where hosts restart and its losses look like lapsed leases. In a calm service such a task costs three workers instead of two.

Cause: what a loss proved by itself decided. Two certain crashes gave a job up; a lapsed lease never counted, so that five losses could leave a sixth start. Now two losses are never enough, those that nothing explains count whatever they look like (four; three if two are crashes and the last had one cause), and five end the job in any case. A worker that replies again in the same incarnation had not crashed: its loss counts no more. Workers without tasks that fell silent with others speak for a cut.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -25,20 +25,19 @@
    than a lease and two takeovers. */
 #define UNNOTICED_CRASH_MS 20000
 
-/* A task is given up after so many workers have crashed under its runs; after
-   fewer if the last crash can have no other cause; after so many crashes if
-   the replies to some starts did not arrive, since a worker may crash before
-   it replies; and after so many crashes of any kind, since a task that crashes
-   its workers may be started twice more after three crashes. */
+/* A task is given up after so many workers have crashed for certain under its
+   runs and no outage explains that; after so many losses of which so many are
+   crashes, if the last crash can have no other cause; after so many losses
+   that no outage explains, whatever they look like, since a worker may crash
+   before it replies or unseen by its owner; and after so many with those that
+   an outage explains, since a task that crashes its workers may be started
+   twice more after three crashes.  Two losses are never enough. */
 #define MAX_CRASHES 3
-#define MAX_CRASHES_ALONE 2
-#define MAX_UNPROVEN_CRASHES 4
+#define MIN_CRASHES_ALONE 2
+#define MAX_LOSSES_BESIDE_CRASHES 3
+#define MAX_UNEXPLAINED_LOSSES 4
 #define MAX_STARTS_THAT_CRASH 5
 
-/* The same for losses of any kind of a task under which two workers have
-   crashed for certain.  It leaves one start for a crash that was not seen. */
-#define MAX_LOSSES_BESIDE_CRASHES 4
-
 /* A task with so many losses set aside waits for the end of the outage: this
    long after the first such loss, twice as long after the next, and four times
    from then on.  With the wait for calm this is below the 6 s after which a
@@ -52,6 +51,11 @@
 #define CALM_US KQ_USEC_PER_SEC
 #define MAX_CALM_WAIT_US (1500 * KQ_USEC_PER_MSEC)
 
+/* Workers that fell silent together are looked for no more often than this,
+   since that takes a walk over all workers; it is within the window in which
+   losses explain each other. */
+#define SILENCE_INTERVAL_US KQ_USEC_PER_SEC
+
 /* A service that restarts as a whole does so within this time. */
 #define RAPID_US (500 * KQ_USEC_PER_MSEC)
 
@@ -59,6 +63,8 @@
 enum loss_kind
 {
   LOSS_SILENT,   /* the worker may be only out of reach */
+  LOSS_CUT,      /* the same, as many others are */
+  LOSS_REFUTED,  /* it has replied since, and had not crashed */
   LOSS_UNPROVEN, /* it has crashed; the start may not have reached it */
   LOSS_CRASH,    /* it has crashed after it accepted the start */
   LOSS_SET_ASIDE /* it has crashed; an outage explains that */
@@ -90,11 +96,18 @@
   struct crash_history *next;
 };
 
+/* Returns the number of losses under TASK that no outage explains, whatever
+   they looked like. */
+static int
+count_unexplained (const struct task *task)
+{
+  return task->crashes + task->unproven_crashes + task->silent_losses;
+}
+
 int
 crash_count_losses (const struct task *task)
 {
-  return task->crashes + task->unproven_crashes + task->losses_set_aside
-         + task->silent_losses;
+  return count_unexplained (task) + task->losses_set_aside + task->cut_losses;
 }
 
 /* A run that was placed this long before its task is restored has settled: the
@@ -164,6 +177,7 @@
   task->unproven_crashes = 0;
   task->losses_set_aside = 0;
   task->silent_losses = 0;
+  task->cut_losses = 0;
   crash_forget (sched, task);
 }
 
@@ -307,6 +321,38 @@
   return finding.number;
 }
 
+/* Whether OTHER fell silent with WORKER, as far as the intervals of their
+   polls tell. */
+static bool
+fell_silent_with (const struct worker *other, const struct worker *worker,
+                  struct kq_sched_now now)
+{
+  kq_usec apart = other->last_reply_at - worker->last_reply_at;
+
+  return other->last_reply_at != 0 && !other->lost
+         && now.mono - other->last_reply_at
+                >= (other->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
+                                : KQ_SCHED_UNRESPONSIVE_US)
+         && apart <= KQ_SCHED_IDLE_POLL_INTERVAL_US
+         && apart >= -KQ_SCHED_IDLE_POLL_INTERVAL_US;
+}
+
+/* Reports all workers that fell silent with WORKER, whose lease has lapsed, as
+   lost: those without tasks have no lease that would show it. */
+static void
+note_silent_workers (struct kq_sched *sched, const struct worker *worker,
+                     struct kq_sched_now now)
+{
+  if (sched->silence_noted_at != 0
+      && now.mono - sched->silence_noted_at < SILENCE_INTERVAL_US)
+    return;
+  sched->silence_noted_at = now.mono;
+  for (size_t i = 0; i < sched->worker_count; i++)
+    if (sched->worker_array[i] != worker
+        && fell_silent_with (sched->worker_array[i], worker, now))
+      note_loss (sched, sched->worker_array[i], now);
+}
+
 void
 crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
                         struct kq_sched_now now)
@@ -330,6 +376,7 @@
                                      .at = loss->at };
 }
 
+/* Returns NULL for losses that are not counted. */
 static int *
 counter_of (struct task *task, enum loss_kind kind)
 {
@@ -337,6 +384,10 @@
     {
     case LOSS_SILENT:
       return &task->silent_losses;
+    case LOSS_CUT:
+      return &task->cut_losses;
+    case LOSS_REFUTED:
+      return NULL;
     case LOSS_UNPROVEN:
       return &task->unproven_crashes;
     case LOSS_CRASH:
@@ -347,8 +398,22 @@
   return &task->losses_set_aside;
 }
 
+static void
+set_kind (struct task *task, struct crash_loss *loss, enum loss_kind kind)
+{
+  int *before = counter_of (task, loss->kind);
+  int *after = counter_of (task, kind);
+
+  if (before != NULL)
+    --*before;
+  if (after != NULL)
+    ++*after;
+  loss->kind = kind;
+}
+
 /* Judges the loss at INDEX by what is known now: a worker that was silent may
-   have come back in a new incarnation, and other losses may explain it. */
+   have come back, in a new incarnation or in the same one, and other losses
+   may explain it. */
 static void
 judge_loss (struct kq_sched *sched, struct crash_history *history, int index)
 {
@@ -358,13 +423,15 @@
   enum kq_evidence_scope scope;
   enum loss_kind kind = loss->accepted ? LOSS_CRASH : LOSS_UNPROVEN;
 
-  if (loss->kind == LOSS_SET_ASIDE)
+  if (loss->kind == LOSS_SET_ASIDE || loss->kind == LOSS_REFUTED)
     return;
   loss->proven = loss->proven || loss->worker->lost
                  || loss->worker->report.incarnation_ms > loss->incarnation_ms;
   scope = kq_evidence_explain (sched->evidence, &query);
-  if (!loss->proven)
-    kind = LOSS_SILENT;
+  if (!loss->proven && loss->worker->last_reply_at > loss->at)
+    kind = LOSS_REFUTED;
+  else if (!loss->proven)
+    kind = scope == KQ_EVIDENCE_NONE ? LOSS_SILENT : LOSS_CUT;
   else if (scope != KQ_EVIDENCE_NONE)
     {
       kind = LOSS_SET_ASIDE;
@@ -372,9 +439,7 @@
       task_log (history->task, "loss of a worker set aside",
                 kq_evidence_scope_name (scope));
     }
-  --*counter_of (history->task, loss->kind);
-  ++*counter_of (history->task, kind);
-  loss->kind = kind;
+  set_kind (history->task, loss, kind);
 }
 
 static void
@@ -384,16 +449,21 @@
     judge_loss (sched, history, i);
 }
 
-/* Whether TASK may not be started again, whatever explains its losses. Two
-   crashes for certain are enough to hold silent workers against it too: owners
-   that change may have missed a crash. */
+/* Whether TASK may not be started again, whatever explains its losses. */
 static bool
 has_used_all_starts (const struct task *task)
 {
-  return task->crashes + task->unproven_crashes + task->losses_set_aside
-             >= MAX_STARTS_THAT_CRASH
-         || (task->crashes >= MAX_CRASHES_ALONE
-             && crash_count_losses (task) >= MAX_LOSSES_BESIDE_CRASHES);
+  return crash_count_losses (task) >= MAX_STARTS_THAT_CRASH;
+}
+
+/* Whether losses under TASK, as far as they are stored with it, prove that it
+   crashes its workers. */
+static bool
+has_lost_too_many (const struct task *task)
+{
+  return task->crashes >= MAX_CRASHES
+         || count_unexplained (task) >= MAX_UNEXPLAINED_LOSSES
+         || has_used_all_starts (task);
 }
 
 /* Whether workers have crashed so often under the task of HISTORY after they
@@ -406,16 +476,14 @@
 
   return task->crashes >= MAX_CRASHES
          || (last->kind == LOSS_CRASH && last->one_cause
-             && task->crashes >= MAX_CRASHES_ALONE);
+             && task->crashes >= MIN_CRASHES_ALONE
+             && count_unexplained (task) >= MAX_LOSSES_BESIDE_CRASHES);
 }
 
 static bool
 is_given_up (const struct crash_history *history)
 {
-  const struct task *task = history->task;
-
-  return has_crashed_enough (history) || has_used_all_starts (task)
-         || task->crashes + task->unproven_crashes >= MAX_UNPROVEN_CRASHES;
+  return has_crashed_enough (history) || has_lost_too_many (history->task);
 }
 
 /* Whether the last two losses of HISTORY are close to each other. */
@@ -455,7 +523,8 @@
       const struct crash_loss *loss = &history->losses[i];
       const struct kq_evidence_query query = query_for (history, loss, own);
 
-      if ((loss->kind == LOSS_CRASH || loss->kind == LOSS_UNPROVEN)
+      if ((loss->kind == LOSS_CRASH || loss->kind == LOSS_UNPROVEN
+           || loss->kind == LOSS_SILENT)
           && kq_evidence_is_doubtful (sched->evidence, &query))
         return true;
     }
@@ -512,9 +581,7 @@
 {
   /* An earlier owner may have put the verdict off, but another start could be
      the sixth. */
-  if (task->crashes >= MAX_CRASHES
-      || task->crashes + task->unproven_crashes >= MAX_UNPROVEN_CRASHES
-      || has_used_all_starts (task))
+  if (has_lost_too_many (task))
     give_up (sched, task);
 }
 
@@ -653,6 +720,8 @@
   struct task *task;
   struct task *next;
 
+  if (!proven)
+    note_silent_workers (sched, worker, now);
   if (!worker->report.draining)
     note_loss (sched, worker, now);
   DL_FOREACH_SAFE (worker->tasks, task, next)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -112,12 +112,13 @@
   uint64_t failed_runs; /* bit N - 1 is set if run N has failed */
   /* Workers lost under its runs since one of these settled: workers that have
      crashed after they accepted the start, those that have crashed and may
-     have accepted it, those whose crash an outage explains, and those that may
-     only have been silent. */
+     have accepted it, those whose crash an outage explains, those that may
+     only have been silent, and those that were silent with many others. */
   int crashes;
   int unproven_crashes;
   int losses_set_aside;
   int silent_losses;
+  int cut_losses;
   struct crash_history *crash_history; /* these losses (crash.c), or NULL */
   char checkpoint[KQ_SCHED_NAME_SIZE]; /* the same for all members of a gang */
   uint32_t listed_checkpoint; /* hash of the one that a member listed last */
@@ -453,6 +454,7 @@
   bool superseded;
   bool job_given_up;            /* a job is to be ended for its crashes */
   struct kq_evidence *evidence; /* losses of workers */
+  kq_usec silence_noted_at;     /* last look for silent workers; 0: none yet */
   struct crash_history *crash_histories;
   struct worker *next_polled; /* where the search for due polls continues */
   kq_usec next_search_at;     /* a new search starts no earlier than this */
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_sched__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[15] =
+static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[16] =
 {
   {
     "occurrence",
@@ -478,12 +478,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut_losses",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, cut_losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__task_record__field_indices_by_name[] = {
   7,   /* field[7] = born_ms */
   5,   /* field[5] = bound */
   9,   /* field[9] = checkpoint */
   10,   /* field[10] = crashes */
+  15,   /* field[15] = cut_losses */
   3,   /* field[3] = done */
   8,   /* field[8] = failed_runs */
   2,   /* field[2] = index */
@@ -499,7 +512,7 @@
 static const ProtobufCIntRange kq_sched__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor kq_sched__task_record__descriptor =
 {
@@ -509,7 +522,7 @@
   "KqSched__TaskRecord",
   "kq_sched",
   sizeof(KqSched__TaskRecord),
-  15,
+  16,
   kq_sched__task_record__field_descriptors,
   kq_sched__task_record__field_indices_by_name,
   1,  kq_sched__task_record__number_ranges,
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -96,10 +96,14 @@
    * workers that may not have crashed at all
    */
   uint32_t silent_losses;
+  /*
+   * the same, lost together with others
+   */
+  uint32_t cut_losses;
 };
 #define KQ_SCHED__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__task_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/state.c
+++ b/sched/state.c
@@ -73,6 +73,7 @@
   record->unproven_crashes = (uint32_t)task->unproven_crashes;
   record->losses_set_aside = (uint32_t)task->losses_set_aside;
   record->silent_losses = (uint32_t)task->silent_losses;
+  record->cut_losses = (uint32_t)task->cut_losses;
   record->checkpoint = task->checkpoint;
   if (task->state == TASK_BOUND)
     {
@@ -327,6 +328,7 @@
   task->unproven_crashes = restored_losses (record->unproven_crashes);
   task->losses_set_aside = restored_losses (record->losses_set_aside);
   task->silent_losses = restored_losses (record->silent_losses);
+  task->cut_losses = restored_losses (record->cut_losses);
   if (record->checkpoint != NULL)
     snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
               record->checkpoint);
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -18,6 +18,9 @@
    it. */
 #define MAX_STARTS 5
 
+/* So many lost workers never prove that their task is the cause. */
+#define LOSSES_THAT_PROVE_NOTHING 2
+
 /* Time from the first start until a run has proved that it does not crash its
    worker. */
 #define SETTLE_MS 1500
@@ -33,7 +36,16 @@
    without replies, or under an earlier owner. */
 #define VERDICT_MS 2250
 
-#define MAX_WORKERS 16
+/* Workers of a site that are lost and replaced together. */
+#define WORKERS_AT_ONCE 3
+
+/* Losses that nothing connects are further apart. */
+#define APART_MS 3000
+
+/* Time after which the lease of a silent worker has lapsed. */
+#define LONGEST_LAPSE_MS 8000
+
+#define MAX_WORKERS 32
 
 static const struct kq_sched_step one_task
     = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 20000 };
@@ -429,6 +441,128 @@
   stop_site (site);
 }
 
+/* Workers crash one after the other under a sound task that each had begun:
+   two such crashes must not end its job, however calm all else is. */
+static void
+test_two_crashes_prove_nothing (void)
+{
+  static const struct kq_sched_step *const steps[]
+      = { &one_task, &lasting_task };
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct site *site = start_site (14);
+      struct ts_order start;
+
+      ts_submit (&site->cell, OTHER_JOB, "urgent", steps[i], 1);
+      for (int loss = 0; loss < LOSSES_THAT_PROVE_NOTHING; loss++)
+        {
+          start = last_start (&site->cell, OTHER_JOB);
+          ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+          ts_advance (&site->cell, 250);
+          crash (site, start.worker);
+        }
+      CU_ASSERT_NOT_EQUAL (state_of (site, OTHER_JOB), KQ_SCHED_FAILED_JOB);
+      CU_ASSERT_EQUAL (count_starts (&site->cell, OTHER_JOB),
+                       LOSSES_THAT_PROVE_NOTHING + 1);
+      stop_site (site);
+    }
+}
+
+/* What a worker lost under DEADLY_JOB looks like at the owner. */
+enum look
+{
+  LOOK_CRASHED,   /* another process has its address */
+  LOOK_LAPSED,    /* it is silent until its lease lapses */
+  LOOK_CUT,       /* the same, with all others, for good */
+  LOOK_UNANSWERED /* the start had no reply, then as LOOK_CRASHED */
+};
+
+/* Lets MS pass in which the workers that are up answer and list nothing. */
+static void
+wait_on (struct site *site, int64_t ms)
+{
+  for (; ms > 0; ms -= 250)
+    {
+      ts_advance (&site->cell, 250);
+      answer_polls (site);
+    }
+}
+
+static void
+lose_worker_of_deadly_job (struct site *site, enum look look)
+{
+  struct ts_order start = last_start (&site->cell, DEADLY_JOB);
+
+  ts_reply_order (&site->cell, &start,
+                  look == LOOK_UNANSWERED ? KQ_SCHED_NO_REPLY : KQ_SCHED_OK);
+  if (look == LOOK_CUT)
+    {
+      for (int i = 0; i < site->count; i++)
+        site->crashed[i] = true;
+      for (int i = 0; i < WORKERS_AT_ONCE; i++)
+        add_worker (site);
+    }
+  if (look != LOOK_LAPSED && look != LOOK_CUT)
+    crash (site, start.worker);
+  else
+    {
+      site->crashed[atoi (start.worker)] = true;
+      add_worker (site);
+      for (int i = 0; i < LONGEST_LAPSE_MS; i += 250)
+        {
+          ts_fail_poll (&site->cell, start.worker);
+          wait_on (site, 250);
+        }
+    }
+  wait_on (site, APART_MS);
+}
+
+/* Returns the number of starts of a task whose workers are lost one by one,
+   with nothing else lost, in the order of LOOKS. */
+static int
+count_starts_with_looks (const enum look *looks, int count)
+{
+  struct site *site = start_site (WORKERS_AT_ONCE);
+  int run = 0;
+  int starts;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &one_task, 1);
+  for (int i = 0;
+       i < count && last_start (&site->cell, DEADLY_JOB).run.run > run; i++)
+    {
+      run = last_start (&site->cell, DEADLY_JOB).run.run;
+      lose_worker_of_deadly_job (site, looks[i]);
+    }
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  starts = count_starts (&site->cell, DEADLY_JOB);
+  stop_site (site);
+  return starts;
+}
+
+/* A task whose losses look different each time, as hosts restart beside it,
+   must not be started a sixth time. */
+static void
+test_losses_count_whatever_their_look (void)
+{
+  static const enum look mixed[]
+      = { LOOK_CRASHED,    LOOK_LAPSED,     LOOK_LAPSED,
+          LOOK_UNANSWERED, LOOK_UNANSWERED, LOOK_CRASHED };
+  static const enum look unanswered[]
+      = { LOOK_UNANSWERED, LOOK_LAPSED,     LOOK_UNANSWERED,
+          LOOK_LAPSED,     LOOK_UNANSWERED, LOOK_CRASHED };
+  static const enum look lapsed[] = { LOOK_LAPSED, LOOK_LAPSED, LOOK_LAPSED,
+                                      LOOK_LAPSED, LOOK_LAPSED, LOOK_CRASHED };
+
+  static const enum look cut[]
+      = { LOOK_CUT, LOOK_CRASHED, LOOK_CUT, LOOK_CUT, LOOK_CUT, LOOK_CRASHED };
+
+  CU_ASSERT (count_starts_with_looks (cut, 6) <= MAX_STARTS);
+  CU_ASSERT (count_starts_with_looks (mixed, 6) <= MAX_STARTS);
+  CU_ASSERT (count_starts_with_looks (unanswered, 6) <= MAX_STARTS);
+  CU_ASSERT (count_starts_with_looks (lapsed, 6) <= MAX_STARTS);
+}
+
 /* Two tasks are lost together.  They are not started on one worker again, and
    the one that settles is not given up. */
 static void
@@ -559,6 +693,9 @@
     test_unanswered_start_proves_nothing },
   { "starts at crashed workers", test_starts_at_crashed_workers },
   { "a silent worker proves nothing", test_silent_worker_proves_nothing },
+  { "two crashes prove nothing", test_two_crashes_prove_nothing },
+  { "losses count whatever their look",
+    test_losses_count_whatever_their_look },
   { "tasks lost together are parted", test_tasks_lost_together_are_parted },
   { "a settled task is not given up", test_settled_task_is_not_given_up },
   { "a settled run clears the count", test_settled_run_clears_the_count },
--- a/t/test-deadly.c
+++ b/t/test-deadly.c
@@ -19,13 +19,24 @@
 static const struct sim_faults faults
     = { .lose_reply = 0.03, .delayed = 0.03, .takeover = 0.15 };
 
-/* Sound workers crash and fall silent too, one at a time, while owners change.
- */
+/* Sound workers crash and fall silent too, one at a time, while owners change
+   or replies are lost. */
 static const struct sim_faults rough_changing
     = { .takeover = 0.15, .worker_crash = 0.3, .worker_unreachable = 0.1 };
+static const struct sim_faults rough_lossy = { .lose_reply = 0.03,
+                                               .delayed = 0.03,
+                                               .worker_crash = 0.3,
+                                               .worker_unreachable = 0.1 };
+static const struct sim_faults rough_all = { .lose_reply = 0.03,
+                                             .delayed = 0.03,
+                                             .takeover = 0.15,
+                                             .worker_crash = 0.3,
+                                             .worker_unreachable = 0.1 };
 
-/* Seeds in which tasks were started six times. */
-static const unsigned long changing_seeds[] = { 69 };
+/* Seeds in which tasks were started six times, or sound jobs were given up. */
+static const unsigned long changing_seeds[] = { 69, 224, 282 };
+static const unsigned long lossy_seeds[] = { 8, 46, 146, 169, 369 };
+static const unsigned long all_seeds[] = { 360, 454, 484, 488, 1151 };
 
 static const struct kq_sched_step work
     = { .count = 3, .demand = { 1000, 1000, 0 }, .est_ms = 1500 };
@@ -76,12 +87,17 @@
     run_seed (tight_seeds[i], &faults);
 }
 
-/* A deadly task must not gain starts because other workers crash too. */
+/* A sound job must not fail because single workers crash under it, and a
+   deadly one must not gain starts by that. */
 static void
 test_rough_service (void)
 {
   for (size_t i = 0; i < sizeof changing_seeds / sizeof changing_seeds[0]; i++)
     run_seed (changing_seeds[i], &rough_changing);
+  for (size_t i = 0; i < sizeof lossy_seeds / sizeof lossy_seeds[0]; i++)
+    run_seed (lossy_seeds[i], &rough_lossy);
+  for (size_t i = 0; i < sizeof all_seeds / sizeof all_seeds[0]; i++)
+    run_seed (all_seeds[i], &rough_all);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-outage-jobs.c
+++ b/t/test-outage-jobs.c
@@ -25,6 +25,9 @@
 /* A rack is lost three times in 20 s. */
 #define RACK_INTERVAL_MS 6500
 
+/* A cut lasts longer than the lease of a worker. */
+#define CUT_MS 10000
+
 #define WORKERS 12
 #define NEW_JOBS 6
 #define RACKS 3
@@ -98,6 +101,15 @@
   site->count++;
 }
 
+static const char *
+worker_id (int number)
+{
+  static char id[16];
+
+  snprintf (id, sizeof id, "%d", number);
+  return id;
+}
+
 static struct site *
 start_site (const struct kq_sched_step *step, bool deadly)
 {
@@ -338,6 +350,41 @@
   stop_site (site);
 }
 
+/* All workers are out of reach until their leases have lapsed, and then
+   answer again. */
+static void
+cut_service (struct site *site)
+{
+  int run = last_start (site)->run.run;
+
+  accept_start (site);
+  for (int step = 0; step < 100 && last_start (site)->run.run == run; step++)
+    {
+      for (int i = 0; i < site->count; i++)
+        ts_fail_poll (&site->cell, worker_id (i));
+      ts_advance (&site->cell, 250);
+      if (step * 250 >= CUT_MS)
+        for (int i = 0; i < site->count; i++)
+          ts_reply_poll (&site->cell, worker_id (i), NULL, 0, NULL, 0);
+    }
+}
+
+/* A job must not fail because its workers were cut off with all others, time
+   and again. */
+static void
+test_service_is_cut_off (void)
+{
+  struct site *site = start_site (&task_step, false);
+
+  for (int i = 0; i < MAX_STARTS + 1; i++)
+    {
+      cut_service (site);
+      CU_ASSERT_NOT_EQUAL (state_of (site), KQ_SCHED_FAILED_JOB);
+    }
+  CU_ASSERT (count_starts (site) > MAX_STARTS);
+  stop_site (site);
+}
+
 static void
 take_over (struct site *site)
 {
@@ -415,6 +462,7 @@
   { "a deadly task in outages", test_deadly_task_in_outages },
   { "a deadly task in repeated outages",
     test_deadly_task_in_repeated_outages },
+  { "a service is cut off", test_service_is_cut_off },
   { "the owner is lost between the losses", test_owner_lost_between_losses },
   { "a restored task with earlier losses", test_restored_task_with_losses },
   { "starts go to workers heard from", test_starts_go_to_workers_heard_from },
