--- a/t/test-call.c
+++ b/t/test-call.c
@@ -2,12 +2,15 @@
    restarted at once: libcurl scans a large connection pool again for each
    connection that has been closed.  And against timeouts of calls whose
    response has arrived, or which were not sent in time, because this process
-   was busy: their repetition would keep it busy. */
+   was busy: their repetition would keep it busy.  And against using up the
+   connections of a worker, so that polls are answered and no order arrives. */
 #include <ev.h>
 #include <microhttpd.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -291,11 +294,343 @@
   ev_loop_destroy (loop);
 }
 
+/* A worker with a limit of connections: it resets those above, or refuses them
+   if it is to close its port.  A request for "/poll" is answered after half a
+   second, all others at once. */
+#define WORKER_CONNECTIONS 64
+#define POLL_SEC 0.5
+
+struct limited_worker
+{
+  ev_io listening;
+  int port;
+  bool closes_port;
+  bool answers_no_order;
+  int open_count;
+  int peak;
+  int reset_count;
+  struct limited_connection
+  {
+    ev_io io;
+    ev_timer poll_timer;
+    struct limited_worker *worker;
+  } connections[WORKER_CONNECTIONS];
+};
+
+static void
+answer (struct limited_connection *connection)
+{
+  static const char response[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+  CU_ASSERT_EQUAL (write (connection->io.fd, response, strlen (response)),
+                   (ssize_t)strlen (response));
+}
+
+static void
+on_poll_end (struct ev_loop *current_loop, ev_timer *timer, int events)
+{
+  answer (timer->data);
+}
+
+static void
+on_request (struct ev_loop *current_loop, ev_io *io, int events)
+{
+  struct limited_connection *connection = io->data;
+  char request[2000];
+  ssize_t size = read (io->fd, request, sizeof request - 1);
+
+  if (size <= 0)
+    {
+      ev_io_stop (current_loop, io);
+      ev_timer_stop (current_loop, &connection->poll_timer);
+      close (io->fd);
+      connection->worker->open_count--;
+      connection->worker = NULL;
+      return;
+    }
+  request[size] = '\0';
+  if (strncmp (request, "GET /poll ", 10) != 0)
+    {
+      if (!connection->worker->answers_no_order)
+        answer (connection);
+      return;
+    }
+  ev_timer_set (&connection->poll_timer, POLL_SEC, 0);
+  ev_timer_start (current_loop, &connection->poll_timer);
+}
+
+static void on_connection (struct ev_loop *current_loop, ev_io *io,
+                           int events);
+
+static void
+open_port (struct limited_worker *worker)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)worker->port) };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int enabled = 1;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 128), 0);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  worker->port = ntohs (address.sin_port);
+  ev_io_init (&worker->listening, on_connection, fd, EV_READ);
+  worker->listening.data = worker;
+  ev_io_start (loop, &worker->listening);
+}
+
+static void
+close_port (struct limited_worker *worker)
+{
+  ev_io_stop (loop, &worker->listening);
+  close (worker->listening.fd);
+}
+
+static void
+on_connection (struct ev_loop *current_loop, ev_io *io, int events)
+{
+  struct limited_worker *worker = io->data;
+  struct linger reset = { .l_onoff = 1 };
+  struct limited_connection *connection = worker->connections;
+  int fd = accept (io->fd, NULL, NULL);
+
+  if (worker->open_count == WORKER_CONNECTIONS)
+    {
+      worker->reset_count++;
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (fd);
+      return;
+    }
+  while (connection->worker != NULL)
+    connection++;
+  connection->worker = worker;
+  worker->open_count++;
+  if (worker->open_count > worker->peak)
+    worker->peak = worker->open_count;
+  ev_io_init (&connection->io, on_request, fd, EV_READ);
+  ev_init (&connection->poll_timer, on_poll_end);
+  connection->io.data = connection;
+  connection->poll_timer.data = connection;
+  ev_io_start (current_loop, &connection->io);
+  if (worker->closes_port && worker->open_count == WORKER_CONNECTIONS)
+    close_port (worker);
+}
+
+static void
+start_limited_worker (struct limited_worker *worker, bool closes_port)
+{
+  memset (worker, 0, sizeof *worker);
+  worker->closes_port = closes_port;
+  open_port (worker);
+}
+
+static void
+stop_limited_worker (struct limited_worker *worker)
+{
+  for (int i = 0; i < WORKER_CONNECTIONS; i++)
+    if (worker->connections[i].worker != NULL)
+      {
+        ev_io_stop (loop, &worker->connections[i].io);
+        ev_timer_stop (loop, &worker->connections[i].poll_timer);
+        close (worker->connections[i].io.fd);
+      }
+  if (ev_is_active (&worker->listening))
+    close_port (worker);
+}
+
+static void
+call_limited_worker (struct kq_http_client *http,
+                     const struct limited_worker *worker,
+                     enum kq_call_kind kind)
+{
+  char authority[40];
+  struct kq_call_request request
+      = { .kind = kind,
+          .authority = authority,
+          .path = kind == KQ_CALL_HOLD ? "/poll" : "/",
+          .timeout = kind == KQ_CALL_HOLD ? 2 * KQ_USEC_PER_SEC
+                                          : 700 * KQ_USEC_PER_MSEC,
+          .done = on_done };
+
+  snprintf (authority, sizeof authority, "127.0.0.1:%d", worker->port);
+  if (kq_http_client_send (http, &request) == 0)
+    in_flight++;
+}
+
+/* Opens connections that are never used, until the worker has COUNT. */
+static void
+occupy_connections (struct limited_worker *worker, int count, int *fds)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)worker->port) };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  for (int i = 0; i < count; i++)
+    {
+      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
+      CU_ASSERT_EQUAL_FATAL (
+          connect (fds[i], (struct sockaddr *)&address, sizeof address), 0);
+      run_loop_for (0.001);
+    }
+  CU_ASSERT_EQUAL (worker->open_count, count);
+}
+
+static void
+release_connections (int count, const int *fds)
+{
+  for (int i = 0; i < count; i++)
+    close (fds[i]);
+}
+
+/* Guards against an owner whose orders are reset by a worker because earlier
+   owners, which lost power, have left many connections open there. */
+static void
+test_many_lost_owners (void)
+{
+  enum
+  {
+    OWNERS = 14,
+    ORDERS = 20
+  };
+  static struct limited_worker worker;
+  struct kq_http_client *owners[OWNERS];
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  start_limited_worker (&worker, false);
+  in_flight = 0;
+  succeeded = 0;
+  for (int i = 0; i < OWNERS; i++)
+    {
+      owners[i] = kq_http_client_create (loop, NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (owners[i]);
+      call_limited_worker (owners[i], &worker, KQ_CALL_HOLD);
+      call_limited_worker (owners[i], &worker, KQ_CALL_HOLD);
+      for (int j = 0; j < ORDERS; j++)
+        call_limited_worker (owners[i], &worker, KQ_CALL_START);
+      wait_until_in_flight (0);
+    }
+  CU_ASSERT_EQUAL (succeeded, OWNERS * (ORDERS + 2));
+  CU_ASSERT_EQUAL (worker.reset_count, 0);
+  CU_ASSERT (worker.peak <= OWNERS * KQ_WORKER_CONNECTIONS);
+  for (int i = 0; i < OWNERS; i++)
+    kq_http_client_destroy (owners[i]);
+  run_loop_for (0.05);
+  CU_ASSERT_EQUAL (worker.open_count, 0);
+  stop_limited_worker (&worker);
+  ev_loop_destroy (loop);
+}
+
+/* Guards against orders that never arrive at a worker with one connection
+   left, since polls hold it all the time. */
+static void
+test_shared_connection (void)
+{
+  static struct limited_worker worker;
+  struct kq_http_client *http;
+  int fds[WORKER_CONNECTIONS - 1];
+  int answered = 0;
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  start_limited_worker (&worker, true);
+  occupy_connections (&worker, WORKER_CONNECTIONS - 1, fds);
+  http = kq_http_client_create (loop, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (http);
+  in_flight = 0;
+  succeeded = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      call_limited_worker (http, &worker, KQ_CALL_HOLD);
+      run_loop_for (0.1);
+      for (int j = 0; j < 5; j++)
+        call_limited_worker (http, &worker, KQ_CALL_START);
+      wait_until_in_flight (0);
+      answered += 6;
+    }
+  CU_ASSERT_EQUAL (succeeded, answered);
+  kq_http_client_destroy (http);
+  release_connections (WORKER_CONNECTIONS - 1, fds);
+  stop_limited_worker (&worker);
+  ev_loop_destroy (loop);
+}
+
+/* Guards against a new connection for each repetition of an order or poll to a
+   worker that resets them, and against not trying again. */
+static void
+test_refused_connections (void)
+{
+  static struct limited_worker worker;
+  struct kq_http_client *http;
+  int fds[WORKER_CONNECTIONS];
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  start_limited_worker (&worker, false);
+  occupy_connections (&worker, WORKER_CONNECTIONS, fds);
+  http = kq_http_client_create (loop, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (http);
+  in_flight = 0;
+  succeeded = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      call_limited_worker (http, &worker,
+                           i % 5 == 0 ? KQ_CALL_HOLD : KQ_CALL_STOP);
+      run_loop_for (0.02);
+    }
+  CU_ASSERT_EQUAL (succeeded, 0);
+  CU_ASSERT (worker.reset_count >= 3);
+  CU_ASSERT (worker.reset_count <= 12);
+  release_connections (WORKER_CONNECTIONS, fds);
+  run_loop_for (1.1);
+  call_limited_worker (http, &worker, KQ_CALL_STOP);
+  wait_until_in_flight (0);
+  CU_ASSERT_EQUAL (succeeded, 1);
+  kq_http_client_destroy (http);
+  stop_limited_worker (&worker);
+  ev_loop_destroy (loop);
+}
+
+/* Guards against orders without an answer that keep polls from being sent, so
+   that the lease of a worker which answers polls lapses. */
+static void
+test_polls_beside_unanswered_orders (void)
+{
+  static struct limited_worker worker;
+  struct kq_http_client *http;
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  start_limited_worker (&worker, false);
+  worker.answers_no_order = true;
+  http = kq_http_client_create (loop, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (http);
+  in_flight = 0;
+  succeeded = 0;
+  for (int i = 0; i < 45; i++)
+    {
+      if (i == 0 || i == 15)
+        call_limited_worker (http, &worker, KQ_CALL_HOLD);
+      for (int j = 0; j < 4; j++)
+        call_limited_worker (http, &worker, KQ_CALL_STOP);
+      run_loop_for (0.1);
+    }
+  CU_ASSERT_EQUAL (succeeded, 2);
+  kq_http_client_destroy (http);
+  stop_limited_worker (&worker);
+  ev_loop_destroy (loop);
+}
+
 static const struct kq_test tests[] = {
   { "many workers restart at once", test_many_restarts },
   { "a response that arrives during other work", test_response_during_work },
   { "a request that is sent after other work", test_request_after_work },
   { "a call without a response", test_call_without_response },
+  { "owners that were lost keep connections", test_many_lost_owners },
+  { "a worker with one connection left", test_shared_connection },
+  { "a worker that resets new connections", test_refused_connections },
+  { "polls beside unanswered orders", test_polls_beside_unanswered_orders },
 };
 
 KQ_TEST_MAIN ("test-call", tests)
