sched: a poll's reply does not prove that a worker takes orders

Callers see: tasks do not stay bound for good to a worker that answers polls and no order; they start elsewhere after 8 s at most, and cancelled ones end with the lease.

Cause: any reply kept a worker usable and its lease renewed. A start without a reply stays unconfirmed until a stop is answered; if none is, nothing lapsed, stopped or went elsewhere.

A worker that has left all orders unanswered for 2.2 s, the time after which a worker without a reply to polls loses its renewals, gets no starts and no renewal. One answered order ends that. Where no order is left that it could answer, the next start tells, after 1 s that doubles to 8 s.

Ruled out: a shorter limit and a delay after each unanswered order.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -67,14 +67,23 @@
                                event->u.order.sent_at);
       return true;
     case KQ_SCHED_NO_REPLY:
+      if (worker != NULL && event->u.order.reply == KQ_SCHED_NO_REPLY
+          && event->u.order.sent_at >= worker->incarnation_since)
+        worker_note_unanswered_order (worker, event->u.order.sent_at);
+      return true;
     case KQ_SCHED_UNHEALTHY:
+      if (worker != NULL)
+        worker_note_answered_order (worker);
       return true;
     default:
       /* The reply to an earlier order may be one of an earlier incarnation. */
       if (worker != NULL
           && event->u.order.sent_at >= worker->incarnation_since)
-        worker_note_reply (sched, worker, now.mono,
-                           event->u.order.worker_clock_ms);
+        {
+          worker_note_answered_order (worker);
+          worker_note_reply (sched, worker, now.mono,
+                             event->u.order.worker_clock_ms);
+        }
       return true;
     }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -335,6 +335,10 @@
   uint64_t last_failed_job;
   kq_usec quarantined_until;
   kq_usec no_starts_until;
+  kq_usec order_unanswered_since; /* when the first order without a reply was
+                                     sent, if none had one since; else 0 */
+  kq_usec order_silence_backoff;  /* last one; 0: an order had a reply since */
+  bool order_silence_logged;
   kq_usec pace_changed_at;
   struct kq_near_running short_running; /* its short tasks */
   struct rack *rack; /* NULL: none, or no difference between racks */
@@ -660,6 +664,10 @@
 void worker_note_reply (struct kq_sched *sched, struct worker *worker,
                         kq_usec now, int64_t worker_clock_ms);
 void worker_note_lease (struct worker *worker, int64_t lease_end_ms);
+/* An order other than a poll has had a reply, or none: a poll's reply does not
+   tell whether the worker takes orders. */
+void worker_note_answered_order (struct worker *worker);
+void worker_note_unanswered_order (struct worker *worker, kq_usec sent_at);
 
 /* grant.c */
 
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -28,6 +28,16 @@
    renewed; it has then missed two polls. */
 #define MAX_RENEWAL_SILENCE_US (2200 * KQ_USEC_PER_MSEC)
 
+/* A worker that answers polls, but has left all orders unanswered for longer
+   than this, gets no starts, and its lease is not renewed: what runs there can
+   be neither confirmed nor stopped. */
+#define MAX_ORDER_SILENCE_US MAX_RENEWAL_SILENCE_US
+
+/* Time without starts after the runs at such a worker have ended, so that no
+   order is left which it could answer.  It doubles until one is answered. */
+#define MIN_ORDER_SILENCE_BACKOFF_US (1 * KQ_USEC_PER_SEC)
+#define MAX_ORDER_SILENCE_BACKOFF_US (8 * KQ_USEC_PER_SEC)
+
 /* Time between two polls of a lost worker, whose registration may last for a
    few seconds more. */
 #define LOST_POLL_INTERVAL_US (1000 * KQ_USEC_PER_MSEC)
@@ -144,6 +154,27 @@
           tasks, "why", why, NULL);
 }
 
+void
+worker_note_answered_order (struct worker *worker)
+{
+  worker->order_unanswered_since = 0;
+  worker->order_silence_backoff = 0;
+}
+
+void
+worker_note_unanswered_order (struct worker *worker, kq_usec sent_at)
+{
+  if (worker->order_unanswered_since == 0)
+    worker->order_unanswered_since = sent_at;
+}
+
+static bool
+leaves_orders_unanswered (const struct worker *worker, struct kq_sched_now now)
+{
+  return worker->order_unanswered_since != 0
+         && now.mono - worker->order_unanswered_since > MAX_ORDER_SILENCE_US;
+}
+
 /* A new incarnation starts with a new clock, new numbers of ended runs and
    no known fences. Before it was known it may have accepted orders that were
    meant for the earlier one. */
@@ -168,6 +199,7 @@
   worker->acked_end = 0;
   worker->clock_read_at = 0;
   worker->lease_end_ms = 0;
+  worker_note_answered_order (worker);
   worker->failed_jobs = 0;
   worker->quarantined_until = 0;
 }
@@ -353,6 +385,7 @@
          && !worker->fence_spent && !worker->report.draining
          && !worker->evacuated && worker->clock_read_at != 0
          && now.mono >= worker->no_starts_until
+         && !leaves_orders_unanswered (worker, now)
          && now.mono - worker->last_reply_at
                 < (worker->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
                                 : KQ_SCHED_UNRESPONSIVE_US);
@@ -412,6 +445,43 @@
   }
 }
 
+/* Whether an order for TASK is to be answered. */
+static bool
+awaits_order (const struct task *task)
+{
+  return task->phase == PHASE_START_SENT || task->phase == PHASE_UNCONFIRMED
+         || (task->stop_wanted && task->phase != PHASE_STOPPING);
+}
+
+/* Logs when WORKER is found to answer no orders, and ends that when no order
+   is left that it could answer: the next start tells. */
+static void
+watch_orders (struct worker *worker, struct kq_sched_now now)
+{
+  bool silent = leaves_orders_unanswered (worker, now);
+  const struct task *task;
+
+  if (silent && !worker->order_silence_logged)
+    log_worker (worker, "worker answers no orders", "");
+  worker->order_silence_logged = silent;
+  if (worker->order_unanswered_since == 0)
+    return;
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (awaits_order (task))
+      return;
+  }
+  worker->order_unanswered_since = 0;
+  if (!silent)
+    return;
+  worker->order_silence_backoff *= 2;
+  if (worker->order_silence_backoff < MIN_ORDER_SILENCE_BACKOFF_US)
+    worker->order_silence_backoff = MIN_ORDER_SILENCE_BACKOFF_US;
+  if (worker->order_silence_backoff > MAX_ORDER_SILENCE_BACKOFF_US)
+    worker->order_silence_backoff = MAX_ORDER_SILENCE_BACKOFF_US;
+  worker->no_starts_until = now.mono + worker->order_silence_backoff;
+}
+
 /* An order names the incarnation that it is for, and two processes cannot
    have one address. */
 void
@@ -432,6 +502,7 @@
 worker_tick (struct kq_sched *sched, struct worker *worker,
              struct kq_sched_now now)
 {
+  watch_orders (worker, now);
   if (worker->tasks != NULL)
     {
       if (have_leases_lapsed (worker, now))
@@ -459,7 +530,8 @@
 
   if (worker->clock_read_at == 0 || !grant_is_stored (sched, worker)
       || !grant_is_current (sched, now)
-      || now.mono - worker->last_reply_at > MAX_RENEWAL_SILENCE_US)
+      || now.mono - worker->last_reply_at > MAX_RENEWAL_SILENCE_US
+      || leaves_orders_unanswered (worker, now))
     return 0;
   until = worker_clock (worker, now.mono) + KQ_SCHED_LEASE_MS;
   worker_note_lease (worker, until);
