sched: a task goes nowhere else while an unanswered start may begin it

A task whose start had no reply starts again at the same worker for 5.4 s; if it ends meanwhile its job is shown as complete at the end of that time. Without unanswered starts nothing changes.

Cause: a stop was taken to settle a start for good, but a worker that starts again under its ID knows neither stop nor fence, and the clock of its next life begins anew. An order under way then begins the run that another one has replaced, until an order with a newer fence arrives; while the owner is replaced that takes seconds.

test-sched "an unanswered start" now also checks that the second start is at the same worker, 200 ms later (a worker gets no start for that time after one without a reply). test-unknown-run needs the second run at another worker: its first worker drains and the old order's time passes first; its checks are the same.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -48,6 +48,7 @@
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
   GAUGE_UNREAD_ENDS,
+  GAUGE_LATE_STARTS,
   GAUGE_EVACUATED_WORKERS,
   GAUGE_EVACUATED_STARTS,
   GAUGE_WITHDRAWALS,
@@ -119,6 +120,8 @@
     .help = "Replies of another incarnation than the order was for." },
   { .name = "kq_unread_ends_total",
     .help = "Ended runs that workers forgot before they were read." },
+  { .name = "kq_late_starts_total",
+    .help = "Runs over while their start orders could be carried out." },
   { .name = "kq_evacuated_workers",
     .help = "Registered, in a zone under evacuation." },
   { .name = "kq_evacuated_starts_total",
@@ -202,6 +205,7 @@
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
   kq_metric_set (&gauges[GAUGE_UNREAD_ENDS], counts->unread_ends);
+  kq_metric_set (&gauges[GAUGE_LATE_STARTS], counts->late_starts);
   kq_metric_set (&gauges[GAUGE_EVACUATED_WORKERS], counts->evacuated_workers);
   kq_metric_set (&gauges[GAUGE_EVACUATED_STARTS], counts->evacuated_starts);
   kq_metric_set (&gauges[GAUGE_WITHDRAWALS], counts->withdrawals);
--- a/sched/answers.c
+++ b/sched/answers.c
@@ -7,6 +7,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 
 /* Time without new tasks for a worker that replied that it has no capacity,
    and for one that reported a fault. */
@@ -98,6 +99,19 @@
   worker->silent_poll_at = reply == KQ_SCHED_NO_REPLY ? sent_at : 0;
 }
 
+/* Notes that WORKER has listed its runs. Before it has enforced its fence
+   earlier orders may begin more. */
+static void
+note_listing (struct worker *worker, const struct kq_sched_event *event)
+{
+  bool enforced
+      = event->u.polled.fence == 0 || event->u.polled.fence >= worker->fence;
+
+  if (enforced && !worker->fence_spent
+      && event->u.polled.sent_at > worker->listed_at)
+    worker->listed_at = event->u.polled.sent_at;
+}
+
 void
 reply_apply_poll (struct kq_sched *sched, struct kq_sched_now now,
                   const struct kq_sched_event *event)
@@ -134,6 +148,7 @@
                                 now.mono);
     }
   worker_note_reply (sched, worker, now.mono, worker_status->worker_clock_ms);
+  note_listing (worker, event);
   status_apply (sched, worker, now, event->u.polled.sent_at, worker_status);
   worker_schedule_poll (sched, worker, now);
 }
@@ -204,6 +219,8 @@
                         || (event->u.order.reply == KQ_SCHED_FENCED
                             && reply == KQ_SCHED_NO_REPLY);
 
+  if (task != NULL && (refused_unread || reply != KQ_SCHED_NO_REPLY))
+    late_note_settled (task);
   /* Another process or a later incarnation got the order, so that the run
      never began and cannot have crashed its worker. */
   if (refused_unread && task != NULL && task->phase == PHASE_START_SENT)
@@ -377,6 +394,7 @@
   if (end_forbidden_start (sched, task, now))
     return KQ_ENOENT;
   crash_note_start (task);
+  late_note_sent (task, now);
   task->phase = PHASE_START_SENT;
   task->phase_since = now.mono;
   task->progress_at = now.mono;
--- a/sched/delay.c
+++ b/sched/delay.c
@@ -77,7 +77,7 @@
 static bool
 is_known_full (const struct rack *rack, const struct task *task)
 {
-  return rack->full && task->avoided_worker == NULL
+  return rack->full && task->avoided_worker == NULL && task->late_until == 0
          && task->stage->step->label[0] == '\0'
          && task->stage->step->max_per_worker == 0
          && demand_covers (&task->stage->step->demand, &rack->full_for);
@@ -103,7 +103,7 @@
     rack->room.places++;
   }
   rack->full = step->label[0] == '\0' && step->max_per_worker == 0
-               && task->avoided_worker == NULL;
+               && task->avoided_worker == NULL && task->late_until == 0;
   rack->full_for = step->demand;
 }
 
--- a/sched/explain.c
+++ b/sched/explain.c
@@ -17,6 +17,7 @@
 
 #include "base/err.h"
 #include "sched/evacuate.h"
+#include "sched/late.h"
 #include "sched/place.h"
 #include "sched/warmup.h"
 
@@ -30,6 +31,7 @@
   [KQ_SCHED_OUT_CAPACITY] = "capacity",
   [KQ_SCHED_OUT_LIMIT] = "limit_per_worker",
   [KQ_SCHED_OUT_AVOIDED] = "failed_there",
+  [KQ_SCHED_OUT_LATE] = "earlier_start_elsewhere",
   [KQ_SCHED_OUT_NO_TICKET] = "no_ticket",
   [KQ_SCHED_OUT_RESERVED] = "reserved",
   [KQ_SCHED_OUT_COLD] = "cold",
@@ -97,6 +99,8 @@
     return KQ_SCHED_OUT_CAPACITY;
   if (place_avoids_worker (task, worker, now))
     return KQ_SCHED_OUT_AVOIDED;
+  if (!late_allows (task, worker, now))
+    return KQ_SCHED_OUT_LATE;
   if (stage->job->queue.advised && advice_ticket (stage, worker, now) == NULL)
     return KQ_SCHED_OUT_NO_TICKET;
   if (!reserve_allows (worker, task) || !large_allows (worker, task))
--- a/sched/fence.c
+++ b/sched/fence.c
@@ -21,6 +21,7 @@
     return;
   worker->fence = sched->fence;
   worker->fence_spent = false;
+  worker->listed_at = 0;
   worker_poll_at_once (sched, worker);
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -132,6 +132,11 @@
                                      ready (large.c) */
   kq_usec phase_since;
   kq_usec stop_sent_at;
+  kq_usec start_sent_at;      /* when the order for its run was; 0: not sent */
+  bool start_settled;         /* that order has no effect any more */
+  struct worker *late_worker; /* may begin an earlier run of it (late.c) */
+  kq_usec late_until;         /* until then; 0: none may */
+  int64_t late_incarnation_ms; /* of that worker when it was started there */
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
   int64_t placed_ms;      /* wall clock when its latest run was bound */
@@ -233,6 +238,8 @@
   int64_t ended_ms;
   enum kq_sched_state state;
   bool started;         /* a task of it has started */
+  kq_usec late_until;   /* an earlier run of a task that is done may begin
+                           until then */
   bool given_up;        /* a task of it crashes its workers */
   bool names_rack;      /* a step of it names the rack of its data */
   struct stage *stages; /* occurrences * steps */
@@ -274,6 +281,17 @@
    further images share the last one. */
 #define MAX_SHARE_SLOTS 6
 
+/* An end that is not acknowledged before UNTIL. */
+struct late_hold
+{
+  int64_t number;
+  kq_usec until;
+};
+
+/* Maximum number of ends per worker that are held apart; the last of these
+   holds the further ones too. */
+#define MAX_LATE_HOLDS 16
+
 struct worker
 {
   /* These and the capacity are read for each pair of a task and a worker: they
@@ -329,7 +347,12 @@
   uint64_t last_end_position;
   kq_usec silent_poll_at; /* when the last poll was sent that had no reply, if
                              none that was sent later had one; else 0 */
-  bool ends_known;        /* this owner has seen its incarnation begin */
+  kq_usec listed_at;      /* when the last poll was sent that this incarnation
+                             replied to under its fence; 0: none */
+  struct late_hold late_holds[MAX_LATE_HOLDS]; /* in the order of numbers */
+  int late_hold_count;
+  kq_usec late_asked_at; /* last poll for runs of late orders; 0: none */
+  bool ends_known;       /* this owner has seen its incarnation begin */
   /* health */
   int failed_jobs; /* distinct jobs with consecutive failures here */
   uint64_t last_failed_job;
--- a/sched/job.c
+++ b/sched/job.c
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "log/log.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 
 /* Minimum time for which an ended job can be queried: twice the longest
    time that a deployment requires ("status_s" 120). */
@@ -406,6 +407,15 @@
           text[FIRST], "last_ms", text[LAST], "took_ms", text[TOOK], NULL);
 }
 
+/* Ends JOB, all stages of which are done, unless an earlier run of one of its
+   tasks may still begin: none begins once it is shown as complete. */
+static void
+complete_job (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
+{
+  if (now.mono >= job->late_until)
+    job_end (sched, job, KQ_SCHED_COMPLETE, now);
+}
+
 static void
 stage_done (struct kq_sched *sched, struct stage *stage,
             struct kq_sched_now now)
@@ -415,7 +425,7 @@
   log_stage_done (stage, now);
   job->stages_done++;
   if (job->stages_done == job->stage_count)
-    job_end (sched, job, KQ_SCHED_COMPLETE, now);
+    complete_job (sched, job, now);
   else
     open_occurrence (sched, job, stage->occurrence, now);
 }
@@ -423,6 +433,8 @@
 static void
 mark_done (struct kq_sched *sched, struct task *task, struct kq_sched_now now)
 {
+  if (late_until (task, now) > task->stage->job->late_until)
+    task->stage->job->late_until = task->late_until;
   rack_note_release (sched, task, now);
   rack_end_wait (sched, task, false, "task ended", now);
   task_release (sched, task);
@@ -529,6 +541,8 @@
     if (job->expired)
       continue;
     job_open_due_occurrences (sched, job, now);
+    if (job->stages_done == job->stage_count && !job_has_ended (job))
+      complete_job (sched, job, now);
     admission_count_job (sched, job, now);
     mark_expired (sched, job, now);
   }
--- /dev/null
+++ b/sched/late.c
@@ -0,0 +1,170 @@
+/* Start orders that may still be carried out after their run was given up
+ * (late_*).
+ *
+ * A stop settles a start without a reply, but a worker that starts again under
+ * its ID forgets the stop and all fences, and its clock begins anew, so that
+ * until_ms does not hold the order back: until an order with a newer fence
+ * reaches it, the new incarnation begins the run.  While the order may be
+ * under way the task therefore starts again at that worker only, since a
+ * restart there ends the second run too.  If the task ends meanwhile, its end
+ * is not acknowledged and its job not shown as complete before: the worker
+ * could restart and begin a task that is done.
+ */
+#include "sched/late.h"
+
+#include <string.h>
+
+#include "log/log.h"
+
+/* An order is carried out no later than this after it was sent: as long as a
+   worker that may have taken it is left alone with it.  Source: the platform
+   says "seconds later". */
+#define LATE_US LONGEST_LAPSE_US
+
+/* After that a worker is asked for its runs; one that is registered and does
+   not reply is waited for no longer than this. */
+#define LISTING_WAIT_US (2000 * KQ_USEC_PER_MSEC)
+
+void
+late_note_sent (struct task *task, struct kq_sched_now now)
+{
+  task->start_sent_at = now.mono;
+}
+
+void
+late_note_settled (struct task *task)
+{
+  task->start_settled = true;
+  /* Before the first run there was no order. */
+  if (task->run == 1)
+    task->late_until = 0;
+}
+
+void
+late_note_run_over (struct kq_sched *sched, struct task *task)
+{
+  if (task->start_sent_at == 0 || task->start_settled)
+    return;
+  task->late_worker = task->worker;
+  task->late_incarnation_ms = task->incarnation_ms;
+  task->late_until = task->start_sent_at + LATE_US;
+  sched->counts.late_starts++;
+  task_log (task, "start order may still be carried out", "");
+}
+
+void
+late_note_restored (struct task *task, struct worker *worker,
+                    int64_t incarnation_ms, int64_t placed_ms,
+                    struct kq_sched_now now)
+{
+  kq_usec left = (placed_ms - now.wall_ms) * KQ_USEC_PER_MSEC + LATE_US;
+
+  /* The clocks of hosts may differ, by more than the wait on some days. */
+  if (left <= 0 || left > 2 * LATE_US)
+    return;
+  task->late_worker = worker;
+  task->late_incarnation_ms = incarnation_ms;
+  task->late_until = now.mono + (left < LATE_US ? left : LATE_US);
+}
+
+/* Whether WORKER may have begun the earlier run of TASK unseen: it has not
+   listed its runs since that could happen last. */
+static bool
+awaits_listing (const struct task *task, struct kq_sched_now now)
+{
+  const struct worker *worker = task->late_worker;
+
+  return worker->registered && worker->listed_at < task->late_until
+         && now.mono < task->late_until + LISTING_WAIT_US;
+}
+
+struct worker *
+late_worker (const struct task *task, struct kq_sched_now now)
+{
+  /* Where another process has the address, the order is refused. */
+  if (task->late_until == 0 || task->late_worker->lost
+      || (now.mono >= task->late_until && !awaits_listing (task, now)))
+    return NULL;
+  return task->late_worker;
+}
+
+/* Whether TASK had better be tried elsewhere, since its late worker or others
+   were lost under it; a long-running one must go on sooner than that allows.
+ */
+static bool
+needs_another_worker (const struct task *task)
+{
+  return !task->stage->step->long_running
+         && (crash_is_suspect (task)
+             || task->late_worker->report.incarnation_ms
+                    != task->late_incarnation_ms);
+}
+
+bool
+late_forbids_start (const struct task *task, struct kq_sched_now now)
+{
+  const struct worker *worker = late_worker (task, now);
+
+  return worker != NULL
+         && (worker->listed_at == 0 || worker->suspect_count > 0
+             || needs_another_worker (task));
+}
+
+void
+late_ask (struct kq_sched *sched, const struct task *task,
+          struct kq_sched_now now)
+{
+  struct worker *worker = late_worker (task, now);
+
+  if (worker == NULL || now.mono < task->late_until
+      || worker->late_asked_at >= task->late_until)
+    return;
+  worker->late_asked_at = now.mono;
+  worker_poll_at_once (sched, worker);
+}
+
+kq_usec
+late_until (const struct task *task, struct kq_sched_now now)
+{
+  return late_worker (task, now) != NULL ? task->late_until : 0;
+}
+
+void
+late_hold_end (struct worker *worker, int64_t number, kq_usec until)
+{
+  struct late_hold *last;
+
+  if (worker->late_hold_count < MAX_LATE_HOLDS)
+    {
+      worker->late_holds[worker->late_hold_count++]
+          = (struct late_hold){ .number = number, .until = until };
+      return;
+    }
+  last = &worker->late_holds[MAX_LATE_HOLDS - 1];
+  if (last->until < until)
+    last->until = until;
+}
+
+int64_t
+late_last_free_end (struct worker *worker, struct kq_sched_now now)
+{
+  int over = 0;
+
+  while (over < worker->late_hold_count
+         && worker->late_holds[over].until <= now.mono)
+    over++;
+  worker->late_hold_count -= over;
+  memmove (worker->late_holds, &worker->late_holds[over],
+           (size_t)worker->late_hold_count * sizeof worker->late_holds[0]);
+  return worker->late_hold_count > 0 ? worker->late_holds[0].number - 1
+                                     : worker->last_end;
+}
+
+bool
+late_allows (const struct task *task, const struct worker *worker,
+             struct kq_sched_now now)
+{
+  const struct worker *late = late_worker (task, now);
+
+  return late == NULL || (worker == late && !late_forbids_start (task, now));
+}
--- /dev/null
+++ b/sched/late.h
@@ -0,0 +1,52 @@
+/** @file
+ * Start orders that may still be carried out after their run was given up.
+ */
+#ifndef KQ_SCHED_LATE_H
+#define KQ_SCHED_LATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "sched/internal.h"
+
+/** Records that the start order of TASK is sent. */
+void late_note_sent (struct task *task, struct kq_sched_now now);
+
+/** Records that the start order of TASK has been carried out or refused: it
+ *  has no effect later. */
+void late_note_settled (struct task *task);
+
+/** Records that the run of TASK at its worker is over. */
+void late_note_run_over (struct kq_sched *sched, struct task *task);
+
+/** Records that an earlier owner bound TASK to the incarnation INCARNATION_MS
+ *  of WORKER at PLACED_MS. */
+void late_note_restored (struct task *task, struct worker *worker,
+                         int64_t incarnation_ms, int64_t placed_ms,
+                         struct kq_sched_now now);
+
+/** Returns the worker that may still begin an earlier run of TASK, or NULL. */
+struct worker *late_worker (const struct task *task, struct kq_sched_now now);
+
+/** Whether TASK may be started nowhere yet. */
+bool late_forbids_start (const struct task *task, struct kq_sched_now now);
+
+/** Returns when no earlier run of TASK can begin any more; 0: none can. */
+kq_usec late_until (const struct task *task, struct kq_sched_now now);
+
+/** Keeps end NUMBER of WORKER, and the later ones, from being acknowledged
+ *  before UNTIL. */
+void late_hold_end (struct worker *worker, int64_t number, kq_usec until);
+
+/** Returns the last end of WORKER that may be acknowledged. */
+int64_t late_last_free_end (struct worker *worker, struct kq_sched_now now);
+
+/** Polls the worker that may have begun an earlier run of TASK unseen. */
+void late_ask (struct kq_sched *sched, const struct task *task,
+               struct kq_sched_now now);
+
+/** Whether TASK may be started at WORKER as far as earlier orders go. */
+bool late_allows (const struct task *task, const struct worker *worker,
+                  struct kq_sched_now now);
+
+#endif
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -9,6 +9,7 @@
 #include "log/log.h"
 #include "sched/disruption.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 
 /* A task whose progress has not changed for this long plus a tenth of its
    estimate has stalled. */
@@ -123,7 +124,10 @@
   task->stage->job->started = true;
   current = is_current (task, worker, ended->run.run);
   if (current)
-    crash_note_end (sched, task);
+    {
+      late_note_settled (task);
+      crash_note_end (sched, task);
+    }
   else
     task->other_run_until = 0;
   if (ended->how == KQ_SCHED_DONE && !task->stage->step->long_running)
@@ -134,7 +138,11 @@
       else
         task_log (task, "task done", "completed by an earlier run");
       if (task->state == TASK_BOUND && !current)
-        task_stop (sched, task, now);
+        {
+          task_stop (sched, task, now);
+          if (task->state == TASK_BOUND)
+            late_note_run_over (sched, task);
+        }
       job_task_done (sched, task, now);
       return;
     }
@@ -165,6 +173,21 @@
           worker->report.id, "ends", count, NULL);
 }
 
+/* If a run of a task that is over may begin after all, its end is not
+   acknowledged before: an end that a worker loses unacknowledged has not been
+   taken note of, and another start may follow it. */
+static void
+hold_end (struct kq_sched *sched, struct worker *worker,
+          const struct kq_sched_ended *ended, struct kq_sched_now now)
+{
+  const struct task *task = find_task (sched, &ended->run);
+  kq_usec until = task != NULL ? late_until (task, now) : 0;
+
+  if (until > now.mono
+      && (ended->how == KQ_SCHED_DONE || ended->how == KQ_SCHED_FAILED))
+    late_hold_end (worker, ended->number, until);
+}
+
 static void
 apply_ends (struct kq_sched *sched, struct worker *worker,
             const struct kq_sched_status *worker_status,
@@ -176,12 +199,13 @@
         continue;
       check_unread_ends (sched, worker, worker_status->ended[i].number);
       apply_end (sched, worker, &worker_status->ended[i], now);
+      hold_end (sched, worker, &worker_status->ended[i], now);
       worker->last_end = worker_status->ended[i].number;
       worker->last_end_position
           = sched->dirty != NULL ? sched->position : sched->position - 1;
     }
   if (worker->last_end_position <= sched->stored)
-    worker->acked_end = worker->last_end;
+    worker->acked_end = late_last_free_end (worker, now);
 }
 
 static bool
@@ -200,6 +224,7 @@
                 const struct kq_sched_running *row, kq_usec sent_at,
                 struct kq_sched_now now)
 {
+  late_note_settled (task);
   if (task->phase == PHASE_START_SENT || task->phase == PHASE_RESTORED
       || task->phase == PHASE_UNCONFIRMED)
     {
--- a/sched/place-worker.c
+++ b/sched/place-worker.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "sched/late.h"
 #include "sched/place.h"
 #include "sched/warmup.h"
 
@@ -235,7 +236,8 @@
   if (!place_has_room (worker, stage)
       || !place_may_start_at (worker, task, now)
       || place_avoids_worker (task, worker, now)
-      || !reserve_allows (worker, task) || !large_allows (worker, task)
+      || !late_allows (task, worker, now) || !reserve_allows (worker, task)
+      || !large_allows (worker, task)
       || (warmup_is_cold (worker, now) && !warmup_allows (sched, worker, now))
       || (stage->job->queue.advised
           && advice_ticket (stage, worker, now) == NULL)
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,6 +5,7 @@
 
 #include "log/log.h"
 #include "sched/evacuate.h"
+#include "sched/late.h"
 #include "sched/place.h"
 #include "sched/warmup.h"
 
@@ -59,12 +60,21 @@
   task_log_routine (task, "task placed");
 }
 
+static bool
+awaits_earlier_run (struct kq_sched *sched, const struct task *task,
+                    struct kq_sched_now now)
+{
+  late_ask (sched, task, now);
+  return task_awaits_other_run (task, now) || late_forbids_start (task, now);
+}
+
 static struct task *
-next_ready (struct stage *stage, int *from, struct kq_sched_now now)
+next_ready (struct kq_sched *sched, struct stage *stage, int *from,
+            struct kq_sched_now now)
 {
   for (; *from < stage->step->count; (*from)++)
     if (stage->tasks[*from].state == TASK_READY
-        && !task_awaits_other_run (&stage->tasks[*from], now))
+        && !awaits_earlier_run (sched, &stage->tasks[*from], now))
       return &stage->tasks[(*from)++];
   return NULL;
 }
@@ -114,9 +124,9 @@
       || !rack_choose_for_group (sched, stage, now))
     return;
   for (int i = 0; i < stage->step->count; i++)
-    if (task_awaits_other_run (&stage->tasks[i], now))
+    if (awaits_earlier_run (sched, &stage->tasks[i], now))
       return;
-  while ((task = next_ready (stage, &from, now)) != NULL)
+  while ((task = next_ready (sched, stage, &from, now)) != NULL)
     {
       struct worker *worker = choose_for_member (sched, task, now);
 
@@ -204,7 +214,7 @@
 enum search_result
 {
   SEARCH_STARTED,
-  SEARCH_WAITS,    /* for room in its rack */
+  SEARCH_WAITS,    /* for room in its rack, or at its late worker */
   SEARCH_KEPT_OFF, /* there is room, but it is kept for short tasks */
   SEARCH_NO_ROOM
 };
@@ -220,7 +230,7 @@
   sched->large_room_denied = false;
   worker = choose_near_or_far (sched, task, now, &waits);
   sched->spare_large_room = INT64_MAX;
-  if (waits)
+  if (waits || (worker == NULL && late_worker (task, now) != NULL))
     return SEARCH_WAITS;
   if (worker == NULL)
     return sched->large_room_denied ? SEARCH_KEPT_OFF : SEARCH_NO_ROOM;
@@ -314,7 +324,7 @@
   rack_choose_for_group (sched, stage, now);
   while (!is_search_exhausted (stage, failed)
          && place_leaves_reserve (pool, stage, now)
-         && (task = next_ready (stage, &from, now)) != NULL)
+         && (task = next_ready (sched, stage, &from, now)) != NULL)
     {
       enum search_result result;
 
@@ -336,7 +346,7 @@
                   struct stage *stage, struct kq_sched_now now)
 {
   int from = 0;
-  struct task *task = next_ready (stage, &from, now);
+  struct task *task = next_ready (sched, stage, &from, now);
   struct worker *worker;
 
   if (task == NULL
@@ -361,7 +371,7 @@
   int64_t used = pool->used + pool->quarantined_used;
   int64_t capacity = pool->capacity + pool->quarantined_capacity;
   int from = 0;
-  struct task *task = next_ready (stage, &from, now);
+  struct task *task = next_ready (sched, stage, &from, now);
   struct worker *worker;
 
   if (task == NULL || pool->service != stage->job->service || stage->step->gang
@@ -387,7 +397,7 @@
   int from = 0;
 
   if (place_cannot_fit (pass, pool, stage, now))
-    return next_ready (stage, &from, now);
+    return next_ready (sched, stage, &from, now);
   if (stage->step->gang)
     {
       place_gang (sched, stage, now);
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -10,6 +10,7 @@
 #include <assert.h>
 
 #include "sched/internal.h"
+#include "sched/late.h"
 #include "sched/place.h"
 
 /* Time without capacity after which a long-running task that has run before
@@ -562,7 +563,9 @@
       struct task *task = &stage->tasks[i];
       const struct worker *avoided = task->avoided_worker;
 
-      if (task->reserved_worker != NULL || !is_waiting (task, now))
+      /* A task with a late worker goes nowhere else. */
+      if (task->reserved_worker != NULL || !is_waiting (task, now)
+          || late_worker (task, now) != NULL)
         continue;
       if (sched->room_bounded_pass != sched->placement_pass)
         bound_room (sched);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -11,6 +11,7 @@
 #include "log/log.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 #include "sched/overdue.h"
 
 /* Interval at which the interference model is stored: a new owner that had
@@ -293,7 +294,8 @@
 }
 
 static void
-apply_stored (struct kq_sched *sched, uint64_t position)
+apply_stored (struct kq_sched *sched, uint64_t position,
+              struct kq_sched_now now)
 {
   uint64_t stored_before = sched->stored;
   struct worker *worker;
@@ -308,8 +310,9 @@
     if (worker->acked_end < worker->last_end
         && worker->last_end_position <= position)
       {
-        worker->acked_end = worker->last_end;
-        worker->next_poll_at = 0;
+        worker->acked_end = late_last_free_end (worker, now);
+        if (worker->late_hold_count == 0)
+          worker->next_poll_at = 0;
       }
   }
 }
@@ -360,7 +363,7 @@
       evacuate_apply (sched, event->u.zones);
       break;
     case KQ_SCHED_EV_STORED:
-      apply_stored (sched, event->u.stored);
+      apply_stored (sched, event->u.stored, now);
       break;
     }
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -430,6 +430,7 @@
   KQ_SCHED_OUT_CAPACITY,
   KQ_SCHED_OUT_LIMIT,        /**< the step's limit per worker */
   KQ_SCHED_OUT_AVOIDED,      /**< the task has just failed there */
+  KQ_SCHED_OUT_LATE,         /**< an earlier order may start it elsewhere */
   KQ_SCHED_OUT_NO_TICKET,    /**< the policy service has given no ticket */
   KQ_SCHED_OUT_RESERVED,     /**< reserved or held for other tasks */
   KQ_SCHED_OUT_COLD,         /**< cold, and has just been given a task */
@@ -572,6 +573,8 @@
   int64_t withdrawals; /**< new jobs taken back because the store was away */
   int64_t unread_ends; /**< ended runs that workers forgot before this owner
                           read them */
+  int64_t late_starts; /**< runs that were over while their start orders could
+                          still be carried out */
   int64_t other_incarnation_replies; /**< replies of another incarnation than
                                         the order was for */
   int64_t refused;           /**< jobs that could be of no use any more */
--- a/sched/state.c
+++ b/sched/state.c
@@ -19,6 +19,7 @@
 
 #include "base/err.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 
 /* Limits of the encoded sizes in bytes of a TaskRecord with its header, which
    has two names and 13 numbers, and of the other fields of a StateRecord. */
@@ -66,6 +67,12 @@
   record->index = (uint32_t)task->index;
   record->done = task->state == TASK_DONE;
   record->run = (uint32_t)task->run;
+  if (task->state != TASK_BOUND && task->late_until != 0)
+    {
+      record->worker = task->late_worker->report.id;
+      record->born_ms = task->late_incarnation_ms;
+      record->placed_ms = task->placed_ms;
+    }
   if (record->done)
     return;
   record->failed_runs = task->failed_runs;
@@ -334,14 +341,21 @@
               record->checkpoint);
   if (has_begun (record))
     task->stage->job->started = true;
+  worker = record->worker != NULL && record->worker[0] != '\0'
+               ? worker_find_or_add (sched, record->worker)
+               : NULL;
+  if (worker != NULL)
+    late_note_restored (task, worker, record->born_ms, record->placed_ms, now);
+  task->placed_ms = record->placed_ms;
   if (record->done)
     {
       task->state = TASK_DONE;
       task->stage->done_count++;
+      if (task->late_until > task->stage->job->late_until)
+        task->stage->job->late_until = task->late_until;
       return;
     }
-  worker = record->bound ? worker_find_or_add (sched, record->worker) : NULL;
-  if (worker == NULL)
+  if (worker == NULL || !record->bound)
     {
       crash_note_restored_losses (sched, task);
       return;
--- a/sched/task.c
+++ b/sched/task.c
@@ -8,6 +8,7 @@
 #include "log/log.h"
 #include "sched/disruption.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 #include "sched/warmup.h"
 
 void
@@ -227,6 +228,8 @@
   task->next_pace_percent = 100;
   task->stop_sent_at = 0;
   task->incarnation_ms = 0;
+  task->start_sent_at = 0;
+  task->start_settled = false;
   task->accepted_at = 0;
   task->placed_ms = now.wall_ms;
   task->placed_lately = false;
@@ -294,6 +297,7 @@
              struct kq_sched_now now, const char *why)
 {
   task_log (task, "run ended", why);
+  late_note_run_over (sched, task);
   rack_note_release (sched, task, now);
   task_release (sched, task);
   job_mark_dirty (sched, task->stage->job);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -189,6 +189,8 @@
   if (restarted && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
     worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
   worker->ends_known = restarted;
+  worker->listed_at = 0;
+  worker->late_hold_count = 0;
   fence_begin_incarnation (sched, worker);
   worker->report.incarnation_ms = incarnation_ms;
   worker->report_outdated = true;
--- a/t/test-sched.c
+++ b/t/test-sched.c
@@ -159,9 +159,15 @@
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 1);
   ts_advance (cell, 10);
   ts_reply_poll (cell, first.worker, NULL, 0, NULL, 0);
+  /* It may not go elsewhere, and a worker that left a start unanswered gets
+     none for 200 ms. */
+  ts_advance (cell, 200);
   CU_ASSERT_EQUAL (ts_count_orders (cell, KQ_SCHED_FX_START), 2);
   CU_ASSERT_EQUAL (ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->run.run,
                    2);
+  CU_ASSERT_STRING_EQUAL (
+      ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0)->worker,
+      first.worker);
   ts_destroy (cell);
 }
 
--- a/t/test-unknown-run.c
+++ b/t/test-unknown-run.c
@@ -41,11 +41,18 @@
   ts_reply_poll (cell, first->worker, NULL, 0, NULL, 0);
   ts_advance (cell, 20);
   stop = *ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0);
+  ts_drain (cell, first->worker);
   ts_reply_order (cell, &stop, KQ_SCHED_OK);
   ts_advance (cell, 20);
   ts_reply_poll (cell, first->worker, NULL, 0, NULL, 0);
-  ts_reply_poll (cell, other (first->worker), NULL, 0, NULL, 0);
-  ts_advance (cell, 20);
+  /* The first worker takes no more starts; until its order is too old the
+     task goes nowhere else. */
+  for (int i = 0; i < 60; i++)
+    {
+      ts_reply_poll (cell, first->worker, NULL, 0, NULL, 0);
+      ts_reply_poll (cell, other (first->worker), NULL, 0, NULL, 0);
+      ts_advance (cell, 100);
+    }
   second = *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
   CU_ASSERT_EQUAL_FATAL (second.run.run, 2);
   CU_ASSERT_STRING_NOT_EQUAL (second.worker, first->worker);
