--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -625,6 +625,8 @@
   struct kq_sched_ended ended;
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+  if (order == NULL)
+    return;
   ended = ts_ended (order, number, how);
   ts_reply_poll (cell, order->worker, NULL, 0, &ended, 1);
 }
