sched: log how old the order of another listed run is

Cause: the line 'another run of a task listed' could not tell whether a run that begins beside or after another one comes from a start order that was carried out later than its task was held back for, or from another cause.

Change: the line has order_age_ms, the time since the given-up start order of that task at that worker was sent. No decision changes.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -143,6 +143,7 @@
   kq_usec start_sent_at;      /* when the order for its run was; 0: not sent */
   bool start_settled;         /* that order has no effect any more */
   struct worker *late_worker; /* may begin an earlier run of it (late.c) */
+  kq_usec late_sent_at;       /* when its start order was sent; 0: unknown */
   kq_usec late_until;         /* until then; 0: none may */
   bool late_is_unanswered;    /* its start order had no reply */
   int64_t late_incarnation_ms; /* of that worker when it was started there */
--- a/sched/late.c
+++ b/sched/late.c
@@ -54,6 +54,7 @@
     return;
   task->late_worker = task->worker;
   task->late_incarnation_ms = task->incarnation_ms;
+  task->late_sent_at = task->start_sent_at;
   task->late_until = task->start_sent_at + LATE_US;
   task->late_is_unanswered = true;
   sched->counts.late_starts++;
@@ -73,6 +74,7 @@
   task->late_worker = worker;
   task->late_incarnation_ms = incarnation_ms;
   task->late_is_unanswered = unanswered;
+  task->late_sent_at = 0;
   task->late_until = now.mono + (left < LATE_US ? left : LATE_US);
 }
 
@@ -142,6 +144,15 @@
   return late_worker (task, now) != NULL ? task->late_until : 0;
 }
 
+int64_t
+late_order_age_ms (const struct task *task, const struct worker *worker,
+                   struct kq_sched_now now)
+{
+  if (task->late_worker != worker || task->late_sent_at == 0)
+    return -1;
+  return (now.mono - task->late_sent_at) / KQ_USEC_PER_MSEC;
+}
+
 void
 late_hold_end (struct worker *worker, int64_t number, kq_usec until)
 {
--- a/sched/late.h
+++ b/sched/late.h
@@ -42,6 +42,12 @@
 /** Returns the last end of WORKER that may be acknowledged. */
 int64_t late_last_free_end (struct worker *worker, struct kq_sched_now now);
 
+/** Returns how many ms ago the latest start order of TASK that was given up at
+ *  WORKER was sent; -1 if there is none, or an earlier owner sent it.  */
+int64_t late_order_age_ms (const struct task *task,
+                           const struct worker *worker,
+                           struct kq_sched_now now);
+
 /** Polls the worker that may have begun an earlier run of TASK unseen. */
 void late_ask (struct kq_sched *sched, const struct task *task,
                struct kq_sched_now now);
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -286,6 +286,7 @@
   char name[64];
   char listed[16];
   char current[16];
+  char age[24];
 
   /* A list that one of a later poll has overtaken proves nothing. */
   if (task_awaits_other_run (task, now) || sent_at < worker->listed_at)
@@ -295,10 +296,13 @@
   run_format (run, name);
   snprintf (listed, sizeof listed, "%d", run->run);
   snprintf (current, sizeof current, "%d", task->run);
+  snprintf (age, sizeof age, "%" PRId64,
+            late_order_age_ms (task, worker, now));
   kq_log (KQ_LOG_WARN, "sched", "another run of a task listed", 0, "task",
           name, "run", listed, "worker", worker->report.id, "state",
           states[task->state], "current_run", current, "current_worker",
-          task->worker != NULL ? task->worker->report.id : "", NULL);
+          task->worker != NULL ? task->worker->report.id : "", "order_age_ms",
+          age, NULL);
 }
 
 /* A run without a current task must not continue. */
