relay: orders expire on the clock of their relay

Callers saw tasks run twice on large cells: a host that relays orders was frozen, or its link cut, with a batch unread. The owner took the orders for unanswered after 0.5 s and the tasks started elsewhere. The thawed relay carried the starts out; where their workers had restarted under their IDs meanwhile, neither until_ms nor the stop of the run refused them.

Change: a relay sends its clock with its results, a batch names the time on that clock until which it is carried out, 0.5 s from its sending, and later ones are reported as unanswered. A start goes to no relay whose clock is not known. Relays of earlier versions get no starts.

test-dispatch 'a relay drops late orders' fails without the check of the relay.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -22,6 +22,10 @@
 /* A relay that is about to stop is not used until it is back. */
 #define LEAVING_SUSPENSION_US (10 * KQ_USEC_PER_SEC)
 
+/* A relay's clock that lies behind by more than a result may be under way is
+   that of another host. */
+#define CLOCK_RESET_US (2 * KQ_USEC_PER_SEC)
+
 /* Time after which an order that a relay has acknowledged counts as not
    answered: the longest timeout of the relay's own call, and its delay. */
 #define RESULT_TIMEOUT_US (1200 * KQ_USEC_PER_MSEC)
@@ -55,6 +59,8 @@
   uint64_t acked;       /* of the last batch that was acknowledged */
   kq_usec silent_since; /* when it began to owe an acknowledgement; 0: no */
   bool leaving;
+  kq_usec clock_offset; /* its clock less this host's, no larger than that */
+  bool clock_known;
   kq_usec judged_at;
   int answers;  /* since then */
   int failures; /* calls without an answer */
@@ -300,6 +306,14 @@
   return link;
 }
 
+/* A start that a relay holds up for longer than this owner waits for it would
+   begin a run that is taken for over: one goes only where it can expire. */
+static bool
+may_relay (const struct relay_link *link, const struct kq_order *order)
+{
+  return link->clock_known || order->kind != KQ_ORDER_START;
+}
+
 /* Adds ORDER to the batch for the relay at ADDRESS.  Returns whether it was
    added. */
 static bool
@@ -310,7 +324,7 @@
   struct flight *flight = calloc (1, sizeof *flight);
   struct kq_order tagged = *order;
 
-  if (link == NULL || flight == NULL)
+  if (link == NULL || flight == NULL || !may_relay (link, order))
     {
       free (flight);
       return false;
@@ -346,12 +360,27 @@
     kq_orders_send (dispatch->orders, order);
 }
 
+/* A batch that is read later than it counts as unacknowledged would act on
+   runs that are taken for over. */
+static void
+set_expiry (struct relay_link *link, kq_usec now)
+{
+  kq_usec expires_at = now + link->clock_offset + RELAY_SILENCE_US;
+
+  if (link->clock_known
+      && kq_relay_set_expiry (&link->batch, expires_at / KQ_USEC_PER_MSEC)
+             != 0)
+    kq_log (KQ_LOG_ERROR, "dispatch", "expiry of orders not set", KQ_ENOMEM,
+            "relay", link->address, NULL);
+}
+
 static void
 flush_link (struct kq_dispatch *dispatch, struct relay_link *link)
 {
   KqNode__Ask message = KQ_NODE__ASK__INIT;
   kq_usec now = kq_clock_now ();
 
+  set_expiry (link, now);
   message.number = ++link->sent;
   message.verb = KQ_HOP_ORDERS;
   message.body.data = link->batch.bytes;
@@ -400,6 +429,21 @@
     end_flight (results->dispatch, flight, result);
 }
 
+/* The result that was under way for the shortest time tells the most of the
+   relay's clock, which begins anew with its host. */
+static void
+note_clock (struct relay_link *link, int64_t clock_ms, kq_usec now)
+{
+  kq_usec offset = clock_ms * KQ_USEC_PER_MSEC - now;
+
+  if (clock_ms == 0
+      || (link->clock_known && offset <= link->clock_offset
+          && offset > link->clock_offset - CLOCK_RESET_US))
+    return;
+  link->clock_offset = offset;
+  link->clock_known = true;
+}
+
 static void
 apply_state (struct kq_dispatch *dispatch, struct relay_link *link,
              const struct kq_relay_state *state)
@@ -411,6 +455,7 @@
       dispatch->handler.on_fenced (dispatch->handler.arg);
       return;
     }
+  note_clock (link, state->clock_ms, now);
   if (state->received > link->acked && state->received <= link->sent)
     {
       link->acked = state->received;
--- a/node/relay.c
+++ b/node/relay.c
@@ -16,6 +16,9 @@
 static struct kq_metric order_count
     = { .name = "kq_relay_orders_total",
         .help = "Orders carried out for an owner on another host." };
+static struct kq_metric expired_count
+    = { .name = "kq_relay_expired_orders_total",
+        .help = "Orders not carried out since they arrived too late." };
 static struct kq_metric refused_count
     = { .name = "kq_relay_refused_batches_total",
         .help = "Batches of orders that were malformed or of an earlier "
@@ -37,6 +40,7 @@
 kq_relay_register_metrics (void)
 {
   kq_metric_register (&order_count);
+  kq_metric_register (&expired_count);
   kq_metric_register (&refused_count);
 }
 
@@ -45,6 +49,7 @@
 {
   KqNode__Tell message = KQ_NODE__TELL__INIT;
 
+  relay->state.clock_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
   if (kq_relay_add_state (&relay->results, &relay->state) != 0)
     return;
   message.results.data = relay->results.bytes;
@@ -141,22 +146,50 @@
 {
   struct kq_relay *relay;
   const struct kq_hop_sender *sender;
-  const int64_t *fence;
+  const struct kq_relay_terms *terms;
   bool outdated;
 };
 
+/* Whether the owner has stopped waiting for orders with TERMS: they were held
+   up on the way here, or while this host stood still. */
+static bool
+has_expired (const struct kq_relay_terms *terms)
+{
+  return terms->expires_ms != 0
+         && kq_clock_now () > terms->expires_ms * KQ_USEC_PER_MSEC;
+}
+
+/* Reports ORDER, which is not carried out, as one without a reply. */
+static void
+report_expired (struct kq_relay *relay, const struct kq_order *order)
+{
+  struct kq_order_result result = { .tag = order->tag,
+                                    .kind = order->kind,
+                                    .worker = order->worker,
+                                    .run = order->run,
+                                    .reply = KQ_SCHED_NO_REPLY };
+
+  kq_metric_add (&expired_count, 1);
+  on_result (relay, &result);
+}
+
 static void
 visit_order (void *arg, const struct kq_order *order)
 {
   struct visit *visit = arg;
   struct kq_relay *relay = visit->relay;
 
-  if (*visit->fence < relay->state.fence)
+  if (visit->terms->fence < relay->state.fence)
     {
       visit->outdated = true;
       return;
     }
-  follow (relay, *visit->fence, visit->sender);
+  follow (relay, visit->terms->fence, visit->sender);
+  if (has_expired (visit->terms))
+    {
+      report_expired (relay, order);
+      return;
+    }
   kq_metric_add (&order_count, 1);
   kq_orders_send (relay->orders, order);
 }
@@ -166,8 +199,8 @@
                         const struct kq_hop_sender *sender,
                         const KqNode__Ask *message)
 {
-  int64_t fence = 0;
-  struct visit visit = { .relay = relay, .sender = sender, .fence = &fence };
+  struct kq_relay_terms terms = { 0 };
+  struct visit visit = { .relay = relay, .sender = sender, .terms = &terms };
 
   if (!create_client (relay))
     {
@@ -175,7 +208,7 @@
               NULL);
       return;
     }
-  if (kq_relay_read_orders (message->body.data, message->body.len, &fence,
+  if (kq_relay_read_orders (message->body.data, message->body.len, &terms,
                             visit_order, &visit)
       != 0)
     {
--- a/relay/message.c
+++ b/relay/message.c
@@ -103,6 +103,15 @@
   return 0;
 }
 
+int
+kq_relay_set_expiry (struct kq_relay_batch *batch, int64_t expires_ms)
+{
+  KqRelay__OrderBatch message = KQ_RELAY__ORDER_BATCH__INIT;
+
+  message.expires_ms = expires_ms;
+  return add_order_batch (batch, &message);
+}
+
 /* Returns whether ROW is an order that can be carried out. */
 static bool
 is_valid_order (const KqRelay__OrderBatch *message, const KqRelay__Order *row)
@@ -115,7 +124,8 @@
 }
 
 int
-kq_relay_read_orders (const uint8_t *bytes, size_t size, int64_t *fence,
+kq_relay_read_orders (const uint8_t *bytes, size_t size,
+                      struct kq_relay_terms *terms,
                       void (*visit) (void *arg, const struct kq_order *order),
                       void *arg)
 {
@@ -124,7 +134,8 @@
 
   if (message == NULL)
     return KQ_ESYNTAX;
-  *fence = message->fence;
+  *terms = (struct kq_relay_terms){ .fence = message->fence,
+                                    .expires_ms = message->expires_ms };
   for (size_t i = 0; i < message->n_orders; i++)
     {
       const KqRelay__Order *row = message->orders[i];
@@ -330,6 +341,7 @@
   message.fence = state->fence;
   message.received = state->received;
   message.leaving = state->leaving;
+  message.clock_ms = state->clock_ms;
   return add_outcome_batch (batch, &message);
 }
 
@@ -437,7 +449,8 @@
     return KQ_ESYNTAX;
   *state = (struct kq_relay_state){ .fence = message->fence,
                                     .received = message->received,
-                                    .leaving = message->leaving };
+                                    .leaving = message->leaving,
+                                    .clock_ms = message->clock_ms };
   for (size_t i = 0; i < message->n_outcomes; i++)
     visit_outcome (message->outcomes[i], visit, arg);
   kq_relay__outcome_batch__free_unpacked (message, NULL);
--- a/relay/message.h
+++ b/relay/message.h
@@ -26,13 +26,24 @@
 int kq_relay_add_order (struct kq_relay_batch *batch, int64_t fence,
                         const struct kq_order *order);
 
+/** Limits the time until which a batch of orders is carried out.
+ *  @param expires_ms on the clock of the relay, in ms.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_relay_set_expiry (struct kq_relay_batch *batch, int64_t expires_ms);
+
+/** What holds for all orders of a batch. */
+struct kq_relay_terms
+{
+  int64_t fence;
+  int64_t expires_ms; /**< on the clock of the relay, in ms; 0: no limit */
+};
+
 /** Calls VISIT for each order in a batch; malformed orders are left out.
- *  @param fence set to the fence of the batch before the first call.
+ *  @param terms set before the first call.
  *  @return 0 or KQ_ESYNTAX.  */
-int kq_relay_read_orders (const uint8_t *bytes, size_t size, int64_t *fence,
-                          void (*visit) (void *arg,
-                                         const struct kq_order *order),
-                          void *arg);
+int kq_relay_read_orders (
+    const uint8_t *bytes, size_t size, struct kq_relay_terms *terms,
+    void (*visit) (void *arg, const struct kq_order *order), void *arg);
 
 /** State of a relay that it sends along with results. */
 struct kq_relay_state
@@ -40,6 +51,7 @@
   int64_t fence;     /**< highest one that it has seen */
   uint64_t received; /**< number of the last batch of orders received */
   bool leaving;      /**< it is about to stop */
+  int64_t clock_ms;  /**< its clock when it sent this, in ms; 0: unknown */
 };
 
 /** Adds RESULT to a batch of results.
--- a/relay/relay.pb-c.c
+++ b/relay/relay.pb-c.c
@@ -478,7 +478,7 @@
   (ProtobufCMessageInit) kq_relay__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_relay__order_batch__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kq_relay__order_batch__field_descriptors[4] =
 {
   {
     "fence",
@@ -516,8 +516,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expires_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqRelay__OrderBatch, expires_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_relay__order_batch__field_indices_by_name[] = {
+  3,   /* field[3] = expires_ms */
   0,   /* field[0] = fence */
   2,   /* field[2] = orders */
   1,   /* field[1] = texts */
@@ -525,7 +538,7 @@
 static const ProtobufCIntRange kq_relay__order_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kq_relay__order_batch__descriptor =
 {
@@ -535,7 +548,7 @@
   "KqRelay__OrderBatch",
   "kq_relay",
   sizeof(KqRelay__OrderBatch),
-  3,
+  4,
   kq_relay__order_batch__field_descriptors,
   kq_relay__order_batch__field_indices_by_name,
   1,  kq_relay__order_batch__number_ranges,
@@ -800,7 +813,7 @@
   (ProtobufCMessageInit) kq_relay__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_relay__outcome_batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor kq_relay__outcome_batch__field_descriptors[5] =
 {
   {
     "fence",
@@ -850,8 +863,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqRelay__OutcomeBatch, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_relay__outcome_batch__field_indices_by_name[] = {
+  4,   /* field[4] = clock_ms */
   0,   /* field[0] = fence */
   2,   /* field[2] = leaving */
   3,   /* field[3] = outcomes */
@@ -860,7 +886,7 @@
 static const ProtobufCIntRange kq_relay__outcome_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor kq_relay__outcome_batch__descriptor =
 {
@@ -870,7 +896,7 @@
   "KqRelay__OutcomeBatch",
   "kq_relay",
   sizeof(KqRelay__OutcomeBatch),
-  4,
+  5,
   kq_relay__outcome_batch__field_descriptors,
   kq_relay__outcome_batch__field_indices_by_name,
   1,  kq_relay__outcome_batch__number_ranges,
--- a/relay/relay.pb-c.h
+++ b/relay/relay.pb-c.h
@@ -70,10 +70,14 @@
   char **texts;
   size_t n_orders;
   KqRelay__Order **orders;
+  /*
+   * relay's clock: not carried out later; 0: no limit
+   */
+  int64_t expires_ms;
 };
 #define KQ_RELAY__ORDER_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_relay__order_batch__descriptor) \
-    , 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -158,10 +162,14 @@
   protobuf_c_boolean leaving;
   size_t n_outcomes;
   KqRelay__Outcome **outcomes;
+  /*
+   * relay's clock when it was sent
+   */
+  int64_t clock_ms;
 };
 #define KQ_RELAY__OUTCOME_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_relay__outcome_batch__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0 }
 
 
 /* KqRelay__Order methods */
--- a/t/test-dispatch.c
+++ b/t/test-dispatch.c
@@ -5,11 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "node/dispatch.h"
 #include "node/relay.h"
 #include "relay/message.h"
 #include "t/kqtest.h"
+#include "t/lib-port.h"
 
 #define WORKERS 200
 #define OWNER_ADDRESS "127.0.0.1:24871"
@@ -28,6 +30,7 @@
   struct kq_dispatch *dispatch;
   bool silent; /* the relay does not reply */
   bool leaving;
+  int64_t clock_ms; /* that the relay sends along; 0: none */
   int64_t relay_fence;
   int orders; /* received by the relay */
   int results;
@@ -60,14 +63,17 @@
   KqNode__Tell reply = KQ_NODE__TELL__INIT;
   struct kq_relay_state state
       = { .received = message->number, .leaving = cell->leaving };
+  struct kq_relay_terms terms = { 0 };
 
   if (cell->relay != NULL)
     {
       kq_relay_handle_orders (cell->relay, sender, message);
       return;
     }
-  kq_relay_read_orders (message->body.data, message->body.len, &state.fence,
+  kq_relay_read_orders (message->body.data, message->body.len, &terms,
                         on_relayed_order, cell);
+  state.fence = terms.fence;
+  state.clock_ms = cell->clock_ms;
   if (cell->relay_fence != 0)
     state.fence = cell->relay_fence;
   kq_relay_add_state (&cell->replies, &state);
@@ -196,17 +202,33 @@
   ev_timer_stop (cell->loop, &timer);
 }
 
-/* The address has no listener, so that an order that is not relayed ends
-   without an answer at once. */
+/* Runs the cell until COUNT orders have ended, for 5 s at most. */
 static void
-send_stops (struct cell *cell, int count)
+run_until_ended (struct cell *cell, int count)
+{
+  for (int i = 0; i < 250 && cell->results < count; i++)
+    run_for (cell, 0.02);
+  CU_ASSERT_EQUAL (cell->results, count);
+}
+
+/* Runs the cell until the owner knows of a later one, for 5 s at most. */
+static void
+run_until_fenced (struct cell *cell)
+{
+  for (int i = 0; i < 250 && !cell->fenced; i++)
+    run_for (cell, 0.02);
+  CU_ASSERT (cell->fenced);
+}
+
+static void
+send_stops_to (struct cell *cell, int count, const char *address)
 {
   for (int i = 0; i < count; i++)
     {
       char worker[16];
       struct kq_order order = { .kind = KQ_ORDER_STOP,
                                 .worker = worker,
-                                .address = "127.0.0.1:1",
+                                .address = address,
                                 .run = { 1, 0, 0, i, 1 + i } };
 
       snprintf (worker, sizeof worker, "w%d", i);
@@ -215,6 +237,14 @@
   kq_dispatch_flush (cell->dispatch);
 }
 
+/* The address has no listener, so that an order that is not relayed ends
+   without an answer at once. */
+static void
+send_stops (struct cell *cell, int count)
+{
+  send_stops_to (cell, count, "127.0.0.1:1");
+}
+
 static void
 test_results_reach_their_orders (void)
 {
@@ -276,8 +306,7 @@
 
   cell->relay_fence = FENCE + 1;
   send_stops (cell, 1);
-  run_for (cell, 0.2);
-  CU_ASSERT (cell->fenced);
+  run_until_fenced (cell);
   stop_cell (cell);
 }
 
@@ -301,8 +330,7 @@
   kq_hop_send_request (cell->owner_hop, RELAY_ADDRESS, &message);
   run_for (cell, 0.2);
   send_stops (cell, 5);
-  run_for (cell, 0.2);
-  CU_ASSERT (cell->fenced);
+  run_until_fenced (cell);
   kq_relay_batch_clear (&batch);
   stop_cell (cell);
 }
@@ -315,13 +343,89 @@
 
   cell->relay = kq_relay_create (cell->loop, cell->relay_hop);
   send_stops (cell, 5);
-  run_for (cell, 0.4);
-  CU_ASSERT_EQUAL (cell->results, 5);
+  run_until_ended (cell, 5);
   CU_ASSERT_EQUAL (cell->unanswered, 5);
   CU_ASSERT_FALSE (cell->fenced);
   stop_cell (cell);
 }
 
+/* Guards against orders that a relay carries out after its owner has taken
+   their runs for over: it stood still, or they were held up on the way. */
+static void
+test_relay_drops_late_orders (void)
+{
+  struct cell *cell = start_cell ();
+  char address[32];
+  int fd = port_open (address, sizeof address);
+
+  cell->relay = kq_relay_create (cell->loop, cell->relay_hop);
+  send_stops (cell, 1);
+  run_until_ended (cell, 1);
+  send_stops_to (cell, 3, address);
+  usleep (800 * 1000);
+  run_until_ended (cell, 4);
+  CU_ASSERT_EQUAL (cell->unanswered, 4);
+  CU_ASSERT_FALSE (port_was_called (fd));
+  stop_cell (cell);
+}
+
+/* Guards against starts through a relay that cannot tell when they are
+   late, since its clock is not known yet. */
+static void
+test_start_awaits_clock_of_relay (void)
+{
+  struct cell *cell = start_cell ();
+  struct kq_order order = { .kind = KQ_ORDER_START,
+                            .worker = "w1",
+                            .address = "127.0.0.1:1",
+                            .run = { 1, 0, 0, 0, 1 },
+                            .text = "",
+                            .checkpoint = "",
+                            .ticket = "" };
+
+  kq_dispatch_send (cell->dispatch, &order);
+  kq_dispatch_flush (cell->dispatch);
+  run_until_ended (cell, 1);
+  CU_ASSERT_EQUAL (cell->orders, 0);
+  cell->clock_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
+  send_stops (cell, 1);
+  run_until_ended (cell, 2);
+  CU_ASSERT_EQUAL (cell->orders, 1);
+  kq_dispatch_send (cell->dispatch, &order);
+  kq_dispatch_flush (cell->dispatch);
+  run_until_ended (cell, 3);
+  CU_ASSERT_EQUAL (cell->orders, 2);
+  stop_cell (cell);
+}
+
+/* Guards against an expiry that drops orders which arrive in time. */
+static void
+test_relay_carries_out_prompt_orders (void)
+{
+  struct cell *cell = start_cell ();
+  KqNode__Ask message = KQ_NODE__ASK__INIT;
+  struct kq_relay_batch batch = { 0 };
+  char address[32];
+  int fd = port_open (address, sizeof address);
+  struct kq_order order = { .kind = KQ_ORDER_STOP,
+                            .worker = "w1",
+                            .address = address,
+                            .run = { 1, 0, 0, 0, 1 } };
+
+  cell->relay = kq_relay_create (cell->loop, cell->relay_hop);
+  kq_relay_add_order (&batch, FENCE, &order);
+  kq_relay_set_expiry (&batch, kq_clock_now () / KQ_USEC_PER_MSEC + 60000);
+  message.number = 1;
+  message.verb = KQ_HOP_ORDERS;
+  message.body.data = batch.bytes;
+  message.body.len = batch.size;
+  kq_hop_send_request (cell->owner_hop, RELAY_ADDRESS, &message);
+  run_for (cell, 1.0);
+  CU_ASSERT (port_was_called (fd));
+  kq_relay_batch_clear (&batch);
+  stop_cell (cell);
+}
+
 static void
 test_malformed_messages (void)
 {
@@ -340,8 +444,7 @@
                               sizeof garbage);
   run_for (cell, 0.1);
   send_stops (cell, 2);
-  run_for (cell, 0.4);
-  CU_ASSERT_EQUAL (cell->results, 2);
+  run_until_ended (cell, 2);
   stop_cell (cell);
 }
 
@@ -353,6 +456,11 @@
   { "a relay refuses an earlier owner", test_relay_refuses_an_earlier_owner },
   { "a relay reports unanswered orders",
     test_relay_reports_unanswered_orders },
+  { "a relay drops late orders", test_relay_drops_late_orders },
+  { "a start awaits the clock of its relay",
+    test_start_awaits_clock_of_relay },
+  { "a relay carries out prompt orders",
+    test_relay_carries_out_prompt_orders },
   { "malformed messages", test_malformed_messages },
 };
 
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -310,7 +310,7 @@
   struct kq_order second = start;
   struct received received = { 0 };
   size_t size_of_first;
-  int64_t fence = 0;
+  struct kq_relay_terms terms = { 0 };
 
   CU_ASSERT_EQUAL (kq_relay_add_order (&batch, 42, &start), 0);
   size_of_first = batch.size;
@@ -318,10 +318,11 @@
   CU_ASSERT_EQUAL (kq_relay_add_order (&batch, 42, &second), 0);
   /* The text of a job is sent once. */
   CU_ASSERT (batch.size - size_of_first < size_of_first - strlen (start.text));
-  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &fence,
+  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &terms,
                                          on_order, &received),
                    0);
-  CU_ASSERT_EQUAL (fence, 42);
+  CU_ASSERT_EQUAL (terms.fence, 42);
+  CU_ASSERT_EQUAL (terms.expires_ms, 0);
   CU_ASSERT_EQUAL (received.orders, 2);
   CU_ASSERT_EQUAL (received.last.tag, 77);
   CU_ASSERT_EQUAL (memcmp (&received.last.run, &second.run, sizeof second.run),
@@ -329,9 +330,12 @@
   CU_ASSERT_STRING_EQUAL (received.text, start.text);
   CU_ASSERT_STRING_EQUAL (received.checkpoint, "cp");
   CU_ASSERT_EQUAL (kq_relay_add_order (&batch, 42, &poll), 0);
-  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &fence,
+  CU_ASSERT_EQUAL (kq_relay_set_expiry (&batch, 123456), 0);
+  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &terms,
                                          on_order, &received),
                    0);
+  CU_ASSERT_EQUAL (terms.fence, 42);
+  CU_ASSERT_EQUAL (terms.expires_ms, 123456);
   CU_ASSERT_EQUAL (received.last.kind, KQ_ORDER_POLL);
   CU_ASSERT_EQUAL (received.last.fence, 57);
   CU_ASSERT_EQUAL (received.last.acked, 1000000);
@@ -368,7 +372,8 @@
 {
   struct kq_relay_batch batch = { 0 };
   struct kq_order_result refusal = { .tag = 10, .reply = KQ_SCHED_FENCED };
-  struct kq_relay_state state = { .fence = 3, .received = 8, .leaving = true };
+  struct kq_relay_state state
+      = { .fence = 3, .received = 8, .leaving = true, .clock_ms = 77 };
   struct kq_relay_state read = { .fence = 0 };
   struct received received = { 0 };
 
@@ -381,6 +386,7 @@
   CU_ASSERT_EQUAL (read.fence, 3);
   CU_ASSERT_EQUAL (read.received, 8);
   CU_ASSERT (read.leaving);
+  CU_ASSERT_EQUAL (read.clock_ms, 77);
   CU_ASSERT_EQUAL (received.results, 2);
   CU_ASSERT_EQUAL (received.result.tag, 9);
   CU_ASSERT_EQUAL (received.running_count, 1);
@@ -404,12 +410,12 @@
   struct kq_relay_batch results = { 0 };
   struct received received = { 0 };
   struct kq_relay_state state;
-  int64_t fence;
+  struct kq_relay_terms terms;
 
   kq_relay_add_order (&orders, 42, &start);
   add_status (&results);
   for (size_t size = 0; size < orders.size; size++)
-    kq_relay_read_orders (orders.bytes, size, &fence, on_order, &received);
+    kq_relay_read_orders (orders.bytes, size, &terms, on_order, &received);
   CU_ASSERT_EQUAL (received.orders, 0);
   for (size_t size = 0; size < results.size; size++)
     kq_relay_read_results (results.bytes, size, &state, on_result, &received);
@@ -426,7 +432,7 @@
   struct kq_order nobody = start;
   struct kq_order nowhere = start;
   struct received received = { 0 };
-  int64_t fence;
+  struct kq_relay_terms terms;
 
   unknown.kind = (enum kq_order_kind)9;
   nobody.worker = "";
@@ -434,13 +440,13 @@
   kq_relay_add_order (&batch, 1, &unknown);
   kq_relay_add_order (&batch, 1, &nobody);
   kq_relay_add_order (&batch, 1, &nowhere);
-  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &fence,
+  CU_ASSERT_EQUAL (kq_relay_read_orders (batch.bytes, batch.size, &terms,
                                          on_order, &received),
                    0);
   CU_ASSERT_EQUAL (received.orders, 0);
   kq_relay_batch_clear (&batch);
   CU_ASSERT_EQUAL (kq_relay_read_orders ((const uint8_t *)"\xff\xff", 2,
-                                         &fence, on_order, &received),
+                                         &terms, on_order, &received),
                    KQ_ESYNTAX);
 }
 
