--- /dev/null
+++ b/term/past.c
@@ -0,0 +1,106 @@
+/* Earlier owners: see term/past.h. */
+#include "term/past.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* The slowest clock of a host, in percent of the true rate. */
+#define SLOWEST_CLOCK_PERCENT 98
+
+static struct kq_past_owner *
+find (struct kq_past_owners *past, int64_t term)
+{
+  for (int i = 0; i < past->count; i++)
+    if (past->owners[i].term == term)
+      return &past->owners[i];
+  return NULL;
+}
+
+static struct kq_past_owner *
+find_or_add (struct kq_past_owners *past, int64_t term)
+{
+  struct kq_past_owner *owner = find (past, term);
+  int i = 0;
+
+  if (owner != NULL)
+    return owner;
+  while (i < past->count && past->owners[i].term > term)
+    i++;
+  if (i == KQ_TERM_MAX_PAST)
+    return NULL;
+  if (past->count < KQ_TERM_MAX_PAST)
+    past->count++;
+  owner = &past->owners[i];
+  memmove (owner + 1, owner, (size_t)(past->count - 1 - i) * sizeof *owner);
+  memset (owner, 0, sizeof *owner);
+  owner->term = term;
+  return owner;
+}
+
+void
+kq_past_note_heard (struct kq_past_owners *past, kq_usec now, int64_t term,
+                    const char *host, const char *incarnation, kq_usec age)
+{
+  struct kq_past_owner *owner = find_or_add (past, term);
+
+  if (owner == NULL)
+    return;
+  snprintf (owner->host, sizeof owner->host, "%s", host);
+  snprintf (owner->incarnation, sizeof owner->incarnation, "%s", incarnation);
+  owner->heard_at = now;
+  if (age > 0)
+    owner->age = age;
+}
+
+void
+kq_past_note_end (struct kq_past_owners *past, kq_usec now, int64_t term)
+{
+  struct kq_past_owner *owner = find (past, term);
+
+  if (owner != NULL && owner->ended_at == 0)
+    owner->ended_at = now;
+}
+
+void
+kq_past_note_gap (struct kq_past_owners *past, kq_usec now)
+{
+  for (int i = 0; i < past->count; i++)
+    {
+      past->owners[i].heard_at = now;
+      past->owners[i].age = 0;
+    }
+}
+
+int
+kq_past_list (const struct kq_past_owners *past, int64_t own_term,
+              const char *host, const char *incarnation, kq_usec started_at,
+              struct kq_term_past list[KQ_TERM_MAX_PAST])
+{
+  kq_usec latest = 0; /* bound from the claims of later terms; 0: none */
+  int count = 0;
+
+  for (int i = 0; i < past->count; i++)
+    {
+      const struct kq_past_owner *owner = &past->owners[i];
+      kq_usec claimed_by
+          = owner->heard_at - owner->age * SLOWEST_CLOCK_PERCENT / 100;
+      struct kq_term_past *entry = &list[count];
+
+      if (own_term == 0 || owner->term < own_term)
+        {
+          entry->term = owner->term;
+          entry->confirmed_until = owner->heard_at;
+          if (latest != 0 && latest < entry->confirmed_until)
+            entry->confirmed_until = latest;
+          entry->ended_at = owner->ended_at;
+          /* An earlier process on this host has ended. */
+          if (entry->ended_at == 0 && strcmp (owner->host, host) == 0
+              && strcmp (owner->incarnation, incarnation) != 0)
+            entry->ended_at = started_at;
+          count++;
+        }
+      if (latest == 0 || claimed_by < latest)
+        latest = claimed_by;
+    }
+  return count;
+}
--- a/term/term.c
+++ b/term/term.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "term/past.h"
 #include "term/term.pb-c.h"
 
 /* Time between two heartbeats of the owner. */
@@ -53,24 +54,10 @@
 #define MISSED_HEARTBEATS_US (1200 * KQ_USEC_PER_MSEC)
 #define SUSPICION_US (3 * KQ_USEC_PER_SEC)
 
-/* The slowest clock of a host, in percent of the true rate. */
-#define SLOWEST_CLOCK_PERCENT 98
-
 /* Minimum time from a stored claim or release to the next append; half of it
    after a failed append.  */
 #define MIN_APPEND_INTERVAL_US (100 * KQ_USEC_PER_MSEC)
 
-/* An earlier owner, as far as its records tell. */
-struct past_owner
-{
-  int64_t term;
-  char host[KQ_TERM_TEXT_SIZE];
-  char incarnation[KQ_TERM_TEXT_SIZE];
-  kq_usec heard_at; /* when its latest record was read */
-  kq_usec age;      /* time that it had owned the term by then, at least */
-  kq_usec ended_at; /* it had stopped by then; 0: unknown */
-};
-
 struct kq_term
 {
   char host[KQ_TERM_TEXT_SIZE];
@@ -109,8 +96,7 @@
   kq_usec sequence_sent_at; /* when it was sent first; 0: not yet */
   int64_t heartbeat_age_ms; /* in the last heartbeat that was sent */
   kq_usec heartbeat_sent_at;
-  struct past_owner past[KQ_TERM_MAX_PAST]; /* latest term first */
-  int past_count;
+  struct kq_past_owners past;
 };
 
 struct kq_term *
@@ -142,66 +128,20 @@
   term->max_cores = max_cores;
 }
 
-static struct past_owner *
-find_past (struct kq_term *term, int64_t number)
-{
-  for (int i = 0; i < term->past_count; i++)
-    if (term->past[i].term == number)
-      return &term->past[i];
-  return NULL;
-}
-
-static struct past_owner *
-find_or_add_past (struct kq_term *term, int64_t number)
-{
-  struct past_owner *found = find_past (term, number);
-  int i = 0;
-
-  if (found != NULL)
-    return found;
-  while (i < term->past_count && term->past[i].term > number)
-    i++;
-  if (i == KQ_TERM_MAX_PAST)
-    return NULL;
-  if (term->past_count < KQ_TERM_MAX_PAST)
-    term->past_count++;
-  memmove (&term->past[i + 1], &term->past[i],
-           (size_t)(term->past_count - 1 - i) * sizeof term->past[0]);
-  memset (&term->past[i], 0, sizeof term->past[i]);
-  term->past[i].term = number;
-  return &term->past[i];
-}
-
 /* Records that RECORD of the term NUMBER was read. */
 static void
 note_heard (struct kq_term *term, kq_usec now,
             const KqTerm__TermRecord *record, int64_t number)
 {
-  struct past_owner *past = find_or_add_past (term, number);
-
-  if (past == NULL)
-    return;
-  snprintf (past->host, sizeof past->host, "%s", record->host);
-  snprintf (past->incarnation, sizeof past->incarnation, "%s", record->life);
-  past->heard_at = now;
-  if (record->age_ms > 0)
-    past->age = record->age_ms * KQ_USEC_PER_MSEC;
-}
-
-static void
-note_end (struct kq_term *term, kq_usec now, int64_t number)
-{
-  struct past_owner *past = find_past (term, number);
-
-  if (past != NULL && past->ended_at == 0)
-    past->ended_at = now;
+  kq_past_note_heard (&term->past, now, number, record->host, record->life,
+                      record->age_ms * KQ_USEC_PER_MSEC);
 }
 
 static void
 end_own_term (struct kq_term *term, kq_usec now)
 {
   if (term->own_term != 0)
-    note_end (term, now, term->own_term);
+    kq_past_note_end (&term->past, now, term->own_term);
   term->own_term = 0;
   term->releasing = false;
 }
@@ -276,7 +216,7 @@
                const KqTerm__TermRecord *record)
 {
   note_heard (term, now, record, record->term);
-  note_end (term, now, record->term);
+  kq_past_note_end (&term->past, now, record->term);
   if (record->term != term->owner.term)
     return;
   term->owner.address[0] = '\0';
@@ -345,11 +285,7 @@
   if (end > term->offset)
     {
       term->offset = end;
-      for (int i = 0; i < term->past_count; i++)
-        {
-          term->past[i].heard_at = now;
-          term->past[i].age = 0;
-        }
+      kq_past_note_gap (&term->past, now);
     }
   /* Heartbeats could not be read while the store did not reply, so the owner
      gets a full timeout again: once, since with a slow store each read may
@@ -594,33 +530,8 @@
 kq_term_get_past (const struct kq_term *term,
                   struct kq_term_past past[KQ_TERM_MAX_PAST])
 {
-  kq_usec latest = 0; /* bound from the claims of later terms; 0: none */
-  int count = 0;
-
-  for (int i = 0; i < term->past_count; i++)
-    {
-      const struct past_owner *owner = &term->past[i];
-      kq_usec claimed_by
-          = owner->heard_at - owner->age * SLOWEST_CLOCK_PERCENT / 100;
-      struct kq_term_past *entry = &past[count];
-
-      if (term->own_term == 0 || owner->term < term->own_term)
-        {
-          entry->term = owner->term;
-          entry->confirmed_until = owner->heard_at;
-          if (latest != 0 && latest < entry->confirmed_until)
-            entry->confirmed_until = latest;
-          entry->ended_at = owner->ended_at;
-          /* An earlier process on this host has ended. */
-          if (entry->ended_at == 0 && strcmp (owner->host, term->host) == 0
-              && strcmp (owner->incarnation, term->incarnation) != 0)
-            entry->ended_at = term->started_at;
-          count++;
-        }
-      if (latest == 0 || claimed_by < latest)
-        latest = claimed_by;
-    }
-  return count;
+  return kq_past_list (&term->past, term->own_term, term->host,
+                       term->incarnation, term->started_at, past);
 }
 
 void
