term: keep the term while a stopping host still serves

Where all hosts are told to stop one after the other, again and again, lasting tasks of crashed workers stayed down for up to 33 s (LOST). A host released its term as soon as it was told to stop, 3 s or more before it ends, and no stopping host could claim one. Ruled out: placement and admission.

An owner that is told to stop now keeps its term for 2 s, and a host that is stopping claims a term that no other host has claimed for 0.7 s and releases it before it ends. Its process ends only without a term. A claim under way at the stop is no longer void: its term had an owner that did not act. The times of a stop move to node/stop.c.

What is left has another cause: the wait for a silent worker begins anew with each owner.

--- a/node/node.c
+++ b/node/node.c
@@ -27,6 +27,7 @@
 #include "node/relay.h"
 #include "node/roster.h"
 #include "node/self.h"
+#include "node/stop.h"
 #include "node/turns.h"
 #include "node/watch.h"
 #include "node/zones.h"
@@ -40,14 +41,6 @@
    connections to it. */
 #define READY_TIMEOUT_US (4 * KQ_USEC_PER_SEC)
 
-/* The host continues to serve for this long after the start of a planned stop,
-   until the load balancer has noticed it: that takes two of its readiness
-   checks, a second apart, and the time between them. */
-#define STOP_DELAY_US (3 * KQ_USEC_PER_SEC)
-
-/* The process exits this long before it would be killed. */
-#define STOP_MARGIN_US (700 * KQ_USEC_PER_MSEC)
-
 /* Interval at which the settings file is read again, because it may change
    without a signal. */
 #define SETTINGS_INTERVAL_SEC 1.0
@@ -86,8 +79,8 @@
   int64_t owner_term; /* term of the last known owner */
   int64_t owner_changes;
   bool superseded;
-  kq_usec owner_seen_at;   /* when an owner last replied or became known */
-  kq_usec stop_started_at; /* 0: no planned stop */
+  kq_usec owner_seen_at; /* when an owner last replied or became known */
+  struct kq_stop stop;
   ev_prepare prepare;
   ev_timer timer;
   ev_timer settings_timer;
@@ -336,7 +329,7 @@
     {
       kq_log (KQ_LOG_ERROR, "node", "term released: owner not created",
               KQ_ENOMEM, NULL);
-      kq_term_release (node->term, 0);
+      kq_term_release (node->term);
     }
 }
 
@@ -426,7 +419,7 @@
 {
   kq_usec now = kq_clock_now ();
 
-  return node->stop_started_at == 0 && node->config != NULL
+  return node->stop.started_at == 0 && node->config != NULL
          && (now - kq_watch_last_reply_at (node->watch) < READY_TIMEOUT_US
              || now - node->owner_seen_at < READY_TIMEOUT_US);
 }
@@ -493,11 +486,13 @@
 {
   struct node *node = signal->data;
 
-  if (node->stop_started_at != 0)
+  if (node->stop.started_at != 0)
     return;
   kq_log (KQ_LOG_INFO, "node", "planned stop started", 0, NULL);
-  node->stop_started_at = kq_clock_now ();
-  kq_term_release (node->term, INT64_MAX);
+  node->stop.started_at = kq_clock_now ();
+  node->stop.grace = node->settings.stop_grace;
+  kq_term_stop (node->term, kq_stop_release_at (&node->stop),
+                kq_stop_last_release_at (&node->stop));
   kq_relay_leave (node->relay);
   kq_job_api_disable_keep_alive (node->job_api);
 }
@@ -537,14 +532,12 @@
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct node *node = timer->data;
-  kq_usec elapsed;
 
   follow_term (node);
-  if (node->stop_started_at == 0)
-    return;
-  elapsed = kq_clock_now () - node->stop_started_at;
-  if ((elapsed > STOP_DELAY_US && kq_job_api_is_idle (node->job_api))
-      || elapsed > node->settings.stop_grace - STOP_MARGIN_US)
+  if (node->stop.started_at != 0
+      && kq_stop_is_over (&node->stop, kq_clock_now (),
+                          kq_job_api_is_idle (node->job_api)
+                              && kq_term_own_term (node->term) == 0))
     ev_break (loop, EVBREAK_ALL);
 }
 
--- a/t/test-term.c
+++ b/t/test-term.c
@@ -191,7 +191,7 @@
 
   run_for (sim, KQ_USEC_PER_SEC);
   count_owners (sim, &first);
-  kq_term_release (sim->hosts[first], INT64_MAX);
+  kq_term_stop (sim->hosts[first], sim->now, sim->now);
   run_for (sim, 400 * KQ_USEC_PER_MSEC);
   CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
   CU_ASSERT_NOT_EQUAL (owner, first);
@@ -233,7 +233,7 @@
   run_for (sim, KQ_USEC_PER_SEC);
   CU_ASSERT_EQUAL (count_owners (sim, &owner), 1);
   CU_ASSERT_NOT_EQUAL (owner, few_cores_host);
-  kq_term_release (sim->hosts[owner], INT64_MAX);
+  kq_term_stop (sim->hosts[owner], sim->now, sim->now);
   run_for (sim, 400 * KQ_USEC_PER_MSEC);
   CU_ASSERT_EQUAL (count_owners (sim, &next), 1);
   CU_ASSERT_NOT_EQUAL (next, few_cores_host);
--- a/term/term.c
+++ b/term/term.c
@@ -54,6 +54,12 @@
 #define MISSED_HEARTBEATS_US (1200 * KQ_USEC_PER_MSEC)
 #define SUSPICION_US (3 * KQ_USEC_PER_SEC)
 
+/* A host that is stopping claims later than others by the delay, so that it
+   becomes the owner only where none of them claims, and only if this much time
+   is left for its term. */
+#define STOPPING_DELAY_US (700 * KQ_USEC_PER_MSEC)
+#define MIN_STOPPING_TERM_US (500 * KQ_USEC_PER_MSEC)
+
 /* Minimum time from a stored claim or release to the next append; half of it
    after a failed append.  */
 #define MIN_APPEND_INTERVAL_US (100 * KQ_USEC_PER_MSEC)
@@ -86,7 +92,10 @@
   bool asked_to_claim; /* the last owner has released its term to this host */
   char successor[KQ_TERM_TEXT_SIZE]; /* for the release; "": any host */
   kq_usec no_claim_until;
-  kq_usec bid_at; /* last bid of any host */
+  bool stopping;
+  kq_usec release_at;      /* of a term that it had when the stop began */
+  kq_usec last_release_at; /* of any term, while it is stopping */
+  kq_usec bid_at;          /* last bid of any host */
   /* the append in progress */
   enum kq_term_kind pending_kind;
   kq_usec pending_since;
@@ -163,6 +172,15 @@
     end_own_term (term, now);
 }
 
+/* The release of a term that began during the stop is put off: no other host
+   had claimed that term. */
+static void
+schedule_release (struct kq_term *term)
+{
+  if (term->stopping)
+    term->release_at = term->last_release_at;
+}
+
 static bool
 is_own (const struct kq_term *term, const KqTerm__TermRecord *record)
 {
@@ -189,6 +207,7 @@
       term->heartbeat_at = now;
       term->sequence = 1;
       term->sequence_sent_at = 0;
+      schedule_release (term);
     }
 }
 
@@ -340,27 +359,39 @@
 }
 
 /* Returns the earliest time at which this host may claim if no further record
-   is read.  */
+   is read and it is not stopping.  */
 static kq_usec
-claim_time (const struct kq_term *term)
+running_claim_time (const struct kq_term *term)
 {
   const struct kq_term_owner *owner = &term->owner;
 
   if (term->asked_to_claim)
     return 0;
+  if (owner->incarnation[0] == '\0')
+    return term->owner_alive_at + claim_delay (term);
   /* An earlier incarnation of this host has certainly ended. */
   if (owner->term != 0 && strcmp (owner->host, term->host) == 0
       && strcmp (owner->incarnation, term->incarnation) != 0)
     return is_small (term) ? term->started_at + claim_delay (term) : 0;
-  if (owner->incarnation[0] == '\0')
-    return term->owner_alive_at + claim_delay (term);
   return term->owner_alive_at + OWNER_TIMEOUT_US + claim_delay (term);
 }
 
+static bool
+may_claim (const struct kq_term *term, kq_usec now)
+{
+  if (now < term->no_claim_until || now - term->read_at >= READ_MAX_AGE_US)
+    return false;
+  if (!term->stopping)
+    return now >= running_claim_time (term);
+  return now >= running_claim_time (term) + STOPPING_DELAY_US
+         && now + MIN_STOPPING_TERM_US <= term->last_release_at;
+}
+
 static bool
 should_bid (const struct kq_term *term, kq_usec now)
 {
-  return term->owner_cores > 0 && term->owner.incarnation[0] != '\0'
+  return !term->stopping && term->owner_cores > 0
+         && term->owner.incarnation[0] != '\0'
          && term->owner_cores < term->cores * BID_SHARE
          && now >= term->no_claim_until
          && now - term->started_at > BID_AFTER_US
@@ -376,14 +407,13 @@
     return KQ_TERM_NONE;
   if (term->own_term != 0)
     {
-      if (term->releasing)
+      if (term->releasing || (term->stopping && now >= term->release_at))
         return KQ_TERM_RELEASE;
       return now >= term->heartbeat_at + HEARTBEAT_INTERVAL_US
                  ? KQ_TERM_HEARTBEAT
                  : KQ_TERM_NONE;
     }
-  if (now >= claim_time (term) && now >= term->no_claim_until
-      && now - term->read_at < READ_MAX_AGE_US)
+  if (may_claim (term, now))
     return KQ_TERM_CLAIM;
   return should_bid (term, now) ? KQ_TERM_BID : KQ_TERM_NONE;
 }
@@ -574,14 +604,25 @@
 }
 
 void
-kq_term_release (struct kq_term *term, kq_usec no_claim_until)
+kq_term_release (struct kq_term *term)
 {
-  term->no_claim_until = no_claim_until;
   term->successor[0] = '\0';
   if (term->own_term != 0)
     term->releasing = true;
 }
 
+void
+kq_term_stop (struct kq_term *term, kq_usec release_at,
+              kq_usec last_release_at)
+{
+  term->stopping = true;
+  term->asked_to_claim = false;
+  if (!term->releasing)
+    term->successor[0] = '\0';
+  term->release_at = release_at;
+  term->last_release_at = last_release_at;
+}
+
 void
 kq_term_supersede (struct kq_term *term, kq_usec now)
 {
--- a/term/term.h
+++ b/term/term.h
@@ -151,9 +151,15 @@
  *  this host's term.  */
 kq_usec kq_term_confirmed_at (const struct kq_term *term);
 
-/** Ends this host's term, if it has one, by appending a release.  The host
- *  claims no term before NO_CLAIM_UNTIL (INT64_MAX: never again).  */
-void kq_term_release (struct kq_term *term, kq_usec no_claim_until);
+/** Ends this host's term, if it has one, by appending a release.  */
+void kq_term_release (struct kq_term *term);
+
+/** Records that this host is stopping. It keeps a term that it has until
+ *  RELEASE_AT, so that owners that stop one after the other have time to act.
+ *  It claims one that no other host claims, and releases that at
+ *  LAST_RELEASE_AT.  The process should end only without a term.  */
+void kq_term_stop (struct kq_term *term, kq_usec release_at,
+                   kq_usec last_release_at);
 
 /** Ends this host's term without a release, because a later owner is
  *  known.  */
