sched: log whose renewals the wait for a silent worker counts from

A new owner that cannot reach a worker waits for the leases of the owner that last renewed them. A new owner now logs how long ago each earlier term was confirmed, and the line "worker's leases lapsed" names the term whose grants the worker had, and whether its lease may be a long one. Tests of sched/ are unchanged.

--- a/sched/grant.c
+++ b/sched/grant.c
@@ -6,6 +6,7 @@
  * renewed nothing there.  It also knows whose lease may be the longest, since
  * an earlier incarnation's clock gave its end.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -213,11 +214,32 @@
   return until;
 }
 
+/* Logs how long ago the earlier terms that are known were confirmed last. */
+static void
+log_past (const struct kq_sched *sched, kq_usec now)
+{
+  char ages[48 * KQ_SCHED_MAX_PAST_TERMS] = "";
+  int length = 0;
+
+  for (int i = 0; i < sched->past_term_count; i++)
+    length += snprintf (
+        ages + length, sizeof ages - (size_t)length, "%s%" PRId64 ":%" PRId64,
+        i > 0 ? " " : "", sched->past_terms[i].term,
+        (now - sched->past_terms[i].confirmed_until) / KQ_USEC_PER_MSEC);
+  kq_log (KQ_LOG_INFO, "sched", "earlier terms", 0, "confirmed_ms_ago", ages,
+          NULL);
+}
+
 void
-grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
-                 kq_usec now)
+grant_set_lapses (const struct kq_sched *sched, kq_usec now)
 {
-  worker->leases_lapsed_at
-      = renewed_until (sched, worker, now)
-        + (worker->has_long_lease ? MAX_LAPSE_US : LONGEST_LAPSE_US);
+  struct worker *worker;
+
+  log_past (sched, now);
+  DL_FOREACH (sched->worker_list, worker)
+  {
+    worker->leases_lapsed_at
+        = renewed_until (sched, worker, now)
+          + (worker->has_long_lease ? MAX_LAPSE_US : LONGEST_LAPSE_US);
+  }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -733,9 +733,9 @@
 /* Encodes the changed grants into at most GRANT_BUCKETS records; returns their
    number. */
 int grant_encode (struct kq_sched *sched, struct kq_sched_record *records);
-/* Sets when all leases that earlier owners may have granted have lapsed. */
-void grant_set_lapse (const struct kq_sched *sched, struct worker *worker,
-                      kq_usec now);
+/* Sets for each worker when all leases that earlier owners may have granted
+   there have lapsed. */
+void grant_set_lapses (const struct kq_sched *sched, kq_usec now);
 
 /* place.c */
 
--- a/sched/record.c
+++ b/sched/record.c
@@ -295,15 +295,11 @@
 kq_sched_finish_restore (struct kq_sched *sched, struct kq_sched_now now)
 {
   struct job *job;
-  struct worker *worker;
 
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
   log_restored (sched);
-  DL_FOREACH (sched->worker_list, worker)
-  {
-    grant_set_lapse (sched, worker, now.mono);
-  }
+  grant_set_lapses (sched, now.mono);
 }
 
 struct kq_sched_job_record *
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -442,14 +442,17 @@
   char tasks[16];
   char silent[24];
   char renewed[24];
+  char granted_by[24];
 
   snprintf (tasks, sizeof tasks, "%d", worker->task_count);
   snprintf (silent, sizeof silent, "%" PRId64,
             (now.mono - worker->last_reply_at) / KQ_USEC_PER_MSEC);
   snprintf (renewed, sizeof renewed, "%" PRId64,
             (now.mono - worker->renewed_at) / KQ_USEC_PER_MSEC);
+  snprintf (granted_by, sizeof granted_by, "%" PRId64, worker->grant_term);
   kq_log (KQ_LOG_WARN, "sched", "worker's leases lapsed", 0, "worker",
-          worker->report.id, "tasks", tasks, "last_reply_ms",
+          worker->report.id, "tasks", tasks, "granted_by", granted_by, "long",
+          worker->has_long_lease ? "yes" : "no", "last_reply_ms",
           worker->last_reply_at != 0 ? silent : "", "last_renewal_ms",
           worker->renewed_at != 0 ? renewed : "", NULL);
 }
