term: say in each record how long ago earlier terms ended

Lasting tasks of a lost worker stayed down while owners followed each other (LOST): a worker that no owner reaches keeps its tasks until the leases of the owner that last renewed them have lapsed, 5.4 s, and that wait began anew with each owner. Records of the topic hold no time, so that a host that has just started counted all earlier terms from its own start, and did not know those whose records are deleted at all: it counted from the end of the oldest one that it knew. Where all hosts are restarted in turn each successor is such a host.

Each record now tells how long ago the earlier terms that its writer knows were confirmed last and ended, at least. Readers take 98% of that, for the slowest clock, and the earliest bound. It is safe since the records of a term come before the claim of a later one. The time from the last record of an owner to the start of the next host is lost; all else adds up. At most 8 terms; a record has up to 768 bytes.

t/test-past fails without it: "the time since a term adds up", "a term whose records are deleted is known".

--- a/t/lib-term.h
+++ b/t/lib-term.h
@@ -12,7 +12,7 @@
 
 struct record
 {
-  uint8_t bytes[384];
+  uint8_t bytes[KQ_TERM_RECORD_SIZE];
   size_t size;
 };
 
--- a/term/past.c
+++ b/term/past.c
@@ -7,6 +7,9 @@
 /* The slowest clock of a host, in percent of the true rate. */
 #define SLOWEST_CLOCK_PERCENT 98
 
+/* Longer times since a term are written and read as this one. */
+#define MAX_AGO_MS (INT64_C (3600) * 1000)
+
 static struct kq_past_owner *
 find (struct kq_past_owners *past, int64_t term)
 {
@@ -68,6 +71,7 @@
     {
       past->owners[i].heard_at = now;
       past->owners[i].age = 0;
+      past->owners[i].confirmed_until = 0;
     }
 }
 
@@ -92,6 +96,9 @@
           entry->confirmed_until = owner->heard_at;
           if (latest != 0 && latest < entry->confirmed_until)
             entry->confirmed_until = latest;
+          if (owner->confirmed_until != 0
+              && owner->confirmed_until < entry->confirmed_until)
+            entry->confirmed_until = owner->confirmed_until;
           entry->ended_at = owner->ended_at;
           /* An earlier process on this host has ended. */
           if (entry->ended_at == 0 && strcmp (owner->host, host) == 0
@@ -104,3 +111,70 @@
     }
   return count;
 }
+
+static int64_t
+ago_ms (kq_usec now, kq_usec at)
+{
+  int64_t ms = (now - at) / KQ_USEC_PER_MSEC;
+
+  if (at == 0 || ms < 0)
+    return 0;
+  return ms < MAX_AGO_MS ? ms : MAX_AGO_MS;
+}
+
+void
+kq_past_write (const struct kq_term_past list[KQ_TERM_MAX_PAST], int count,
+               kq_usec now, struct kq_past_message *message,
+               KqTerm__TermRecord *record)
+{
+  for (int i = 0; i < count; i++)
+    {
+      KqTerm__PastTerm *term = &message->terms[i];
+
+      kq_term__past_term__init (term);
+      term->term = list[i].term;
+      term->unconfirmed_ms = ago_ms (now, list[i].confirmed_until);
+      term->ended_ms = ago_ms (now, list[i].ended_at);
+      message->pointers[i] = term;
+    }
+  record->past = message->pointers;
+  record->n_past = (size_t)count;
+}
+
+/* Lowers AT, if it is not 0, to the time that is MS before NOW on the clock of
+   another host. */
+static void
+lower (kq_usec *at, kq_usec now, int64_t ms)
+{
+  kq_usec by;
+
+  if (ms <= 0)
+    return;
+  if (ms > MAX_AGO_MS)
+    ms = MAX_AGO_MS;
+  by = now - ms * KQ_USEC_PER_MSEC * SLOWEST_CLOCK_PERCENT / 100;
+  if (*at == 0 || by < *at)
+    *at = by;
+}
+
+void
+kq_past_read (struct kq_past_owners *past, kq_usec now, int64_t number,
+              const KqTerm__TermRecord *record)
+{
+  for (size_t i = 0; i < record->n_past; i++)
+    {
+      const KqTerm__PastTerm *term = record->past[i];
+      struct kq_past_owner *owner;
+
+      if (term->term <= 0 || term->term >= number)
+        continue;
+      /* The records of that term may be deleted. */
+      owner = find_or_add (past, term->term);
+      if (owner == NULL)
+        continue;
+      if (owner->heard_at == 0)
+        owner->heard_at = now;
+      lower (&owner->confirmed_until, now, term->unconfirmed_ms);
+      lower (&owner->ended_at, now, term->ended_ms);
+    }
+}
--- a/term/term.c
+++ b/term/term.c
@@ -144,6 +144,7 @@
 {
   kq_past_note_heard (&term->past, now, number, record->host, record->life,
                       record->age_ms * KQ_USEC_PER_MSEC);
+  kq_past_read (&term->past, now, number, record);
 }
 
 static void
@@ -447,6 +448,8 @@
 {
   KqTerm__TermRecord record = KQ_TERM__TERM_RECORD__INIT;
   enum kq_term_kind kind = next_kind (term, now);
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
+  struct kq_past_message message;
 
   if (kind == KQ_TERM_NONE || term->pending_kind != KQ_TERM_NONE
       || now < term->next_append_at)
@@ -461,6 +464,9 @@
     record.age_ms = (now - term->own_since) / KQ_USEC_PER_MSEC;
   if (kind == KQ_TERM_RELEASE)
     record.successor = term->successor;
+  if (kind != KQ_TERM_BID)
+    kq_past_write (past, kq_term_get_past (term, past), now, &message,
+                   &record);
   append->kind = kind;
   append->size = kq_term__term_record__get_packed_size (&record);
   if (append->size > sizeof append->bytes)
--- a/term/term.h
+++ b/term/term.h
@@ -27,6 +27,9 @@
 /** Maximum number of earlier terms that are remembered. */
 #define KQ_TERM_MAX_PAST 8
 
+/** Maximum size in bytes of a record. */
+#define KQ_TERM_RECORD_SIZE 768
+
 struct kq_term;
 
 /** An earlier term. */
@@ -53,7 +56,7 @@
   int64_t at;       /**< required end offset of the topic */
   int64_t epoch;    /**< of the producer */
   int64_t sequence; /**< of the producer within its epoch */
-  uint8_t bytes[384];
+  uint8_t bytes[KQ_TERM_RECORD_SIZE];
   size_t size;
 };
 
--- a/term/term.pb-c.c
+++ b/term/term.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &kq_term__term_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_term__past_term__init
+                     (KqTerm__PastTerm         *message)
+{
+  static const KqTerm__PastTerm init_value = KQ_TERM__PAST_TERM__INIT;
+  *message = init_value;
+}
+size_t kq_term__past_term__get_packed_size
+                     (const KqTerm__PastTerm *message)
+{
+  assert(message->base.descriptor == &kq_term__past_term__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_term__past_term__pack
+                     (const KqTerm__PastTerm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_term__past_term__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_term__past_term__pack_to_buffer
+                     (const KqTerm__PastTerm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_term__past_term__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqTerm__PastTerm *
+       kq_term__past_term__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqTerm__PastTerm *)
+     protobuf_c_message_unpack (&kq_term__past_term__descriptor,
+                                allocator, len, data);
+}
+void   kq_term__past_term__free_unpacked
+                     (KqTerm__PastTerm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_term__past_term__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_term__host_record__init
                      (KqTerm__HostRecord         *message)
 {
@@ -97,7 +142,7 @@
   assert(message->base.descriptor == &kq_term__host_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[9] =
 {
   {
     "kind",
@@ -195,6 +240,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "past",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(KqTerm__TermRecord, n_past),
+    offsetof(KqTerm__TermRecord, past),
+    &kq_term__past_term__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_term__term_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -203,13 +260,14 @@
   1,   /* field[1] = host */
   0,   /* field[0] = kind */
   4,   /* field[4] = life */
+  8,   /* field[8] = past */
   7,   /* field[7] = successor */
   3,   /* field[3] = term */
 };
 static const ProtobufCIntRange kq_term__term_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor kq_term__term_record__descriptor =
 {
@@ -219,13 +277,77 @@
   "KqTerm__TermRecord",
   "kq_term",
   sizeof(KqTerm__TermRecord),
-  8,
+  9,
   kq_term__term_record__field_descriptors,
   kq_term__term_record__field_indices_by_name,
   1,  kq_term__term_record__number_ranges,
   (ProtobufCMessageInit) kq_term__term_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_term__past_term__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__PastTerm, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unconfirmed_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__PastTerm, unconfirmed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__PastTerm, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_term__past_term__field_indices_by_name[] = {
+  2,   /* field[2] = ended_ms */
+  0,   /* field[0] = term */
+  1,   /* field[1] = unconfirmed_ms */
+};
+static const ProtobufCIntRange kq_term__past_term__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kq_term__past_term__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_term.PastTerm",
+  "PastTerm",
+  "KqTerm__PastTerm",
+  "kq_term",
+  sizeof(KqTerm__PastTerm),
+  3,
+  kq_term__past_term__field_descriptors,
+  kq_term__past_term__field_indices_by_name,
+  1,  kq_term__past_term__number_ranges,
+  (ProtobufCMessageInit) kq_term__past_term__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kq_term__host_record__field_descriptors[7] =
 {
   {
--- a/term/term.pb-c.h
+++ b/term/term.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct KqTerm__TermRecord KqTerm__TermRecord;
+typedef struct KqTerm__PastTerm KqTerm__PastTerm;
 typedef struct KqTerm__HostRecord KqTerm__HostRecord;
 
 
@@ -59,10 +60,33 @@
    * releases: incarnation that is asked to claim
    */
   char *successor;
+  size_t n_past;
+  KqTerm__PastTerm **past;
 };
 #define KQ_TERM__TERM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_term__term_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * What the writer of a record knows of an earlier term.
+ */
+struct  KqTerm__PastTerm
+{
+  ProtobufCMessage base;
+  int64_t term;
+  /*
+   * time since its last confirmation, at least
+   */
+  int64_t unconfirmed_ms;
+  /*
+   * time since its owner stopped, at least
+   */
+  int64_t ended_ms;
+};
+#define KQ_TERM__PAST_TERM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_term__past_term__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -106,6 +130,25 @@
 void   kq_term__term_record__free_unpacked
                      (KqTerm__TermRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqTerm__PastTerm methods */
+void   kq_term__past_term__init
+                     (KqTerm__PastTerm         *message);
+size_t kq_term__past_term__get_packed_size
+                     (const KqTerm__PastTerm   *message);
+size_t kq_term__past_term__pack
+                     (const KqTerm__PastTerm   *message,
+                      uint8_t             *out);
+size_t kq_term__past_term__pack_to_buffer
+                     (const KqTerm__PastTerm   *message,
+                      ProtobufCBuffer     *buffer);
+KqTerm__PastTerm *
+       kq_term__past_term__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_term__past_term__free_unpacked
+                     (KqTerm__PastTerm *message,
+                      ProtobufCAllocator *allocator);
 /* KqTerm__HostRecord methods */
 void   kq_term__host_record__init
                      (KqTerm__HostRecord         *message);
@@ -130,6 +173,9 @@
 typedef void (*KqTerm__TermRecord_Closure)
                  (const KqTerm__TermRecord *message,
                   void *closure_data);
+typedef void (*KqTerm__PastTerm_Closure)
+                 (const KqTerm__PastTerm *message,
+                  void *closure_data);
 typedef void (*KqTerm__HostRecord_Closure)
                  (const KqTerm__HostRecord *message,
                   void *closure_data);
@@ -140,6 +186,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor kq_term__term_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_term__past_term__descriptor;
 extern const ProtobufCMessageDescriptor kq_term__host_record__descriptor;
 
 PROTOBUF_C__END_DECLS
