sched: date runs in the terms of owners, not by wall clocks

A task was started beside a run of it, or after its end had been acknowledged, if the owner changed while a start order was late and the clocks of the two owners were many seconds apart.

Cause: records give the time of a start on the wall clock of their owner. A successor whose clock is 16 s ahead, or 5.4 s behind, dropped the wait for the order; with other differences it waited too short or too long. In the same way a crash that no owner had noticed did not count if the clock was 20 s ahead, so that the task was started without limit.

A record now has the term of its owner and for how long that had owned it by then. Heartbeats say the same, and their readers know when they read them, so that a successor finds the latest time on its own steady clock at which the order can have been sent. Nothing is written more often, and an order that is over is not waited for again. A full wait after each takeover without any time would need a write when each wait is over, or hold old tasks back. The time since a task was placed, which preemption and the mean time to a start use, is now taken from the steady clock too.

--- a/bench/near-cost.c
+++ b/bench/near-cost.c
@@ -120,7 +120,7 @@
 
   settings.remote_factor = remote_factor;
   kq_sched_set_settings (sched, &settings);
-  kq_sched_begin_term (sched, 1);
+  kq_sched_begin_term (sched, 1, 0);
   kq_sched_confirm_term (sched, now.mono);
   event.u.config = &config;
   kq_sched_event (sched, now, &event);
--- a/node/owner.c
+++ b/node/owner.c
@@ -433,19 +433,6 @@
   handle_event (arg, &event);
 }
 
-static void
-begin_term (struct kq_owner *owner, const struct kq_term *term)
-{
-  struct kq_term_past past[KQ_TERM_MAX_PAST];
-  int64_t own_term = kq_term_own_term (term);
-  int count = kq_term_get_past (term, past);
-
-  kq_sched_begin_term (owner->sched, own_term);
-  for (int i = 0; i < count; i++)
-    kq_sched_add_past_term (owner->sched, past[i].term,
-                            past[i].confirmed_until, past[i].ended_at);
-}
-
 static int
 create_modules (struct kq_owner *owner, const struct kq_owner_context *context)
 {
@@ -479,7 +466,7 @@
   if (owner->store == NULL || owner->dispatch == NULL || owner->advice == NULL)
     return KQ_ENOMEM;
   kq_sched_set_settings (owner->sched, &context->settings);
-  begin_term (owner, context->term);
+  kq_restore_terms (owner->sched, context->term);
   kq_sched_note_registrations (owner->sched, kq_clock_now ());
   owner->journal = kq_journal_create (owner->loop, owner->store,
                                       &context->store_limits, term, &journal);
--- a/node/restore.c
+++ b/node/restore.c
@@ -297,3 +297,21 @@
   kq_store_read_newest (restore->store, KQ_STORE_JOBS, restore->last_key,
                         on_page, restore);
 }
+
+void
+kq_restore_terms (struct kq_sched *sched, const struct kq_term *term)
+{
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
+  int count = kq_term_get_past (term, past);
+
+  kq_sched_begin_term (sched, kq_term_own_term (term),
+                       kq_term_own_since (term));
+  for (int i = 0; i < count; i++)
+    kq_sched_add_past_term (sched,
+                            &(struct kq_sched_past_term){
+                                .term = past[i].term,
+                                .confirmed_until = past[i].confirmed_until,
+                                .ended_at = past[i].ended_at,
+                                .heard_at = past[i].heard_at,
+                                .age = past[i].age });
+}
--- a/node/restore.h
+++ b/node/restore.h
@@ -8,6 +8,7 @@
 
 #include "platform/store.h"
 #include "sched/sched.h"
+#include "term/term.h"
 
 struct kq_restore;
 
@@ -20,4 +21,7 @@
 void kq_restore_destroy (struct kq_restore *restore);
 void kq_restore_start (struct kq_restore *restore);
 
+/** Tells SCHED of this host's own term and of the earlier ones. */
+void kq_restore_terms (struct kq_sched *sched, const struct kq_term *term);
+
 #endif
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -183,8 +183,7 @@
 admission_note_done (struct kq_sched *sched, const struct task *task,
                      struct kq_sched_now now)
 {
-  int64_t took_ms = (now.mono - task->phase_since) / KQ_USEC_PER_MSEC;
-  int64_t start_ms = now.wall_ms - task->placed_ms - took_ms;
+  int64_t start_ms = (task->phase_since - task->placed_at) / KQ_USEC_PER_MSEC;
   struct service *service;
 
   if (task->stage->job->service < 0 || start_ms < 0 || start_ms > MAX_START_MS)
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -20,10 +20,10 @@
    it lists it: its worker may have carried out the order late. */
 #define SETTLE_US (500 * KQ_USEC_PER_MSEC)
 
-/* A restored run that was bound within this time before, on another host's
-   clock, may have crashed its worker without an earlier owner noticing: longer
-   than a lease and two takeovers. */
-#define UNNOTICED_CRASH_MS 20000
+/* A restored run that may have been bound within this time before may have
+   crashed its worker without an earlier owner noticing: longer than a lease
+   and two takeovers. */
+#define UNNOTICED_CRASH_US (20 * KQ_USEC_PER_SEC)
 
 /* A task is given up after so many workers have crashed for certain under its
    runs and no outage explains that; after so many losses of which so many are
@@ -110,10 +110,6 @@
   return count_unexplained (task) + task->losses_set_aside + task->cut_losses;
 }
 
-/* A run that was placed this long before its task is restored has settled: the
-   leases at a crashed worker would have lapsed since. */
-#define RESTORED_SETTLED_MS 10000
-
 bool
 crash_is_suspect (const struct task *task)
 {
@@ -596,12 +592,9 @@
 }
 
 void
-crash_note_restored (struct task *task, int64_t placed_ms,
-                     struct kq_sched_now now)
+crash_note_restored (struct task *task, struct kq_sched_now now)
 {
-  task->placed_ms = placed_ms;
-  task->placed_lately = placed_ms > now.wall_ms - UNNOTICED_CRASH_MS
-                        && placed_ms < now.wall_ms + UNNOTICED_CRASH_MS;
+  task->placed_lately = task->placed_at > now.mono - UNNOTICED_CRASH_US;
 }
 
 void
--- a/sched/grant.c
+++ b/sched/grant.c
@@ -16,6 +16,7 @@
 #include "log/log.h"
 #include "sched/internal.h"
 #include "sched/record.pb-c.h"
+#include "sched/terms.h"
 
 static int
 bucket_of (const char *worker)
@@ -170,50 +171,6 @@
   return err;
 }
 
-void
-kq_sched_begin_term (struct kq_sched *sched, int64_t term)
-{
-  sched->term = term;
-}
-
-void
-kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
-                        kq_usec confirmed_until, kq_usec ended_at)
-{
-  if (sched->past_term_count == KQ_SCHED_MAX_PAST_TERMS)
-    return;
-  sched->past_terms[sched->past_term_count++] = (struct past_term){
-    .term = term, .confirmed_until = confirmed_until, .ended_at = ended_at
-  };
-}
-
-/* Returns the latest time at which the owner that last renewed the lease of
-   WORKER may have done so. An owner whose term is not among those known had
-   its last confirmation before any later owner had one. */
-static kq_usec
-renewed_until (const struct kq_sched *sched, const struct worker *worker,
-               kq_usec now)
-{
-  const struct past_term *nearest = NULL;
-  kq_usec until;
-
-  for (int i = 0; worker->grant_term != 0 && i < sched->past_term_count; i++)
-    {
-      const struct past_term *past = &sched->past_terms[i];
-
-      if (past->term >= worker->grant_term
-          && (nearest == NULL || past->term < nearest->term))
-        nearest = past;
-    }
-  if (nearest == NULL)
-    return now + KQ_SCHED_UNCONFIRMED_LIMIT_US;
-  until = nearest->confirmed_until + KQ_SCHED_UNCONFIRMED_LIMIT_US;
-  if (nearest->term == worker->grant_term && nearest->ended_at != 0
-      && nearest->ended_at < until)
-    until = nearest->ended_at;
-  return until;
-}
-
 /* Logs how long ago the earlier terms that are known were confirmed last. */
 static void
 log_past (const struct kq_sched *sched, kq_usec now)
@@ -239,7 +196,7 @@
   DL_FOREACH (sched->worker_list, worker)
   {
     worker->leases_lapsed_at
-        = renewed_until (sched, worker, now)
+        = terms_acted_until (sched, worker->grant_term, now)
           + (worker->has_long_lease ? MAX_LAPSE_US : LONGEST_LAPSE_US);
   }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -16,6 +16,7 @@
 #include "sched/preempt.h"
 #include "sched/pressure.h"
 #include "sched/sched.h"
+#include "sched/terms.h"
 
 /* Length of a lease after a renewal, on the worker's clock. It is longer
    than a takeover and a restart of all hosts, and shorter than hold_max of
@@ -147,12 +148,14 @@
   kq_usec late_until;         /* until then; 0: none may */
   bool late_is_unanswered;    /* its start order had no reply */
   int64_t late_incarnation_ms; /* of that worker when it was started there */
+  struct term_time late_sent;  /* when that order was sent */
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
-  int64_t placed_ms;      /* wall clock when its latest run was bound */
-  bool placed_lately;     /* so shortly before it was restored */
-  bool settled;           /* its run does not crash the worker */
-  bool wait_over;         /* a wait for a rack did not pay off */
+  kq_usec placed_at;      /* when its latest run was bound, at the latest */
+  struct term_time placed;
+  bool placed_lately; /* so shortly before it was restored */
+  bool settled;       /* its run does not crash the worker */
+  bool wait_over;     /* a wait for a rack did not pay off */
   bool stop_wanted;
   bool may_use_quarantined; /* its job has nothing running, and it found no
                                other worker */
@@ -437,14 +440,6 @@
   struct effect_node *prev;
 };
 
-/* An earlier owner's term. */
-struct past_term
-{
-  int64_t term;
-  kq_usec confirmed_until;
-  kq_usec ended_at; /* 0: unknown */
-};
-
 /* A service, and the CPU of its short tasks: those that are neither fillers
    nor long-running. */
 struct service
@@ -468,7 +463,8 @@
 struct kq_sched
 {
   int64_t term; /* of this owner; 0: unknown */
-  struct past_term past_terms[KQ_SCHED_MAX_PAST_TERMS];
+  kq_usec term_began_at;
+  struct kq_sched_past_term past_terms[KQ_SCHED_MAX_PAST_TERMS];
   int past_term_count;
   uint32_t dirty_grants;  /* bit set of the buckets to be stored */
   struct job *jobs;       /* by id */
@@ -931,9 +927,8 @@
                              struct kq_sched_now now);
 /* Starts or gives up tasks that wait for the end of an outage. */
 void crash_tick (struct kq_sched *sched, struct kq_sched_now now);
-/* Records that TASK is restored with a run that was bound at PLACED_MS. */
-void crash_note_restored (struct task *task, int64_t placed_ms,
-                          struct kq_sched_now now);
+/* Records that TASK is restored with a run that was bound at its placed_at. */
+void crash_note_restored (struct task *task, struct kq_sched_now now);
 /* Gives up TASK, which is restored, if its losses are too many. */
 void crash_note_restored_losses (struct kq_sched *sched, struct task *task);
 /* Records that the start order of TASK is sent. */
--- a/sched/late.c
+++ b/sched/late.c
@@ -55,6 +55,7 @@
   task->late_worker = task->worker;
   task->late_incarnation_ms = task->incarnation_ms;
   task->late_sent_at = task->start_sent_at;
+  task->late_sent = terms_time (sched, task->start_sent_at);
   task->late_until = task->start_sent_at + LATE_US;
   task->late_is_unanswered = true;
   sched->counts.late_starts++;
@@ -62,20 +63,21 @@
 }
 
 void
-late_note_restored (struct task *task, struct worker *worker,
-                    int64_t incarnation_ms, int64_t placed_ms, bool unanswered,
+late_note_restored (const struct kq_sched *sched, struct task *task,
+                    struct worker *worker, int64_t incarnation_ms,
+                    struct term_time sent, bool unanswered,
                     struct kq_sched_now now)
 {
-  kq_usec left = (placed_ms - now.wall_ms) * KQ_USEC_PER_MSEC + LATE_US;
+  kq_usec until = terms_latest (sched, sent, now.mono) + LATE_US;
 
-  /* The clocks of hosts may differ, by more than the wait on some days. */
-  if (left <= -LISTING_WAIT_US || left > 2 * LATE_US)
+  if (until <= now.mono - LISTING_WAIT_US)
     return;
   task->late_worker = worker;
   task->late_incarnation_ms = incarnation_ms;
   task->late_is_unanswered = unanswered;
   task->late_sent_at = 0;
-  task->late_until = now.mono + (left < LATE_US ? left : LATE_US);
+  task->late_sent = sent;
+  task->late_until = until;
 }
 
 /* Whether WORKER may have begun the earlier run of TASK unseen: it has not
--- a/sched/late.h
+++ b/sched/late.h
@@ -19,12 +19,13 @@
 /** Records that the run of TASK at its worker is over. */
 void late_note_run_over (struct kq_sched *sched, struct task *task);
 
-/** Records that an earlier owner bound TASK to the incarnation INCARNATION_MS
- *  of WORKER at PLACED_MS; UNANSWERED: that run is over, but its start order
- *  had no reply. */
-void late_note_restored (struct task *task, struct worker *worker,
-                         int64_t incarnation_ms, int64_t placed_ms,
-                         bool unanswered, struct kq_sched_now now);
+/** Records that an earlier owner, at SENT in its term, bound TASK to the
+ *  incarnation INCARNATION_MS of WORKER; UNANSWERED: it sent the start order
+ *  then, which had no reply, and that run is over. */
+void late_note_restored (const struct kq_sched *sched, struct task *task,
+                         struct worker *worker, int64_t incarnation_ms,
+                         struct term_time sent, bool unanswered,
+                         struct kq_sched_now now);
 
 /** Returns the worker that may still begin an earlier run of TASK, or NULL. */
 struct worker *late_worker (const struct task *task, struct kq_sched_now now);
--- a/sched/preempt-search.c
+++ b/sched/preempt-search.c
@@ -56,7 +56,7 @@
 static int64_t
 lost_ms (const struct task *task, struct kq_sched_now now)
 {
-  int64_t lasted = now.wall_ms - task->placed_ms;
+  int64_t lasted = (now.mono - task->placed_at) / KQ_USEC_PER_MSEC;
 
   return task->stage->step->checkpointable || lasted < 0 ? 0 : lasted;
 }
@@ -73,7 +73,7 @@
 
   if (first_is_cheap != second_is_cheap)
     return first_is_cheap;
-  return a->placed_ms > b->placed_ms;
+  return a->placed_at > b->placed_at;
 }
 
 static void
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) kq_sched__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[18] =
+static const ProtobufCFieldDescriptor kq_sched__task_record__field_descriptors[19] =
 {
   {
     "occurrence",
@@ -442,18 +442,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "placed_ms",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(KqSched__TaskRecord, placed_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "losses_set_aside",
     14,
@@ -514,31 +502,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_term",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, sent_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TaskRecord, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__task_record__field_indices_by_name[] = {
   7,   /* field[7] = born_ms */
   5,   /* field[5] = bound */
   9,   /* field[9] = checkpoint */
   10,   /* field[10] = crashes */
-  15,   /* field[15] = cut_losses */
+  14,   /* field[14] = cut_losses */
   3,   /* field[3] = done */
-  16,   /* field[16] = failed_base */
-  17,   /* field[17] = failed_before */
+  15,   /* field[15] = failed_base */
+  16,   /* field[16] = failed_before */
   8,   /* field[8] = failed_runs */
   2,   /* field[2] = index */
-  13,   /* field[13] = losses_set_aside */
+  12,   /* field[12] = losses_set_aside */
   0,   /* field[0] = occurrence */
-  12,   /* field[12] = placed_ms */
   4,   /* field[4] = run */
-  14,   /* field[14] = silent_losses */
+  18,   /* field[18] = sent_age_ms */
+  17,   /* field[17] = sent_term */
+  13,   /* field[13] = silent_losses */
   1,   /* field[1] = step */
   11,   /* field[11] = unproven_crashes */
   6,   /* field[6] = worker */
 };
-static const ProtobufCIntRange kq_sched__task_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange kq_sched__task_record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 14, 12 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor kq_sched__task_record__descriptor =
 {
@@ -548,10 +562,10 @@
   "KqSched__TaskRecord",
   "kq_sched",
   sizeof(KqSched__TaskRecord),
-  18,
+  19,
   kq_sched__task_record__field_descriptors,
   kq_sched__task_record__field_indices_by_name,
-  1,  kq_sched__task_record__number_ranges,
+  2,  kq_sched__task_record__number_ranges,
   (ProtobufCMessageInit) kq_sched__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -98,10 +98,6 @@
    * and those that may not have crashed under it
    */
   uint32_t unproven_crashes;
-  /*
-   * wall clock at which its latest run was bound
-   */
-  int64_t placed_ms;
   /*
    * crashes that an outage explains
    */
@@ -114,10 +110,21 @@
    * the same, lost together with others
    */
   uint32_t cut_losses;
+  /*
+   * the owner that bound its latest run or, while not
+   */
+  int64_t sent_term;
+  /*
+   * bound, sent the order that may be carried out
+   */
+  /*
+   * how long that had owned its term by then
+   */
+  int64_t sent_age_ms;
 };
 #define KQ_SCHED__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__task_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -368,14 +368,24 @@
 struct kq_sched_job_record *kq_sched_job_record_read (const uint8_t *value,
                                                       size_t size);
 
-/** Sets the number of this owner's term; later terms have higher numbers. */
-void kq_sched_begin_term (struct kq_sched *sched, int64_t term);
-
-/** Adds an earlier owner's term.  The store confirmed it to that owner no
- * later than CONFIRMED_UNTIL, and that owner had stopped by ENDED_AT; 0:
- * unknown. At most KQ_SCHED_MAX_PAST_TERMS are kept.  */
-void kq_sched_add_past_term (struct kq_sched *sched, int64_t term,
-                             kq_usec confirmed_until, kq_usec ended_at);
+/** An earlier owner's term. */
+struct kq_sched_past_term
+{
+  int64_t term;
+  kq_usec confirmed_until; /**< the store confirmed it no later than this */
+  kq_usec ended_at;        /**< its owner had stopped by then; 0: unknown */
+  kq_usec heard_at;        /**< when a record of its owner was read */
+  kq_usec age; /**< for how long at least it had owned the term by then */
+};
+
+/** Sets the number of this owner's term, which it has owned since BEGAN_AT;
+ *  later terms have higher numbers.  */
+void kq_sched_begin_term (struct kq_sched *sched, int64_t term,
+                          kq_usec began_at);
+
+/** Adds an earlier owner's term.  At most KQ_SCHED_MAX_PAST_TERMS are kept. */
+void kq_sched_add_past_term (struct kq_sched *sched,
+                             const struct kq_sched_past_term *past);
 
 /** Restores which owner last renewed leases at workers, from a record whose
  *  key begins with KQ_SCHED_GRANT_KEY.
--- a/sched/state.c
+++ b/sched/state.c
@@ -71,7 +71,8 @@
     {
       record->worker = task->late_worker->report.id;
       record->born_ms = task->late_incarnation_ms;
-      record->placed_ms = task->placed_ms;
+      record->sent_term = task->late_sent.term;
+      record->sent_age_ms = task->late_sent.age_ms;
     }
   if (record->done)
     return;
@@ -93,7 +94,8 @@
       record->born_ms = task->phase == PHASE_STORING
                             ? task->worker->report.incarnation_ms
                             : task->incarnation_ms;
-      record->placed_ms = task->placed_ms;
+      record->sent_term = task->placed.term;
+      record->sent_age_ms = task->placed.age_ms;
     }
 }
 
@@ -328,6 +330,8 @@
 restore_task (struct kq_sched *sched, struct kq_sched_now now,
               struct task *task, const KqSched__TaskRecord *record)
 {
+  const struct term_time sent
+      = { .term = record->sent_term, .age_ms = record->sent_age_ms };
   struct worker *worker;
 
   task->run = (int)record->run;
@@ -349,9 +353,8 @@
                ? worker_find_or_add (sched, record->worker)
                : NULL;
   if (worker != NULL)
-    late_note_restored (task, worker, record->born_ms, record->placed_ms,
+    late_note_restored (sched, task, worker, record->born_ms, sent,
                         !record->bound, now);
-  task->placed_ms = record->placed_ms;
   if (record->done)
     {
       task->state = TASK_DONE;
@@ -368,7 +371,9 @@
   task_bind (sched, task, worker, now);
   task->phase = PHASE_RESTORED;
   task->incarnation_ms = record->born_ms;
-  crash_note_restored (task, record->placed_ms, now);
+  task->placed = sent;
+  task->placed_at = terms_latest (sched, sent, now.mono);
+  crash_note_restored (task, now);
   worker->has_restored_tasks = true;
 }
 
--- a/sched/task.c
+++ b/sched/task.c
@@ -231,7 +231,8 @@
   task->start_sent_at = 0;
   task->start_settled = false;
   task->accepted_at = 0;
-  task->placed_ms = now.wall_ms;
+  task->placed_at = now.mono;
+  task->placed = terms_time (sched, now.mono);
   task->placed_lately = false;
   task->settled = false;
   task->worker = worker;
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -52,9 +52,16 @@
   cell->sched = kq_sched_create ();
   CU_ASSERT_FATAL (cell->term + 1 < TS_MAX_TERMS);
   cell->term++;
-  kq_sched_begin_term (cell->sched, cell->term);
+  cell->began_at[cell->term] = cell->now.mono;
+  kq_sched_begin_term (cell->sched, cell->term, cell->now.mono);
   for (int64_t term = cell->term - 1; term > 0; term--)
-    kq_sched_add_past_term (cell->sched, term, cell->confirmed_at[term], 0);
+    kq_sched_add_past_term (
+        cell->sched,
+        &(struct kq_sched_past_term){
+            .term = term,
+            .confirmed_until = cell->confirmed_at[term],
+            .heard_at = cell->confirmed_at[term],
+            .age = cell->confirmed_at[term] - cell->began_at[term] });
   confirm_term (cell);
   configure (cell);
 }
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -55,6 +55,7 @@
   uint64_t stored;
   int64_t term;                       /* of the current owner */
   int64_t fence;                      /* highest one of any owner */
+  kq_usec began_at[TS_MAX_TERMS];     /* by term */
   kq_usec confirmed_at[TS_MAX_TERMS]; /* by term: last confirmation by the
                                          store */
   bool store_down;
--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -8,6 +8,9 @@
 
 #include "t/lib-sim.h"
 
+/* Terms that hosts remember, with the current one. */
+#define SIM_TERMS (KQ_SCHED_MAX_PAST_TERMS + 1)
+
 /* A run at a worker. */
 struct sim_run_state
 {
@@ -97,6 +100,14 @@
   char checkpoint[KQ_SCHED_NAME_SIZE];
 };
 
+/* An owner's term. */
+struct sim_term
+{
+  int64_t number;
+  int64_t began_at;
+  int64_t confirmed_at; /* last confirmation by the store */
+};
+
 struct sim_record
 {
   char key[KQ_SCHED_KEY_SIZE];
@@ -117,10 +128,10 @@
   struct kq_sched_queue queues[2];
   struct kq_sched_config config;
   int64_t now;
-  int64_t wall_offset_ms; /* of the current owner's clock */
-  int64_t term;           /* of the current owner */
-  int64_t fence;          /* highest one of any owner */
-  int64_t confirmed_at;   /* last confirmation of the owner by the store */
+  int64_t wall_offset_ms;           /* of the current owner's clock */
+  int64_t fence;                    /* highest one of any owner */
+  struct sim_term terms[SIM_TERMS]; /* the current one first */
+  int64_t term;                     /* of the current owner */
   int64_t store_down_until;
   struct sim_worker workers[SIM_WORKERS];
   struct sim_job jobs[SIM_JOBS];
@@ -147,6 +158,8 @@
 
 void sim_send_event (struct sim *sim, const struct kq_sched_event *event);
 void sim_register_worker (struct sim *sim, const struct sim_worker *worker);
+void sim_begin_term (struct sim *sim);
+void sim_confirm_term (struct sim *sim);
 void sim_crash (struct sim *sim, struct sim_worker *worker);
 
 /* Gives the addresses of crashed workers to others and removes the
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -144,14 +144,6 @@
     sim_register_worker (sim, worker);
 }
 
-static void
-confirm_term (struct sim *sim)
-{
-  sim->confirmed_at = sim->now;
-  kq_sched_confirm_term (sim->sched, now_of (sim).mono);
-  kq_sched_note_fence (sim->sched, ++sim->fence);
-}
-
 static void
 start_sched (struct sim *sim)
 {
@@ -159,15 +151,7 @@
 
   sim->sched = kq_sched_create ();
   sim_apply_settings (sim);
-  if (sim->term > 0)
-    kq_sched_add_past_term (sim->sched, sim->term,
-                            sim->confirmed_at * KQ_USEC_PER_MSEC, 0);
-  if (sim->faults.clock_skew_ms > 0)
-    sim->wall_offset_ms = (int64_t)((gsl_rng_uniform (sim->rng) * 2 - 1)
-                                    * (double)sim->faults.clock_skew_ms);
-  sim->term = ++sim->fence;
-  kq_sched_begin_term (sim->sched, sim->term);
-  confirm_term (sim);
+  sim_begin_term (sim);
   sim->deferred_count = 0;
   sim->stored = 0;
   sim->storing_until = 0;
@@ -1118,7 +1102,7 @@
       if (sim->now % TICK_MS == 0)
         {
           if (sim->now >= sim->store_down_until)
-            confirm_term (sim);
+            sim_confirm_term (sim);
           kq_sched_tick (sim->sched, now_of (sim));
           query_open_jobs (sim);
         }
--- a/t/test-backlog.c
+++ b/t/test-backlog.c
@@ -134,7 +134,7 @@
   owner->config.queues = &owner->queue;
   owner->config.queue_count = 1;
   owner->sched = kq_sched_create ();
-  kq_sched_begin_term (owner->sched, 1);
+  kq_sched_begin_term (owner->sched, 1, 0);
   kq_sched_confirm_term (owner->sched, owner->now);
   event.u.config = &owner->config;
   kq_sched_event (owner->sched, now_of (owner), &event);
--- a/t/test-restore.c
+++ b/t/test-restore.c
@@ -110,7 +110,9 @@
   rows[5].run = INT32_MAX;
   rows[5].crashes = 2000;
   rows[5].unproven_crashes = INT32_MAX;
-  rows[5].placed_ms = INT64_MIN;
+  rows[3].sent_age_ms = INT64_MIN;
+  rows[5].sent_term = 1;
+  rows[5].sent_age_ms = INT64_MAX;
   rows[5].born_ms = INT64_MAX;
   restore (rows, 6, 0);
 }
--- a/t/test-term.c
+++ b/t/test-term.c
@@ -417,6 +417,33 @@
   destroy_sim (sim);
 }
 
+/* Guards against a successor that dates what an earlier owner did too early,
+   or by a wall clock: it knows for how long the owner had owned its term. */
+static void
+test_successor_dates_earlier_times (void)
+{
+  struct sim *sim = create_sim ();
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
+  struct kq_term_past entry;
+  int first = -1;
+  int second = -1;
+  int64_t term;
+  kq_usec began_at;
+
+  run_for (sim, 10 * KQ_USEC_PER_SEC);
+  count_owners (sim, &first);
+  term = kq_term_own_term (sim->hosts[first]);
+  began_at = kq_term_own_since (sim->hosts[first]);
+  stop_host (sim, first);
+  run_for (sim, 5 * KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_owners (sim, &second), 1);
+  entry = find_past (past, kq_term_get_past (sim->hosts[second], past), term);
+  CU_ASSERT (entry.age > 8 * KQ_USEC_PER_SEC);
+  CU_ASSERT (entry.heard_at - entry.age >= began_at);
+  CU_ASSERT (entry.heard_at - entry.age < began_at + KQ_USEC_PER_SEC);
+  destroy_sim (sim);
+}
+
 /* Hosts that do not claim soon read the topic seldom, unless the owner seems
    to be lost. */
 static void
@@ -482,6 +509,7 @@
   { "a repeated heartbeat confirms its first attempt",
     test_repeated_heartbeat_confirms_its_first_attempt },
   { "past terms after a restart", test_past_terms_after_a_restart },
+  { "a successor dates earlier times", test_successor_dates_earlier_times },
   { "few hosts follow the topic closely", test_few_hosts_follow_closely },
   { "a malformed record is skipped", test_malformed_record_is_skipped },
 };
--- a/term/past.c
+++ b/term/past.c
@@ -100,6 +100,8 @@
               && owner->confirmed_until < entry->confirmed_until)
             entry->confirmed_until = owner->confirmed_until;
           entry->ended_at = owner->ended_at;
+          entry->heard_at = owner->heard_at;
+          entry->age = owner->age;
           /* An earlier process on this host has ended. */
           if (entry->ended_at == 0 && strcmp (owner->host, host) == 0
               && strcmp (owner->incarnation, incarnation) != 0)
--- a/term/term.c
+++ b/term/term.c
@@ -597,6 +597,12 @@
   return term->own_term;
 }
 
+kq_usec
+kq_term_own_since (const struct kq_term *term)
+{
+  return term->own_since;
+}
+
 int64_t
 kq_term_fence (const struct kq_term *term)
 {
--- a/term/term.h
+++ b/term/term.h
@@ -38,6 +38,8 @@
   int64_t term;
   kq_usec confirmed_until; /**< the store confirmed it no later than this */
   kq_usec ended_at; /**< its owner had certainly stopped by then; 0: unknown */
+  kq_usec heard_at; /**< when its owner's latest record was read */
+  kq_usec age;      /**< for how long at least it had owned the term by then */
 };
 
 enum kq_term_kind
@@ -143,6 +145,9 @@
 /** Returns this host's own term, or 0 while it is not the owner. */
 int64_t kq_term_own_term (const struct kq_term *term);
 
+/** Returns since when this host has owned its own term. */
+kq_usec kq_term_own_since (const struct kq_term *term);
+
 /** Returns the highest fence that this host's orders may carry, or 0 while it
  *  is not the owner: the offset plus one of its latest record in the topic. It
  *  is above all fences of earlier owners, and below the term of any later one,
