sched/loss: move reports to the evidence out of crash.c

sched/crash.c had 779 lines: it judged the losses under a task and also told the evidence on outages of every lost worker. The latter is now sched/loss.c; what the events of workers call has a header of its own, so that internal.h shrinks as well.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/crash.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
 #include "sched/late.h"
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -10,11 +10,12 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/crash.h"
 #include "sched/internal.h"
+#include "sched/loss.h"
 
 /* A run has settled if a poll that was sent this long after the first sign of
    it lists it: its worker may have carried out the order late. */
@@ -51,11 +52,6 @@
 #define CALM_US KQ_USEC_PER_SEC
 #define MAX_CALM_WAIT_US (1500 * KQ_USEC_PER_MSEC)
 
-/* Workers that fell silent together are looked for no more often than this,
-   since that takes a walk over all workers; it is within the window in which
-   losses explain each other. */
-#define SILENCE_INTERVAL_US KQ_USEC_PER_SEC
-
 /* A service that restarts as a whole does so within this time. */
 #define RAPID_US (500 * KQ_USEC_PER_MSEC)
 
@@ -223,9 +219,8 @@
   return true;
 }
 
-/* Returns the only task whose run at WORKER has not settled, or NULL. */
-static const struct task *
-find_cause (const struct worker *worker)
+const struct task *
+crash_find_cause (const struct worker *worker)
 {
   const struct task *cause = NULL;
   const struct task *task;
@@ -241,117 +236,6 @@
   return cause;
 }
 
-static struct kq_evidence_place
-place_of (const struct worker *worker)
-{
-  return (struct kq_evidence_place){ .service = worker->service,
-                                     .zone = worker->report.zone,
-                                     .rack = worker->report.rack };
-}
-
-static bool
-is_in_scope (const struct worker *worker, enum kq_evidence_scope scope,
-             const struct worker *lost)
-{
-  if (worker->service != lost->service)
-    return false;
-  switch (scope)
-    {
-    case KQ_EVIDENCE_RACK:
-      return strcmp (worker->report.rack, lost->report.rack) == 0;
-    case KQ_EVIDENCE_ZONE:
-      return strcmp (worker->report.zone, lost->report.zone) == 0;
-    case KQ_EVIDENCE_SERVICE:
-    case KQ_EVIDENCE_NONE:
-      break;
-    }
-  return scope == KQ_EVIDENCE_SERVICE;
-}
-
-/* Polls all workers in SCOPE around LOST; until they reply no task is placed
-   there, since their state is older than the outage. */
-static void
-doubt_workers (struct kq_sched *sched, enum kq_evidence_scope scope,
-               const struct worker *lost)
-{
-  for (size_t i = 0; i < sched->worker_count; i++)
-    {
-      struct worker *worker = sched->worker_array[i];
-
-      if (!worker->registered || worker->clock_read_at == 0
-          || !is_in_scope (worker, scope, lost))
-        continue;
-      worker->unheard = true;
-      worker_poll_at_once (sched, worker);
-    }
-}
-
-/* Returns the number of the loss of WORKER, which the evidence is told of. */
-static uint64_t
-note_loss (struct kq_sched *sched, struct worker *worker,
-           struct kq_sched_now now)
-{
-  const struct kq_evidence_loss loss = { .place = place_of (worker),
-                                         .worker = worker,
-                                         .cause = find_cause (worker),
-                                         .at = now.mono };
-  struct kq_evidence_finding finding;
-
-  if (kq_evidence_begin_count (sched->evidence, now.mono))
-    for (size_t i = 0; i < sched->worker_count; i++)
-      {
-        struct kq_evidence_place place = place_of (sched->worker_array[i]);
-
-        if (sched->worker_array[i]->registered)
-          kq_evidence_count_worker (sched->evidence, &place);
-      }
-  finding = kq_evidence_note_loss (sched->evidence, &loss);
-  worker->loss_noted = true;
-  if (finding.begins)
-    {
-      sched->counts.outages++;
-      kq_log (KQ_LOG_WARN, "sched", "workers lost together", 0, "worker",
-              worker->report.id, "scope",
-              kq_evidence_scope_name (finding.scope), "rack",
-              worker->report.rack, "zone", worker->report.zone, NULL);
-    }
-  if (finding.spreads)
-    doubt_workers (sched, finding.spread_scope, worker);
-  return finding.number;
-}
-
-/* Whether OTHER fell silent with WORKER, as far as the intervals of their
-   polls tell. */
-static bool
-fell_silent_with (const struct worker *other, const struct worker *worker,
-                  struct kq_sched_now now)
-{
-  kq_usec apart = other->last_reply_at - worker->last_reply_at;
-
-  return other->last_reply_at != 0 && !other->lost
-         && now.mono - other->last_reply_at
-                >= (other->idle ? KQ_SCHED_IDLE_UNRESPONSIVE_US
-                                : KQ_SCHED_UNRESPONSIVE_US)
-         && apart <= KQ_SCHED_IDLE_POLL_INTERVAL_US
-         && apart >= -KQ_SCHED_IDLE_POLL_INTERVAL_US;
-}
-
-/* Reports all workers that fell silent with WORKER, whose lease has lapsed, as
-   lost: those without tasks have no lease that would show it. */
-static void
-note_silent_workers (struct kq_sched *sched, const struct worker *worker,
-                     struct kq_sched_now now)
-{
-  if (sched->silence_noted_at != 0
-      && now.mono - sched->silence_noted_at < SILENCE_INTERVAL_US)
-    return;
-  sched->silence_noted_at = now.mono;
-  for (size_t i = 0; i < sched->worker_count; i++)
-    if (sched->worker_array[i] != worker
-        && fell_silent_with (sched->worker_array[i], worker, now))
-      note_loss (sched, sched->worker_array[i], now);
-}
-
 void
 crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
                         struct kq_sched_now now)
@@ -359,7 +243,7 @@
   /* A worker that was lost comes back: that is no second loss. */
   if (worker->report.incarnation_ms != 0 && !worker->report.draining
       && !worker->loss_noted)
-    note_loss (sched, worker, now);
+    loss_note (sched, worker, now);
 }
 
 static struct kq_evidence_query
@@ -368,7 +252,7 @@
 {
   for (int i = 0; i < history->count; i++)
     own[i] = history->losses[i].number;
-  return (struct kq_evidence_query){ .place = place_of (loss->worker),
+  return (struct kq_evidence_query){ .place = loss_place_of (loss->worker),
                                      .cause = history->task,
                                      .own = own,
                                      .own_count = history->count,
@@ -661,7 +545,7 @@
   struct crash_history *history;
   char text[64];
 
-  loss.number = note_loss (sched, task->worker, now);
+  loss.number = loss_note (sched, task->worker, now);
   task_end_run (sched, task, now, why);
   history = counts ? find_or_add_history (sched, task) : NULL;
   if (history == NULL)
@@ -742,9 +626,9 @@
   struct task *next;
 
   if (!proven)
-    note_silent_workers (sched, worker, now);
+    loss_note_silent (sched, worker, now);
   if (!worker->report.draining)
-    note_loss (sched, worker, now);
+    loss_note (sched, worker, now);
   DL_FOREACH_SAFE (worker->tasks, task, next)
   {
     if (task->phase == PHASE_STORING)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -921,10 +921,6 @@
 void crash_format (const struct task *task, char *text, size_t size);
 /* Forgets the losses under TASK, which is destroyed. */
 void crash_forget (struct kq_sched *sched, struct task *task);
-/* Records that a later incarnation of WORKER than the known one is seen; the
-   known one has crashed unless it announced its end. */
-void crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
-                             struct kq_sched_now now);
 /* Starts or gives up tasks that wait for the end of an outage. */
 void crash_tick (struct kq_sched *sched, struct kq_sched_now now);
 /* Records that TASK is restored with a run that was bound at its placed_at. */
@@ -941,21 +937,6 @@
 /* Records that a worker reported the end of the run of TASK. */
 void crash_note_end (struct kq_sched *sched, struct task *task,
                      enum kq_sched_end how);
-/* Ends all runs at WORKER, which is lost. PROVEN: it has crashed and was not
-   only silent. */
-void crash_end_runs (struct kq_sched *sched, struct worker *worker,
-                     struct kq_sched_now now, const char *why, bool proven);
-/* Whether all runs at WORKER that have not settled belong to one job. */
-bool crash_has_one_cause (const struct worker *worker);
-/* Ends the run of TASK, which its worker has neither running nor ended.
-   ONE_CAUSE: crash_has_one_cause() before any such run was ended. */
-void crash_end_missing_run (struct kq_sched *sched, struct task *task,
-                            struct kq_sched_now now, const char *why,
-                            bool one_cause);
-/* Ends the jobs of tasks that were given up. Their other runs are stopped, so
-   that no list of tasks may be walked meanwhile. */
-void crash_end_jobs (struct kq_sched *sched, struct kq_sched_now now);
-
 /* fence.c */
 
 /* Begins an incarnation of WORKER, whose report still names the one before. */
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "log/log.h"
+#include "sched/crash.h"
 #include "sched/disruption.h"
 #include "sched/internal.h"
 #include "sched/late.h"
--- a/sched/place.c
+++ b/sched/place.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/crash.h"
 #include "sched/evacuate.h"
 #include "sched/late.h"
 #include "sched/place.h"
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/crash.h"
 #include "sched/disruption.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
