sched/late: count starts that a later life of the worker carried out

A task that crashes its workers was started six times (BUDGET): a start that had no reply and was given up was carried out by the next incarnation of its worker, which it crashed too. No run of the task was bound there, so that no owner counted that start (t/test-deadly-late, known red).

Evidence: the next incarnation refuses the order once it has had one with its own fence. If it is over before it has listed its runs under that fence, or after it listed that very run, the order may have crashed it. Such a loss counts as one of the five starts, but is set aside, since the worker may have crashed by itself; an order counts once, in whichever life of its worker.

What remains is t/test-deadly-open (known red): an order that is still open at the fifth start, or two open orders of one task.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -15,6 +15,7 @@
 #include "log/log.h"
 #include "sched/crash.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 #include "sched/loss.h"
 
 /* A run has settled if a poll that was sent this long after the first sign of
@@ -236,16 +237,6 @@
   return cause;
 }
 
-void
-crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
-                        struct kq_sched_now now)
-{
-  /* A worker that was lost comes back: that is no second loss. */
-  if (worker->report.incarnation_ms != 0 && !worker->report.draining
-      && !worker->loss_noted)
-    loss_note (sched, worker, now);
-}
-
 static struct kq_evidence_query
 query_for (const struct crash_history *history, const struct crash_loss *loss,
            uint64_t *own)
@@ -528,6 +519,28 @@
   return history;
 }
 
+/* Counts LOSS under TASK, which goes on or is given up by what it knows now.
+ */
+static void
+count_loss (struct kq_sched *sched, struct task *task,
+            const struct crash_loss *loss, const char *event)
+{
+  struct crash_history *history = find_or_add_history (sched, task);
+  char text[64];
+
+  if (history == NULL)
+    return;
+  if (history->count == MAX_STARTS_THAT_CRASH)
+    history->count--;
+  history->losses[history->count++] = *loss;
+  ++*counter_of (task, loss->kind);
+  judge_losses (sched, history);
+  sched->counts.crashes++;
+  crash_format (task, text, sizeof text);
+  task_log (task, event, text);
+  decide (sched, history);
+}
+
 /* Ends the run of TASK at a lost worker. PROVEN: the worker has crashed. */
 static void
 end_lost_run (struct kq_sched *sched, struct task *task,
@@ -542,23 +555,44 @@
                              .accepted = task->accepted_at != 0,
                              .one_cause = one_cause };
   bool counts = may_have_crashed (task);
-  struct crash_history *history;
-  char text[64];
 
   loss.number = loss_note (sched, task->worker, now);
   task_end_run (sched, task, now, why);
-  history = counts ? find_or_add_history (sched, task) : NULL;
-  if (history == NULL)
+  if (!counts)
     return;
-  if (history->count == MAX_STARTS_THAT_CRASH)
-    history->count--;
-  history->losses[history->count++] = loss;
-  task->silent_losses++;
-  judge_losses (sched, history);
-  sched->counts.crashes++;
-  crash_format (task, text, sizeof text);
-  task_log (task, "worker lost before the run settled", text);
-  decide (sched, history);
+  late_note_loss_counted (task);
+  count_loss (sched, task, &loss, "worker lost before the run settled");
+}
+
+void
+crash_count_late_loss (struct kq_sched *sched, struct task *task,
+                       struct worker *worker, struct kq_sched_now now)
+{
+  const struct crash_loss loss
+      = { .at = now.mono,
+          .number = loss_note (sched, worker, now),
+          .worker = worker,
+          .incarnation_ms = worker->report.incarnation_ms,
+          .kind = LOSS_SET_ASIDE,
+          .proven = true };
+  bool was_on_trial = crash_is_on_trial (task);
+
+  job_mark_dirty (sched, task->stage->job);
+  count_loss (sched, task, &loss, "worker lost after an unanswered start");
+  if (task->state == TASK_BOUND && crash_is_on_trial (task) && !was_on_trial)
+    task->worker->suspect_count++;
+}
+
+void
+crash_note_incarnation (struct kq_sched *sched, struct worker *worker,
+                        struct kq_sched_now now)
+{
+  if (worker->report.incarnation_ms == 0 || worker->report.draining)
+    return;
+  /* A worker that was lost comes back: that is no second loss. */
+  if (!worker->loss_noted)
+    loss_note (sched, worker, now);
+  late_count_losses (sched, worker, now);
 }
 
 /* Starts or gives up the task of HISTORY, which has waited long enough. */
--- a/sched/crash.h
+++ b/sched/crash.h
@@ -30,6 +30,12 @@
                             struct kq_sched_now now, const char *why,
                             bool one_cause);
 
+/** Counts the incarnation of WORKER that is over under TASK, an earlier run of
+ *  which it may have begun.  It may also have crashed by itself, so that this
+ *  is set aside: it is one of the starts of TASK, but no proof against it.  */
+void crash_count_late_loss (struct kq_sched *sched, struct task *task,
+                            struct worker *worker, struct kq_sched_now now);
+
 /** Ends the jobs of tasks that were given up. Their other runs are stopped, so
  *  that no list of tasks may be walked meanwhile. */
 void crash_end_jobs (struct kq_sched *sched, struct kq_sched_now now);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -149,6 +149,8 @@
   bool late_is_unanswered;    /* its start order had no reply */
   int64_t late_incarnation_ms; /* of that worker when it was started there */
   struct term_time late_sent;  /* when that order was sent */
+  int64_t late_listed_ms;      /* its later one that lists that run; 0: none */
+  bool late_is_counted;        /* the loss of a worker counts for that run */
   kq_usec accepted_at;    /* first sign that it was accepted; 0: none yet */
   int64_t incarnation_ms; /* of its worker then; 0: not sent */
   kq_usec placed_at;      /* when its latest run was bound, at the latest */
@@ -375,6 +377,7 @@
   kq_usec long_lease_until;       /* that has lapsed then; 0: not known yet */
   struct late_hold late_holds[MAX_LATE_HOLDS]; /* in the order of numbers */
   int late_hold_count;
+  bool has_late_orders;  /* a start order there had no reply */
   kq_usec late_asked_at; /* last poll for runs of late orders; 0: none */
   bool ends_known;       /* this owner has seen its incarnation begin */
   /* health */
--- a/sched/late.c
+++ b/sched/late.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/crash.h"
 
 /* An order is carried out no later than this after it was sent: as long as a
    worker that may have taken it is left alone with it.  Source: the platform
@@ -58,6 +59,9 @@
   task->late_sent = terms_time (sched, task->start_sent_at);
   task->late_until = task->start_sent_at + LATE_US;
   task->late_is_unanswered = true;
+  task->late_listed_ms = 0;
+  task->late_is_counted = false;
+  task->worker->has_late_orders = true;
   sched->counts.late_starts++;
   task_log (task, "start order may still be carried out", "");
 }
@@ -78,6 +82,76 @@
   task->late_sent_at = 0;
   task->late_sent = sent;
   task->late_until = until;
+  worker->has_late_orders = true;
+}
+
+void
+late_note_loss_counted (struct task *task)
+{
+  if (!task->start_settled)
+    task->late_is_counted = true;
+}
+
+void
+late_note_listed (struct task *task, const struct worker *worker)
+{
+  if (task->late_worker == worker)
+    task->late_listed_ms = worker->report.incarnation_ms;
+}
+
+void
+late_note_ended (struct task *task, const struct worker *worker)
+{
+  if (task->late_worker == worker)
+    task->late_listed_ms = 0;
+}
+
+/* Whether the known incarnation of WORKER may have begun the run of TASK whose
+   start order is open: it follows the one that was given the order, and listed
+   that run or has not listed its runs under its fence, which would have
+   refused the order.  However late that is: the platform names no longest
+   time.  A run of TASK that has settled shows that it crashes no workers. */
+static bool
+may_have_begun (const struct task *task, const struct worker *worker)
+{
+  if (task->late_until == 0 || task->late_worker != worker
+      || !task->late_is_unanswered || task->late_is_counted
+      || task->late_incarnation_ms == 0
+      || worker->report.incarnation_ms <= task->late_incarnation_ms
+      || task->state == TASK_DONE
+      || (task->state == TASK_BOUND && task->settled))
+    return false;
+  return worker->listed_at == 0
+         || task->late_listed_ms == worker->report.incarnation_ms;
+}
+
+static void
+count_losses_of_stage (struct kq_sched *sched, struct stage *stage,
+                       struct worker *worker, struct kq_sched_now now)
+{
+  for (int i = 0; stage->tasks != NULL && i < stage->step->count; i++)
+    if (may_have_begun (&stage->tasks[i], worker))
+      {
+        stage->tasks[i].late_is_counted = true;
+        crash_count_late_loss (sched, &stage->tasks[i], worker, now);
+      }
+}
+
+void
+late_count_losses (struct kq_sched *sched, struct worker *worker,
+                   struct kq_sched_now now)
+{
+  struct job *job;
+  struct job *next;
+
+  if (!worker->has_late_orders)
+    return;
+  HASH_ITER (hh, sched->jobs, job, next)
+  {
+    if (!job_has_ended (job))
+      for (int i = 0; i < job->stage_count; i++)
+        count_losses_of_stage (sched, &job->stages[i], worker, now);
+  }
 }
 
 /* Whether WORKER may have begun the earlier run of TASK unseen: it has not
--- a/sched/late.h
+++ b/sched/late.h
@@ -27,6 +27,21 @@
                          struct term_time sent, bool unanswered,
                          struct kq_sched_now now);
 
+/** Records that the loss of a worker counts for the run of TASK that is over:
+ *  if its start order is open, that is no second start.  */
+void late_note_loss_counted (struct task *task);
+
+/** Records that WORKER lists a run of TASK that is not its current one.  */
+void late_note_listed (struct task *task, const struct worker *worker);
+
+/** Records that WORKER has ended a run of TASK that is not its current one. */
+void late_note_ended (struct task *task, const struct worker *worker);
+
+/** Counts the known incarnation of WORKER, which is over, under the tasks of
+ *  which it may have begun an earlier run.  */
+void late_count_losses (struct kq_sched *sched, struct worker *worker,
+                        struct kq_sched_now now);
+
 /** Returns the worker that may still begin an earlier run of TASK, or NULL. */
 struct worker *late_worker (const struct task *task, struct kq_sched_now now);
 
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -130,7 +130,10 @@
       crash_note_end (sched, task, ended->how);
     }
   else
-    task->other_run_until = 0;
+    {
+      task->other_run_until = 0;
+      late_note_ended (task, worker);
+    }
   if (ended->how == KQ_SCHED_DONE && !task->stage->step->long_running)
     {
       worker->failed_jobs = 0;
@@ -395,6 +398,7 @@
             {
               note_second_run (sched, task, worker, &row->run, sent_at, now);
               task->other_run_until = now.mono + OTHER_RUN_WAIT_US;
+              late_note_listed (task, worker);
             }
           stop_unknown_run (sched, worker, &row->run);
         }
