relay, platform: count the age of orders from when they were given

A relay's clock was kept when the relay fell silent or one of an earlier version took its place, so that starts went to a host that does not check it; a result that was read late was taken for another clock. Polls and stops that a pause held up were sent.

Change: the time counts from the first order of the batch. Silence, or a result without a clock, makes the clock unknown.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -22,10 +22,6 @@
 /* A relay that is about to stop is not used until it is back. */
 #define LEAVING_SUSPENSION_US (10 * KQ_USEC_PER_SEC)
 
-/* A relay's clock that lies behind by more than a result may be under way is
-   that of another host. */
-#define CLOCK_RESET_US (2 * KQ_USEC_PER_SEC)
-
 /* Time after which an order that a relay has acknowledged counts as not
    answered: the longest timeout of the relay's own call, and its delay. */
 #define RESULT_TIMEOUT_US (1200 * KQ_USEC_PER_MSEC)
@@ -55,9 +51,10 @@
 {
   char address[KQ_HOST_TEXT_SIZE + 8];
   struct kq_relay_batch batch;
-  uint64_t sent;        /* number of the last batch */
-  uint64_t acked;       /* of the last batch that was acknowledged */
-  kq_usec silent_since; /* when it began to owe an acknowledgement; 0: no */
+  kq_usec batch_begun_at; /* when its first order was added */
+  uint64_t sent;          /* number of the last batch */
+  uint64_t acked;         /* of the last batch that was acknowledged */
+  kq_usec silent_since;   /* when it began to owe an acknowledgement; 0: no */
   bool leaving;
   kq_usec clock_offset; /* its clock less this host's, no larger than that */
   bool clock_known;
@@ -183,6 +180,8 @@
     {
       suspend (dispatch, link, now, SUSPENSION_US, "silent");
       link->silent_since = 0;
+      /* Another host may have its address. */
+      link->clock_known = false;
       link->acked = link->sent;
       end_expired (dispatch, link, INT64_MAX);
     }
@@ -339,6 +338,8 @@
   flight->expires_at = flight->sent_at + RESULT_TIMEOUT_US
                        + order->wait_ms * KQ_USEC_PER_MSEC;
   tagged.tag = flight->tag;
+  if (link->batch.count == 0)
+    link->batch_begun_at = flight->sent_at;
   if (kq_relay_add_order (&link->batch, dispatch->fence, &tagged) != 0)
     {
       free (flight);
@@ -361,11 +362,13 @@
 }
 
 /* A batch that is read later than it counts as unacknowledged would act on
-   runs that are taken for over. */
+   runs that are taken for over.  This process may have been paused before it
+   sends the batch. */
 static void
-set_expiry (struct relay_link *link, kq_usec now)
+set_expiry (struct relay_link *link)
 {
-  kq_usec expires_at = now + link->clock_offset + RELAY_SILENCE_US;
+  kq_usec expires_at
+      = link->batch_begun_at + link->clock_offset + RELAY_SILENCE_US;
 
   if (link->clock_known
       && kq_relay_set_expiry (&link->batch, expires_at / KQ_USEC_PER_MSEC)
@@ -380,7 +383,7 @@
   KqNode__Ask message = KQ_NODE__ASK__INIT;
   kq_usec now = kq_clock_now ();
 
-  set_expiry (link, now);
+  set_expiry (link);
   message.number = ++link->sent;
   message.verb = KQ_HOP_ORDERS;
   message.body.data = link->batch.bytes;
@@ -430,18 +433,15 @@
 }
 
 /* The result that was under way for the shortest time tells the most of the
-   relay's clock, which begins anew with its host. */
+   relay's clock.  A relay of an earlier version tells none. */
 static void
 note_clock (struct relay_link *link, int64_t clock_ms, kq_usec now)
 {
   kq_usec offset = clock_ms * KQ_USEC_PER_MSEC - now;
 
-  if (clock_ms == 0
-      || (link->clock_known && offset <= link->clock_offset
-          && offset > link->clock_offset - CLOCK_RESET_US))
-    return;
-  link->clock_offset = offset;
-  link->clock_known = true;
+  if (clock_ms == 0 || !link->clock_known || offset > link->clock_offset)
+    link->clock_offset = offset;
+  link->clock_known = clock_ms != 0;
 }
 
 static void
--- a/t/test-dispatch.c
+++ b/t/test-dispatch.c
@@ -369,6 +369,30 @@
   stop_cell (cell);
 }
 
+/* Guards against an expiry that a pause of the owner puts off: the batch was
+   filled before it. */
+static void
+test_batch_held_up_at_owner (void)
+{
+  struct cell *cell = start_cell ();
+  char address[32];
+  int fd = port_open (address, sizeof address);
+  struct kq_order order = { .kind = KQ_ORDER_STOP,
+                            .worker = "w1",
+                            .address = address,
+                            .run = { 1, 0, 0, 0, 1 } };
+
+  cell->relay = kq_relay_create (cell->loop, cell->relay_hop);
+  send_stops (cell, 1);
+  run_until_ended (cell, 1);
+  kq_dispatch_send (cell->dispatch, &order);
+  usleep (800 * 1000);
+  kq_dispatch_flush (cell->dispatch);
+  run_until_ended (cell, 2);
+  CU_ASSERT_FALSE (port_was_called (fd));
+  stop_cell (cell);
+}
+
 /* Guards against starts through a relay that cannot tell when they are
    late, since its clock is not known yet. */
 static void
@@ -395,6 +419,14 @@
   kq_dispatch_flush (cell->dispatch);
   run_until_ended (cell, 3);
   CU_ASSERT_EQUAL (cell->orders, 2);
+  /* A relay of an earlier version has its place. */
+  cell->clock_ms = 0;
+  send_stops (cell, 1);
+  run_until_ended (cell, 4);
+  kq_dispatch_send (cell->dispatch, &order);
+  kq_dispatch_flush (cell->dispatch);
+  run_until_ended (cell, 5);
+  CU_ASSERT_EQUAL (cell->orders, 3);
   stop_cell (cell);
 }
 
@@ -457,6 +489,7 @@
   { "a relay reports unanswered orders",
     test_relay_reports_unanswered_orders },
   { "a relay drops late orders", test_relay_drops_late_orders },
+  { "a batch held up at its owner", test_batch_held_up_at_owner },
   { "a start awaits the clock of its relay",
     test_start_awaits_clock_of_relay },
   { "a relay carries out prompt orders",
--- a/t/test-held-call.c
+++ b/t/test-held-call.c
@@ -1,6 +1,6 @@
-/* Guards against a start order that is sent long after it was given: its
- * process was paused while the order waited for a connection, and meanwhile
- * its run was taken for over.
+/* Guards against orders that are sent long after they were given: their
+ * process was paused while they waited for a connection, and meanwhile their
+ * runs were taken for over.
  */
 #include <ev.h>
 #include <jansson.h>
@@ -12,7 +12,9 @@
 #include "t/kqtest.h"
 #include "t/lib-port.h"
 
-#define PAUSE_US 2200000
+/* Longer than a start or a poll may wait and connect. */
+#define START_PAUSE_US 2200000
+#define POLL_PAUSE_US 3400000
 
 struct outcome
 {
@@ -51,10 +53,10 @@
   ev_run (loop, 0);
 }
 
-/* Returns whether a start is sent whose process is paused for PAUSE
+/* Returns whether a call of KIND is sent whose process is paused for PAUSE
    microseconds once it has begun to connect. */
 static bool
-is_sent_after (useconds_t pause)
+is_sent_after (enum kq_call_kind kind, useconds_t pause)
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   struct kq_http_client *http = kq_http_client_create (loop, NULL);
@@ -62,12 +64,12 @@
   struct context *context = malloc (sizeof *context);
   char address[32];
   int fd = port_open (address, sizeof address);
-  struct kq_call_request request = { .kind = KQ_CALL_START,
+  struct kq_call_request request = { .kind = kind,
                                      .authority = address,
                                      .path = "/-/run-start",
                                      .body = json_object (),
                                      .timeout = 700 * KQ_USEC_PER_MSEC,
-                                     .at_most_once = true,
+                                     .at_most_once = kind == KQ_CALL_START,
                                      .done = on_done,
                                      .context = context };
   bool sent;
@@ -88,18 +90,26 @@
 static void
 test_start_after_pause (void)
 {
-  CU_ASSERT_FALSE (is_sent_after (PAUSE_US));
+  CU_ASSERT_FALSE (is_sent_after (KQ_CALL_START, START_PAUSE_US));
 }
 
 static void
-test_start_without_pause (void)
+test_poll_after_pause (void)
 {
-  CU_ASSERT (is_sent_after (0));
+  CU_ASSERT_FALSE (is_sent_after (KQ_CALL_HOLD, POLL_PAUSE_US));
+}
+
+static void
+test_calls_without_pause (void)
+{
+  CU_ASSERT (is_sent_after (KQ_CALL_START, 0));
+  CU_ASSERT (is_sent_after (KQ_CALL_HOLD, 0));
 }
 
 static const struct kq_test tests[] = {
   { "a start held up by a pause", test_start_after_pause },
-  { "a start without a pause", test_start_without_pause },
+  { "a poll held up by a pause", test_poll_after_pause },
+  { "calls without a pause", test_calls_without_pause },
 };
 
 KQ_TEST_MAIN ("test-held-call", tests)
