--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -435,13 +435,13 @@
 /* The result that was under way for the shortest time tells the most of the
    relay's clock.  A relay of an earlier version tells none. */
 static void
-note_clock (struct relay_link *link, int64_t clock_ms, kq_usec now)
+note_clock (struct relay_link *link, int64_t time_ms, kq_usec now)
 {
-  kq_usec offset = clock_ms * KQ_USEC_PER_MSEC - now;
+  kq_usec offset = time_ms * KQ_USEC_PER_MSEC - now;
 
-  if (clock_ms == 0 || !link->clock_known || offset > link->clock_offset)
+  if (time_ms == 0 || !link->clock_known || offset > link->clock_offset)
     link->clock_offset = offset;
-  link->clock_known = clock_ms != 0;
+  link->clock_known = time_ms != 0;
 }
 
 static void
@@ -455,7 +455,7 @@
       dispatch->handler.on_fenced (dispatch->handler.arg);
       return;
     }
-  note_clock (link, state->clock_ms, now);
+  note_clock (link, state->time_ms, now);
   if (state->received > link->acked && state->received <= link->sent)
     {
       link->acked = state->received;
--- a/node/relay.c
+++ b/node/relay.c
@@ -49,7 +49,7 @@
 {
   KqNode__Tell message = KQ_NODE__TELL__INIT;
 
-  relay->state.clock_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
+  relay->state.time_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
   if (kq_relay_add_state (&relay->results, &relay->state) != 0)
     return;
   message.results.data = relay->results.bytes;
--- a/relay/message.c
+++ b/relay/message.c
@@ -341,7 +341,7 @@
   message.fence = state->fence;
   message.received = state->received;
   message.leaving = state->leaving;
-  message.clock_ms = state->clock_ms;
+  message.time_ms = state->time_ms;
   return add_outcome_batch (batch, &message);
 }
 
@@ -450,7 +450,7 @@
   *state = (struct kq_relay_state){ .fence = message->fence,
                                     .received = message->received,
                                     .leaving = message->leaving,
-                                    .clock_ms = message->clock_ms };
+                                    .time_ms = message->time_ms };
   for (size_t i = 0; i < message->n_outcomes; i++)
     visit_outcome (message->outcomes[i], visit, arg);
   kq_relay__outcome_batch__free_unpacked (message, NULL);
--- a/relay/message.h
+++ b/relay/message.h
@@ -51,7 +51,7 @@
   int64_t fence;     /**< highest one that it has seen */
   uint64_t received; /**< number of the last batch of orders received */
   bool leaving;      /**< it is about to stop */
-  int64_t clock_ms;  /**< its clock when it sent this, in ms; 0: unknown */
+  int64_t time_ms;   /**< its clock when it sent this, in ms; 0: unknown */
 };
 
 /** Adds RESULT to a batch of results.
--- a/relay/relay.pb-c.c
+++ b/relay/relay.pb-c.c
@@ -864,12 +864,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "clock_ms",
+    "time_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(KqRelay__OutcomeBatch, clock_ms),
+    offsetof(KqRelay__OutcomeBatch, time_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -877,11 +877,11 @@
   },
 };
 static const unsigned kq_relay__outcome_batch__field_indices_by_name[] = {
-  4,   /* field[4] = clock_ms */
   0,   /* field[0] = fence */
   2,   /* field[2] = leaving */
   3,   /* field[3] = outcomes */
   1,   /* field[1] = received */
+  4,   /* field[4] = time_ms */
 };
 static const ProtobufCIntRange kq_relay__outcome_batch__number_ranges[1 + 1] =
 {
--- a/relay/relay.pb-c.h
+++ b/relay/relay.pb-c.h
@@ -165,7 +165,7 @@
   /*
    * relay's clock when it was sent
    */
-  int64_t clock_ms;
+  int64_t time_ms;
 };
 #define KQ_RELAY__OUTCOME_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_relay__outcome_batch__descriptor) \
--- a/t/lib-deadly.c
+++ b/t/lib-deadly.c
@@ -2,8 +2,6 @@
 
 #include <stdio.h>
 
-#include "t/lib-sim.h"
-
 #define JOBS 20
 #define DEADLY_EACH 5
 
@@ -11,14 +9,9 @@
     = { .count = 3, .demand = { 1000, 1000, 0 }, .est_ms = 1500 };
 
 int
-deadly_most_starts (unsigned long seed, int max_delay_ms)
+deadly_most_starts (unsigned long seed, const struct sim_faults *faults)
 {
-  /* Workers restart under their IDs, also for other causes. */
-  const struct sim_faults faults = { .delayed = 0.3,
-                                     .max_delay_ms = max_delay_ms,
-                                     .worker_crash = 0.9,
-                                     .orders_outlive_crash = true };
-  struct sim *sim = sim_create (seed, &faults);
+  struct sim *sim = sim_create (seed, faults);
   int most = 0;
 
   for (int i = 0; i < JOBS; i++)
@@ -41,3 +34,15 @@
   sim_destroy (sim);
   return most;
 }
+
+int
+deadly_most_starts_late (unsigned long seed, int max_delay_ms)
+{
+  /* Workers restart under their IDs, also for other causes. */
+  const struct sim_faults faults = { .delayed = 0.3,
+                                     .max_delay_ms = max_delay_ms,
+                                     .worker_crash = 0.9,
+                                     .orders_outlive_crash = true };
+
+  return deadly_most_starts (seed, &faults);
+}
--- a/t/test-deadly-late.c
+++ b/t/test-deadly-late.c
@@ -18,7 +18,7 @@
 {
   for (size_t i = 0;
        i < sizeof seconds_late_seeds / sizeof seconds_late_seeds[0]; i++)
-    CU_ASSERT (deadly_most_starts (seconds_late_seeds[i], 4000)
+    CU_ASSERT (deadly_most_starts_late (seconds_late_seeds[i], 4000)
                <= DEADLY_MAX_STARTS);
 }
 
@@ -28,7 +28,7 @@
   for (size_t i = 0;
        i < sizeof many_seconds_late_seeds / sizeof many_seconds_late_seeds[0];
        i++)
-    CU_ASSERT (deadly_most_starts (many_seconds_late_seeds[i], 12000)
+    CU_ASSERT (deadly_most_starts_late (many_seconds_late_seeds[i], 12000)
                <= DEADLY_MAX_STARTS);
 }
 
--- a/t/test-deadly-open.c
+++ b/t/test-deadly-open.c
@@ -14,7 +14,7 @@
 test_open_orders (void)
 {
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
-    CU_ASSERT (deadly_most_starts (seeds[i], 12000) <= DEADLY_MAX_STARTS);
+    CU_ASSERT (deadly_most_starts_late (seeds[i], 12000) <= DEADLY_MAX_STARTS);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-dispatch.c
+++ b/t/test-dispatch.c
@@ -30,7 +30,7 @@
   struct kq_dispatch *dispatch;
   bool silent; /* the relay does not reply */
   bool leaving;
-  int64_t clock_ms; /* that the relay sends along; 0: none */
+  int64_t relay_time_ms; /* that the relay sends along; 0: none */
   int64_t relay_fence;
   int orders; /* received by the relay */
   int results;
@@ -73,7 +73,7 @@
   kq_relay_read_orders (message->body.data, message->body.len, &terms,
                         on_relayed_order, cell);
   state.fence = terms.fence;
-  state.clock_ms = cell->clock_ms;
+  state.time_ms = cell->relay_time_ms;
   if (cell->relay_fence != 0)
     state.fence = cell->relay_fence;
   kq_relay_add_state (&cell->replies, &state);
@@ -411,7 +411,7 @@
   kq_dispatch_flush (cell->dispatch);
   run_until_ended (cell, 1);
   CU_ASSERT_EQUAL (cell->orders, 0);
-  cell->clock_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
+  cell->relay_time_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
   send_stops (cell, 1);
   run_until_ended (cell, 2);
   CU_ASSERT_EQUAL (cell->orders, 1);
@@ -420,7 +420,7 @@
   run_until_ended (cell, 3);
   CU_ASSERT_EQUAL (cell->orders, 2);
   /* A relay of an earlier version has its place. */
-  cell->clock_ms = 0;
+  cell->relay_time_ms = 0;
   send_stops (cell, 1);
   run_until_ended (cell, 4);
   kq_dispatch_send (cell->dispatch, &order);
--- a/t/test-owner-clocks.c
+++ b/t/test-owner-clocks.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "t/kqtest.h"
+#include "t/lib-deadly.h"
 #include "t/lib-late.h"
 #include "t/lib-sched.h"
 #include "t/lib-sim.h"
@@ -26,14 +27,9 @@
 #define WORKERS 8
 
 /* Of the simulated jobs, each of these crashes its workers. */
-#define JOBS 20
-#define DEADLY_EACH 5
 
 static const struct kq_sched_step short_step
     = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 600 };
-static const struct kq_sched_step work
-    = { .count = 3, .demand = { 1000, 1000, 0 }, .est_ms = 1500 };
-
 static void
 name_worker (char *id, int number)
 {
@@ -215,26 +211,6 @@
   LATE_CHECK_SEEDS ("clocks-20-outages", outages);
 }
 
-/* Owners change and workers crash, and each fifth job has a task that crashes
-   its workers. */
-static void
-check_simulated_crashes (unsigned long seed, const struct sim_faults *faults)
-{
-  struct sim *sim = sim_create (seed, faults);
-
-  for (int i = 0; i < JOBS; i++)
-    {
-      sim_submit (sim, "urgent", &work, 1);
-      if (i % DEADLY_EACH == 0)
-        sim_make_deadly (sim, i);
-      sim_run (sim, 1000);
-    }
-  sim_run (sim, 60000);
-  for (int i = 0; i < JOBS; i += DEADLY_EACH)
-    CU_ASSERT (sim_deadly_starts (sim, i) <= MAX_STARTS);
-  sim_destroy (sim);
-}
-
 /* Of the seeds 1 to 200, those in which a task was started six to eight times.
  */
 static void
@@ -249,7 +225,7 @@
           145, 153, 158, 161, 165, 171, 172, 189 };
 
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
-    check_simulated_crashes (seeds[i], &faults);
+    CU_ASSERT (deadly_most_starts (seeds[i], &faults) <= DEADLY_MAX_STARTS);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -373,7 +373,7 @@
   struct kq_relay_batch batch = { 0 };
   struct kq_order_result refusal = { .tag = 10, .reply = KQ_SCHED_FENCED };
   struct kq_relay_state state
-      = { .fence = 3, .received = 8, .leaving = true, .clock_ms = 77 };
+      = { .fence = 3, .received = 8, .leaving = true, .time_ms = 77 };
   struct kq_relay_state read = { .fence = 0 };
   struct received received = { 0 };
 
@@ -386,7 +386,7 @@
   CU_ASSERT_EQUAL (read.fence, 3);
   CU_ASSERT_EQUAL (read.received, 8);
   CU_ASSERT (read.leaving);
-  CU_ASSERT_EQUAL (read.clock_ms, 77);
+  CU_ASSERT_EQUAL (read.time_ms, 77);
   CU_ASSERT_EQUAL (received.results, 2);
   CU_ASSERT_EQUAL (received.result.tag, 9);
   CU_ASSERT_EQUAL (received.running_count, 1);
