node: a stopping host that may not act any more ends with its term

A host that is stopped while the store cannot be reached kept its process until 0.7 s before it would be killed, since it still had a term to release. Its successor counts the leases at lost workers from the end of that process, so that lasting tasks stayed down for longer.

A term that the store has not confirmed for 3 s allows no start and no renewal, so that ending without a release is what a crash is.

test-stop 'a stop without the store' guards it.

--- a/node/node.c
+++ b/node/node.c
@@ -528,6 +528,14 @@
   read_settings (timer->data);
 }
 
+static bool
+holds_term (const struct node *node)
+{
+  return kq_stop_holds_term (kq_term_own_term (node->term),
+                             kq_term_confirmed_at (node->term),
+                             kq_clock_now ());
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -537,7 +545,7 @@
   if (node->stop.started_at != 0
       && kq_stop_is_over (&node->stop, kq_clock_now (),
                           kq_job_api_is_idle (node->job_api)
-                              && kq_term_own_term (node->term) == 0))
+                              && !holds_term (node)))
     ev_break (loop, EVBREAK_ALL);
 }
 
--- a/node/stop.c
+++ b/node/stop.c
@@ -17,6 +17,10 @@
 /* Time to store a release before the process exits. */
 #define RELEASE_MARGIN_US (700 * KQ_USEC_PER_MSEC)
 
+/* An owner acts no longer than this after the store has confirmed its term
+   last: KQ_SCHED_UNCONFIRMED_LIMIT_US. */
+#define UNCONFIRMED_LIMIT_US (3 * KQ_USEC_PER_SEC)
+
 kq_usec
 kq_stop_release_at (const struct kq_stop *stop)
 {
@@ -41,3 +45,9 @@
   return (elapsed > STOP_DELAY_US && is_free)
          || elapsed > stop->grace - STOP_MARGIN_US;
 }
+
+bool
+kq_stop_holds_term (int64_t own_term, kq_usec confirmed_at, kq_usec now)
+{
+  return own_term != 0 && now - confirmed_at <= UNCONFIRMED_LIMIT_US;
+}
--- a/node/stop.h
+++ b/node/stop.h
@@ -27,4 +27,9 @@
  *  has no requests and no term.  */
 bool kq_stop_is_over (const struct kq_stop *stop, kq_usec now, bool is_free);
 
+/** Returns whether the term OWN_TERM (0: none), which the store has confirmed
+ * at CONFIRMED_AT last, keeps the process from exiting: not where the store
+ *  cannot be reached, as its leases then count from the end of the process. */
+bool kq_stop_holds_term (int64_t own_term, kq_usec confirmed_at, kq_usec now);
+
 #endif
--- a/t/test-stop.c
+++ b/t/test-stop.c
@@ -195,12 +195,28 @@
       kq_stop_is_over (&stop, stop.started_at + KQ_USEC_PER_SEC / 2, false));
 }
 
+/* Guards against a process that waits for the store to take the release of a
+   term in which it may not act any more: its tasks at lost workers stay down
+   meanwhile. */
+static void
+test_stop_without_store (void)
+{
+  const kq_usec confirmed_at = 100 * KQ_USEC_PER_SEC;
+
+  CU_ASSERT (kq_stop_holds_term (7, confirmed_at,
+                                 confirmed_at + 2900 * KQ_USEC_PER_MSEC));
+  CU_ASSERT (!kq_stop_holds_term (7, confirmed_at,
+                                  confirmed_at + 3100 * KQ_USEC_PER_MSEC));
+  CU_ASSERT (!kq_stop_holds_term (0, confirmed_at, confirmed_at));
+}
+
 static const struct kq_test tests[] = {
   { "stops in series leave owners time", test_series_leave_owners_time },
   { "a stopping host owns the cell where no other can",
     test_stopping_host_owns_where_no_other_can },
   { "a running host follows", test_running_host_follows },
   { "a claim under way is kept", test_claim_under_way_is_kept },
+  { "a stop without the store", test_stop_without_store },
   { "times of a stop", test_times },
 };
 
