dispatch, stop: drop a test that decides nothing, and bring a comment up to date

Read-through of the change: note_clock() stored an offset for a relay that tells no clock, which is never used, since the clock counts as unknown then. The comment on the end of a stop did not say that a term in which the host may not act does not hold it up.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -439,7 +439,7 @@
 {
   kq_usec offset = time_ms * KQ_USEC_PER_MSEC - now;
 
-  if (time_ms == 0 || !link->clock_known || offset > link->clock_offset)
+  if (!link->clock_known || offset > link->clock_offset)
     link->clock_offset = offset;
   link->clock_known = time_ms != 0;
 }
--- a/node/stop.h
+++ b/node/stop.h
@@ -24,7 +24,7 @@
 kq_usec kq_stop_last_release_at (const struct kq_stop *stop);
 
 /** Returns whether the process is to exit: early if the host IS_FREE, that is
- *  has no requests and no term.  */
+ *  has no requests and holds no term (kq_stop_holds_term()).  */
 bool kq_stop_is_over (const struct kq_stop *stop, kq_usec now, bool is_free);
 
 /** Returns whether the term OWN_TERM (0: none), which the store has confirmed
