--- a/t/standin/si-http.c
+++ b/t/standin/si-http.c
@@ -258,6 +258,119 @@
   finish_request (request, SI_RESPONDED);
 }
 
+/* Interval at which the rate of shared responses is dealt out. */
+#define SHARE_INTERVAL_SEC 0.01
+
+/* A response that shares the rate with others. */
+struct shared_body
+{
+  struct si_server *server;
+  struct MHD_Connection *connection;
+  size_t size;
+  size_t credit; /* bytes that may be sent now */
+  bool suspended;
+  struct shared_body *next, *prev;
+  char data[];
+};
+
+static int64_t shared_bytes_s;
+static struct shared_body *shared_bodies;
+static ev_timer share_timer;
+
+void
+si_set_shared_rate (int64_t bytes_s)
+{
+  shared_bytes_s = bytes_s;
+}
+
+static void
+on_share (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct shared_body *body;
+  int count = 0;
+
+  DL_FOREACH (shared_bodies, body)
+  count += body->suspended;
+  DL_FOREACH (shared_bodies, body)
+  {
+    if (!body->suspended)
+      continue;
+    body->credit
+        = (size_t)((double)shared_bytes_s * SHARE_INTERVAL_SEC) / count + 1;
+    body->suspended = false;
+    MHD_resume_connection (body->connection);
+    ev_feed_event (loop, &body->server->io, EV_READ);
+  }
+  if (shared_bodies == NULL)
+    ev_timer_stop (loop, timer);
+}
+
+static ssize_t
+read_shared_body (void *context, uint64_t position, char *buffer, size_t max)
+{
+  struct shared_body *body = context;
+  size_t size = body->size - (size_t)position;
+
+  if (size == 0)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (body->credit == 0)
+    {
+      body->suspended = true;
+      MHD_suspend_connection (body->connection);
+      return 0;
+    }
+  if (size > max)
+    size = max;
+  if (size > body->credit)
+    size = body->credit;
+  body->credit -= size;
+  memcpy (buffer, body->data + position, size);
+  return (ssize_t)size;
+}
+
+static void
+free_shared_body (void *context)
+{
+  struct shared_body *body = context;
+
+  DL_DELETE (shared_bodies, body);
+  free (body);
+}
+
+void
+si_respond_shared (struct si_request *request, const void *bytes, size_t size,
+                   const char *const *headers)
+{
+  struct ev_loop *loop = request->server->loop;
+  struct shared_body *body;
+
+  if (shared_bytes_s == 0)
+    {
+      si_respond (request, MHD_HTTP_OK, bytes, size, headers);
+      return;
+    }
+  body = calloc (1, sizeof *body + size);
+  if (!body)
+    abort ();
+  body->server = request->server;
+  body->connection = request->connection;
+  body->size = size;
+  memcpy (body->data, bytes, size);
+  DL_APPEND (shared_bodies, body);
+  if (!ev_is_active (&share_timer))
+    {
+      ev_timer_init (&share_timer, on_share, SHARE_INTERVAL_SEC,
+                     SHARE_INTERVAL_SEC);
+      ev_timer_start (loop, &share_timer);
+    }
+  request->response = MHD_create_response_from_callback (
+      size, 16384, read_shared_body, body, free_shared_body);
+  for (; headers && headers[0]; headers += 2)
+    MHD_add_response_header (request->response, headers[0], headers[1]);
+  request->status = MHD_HTTP_OK;
+  finish_request (request, SI_RESPONDED);
+}
+
 void
 si_drop (struct si_request *request)
 {
--- a/t/standin/si-http.h
+++ b/t/standin/si-http.h
@@ -65,6 +65,15 @@
 void si_respond (struct si_request *request, unsigned status, const void *body,
                  size_t size, const char *const *headers);
 
+/** Sets the rate in bytes a second that all responses of si_respond_shared()
+ *  have together; 0: no limit, which is the default.  */
+void si_set_shared_rate (int64_t bytes_s);
+
+/** Sends status 200 and BODY, which is copied, at an equal share of the rate
+ *  of si_set_shared_rate().  HEADERS: see si_respond().  */
+void si_respond_shared (struct si_request *request, const void *bytes,
+                        size_t size, const char *const *headers);
+
 /** Sends JSON as the response and releases the reference to it. */
 void si_respond_json (struct si_request *request, unsigned status,
                       json_t *json);
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -10,6 +10,9 @@
 
 #define LENGTH_BYTES 4
 
+/* Size of a read with more than one record. */
+#define MAX_READ_BYTES ((size_t)1024 * 1024)
+
 struct record
 {
   char *key;      /* NULL in topics without keys */
@@ -125,16 +128,18 @@
               int64_t from)
 {
   size_t size = 16;
+  int64_t end = from;
   uint8_t *body;
   uint8_t *at;
   uint64_t header[2] = { htobe64 ((uint64_t)topic->end), 0 };
 
-  for (int64_t i = from; i < topic->end; i++)
-    size += LENGTH_BYTES + topic->records[i].size;
+  while (end < topic->end
+         && (end == from || size + topic->records[end].size < MAX_READ_BYTES))
+    size += LENGTH_BYTES + topic->records[end++].size;
   body = malloc (size);
   memcpy (body, header, sizeof header);
   at = body + sizeof header;
-  for (int64_t i = from; i < topic->end; i++)
+  for (int64_t i = from; i < end; i++)
     {
       uint32_t length = htobe32 ((uint32_t)topic->records[i].size);
 
@@ -143,7 +148,7 @@
               topic->records[i].size);
       at += LENGTH_BYTES + topic->records[i].size;
     }
-  si_respond (request, MHD_HTTP_OK, body, size, NULL);
+  si_respond_shared (request, body, size, NULL);
   free (body);
 }
 
@@ -298,15 +303,27 @@
 void
 si_store_newest (struct si_request *request)
 {
+  static const char *const headers[]
+      = { "Content-Type", "application/json", NULL };
   const struct topic *topic = requested_topic (request);
   json_t *items = json_array ();
+  json_t *body;
+  char *text;
 
   for (int64_t i = 0; i < topic->end; i++)
     if (is_newest (topic, i))
       json_array_append_new (items, newest_item_to_json (topic, i));
-  si_respond_or_lose (request, MHD_HTTP_OK,
-                      json_pack ("{so sb sI}", "items", items, "has_more", 0,
-                                 "end", (json_int_t)topic->end));
+  body = json_pack ("{so sb sI}", "items", items, "has_more", 0, "end",
+                    (json_int_t)topic->end);
+  if (si_loses_response ())
+    si_suspend (request);
+  else
+    {
+      text = json_dumps (body, JSON_COMPACT);
+      si_respond_shared (request, text, strlen (text), headers);
+      free (text);
+    }
+  json_decref (body);
 }
 
 /* Copies KEY and TEXT without their terminating zero bytes. */
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -11,6 +11,9 @@
  *
  * Tests control it on the store's port.  POST /admin takes
  * {"store":"up|refuse|hang", "lose_permille":N, "restart":WORKER}, or
+ * {"read_bytes_s":N}, the rate that all reads of the store share (0: none),
+ * {"routes":N}, for which the operator writes the next version of the
+ * configuration, with N routes more than the first, or
  * {"crash":WORKER, "count":N, "ms":N, "same_id":BOOL, "warmup_ms":N}, after
  * which that worker starts anew or, without same_id, another one at its
  * address, cold for warmup_ms, or {"evacuate":ZONE, "ms":N}, for which the
@@ -83,6 +86,39 @@
       si_end_silence (&workers[i]);
 }
 
+static json_t *
+route (const char *name, const char *prefix)
+{
+  return json_pack ("{ss ss ss ss si si sf si}", "name", name, "host",
+                    "site.example", "prefix", prefix, "service", "works",
+                    "priority", 0, "attempts", 3, "stretch", 2.0, "slo_ms",
+                    1000);
+}
+
+/* Puts the configuration of the next version, with ROUTES routes more than the
+   one that every test uses. */
+static void
+put_configuration (int64_t routes)
+{
+  static int version;
+  json_t *list = json_array ();
+  char name[32];
+  char prefix[32];
+
+  json_array_append_new (list, route ("r-jobs", "/jobs/"));
+  for (int64_t i = 0; i < routes; i++)
+    {
+      snprintf (name, sizeof name, "r-more-%d", (int)i);
+      snprintf (prefix, sizeof prefix, "/more-%d/", (int)i);
+      json_array_append_new (list, route (name, prefix));
+    }
+  si_store_put ("keyed.op", "config",
+                json_pack ("{si so s[{ss sb}] s{si}}", "version", ++version,
+                           "routes", list, "services", "name", "works",
+                           "enforces_capacity", 1, "limits", "max_body_bytes",
+                           262144));
+}
+
 static void
 handle_admin_request (struct si_request *request)
 {
@@ -100,6 +136,10 @@
     snprintf (store_state, sizeof store_state, "%s",
               si_string (body, "store"));
   si_lose_permille = si_number (body, "lose_permille", si_lose_permille);
+  if (json_object_get (body, "read_bytes_s") != NULL)
+    si_set_shared_rate (si_number (body, "read_bytes_s", 0));
+  if (json_object_get (body, "routes") != NULL)
+    put_configuration (si_number (body, "routes", 0));
   si_evacuate (si_string (body, "evacuate"), si_number (body, "ms", 1000));
   apply_worker_fault (body);
   json_decref (body);
@@ -163,19 +203,6 @@
       si_register_worker (&workers[i]);
 }
 
-static void
-put_configuration (void)
-{
-  si_store_put (
-      "keyed.op", "config",
-      json_pack ("{si s[{ss ss ss ss si si sf si}] s[{ss sb}] s{si}}",
-                 "version", 1, "routes", "name", "r-jobs", "host",
-                 "site.example", "prefix", "/jobs/", "service", "works",
-                 "priority", 0, "attempts", 3, "stretch", 2.0, "slo_ms", 1000,
-                 "services", "name", "works", "enforces_capacity", 1, "limits",
-                 "max_body_bytes", 262144));
-}
-
 int
 main (int argc, char **argv)
 {
@@ -205,7 +232,7 @@
   si_record_bytes = (uint32_t)record_bytes->ival[0];
   worker_count = count->ival[0];
   loop = ev_default_loop (0);
-  put_configuration ();
+  put_configuration (0);
   si_server_start (loop, port->ival[0], on_store_request, NULL);
   for (int i = 0; i < worker_count; i++)
     {
