platform: a read that makes progress does not time out

Callers got answers of a configuration that was replaced more than 4 s before (CONFIG).

Evidence: in the record one far host had 43 failed reads and received 6.7 MB in them, eight times the document; hosts near the store had no failed read. Ruled out: the store's rate (near hosts have each version within 1.6 s) and processors (29 % of a core at most).

--- a/t/test-call.c
+++ b/t/test-call.c
@@ -294,6 +294,87 @@
   ev_loop_destroy (loop);
 }
 
+#define PART_COUNT 8
+#define PART_INTERVAL_US (100 * KQ_USEC_PER_MSEC)
+
+/* Sends the next part of a response, of the size in ARG, after a while. */
+static ssize_t
+send_part (void *arg, uint64_t position, char *buffer, size_t max)
+{
+  size_t size = *(const size_t *)arg;
+
+  usleep ((useconds_t)PART_INTERVAL_US);
+  size = size < max ? size : max;
+  memset (buffer, ' ', size);
+  return (ssize_t)size;
+}
+
+static enum MHD_Result
+send_parts (void *arg, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *body,
+            size_t *size, void **state)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (*state == NULL)
+    {
+      *state = arg;
+      return MHD_YES;
+    }
+  response = MHD_create_response_from_callback (
+      PART_COUNT * *(const size_t *)arg, *(const size_t *)arg, send_part, arg,
+      NULL);
+  result = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Returns whether a call succeeds whose response has PART_COUNT parts of
+   PART_BYTES; the interval between two is shorter than the timeout, and all of
+   them take longer. */
+static bool
+receives_parts (size_t part_bytes, size_t min_bytes_s)
+{
+  struct MHD_Daemon *server = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+      NULL, send_parts, &part_bytes, MHD_OPTION_END);
+  struct kq_call_request request = { .kind = KQ_CALL_READ,
+                                     .path = "/",
+                                     .raw_response = true,
+                                     .timeout = 3 * PART_INTERVAL_US,
+                                     .min_bytes_s = min_bytes_s,
+                                     .done = on_done };
+  struct kq_http_client *http;
+  char authority[40];
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  loop = ev_loop_new (EVFLAG_AUTO);
+  http = kq_http_client_create (loop, NULL);
+  snprintf (authority, sizeof authority, "127.0.0.1:%d",
+            MHD_get_daemon_info (server, MHD_DAEMON_INFO_BIND_PORT)->port);
+  request.authority = authority;
+  succeeded = 0;
+  in_flight = 0;
+  if (kq_http_client_send (http, &request) == 0)
+    in_flight++;
+  wait_until_in_flight (0);
+  kq_http_client_destroy (http);
+  MHD_stop_daemon (server);
+  ev_loop_destroy (loop);
+  return succeeded == 1;
+}
+
+/* Large responses that were thrown away at a fixed limit although they made
+   progress, while one that only trickles must end. */
+static void
+test_response_in_parts (void)
+{
+  CU_ASSERT (receives_parts (65536, 65536));
+  CU_ASSERT_FALSE (receives_parts (100, 65536));
+  CU_ASSERT_FALSE (receives_parts (65536, 0));
+}
+
 /* A worker with a limit of connections: it resets those above, or refuses them
    if it is to close its port.  A request for "/poll" is answered after half a
    second, all others at once. */
@@ -716,6 +797,7 @@
   { "a response that arrives during other work", test_response_during_work },
   { "a request that is sent after other work", test_request_after_work },
   { "a call without a response", test_call_without_response },
+  { "a response in parts", test_response_in_parts },
   { "owners that were lost keep connections", test_many_lost_owners },
   { "a worker with one connection left", test_shared_connection },
   { "a worker that resets new connections", test_refused_connections },
