node: hosts pass the operator's topic on to each other

Each host read each version of the configuration whole from the store.

Change: the owner reads the store, the first host of each availability zone asks the owner, the others ask that host (node/feed.c). A poll is held for up to 0.4 s; the reply has the configuration compressed, if it is newer, the zones under evacuation, and how old that knowledge is. A host whose source is silent for 0.7 s, stops, sends something unusable or knows nothing recent reads the store, and does not ask that source again for 5 s. The first hosts of the zones give up sooner than the others. A new owner reads the store at once, from where it is. Of several configurations in a read only the last is parsed. Failed reads of the topic back off, from 0.1 s to 0.8 s, with jitter.

Weighed: a host for each region (a second kind of place, for 0.1 MB that zones save each other); the platform's groups (dealt anew at any time); reading in pieces (the store has no such call).

--- a/node/hop.c
+++ b/node/hop.c
@@ -121,7 +121,7 @@
                                                zmq_msg_data (&frames[1]));
 
   if (message != NULL && sender.size <= sizeof sender.bytes
-      && message->verb >= KQ_HOP_SUBMIT && message->verb <= KQ_HOP_EXPLAIN)
+      && message->verb >= KQ_HOP_SUBMIT && message->verb <= KQ_HOP_FEED)
     {
       memcpy (sender.bytes, zmq_msg_data (&frames[0]), sender.size);
       hop->handler.on_request (hop->handler.arg, &sender, message);
--- a/node/hop.h
+++ b/node/hop.h
@@ -25,8 +25,9 @@
   KQ_HOP_STATE,
   KQ_HOP_CANCEL,
   KQ_HOP_PENDING,
-  KQ_HOP_ORDERS, /**< a batch of orders to workers, for a relay */
-  KQ_HOP_EXPLAIN /**< where would a job be placed? (node/explain.h) */
+  KQ_HOP_ORDERS,  /**< a batch of orders to workers, for a relay */
+  KQ_HOP_EXPLAIN, /**< where would a job be placed? (node/explain.h) */
+  KQ_HOP_FEED     /**< what was read of the operator's topic (node/feed.h) */
 };
 
 /** Socket identity of the sender of a request, to which the reply goes. */
--- a/node/hop.pb-c.c
+++ b/node/hop.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &kq_node__tell__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_node__feed_poll__init
+                     (KqNode__FeedPoll         *message)
+{
+  static const KqNode__FeedPoll init_value = KQ_NODE__FEED_POLL__INIT;
+  *message = init_value;
+}
+size_t kq_node__feed_poll__get_packed_size
+                     (const KqNode__FeedPoll *message)
+{
+  assert(message->base.descriptor == &kq_node__feed_poll__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_node__feed_poll__pack
+                     (const KqNode__FeedPoll *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_node__feed_poll__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_node__feed_poll__pack_to_buffer
+                     (const KqNode__FeedPoll *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_node__feed_poll__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqNode__FeedPoll *
+       kq_node__feed_poll__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqNode__FeedPoll *)
+     protobuf_c_message_unpack (&kq_node__feed_poll__descriptor,
+                                allocator, len, data);
+}
+void   kq_node__feed_poll__free_unpacked
+                     (KqNode__FeedPoll *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_node__feed_poll__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   kq_node__feed_state__init
+                     (KqNode__FeedState         *message)
+{
+  static const KqNode__FeedState init_value = KQ_NODE__FEED_STATE__INIT;
+  *message = init_value;
+}
+size_t kq_node__feed_state__get_packed_size
+                     (const KqNode__FeedState *message)
+{
+  assert(message->base.descriptor == &kq_node__feed_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_node__feed_state__pack
+                     (const KqNode__FeedState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_node__feed_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_node__feed_state__pack_to_buffer
+                     (const KqNode__FeedState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_node__feed_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqNode__FeedState *
+       kq_node__feed_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqNode__FeedState *)
+     protobuf_c_message_unpack (&kq_node__feed_state__descriptor,
+                                allocator, len, data);
+}
+void   kq_node__feed_state__free_unpacked
+                     (KqNode__FeedState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_node__feed_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor kq_node__ask__field_descriptors[5] =
 {
   {
@@ -296,7 +386,7 @@
   (ProtobufCMessageInit) kq_node__closed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[12] =
+static const ProtobufCFieldDescriptor kq_node__tell__field_descriptors[13] =
 {
   {
     "number",
@@ -442,11 +532,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "feed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__Tell, feed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_node__tell__field_indices_by_name[] = {
   9,   /* field[9] = closed */
   5,   /* field[5] = err */
   11,   /* field[11] = explanation */
+  12,   /* field[12] = feed */
   10,   /* field[10] = known_ids */
   0,   /* field[0] = number */
   6,   /* field[6] = owner */
@@ -460,7 +563,7 @@
 static const ProtobufCIntRange kq_node__tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor kq_node__tell__descriptor =
 {
@@ -470,10 +573,190 @@
   "KqNode__Tell",
   "kq_node",
   sizeof(KqNode__Tell),
-  12,
+  13,
   kq_node__tell__field_descriptors,
   kq_node__tell__field_indices_by_name,
   1,  kq_node__tell__number_ranges,
   (ProtobufCMessageInit) kq_node__tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_node__feed_poll__field_descriptors[2] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedPoll, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedPoll, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_node__feed_poll__field_indices_by_name[] = {
+  0,   /* field[0] = offset */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange kq_node__feed_poll__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor kq_node__feed_poll__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_node.FeedPoll",
+  "FeedPoll",
+  "KqNode__FeedPoll",
+  "kq_node",
+  sizeof(KqNode__FeedPoll),
+  2,
+  kq_node__feed_poll__field_descriptors,
+  kq_node__feed_poll__field_indices_by_name,
+  1,  kq_node__feed_poll__number_ranges,
+  (ProtobufCMessageInit) kq_node__feed_poll__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kq_node__feed_state__field_descriptors[8] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, held_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(KqNode__FeedState, n_zones),
+    offsetof(KqNode__FeedState, zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KqNode__FeedState, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_node__feed_state__field_indices_by_name[] = {
+  3,   /* field[3] = age_us */
+  4,   /* field[4] = complete */
+  6,   /* field[6] = config */
+  2,   /* field[2] = held_us */
+  7,   /* field[7] = leaving */
+  0,   /* field[0] = offset */
+  1,   /* field[1] = version */
+  5,   /* field[5] = zones */
+};
+static const ProtobufCIntRange kq_node__feed_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor kq_node__feed_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_node.FeedState",
+  "FeedState",
+  "KqNode__FeedState",
+  "kq_node",
+  sizeof(KqNode__FeedState),
+  8,
+  kq_node__feed_state__field_descriptors,
+  kq_node__feed_state__field_indices_by_name,
+  1,  kq_node__feed_state__number_ranges,
+  (ProtobufCMessageInit) kq_node__feed_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/node/hop.pb-c.h
+++ b/node/hop.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct KqNode__Ask KqNode__Ask;
 typedef struct KqNode__Closed KqNode__Closed;
 typedef struct KqNode__Tell KqNode__Tell;
+typedef struct KqNode__FeedPoll KqNode__FeedPoll;
+typedef struct KqNode__FeedState KqNode__FeedState;
 
 
 /* --- enums --- */
@@ -101,10 +103,73 @@
    * to verb EXPLAIN: the body of the response, JSON
    */
   ProtobufCBinaryData explanation;
+  /*
+   * to verb FEED: FeedState
+   */
+  ProtobufCBinaryData feed;
 };
 #define KQ_NODE__TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_node__tell__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, {0,NULL}, {0,NULL}, {0,NULL} }
+
+
+/*
+ * Body of verb FEED: what the sender has read of the operator's topic.
+ */
+struct  KqNode__FeedPoll
+{
+  ProtobufCMessage base;
+  /*
+   * all records before it were read
+   */
+  int64_t offset;
+  /*
+   * of the configuration; -1: none
+   */
+  int64_t version;
+};
+#define KQ_NODE__FEED_POLL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_node__feed_poll__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * What the replying host has read of it.
+ */
+struct  KqNode__FeedState
+{
+  ProtobufCMessage base;
+  int64_t offset;
+  int64_t version;
+  /*
+   * between the poll and this reply
+   */
+  uint64_t held_us;
+  /*
+   * since all records of the topic were read
+   */
+  uint64_t age_us;
+  /*
+   * false: they never were
+   */
+  protobuf_c_boolean complete;
+  /*
+   * under evacuation
+   */
+  size_t n_zones;
+  char **zones;
+  /*
+   * zstd; empty if the poll names no earlier version
+   */
+  ProtobufCBinaryData config;
+  /*
+   * the host is about to stop
+   */
+  protobuf_c_boolean leaving;
+};
+#define KQ_NODE__FEED_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_node__feed_state__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0 }
 
 
 /* KqNode__Ask methods */
@@ -164,6 +229,44 @@
 void   kq_node__tell__free_unpacked
                      (KqNode__Tell *message,
                       ProtobufCAllocator *allocator);
+/* KqNode__FeedPoll methods */
+void   kq_node__feed_poll__init
+                     (KqNode__FeedPoll         *message);
+size_t kq_node__feed_poll__get_packed_size
+                     (const KqNode__FeedPoll   *message);
+size_t kq_node__feed_poll__pack
+                     (const KqNode__FeedPoll   *message,
+                      uint8_t             *out);
+size_t kq_node__feed_poll__pack_to_buffer
+                     (const KqNode__FeedPoll   *message,
+                      ProtobufCBuffer     *buffer);
+KqNode__FeedPoll *
+       kq_node__feed_poll__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_node__feed_poll__free_unpacked
+                     (KqNode__FeedPoll *message,
+                      ProtobufCAllocator *allocator);
+/* KqNode__FeedState methods */
+void   kq_node__feed_state__init
+                     (KqNode__FeedState         *message);
+size_t kq_node__feed_state__get_packed_size
+                     (const KqNode__FeedState   *message);
+size_t kq_node__feed_state__pack
+                     (const KqNode__FeedState   *message,
+                      uint8_t             *out);
+size_t kq_node__feed_state__pack_to_buffer
+                     (const KqNode__FeedState   *message,
+                      ProtobufCBuffer     *buffer);
+KqNode__FeedState *
+       kq_node__feed_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_node__feed_state__free_unpacked
+                     (KqNode__FeedState *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*KqNode__Ask_Closure)
@@ -175,6 +278,12 @@
 typedef void (*KqNode__Tell_Closure)
                  (const KqNode__Tell *message,
                   void *closure_data);
+typedef void (*KqNode__FeedPoll_Closure)
+                 (const KqNode__FeedPoll *message,
+                  void *closure_data);
+typedef void (*KqNode__FeedState_Closure)
+                 (const KqNode__FeedState *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -184,6 +293,8 @@
 extern const ProtobufCMessageDescriptor kq_node__ask__descriptor;
 extern const ProtobufCMessageDescriptor kq_node__closed__descriptor;
 extern const ProtobufCMessageDescriptor kq_node__tell__descriptor;
+extern const ProtobufCMessageDescriptor kq_node__feed_poll__descriptor;
+extern const ProtobufCMessageDescriptor kq_node__feed_state__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/node/node.c
+++ b/node/node.c
@@ -17,6 +17,7 @@
 #include "node/directory.h"
 #include "node/dispatch.h"
 #include "node/explain.h"
+#include "node/feed.h"
 #include "node/gauges.h"
 #include "node/hop.h"
 #include "node/http.h"
@@ -63,6 +64,7 @@
   struct kq_term *term;
   struct kq_watch *watch;
   struct kq_hop *hop;
+  struct kq_feed *feed;
   struct kq_relay *relay;
   struct kq_job_api *job_api;
   struct kq_http *readiness;
@@ -191,6 +193,8 @@
     kq_relay_handle_orders (node->relay, sender, message);
   else if (message->verb == KQ_HOP_EXPLAIN)
     kq_explain_handle_hop (node->explain, sender, message);
+  else if (message->verb == KQ_HOP_FEED)
+    kq_feed_handle_poll (node->feed, sender, message);
   else
     pass_to_owner (node, sender, message);
 }
@@ -215,6 +219,11 @@
                                  message->results.len);
       return;
     }
+  if (message->feed.len > 0)
+    {
+      kq_feed_handle_reply (node->feed, message);
+      return;
+    }
   if (message->status != 0)
     node->owner_seen_at = kq_clock_now ();
   else
@@ -301,6 +310,15 @@
     }
 }
 
+static void
+on_feed (void *arg, const struct kq_feed_state *state, const void *config,
+         size_t size)
+{
+  const struct node *node = arg;
+
+  kq_watch_handle_feed (node->watch, state, config, size);
+}
+
 static void
 start_owner (struct node *node)
 {
@@ -331,6 +349,7 @@
               KQ_ENOMEM, NULL);
       kq_term_release (node->term);
     }
+  kq_watch_read_store (node->watch);
 }
 
 static void
@@ -494,6 +513,7 @@
   kq_term_stop (node->term, kq_stop_release_at (&node->stop),
                 kq_stop_last_release_at (&node->stop));
   kq_relay_leave (node->relay);
+  kq_feed_leave (node->feed);
   kq_job_api_disable_keep_alive (node->job_api);
 }
 
@@ -542,6 +562,7 @@
   struct node *node = timer->data;
 
   follow_term (node);
+  kq_feed_tick (node->feed);
   if (node->stop.started_at != 0
       && kq_stop_is_over (&node->stop, kq_clock_now (),
                           kq_job_api_is_idle (node->job_api)
@@ -610,7 +631,11 @@
     {
       node->relay = kq_relay_create (node->loop, node->hop);
       node->explain = kq_explain_create (node->loop, node->hop, &explain);
-      err = node->relay != NULL && node->explain != NULL ? 0 : KQ_ENOMEM;
+      node->feed
+          = kq_feed_create (node->hop, node->hosts, node->term, on_feed, node);
+      err = node->relay != NULL && node->explain != NULL && node->feed != NULL
+                ? 0
+                : KQ_ENOMEM;
     }
   if (err == 0)
     node->job_api = kq_job_api_create (
@@ -658,6 +683,7 @@
   node->watch = kq_watch_create (node->loop, node->store, node->term, &watch);
   if (node->watch == NULL)
     return KQ_ENOMEM;
+  kq_watch_set_feed (node->watch, node->feed);
   start_timers (node);
   kq_watch_start (node->watch);
   kq_directory_start (node->directory);
@@ -675,6 +701,7 @@
   kq_explain_destroy (node->explain);
   kq_http_stop (node->metrics);
   kq_relay_destroy (node->relay);
+  kq_feed_destroy (node->feed);
   kq_hop_destroy (node->hop);
   kq_http_client_destroy (node->http_client);
   kq_store_destroy (node->store);
@@ -709,6 +736,7 @@
   kq_closures_register_metrics ();
   kq_journal_register_metrics ();
   kq_explain_register_metrics ();
+  kq_feed_register_metrics ();
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
--- a/node/owner.c
+++ b/node/owner.c
@@ -634,6 +634,7 @@
       break;
     case KQ_HOP_ORDERS:
     case KQ_HOP_EXPLAIN:
+    case KQ_HOP_FEED:
       report_result (owner, token, 0, KQ_EINVAL);
       return;
     }
--- a/node/refusal.c
+++ b/node/refusal.c
@@ -146,6 +146,7 @@
     case KQ_HOP_PENDING:
     case KQ_HOP_ORDERS:
     case KQ_HOP_EXPLAIN:
+    case KQ_HOP_FEED:
       break;
     }
   return false;
--- a/node/watch.c
+++ b/node/watch.c
@@ -1,21 +1,25 @@
 #include "node/watch.h"
 
 #include <inttypes.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
 #include "log/log.h"
+#include "node/feed.h"
 #include "node/zones.h"
 #include "platform/site.h"
 
 /* How long a read may wait at the store for a new record. The owner's
    heartbeats are more frequent than TERM_WAIT_MS. A dead connection to the
    store must be detected well within 2.5 s, the time in which a new
-   configuration must take effect. */
+   configuration must take effect; other hosts may rely on this one for it
+   (node/feed.c), so that it must know sooner. */
 #define TERM_WAIT_MS 500
 #define CONFIG_WAIT_MS 1000
+#define SOURCE_CONFIG_WAIT_MS 500
 
 /* An owner starts nothing once its last complete read is 2.2 s old. */
 #define MAX_CONFIG_AGE_US (2000 * KQ_USEC_PER_MSEC)
@@ -33,6 +37,14 @@
 /* Delay before a failed read is repeated. */
 #define RETRY_DELAY_SEC 0.1
 
+/* The delay before a failed read of the operator's topic doubles up to this:
+   reads that are repeated in step keep a busy store busy. */
+#define MAX_CONFIG_RETRY_SEC 0.8
+
+/* Delay of the first read of the operator's topic: the list of hosts, which
+   tells whom to ask instead, has been read by then. */
+#define FIRST_CONFIG_READ_SEC 0.1
+
 /* Interval at which the term is checked for a record to append. */
 #define APPEND_CHECK_SEC 0.04
 
@@ -43,10 +55,12 @@
   struct ev_loop *loop;
   struct kq_store *store;
   struct kq_term *term;
+  struct kq_feed *feed; /* NULL: all is read from the store */
   struct kq_watch_handler handler;
   ev_timer term_timer;
   kq_usec early_read_at;
   ev_timer config_retry;
+  double config_retry_sec; /* delay after the last failure; 0: none */
   ev_timer append_timer;
   kq_usec last_reply_at;
   bool store_unreachable; /* the last read got no reply */
@@ -64,6 +78,7 @@
 static void read_term (struct kq_watch *watch);
 static void read_config (struct kq_watch *watch);
 static void read_newest_config (struct kq_watch *watch);
+static void follow_config (struct kq_watch *watch);
 
 static void
 track_store_state (struct kq_watch *watch, int err)
@@ -201,34 +216,76 @@
                  wait ? TERM_WAIT_MS : 0, on_term_rows, watch);
 }
 
-static void
-apply_config (struct kq_watch *watch, const struct kq_store_row *row)
+/* Takes over the configuration in BYTES unless it is malformed or not newer
+   than the known one; returns whether it did. */
+static bool
+apply_config (struct kq_watch *watch, const void *bytes, size_t size)
 {
-  static const char key[] = KQ_SITE_CONFIG_KEY;
   struct kq_sched_config *config;
   char number[24];
-  int err;
+  int err = kq_site_config_read (bytes, size, &config);
 
-  if (row->key_size != strlen (key)
-      || memcmp (row->key, key, row->key_size) != 0 || row->size == 0)
-    return;
-  err = kq_site_config_read (row->value, row->size, &config);
   if (err != 0)
     {
       kq_log (KQ_LOG_WARN, "watch", "invalid configuration ignored", err,
               NULL);
-      return;
+      return false;
     }
   if (config->version <= watch->version)
     {
       kq_sched_config_destroy (config);
-      return;
+      return false;
     }
   watch->version = config->version;
   snprintf (number, sizeof number, "%" PRId64, config->version);
   kq_log (KQ_LOG_INFO, "watch", "configuration applied", 0, "version", number,
           NULL);
   watch->handler.on_config (watch->handler.arg, config);
+  return true;
+}
+
+static bool
+holds_config (const struct kq_store_row *row)
+{
+  static const char key[] = KQ_SITE_CONFIG_KEY;
+
+  return row->key_size == strlen (key)
+         && memcmp (row->key, key, row->key_size) == 0 && row->size > 0;
+}
+
+/* Applies the last valid configuration in RESULT; earlier ones need not be
+   parsed.  Returns its row, or NULL if there is none. */
+static const struct kq_store_row *
+apply_newest_config (struct kq_watch *watch,
+                     const struct kq_store_read_result *result)
+{
+  for (size_t i = result->count; i-- > 0;)
+    if (holds_config (&result->rows[i])
+        && apply_config (watch, result->rows[i].value, result->rows[i].size))
+      return &result->rows[i];
+  return NULL;
+}
+
+static struct kq_feed_state
+feed_state (const struct kq_watch *watch)
+{
+  return (struct kq_feed_state){ .offset = watch->config_offset,
+                                 .version = watch->version,
+                                 .read_at = watch->config_read_at,
+                                 .zones = watch->zones.evacuated };
+}
+
+/* Tells hosts that ask this one what is known now.  CONFIG has the
+   configuration if it is new to them. */
+static void
+publish (struct kq_watch *watch, const struct kq_store_row *config)
+{
+  struct kq_feed_state state = feed_state (watch);
+
+  if (watch->feed != NULL)
+    kq_feed_publish (watch->feed, &state,
+                     config != NULL ? config->value : NULL,
+                     config != NULL ? config->size : 0);
 }
 
 /* Returns until when the answer RESULT to a read of changes is complete.  One
@@ -259,6 +316,22 @@
                            read_at);
 }
 
+/* Reads again after a delay that hosts which failed together do not share. */
+static void
+retry_config (struct kq_watch *watch)
+{
+  double delay = watch->config_retry_sec * 2;
+
+  if (delay < RETRY_DELAY_SEC)
+    delay = RETRY_DELAY_SEC;
+  if (delay > MAX_CONFIG_RETRY_SEC)
+    delay = MAX_CONFIG_RETRY_SEC;
+  watch->config_retry_sec = delay;
+  ev_timer_set (&watch->config_retry,
+                delay * (1 + randombytes_uniform (1000) / 2000.0), 0);
+  ev_timer_start (watch->loop, &watch->config_retry);
+}
+
 /* Handles what every read of the operator's topic has in common; returns false
    if it brought no records. */
 static bool
@@ -267,7 +340,9 @@
 {
   track_store_state (watch, result->err);
   if (result->err != 0 && result->err != KQ_ELOG_RETENTION)
-    ev_timer_start (watch->loop, &watch->config_retry);
+    retry_config (watch);
+  else
+    watch->config_retry_sec = 0;
   return result->err == 0;
 }
 
@@ -275,6 +350,7 @@
 on_config_changes (void *arg, const struct kq_store_read_result *result)
 {
   struct kq_watch *watch = arg;
+  const struct kq_store_row *config;
 
   if (!note_config_read (watch, result))
     {
@@ -282,21 +358,26 @@
         read_newest_config (watch);
       return;
     }
+  config = apply_newest_config (watch, result);
   for (size_t i = 0; i < result->count; i++)
     {
-      apply_config (watch, &result->rows[i]);
       kq_zones_apply (&watch->zones, &result->rows[i]);
       watch->config_offset = result->rows[i].offset + 1;
     }
   if (watch->config_offset >= result->end)
     complete_config_read (watch, complete_until (watch, result));
-  read_config (watch);
+  publish (watch, config);
+  if (watch->config_offset >= result->end)
+    follow_config (watch);
+  else
+    read_config (watch);
 }
 
 static void
 on_newest_config (void *arg, const struct kq_store_read_result *result)
 {
   struct kq_watch *watch = arg;
+  const struct kq_store_row *config;
 
   if (!note_config_read (watch, result))
     {
@@ -309,9 +390,9 @@
       watch->config_offset = result->end;
       watch->config_pages_since = result->sent_at;
     }
+  config = apply_newest_config (watch, result);
   for (size_t i = 0; i < result->count; i++)
     {
-      apply_config (watch, &result->rows[i]);
       kq_zones_apply (&watch->zones, &result->rows[i]);
       snprintf (watch->config_key, sizeof watch->config_key, "%.*s",
                 (int)result->rows[i].key_size, result->rows[i].key);
@@ -319,7 +400,11 @@
   watch->config_newest_read = !result->more || result->count == 0;
   if (watch->config_newest_read)
     complete_config_read (watch, watch->config_pages_since);
-  read_config (watch);
+  publish (watch, config);
+  if (watch->config_newest_read)
+    follow_config (watch);
+  else
+    read_config (watch);
 }
 
 /* Reads the newest record of each key, from the first page on. */
@@ -340,8 +425,11 @@
   kq_usec age = kq_clock_now () - watch->config_read_at;
   kq_usec left
       = (MAX_CONFIG_AGE_US - age - watch->config_way) / KQ_USEC_PER_MSEC;
+  int max_wait = watch->feed != NULL ? SOURCE_CONFIG_WAIT_MS : CONFIG_WAIT_MS;
 
-  return left < 0 ? 0 : left < CONFIG_WAIT_MS ? (int)left : CONFIG_WAIT_MS;
+  if (left < 0)
+    return 0;
+  return left < max_wait ? (int)left : max_wait;
 }
 
 static void
@@ -356,6 +444,57 @@
                           on_newest_config, watch);
 }
 
+/* Asks another host for what is new, or reads the store if there is none to
+   ask. */
+static void
+follow_config (struct kq_watch *watch)
+{
+  struct kq_feed_state state = feed_state (watch);
+
+  if (watch->feed == NULL || !kq_feed_poll (watch->feed, &state))
+    read_config (watch);
+}
+
+void
+kq_watch_handle_feed (struct kq_watch *watch,
+                      const struct kq_feed_state *state, const void *config,
+                      size_t size)
+{
+  if (state == NULL)
+    {
+      read_config (watch);
+      return;
+    }
+  if (state->read_at != 0 && state->offset >= watch->config_offset)
+    {
+      if (config != NULL)
+        apply_config (watch, config, size);
+      watch->config_newest_read = true;
+      watch->config_offset = state->offset;
+      kq_zones_adopt (&watch->zones, &state->zones, state->offset);
+      if (state->read_at > watch->config_read_at)
+        complete_config_read (watch, state->read_at);
+      publish (watch, NULL);
+    }
+  if (kq_feed_is_recent (watch->feed, watch->config_read_at))
+    follow_config (watch);
+  else
+    read_config (watch);
+}
+
+void
+kq_watch_read_store (struct kq_watch *watch)
+{
+  if (watch->feed != NULL && kq_feed_cancel (watch->feed))
+    read_config (watch);
+}
+
+void
+kq_watch_set_feed (struct kq_watch *watch, struct kq_feed *feed)
+{
+  watch->feed = feed;
+}
+
 static void
 on_term_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -365,7 +504,10 @@
 static void
 on_config_retry (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  read_config (timer->data);
+  struct kq_watch *watch = timer->data;
+
+  /* A host that has failed to read the store asks another if it can. */
+  follow_config (watch);
 }
 
 struct kq_watch *
@@ -407,7 +549,14 @@
 {
   ev_timer_start (watch->loop, &watch->append_timer);
   read_term (watch);
-  read_newest_config (watch);
+  kq_zones_begin_newest (&watch->zones);
+  if (watch->feed == NULL)
+    {
+      read_config (watch);
+      return;
+    }
+  ev_timer_set (&watch->config_retry, FIRST_CONFIG_READ_SEC, 0);
+  ev_timer_start (watch->loop, &watch->config_retry);
 }
 
 kq_usec
--- a/node/watch.h
+++ b/node/watch.h
@@ -8,6 +8,7 @@
 
 #include <ev.h>
 
+#include "node/feed.h"
 #include "platform/store.h"
 #include "sched/types.h"
 #include "term/term.h"
@@ -37,6 +38,19 @@
 void kq_watch_destroy (struct kq_watch *watch);
 void kq_watch_start (struct kq_watch *watch);
 
+/** Makes WATCH ask other hosts for the operator's topic through FEED; called
+ *  before kq_watch_start().  Without a feed it reads all from the store.  */
+void kq_watch_set_feed (struct kq_watch *watch, struct kq_feed *feed);
+
+/** Handles the end of a poll of the feed: see kq_feed_done. */
+void kq_watch_handle_feed (struct kq_watch *watch,
+                           const struct kq_feed_state *state,
+                           const void *config, size_t size);
+
+/** Reads the operator's topic from the store at once, without waiting for
+ *  another host: this host has become the owner.  */
+void kq_watch_read_store (struct kq_watch *watch);
+
 /** Reads the term at once, and closely for some time, because the owner does
  *  not reply to requests.  */
 void kq_watch_suspect_owner (struct kq_watch *watch);
--- a/node/zones.c
+++ b/node/zones.c
@@ -70,6 +70,17 @@
     zones->next_offset = row->offset + 1;
 }
 
+void
+kq_zones_adopt (struct kq_zones *zones, const struct kq_sched_zones *evacuated,
+                int64_t offset)
+{
+  zones->evacuated = *evacuated;
+  zones->reading_newest = false;
+  if (offset > zones->next_offset)
+    zones->next_offset = offset;
+  zones->seen_end = zones->next_offset;
+}
+
 void
 kq_zones_complete (struct kq_zones *zones)
 {
--- a/node/zones.h
+++ b/node/zones.h
@@ -29,6 +29,11 @@
  *  it is read, and changes nothing that held before.  */
 void kq_zones_apply (struct kq_zones *zones, const struct kq_store_row *row);
 
+/** Takes over the zones EVACUATED, which another host has read from all
+ * records before OFFSET; a read in progress is given up.  */
+void kq_zones_adopt (struct kq_zones *zones,
+                     const struct kq_sched_zones *evacuated, int64_t offset);
+
 /** Ends a read, after all records that the topic held when it began. */
 void kq_zones_complete (struct kq_zones *zones);
 
--- a/t/standin/si-http.c
+++ b/t/standin/si-http.c
@@ -274,6 +274,7 @@
 };
 
 static int64_t shared_bytes_s;
+static int64_t shared_bytes_sent;
 static struct shared_body *shared_bodies;
 static ev_timer share_timer;
 
@@ -283,6 +284,12 @@
   shared_bytes_s = bytes_s;
 }
 
+int64_t
+si_shared_bytes (void)
+{
+  return shared_bytes_sent;
+}
+
 static void
 on_share (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -344,6 +351,7 @@
   struct ev_loop *loop = request->server->loop;
   struct shared_body *body;
 
+  shared_bytes_sent += (int64_t)size;
   if (shared_bytes_s == 0)
     {
       si_respond (request, MHD_HTTP_OK, bytes, size, headers);
--- a/t/standin/si-http.h
+++ b/t/standin/si-http.h
@@ -69,6 +69,9 @@
  *  have together; 0: no limit, which is the default.  */
 void si_set_shared_rate (int64_t bytes_s);
 
+/** Returns the size of all responses of si_respond_shared() so far. */
+int64_t si_shared_bytes (void);
+
 /** Sends status 200 and BODY, which is copied, at an equal share of the rate
  *  of si_set_shared_rate().  HEADERS: see si_respond().  */
 void si_respond_shared (struct si_request *request, const void *bytes,
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -151,7 +151,8 @@
 {
   si_respond_json (
       request, MHD_HTTP_OK,
-      json_pack ("{sI sI sI sI sI sI sI sI sI si ss}", "starts",
+      json_pack ("{sI sI sI sI sI sI sI sI sI sI si ss}", "read_bytes",
+                 (json_int_t)si_shared_bytes (), "starts",
                  (json_int_t)si_start_count, "done", (json_int_t)si_done_count,
                  "crashes", (json_int_t)si_crash_count, "other_id",
                  (json_int_t)si_other_id_count, "longest_down_ms",
--- a/term/hosts.c
+++ b/term/hosts.c
@@ -239,6 +239,23 @@
   return rank;
 }
 
+const struct kq_host *
+kq_hosts_first_of_zone (const struct kq_hosts *hosts,
+                        bool (*is_usable) (void *arg,
+                                           const struct kq_host *host),
+                        void *arg)
+{
+  const struct entry *first = hosts->self;
+
+  for (const struct entry *entry = hosts->entries; entry != NULL;
+       entry = entry->hh.next)
+    if (comes_before (entry, first)
+        && strcmp (entry->host.zone, hosts->self->host.zone) == 0
+        && is_usable (arg, &entry->host))
+      first = entry;
+  return &first->host;
+}
+
 double
 kq_hosts_max_cores (const struct kq_hosts *hosts)
 {
--- a/term/hosts.h
+++ b/term/hosts.h
@@ -69,6 +69,12 @@
  *  hosts with more cores, and in an order by name those with as many.  */
 int kq_hosts_rank (const struct kq_hosts *hosts);
 
+/** Returns the first host of this one's availability zone, in the order of
+ *  kq_hosts_rank(), that IS_USABLE accepts; this host is not asked about.  */
+const struct kq_host *kq_hosts_first_of_zone (
+    const struct kq_hosts *hosts,
+    bool (*is_usable) (void *arg, const struct kq_host *host), void *arg);
+
 /** Returns the largest number of cores of a host. */
 double kq_hosts_max_cores (const struct kq_hosts *hosts);
 
