node: what callers make a host hold is bounded in sum

Clients that stop just short of the end of a legal body ended a process of the users: it ran out of memory. Cause: each body and each server was bounded, their sum was not: 2,000 connections a server, each with a body of up to 256 KB in a buffer of up to twice that, held for as long as a byte came every 20 s. Bodies far over the limit were read to their end before they were refused.

Change (node/guard.c): all servers of a process share an eighth of its memory for bodies, and connections follow from memory and descriptors. What is over is refused before it is read (413, 503); what stands still makes room, the longest first; a request that is handled is never cut. Buffers double up to the limit, a request has 60 s to be complete, Deadline-Ms counts up to 60 s, the kernel's receive buffer is 64 KB. libmicrohttpd does not notice a caller that left together with its last bytes, and kept such connections for 20 s: they are looked for.

Ruled out: a limit for each address, since callers may come through one.

--- a/node/desk.c
+++ b/node/desk.c
@@ -13,6 +13,7 @@
 #include "metrics/metrics.h"
 #include "node/admission.h"
 #include "node/closures.h"
+#include "node/guard.h"
 #include "node/outage.h"
 #include "node/sends.h"
 #include "platform/submission.h"
@@ -395,7 +396,8 @@
 
 struct kq_job_api *
 kq_job_api_create (struct ev_loop *loop, const char *address,
-                   const struct kq_job_api_handler *handler, int *err)
+                   const struct kq_job_api_handler *handler,
+                   struct kq_guard *guard, int *err)
 {
   struct kq_job_api *api = calloc (1, sizeof *api);
   struct kq_http_handler http = { .arg = api,
@@ -407,7 +409,8 @@
     return NULL;
   api->loop = loop;
   api->handler = *handler;
-  api->http = kq_http_start (loop, address, &http, err);
+  api->http = kq_http_start (loop, address, &http, guard,
+                             kq_guard_max_callers (guard), err);
   if (api->http == NULL)
     {
       free (api);
--- a/node/desk.h
+++ b/node/desk.h
@@ -42,12 +42,12 @@
   void (*on_no_reply) (void *arg);
 };
 
-/** Listens on ADDRESS, "ADDR:PORT".
+/** Listens on ADDRESS, "ADDR:PORT"; GUARD bounds what callers hold.
  *  @return NULL with *ERR set to KQ_EINVAL, KQ_EIO or KQ_ENOMEM.  */
 struct kq_job_api *kq_job_api_create (struct ev_loop *loop,
                                       const char *address,
                                       const struct kq_job_api_handler *handler,
-                                      int *err);
+                                      struct kq_guard *guard, int *err);
 /** Fails pending requests, writes all responses (kq_http_stop()) and closes
  * all connections.  */
 void kq_job_api_destroy (struct kq_job_api *api);
--- a/node/http.c
+++ b/node/http.c
@@ -4,14 +4,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/address.h"
 #include "base/err.h"
 #include "log/log.h"
-
-/* Maximum number of connections of one server. It leaves file descriptors of a
-   small host for other uses. */
-#define MAX_CONNECTIONS 2000
+#include "node/guard.h"
 
 /* Connections without traffic for this long are closed. It is longer than the
    platform's idle time, 15 s. */
@@ -24,9 +22,27 @@
 
 #define STOP_WAIT_MS 10
 
-#define CONNECTION_MEMORY_BYTES ((size_t)24 * 1024)
+/* Time between two looks at the connections, and the same while there are
+   nearly as many as there may be: callers wait for one to end then. */
+#define SWEEP_SEC 1.0
+#define CROWDED_SWEEP_SEC 0.05
+
 #define DEFAULT_MAX_BODY_BYTES ((size_t)256 * 1024)
 
+/* First size of the buffer of a body, which doubles as the body grows. */
+#define MIN_BODY_CAPACITY ((size_t)4096)
+
+/* The rest of a body that is too large is read, so that its caller gets the
+   response, up to this many times the limit; then its connection is closed. */
+#define MAX_DISCARDED_LIMITS 4
+
+/* Size of the kernel's receive buffer of a connection, which it keeps beside
+   what is counted here. */
+#define RECEIVE_BUFFER_BYTES (64 * 1024)
+
+/* Callers are not waited for longer, whatever they ask for. */
+#define MAX_CALLER_TIMEOUT_MS 60000
+
 /* Header with the time in milliseconds that a caller waits for a response. */
 #define TIMEOUT_HEADER "Deadline-Ms"
 
@@ -35,6 +51,7 @@
   struct ev_loop *loop;
   struct MHD_Daemon *daemon;
   struct kq_http_handler handler;
+  struct kq_guard_server guarded;
   ev_io io;
   ev_timer timer;
   ev_prepare prepare;
@@ -51,12 +68,15 @@
   struct kq_http_request base;
   struct kq_http *http;
   struct MHD_Connection *connection;
+  struct kq_guard_client *client;
   struct MHD_Response *response;
   unsigned status;
   char host[128];
   char *path;
   char *body;
   size_t capacity;
+  size_t discarded; /* bytes of the body that were read but not kept */
+  bool no_room;     /* the body is not kept, since others leave no room */
   bool suspended;
   bool has_response;
   bool dispatched;
@@ -140,19 +160,37 @@
   request->host[strcspn (request->host, ":")] = '\0';
   request->base.host = request->host;
   if (timeout != NULL)
-    request->base.timeout = strtol (timeout, NULL, 10) * KQ_USEC_PER_MSEC;
+    {
+      long limit_ms = strtol (timeout, NULL, 10);
+
+      if (limit_ms > MAX_CALLER_TIMEOUT_MS)
+        limit_ms = MAX_CALLER_TIMEOUT_MS;
+      if (limit_ms > 0)
+        request->base.timeout = limit_ms * KQ_USEC_PER_MSEC;
+    }
+}
+
+static struct kq_guard_client *
+client_of (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection,
+                                  MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
 }
 
 static struct request *
 create_request (struct kq_http *http, struct MHD_Connection *connection,
                 const char *method, const char *path)
 {
-  struct request *request = calloc (1, sizeof *request);
+  struct kq_guard_client *client = client_of (connection);
+  struct request *request
+      = client != NULL ? calloc (1, sizeof *request) : NULL;
 
   if (request == NULL)
     return NULL;
   request->http = http;
   request->connection = connection;
+  request->client = client;
   request->path = strdup (path);
   request->base.method = method;
   request->base.path = request->path != NULL ? request->path : "";
@@ -162,33 +200,75 @@
   return request;
 }
 
+/* Drops what was kept of a body that is refused. */
 static void
+drop_body (struct request *request)
+{
+  request->discarded += request->base.body_size;
+  request->base.body = "";
+  request->base.body_size = 0;
+  free (request->body);
+  request->body = NULL;
+  request->capacity = 0;
+  kq_guard_release (request->client);
+}
+
+/* Makes room for a body of SIZE bytes; returns false if there is none. */
+static bool
+reserve_body (struct request *request, size_t size)
+{
+  size_t capacity
+      = request->capacity == 0 ? MIN_BODY_CAPACITY : request->capacity;
+  char *grown;
+
+  while (capacity < size)
+    capacity *= 2;
+  if (capacity > request->http->body_limit
+      && size <= request->http->body_limit)
+    capacity = request->http->body_limit;
+  if (capacity == request->capacity)
+    return true;
+  if (!kq_guard_reserve (request->client, capacity - request->capacity))
+    return false;
+  grown = realloc (request->body, capacity);
+  if (grown == NULL)
+    return false;
+  request->body = grown;
+  request->capacity = capacity;
+  return true;
+}
+
+/* Takes over a part of the body; returns false if the connection is to be
+   closed. */
+static bool
 append_body (struct request *request, const char *data, size_t size)
 {
-  size_t needed = request->base.body_size + size + 1;
+  size_t limit = request->http->body_limit;
 
-  if (request->base.body_too_large || needed > request->http->body_limit)
+  kq_guard_note_progress (request->client);
+  if (!request->base.body_too_large && !request->no_room)
     {
-      request->base.body_too_large = true;
-      return;
-    }
-  if (needed > request->capacity)
-    {
-      size_t capacity = needed * 2;
-      char *grown = realloc (request->body, capacity);
-
-      if (grown == NULL)
+      request->base.body_too_large
+          = request->base.body_size + size + 1 > limit;
+      request->no_room
+          = !request->base.body_too_large
+            && !reserve_body (request, request->base.body_size + size + 1);
+      if (request->base.body_too_large || request->no_room)
         {
-          request->base.body_too_large = true;
-          return;
+          kq_guard_count_refusal (request->base.body_too_large);
+          drop_body (request);
         }
-      request->body = grown;
-      request->capacity = capacity;
+    }
+  if (request->base.body_too_large || request->no_room)
+    {
+      request->discarded += size;
+      return request->discarded <= MAX_DISCARDED_LIMITS * limit;
     }
   memcpy (request->body + request->base.body_size, data, size);
   request->base.body_size += size;
   request->body[request->base.body_size] = '\0';
   request->base.body = request->body;
+  return true;
 }
 
 static enum MHD_Result
@@ -200,22 +280,56 @@
                              request->response);
 }
 
-/* Refuses a request that nobody has handled. */
+/* Refuses a request that nobody has handled, for the reason ERR. */
 static void
-refuse (struct request *request)
+refuse (struct request *request, int err)
 {
   struct kq_http_response response = { .status = MHD_HTTP_SERVICE_UNAVAILABLE,
                                        .type = "application/json",
                                        .retry_s = 1 };
   char text[80];
 
-  snprintf (text, sizeof text, "{\"error\":\"%s\"}",
-            kq_err_name (KQ_ESTOPPING));
+  snprintf (text, sizeof text, "{\"error\":\"%s\"}", kq_err_name (err));
   response.body = text;
   response.body_size = strlen (text);
   kq_http_respond (request->http, &request->base, &response);
 }
 
+/* Hands a request to the handler. */
+static void
+dispatch (struct request *request)
+{
+  struct kq_http *http = request->http;
+
+  request->dispatched = true;
+  kq_guard_begin_request (request->client);
+  if (http->stopping)
+    refuse (request, KQ_ESTOPPING);
+  else if (request->no_room)
+    refuse (request, KQ_EREQ_OVERLOAD);
+  else
+    http->handler.on_request (http->handler.arg, &request->base);
+}
+
+/* Responds before the body is read if it is announced as too large, or if
+   there is no room for it. */
+static enum MHD_Result
+check_announced_body (struct request *request)
+{
+  const char *text = MHD_lookup_connection_value (
+      request->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  unsigned long long size = text != NULL ? strtoull (text, NULL, 10) : 0;
+
+  request->base.body_too_large = size >= request->http->body_limit;
+  request->no_room = size > 0 && !request->base.body_too_large
+                     && !reserve_body (request, 1);
+  if (!request->base.body_too_large && !request->no_room)
+    return MHD_YES;
+  kq_guard_count_refusal (request->base.body_too_large);
+  dispatch (request);
+  return request->has_response ? send_response (request) : MHD_NO;
+}
+
 static enum MHD_Result
 on_access (void *arg, struct MHD_Connection *connection, const char *path,
            const char *method, const char *version, const char *data,
@@ -226,24 +340,24 @@
 
   if (request == NULL)
     {
-      *state = create_request (http, connection, method, path);
-      return *state == NULL ? MHD_NO : MHD_YES;
+      request = create_request (http, connection, method, path);
+      *state = request;
+      return request == NULL ? MHD_NO : check_announced_body (request);
     }
+  if (request->client->evicted)
+    return MHD_NO;
   if (*size > 0)
     {
-      append_body (request, data, *size);
+      bool kept = append_body (request, data, *size);
+
       *size = 0;
-      return MHD_YES;
+      return kept ? MHD_YES : MHD_NO;
     }
   if (request->has_response)
     return send_response (request);
   if (request->dispatched)
     return MHD_YES;
-  request->dispatched = true;
-  if (http->stopping)
-    refuse (request);
-  else
-    http->handler.on_request (http->handler.arg, &request->base);
+  dispatch (request);
   if (request->has_response)
     return send_response (request);
   request->suspended = true;
@@ -272,14 +386,39 @@
     MHD_destroy_response (request->response);
   free (request->path);
   free (request->body);
+  kq_guard_end_request (request->client);
   free (request);
 }
 
+static void
+on_connection (void *arg, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct kq_http *http = arg;
+  struct kq_guard_client *client = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      client = malloc (sizeof *client);
+      *context = client;
+      if (client != NULL)
+        kq_guard_add (&http->guarded, client,
+                      MHD_get_connection_info (
+                          connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                          ->connect_fd);
+      return;
+    }
+  if (client != NULL)
+    kq_guard_remove (client);
+  free (client);
+  *context = NULL;
+}
+
 static void
 run (struct kq_http *http)
 {
   MHD_UNSIGNED_LONG_LONG wait_ms;
-  double delay = 1.0;
+  double delay;
 
   if (http->running)
     return;
@@ -287,10 +426,11 @@
   http->run_pending = false;
   MHD_run (http->daemon);
   http->running = false;
+  delay = kq_guard_is_crowded (&http->guarded) ? CROWDED_SWEEP_SEC : SWEEP_SEC;
   if (http->run_pending)
     delay = 0;
   else if (MHD_get_timeout (http->daemon, &wait_ms) == MHD_YES
-           && wait_ms < 1000)
+           && (double)wait_ms / 1000.0 < delay)
     delay = (double)wait_ms / 1000.0;
   ev_timer_stop (http->loop, &http->timer);
   ev_timer_set (&http->timer, delay, 0);
@@ -306,7 +446,10 @@
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  run (timer->data);
+  struct kq_http *http = timer->data;
+
+  kq_guard_sweep (&http->guarded);
+  run (http);
 }
 
 /* Sends responses to resumed connections before the loop waits. */
@@ -336,9 +479,21 @@
   ev_prepare_start (http->loop, &http->prepare);
 }
 
+/* Connections that are accepted get the size from the listening socket. */
+static void
+limit_receive_buffer (struct kq_http *http)
+{
+  int fd = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_LISTEN_FD)
+               ->listen_fd;
+  int size = RECEIVE_BUFFER_BYTES;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+}
+
 struct kq_http *
 kq_http_start (struct ev_loop *loop, const char *address,
-               const struct kq_http_handler *handler, int *err)
+               const struct kq_http_handler *handler, struct kq_guard *guard,
+               int max_connections, int *err)
 {
   struct kq_http *http = calloc (1, sizeof *http);
   struct sockaddr_storage socket_address;
@@ -348,6 +503,9 @@
     return NULL;
   http->loop = loop;
   http->handler = *handler;
+  http->guarded
+      = (struct kq_guard_server){ .guard = guard,
+                                  .max_connections = max_connections };
   http->body_limit = DEFAULT_MAX_BODY_BYTES;
   *err = KQ_EINVAL;
   if (kq_address_parse (address, &socket_address))
@@ -356,9 +514,10 @@
       http->daemon = MHD_start_daemon (
           MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
           http, MHD_OPTION_SOCK_ADDR, &socket_address,
-          MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
+          MHD_OPTION_CONNECTION_LIMIT, (unsigned)max_connections,
           MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_SEC,
-          MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
+          MHD_OPTION_CONNECTION_MEMORY_LIMIT, KQ_HTTP_CONNECTION_BYTES,
+          MHD_OPTION_NOTIFY_CONNECTION, on_connection, http,
           MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
           on_completed, http, MHD_OPTION_END);
     }
@@ -368,6 +527,7 @@
       return NULL;
     }
   *err = 0;
+  limit_receive_buffer (http);
   start_watchers (http);
   return http;
 }
--- a/node/http.h
+++ b/node/http.h
@@ -10,8 +10,12 @@
 
 #include "base/clock.h"
 
+struct kq_guard;
 struct kq_http;
 
+/** Memory in bytes that a connection takes at most, without bodies. */
+#define KQ_HTTP_CONNECTION_BYTES ((size_t)24 * 1024)
+
 /** A request that was received completely. It is valid until its response has
  *  been sent.  */
 struct kq_http_request
@@ -21,7 +25,8 @@
   const char *host; /**< without a port; "" if the header is missing */
   const char *body; /**< with a terminating zero */
   size_t body_size;
-  bool body_too_large; /**< the body exceeds the limit and is incomplete */
+  bool body_too_large; /**< the body exceeds the limit and is incomplete, or
+                            was not read at all */
   kq_usec arrived_at;
   kq_usec timeout;    /**< how long the caller waits; 0 if it set no limit */
   void *handler_data; /**< for use by the handler */
@@ -47,10 +52,12 @@
   void (*on_disconnect) (void *arg, struct kq_http_request *request);
 };
 
-/** Binds ADDRESS ("ADDR:PORT").
+/** Binds ADDRESS ("ADDR:PORT") and accepts MAX_CONNECTIONS at a time.  GUARD
+ *  bounds what they hold, and must outlive the server.
  *  @return NULL with *ERR set to KQ_EINVAL, KQ_EIO or KQ_ENOMEM.  */
 struct kq_http *kq_http_start (struct ev_loop *loop, const char *address,
                                const struct kq_http_handler *handler,
+                               struct kq_guard *guard, int max_connections,
                                int *err);
 
 /** Closes the server.  Responses that were given are written first, for at
--- a/node/node.c
+++ b/node/node.c
@@ -19,6 +19,7 @@
 #include "node/explain.h"
 #include "node/feed.h"
 #include "node/gauges.h"
+#include "node/guard.h"
 #include "node/hop.h"
 #include "node/http.h"
 #include "node/journal.h"
@@ -66,6 +67,7 @@
   struct kq_hop *hop;
   struct kq_feed *feed;
   struct kq_relay *relay;
+  struct kq_guard *guard;
   struct kq_job_api *job_api;
   struct kq_http *readiness;
   struct kq_http *metrics;
@@ -638,14 +640,17 @@
                 : KQ_ENOMEM;
     }
   if (err == 0)
-    node->job_api = kq_job_api_create (
-        node->loop, node->settings.job_api_address, &job_api, &err);
+    node->job_api
+        = kq_job_api_create (node->loop, node->settings.job_api_address,
+                             &job_api, node->guard, &err);
   if (err == 0)
-    node->readiness = kq_http_start (node->loop, node->settings.readiness,
-                                     &readiness, &err);
+    node->readiness = kq_http_start (
+        node->loop, node->settings.readiness, &readiness, node->guard,
+        kq_guard_max_operators (node->guard), &err);
   snprintf (address, sizeof address, "%s:%d", node->settings.ip, metrics_port);
   if (err == 0 && metrics_port > 0)
-    node->metrics = kq_http_start (node->loop, address, &metrics, &err);
+    node->metrics = kq_http_start (node->loop, address, &metrics, node->guard,
+                                   kq_guard_max_operators (node->guard), &err);
   return err;
 }
 
@@ -662,6 +667,11 @@
 
   node->started_at = kq_clock_now ();
   kq_self_describe (&node->settings, &self);
+  node->guard = kq_guard_create (
+      &(struct kq_guard_limits){ .memory_mb = node->settings.memory_mb,
+                                 .descriptors = node->settings.descriptors });
+  if (node->guard == NULL)
+    return KQ_ENOMEM;
   node->loop = ev_loop_new (EVFLAG_AUTO);
   if (node->loop == NULL)
     return KQ_ENOMEM;
@@ -700,6 +710,7 @@
   kq_http_stop (node->readiness);
   kq_explain_destroy (node->explain);
   kq_http_stop (node->metrics);
+  kq_guard_destroy (node->guard);
   kq_relay_destroy (node->relay);
   kq_feed_destroy (node->feed);
   kq_hop_destroy (node->hop);
@@ -737,6 +748,7 @@
   kq_journal_register_metrics ();
   kq_explain_register_metrics ();
   kq_feed_register_metrics ();
+  kq_guard_register_metrics ();
   kq_loop_timing_register_metrics ();
   kq_relay_register_metrics ();
   kq_dispatch_register_metrics ();
--- a/t/standin/crowd.c
+++ b/t/standin/crowd.c
@@ -56,8 +56,7 @@
 static size_t
 add (char *data, size_t at, const char *text)
 {
-  memcpy (data + at, text, strlen (text));
-  return at + strlen (text);
+  return at + (size_t)sprintf (data + at, "%s", text);
 }
 
 /* Adds COUNT bytes in chunks of CHUNK; returns the new size. */
@@ -119,7 +118,7 @@
   if (client->data == NULL || client->fd < 0)
     abort ();
   fcntl (client->fd, F_SETFL, O_NONBLOCK);
-  connect (client->fd, (struct sockaddr *)&address, sizeof address);
+  (void)connect (client->fd, (struct sockaddr *)&address, sizeof address);
   snprintf (head, sizeof head,
             "POST /jobs/%016x HTTP/1.1\r\nHost: site.example\r\n",
             0x1000 + number);
--- a/t/test-desk.c
+++ b/t/test-desk.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "node/desk.h"
+#include "node/guard.h"
 #include "node/http.h"
 #include "platform/site.h"
 #include "t/kqtest.h"
@@ -131,6 +132,16 @@
 {
 }
 
+static struct kq_guard *
+make_guard (void)
+{
+  static struct kq_guard *guard;
+
+  if (guard == NULL)
+    guard = kq_guard_create (&(struct kq_guard_limits){ 0 });
+  return guard;
+}
+
 static struct kq_job_api *
 start_job_api (struct kq_sched_config **config)
 {
@@ -142,7 +153,7 @@
   loop = ev_loop_new (EVFLAG_AUTO);
   forwarded = 0;
   choose_address ();
-  api = kq_job_api_create (loop, address_text, &handler, &err);
+  api = kq_job_api_create (loop, address_text, &handler, make_guard (), &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (api);
   CU_ASSERT_EQUAL_FATAL (
       kq_site_config_read (config_text, strlen (config_text), config), 0);
@@ -247,7 +258,8 @@
   loop = ev_loop_new (EVFLAG_AUTO);
   suspended = 0;
   choose_address ();
-  http = kq_http_start (loop, address_text, &handler, &err);
+  http
+      = kq_http_start (loop, address_text, &handler, make_guard (), 100, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (http);
   fd = connect_to_server ();
   send_submission (fd, 1);
