node: requests that wait for another host are bounded in bytes

A front passes each body on to the owner, and again after 0.6 s without a reply. While the owner stands still, ZeroMQ held up to 2,000 messages on each connection, whatever their size: 500 MB with bodies of 256 KB, beside the bound on bodies that callers are waiting for.

Change: the bytes that ZeroMQ holds are counted until its thread has sent them, and a request that would go beyond an eighth of the memory is not sent, as if no owner could be reached: its caller gets 503 if it was never sent. Messages of over 16 MB are not accepted.

--- a/node/hop.c
+++ b/node/hop.c
@@ -1,5 +1,6 @@
 #include "node/hop.h"
 
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,14 @@
    refused. */
 #define MAX_QUEUED_MESSAGES 2000
 
+/* Default limit in bytes of the requests that are queued on all connections:
+   2,000 messages with bodies of 256 KB would be 500 MB on each. */
+#define DEFAULT_QUEUED_BYTES ((size_t)32 * 1024 * 1024)
+
+/* Largest message that is accepted.  The largest ones that hosts send have
+   configurations or batches of start orders. */
+#define MAX_MESSAGE_BYTES (INT64_C (16) * 1024 * 1024)
+
 /* Maximum number of open connections to other hosts; the oldest one is closed
    for a new one. */
 #define MAX_LINKS 96
@@ -35,9 +44,17 @@
   struct link *next;
 };
 
+/* Bytes of requests that ZeroMQ holds; its thread frees them. */
+struct queue
+{
+  atomic_size_t bytes;
+  size_t max_bytes;
+};
+
 struct kq_hop
 {
   struct ev_loop *loop;
+  struct queue queue;
   struct kq_hop_handler handler;
   void *context;
   void *server;
@@ -63,9 +80,12 @@
                   { ZMQ_SNDHWM, MAX_QUEUED_MESSAGES },
                   { ZMQ_RCVHWM, MAX_QUEUED_MESSAGES } };
 
+  const int64_t max_message = MAX_MESSAGE_BYTES;
+
   for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
     zmq_setsockopt (socket, options[i].option, &options[i].value,
                     sizeof options[i].value);
+  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max_message, sizeof max_message);
 }
 
 /* Starts IO on the descriptor of SOCKET, which only signals that the state of
@@ -203,6 +223,7 @@
   if (hop == NULL)
     return NULL;
   hop->loop = loop;
+  hop->queue.max_bytes = DEFAULT_QUEUED_BYTES;
   hop->handler = *handler;
   hop->context = zmq_ctx_new ();
   hop->server = zmq_socket (hop->context, ZMQ_ROUTER);
@@ -302,17 +323,61 @@
   return open_link (hop, address);
 }
 
+void
+kq_hop_limit_queue (struct kq_hop *hop, size_t bytes)
+{
+  hop->queue.max_bytes = bytes;
+}
+
+/* A packed request, with the queue that it counts in. */
+struct packed
+{
+  struct queue *queue;
+  size_t size;
+  uint8_t bytes[];
+};
+
+static void
+free_packed (void *bytes, void *hint)
+{
+  struct packed *packed = hint;
+
+  atomic_fetch_sub (&packed->queue->bytes, packed->size);
+  free (packed);
+}
+
+/* Packs MESSAGE into FRAME, which counts in the queue of HOP until ZeroMQ has
+   sent it; returns false if there is no room. */
+static bool
+pack_request (struct kq_hop *hop, const KqNode__Ask *message, zmq_msg_t *frame)
+{
+  size_t size = kq_node__ask__get_packed_size (message);
+  struct packed *packed;
+
+  if (atomic_load (&hop->queue.bytes) + size > hop->queue.max_bytes)
+    return false;
+  packed = malloc (sizeof *packed + size);
+  if (packed == NULL)
+    return false;
+  packed->queue = &hop->queue;
+  packed->size = size;
+  kq_node__ask__pack (message, packed->bytes);
+  atomic_fetch_add (&hop->queue.bytes, size);
+  if (zmq_msg_init_data (frame, packed->bytes, size, free_packed, packed) == 0)
+    return true;
+  free_packed (packed->bytes, packed);
+  return false;
+}
+
 int
 kq_hop_send_request (struct kq_hop *hop, const char *address,
                      const KqNode__Ask *message)
 {
   struct link *link = get_link (hop, address);
-  size_t size = kq_node__ask__get_packed_size (message);
   zmq_msg_t frame;
 
-  if (link == NULL || zmq_msg_init_size (&frame, size) != 0)
+  if (link == NULL || !pack_request (hop, message, &frame))
     return KQ_EIO;
-  kq_node__ask__pack (message, zmq_msg_data (&frame));
   if (zmq_msg_send (&frame, link->socket, ZMQ_DONTWAIT) < 0)
     {
       zmq_msg_close (&frame);
--- a/node/hop.h
+++ b/node/hop.h
@@ -53,8 +53,12 @@
                               const struct kq_hop_handler *handler, int *err);
 void kq_hop_destroy (struct kq_hop *hop);
 
+/** Sets how many bytes of requests may wait for hosts that do not take them;
+ *  32 MiB without a call.  */
+void kq_hop_limit_queue (struct kq_hop *hop, size_t bytes);
+
 /** Sends a request to the host at ADDRESS.
- *  @return 0, or KQ_EIO if it cannot be sent.  */
+ *  @return 0, or KQ_EIO if it cannot be sent or queued.  */
 int kq_hop_send_request (struct kq_hop *hop, const char *address,
                          const KqNode__Ask *message);
 
--- a/node/node.c
+++ b/node/node.c
@@ -631,6 +631,7 @@
   node->hop = kq_hop_create (node->loop, hop_address, &hop, &err);
   if (err == 0)
     {
+      kq_hop_limit_queue (node->hop, kq_guard_max_body_bytes (node->guard));
       node->relay = kq_relay_create (node->loop, node->hop);
       node->explain = kq_explain_create (node->loop, node->hop, &explain);
       node->feed
