t: crowds of complete jobs, and the memory of the other hosts

Bodies of legal size are also passed on to the owner, which parses and stores them. The crowd sends valid jobs now, filled up with blanks, a kind of it sends all of them to their ends, and the session checks that every host lives and stays within its memory, not only the one that the crowd came to. No change of the product.

--- a/t/session-crowd.sh
+++ b/t/session-crowd.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# Guards against clients that end a process: bodies of legal size that stop just
-# short of their end, whole, piece by piece or in chunks, bodies far over the
-# limit, and headers without an end.  A crowd of each kind comes to each server
-# of a host; the process must live, its memory and open descriptors must stay
-# within the limits of its settings, and an ordinary job must be accepted and
-# completed afterwards.
+# Guards against clients that end a process: bodies of legal size, complete or
+# just short of their end, whole, piece by piece or in chunks, bodies far over
+# the limit, and headers without an end.  A crowd of each kind comes to each
+# server of a host; all hosts must live, their memory and open descriptors must
+# stay within the limits of their settings, and an ordinary job must be accepted
+# and completed afterwards.
 cd "$(dirname "$0")/.." || exit 1
 . t/session-lib.sh
 . t/lib-site.sh
@@ -40,9 +40,16 @@
 # Sets the peak of the process's memory to what it has now.
 reset_peak_memory () { echo 5 >"/proc/$(pid_of "$1")/clear_refs"; } # HOST
 
+check_host () { # HOST WHAT
+  check "host $1 lives ($2)" is_alive "$1"
+  peak=$(peak_memory_mb "$1")
+  check "host $1 needed $peak MB at most, of $MEMORY_MB ($2)" \
+    [ "${peak:-$MEMORY_MB}" -lt $MEMORY_MB ]
+}
+
 # Lets a crowd of KIND come to PORT of HOST and go again.
 crowd () { # KIND HOST PORT
-  reset_peak_memory "$2"
+  for host in 1 2 3; do reset_peak_memory $host; done
   mkfifo "$work/hold"
   "$BUILD/standin/crowd" --port "$3" --kind "$1" --count $CROWD \
     --bytes $BODY_BYTES <"$work/hold" >"$work/crowd.log" 2>&1 &
@@ -56,10 +63,7 @@
   exec 8>&-
   wait $crowd_pid
   rm "$work/hold"
-  check "host $2 lives ($1, port $3)" is_alive "$2"
-  peak=$(peak_memory_mb "$2")
-  check "host $2 needed $peak MB at most, of $MEMORY_MB ($1, port $3)" \
-    [ "${peak:-$MEMORY_MB}" -lt $MEMORY_MB ]
+  for host in 1 2 3; do check_host $host "$1, port $3"; done
 }
 
 start_hosts
@@ -67,7 +71,7 @@
   check "host $host is ready" within 10 site_ready $host
 done
 job=0
-for kind in whole pieces chunked tiny announced endless headers; do
+for kind in whole complete pieces chunked tiny announced endless headers; do
   crowd $kind 1 "$(front 1)"
   job=$((job + 1))
   check "a job is accepted after the crowd ($kind)" site_submit $job
--- a/t/standin/crowd.c
+++ b/t/standin/crowd.c
@@ -3,7 +3,8 @@
  * 127.0.0.1:PORT, sends on each what KIND says, and keeps them open until its
  * standard input ends:
  *
- *   whole      a body of BYTES bytes, announced, at once
+ *   whole      a job of BYTES bytes, announced, at once
+ *   complete   the same, all of it on each connection
  *   pieces     the same in pieces of 4 KiB, in turn
  *   chunked    the same in chunks of 32 KiB
  *   tiny       a body of BYTES / 16 bytes in chunks of one byte
@@ -11,9 +12,9 @@
  *   endless    4 BYTES bytes in chunks, without an end
  *   headers    a header that does not end
  *
- * Of the first four, each tenth connection sends all, the others all but the
- * last byte or chunk.  Connections that the server closes stay closed.  It
- * prints "holding" once there is nothing left to send.
+ * Of the others of legal size, each tenth connection sends all, the others all
+ * but the last byte or chunk.  Connections that the server closes stay closed.
+ * It prints "holding" once there is nothing left to send.
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -59,6 +60,21 @@
   return at + (size_t)sprintf (data + at, "%s", text);
 }
 
+/* Begin of a valid job, which is filled up with blanks. */
+static const char job[]
+    = "{\"spec\":\"400\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":10,"
+      "\"est_ms\":400}]";
+
+/* Adds a valid job of body_bytes bytes, or what comes before its end. */
+static size_t
+add_job (char *data, size_t at, bool all)
+{
+  memset (data + at, ' ', body_bytes);
+  memcpy (data + at, job, sizeof job - 1);
+  data[at + body_bytes - 1] = '}';
+  return at + body_bytes - !all;
+}
+
 /* Adds COUNT bytes in chunks of CHUNK; returns the new size. */
 static size_t
 add_chunks (char *data, size_t at, size_t count, size_t chunk)
@@ -84,15 +100,16 @@
 
   if (is_kind ("headers"))
     return add (data, at, "X-Never-Ends: 1\r\nX-");
-  if (is_kind ("whole") || is_kind ("pieces") || is_kind ("announced"))
+  if (is_kind ("whole") || is_kind ("complete") || is_kind ("pieces")
+      || is_kind ("announced"))
     {
-      size_t size = is_kind ("announced") ? 4 * body_bytes : body_bytes - !all;
-
       snprintf (line, sizeof line, "Content-Length: %zu\r\n\r\n",
                 is_kind ("announced") ? (size_t)1000000000 : body_bytes);
       at = add (data, at, line);
-      memset (data + at, ' ', size);
-      return at + size;
+      if (!is_kind ("announced"))
+        return add_job (data, at, all);
+      memset (data + at, ' ', 4 * body_bytes);
+      return at + 4 * body_bytes;
     }
   at = add (data, at, "Transfer-Encoding: chunked\r\n\r\n");
   if (is_kind ("tiny"))
@@ -123,7 +140,8 @@
             "POST /jobs/%016x HTTP/1.1\r\nHost: site.example\r\n",
             0x1000 + number);
   client->size = add (client->data, 0, head);
-  client->size = add_body (client->data, client->size, number % 10 == 9);
+  client->size = add_body (client->data, client->size,
+                           is_kind ("complete") || number % 10 == 9);
 }
 
 static void
