--- a/t/session-crowd.sh
+++ b/t/session-crowd.sh
@@ -77,6 +77,12 @@
   check "a job is accepted after the crowd ($kind)" site_submit $job
   check "it completes ($kind)" within 20 site_is_complete $job
 done
+# Jobs that the owner stores: a record of the store takes no larger ones.
+BODY_BYTES=200000
+crowd complete 1 "$(front 1)"
+check 'a job is accepted after the crowd (stored jobs)' site_submit 40
+check 'it completes (stored jobs)' within 20 site_is_complete 40
+BODY_BYTES=262000
 for kind in whole endless headers; do
   crowd $kind 2 "$(readiness 2)"
   crowd $kind 3 "$(site_metrics_port 3)"
