front: bodies of all callers are bounded together

Change: the buffers of all bodies together have 64 MiB; what is over it is dropped, and its caller gets "not run" (503) once it has sent the rest. A body must be complete within 60 s.

t/test-front "crowd of bodies": 70 bodies of 1 MB without their last byte; a request with a body is refused as not run while they stay, and answered once they have gone. Without the change it is answered 200 while they stay.

--- a/daemon/front_call.c
+++ b/daemon/front_call.c
@@ -100,7 +100,7 @@
     HASH_DEL (call->front->calls, call);
   kq_response_unref (call->answer);
   kq_buffer_clear (&call->headers);
-  kq_buffer_clear (&call->body);
+  kq_front_http_clear_body (call);
   free (call->origin);
   free (call->uri);
   free (call);
--- a/daemon/front_http.c
+++ b/daemon/front_http.c
@@ -16,6 +16,13 @@
 /** A body without Content-Length that is too long is read and discarded up
  *  to this many times the limit, so that the caller receives the error.  */
 #define DISCARD_FACTOR 4
+
+/** Limit in bytes of the bodies of all calls together; what is over it is
+    refused as not run.  */
+#define MAX_BODY_BYTES ((size_t)64 * 1024 * 1024)
+
+/** Time within which a body must be complete.  */
+#define MAX_BODY_US (60 * KQ_USEC_PER_SEC)
 /** Ticks between checks for callers that closed their connections. */
 #define CHECK_INTERVAL_TICKS 10
 /** Maximum size in bytes of the body of an error response. */
@@ -135,21 +142,43 @@
   return queue_response (call);
 }
 
+/* Counts the buffer of the body of CALL.  Returns KQ_ENOMEM if those of all
+   calls are too large together. */
+static int
+count_body (struct kq_front_call *call)
+{
+  struct kq_front *front = call->front;
+
+  front->body_bytes += call->body.capacity - call->body_share;
+  call->body_share = call->body.capacity;
+  return front->body_bytes > MAX_BODY_BYTES ? KQ_ENOMEM : 0;
+}
+
+void
+kq_front_http_clear_body (struct kq_front_call *call)
+{
+  call->front->body_bytes -= call->body_share;
+  call->body_share = 0;
+  kq_buffer_clear (&call->body);
+}
+
 static enum MHD_Result
 on_body (struct kq_front_call *call, const char *data, size_t *size)
 {
   size_t length = *size;
-  int err;
 
   *size = 0;
   call->body_bytes += length;
-  if (call->body_bytes > DISCARD_FACTOR * KQ_FRONT_BODY_LIMIT)
+  if (call->body_bytes > DISCARD_FACTOR * KQ_FRONT_BODY_LIMIT
+      || kq_clock_now () - call->arrived > MAX_BODY_US)
     return MHD_NO;
   if (call->read_err != 0)
     return MHD_YES;
-  err = kq_buffer_add (&call->body, data, length);
-  if (err != 0)
-    call->read_err = err;
+  call->read_err = kq_buffer_add (&call->body, data, length);
+  if (call->read_err == 0)
+    call->read_err = count_body (call);
+  if (call->read_err != 0)
+    kq_front_http_clear_body (call);
   return MHD_YES;
 }
 
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -57,6 +57,7 @@
   size_t header_count;
   struct kq_buffer body;
   size_t body_bytes; /**< received so far, including discarded bytes */
+  size_t body_share; /**< of it, counted in the front's body_bytes */
   int read_err;      /**< first error found while reading, or 0 */
   struct kq_trace_context trace;
   kq_usec arrived;      /**< monotonic clock */
@@ -153,6 +154,7 @@
   ev_io mhd_watcher;
   ev_timer mhd_timer;
   bool mhd_pending;           /**< kq_front_http_run() has work to do */
+  size_t body_bytes;          /**< buffers of the bodies of all calls */
   unsigned ticks_since_check; /**< since callers' connections were checked */
 
   CURLM *multi;
@@ -253,6 +255,10 @@
 /** Reports callers that closed their connections to the router. */
 void kq_front_http_check_disconnects (struct kq_front *front);
 
+/** Frees the body of CALL, which no longer counts against the limit of all
+ *  bodies.  */
+void kq_front_http_clear_body (struct kq_front_call *call);
+
 /** Sends the response to a call whose outcome is set: resumes its suspended
  *  connection.  */
 void kq_front_http_reply (struct kq_front_call *call);
--- a/t/test-front.c
+++ b/t/test-front.c
@@ -2,9 +2,11 @@
    against requests that run twice, are reported as not run although they may
    have run, or stay open when an endpoint, a caller or another host fails.  */
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <zmq.h>
 
@@ -479,6 +481,67 @@
   kq_test_endpoint_stop (endpoint);
 }
 
+#define CROWD 70
+#define CROWD_BODY_BYTES ((size_t)1000 * 1000)
+
+/* Opens a connection to PORT and sends a body that lacks its last byte. */
+static int
+send_body_without_end (int port)
+{
+  static char body[CROWD_BODY_BYTES - 1];
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  char head[200];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  snprintf (head, sizeof head,
+            "POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: %zu\r\n"
+            "Kumquatrack-Service: price\r\n\r\n",
+            CROWD_BODY_BYTES);
+  send (fd, head, strlen (head), MSG_NOSIGNAL);
+  send (fd, body, sizeof body, MSG_NOSIGNAL);
+  return fd;
+}
+
+/* Bodies that are bounded for each caller but not in sum: those beyond the sum
+   are refused as not run, until others have gone. */
+static void
+test_crowd_of_bodies (void)
+{
+  struct kq_test_endpoint *endpoint = kq_test_endpoint_start ();
+  struct entry_host entry = start_entry_host ("e1", "dakar-sandaga");
+  struct kq_test_response response = { 0 };
+  int fds[CROWD];
+
+  apply_view (entry.front,
+              kq_test_create_view (1, kq_test_endpoint_port (endpoint), true,
+                                   FOREVER, ""));
+  for (int i = 0; i < CROWD; i++)
+    fds[i] = send_body_without_end (entry.port);
+  for (int i = 0; i < 100 && response.status != 503; i++)
+    {
+      usleep (50000);
+      response = kq_test_send_request (entry.port, "POST", "/ok", "body",
+                                       price_headers);
+    }
+  CU_ASSERT_EQUAL (response.status, 503);
+  CU_ASSERT_STRING_EQUAL (response.outcome, "not-run");
+  for (int i = 0; i < CROWD; i++)
+    close (fds[i]);
+  for (int i = 0; i < 100 && response.status != 200; i++)
+    {
+      usleep (50000);
+      response = kq_test_send_request (entry.port, "POST", "/ok", "body",
+                                       price_headers);
+    }
+  CU_ASSERT_EQUAL (response.status, 200);
+  kq_front_stop (entry.front);
+  kq_test_endpoint_stop (endpoint);
+}
+
 static void
 test_stop_completes_open_requests (void)
 {
@@ -582,6 +645,7 @@
   { "unresponsive connections", test_unresponsive_connections },
   { "bad requests", test_bad_requests },
   { "callers that disconnect", test_callers_that_disconnect },
+  { "crowd of bodies", test_crowd_of_bodies },
   { "stop completes open requests", test_stop_completes_open_requests },
   { "expired ownership", test_expired_ownership },
   { "trace", test_trace_across_hosts },
