--- a/node/watch.c
+++ b/node/watch.c
@@ -41,6 +41,9 @@
    reads that are repeated in step keep a busy store busy. */
 #define MAX_CONFIG_RETRY_SEC 0.8
 
+/* Each delay is longer by up to this many thousandths of it, at random. */
+#define RETRY_JITTER_PERMILLE 500
+
 /* Delay of the first read of the operator's topic: the list of hosts, which
    tells whom to ask instead, has been read by then. */
 #define FIRST_CONFIG_READ_SEC 0.1
@@ -333,8 +336,9 @@
   if (delay > MAX_CONFIG_RETRY_SEC)
     delay = MAX_CONFIG_RETRY_SEC;
   watch->config_retry_sec = delay;
-  ev_timer_set (&watch->config_retry,
-                delay * (1 + randombytes_uniform (1000) / 2000.0), 0);
+  ev_timer_set (
+      &watch->config_retry,
+      delay * (1 + randombytes_uniform (RETRY_JITTER_PERMILLE) / 1000.0), 0);
   ev_timer_start (watch->loop, &watch->config_retry);
 }
 
--- a/t/test-call.c
+++ b/t/test-call.c
@@ -260,38 +260,46 @@
   return MHD_YES;
 }
 
-/* A call without a response still ends in time. */
+/* Makes the call in REQUEST to SERVER, in a loop of its own, until it ends. */
 static void
-test_call_without_response (void)
+make_call (struct MHD_Daemon *server, struct kq_call_request *request)
 {
-  struct MHD_Daemon *server = MHD_start_daemon (
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-      send_nothing, NULL, MHD_OPTION_END);
-  struct kq_call_request request = { .kind = KQ_CALL_HOLD,
-                                     .path = "/",
-                                     .timeout = 200 * KQ_USEC_PER_MSEC,
-                                     .done = on_done };
   struct kq_http_client *http;
   char authority[40];
-  kq_usec started = kq_clock_now ();
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (server);
   loop = ev_loop_new (EVFLAG_AUTO);
   http = kq_http_client_create (loop, NULL);
   snprintf (authority, sizeof authority, "127.0.0.1:%d",
             MHD_get_daemon_info (server, MHD_DAEMON_INFO_BIND_PORT)->port);
-  request.authority = authority;
+  request->authority = authority;
   succeeded = 0;
   in_flight = 0;
-  if (kq_http_client_send (http, &request) == 0)
+  if (kq_http_client_send (http, request) == 0)
     in_flight++;
   wait_until_in_flight (0);
+  kq_http_client_destroy (http);
+  ev_loop_destroy (loop);
+}
+
+/* A call without a response still ends in time. */
+static void
+test_call_without_response (void)
+{
+  struct MHD_Daemon *server = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      send_nothing, NULL, MHD_OPTION_END);
+  struct kq_call_request request = { .kind = KQ_CALL_HOLD,
+                                     .path = "/",
+                                     .timeout = 200 * KQ_USEC_PER_MSEC,
+                                     .done = on_done };
+  kq_usec started = kq_clock_now ();
+
+  make_call (server, &request);
   CU_ASSERT_EQUAL (succeeded, 0);
   CU_ASSERT (kq_clock_now () - started >= 200 * KQ_USEC_PER_MSEC);
   CU_ASSERT (kq_clock_now () - started < KQ_USEC_PER_SEC);
-  kq_http_client_destroy (http);
   MHD_quiesce_daemon (server);
-  ev_loop_destroy (loop);
 }
 
 #define PART_COUNT 8
@@ -345,23 +353,9 @@
                                      .timeout = 3 * PART_INTERVAL_US,
                                      .min_bytes_s = min_bytes_s,
                                      .done = on_done };
-  struct kq_http_client *http;
-  char authority[40];
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
-  loop = ev_loop_new (EVFLAG_AUTO);
-  http = kq_http_client_create (loop, NULL);
-  snprintf (authority, sizeof authority, "127.0.0.1:%d",
-            MHD_get_daemon_info (server, MHD_DAEMON_INFO_BIND_PORT)->port);
-  request.authority = authority;
-  succeeded = 0;
-  in_flight = 0;
-  if (kq_http_client_send (http, &request) == 0)
-    in_flight++;
-  wait_until_in_flight (0);
-  kq_http_client_destroy (http);
+  make_call (server, &request);
   MHD_stop_daemon (server);
-  ev_loop_destroy (loop);
   return succeeded == 1;
 }
 
