--- a/node/guard.c
+++ b/node/guard.c
@@ -142,13 +142,6 @@
   shutdown (client->fd, SHUT_RDWR);
 }
 
-static bool
-is_evictable (const struct kq_guard_client *client, kq_usec now)
-{
-  return !client->busy && !client->evicted
-         && now - client->active_at >= MIN_IDLE_US;
-}
-
 /* Closes the connection without progress for longest: one of SERVER, or, if
    that is NULL, any that holds a body.  Returns whether there was one. */
 static bool
@@ -161,7 +154,7 @@
   {
     if (now - client->active_at < MIN_IDLE_US)
       return false;
-    if (is_evictable (client, now)
+    if (!client->busy && !client->evicted
         && (server != NULL ? client->server == server
                            : client->body_bytes > 0))
       {
