sched, node: tell apart what an owner believed of a job, a lease and a term

The logs could not tell the hypotheses of the incident apart: a caller's 410 for a job that has ended, whose retention is over, or that is not known was one error; a lapse did not say what it was counted from where the worker's clock is not known; a new owner did not say which earlier terms it takes for ended; nothing said when a host has stopped acting as the owner.

KQ_EJOB_ENDED and KQ_EJOB_EXPIRED beside KQ_EJOB_UNKNOWN, all with status 410 as before; counted_from in "worker's leases lapsed"; ended_ms_ago in "earlier terms"; the lines "stopped" of the owner and "job expired". No logic changes.

--- a/node/node.c
+++ b/node/node.c
@@ -292,6 +292,20 @@
     kq_owner_update_hosts (node->owner);
 }
 
+/* Logs that this host acts as the owner no more, and how long ago the store
+   has confirmed its term last. */
+static void
+log_owner_stopped (const struct node *node)
+{
+  char confirmed[24];
+
+  snprintf (confirmed, sizeof confirmed, "%" PRId64,
+            (kq_clock_now () - kq_term_confirmed_at (node->term))
+                / KQ_USEC_PER_MSEC);
+  kq_log (KQ_LOG_INFO, "owner", "stopped", 0, "confirmed_ms_ago", confirmed,
+          NULL);
+}
+
 static void
 stop_owner (struct node *node)
 {
@@ -300,6 +314,7 @@
 
   if (node->owner == NULL)
     return;
+  log_owner_stopped (node);
   kq_owner_destroy (node->owner);
   node->owner = NULL;
   /* Open requests get no reply, because they may have been carried out. */
--- a/sched/grant.c
+++ b/sched/grant.c
@@ -171,20 +171,40 @@
   return err;
 }
 
-/* Logs how long ago the earlier terms that are known were confirmed last. */
+/* Appends to TEXT of SIZE bytes, of which LENGTH are used, "TERM:MS" with the
+   time in ms since AT; returns the new length. */
+static int
+add_age (char *text, size_t size, int length, int64_t term, kq_usec now,
+         kq_usec at)
+{
+  return length
+         + snprintf (text + length, size - (size_t)length,
+                     "%s%" PRId64 ":%" PRId64, length > 0 ? " " : "", term,
+                     (now - at) / KQ_USEC_PER_MSEC);
+}
+
+/* Logs how long ago the earlier terms that are known were confirmed last, and
+   how long ago those have ended of which that is known. */
 static void
 log_past (const struct kq_sched *sched, kq_usec now)
 {
   char ages[48 * KQ_SCHED_MAX_PAST_TERMS] = "";
+  char ends[48 * KQ_SCHED_MAX_PAST_TERMS] = "";
   int length = 0;
+  int ends_length = 0;
 
   for (int i = 0; i < sched->past_term_count; i++)
-    length += snprintf (
-        ages + length, sizeof ages - (size_t)length, "%s%" PRId64 ":%" PRId64,
-        i > 0 ? " " : "", sched->past_terms[i].term,
-        (now - sched->past_terms[i].confirmed_until) / KQ_USEC_PER_MSEC);
+    {
+      const struct kq_sched_past_term *past = &sched->past_terms[i];
+
+      length = add_age (ages, sizeof ages, length, past->term, now,
+                        past->confirmed_until);
+      if (past->ended_at != 0)
+        ends_length = add_age (ends, sizeof ends, ends_length, past->term, now,
+                               past->ended_at);
+    }
   kq_log (KQ_LOG_INFO, "sched", "earlier terms", 0, "confirmed_ms_ago", ages,
-          NULL);
+          "ended_ms_ago", ends, NULL);
 }
 
 void
@@ -198,5 +218,6 @@
     worker->leases_lapsed_at
         = terms_acted_until (sched, worker->grant_term, now)
           + (worker->has_long_lease ? MAX_LAPSE_US : LONGEST_LAPSE_US);
+    worker->lapse_basis = LAPSE_FROM_EARLIER_OWNER;
   }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -102,6 +102,14 @@
   PHASE_RESTORED     /* read from the store; not confirmed by the worker yet */
 };
 
+/* What the end of a worker's leases is counted from while its clock is not
+   known. */
+enum lapse_basis
+{
+  LAPSE_FROM_EARLIER_OWNER, /* when that may have renewed them last */
+  LAPSE_FROM_RESTART        /* when its incarnation became known */
+};
+
 struct job;
 struct stage;
 struct worker;
@@ -344,8 +352,11 @@
   kq_usec clock_read_at;
   int64_t lease_end_ms; /* latest end sent by this owner, worker's clock */
   kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
-  kq_usec leases_lapsed_at; /* end of all leases of earlier owners */
-  int64_t fence;            /* of its orders; 0: that of the owner's term */
+  /* When all leases have lapsed that its clock, which was not read since, does
+     not tell, and what that was counted from. */
+  kq_usec leases_lapsed_at;
+  enum lapse_basis lapse_basis;
+  int64_t fence; /* of its orders; 0: that of the owner's term */
   /* That fence was for an earlier incarnation: a higher one is due. */
   bool fence_spent;
   int64_t grant_term;        /* last owner that may have renewed its lease */
--- a/sched/job.c
+++ b/sched/job.c
@@ -570,6 +570,7 @@
       || now.wall_ms - job->ended_ms < ENDED_JOB_RETENTION_MS)
     return;
   job->expired = true;
+  job_log (job, "job expired", "retention");
   job_mark_dirty (sched, job);
 }
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -221,6 +221,15 @@
               job->accepted_position);
 }
 
+/* Returns why a call about JOB, which may be NULL, has nothing to act on. */
+static int
+gone_err (const struct job *job)
+{
+  if (job == NULL)
+    return KQ_EJOB_UNKNOWN;
+  return job->expired ? KQ_EJOB_EXPIRED : KQ_EJOB_ENDED;
+}
+
 static void
 query (struct kq_sched *sched, const struct kq_sched_event *event)
 {
@@ -228,7 +237,7 @@
 
   if (job == NULL || job->expired)
     {
-      add_result (sched, event->u.call.token, STATUS_GONE, KQ_EJOB_UNKNOWN,
+      add_result (sched, event->u.call.token, STATUS_GONE, gone_err (job),
                   NULL, 0);
       return;
     }
@@ -246,7 +255,7 @@
   if (job == NULL || job->expired
       || (job_has_ended (job) && job->state != KQ_SCHED_CANCELLED))
     {
-      add_result (sched, event->u.call.token, STATUS_GONE, KQ_EJOB_UNKNOWN,
+      add_result (sched, event->u.call.token, STATUS_GONE, gone_err (job),
                   NULL, job == NULL ? 0 : job->changed_position);
       return;
     }
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -207,7 +207,10 @@
   log_worker (worker, "worker in a new incarnation",
               restarted ? "restarted under its ID" : "");
   if (restarted && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
-    worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
+    {
+      worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
+      worker->lapse_basis = LAPSE_FROM_RESTART;
+    }
   if (restarted)
     grant_set_long_lease (sched, worker, may_hold_earlier_end (worker));
   else if (worker->granted_incarnation_ms != 0
@@ -437,6 +440,21 @@
   return clock > worker->lease_end_ms + LAPSE_MARGIN_MS;
 }
 
+static const char *
+lapse_basis_name (const struct worker *worker)
+{
+  if (worker->clock_read_at != 0)
+    return "its clock";
+  switch (worker->lapse_basis)
+    {
+    case LAPSE_FROM_EARLIER_OWNER:
+      return "earlier owner";
+    case LAPSE_FROM_RESTART:
+      return "its restart";
+    }
+  return "";
+}
+
 static void
 log_lapse (const struct worker *worker, struct kq_sched_now now)
 {
@@ -453,7 +471,8 @@
   snprintf (granted_by, sizeof granted_by, "%" PRId64, worker->grant_term);
   kq_log (KQ_LOG_WARN, "sched", "worker's leases lapsed", 0, "worker",
           worker->report.id, "tasks", tasks, "granted_by", granted_by, "long",
-          worker->has_long_lease ? "yes" : "no", "last_reply_ms",
+          worker->has_long_lease ? "yes" : "no", "counted_from",
+          lapse_basis_name (worker), "last_reply_ms",
           worker->last_reply_at != 0 ? silent : "", "last_renewal_ms",
           worker->renewed_at != 0 ? renewed : "", NULL);
 }
