--- /dev/null
+++ b/t/test-release.c
@@ -0,0 +1,97 @@
+/* Guards against a task that runs twice: an owner releases its term, is cut
+ * off from the store before it reads that, and renews leases on, while its
+ * successor counts them from the release.
+ */
+#include "t/kqtest.h"
+#include "t/lib-term.h"
+
+/* An owner may act for so long after the store has confirmed its term. */
+#define ACT_LIMIT_US (3 * KQ_USEC_PER_SEC)
+
+static bool
+may_act (const struct sim *sim, const struct kq_term *term)
+{
+  return kq_term_own_term (term) != 0
+         && sim->now - kq_term_confirmed_at (term) <= ACT_LIMIT_US;
+}
+
+/* Returns until when TERM may have had an owner that acts, as its successor
+   SUCCESSOR knows. */
+static kq_usec
+counted_until (const struct kq_term *successor, int64_t term)
+{
+  struct kq_term_past past[KQ_TERM_MAX_PAST];
+  int count = kq_term_get_past (successor, past);
+
+  for (int i = 0; i < count; i++)
+    if (past[i].term == term)
+      return past[i].ended_at != 0 ? past[i].ended_at
+                                   : past[i].confirmed_until + ACT_LIMIT_US;
+  return 0;
+}
+
+/* Lets the owner FIRST, which is told to stop at once, append its release and
+   cuts it off from the store then.  Returns its term. */
+static int64_t
+release_and_cut_off (struct sim *sim, int first, bool reply_lost)
+{
+  int64_t term = kq_term_own_term (sim->hosts[first]);
+  int64_t end = sim->end;
+
+  kq_term_stop (sim->hosts[first], sim->now, sim->now);
+  sim->replies_lost = reply_lost;
+  for (int i = 0; i < 10 && sim->end == end; i++)
+    {
+      sim->now += STEP_US;
+      append_next (sim, first);
+    }
+  sim->replies_lost = false;
+  sim->store_unreachable[first] = true;
+  CU_ASSERT_EQUAL (sim->end, end + 1);
+  return term;
+}
+
+static void
+check_release (bool reply_lost)
+{
+  struct sim *sim = create_sim ();
+  kq_usec acted_at = 0;
+  int first = -1;
+  int successor = -1;
+  int64_t term;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL_FATAL (count_owners (sim, &first), 1);
+  term = release_and_cut_off (sim, first, reply_lost);
+  for (kq_usec end = sim->now + 2 * ACT_LIMIT_US; sim->now < end;)
+    {
+      run_for (sim, STEP_US);
+      if (may_act (sim, sim->hosts[first]))
+        acted_at = sim->now;
+    }
+  for (int i = 0; i < HOSTS; i++)
+    if (i != first && kq_term_own_term (sim->hosts[i]) != 0)
+      successor = i;
+  CU_ASSERT_FATAL (successor >= 0);
+  CU_ASSERT (acted_at <= counted_until (sim->hosts[successor], term));
+  destroy_sim (sim);
+}
+
+static void
+test_cut_off_after_the_reply (void)
+{
+  check_release (false);
+}
+
+static void
+test_reply_lost (void)
+{
+  check_release (true);
+}
+
+static const struct kq_test tests[] = {
+  { "cut off after the reply", test_cut_off_after_the_reply },
+  { "the reply is lost", test_reply_lost },
+};
+
+KQ_TEST_MAIN ("test-release", tests)
