sched: wait for the longest lease where a restart is known by registration alone

Cause: a worker that restarts under its ID accepts orders that were meant for the process before it. Their end is one on the earlier clock, so that the lease may last as long as a worker grants, 10 s. The owner counted with that once a reply of the new incarnation had set its clock. Where only the registration told of the restart and no reply followed, it counted 5.4 s: the wait was computed when the restart became known, and the flag for a long lease, set in the same function, was not part of it. A successor had the same gap, since it computed the wait when it restored the grants and learned of the restart later, and took no restored run for one that the next incarnation may have accepted.

Now the worker keeps what its leases are counted from, and the length is derived when it is compared. Runs whose start was not answered go on as before: sched/late.c waits for them.

Ruled out: late orders (the record says late false), and a lease computed too short while the clock is known (test-new-incarnation).

--- a/sched/grant.c
+++ b/sched/grant.c
@@ -215,9 +215,8 @@
   log_past (sched, now);
   DL_FOREACH (sched->worker_list, worker)
   {
-    worker->leases_lapsed_at
-        = terms_acted_until (sched, worker->grant_term, now)
-          + (worker->has_long_lease ? MAX_LAPSE_US : LONGEST_LAPSE_US);
-    worker->lapse_basis = LAPSE_FROM_EARLIER_OWNER;
+    worker_count_leases (worker,
+                         terms_acted_until (sched, worker->grant_term, now),
+                         LAPSE_FROM_EARLIER_OWNER);
   }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -103,7 +103,7 @@
 };
 
 /* What the end of a worker's leases is counted from while its clock is not
-   known. */
+   read. */
 enum lapse_basis
 {
   LAPSE_FROM_EARLIER_OWNER, /* when that may have renewed them last */
@@ -352,9 +352,8 @@
   kq_usec clock_read_at;
   int64_t lease_end_ms; /* latest end sent by this owner, worker's clock */
   kq_usec renewed_at;   /* last renewal of its lease that was sent; 0: none */
-  /* When all leases have lapsed that its clock, which was not read since, does
-     not tell, and what that was counted from. */
-  kq_usec leases_lapsed_at;
+  kq_usec leases_counted_from; /* while its clock is not read: nothing has
+                                  extended them later */
   enum lapse_basis lapse_basis;
   int64_t fence; /* of its orders; 0: that of the owner's term */
   /* That fence was for an earlier incarnation: a higher one is due. */
@@ -706,6 +705,9 @@
 bool worker_is_quarantined (const struct worker *worker,
                             struct kq_sched_now now);
 int64_t worker_clock (const struct worker *worker, kq_usec mono);
+/* Records that the leases at WORKER may have been extended until FROM. */
+void worker_count_leases (struct worker *worker, kq_usec from,
+                          enum lapse_basis basis);
 void worker_start_incarnation (struct kq_sched *sched, struct worker *worker,
                                int64_t incarnation_ms, kq_usec now);
 /* Applies a reply of another process to an order for WORKER that was sent at
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -178,7 +178,8 @@
 
 /* Whether a later incarnation of WORKER than the known one may have accepted
    an order with an end on the clock of that one: a renewal that has no reply
-   of that one yet, or a start that no list of it has shown. */
+   of that one yet, or a start, also of an earlier owner, that no list of it
+   has shown. */
 static bool
 may_hold_earlier_end (const struct worker *worker)
 {
@@ -188,13 +189,22 @@
     return true;
   DL_FOREACH (worker->tasks, task)
   {
-    if (task->phase != PHASE_STORING && task->phase != PHASE_RESTORED
-        && task->percent < 0)
+    if (task->phase != PHASE_STORING && task->percent < 0)
       return true;
   }
   return false;
 }
 
+void
+worker_count_leases (struct worker *worker, kq_usec from,
+                     enum lapse_basis basis)
+{
+  if (worker->leases_counted_from >= from)
+    return;
+  worker->leases_counted_from = from;
+  worker->lapse_basis = basis;
+}
+
 /* A new incarnation starts with a new clock, new numbers of ended runs and
    no known fences. Before it was known it may have accepted orders that were
    meant for the earlier one. */
@@ -206,11 +216,8 @@
 
   log_worker (worker, "worker in a new incarnation",
               restarted ? "restarted under its ID" : "");
-  if (restarted && worker->leases_lapsed_at < now + LONGEST_LAPSE_US)
-    {
-      worker->leases_lapsed_at = now + LONGEST_LAPSE_US;
-      worker->lapse_basis = LAPSE_FROM_RESTART;
-    }
+  if (restarted)
+    worker_count_leases (worker, now, LAPSE_FROM_RESTART);
   if (restarted)
     grant_set_long_lease (sched, worker, may_hold_earlier_end (worker));
   else if (worker->granted_incarnation_ms != 0
@@ -425,6 +432,23 @@
                                 : KQ_SCHED_UNRESPONSIVE_US);
 }
 
+/* Whether a run at WORKER may go on under a lease that ends by an earlier
+   clock: its start was answered, or may have been, but not listed. */
+static bool
+may_run_by_earlier_clock (const struct worker *worker)
+{
+  const struct task *task;
+
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->percent < 0
+        && (task->phase == PHASE_RUNNING || task->phase == PHASE_STOPPING
+            || task->phase == PHASE_RESTORED))
+      return true;
+  }
+  return false;
+}
+
 /* Whether all leases granted to WORKER have lapsed, even if its clock is
    slow. */
 static bool
@@ -433,7 +457,10 @@
   int64_t clock;
 
   if (worker->clock_read_at == 0)
-    return now.mono > worker->leases_lapsed_at;
+    return now.mono - worker->leases_counted_from
+           > (worker->has_long_lease && may_run_by_earlier_clock (worker)
+                  ? MAX_LAPSE_US
+                  : LONGEST_LAPSE_US);
   clock = worker->worker_clock_ms
           + (now.mono - worker->clock_read_at) / KQ_USEC_PER_MSEC
                 * SLOWEST_CLOCK_PERCENT / 100;
