term: an owner stops acting before it releases its term

Cause: the owner went on until it had read its release itself. Cut off from the store in between, or with the answer lost, it renewed leases for up to 3 s after its last confirmation; a worker that it reaches and its successor does not then runs on under a lease that the successor counts as lapsed. The same held, for the time until the next timer, where a host learned from another one that its term is over: the end was noted before the owner had stopped.

Now the term says that the host must not act any more; the node stops the owner and reports that it is idle; only then is the release appended, marked as such, and only then is the end noted. A release without the mark, of an earlier version, ends no wait: its owner counts as one that was lost. The node also stops an owner whose term was replaced by another own one.

--- a/node/node.c
+++ b/node/node.c
@@ -80,7 +80,8 @@
   struct owner_request *owner_requests;
   struct kq_admission_fronts fronts; /* told of closed queues */
   uint64_t last_token;
-  int64_t owner_term; /* term of the last known owner */
+  int64_t served_term; /* own term that OWNER serves; 0: none */
+  int64_t owner_term;  /* term of the last known owner */
   int64_t owner_changes;
   bool superseded;
   kq_usec owner_seen_at; /* when an owner last replied or became known */
@@ -392,8 +393,11 @@
       stop_owner (node);
       own_term = 0;
     }
-  if (own_term == 0)
+  if (own_term == 0 || own_term != node->served_term)
     stop_owner (node);
+  node->served_term = own_term;
+  if (own_term == 0)
+    kq_term_note_idle (node->term, kq_clock_now ());
   else if (node->owner == NULL)
     start_owner (node);
   if (node->owner != NULL)
@@ -568,7 +572,7 @@
 static bool
 holds_term (const struct node *node)
 {
-  return kq_stop_holds_term (kq_term_own_term (node->term),
+  return kq_stop_holds_term (kq_term_held_term (node->term),
                              kq_term_confirmed_at (node->term),
                              kq_clock_now ());
 }
--- a/node/watch.c
+++ b/node/watch.c
@@ -141,6 +141,19 @@
           0, "at", number, NULL);
 }
 
+/* Fills APPEND with the record to append now, if any. An owner that is to
+   release its term stops acting first. */
+static bool
+next_append (struct kq_watch *watch, struct kq_term_append *append)
+{
+  if (kq_term_next (watch->term, kq_clock_now (), append))
+    return true;
+  if (!kq_term_awaits_idle (watch->term))
+    return false;
+  watch->handler.on_term (watch->handler.arg);
+  return kq_term_next (watch->term, kq_clock_now (), append);
+}
+
 static void
 append_term (struct kq_watch *watch)
 {
@@ -149,7 +162,7 @@
   struct kq_store_batch batch = { 0 };
   struct kq_store_append_result failure = { .err = KQ_ENOMEM };
 
-  if (!kq_term_next (watch->term, kq_clock_now (), &append))
+  if (!next_append (watch, &append))
     return;
   log_append (&append);
   condition = (struct kq_store_condition){ .expected_end = append.at,
--- a/t/lib-term.c
+++ b/t/lib-term.c
@@ -77,8 +77,12 @@
 {
   struct kq_term_append_result result = { .outcome = KQ_TERM_FAILED };
   struct kq_term_append append;
+  bool due = kq_term_next (sim->hosts[i], sim->now, &append);
 
-  if (!kq_term_next (sim->hosts[i], sim->now, &append))
+  /* A host stops acting as the owner as soon as its term says so. */
+  if (kq_term_own_term (sim->hosts[i]) == 0)
+    kq_term_note_idle (sim->hosts[i], sim->now);
+  if (!due && !kq_term_next (sim->hosts[i], sim->now, &append))
     return;
   if (!sim->store_unreachable[i])
     result = append_record (sim, &append);
--- a/t/test-release.c
+++ b/t/test-release.c
@@ -4,6 +4,7 @@
  */
 #include "t/kqtest.h"
 #include "t/lib-term.h"
+#include "term/term.pb-c.h"
 
 /* An owner may act for so long after the store has confirmed its term. */
 #define ACT_LIMIT_US (3 * KQ_USEC_PER_SEC)
@@ -89,7 +90,64 @@
   check_release (true);
 }
 
+/* Makes the last record one of an earlier version, whose owners went on until
+   they had read their release. */
+static void
+drop_idle (struct sim *sim)
+{
+  struct record *last = &sim->records[sim->end - 1];
+  KqTerm__TermRecord *record
+      = kq_term__term_record__unpack (NULL, last->size, last->bytes);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (record);
+  if (record == NULL)
+    return;
+  CU_ASSERT_NOT_EQUAL (record->idle, 0);
+  record->idle = false;
+  last->size = kq_term__term_record__pack (record, last->bytes);
+  kq_term__term_record__free_unpacked (record, NULL);
+}
+
+/* Guards against the same while hosts of an earlier version run. */
+static void
+test_release_of_an_earlier_version (void)
+{
+  struct sim *sim = create_sim ();
+  int first = -1;
+  kq_usec released_at;
+  int64_t term;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL_FATAL (count_owners (sim, &first), 1);
+  term = release_and_cut_off (sim, first, false);
+  released_at = sim->now;
+  drop_idle (sim);
+  run_for (sim, KQ_USEC_PER_SEC);
+  CU_ASSERT (counted_until (sim->hosts[(first + 1) % HOSTS], term)
+             >= released_at + ACT_LIMIT_US - KQ_USEC_PER_SEC / 2);
+  destroy_sim (sim);
+}
+
+/* Guards against a wait that is longer than needed after a planned stop. */
+static void
+test_release_ends_the_wait (void)
+{
+  struct sim *sim = create_sim ();
+  int first = -1;
+  int64_t term;
+
+  run_for (sim, KQ_USEC_PER_SEC);
+  CU_ASSERT_EQUAL_FATAL (count_owners (sim, &first), 1);
+  term = release_and_cut_off (sim, first, false);
+  run_for (sim, KQ_USEC_PER_SEC / 2);
+  CU_ASSERT (counted_until (sim->hosts[(first + 1) % HOSTS], term)
+             <= sim->now);
+  destroy_sim (sim);
+}
+
 static const struct kq_test tests[] = {
+  { "a release of an earlier version", test_release_of_an_earlier_version },
+  { "a release ends the wait", test_release_ends_the_wait },
   { "cut off after the reply", test_cut_off_after_the_reply },
   { "the reply is lost", test_reply_lost },
 };
--- a/term/term.c
+++ b/term/term.c
@@ -85,10 +85,12 @@
   kq_usec read_latency; /* of the first read */
   double cores;         /* available to this host */
   int64_t own_term;     /* 0: this host is not the owner */
+  int64_t acting_term;  /* in which it may act, or has until it is idle */
   int64_t fence;        /* of its latest record, while it is the owner */
   kq_usec own_since;
   kq_usec confirmed_at; /* send time of the last append that confirmed it */
   bool releasing;
+  bool leaving;        /* it must not act any more, and releases its term */
   bool asked_to_claim; /* the last owner has released its term to this host */
   char successor[KQ_TERM_TEXT_SIZE]; /* for the release; "": any host */
   kq_usec no_claim_until;
@@ -148,12 +150,11 @@
 }
 
 static void
-end_own_term (struct kq_term *term, kq_usec now)
+end_own_term (struct kq_term *term)
 {
-  if (term->own_term != 0)
-    kq_past_note_end (&term->past, now, term->own_term);
   term->own_term = 0;
   term->releasing = false;
+  term->leaving = false;
 }
 
 static void
@@ -170,7 +171,7 @@
   term->owner_since = now;
   term->asked_to_claim = false;
   if (number > term->own_term)
-    end_own_term (term, now);
+    end_own_term (term);
 }
 
 /* The release of a term that began during the stop is put off: no other host
@@ -202,6 +203,7 @@
   if (is_own (term, record) && term->no_claim_until <= now)
     {
       term->own_term = number;
+      term->acting_term = number;
       term->fence = number;
       term->own_since = now;
       term->confirmed_at = term->pending_since;
@@ -236,7 +238,8 @@
                const KqTerm__TermRecord *record)
 {
   note_heard (term, now, record, record->term);
-  kq_past_note_end (&term->past, now, record->term);
+  if (record->idle)
+    kq_past_note_end (&term->past, now, record->term);
   if (record->term != term->owner.term)
     return;
   term->owner.address[0] = '\0';
@@ -248,7 +251,7 @@
   if (record->successor[0] != '\0')
     term->owner_alive_at += SUCCESSOR_TIME_US;
   if (is_own (term, record))
-    end_own_term (term, now);
+    end_own_term (term);
 }
 
 /* The owner gives its term to a host with clearly more cores. */
@@ -408,8 +411,8 @@
     return KQ_TERM_NONE;
   if (term->own_term != 0)
     {
-      if (term->releasing || (term->stopping && now >= term->release_at))
-        return KQ_TERM_RELEASE;
+      if (term->leaving)
+        return term->acting_term == 0 ? KQ_TERM_RELEASE : KQ_TERM_NONE;
       return now >= term->heartbeat_at + HEARTBEAT_INTERVAL_US
                  ? KQ_TERM_HEARTBEAT
                  : KQ_TERM_NONE;
@@ -447,10 +450,14 @@
 kq_term_next (struct kq_term *term, kq_usec now, struct kq_term_append *append)
 {
   KqTerm__TermRecord record = KQ_TERM__TERM_RECORD__INIT;
-  enum kq_term_kind kind = next_kind (term, now);
   struct kq_term_past past[KQ_TERM_MAX_PAST];
   struct kq_past_message message;
+  enum kq_term_kind kind;
 
+  if (term->own_term != 0
+      && (term->releasing || (term->stopping && now >= term->release_at)))
+    term->leaving = true;
+  kind = next_kind (term, now);
   if (kind == KQ_TERM_NONE || term->pending_kind != KQ_TERM_NONE
       || now < term->next_append_at)
     return false;
@@ -463,7 +470,10 @@
   if (kind == KQ_TERM_HEARTBEAT)
     record.age_ms = (now - term->own_since) / KQ_USEC_PER_MSEC;
   if (kind == KQ_TERM_RELEASE)
-    record.successor = term->successor;
+    {
+      record.successor = term->successor;
+      record.idle = true;
+    }
   if (kind != KQ_TERM_BID)
     kq_past_write (past, kq_term_get_past (term, past), now, &message,
                    &record);
@@ -588,15 +598,35 @@
   snprintf (owner->address, sizeof owner->address, "%s", address);
   term->owner_alive_at = now;
   term->timeout_extended = false;
-  end_own_term (term, now);
+  end_own_term (term);
 }
 
 int64_t
 kq_term_own_term (const struct kq_term *term)
+{
+  return term->leaving ? 0 : term->own_term;
+}
+
+int64_t
+kq_term_held_term (const struct kq_term *term)
 {
   return term->own_term;
 }
 
+bool
+kq_term_awaits_idle (const struct kq_term *term)
+{
+  return term->leaving && term->acting_term != 0;
+}
+
+void
+kq_term_note_idle (struct kq_term *term, kq_usec now)
+{
+  if (term->acting_term != 0)
+    kq_past_note_end (&term->past, now, term->acting_term);
+  term->acting_term = 0;
+}
+
 kq_usec
 kq_term_own_since (const struct kq_term *term)
 {
@@ -640,6 +670,6 @@
 {
   if (term->own_term == 0)
     return;
-  end_own_term (term, now);
+  end_own_term (term);
   term->owner_alive_at = now;
 }
--- a/term/term.h
+++ b/term/term.h
@@ -142,9 +142,21 @@
 void kq_term_learn_owner (struct kq_term *term, kq_usec now,
                           const char *address, int64_t number);
 
-/** Returns this host's own term, or 0 while it is not the owner. */
+/** Returns this host's own term, or 0 while it must not act as the owner: it
+ *  has no term, or is about to release it.  */
 int64_t kq_term_own_term (const struct kq_term *term);
 
+/** Returns the term that this host has, also while it is about to release it;
+ *  0: none.  */
+int64_t kq_term_held_term (const struct kq_term *term);
+
+/** Returns whether a release waits for kq_term_note_idle(). */
+bool kq_term_awaits_idle (const struct kq_term *term);
+
+/** Records that this host does not act as the owner (any more).  A release is
+ *  appended only then: other hosts take it for the end of all acts.  */
+void kq_term_note_idle (struct kq_term *term, kq_usec now);
+
 /** Returns since when this host has owned its own term. */
 kq_usec kq_term_own_since (const struct kq_term *term);
 
--- a/term/term.pb-c.c
+++ b/term/term.pb-c.c
@@ -142,7 +142,7 @@
   assert(message->base.descriptor == &kq_term__host_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor kq_term__term_record__field_descriptors[10] =
 {
   {
     "kind",
@@ -252,12 +252,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KqTerm__TermRecord, idle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_term__term_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
   6,   /* field[6] = age_ms */
   5,   /* field[5] = cores */
   1,   /* field[1] = host */
+  9,   /* field[9] = idle */
   0,   /* field[0] = kind */
   4,   /* field[4] = life */
   8,   /* field[8] = past */
@@ -267,7 +280,7 @@
 static const ProtobufCIntRange kq_term__term_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor kq_term__term_record__descriptor =
 {
@@ -277,7 +290,7 @@
   "KqTerm__TermRecord",
   "kq_term",
   sizeof(KqTerm__TermRecord),
-  9,
+  10,
   kq_term__term_record__field_descriptors,
   kq_term__term_record__field_indices_by_name,
   1,  kq_term__term_record__number_ranges,
--- a/term/term.pb-c.h
+++ b/term/term.pb-c.h
@@ -62,10 +62,14 @@
   char *successor;
   size_t n_past;
   KqTerm__PastTerm **past;
+  /*
+   * releases: the owner acted no more when it wrote
+   */
+  protobuf_c_boolean idle;
 };
 #define KQ_TERM__TERM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_term__term_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
