sched: an order that never had a reply may extend the lease of a restarted worker

After a restart the owner expected one where its last renewal was open, or a start was bound and not listed. A renewal without a reply before others that had one, a start that was given up, and what an earlier owner left open can reach the new incarnation as well, before the owner's next fence does. The lease there is then 10 s, and was counted as 5 s.

The owner keeps when the last poll or start without a reply was sent to a worker, and expects the longest lease if that was less than 12 s before the restart became known, or if its term began since. The wait differs only where the worker falls silent afterwards.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -141,6 +141,8 @@
     worker->polls_in_flight--;
   worker->next_poll_at = now.mono + POLL_RETRY_US;
   note_silence (worker, reply, event->u.polled.sent_at);
+  if (event->u.polled.reply == KQ_SCHED_NO_REPLY)
+    worker_note_no_reply (worker, event->u.polled.sent_at);
   if (reply == KQ_SCHED_FENCED)
     set_superseded (sched, worker->report.id);
   if (reply == KQ_SCHED_OTHER_INCARNATION)
@@ -242,12 +244,15 @@
 reply_apply_start (struct kq_sched *sched, struct kq_sched_now now,
                    const struct kq_sched_event *event)
 {
+  struct worker *worker = worker_find (sched, event->u.order.worker);
   struct task *task = find_ordered_task (sched, event);
   enum kq_sched_reply reply = order_reply (sched, event);
   bool refused_unread = event->u.order.reply == KQ_SCHED_OTHER_INCARNATION
                         || (event->u.order.reply == KQ_SCHED_FENCED
                             && reply == KQ_SCHED_NO_REPLY);
 
+  if (worker != NULL && event->u.order.reply == KQ_SCHED_NO_REPLY)
+    worker_note_no_reply (worker, event->u.order.sent_at);
   if (task != NULL && (refused_unread || reply != KQ_SCHED_NO_REPLY))
     late_note_settled (task);
   /* Another process or a later incarnation got the order, so that the run
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -74,6 +74,10 @@
   ((KQ_SCHED_MAX_LEASE_MS + LAPSE_MARGIN_MS) * KQ_USEC_PER_MSEC * 100         \
    / SLOWEST_CLOCK_PERCENT)
 
+/* An order without a reply may be carried out for so long after it was sent,
+   as far as a restart of its worker counts with it. */
+#define OPEN_ORDER_US (12 * KQ_USEC_PER_SEC)
+
 /* Number of records among which the grants of all workers are split, so that
    a change of one writes few others again. */
 #define GRANT_BUCKETS 16
@@ -380,6 +384,8 @@
   kq_usec open_renewal_at; /* when the last renewal was sent that was neither
                               refused nor answered by the known incarnation; 0:
                               none */
+  kq_usec unanswered_at;   /* when the last poll or start was sent that had no
+                              reply; 0: none */
   bool has_long_lease;     /* the lease may end by the clock of an earlier
                               incarnation (grant.c) */
   int64_t granted_incarnation_ms; /* the one that earlier owners knew; 0: none
@@ -723,6 +729,9 @@
 void worker_note_reply (struct kq_sched *sched, struct worker *worker,
                         kq_usec now, int64_t worker_clock_ms);
 void worker_note_lease (struct worker *worker, int64_t lease_end_ms);
+/* A poll or a start that was sent at SENT_AT has had no reply: it may be
+   carried out yet. */
+void worker_note_no_reply (struct worker *worker, kq_usec sent_at);
 /* An order other than a poll has had a reply, or none: a poll's reply does not
    tell whether the worker takes orders. */
 void worker_note_answered_order (struct worker *worker);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -155,6 +155,13 @@
           tasks, "why", why, NULL);
 }
 
+void
+worker_note_no_reply (struct worker *worker, kq_usec sent_at)
+{
+  if (sent_at > worker->unanswered_at)
+    worker->unanswered_at = sent_at;
+}
+
 void
 worker_note_answered_order (struct worker *worker)
 {
@@ -178,14 +185,18 @@
 
 /* Whether a later incarnation of WORKER than the known one may have accepted
    an order with an end on the clock of that one: a renewal that has no reply
-   of that one yet, or a start, also of an earlier owner, that no list of it
-   has shown. */
+   of that one yet, one or a start that never had a reply, also of an earlier
+   owner, or a start that no list of it has shown. */
 static bool
-may_hold_earlier_end (const struct worker *worker)
+may_hold_earlier_end (const struct kq_sched *sched,
+                      const struct worker *worker, kq_usec now)
 {
   const struct task *task;
 
-  if (worker->open_renewal_at != 0)
+  if (worker->open_renewal_at != 0
+      || now - sched->term_began_at < OPEN_ORDER_US
+      || (worker->unanswered_at != 0
+          && now - worker->unanswered_at < OPEN_ORDER_US))
     return true;
   DL_FOREACH (worker->tasks, task)
   {
@@ -219,7 +230,8 @@
   if (restarted)
     worker_count_leases (worker, now, LAPSE_FROM_RESTART);
   if (restarted)
-    grant_set_long_lease (sched, worker, may_hold_earlier_end (worker));
+    grant_set_long_lease (sched, worker,
+                          may_hold_earlier_end (sched, worker, now));
   else if (worker->granted_incarnation_ms != 0
            && incarnation_ms > worker->granted_incarnation_ms)
     grant_set_long_lease (sched, worker, true);
--- a/t/test-silent-restart.c
+++ b/t/test-silent-restart.c
@@ -7,6 +7,7 @@
 #include "t/lib-sched.h"
 
 #define JOB UINT64_C (0x11)
+#define NEXT_JOB UINT64_C (0x12)
 
 /* Longest lease that a worker grants, and the time by which the task must run
    elsewhere: 2 % for a slow clock, the margin of a lapse, and a tick. */
@@ -22,10 +23,19 @@
 static const struct kq_sched_step step
     = { .count = 1, .demand = { 1000, 100, 0 }, .est_ms = 20000 };
 
+static struct ts_order
+last_start_of (const struct ts_cell *cell, uint64_t job)
+{
+  const struct ts_order *order
+      = ts_last_order (cell, KQ_SCHED_FX_START, job, 0, 0);
+
+  return order != NULL ? *order : (struct ts_order){ .worker = "" };
+}
+
 static struct ts_order
 last_start (const struct ts_cell *cell)
 {
-  return *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+  return last_start_of (cell, JOB);
 }
 
 /* Only worker "b", which runs nothing, replies for MS. */
@@ -103,6 +113,98 @@
   ts_destroy (cell);
 }
 
+/* Lets the second incarnation of worker "a", which runs nothing, accept the
+   next start of the task of OF_JOB, and fall silent.  What an order that was
+   late has extended there lasts for the longest lease from when it lists its
+   runs. */
+static void
+assert_longest_lease_of_next_run (struct ts_cell *cell, uint64_t of_job)
+{
+  int run = last_start_of (cell, of_job).run.run;
+  struct ts_order start;
+
+  for (int i = 0; i < 20 && last_start_of (cell, of_job).run.run == run; i++)
+    {
+      ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, NULL, 0, NULL, 0);
+      ts_advance (cell, 100);
+    }
+  start = last_start_of (cell, of_job);
+  CU_ASSERT_STRING_EQUAL (start.worker, "a");
+  CU_ASSERT_EQUAL (start.run.run, run + 1);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  ts_add_idle_worker (cell, "b", 4000);
+  advance_without_a (cell, MAX_LEASE_MS - 2000);
+  CU_ASSERT_STRING_EQUAL (last_start_of (cell, of_job).worker, "a");
+  advance_without_a (cell, OVER_MS - MAX_LEASE_MS + 2000);
+  CU_ASSERT_STRING_EQUAL (last_start_of (cell, of_job).worker, "b");
+}
+
+/* Guards against the same for a run that the new incarnation began later: a
+   renewal without a reply, before others that had one, reaches it and extends
+   its lease by the earlier clock. */
+static void
+test_renewal_that_was_late (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 5);
+
+  ts_advance (cell, 100);
+  ts_fail_poll (cell, "a");
+  ts_advance (cell, 300);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  assert_longest_lease_of_next_run (cell, JOB);
+  ts_destroy (cell);
+}
+
+/* The same for a renewal of the earlier owner. */
+static void
+test_late_renewal_of_the_earlier_owner (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 5);
+
+  ts_advance (cell, 100);
+  ts_fail_poll (cell, "a");
+  ts_take_over (cell);
+  ts_register_worker (cell, "a", 4000, 4000);
+  ts_advance (cell, 300);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  assert_longest_lease_of_next_run (cell, JOB);
+  ts_destroy (cell);
+}
+
+/* The same for a start that had no reply and whose job is cancelled; another
+   task starts there then. */
+static void
+test_start_that_was_late (void)
+{
+  struct ts_cell *cell = ts_create ();
+  struct ts_order order;
+
+  ts_add_idle_worker (cell, "a", 4000);
+  ts_submit (cell, JOB, "batch", &step, 1);
+  order = last_start (cell);
+  ts_reply_order (cell, &order, KQ_SCHED_NO_REPLY);
+  ts_cancel (cell, JOB);
+  for (int i = 0; i < 3; i++)
+    {
+      ts_advance (cell, 100);
+      ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+    }
+  order = *ts_last_order (cell, KQ_SCHED_FX_STOP, JOB, 0, 0);
+  ts_reply_order (cell, &order, KQ_SCHED_OK);
+  ts_advance (cell, 100);
+  ts_reply_poll (cell, "a", NULL, 0, NULL, 0);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  ts_submit (cell, NEXT_JOB, "batch", &step, 1);
+  assert_longest_lease_of_next_run (cell, NEXT_JOB);
+  ts_destroy (cell);
+}
+
 /* Guards against a wait that is longer than needed: a worker that lists its
    runs and falls silent without a restart. */
 static void
@@ -126,6 +228,10 @@
   { "an accepted start of the earlier owner",
     test_accepted_start_of_the_earlier_owner },
   { "a restart after a takeover", test_restart_after_a_takeover },
+  { "a renewal that was late", test_renewal_that_was_late },
+  { "a late renewal of the earlier owner",
+    test_late_renewal_of_the_earlier_owner },
+  { "a start that was late", test_start_that_was_late },
   { "no restart", test_no_restart },
 };
 
