sched: compare grants with registrations that were read before them

Cause: whether a worker has restarted since its grant was stored was asked only as its registration was applied. The same held for a worker that replies once and falls silent.

Now the comparison is made on both sides. Ruled out: the case where the grant is read first, which test-silent-restart and test-new-incarnation cover.

--- a/sched/grant.c
+++ b/sched/grant.c
@@ -140,6 +140,13 @@
   return count;
 }
 
+bool
+grant_is_outdated (const struct worker *worker)
+{
+  return worker->granted_incarnation_ms != 0
+         && worker->report.incarnation_ms > worker->granted_incarnation_ms;
+}
+
 int
 kq_sched_restore_grants (struct kq_sched *sched, const uint8_t *value,
                          size_t size)
@@ -165,6 +172,9 @@
               = i < message->n_long_leases && message->long_leases[i];
           worker->granted_incarnation_ms
               = i < message->n_born_ms ? message->born_ms[i] : 0;
+          /* Registrations are read meanwhile. */
+          if (grant_is_outdated (worker))
+            grant_set_long_lease (sched, worker, true);
         }
     }
   kq_sched__grant_record__free_unpacked (message, NULL);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -749,6 +749,9 @@
 /* Has the store hold whether the lease of WORKER may be the longest. */
 void grant_set_long_lease (struct kq_sched *sched, struct worker *worker,
                            bool has_long_lease);
+/* Whether WORKER has restarted since earlier owners stored what they know of
+   it. */
+bool grant_is_outdated (const struct worker *worker);
 bool grant_is_stored (const struct kq_sched *sched,
                       const struct worker *worker);
 /* Encodes the changed grants into at most GRANT_BUCKETS records; returns their
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -232,9 +232,6 @@
   if (restarted)
     grant_set_long_lease (sched, worker,
                           may_hold_earlier_end (sched, worker, now));
-  else if (worker->granted_incarnation_ms != 0
-           && incarnation_ms > worker->granted_incarnation_ms)
-    grant_set_long_lease (sched, worker, true);
   worker->long_lease_until = 0;
   worker->open_renewal_at = 0;
   worker->ends_known = restarted;
@@ -242,6 +239,8 @@
   worker->late_hold_count = 0;
   fence_begin_incarnation (sched, worker);
   worker->report.incarnation_ms = incarnation_ms;
+  if (!restarted && grant_is_outdated (worker))
+    grant_set_long_lease (sched, worker, true);
   worker->report_outdated = true;
   worker->incarnation_since = now;
   worker->ended_as_announced = worker->report.draining;
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -146,13 +146,27 @@
     }
 }
 
-void
-ts_take_over (struct ts_cell *cell)
+static void
+send_registration (struct ts_cell *cell, const char *id, int64_t cpu,
+                   int64_t mem, int64_t incarnation_ms, bool draining)
+{
+  struct kq_sched_registration registration
+      = { .capacity = { cpu, mem, 0 },
+          .incarnation_ms = incarnation_ms,
+          .draining = draining };
+  struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER };
+
+  snprintf (registration.id, sizeof registration.id, "%s", id);
+  snprintf (registration.service, sizeof registration.service, "s");
+  snprintf (registration.address, sizeof registration.address, "10.0.0.1:80");
+  snprintf (registration.rack, sizeof registration.rack, "r-%s", id);
+  event.u.report = &registration;
+  kq_sched_event (cell->sched, cell->now, &event);
+}
+
+static void
+restore_records (struct ts_cell *cell)
 {
-  kq_sched_destroy (cell->sched);
-  cell->pending_effect_count = 0;
-  cell->stored = 0;
-  begin_term (cell);
   for (int i = 0; i < cell->record_count; i++)
     {
       const struct kq_sched_record *record = &cell->records[i];
@@ -196,6 +210,31 @@
   kq_sched_finish_restore (cell->sched, cell->now);
 }
 
+static void
+replace_owner (struct ts_cell *cell)
+{
+  kq_sched_destroy (cell->sched);
+  cell->pending_effect_count = 0;
+  cell->stored = 0;
+  begin_term (cell);
+}
+
+void
+ts_take_over (struct ts_cell *cell)
+{
+  replace_owner (cell);
+  restore_records (cell);
+}
+
+void
+ts_take_over_registered (struct ts_cell *cell, const char *id, int64_t cpu,
+                         int64_t mem, int64_t incarnation_ms)
+{
+  replace_owner (cell);
+  send_registration (cell, id, cpu, mem, incarnation_ms, false);
+  restore_records (cell);
+}
+
 static void
 store_record (struct ts_cell *cell, const struct kq_sched_record *record)
 {
@@ -332,24 +371,6 @@
   return cell->now.mono / KQ_USEC_PER_MSEC + CLOCK_AHEAD_MS;
 }
 
-static void
-send_registration (struct ts_cell *cell, const char *id, int64_t cpu,
-                   int64_t mem, int64_t incarnation_ms, bool draining)
-{
-  struct kq_sched_registration registration
-      = { .capacity = { cpu, mem, 0 },
-          .incarnation_ms = incarnation_ms,
-          .draining = draining };
-  struct kq_sched_event event = { .kind = KQ_SCHED_EV_WORKER };
-
-  snprintf (registration.id, sizeof registration.id, "%s", id);
-  snprintf (registration.service, sizeof registration.service, "s");
-  snprintf (registration.address, sizeof registration.address, "10.0.0.1:80");
-  snprintf (registration.rack, sizeof registration.rack, "r-%s", id);
-  event.u.report = &registration;
-  kq_sched_event (cell->sched, cell->now, &event);
-}
-
 void
 ts_register (struct ts_cell *cell, const struct kq_sched_registration *report)
 {
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -77,6 +77,11 @@
 /** Replaces the owner: a new scheduler restores the stored records. */
 void ts_take_over (struct ts_cell *cell);
 
+/** The same; the registration of worker ID is read before the records. */
+void ts_take_over_registered (struct ts_cell *cell, const char *id,
+                              int64_t cpu, int64_t mem,
+                              int64_t incarnation_ms);
+
 /** Advances the time by MS in steps, with ticks; stores records and executes
  *  effects.  */
 void ts_advance (struct ts_cell *cell, int64_t ms);
--- a/t/test-silent-restart.c
+++ b/t/test-silent-restart.c
@@ -205,6 +205,18 @@
   ts_destroy (cell);
 }
 
+/* The same; the successor reads the registration before it reads what the
+   earlier owner has stored, as is usual. */
+static void
+test_registration_read_first (void)
+{
+  struct ts_cell *cell = start_cell ();
+
+  ts_take_over_registered (cell, "a", 4000, 4000, 2);
+  assert_longest_lease (cell, ACT_LIMIT_MS);
+  ts_destroy (cell);
+}
+
 /* Guards against a wait that is longer than needed: a worker that lists its
    runs and falls silent without a restart. */
 static void
@@ -232,6 +244,7 @@
   { "a late renewal of the earlier owner",
     test_late_renewal_of_the_earlier_owner },
   { "a start that was late", test_start_that_was_late },
+  { "the registration is read first", test_registration_read_first },
   { "no restart", test_no_restart },
 };
 
