sched: keep the longest lease of a worker that restarts twice

Cause: each restart decided anew whether an order by an earlier clock may be under way. The first one, known by registration alone, took the open renewal off the record; at the second one nothing told of it, and the mark of the longest lease was cleared, though the last incarnation may have carried out that renewal before an order with a higher fence reached it.

Now a restart only sets the mark. It ends as before, 10.5 s after a list under the new fence.

--- a/sched/worker.c
+++ b/sched/worker.c
@@ -229,9 +229,9 @@
               restarted ? "restarted under its ID" : "");
   if (restarted)
     worker_count_leases (worker, now, LAPSE_FROM_RESTART);
-  if (restarted)
-    grant_set_long_lease (sched, worker,
-                          may_hold_earlier_end (sched, worker, now));
+  /* An order that was under way at the restart before may reach this one. */
+  if (restarted && may_hold_earlier_end (sched, worker, now))
+    grant_set_long_lease (sched, worker, true);
   worker->long_lease_until = 0;
   worker->open_renewal_at = 0;
   worker->ends_known = restarted;
--- a/t/test-silent-restart.c
+++ b/t/test-silent-restart.c
@@ -217,6 +217,31 @@
   ts_destroy (cell);
 }
 
+/* The same for a renewal that is under way while the worker restarts twice,
+   without a reply in between: the last incarnation may have carried it out. */
+static void
+test_two_restarts (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 5);
+
+  ts_advance (cell, 100);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  ts_advance (cell, 100);
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  ts_advance (cell, 100);
+  ts_register_incarnation (cell, "a", 4000, 4000, 3);
+  ts_advance (cell, 100);
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 3, NULL, 0, NULL, 0);
+  ts_advance (cell, 100);
+  start = last_start (cell);
+  CU_ASSERT_EQUAL (start.run.run, 2);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  assert_longest_lease (cell, 0);
+  ts_destroy (cell);
+}
+
 /* Guards against a wait that is longer than needed: a worker that lists its
    runs and falls silent without a restart. */
 static void
@@ -245,6 +270,7 @@
     test_late_renewal_of_the_earlier_owner },
   { "a start that was late", test_start_that_was_late },
   { "the registration is read first", test_registration_read_first },
+  { "two restarts", test_two_restarts },
   { "no restart", test_no_restart },
 };
 
