term: confirm a term as of the first copy of its claim

Cause: an owner may act for 3 s after the store has confirmed its term, as of when the append was sent. A claim whose answer is lost is repeated; the first copy may be the one that is stored, and the repetition is refused. The owner took the time of the repetition, while the other hosts count from when they read the record: up to 0.9 s apart, the age of the last read up to which a host claims again. Heartbeats have counted from the first copy already.

--- a/t/test-release.c
+++ b/t/test-release.c
@@ -145,7 +145,35 @@
   destroy_sim (sim);
 }
 
+/* Guards against the same after a claim that is repeated since its answer was
+   lost: the term is confirmed as of the first one, which was stored. */
+static void
+test_claim_repeated (void)
+{
+  struct sim *sim = create_sim ();
+  struct kq_term *host = sim->hosts[0];
+  kq_usec claimed_at = 0;
+
+  sim->replies_lost = true;
+  while (sim->end == 0)
+    {
+      read_all (sim, 0);
+      claimed_at = sim->now;
+      append_next (sim, 0);
+      sim->now += STEP_US;
+    }
+  for (kq_usec until = sim->now + KQ_USEC_PER_SEC / 2; sim->now < until;
+       sim->now += STEP_US)
+    append_next (sim, 0);
+  CU_ASSERT_EQUAL (sim->end, 1);
+  read_all (sim, 0);
+  CU_ASSERT_NOT_EQUAL (kq_term_own_term (host), 0);
+  CU_ASSERT_EQUAL (kq_term_confirmed_at (host), claimed_at);
+  destroy_sim (sim);
+}
+
 static const struct kq_test tests[] = {
+  { "a claim is repeated", test_claim_repeated },
   { "a release of an earlier version", test_release_of_an_earlier_version },
   { "a release ends the wait", test_release_ends_the_wait },
   { "cut off after the reply", test_cut_off_after_the_reply },
--- a/term/term.c
+++ b/term/term.c
@@ -101,6 +101,8 @@
   /* the append in progress */
   enum kq_term_kind pending_kind;
   kq_usec pending_since;
+  int64_t claimed_term; /* that the last claim was to begin */
+  kq_usec claimed_at;   /* when it was sent first */
   kq_usec next_append_at;
   kq_usec heartbeat_at;
   int64_t sequence;         /* of the next record with an epoch */
@@ -206,7 +208,8 @@
       term->acting_term = number;
       term->fence = number;
       term->own_since = now;
-      term->confirmed_at = term->pending_since;
+      /* An earlier copy of a repeated claim may be the one that was stored. */
+      term->confirmed_at = term->claimed_at;
       term->heartbeat_at = now;
       term->sequence = 1;
       term->sequence_sent_at = 0;
@@ -436,6 +439,9 @@
       append->at = term->offset;
       append->epoch = term->offset + 1;
       append->sequence = 0;
+      if (term->claimed_term != append->epoch)
+        term->claimed_at = now;
+      term->claimed_term = append->epoch;
     }
   else if (append->kind != KQ_TERM_BID)
     {
