platform, sched: take no list that was not read for an empty one

Cause: a reply without its lists, or with one that is no array, was read as one with empty lists; a row that could not be read was left out. The run that it stands for was started again at once, at another worker, with no lease waited for.

Rows that can be read are applied as before. An end that cannot be read is still left out, and its run is found missing once a later reply has no such row: not changed here.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -118,6 +118,7 @@
       = event->u.polled.fence == 0 || event->u.polled.fence >= worker->fence;
 
   if (!enforced || worker->fence_spent
+      || event->u.polled.worker_status->has_unread_rows
       || event->u.polled.sent_at <= worker->listed_at)
     return;
   if (worker->listed_at == 0 && worker->has_long_lease)
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -404,7 +404,8 @@
         }
     }
   /* If the list of ended runs is full, some may be missing. */
-  if (worker_status->ended_count < KQ_SCHED_MAX_STATUS_ENDS)
+  if (worker_status->ended_count < KQ_SCHED_MAX_STATUS_ENDS
+      && !worker_status->has_unread_rows)
     end_missing_runs (sched, worker, worker_status, sent_at, now);
   share_update (sched, worker, now);
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -228,6 +228,7 @@
   size_t running_count;
   struct kq_sched_ended *ended;
   size_t ended_count;
+  bool has_unread_rows; /**< rows of either list could not be read */
 };
 
 #endif
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -338,10 +338,34 @@
   CU_ASSERT_EQUAL_FATAL (status.ended_count, 1);
   CU_ASSERT_EQUAL (status.ended[0].number, 58);
   CU_ASSERT_EQUAL (status.ended[0].how, KQ_SCHED_DONE);
+  CU_ASSERT_EQUAL (status.has_unread_rows, true);
   kq_wire_status_clear (&status);
   json_decref (response);
 }
 
+/* Guards against taking a list that is missing for an empty one: all runs of
+   the worker were given up while they went on. */
+static void
+test_worker_status_without_a_list (void)
+{
+  static const char *const malformed[]
+      = { "{\"clock_ms\":5,\"born\":9}",
+          "{\"clock_ms\":5,\"born\":9,\"ended\":[]}",
+          "{\"clock_ms\":5,\"born\":9,\"running\":[]}",
+          "{\"clock_ms\":5,\"born\":9,\"running\":{},\"ended\":[]}",
+          "{\"clock_ms\":5,\"born\":9,\"running\":[],\"ended\":\"\"}" };
+
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    {
+      struct kq_sched_status status = { 0 };
+      json_t *response = json_loads (malformed[i], 0, NULL);
+
+      CU_ASSERT_EQUAL (kq_wire_status_read (response, &status), KQ_ESYNTAX);
+      kq_wire_status_clear (&status);
+      json_decref (response);
+    }
+}
+
 static int
 read_advice (const char *text, struct kq_sched_advice *advice)
 {
@@ -648,6 +672,7 @@
   { "IDs of workers", test_worker_ids },
   { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
+  { "a worker status without a list", test_worker_status_without_a_list },
   { "evacuations", test_evacuations },
   { "run names", test_run_names },
   { "advice", test_advice },
