sched: an answered poll tells nothing of a renewal under way beside it

The answer to one ended the open renewal of the other, so that a restart in between was taken for one that no order by the earlier clock can reach.

An answer now ends an open renewal only if no other poll is under way. The case "a lost renewal" of test-silent-restart is the review's; it fails on, and passes since.

--- a/sched/answers.c
+++ b/sched/answers.c
@@ -101,11 +101,12 @@
 }
 
 /* Notes that a poll of WORKER that was sent at SENT_AT was refused, or was
-   answered by the known incarnation.  One without a reply may yet renew. */
+   answered by the known incarnation.  One that is under way beside it may yet
+   renew. */
 static void
 note_renewal_over (struct worker *worker, kq_usec sent_at)
 {
-  if (sent_at >= worker->open_renewal_at)
+  if (sent_at >= worker->open_renewal_at && worker->polls_in_flight == 0)
     worker->open_renewal_at = 0;
 }
 
--- a/t/test-silent-restart.c
+++ b/t/test-silent-restart.c
@@ -242,6 +242,36 @@
   ts_destroy (cell);
 }
 
+/* The same for a renewal without a reply, where a later poll was answered
+   before the restart: an order may be carried out after newer ones. */
+static void
+test_lost_renewal (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 5);
+  kq_usec sent_at;
+
+  ts_advance (cell, 100);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  ts_advance (cell, 1000);
+  sent_at = cell->now.mono;
+  ts_advance (cell, 300);
+  ts_refuse_poll (cell, "a", sent_at, KQ_SCHED_NO_REPLY);
+  ts_advance (cell, 300);
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  /* The new incarnation replies to the next poll, which renews nothing. */
+  ts_register_incarnation (cell, "a", 4000, 4000, 2);
+  ts_advance (cell, 100);
+  ts_reply_poll_sent_at (cell, "a", cell->now.mono, 2, NULL, 0, NULL, 0);
+  ts_advance (cell, 100);
+  start = last_start (cell);
+  CU_ASSERT_EQUAL (start.run.run, 2);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  assert_longest_lease (cell, 0);
+  ts_destroy (cell);
+}
+
 /* Guards against a wait that is longer than needed: a worker that lists its
    runs and falls silent without a restart. */
 static void
@@ -271,6 +301,7 @@
   { "a start that was late", test_start_that_was_late },
   { "the registration is read first", test_registration_read_first },
   { "two restarts", test_two_restarts },
+  { "a lost renewal", test_lost_renewal },
   { "no restart", test_no_restart },
 };
 
