t: an owner that is stopped acts no more when it releases its term

The order in which a host stops its owner and appends the release was held by the code of node/ alone; t/lib-term.c reports by itself that a host is idle. session-site stops the owner and reads the order of both in its log.

--- a/t/session-site.sh
+++ b/t/session-site.sh
@@ -2,7 +2,8 @@
 # Runs jobs with steps on entry hosts that use the stand-in of the platform.
 # All jobs must complete and no task may run twice although the owner and then
 # all entry hosts are killed, and although the state of one job outgrows a record
-# of the store.
+# of the store.  An owner that is told to stop must not act once it has released
+# its term.
 cd "$(dirname "$0")/.." || exit 1
 . t/session-lib.sh
 . t/lib-site.sh
@@ -47,6 +48,20 @@
   check "job $job is complete after all hosts were killed" \
     within 15 site_is_complete $job
 done
+
+# The successor counts the leases from the release.
+acts_no_more_at_release () { # HOST
+  awk '/"module":"owner","event":"active"/ { acts = 1 }
+       /"module":"owner","event":"stopped"/ { acts = 0 }
+       /"module":"term","event":"release"/ { releases++; bad += acts }
+       END { exit !(releases > 0 && bad == 0) }' "$work/host$1.log"
+}
+
+owner=$(sed -n 's/.*"event":"owner known","owner":"host\([1-3]\)".*/\1/p' \
+  "$work/host1.log" | tail -n 1)
+site_inject_fault 6 "${owner:-1}"
+check 'an owner acts no more when it releases its term' \
+  acts_no_more_at_release "${owner:-1}"
 check 'no task ran twice' \
   json_matches "$(site_facts)" '.broken == "" and .done >= 50'
 session_end
