sched: count the retention of ended jobs in the age of the cell

Cause: a job's end was dated by the wall clock of the owner that ended it, and expired by that of the owner at the time. After a step of 300 s, or a takeover by a host that far ahead, a job that had just ended was removed, and its repeat accepted as new.

The end is now dated by the age of the cell, the time for which it has had an owner on their monotonic clocks. The owner stores it each 2 s while it remembers ended jobs; the next one goes on from there, so that it never runs ahead of the time. An end without a date that this owner can place (earlier versions; an owner lost before it stored the age) is dated anew once. Ruled out: the end in the term of its owner, as starts are dated: a successor knows 8 terms, and those that its host heard late only as of then, so that each takeover would date such jobs anew, or rewrite all.

--- a/node/restore.c
+++ b/node/restore.c
@@ -116,6 +116,8 @@
   if (strcmp (key, KQ_SCHED_INTERFERENCE_KEY) == 0)
     return kq_sched_restore_interference (restore->sched, row->value,
                                           row->size);
+  if (strcmp (key, KQ_SCHED_AGE_KEY) == 0)
+    return kq_sched_restore_age (restore->sched, row->value, row->size);
   if (key[0] == KQ_SCHED_GRANT_KEY)
     return kq_sched_restore_grants (restore->sched, row->value, row->size);
   return 0;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -263,6 +263,7 @@
   size_t body_size;
   int64_t accepted_ms;
   int64_t ended_ms;
+  int64_t ended_age_ms; /* age of its cell then (retention.c); 0: unknown */
   enum kq_sched_state state;
   bool started;         /* a task of it has started */
   kq_usec late_until;   /* an earlier run of a task that is done may begin
@@ -514,6 +515,10 @@
   kq_usec overdue_checked_at; /* last check for overdue tasks; 0: none yet */
   kq_usec interference_stored_at; /* when the model's record last fell due */
   bool interference_due;
+  int64_t first_age_ms;     /* age of the cell when this owner began */
+  kq_usec age_counted_from; /* when that was */
+  kq_usec age_stored_at;    /* when its record last fell due */
+  int64_t due_age_ms;       /* to be stored; 0: none */
   bool superseded;
   bool job_given_up;            /* a job is to be ended for its crashes */
   struct kq_evidence *evidence; /* losses of workers */
--- a/sched/job.c
+++ b/sched/job.c
@@ -10,10 +10,7 @@
 #include "log/log.h"
 #include "sched/internal.h"
 #include "sched/late.h"
-
-/* Minimum time for which an ended job can be queried: twice the longest
-   time that a deployment requires ("status_s" 120). */
-#define ENDED_JOB_RETENTION_MS INT64_C (240000)
+#include "sched/retention.h"
 
 /* Of so many last runs of a task it is known which have failed; an end of an
    earlier one that is reported now has been counted. */
@@ -531,6 +528,7 @@
 {
   job->state = state;
   job->ended_ms = now.wall_ms;
+  retention_note_end (sched, job, now);
   if (state != KQ_SCHED_CANCELLED)
     log_end (job);
   job_mark_dirty (sched, job);
@@ -566,8 +564,7 @@
 static void
 mark_expired (struct kq_sched *sched, struct job *job, struct kq_sched_now now)
 {
-  if (!job_has_ended (job)
-      || now.wall_ms - job->ended_ms < ENDED_JOB_RETENTION_MS)
+  if (!job_has_ended (job) || !retention_is_over (sched, job, now))
     return;
   job->expired = true;
   job_log (job, "job expired", "retention");
@@ -579,6 +576,7 @@
 {
   struct job *job;
   struct job *next;
+  bool any_ended = false;
 
   admission_begin_tick (sched, now);
   HASH_ITER (hh, sched->jobs, job, next)
@@ -590,7 +588,10 @@
       complete_job (sched, job, now);
     admission_count_job (sched, job, now);
     mark_expired (sched, job, now);
+    any_ended |= job_has_ended (job);
   }
+  if (any_ended)
+    retention_tick (sched, now);
   admission_end_tick (sched, now);
   task_update_lateness (sched, now);
 }
--- a/sched/record.c
+++ b/sched/record.c
@@ -10,6 +10,7 @@
 #include "log/log.h"
 #include "sched/internal.h"
 #include "sched/record.pb-c.h"
+#include "sched/retention.h"
 #include "sched/state.h"
 
 void
@@ -164,12 +165,12 @@
 {
   struct kq_sched_record *collected;
   struct job *job;
-  size_t max_count = 1 + GRANT_BUCKETS;
+  size_t max_count = 2 + GRANT_BUCKETS;
   int count = 0;
   size_t largest = 0;
 
   if (sched->dirty == NULL && !sched->interference_due
-      && sched->dirty_grants == 0)
+      && sched->dirty_grants == 0 && sched->due_age_ms == 0)
     return 0;
   DL_FOREACH2 (sched->dirty, job, dirty_next)
   {
@@ -181,6 +182,7 @@
   if (sched->interference_due)
     count = encode_interference (sched->interference_model, &collected[0]);
   sched->interference_due = false;
+  count += retention_encode (sched, &collected[count]);
   count += grant_encode (sched, &collected[count]);
   if (sched->dirty == NULL && count == 0)
     {
@@ -266,6 +268,7 @@
   for (int i = 0; i < job->stage_count && job_has_ended (job); i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
       job->stages[i].tasks[j].stop_wanted = true;
+  retention_note_restored (sched, job, now);
   job_end_if_failed (sched, job, now);
   job_open_due_occurrences (sched, job, now);
 }
@@ -296,6 +299,7 @@
 {
   struct job *job;
 
+  retention_begin (sched, now.mono);
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
   log_restored (sched);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_sched__age_record__init
+                     (KqSched__AgeRecord         *message)
+{
+  static const KqSched__AgeRecord init_value = KQ_SCHED__AGE_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__age_record__get_packed_size
+                     (const KqSched__AgeRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__age_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__age_record__pack
+                     (const KqSched__AgeRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__age_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__age_record__pack_to_buffer
+                     (const KqSched__AgeRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__age_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__AgeRecord *
+       kq_sched__age_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__AgeRecord *)
+     protobuf_c_message_unpack (&kq_sched__age_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__age_record__free_unpacked
+                     (KqSched__AgeRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__age_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_sched__grant_record__init
                      (KqSched__GrantRecord         *message)
 {
@@ -569,7 +614,7 @@
   (ProtobufCMessageInit) kq_sched__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[5] =
 {
   {
     "outcome",
@@ -619,8 +664,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__StateRecord, ended_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__state_record__field_indices_by_name[] = {
+  4,   /* field[4] = ended_age_ms */
   1,   /* field[1] = ended_ms */
   0,   /* field[0] = outcome */
   3,   /* field[3] = started */
@@ -629,7 +687,7 @@
 static const ProtobufCIntRange kq_sched__state_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor kq_sched__state_record__descriptor =
 {
@@ -639,7 +697,7 @@
   "KqSched__StateRecord",
   "kq_sched",
   sizeof(KqSched__StateRecord),
-  4,
+  5,
   kq_sched__state_record__field_descriptors,
   kq_sched__state_record__field_indices_by_name,
   1,  kq_sched__state_record__number_ranges,
@@ -710,6 +768,44 @@
   (ProtobufCMessageInit) kq_sched__pressure_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_sched__age_record__field_descriptors[1] =
+{
+  {
+    "age_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__AgeRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__age_record__field_indices_by_name[] = {
+  0,   /* field[0] = age_ms */
+};
+static const ProtobufCIntRange kq_sched__age_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor kq_sched__age_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.AgeRecord",
+  "AgeRecord",
+  "KqSched__AgeRecord",
+  "kq_sched",
+  sizeof(KqSched__AgeRecord),
+  1,
+  kq_sched__age_record__field_descriptors,
+  kq_sched__age_record__field_indices_by_name,
+  1,  kq_sched__age_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__age_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kq_sched__grant_record__field_descriptors[4] =
 {
   {
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
 typedef struct KqSched__StateRecord KqSched__StateRecord;
 typedef struct KqSched__PressureRecord KqSched__PressureRecord;
+typedef struct KqSched__AgeRecord KqSched__AgeRecord;
 typedef struct KqSched__GrantRecord KqSched__GrantRecord;
 
 
@@ -137,6 +138,9 @@
    * enum kq_sched_state
    */
   uint32_t outcome;
+  /*
+   * wall clock of its owner; for earlier versions
+   */
   int64_t ended_ms;
   size_t n_tasks;
   KqSched__TaskRecord **tasks;
@@ -144,10 +148,14 @@
    * a task of the job has begun
    */
   protobuf_c_boolean started;
+  /*
+   * age of the cell then; left out by earlier versions
+   */
+  int64_t ended_age_ms;
 };
 #define KQ_SCHED__STATE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__state_record__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -174,6 +182,20 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * How long the cell has had an owner, at least; written every 2 s while it
+ * remembers ended jobs.
+ */
+struct  KqSched__AgeRecord
+{
+  ProtobufCMessage base;
+  int64_t age_ms;
+};
+#define KQ_SCHED__AGE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__age_record__descriptor) \
+    , 0 }
+
+
 /*
  * The term of the owner that last renewed leases at each of these workers;
  * written before it renews any.
@@ -280,6 +302,25 @@
 void   kq_sched__pressure_record__free_unpacked
                      (KqSched__PressureRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqSched__AgeRecord methods */
+void   kq_sched__age_record__init
+                     (KqSched__AgeRecord         *message);
+size_t kq_sched__age_record__get_packed_size
+                     (const KqSched__AgeRecord   *message);
+size_t kq_sched__age_record__pack
+                     (const KqSched__AgeRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__age_record__pack_to_buffer
+                     (const KqSched__AgeRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__AgeRecord *
+       kq_sched__age_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__age_record__free_unpacked
+                     (KqSched__AgeRecord *message,
+                      ProtobufCAllocator *allocator);
 /* KqSched__GrantRecord methods */
 void   kq_sched__grant_record__init
                      (KqSched__GrantRecord         *message);
@@ -313,6 +354,9 @@
 typedef void (*KqSched__PressureRecord_Closure)
                  (const KqSched__PressureRecord *message,
                   void *closure_data);
+typedef void (*KqSched__AgeRecord_Closure)
+                 (const KqSched__AgeRecord *message,
+                  void *closure_data);
 typedef void (*KqSched__GrantRecord_Closure)
                  (const KqSched__GrantRecord *message,
                   void *closure_data);
@@ -326,6 +370,7 @@
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__state_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_sched__age_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__grant_record__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -176,6 +176,9 @@
 /** Key of the record with the learned interference model. */
 #define KQ_SCHED_INTERFERENCE_KEY "p"
 
+/** Key of the record with the age of the cell, by which ended jobs expire. */
+#define KQ_SCHED_AGE_KEY "a"
+
 /** First character of the keys of records that name the owner that last
  *  renewed leases at each worker.  */
 #define KQ_SCHED_GRANT_KEY 'g'
@@ -353,6 +356,12 @@
 int kq_sched_restore_interference (struct kq_sched *sched,
                                    const uint8_t *value, size_t size);
 
+/** Restores the age of the cell that earlier owners stored with the key
+ *  KQ_SCHED_AGE_KEY; before kq_sched_finish_restore().
+ *  @return 0 or KQ_ESYNTAX.  */
+int kq_sched_restore_age (struct kq_sched *sched, const uint8_t *value,
+                          size_t size);
+
 /** Decoded JobRecord. */
 struct kq_sched_job_record
 {
--- a/sched/state.c
+++ b/sched/state.c
@@ -239,6 +239,7 @@
     {
       message.outcome = job_has_ended (job) ? job->state : 0;
       message.ended_ms = job->ended_ms;
+      message.ended_age_ms = job->ended_age_ms;
       message.started = job->started;
     }
   message.n_tasks = (size_t)rows->count;
@@ -401,6 +402,7 @@
 {
   job->state = (enum kq_sched_state)message->outcome;
   job->ended_ms = message->ended_ms;
+  job->ended_age_ms = message->ended_age_ms;
   job->started = message->started;
   restore_rows (sched, now, job, message);
 }
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -176,6 +176,10 @@
       struct body body;
       char key[KQ_SCHED_KEY_SIZE];
 
+      if (strcmp (record->key, KQ_SCHED_AGE_KEY) == 0 && record->size > 0)
+        CU_ASSERT_EQUAL (
+            kq_sched_restore_age (cell->sched, record->value, record->size),
+            0);
       if (record->key[0] == KQ_SCHED_GRANT_KEY)
         CU_ASSERT_EQUAL (
             kq_sched_restore_grants (cell->sched, record->value, record->size),
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -1003,6 +1003,8 @@
        record = record->next)
     if (strcmp (record->key, KQ_SCHED_INTERFERENCE_KEY) == 0)
       kq_sched_restore_interference (sim->sched, record->value, record->size);
+    else if (strcmp (record->key, KQ_SCHED_AGE_KEY) == 0)
+      kq_sched_restore_age (sim->sched, record->value, record->size);
     else if (record->key[0] == KQ_SCHED_GRANT_KEY)
       kq_sched_restore_grants (sim->sched, record->value, record->size);
     else if (record->key[0] == 'j' && record->size > 0)
--- a/t/test-retention.c
+++ b/t/test-retention.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/err.h"
 #include "sched/record.pb-c.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
@@ -249,6 +250,49 @@
   ts_destroy (cell);
 }
 
+/* The age of the cell is lost, so that the job seems to end later. */
+static void
+test_lost_age (void)
+{
+  struct ts_cell *cell = end_job ();
+
+  for (int i = 0; i < cell->record_count; i++)
+    if (strcmp (cell->records[i].key, KQ_SCHED_AGE_KEY) == 0)
+      cell->records[i].size = 0;
+  take_over (cell, 0);
+  check_repeat_is_known (cell);
+  check_retention (cell);
+  ts_destroy (cell);
+}
+
+static int
+restore_age (struct ts_cell *cell, int64_t age_ms)
+{
+  KqSched__AgeRecord message = KQ_SCHED__AGE_RECORD__INIT;
+  uint8_t value[16];
+
+  message.age_ms = age_ms;
+  CU_ASSERT_FATAL (kq_sched__age_record__get_packed_size (&message)
+                   <= sizeof value);
+  return kq_sched_restore_age (cell->sched, value,
+                               kq_sched__age_record__pack (&message, value));
+}
+
+static void
+test_malformed_age (void)
+{
+  struct ts_cell *cell = ts_create ();
+
+  CU_ASSERT_EQUAL (restore_age (cell, 1), 0);
+  CU_ASSERT_EQUAL (restore_age (cell, 0), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (restore_age (cell, -1), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (restore_age (cell, INT64_MAX), KQ_ESYNTAX);
+  CU_ASSERT_EQUAL (
+      kq_sched_restore_age (cell->sched, (const uint8_t *)"\xff", 1),
+      KQ_ESYNTAX);
+  ts_destroy (cell);
+}
+
 static const struct kq_test tests[] = {
   { "a takeover by a host with another clock", test_takeover },
   { "a clock that is set within a term", test_step_within_term },
@@ -257,6 +301,8 @@
   { "many short terms", test_many_short_terms },
   { "records of an earlier version", test_earlier_version },
   { "such records and many owners", test_earlier_version_many_owners },
+  { "a lost age of the cell", test_lost_age },
+  { "a malformed age of the cell", test_malformed_age },
 };
 
 KQ_TEST_MAIN ("test-retention", tests)
