sched, node: keep the ID of a stored job that cannot be read

Cause: the restore logged a job with a record that it cannot read and went on. The job was unknown then: 410 for its caller, and its repeat was accepted as new, though its tasks may have run or run now. A part of a state that cannot be read left its tasks as if they had never run. A record that the store client cannot decode was dropped without a word.

Such an ID is now held: the job is not run, and calls about it get 503 (KQ_EJOB_UNREAD) until an owner can read it. Rows that cannot be decoded keep their key. Ruled out: an owner that stays inactive, since one odd record would stop the cell. Rests of a job without its first record still change nothing: the records of a job are deleted in one append, which the store takes whole.

--- a/base/err.h
+++ b/base/err.h
@@ -39,6 +39,7 @@
   X (KQ_EJOB_FAILED, -304, "the task failed on several healthy workers")      \
   X (KQ_EJOB_ENDED, -305, "the job has ended")                                \
   X (KQ_EJOB_EXPIRED, -306, "the job ended too long ago to be kept")          \
+  X (KQ_EJOB_UNREAD, -307, "the job is stored, but could not be read")        \
   /* config */                                                                \
   X (KQ_ECONFIG_CONFLICT, -400, "a newer revision is in force")               \
   X (KQ_ECONFIG_SCHEMA, -401, "the configuration breaks its schema")          \
--- a/node/follower.c
+++ b/node/follower.c
@@ -116,7 +116,8 @@
     }
   for (size_t i = 0; i < result->count; i++)
     {
-      follower->handler.on_row (follower->handler.arg, &result->rows[i]);
+      if (!result->rows[i].undecoded)
+        follower->handler.on_row (follower->handler.arg, &result->rows[i]);
       snprintf (follower->last_key, sizeof follower->last_key, "%.*s",
                 (int)result->rows[i].key_size, result->rows[i].key);
     }
--- a/node/restore.c
+++ b/node/restore.c
@@ -32,6 +32,9 @@
   uint8_t *state;
   size_t state_size;
   struct stored_part *parts;
+  /* The store has a value of these that could not be decoded. */
+  bool job_undecoded;
+  bool state_undecoded;
   UT_hash_handle hh;
 };
 
@@ -175,6 +178,14 @@
   stored_job = find_or_add_job (restore, id);
   if (stored_job == NULL)
     return KQ_ENOMEM;
+  if (row->undecoded)
+    {
+      if (key[0] == 'j')
+        stored_job->job_undecoded = true;
+      else
+        stored_job->state_undecoded = true;
+      return 0;
+    }
   if (part > 0)
     return keep_part (stored_job, part, row);
   if (key[0] == 'j')
@@ -189,9 +200,9 @@
 
   snprintf (key, sizeof key, "%.*s", (int)row->key_size, row->key);
   strcpy (restore->last_key, key);
-  if (row->size == 0)
+  if (row->size == 0 && !row->undecoded)
     return;
-  if (restore_shared (restore, key, row) != 0)
+  if (row->undecoded || restore_shared (restore, key, row) != 0)
     kq_log (KQ_LOG_WARN, "restore", "malformed record ignored", KQ_ESYNTAX,
             "key", key, NULL);
   if (collect_job_row (restore, key, row) != 0)
@@ -199,13 +210,15 @@
             key, NULL);
 }
 
-static void
+/* Returns the first error that may leave out tasks of the job. */
+static int
 restore_parts (struct kq_restore *restore, struct kq_sched_now now,
                const struct stored_job *stored_job)
 {
   const struct stored_part *part;
   char number[16];
   char id[24];
+  int first_err = 0;
 
   snprintf (id, sizeof id, "%016" PRIx64, stored_job->id);
   LL_FOREACH (stored_job->parts, part)
@@ -217,7 +230,10 @@
     if (err != 0)
       kq_log (KQ_LOG_ERROR, "restore", "part of a state not restored", err,
               "job", id, "part", number, NULL);
+    if (first_err == 0 && err != KQ_EINVAL)
+      first_err = err;
   }
+  return first_err;
 }
 
 static int
@@ -229,8 +245,10 @@
   struct kq_sched_spec spec;
   int err;
 
-  if (stored_job->job == NULL)
+  if (stored_job->job == NULL && !stored_job->job_undecoded)
     return KQ_ENOENT;
+  if (stored_job->job_undecoded || stored_job->state_undecoded)
+    return KQ_ESYNTAX;
   record = kq_sched_job_record_read (stored_job->job, stored_job->job_size);
   if (record == NULL)
     return KQ_ESYNTAX;
@@ -240,26 +258,38 @@
                                 record->queue, record->accepted_ms, &spec,
                                 stored_job->state, stored_job->state_size);
   if (err == 0)
-    restore_parts (restore, now, stored_job);
+    err = restore_parts (restore, now, stored_job);
   free (record);
   return err;
 }
 
+/* Restores a job, or has the scheduler note that the store has it.  Without
+   its first record it was deleted or never stored.  */
+static void
+settle_job (struct kq_restore *restore, const struct stored_job *stored_job)
+{
+  int err = restore_job (restore, stored_job);
+  char id[24];
+
+  if (err == 0)
+    return;
+  snprintf (id, sizeof id, "%016" PRIx64, stored_job->id);
+  kq_log (KQ_LOG_ERROR, "restore", "job not restored", err, "job", id, NULL);
+  if (err != KQ_ENOENT
+      && kq_sched_add_unread (restore->sched, stored_job->id) != 0)
+    kq_log (KQ_LOG_ERROR, "restore", "job not noted", KQ_ENOMEM, "job", id,
+            NULL);
+}
+
 static void
 finish (struct kq_restore *restore)
 {
   struct stored_job *stored_job;
   struct stored_job *next;
-  char id[24];
 
   HASH_ITER (hh, restore->stored_jobs, stored_job, next)
   {
-    int err = restore_job (restore, stored_job);
-
-    snprintf (id, sizeof id, "%016" PRIx64, stored_job->id);
-    if (err != 0)
-      kq_log (KQ_LOG_ERROR, "restore", "job not restored", err, "job", id,
-              NULL);
+    settle_job (restore, stored_job);
   }
   clear_jobs (restore);
   restore->done (restore->arg);
--- a/node/watch.c
+++ b/node/watch.c
@@ -414,7 +414,8 @@
   apply_newest_config (watch, result);
   for (size_t i = 0; i < result->count; i++)
     {
-      kq_zones_apply (&watch->zones, &result->rows[i]);
+      if (!result->rows[i].undecoded)
+        kq_zones_apply (&watch->zones, &result->rows[i]);
       snprintf (watch->config_key, sizeof watch->config_key, "%.*s",
                 (int)result->rows[i].key_size, result->rows[i].key);
     }
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -7,6 +7,7 @@
 
 #include "log/log.h"
 #include "sched/internal.h"
+#include "sched/unread.h"
 
 /* A new owner refuses nothing for this long: it has just begun to learn the
    backlog and which workers reply. */
@@ -177,6 +178,7 @@
 {
   for (const struct job *job = sched->jobs; job != NULL; job = job->hh.next)
     kq_idset_add (ids, job->id);
+  unread_add_ids (sched, ids);
 }
 
 void
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -115,6 +115,7 @@
 };
 
 struct job;
+struct unread_job;
 struct stage;
 struct worker;
 
@@ -486,9 +487,10 @@
   kq_usec term_began_at;
   struct kq_sched_past_term past_terms[KQ_SCHED_MAX_PAST_TERMS];
   int past_term_count;
-  uint32_t dirty_grants;  /* bit set of the buckets to be stored */
-  struct job *jobs;       /* by id */
-  struct worker *workers; /* by id */
+  uint32_t dirty_grants;          /* bit set of the buckets to be stored */
+  struct job *jobs;               /* by id */
+  struct unread_job *unread_jobs; /* by id (unread.c) */
+  struct worker *workers;         /* by id */
   struct worker *worker_list;
   struct worker **worker_array; /* the same workers */
   size_t worker_count;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -13,6 +13,7 @@
 #include "sched/internal.h"
 #include "sched/late.h"
 #include "sched/overdue.h"
+#include "sched/unread.h"
 
 /* Interval at which the interference model is stored: a new owner that had
    to learn it again would slow down serving tasks meanwhile. */
@@ -62,6 +63,7 @@
       next_job = job->hh.next;
       job_destroy (sched, job);
     }
+  unread_clear (sched);
   worker = sched->workers;
   HASH_CLEAR (hh, sched->workers);
   for (; worker != NULL; worker = next_worker)
@@ -338,13 +340,16 @@
   switch (event->kind)
     {
     case KQ_SCHED_EV_SUBMIT:
-      submit (sched, now, event);
+      if (!unread_answer (sched, event))
+        submit (sched, now, event);
       break;
     case KQ_SCHED_EV_QUERY:
-      query (sched, event);
+      if (!unread_answer (sched, event))
+        query (sched, event);
       break;
     case KQ_SCHED_EV_CANCEL:
-      cancel (sched, now, event);
+      if (!unread_answer (sched, event))
+        cancel (sched, now, event);
       break;
     case KQ_SCHED_EV_PENDING:
       query_pending (sched, event);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -350,6 +350,12 @@
                            uint64_t job, int part, const uint8_t *value,
                            size_t size);
 
+/** Records that the store has the job ID, which could not be restored, or not
+ *  all of its state: this owner neither runs it nor accepts it as new, and
+ *  answers calls about it with 503.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_sched_add_unread (struct kq_sched *sched, uint64_t id);
+
 /** Restores the interference model that earlier owners stored with the key
  *  KQ_SCHED_INTERFERENCE_KEY.
  *  @return 0 or KQ_ESYNTAX.  */
--- a/t/test-store.c
+++ b/t/test-store.c
@@ -1,6 +1,7 @@
-/* Appends to the store.  Guards against large appends that are sent whole
-   again and again because they do not arrive within a fixed time over a slow
-   link.  */
+/* Calls of the store.  Guards against large appends that are sent whole again
+   and again because they do not arrive within a fixed time over a slow link,
+   and against records that are left out unnoticed as they cannot be decoded.
+ */
 #include <ev.h>
 #include <netinet/in.h>
 #include <pthread.h>
@@ -130,8 +131,72 @@
   CU_ASSERT (kq_clock_now () - began < 3 * KQ_USEC_PER_SEC);
 }
 
+static void *
+answer_page (void *arg)
+{
+  static const char response[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 141\r\n\r\n"
+        "{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"offset\":1},"
+        "{\"key\":\"b\",\"value\":\"?\",\"offset\":2},"
+        "{\"key\":\"c\",\"value\":7,\"offset\":3}],"
+        "\"has_more\":true,\"end\":4}";
+  struct server *server = arg;
+  int fd = accept (server->fd, NULL, NULL);
+  char request[1024];
+
+  if (read (fd, request, sizeof request) > 0
+      && write (fd, response, strlen (response)) > 0)
+    while (read (fd, request, sizeof request) > 0)
+      ;
+  close (fd);
+  return NULL;
+}
+
+static void
+on_page (void *arg, const struct kq_store_read_result *result)
+{
+  CU_ASSERT_EQUAL (result->err, 0);
+  CU_ASSERT_EQUAL (result->count, 3);
+  CU_ASSERT_TRUE (result->more);
+  for (size_t i = 0; i < result->count; i++)
+    {
+      CU_ASSERT_EQUAL (result->rows[i].key_size, 1);
+      CU_ASSERT_EQUAL (result->rows[i].key[0], "abc"[i]);
+      CU_ASSERT_EQUAL (result->rows[i].undecoded, i > 0);
+      CU_ASSERT_EQUAL (result->rows[i].size, i == 0);
+    }
+  ended++;
+}
+
+static void
+test_undecoded_records (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct kq_http_client *http = kq_http_client_create (loop, NULL);
+  struct server server = { .answers = true };
+  struct kq_store *store;
+  char address[40];
+  pthread_t thread;
+
+  open_server (&server);
+  snprintf (address, sizeof address, "127.0.0.1:%d", server.port);
+  store = kq_store_create (http, address);
+  CU_ASSERT_EQUAL_FATAL (pthread_create (&thread, NULL, answer_page, &server),
+                         0);
+  ended = 0;
+  kq_store_read_newest (store, KQ_STORE_JOBS, "", on_page, NULL);
+  while (ended == 0)
+    ev_run (loop, EVRUN_ONCE);
+  kq_store_destroy (store);
+  kq_http_client_destroy (http);
+  pthread_join (thread, NULL);
+  close (server.fd);
+  ev_loop_destroy (loop);
+}
+
 static const struct kq_test tests[] = {
   { "a large append over a slow link", test_large_append },
+  { "records that cannot be decoded", test_undecoded_records },
 };
 
 KQ_TEST_MAIN ("test-store", tests)
--- a/t/test-unread.c
+++ b/t/test-unread.c
@@ -261,6 +261,25 @@
   end ();
 }
 
+/* The value of the record could not be decoded. */
+static void
+test_undecoded_record (void)
+{
+  static const char *const kinds[] = { "j", "s" };
+
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    {
+      begin ();
+      add_job (OTHER_JOB, BODY);
+      if (i > 0)
+        add_job (JOB, BODY);
+      add_row (job_key (kinds[i], JOB, ""), "", 0)->undecoded = true;
+      answer (false);
+      check_unread ();
+      end ();
+    }
+}
+
 /* An owner that is short of memory reads the page again instead of becoming
    active with holes. */
 static void
@@ -314,6 +333,7 @@
   { "a malformed state", test_malformed_state },
   { "an unknown outcome", test_unknown_outcome },
   { "a malformed part of a state", test_malformed_part },
+  { "a record that was not decoded", test_undecoded_record },
   { "short of memory", test_short_memory },
   { "a long key", test_long_key },
 };
