node: continue the restore after keys of any length

Cause: the key after which the next page of jobs begins was cut off at 31 characters, the longest of this project. A page that ends with a longer key of another writer was read again from before that key: if it is alone on its page, for ever, so that no owner becomes active.

The key is kept whole, up to the 255 bytes that the store takes. Ruled out for the other readers of newest records: node/follower.c and node/watch.c keep 255 bytes.

--- a/node/restore.c
+++ b/node/restore.c
@@ -47,7 +47,7 @@
   void (*done) (void *arg);
   void *arg;
   struct stored_job *stored_jobs;
-  char last_key[KQ_SCHED_KEY_SIZE];
+  char last_key[KQ_STORE_MAX_KEY_BYTES + 1];
   bool pages_read; /* what is left is to restore stored_jobs */
   ev_timer retry;
 };
