sched/crash: a task's last start waits for the end of a series of outages

Cause: five starts whose workers are lost end a job, whatever explains the losses, and the fifth start went out at the latest 5.5 s after the fourth loss, or as soon as no worker had been lost for 1 s. In a series of outages an owner sees pauses of up to 2.7 s, so that sound tasks used the last start in it; after four losses within one outage it went out with no wait at all. Ruled out: no room (913 of 3,584 cores bound at the end), reservations, quarantine, advice, late orders, a silent owner: the job is "given up" by its owner at 124.7 s with "0 crashes of 5 losses, 5 set aside". Now a task with one start left goes on when no worker of its service was lost for 3 s, at most 30 s after its last loss. The bound of five starts stays. test-outage-jobs: "a service is lost in series" failed before (6 asserts), holds now; all else there and in test-crash, test-deadly holds as before.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -53,6 +53,12 @@
 #define CALM_US KQ_USEC_PER_SEC
 #define MAX_CALM_WAIT_US (1500 * KQ_USEC_PER_MSEC)
 
+/* The same for the last start of a task, since another loss gives it up
+   whatever explains that: the first is longer than the pauses between losses
+   in a series of outages, the second is counted from its last loss.  */
+#define LAST_CALM_US (3000 * KQ_USEC_PER_MSEC)
+#define MAX_LAST_CALM_WAIT_US (30 * KQ_USEC_PER_SEC)
+
 /* A service that restarts as a whole does so within this time. */
 #define RAPID_US (500 * KQ_USEC_PER_MSEC)
 
@@ -355,6 +361,13 @@
   return crash_count_losses (task) >= MAX_STARTS_THAT_CRASH;
 }
 
+/* Whether one more loss uses up the starts of TASK. */
+static bool
+has_one_start_left (const struct task *task)
+{
+  return crash_count_losses (task) == MAX_STARTS_THAT_CRASH - 1;
+}
+
 /* Whether losses under TASK, as far as they are stored with it, prove that it
    crashes its workers. */
 static bool
@@ -498,6 +511,8 @@
   else if (task->losses_set_aside >= MAX_SET_ASIDE_AT_ONCE)
     hold (sched, history, at + trial_delay (task->losses_set_aside),
           MAX_CALM_WAIT_US);
+  else if (has_one_start_left (task))
+    hold (sched, history, at, 0);
 }
 
 static struct crash_history *
@@ -595,21 +610,48 @@
   late_count_losses (sched, worker, now);
 }
 
-/* Starts or gives up the task of HISTORY, which has waited long enough. */
+/* Returns when the task of HISTORY may be started by what is known now, if it
+   has one start left; otherwise 0. */
+static kq_usec
+last_start_at (const struct kq_sched *sched,
+               const struct crash_history *history)
+{
+  const struct task *task = history->task;
+  kq_usec calm_at
+      = kq_evidence_last_loss (sched->evidence, task->stage->job->service)
+        + LAST_CALM_US;
+  kq_usec at_most
+      = history->losses[history->count - 1].at + MAX_LAST_CALM_WAIT_US;
+
+  if (!has_one_start_left (task))
+    return 0;
+  return calm_at < at_most ? calm_at : at_most;
+}
+
+/* Starts or gives up the task of HISTORY, which has waited long enough, or
+   holds it on for its last start. */
 static void
 release (struct kq_sched *sched, struct crash_history *history,
          struct kq_sched_now now)
 {
   struct task *task = history->task;
   bool held = crash_is_held (task);
+  kq_usec at;
 
   history->held = false;
   if (!held || job_has_ended (task->stage->job))
     return;
   judge_losses (sched, history);
   job_mark_dirty (sched, task->stage->job);
+  at = last_start_at (sched, history);
   if (is_given_up (history))
     give_up (sched, task);
+  else if (now.mono < at)
+    {
+      history->held = true;
+      history->held_until = at;
+      history->held_at_most_until = at;
+    }
   else
     task_make_ready (sched, task, now);
 }
--- a/t/test-outage-jobs.c
+++ b/t/test-outage-jobs.c
@@ -25,6 +25,10 @@
 /* A rack is lost three times in 20 s. */
 #define RACK_INTERVAL_MS 6500
 
+/* A series of losses: the time that it takes, and the longest between two. */
+#define SERIES_MS 15000
+#define WAVE_INTERVAL_MS 2500
+
 /* A cut lasts longer than the lease of a worker. */
 #define CUT_MS 10000
 
@@ -273,6 +277,27 @@
     }
 }
 
+/* The whole service is lost again and again, also after each start of JOB. */
+static void
+lose_service_in_series (struct site *site)
+{
+  const kq_usec end = site->cell.now.mono + SERIES_MS * KQ_USEC_PER_MSEC;
+  kq_usec next_wave = 0;
+  int starts = 0;
+
+  while (site->cell.now.mono < end)
+    {
+      if (site->cell.now.mono >= next_wave || count_starts (site) > starts)
+        {
+          starts = count_starts (site);
+          lose_all (site, -1);
+          next_wave
+              = site->cell.now.mono + WAVE_INTERVAL_MS * KQ_USEC_PER_MSEC;
+        }
+      pass (site, 100);
+    }
+}
+
 typedef void outage (struct site *);
 
 /* A sound task goes on after the outage, in time. */
@@ -324,12 +349,20 @@
   check_sound (&rack_step, lose_rack_three_times);
 }
 
+static void
+test_service_lost_in_series (void)
+{
+  check_sound (&task_step, lose_service_in_series);
+  check_sound (&lasting_step, lose_service_in_series);
+}
+
 static void
 test_deadly_task_in_outages (void)
 {
   check_deadly (&task_step, lose_service);
   check_deadly (&task_step, lose_links_and_service);
   check_deadly (&rack_step, lose_rack_three_times);
+  check_deadly (&task_step, lose_service_in_series);
 }
 
 /* An outage follows each start: the losses are set aside each time. */
@@ -478,6 +511,7 @@
   { "a service restarts in 400 ms", test_service_restarts },
   { "lossy links, then a restart", test_lossy_links_then_restart },
   { "a rack is lost three times in 20 s", test_rack_three_times },
+  { "a service is lost in series", test_service_lost_in_series },
   { "a deadly task in outages", test_deadly_task_in_outages },
   { "a deadly task in repeated outages",
     test_deadly_task_in_repeated_outages },
