t: seed 245 of late orders under tasks that crash their workers

Since the last start of a task waits for the end of an outage, the simulated cells run another course. Of the seeds 1 to 400 with orders up to 12 s late, 62, 155 and 279 had a task started six times before; now it is 245 alone; with orders up to 4 s late there is none, before and after (trial program over deadly_most_starts_late, both codes). test-deadly-open keeps the three and plays 245 too, so that it stays red; the cause of 245 was not traced, an order open at the fifth start is likely.

--- a/t/test-deadly-open.c
+++ b/t/test-deadly-open.c
@@ -7,8 +7,9 @@
 #include "t/kqtest.h"
 #include "t/lib-deadly.h"
 
-/* Of the seeds 1 to 400, those in which that happens. */
-static const unsigned long seeds[] = { 62, 155, 279 };
+/* Of the seeds 1 to 400, those in which that happens, or happened when the
+   last start of a task did not wait for the end of an outage. */
+static const unsigned long seeds[] = { 62, 155, 245, 279 };
 
 static void
 test_open_orders (void)
