sched: wait for open orders before a suspect's last starts

A task that crashes its workers was started six times: an order up to 12 s late was still open at the fifth start, and was carried out after it by a later life of its worker. Only waiting proves that such an order is not carried out. It is taken by few tasks: one under which workers were lost waits while its losses, its open orders and one more start are over five, until these orders are 12.3 s old. Long-running tasks do not wait: they must run again within 6 s.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -114,6 +114,12 @@
   return count_unexplained (task) + task->losses_set_aside + task->cut_losses;
 }
 
+int
+crash_count_starts_left (const struct task *task)
+{
+  return MAX_STARTS_THAT_CRASH - crash_count_losses (task);
+}
+
 bool
 crash_is_suspect (const struct task *task)
 {
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -953,6 +953,9 @@
 bool crash_is_held (const struct task *task);
 /* Returns the number of workers lost under TASK since a run settled. */
 int crash_count_losses (const struct task *task);
+/* Returns the number of starts after which TASK is given up if each of them
+   crashes its worker. */
+int crash_count_starts_left (const struct task *task);
 /* Returns what is held against TASK, as "N crashes of M losses, K set aside",
    in TEXT of SIZE bytes. */
 void crash_format (const struct task *task, char *text, size_t size);
--- a/sched/late.c
+++ b/sched/late.c
@@ -36,6 +36,11 @@
    registered. */
 #define SHORT_LISTING_WAIT_US (2000 * KQ_USEC_PER_MSEC)
 
+/* Before the last start that a task may have which crashes its workers, an
+   open order is waited for until no order is that late: few tasks come to
+   that.  Source: orders up to 12 s late, and a round of orders. */
+#define LATEST_US (12300 * KQ_USEC_PER_MSEC)
+
 /* Maximum number of orders of a task that are kept beside the latest one: with
    it as many as the starts after which a task that crashes its workers is
    given up. */
@@ -47,6 +52,7 @@
   struct worker *worker;
   int64_t incarnation_ms; /* of the worker that it was sent to */
   int64_t listed_ms;      /* its later one that lists the run; 0: none */
+  kq_usec sent_at;
   struct late_order *prev;
   struct late_order *next;
 };
@@ -73,6 +79,12 @@
          && !task->late_is_counted && task->late_incarnation_ms != 0;
 }
 
+static kq_usec
+latest_sent_at (const struct task *task)
+{
+  return task->late_until - LATE_US;
+}
+
 static void
 forget_order (struct task *task, struct late_order *order)
 {
@@ -106,6 +118,7 @@
   order->worker = task->late_worker;
   order->incarnation_ms = task->late_incarnation_ms;
   order->listed_ms = task->late_listed_ms;
+  order->sent_at = latest_sent_at (task);
   DL_APPEND (task->late_earlier, order);
   DL_COUNT (task->late_earlier, order, count);
   if (count > MAX_EARLIER_ORDERS)
@@ -294,14 +307,34 @@
                     != task->late_incarnation_ms);
 }
 
+/* Whether TASK would have used up its starts if its open orders, which are not
+   too old, were carried out beside another start.  A long-running task must go
+   on sooner. */
+static bool
+may_exceed_starts (const struct task *task, struct kq_sched_now now)
+{
+  const struct late_order *order;
+  int open;
+
+  if (!crash_is_suspect (task) || task->stage->step->long_running)
+    return false;
+  open = is_latest_open (task) && now.mono < latest_sent_at (task) + LATEST_US;
+  DL_FOREACH (task->late_earlier, order)
+  {
+    open += now.mono < order->sent_at + LATEST_US;
+  }
+  return open >= crash_count_starts_left (task);
+}
+
 bool
 late_forbids_start (const struct task *task, struct kq_sched_now now)
 {
   const struct worker *worker = late_worker (task, now);
 
-  return worker != NULL
-         && (worker->listed_at == 0 || worker->suspect_count > 0
-             || needs_another_worker (task));
+  return (worker != NULL
+          && (worker->listed_at == 0 || worker->suspect_count > 0
+              || needs_another_worker (task)))
+         || may_exceed_starts (task, now);
 }
 
 void
--- a/t/test-deadly-late.c
+++ b/t/test-deadly-late.c
@@ -16,6 +16,10 @@
 /* The same while an owner remembered only the latest of two open orders. */
 static const unsigned long two_orders_seeds[] = { 279, 520 };
 
+/* The same while an order might still be open at the fifth start, and was
+   carried out after it. */
+static const unsigned long open_order_seeds[] = { 62, 155, 245, 793 };
+
 static void
 test_seconds_late (void)
 {
@@ -44,10 +48,20 @@
                <= DEADLY_MAX_STARTS);
 }
 
+static void
+test_open_orders (void)
+{
+  for (size_t i = 0; i < sizeof open_order_seeds / sizeof open_order_seeds[0];
+       i++)
+    CU_ASSERT (deadly_most_starts_late (open_order_seeds[i], 12000)
+               <= DEADLY_MAX_STARTS);
+}
+
 static const struct kq_test tests[] = {
   { "starts seconds late", test_seconds_late },
   { "starts up to 12 s late", test_many_seconds_late },
   { "two open orders", test_two_open_orders },
+  { "open orders of earlier runs", test_open_orders },
 };
 
 KQ_TEST_MAIN ("test-deadly-late", tests)
