sched: acknowledge no end while a start there is overdue

A start that had no reply was carried out by the next incarnation of its worker, ended there, and a late poll that had been sent after the start acknowledged that end before it was read: the task ran again.

Ruled out: to wait from the sending of a start on, which makes too many polls in a backlog (test-backlog: an iteration over 50 ms); to send no start beside a poll that acknowledges, which would keep workers idle for the time of late orders. So a poll that is older than the start may still do it (test-late-open).

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -398,6 +398,8 @@
   struct late_hold late_holds[MAX_LATE_HOLDS]; /* in the order of numbers */
   int late_hold_count;
   bool has_late_orders;  /* a start order there had no reply */
+  kq_usec late_until;    /* until then the latest of these may be carried out;
+                            0: none was sent */
   kq_usec late_asked_at; /* last poll for runs of late orders; 0: none */
   bool ends_known;       /* this owner has seen its incarnation begin */
   /* health */
--- a/sched/late.c
+++ b/sched/late.c
@@ -41,6 +41,11 @@
    that.  Source: orders up to 12 s late, and a round of orders. */
 #define LATEST_US (12300 * KQ_USEC_PER_MSEC)
 
+/* A start order that was sent this long ago is answered as a rule.  Until then
+   ends are acknowledged beside it: an owner that has many starts under way
+   would poll their workers again and again. */
+#define USUAL_ANSWER_US (100 * KQ_USEC_PER_MSEC)
+
 /* Maximum number of orders of a task that are kept beside the latest one: with
    it as many as the starts after which a task that crashes its workers is
    given up. */
@@ -72,6 +77,14 @@
     task->late_until = 0;
 }
 
+static void
+note_late_order (struct worker *worker, kq_usec until)
+{
+  worker->has_late_orders = true;
+  if (until > worker->late_until)
+    worker->late_until = until;
+}
+
 static bool
 is_latest_open (const struct task *task)
 {
@@ -139,7 +152,7 @@
   task->late_is_unanswered = true;
   task->late_listed_ms = 0;
   task->late_is_counted = false;
-  task->worker->has_late_orders = true;
+  note_late_order (task->worker, task->late_until);
   sched->counts.late_starts++;
   task_log (task, "start order may still be carried out", "");
 }
@@ -160,7 +173,7 @@
   task->late_sent_at = 0;
   task->late_sent = sent;
   task->late_until = until;
-  worker->has_late_orders = true;
+  note_late_order (worker, until);
 }
 
 void
@@ -365,6 +378,22 @@
   return (now.mono - task->late_sent_at) / KQ_USEC_PER_MSEC;
 }
 
+bool
+late_awaits_orders (const struct worker *worker, struct kq_sched_now now)
+{
+  const struct task *task;
+
+  if (now.mono < worker->late_until)
+    return true;
+  DL_FOREACH (worker->tasks, task)
+  {
+    if (task->start_sent_at != 0 && !task->start_settled
+        && now.mono - task->start_sent_at > USUAL_ANSWER_US)
+      return true;
+  }
+  return false;
+}
+
 void
 late_hold_end (struct worker *worker, int64_t number, kq_usec until)
 {
--- a/sched/late.h
+++ b/sched/late.h
@@ -55,6 +55,11 @@
 /** Returns when no earlier run of TASK can begin any more; 0: none can. */
 kq_usec late_until (const struct task *task, struct kq_sched_now now);
 
+/** Whether a start order to WORKER is overdue, or was given up: the next
+ * incarnation may begin its run, and an acknowledgement that is carried out
+ * late there as well would take away its end unread.  */
+bool late_awaits_orders (const struct worker *worker, struct kq_sched_now now);
+
 /** Keeps end NUMBER of WORKER, and the later ones, from being acknowledged
  *  before UNTIL. */
 void late_hold_end (struct worker *worker, int64_t number, kq_usec until);
--- a/sched/worker.c
+++ b/sched/worker.c
@@ -9,6 +9,7 @@
 #include "sched/disruption.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
+#include "sched/late.h"
 #include "sched/warmup.h"
 
 /* Maximum time for which a worker delays its reply to a poll while no run
@@ -383,7 +384,9 @@
   worker->idle = worker->tasks == NULL;
   if (worker->idle)
     worker->next_poll_at = now.mono + KQ_SCHED_IDLE_POLL_INTERVAL_US;
-  if (worker->acked_end < worker->last_end)
+  if (worker->acked_end < worker->last_end
+      || (worker->acked_end > worker->forgotten_end
+          && late_awaits_orders (worker, now)))
     worker->next_poll_at = now.mono + KQ_SCHED_UNACKED_POLL_INTERVAL_US;
 }
 
@@ -641,6 +644,19 @@
   return worker->polls_in_flight == 0 && now.mono >= worker->next_poll_at;
 }
 
+/* Returns the number of the end that a poll of WORKER acknowledges; 0: none. A
+   worker that did not reply, or one that carries out the poll late, may have
+   restarted: it would forget ends by the numbers of its earlier incarnation,
+   which are there if that carries out a start late. */
+static int64_t
+end_to_acknowledge (const struct worker *worker, struct kq_sched_now now)
+{
+  if (worker->silent_poll_at != 0 || worker->acked_end <= worker->forgotten_end
+      || late_awaits_orders (worker, now))
+    return 0;
+  return worker->acked_end;
+}
+
 bool
 kq_sched_next_poll (struct kq_sched *sched, struct kq_sched_now now,
                     struct kq_sched_poll *poll)
@@ -658,13 +674,7 @@
         continue;
       sched->next_polled = worker->next;
       worker->polls_in_flight++;
-      /* A worker that did not reply, or one that carries out the poll late,
-         may have restarted: it would forget ends by the numbers of its earlier
-         incarnation. */
-      poll->acked = worker->silent_poll_at != 0
-                            || worker->acked_end <= worker->forgotten_end
-                        ? 0
-                        : worker->acked_end;
+      poll->acked = end_to_acknowledge (worker, now);
       poll->wait_ms = 0;
       if (worker->acked_end == worker->last_end && !worker->poll_at_once
           && worker->clock_read_at != 0 && worker->silent_poll_at == 0)
--- a/t/test-fence.c
+++ b/t/test-fence.c
@@ -141,6 +141,38 @@
   ts_destroy (cell);
 }
 
+/* The next incarnation may carry out an unanswered start and then, as late, a
+   poll: the end of that run must not be forgotten unread. */
+static void
+test_no_acknowledgement_beside_an_open_start (void)
+{
+  struct ts_cell *cell = start_cell ();
+  struct ts_order start;
+  struct kq_sched_ended end = { .number = 1, .how = KQ_SCHED_DONE };
+  struct kq_sched_poll poll;
+
+  ts_submit (cell, JOB, "batch", &step, 1);
+  ts_advance (cell, 20);
+  start = *ts_last_order (cell, KQ_SCHED_FX_START, JOB, 0, 0);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  end.run = start.run;
+  ts_submit (cell, OTHER_JOB, "batch", &step, 1);
+  ts_advance (cell, 20);
+  start = *ts_last_order (cell, KQ_SCHED_FX_START, OTHER_JOB, 0, 0);
+  cell->now.mono += 200 * KQ_USEC_PER_MSEC;
+  ts_reply_poll (cell, "a", NULL, 0, &end, 1);
+  ts_process_pending (cell);
+  cell->now.mono += 300 * KQ_USEC_PER_MSEC;
+  CU_ASSERT_FATAL (kq_sched_next_poll (cell->sched, cell->now, &poll));
+  CU_ASSERT_EQUAL (poll.acked, 0);
+  ts_reply_order (cell, &start, KQ_SCHED_OK);
+  ts_reply_poll (cell, "a", NULL, 0, &end, 1);
+  cell->now.mono += 300 * KQ_USEC_PER_MSEC;
+  CU_ASSERT_FATAL (kq_sched_next_poll (cell->sched, cell->now, &poll));
+  CU_ASSERT_EQUAL (poll.acked, 1);
+  ts_destroy (cell);
+}
+
 /* A poll that is carried out late by the next incarnation would make that
    forget ends too: a number is sent only until the worker has forgotten the
    ends up to it. */
@@ -361,6 +393,8 @@
   { "a refusal of the current fence", test_refusal_of_current_fence },
   { "a silent worker gets no acknowledgement of ends",
     test_silent_worker_gets_no_acknowledgement },
+  { "no acknowledgement beside an open start",
+    test_no_acknowledgement_beside_an_open_start },
   { "an acknowledgement is not repeated",
     test_acknowledgement_is_not_repeated },
   { "starts refused for an earlier fence are no crashes",
--- a/t/test-late-orders.c
+++ b/t/test-late-orders.c
@@ -48,9 +48,22 @@
   LATE_CHECK_SEEDS ("lease-late", cut);
 }
 
+/* An end was acknowledged unread by a late poll that was sent while a start at
+   its worker was unanswered. */
+static void
+test_late_acknowledgements (void)
+{
+  static const unsigned long reborn[] = { 135, 194, 293 };
+  static const unsigned long cut[] = { 237, 240 };
+
+  LATE_CHECK_SEEDS ("reborn-late-4", reborn);
+  LATE_CHECK_SEEDS ("lease-late", cut);
+}
+
 static const struct kq_test tests[] = {
   { "leases of restarted workers", test_leases_of_restarted_workers },
   { "late starts behind cuts", test_late_starts_behind_cuts },
+  { "late acknowledgements", test_late_acknowledgements },
 };
 
 int
