sched: the age of the cell is stored with other records only

An append for the age alone each 2 s is a priced call to the store, and keeps other records waiting meanwhile. Nothing is lost without it: an owner stores grants and states as it begins, and in a cell that writes nothing the age runs on in the owner; a successor goes on from an earlier age, so that it remembers ended jobs for longer.

--- a/sched/record.c
+++ b/sched/record.c
@@ -170,7 +170,7 @@
   size_t largest = 0;
 
   if (sched->dirty == NULL && !sched->interference_due
-      && sched->dirty_grants == 0 && sched->due_age_ms == 0)
+      && sched->dirty_grants == 0)
     return 0;
   DL_FOREACH2 (sched->dirty, job, dirty_next)
   {
