t/standin: leases of simulated workers as the platform grants them

Cause: a simulated worker took any lease that an order gave it, without the longest one of 10 s. An order that reaches the next incarnation of a worker, whose clock starts anew, then had a lease of as many seconds as the worker before it was old. Its clock was always exact, and a start that it refused as an old one did not extend its lease.

Now a lease is cut to 10 s (hold_max_ms), a start refused as old extends it, and each second worker has a clock that is 2 % slow. Ruled out: a faster clock, which the platform doesn't have.

--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -12,6 +12,12 @@
 
 #define STOP_DELAY_MS 100
 
+/* Setting bounds.hold_max_ms of the entry hosts: the longest lease. */
+#define HOLD_MAX_MS 10000
+
+/* A worker's clock may be so slow. */
+#define SLOW_CLOCK_RATE 0.98
+
 /* Setting bounds.warmup_excess of the entry hosts. */
 #define WARMUP_EXCESS 1.5
 
@@ -45,10 +51,13 @@
     task->down_since = si_now ();
 }
 
+/* Returns the time of WORKER's clock; each second worker has a slow one. */
 static int64_t
 worker_clock_ms (const struct worker *worker)
 {
-  return (int64_t)((si_now () - worker->started_at) * 1000) + 1;
+  double rate = worker->number % 2 == 0 ? 1 : SLOW_CLOCK_RATE;
+
+  return (int64_t)((si_now () - worker->started_at) * 1000 * rate) + 1;
 }
 
 void
@@ -261,6 +270,19 @@
   task->down_since = 0;
 }
 
+/* Extends the lease of WORKER to UNTIL_MS, but by no more than the longest
+   one. */
+static void
+extend_lease (struct worker *worker, int64_t until_ms)
+{
+  int64_t latest_ms = worker_clock_ms (worker) + HOLD_MAX_MS;
+
+  if (until_ms > latest_ms)
+    until_ms = latest_ms;
+  if (until_ms > worker->until_ms)
+    worker->until_ms = until_ms;
+}
+
 static void
 start_run (struct si_request *request, struct worker *worker,
            const json_t *body)
@@ -277,7 +299,10 @@
   else if (until_ms <= worker_clock_ms (worker))
     respond_conflict (request, worker, "late");
   else if (highest_run != NULL && number <= highest_run->run)
-    respond_conflict (request, worker, "old");
+    {
+      extend_lease (worker, until_ms);
+      respond_conflict (request, worker, "old");
+    }
   else
     {
       check_start_allowed (worker, task);
@@ -289,8 +314,7 @@
       DL_APPEND (worker->runs, run);
       note_run (task, isinf (run->ends_at));
       si_start_count++;
-      if (until_ms > worker->until_ms)
-        worker->until_ms = until_ms;
+      extend_lease (worker, until_ms);
       respond_done (request, worker);
     }
 }
@@ -412,10 +436,7 @@
 handle_poll (struct si_request *request, struct worker *worker,
              const json_t *body)
 {
-  int64_t until_ms = si_number (body, "until_ms", 0);
-
-  if (until_ms > worker->until_ms)
-    worker->until_ms = until_ms;
+  extend_lease (worker, si_number (body, "until_ms", 0));
   remove_acked_ends (worker, si_number (body, "last_seen", 0));
   request->life = worker->life;
   request->deadline
