t/standin, lib-site: faults of machines, and all pairs of runs of a task

Workers: restarts under their IDs within milliseconds, with the calls that wait meanwhile reaching the next incarnation, which then falls silent towards hosts while it registers on; a share of calls lost; later owners not heard ("crash" with "carries" and "quiet_ms", "lossy", "bar" of /admin). Hosts: link, a TCP relay between one host and the store, which is stopped or cut by signals; a second daemon whose time of day is ahead by KUMQUATRACK_TEST_SKEW_MS (standin/skew/clock.c).

si-twice keeps each run with its number, worker, incarnation, fence, times, end and when that end was taken note of, and lists pairs of which the second one must not have started (GET /twice). An end counts as noted unless the lease lapsed between the two; the earlier check, which takes each acknowledged end, stays as it is.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 DAEMON = $(if $(filter daemon/main.c,$(DAEMON_SRC)),$(BUILD)/kumquatrackd)
 TOOL = $(if $(TOOL_SRC),$(BUILD)/kumquatrack)
 TESTS = $(patsubst t/%.c,$(BUILD)/t/%,$(TEST_SRC))
-STANDINS = $(patsubst t/standin/%.c,$(BUILD)/standin/%,$(SI_SRC))
+STANDINS = $(patsubst t/standin/%.c,$(BUILD)/standin/%,$(SI_SRC)) \
+  $(if $(DAEMON),$(BUILD)/standin/kumquatrackd)
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
@@ -72,6 +73,11 @@
 $(BUILD)/kumquatrack: $(call obj,$(TOOL_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
+# The daemon with a time of day of its own, for t/soak-machines.
+$(BUILD)/standin/kumquatrackd: $(call obj,$(DAEMON_SRC) t/standin/skew/clock.c) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
 # The daemon without its main(), for tests and benchmarks.
 $(BUILD)/daemon-parts.a: $(call obj,$(DAEMON_PARTS))
 	@rm -f $@
--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -9,17 +9,25 @@
 SITE_HOSTS=3
 SITE_RECORD_BYTES=262144
 
-# Ports from $base on: the store, its workers, then five for each host.
+# Ports from $base on: the store, its workers, then five for each host, then
+# with SITE_LINKS one for the link of each host to the store.
 site_store () { echo "http://127.0.0.1:$base"; }
 site_port () { echo $((base + SITE_WORKERS + 4 + $1 * 5)); } # HOST: 1 to 3
 
+# Port at which HOST reaches the store.
+site_store_port () { # HOST
+  if [ -z "${SITE_LINKS:-}" ]; then echo "$base"; else
+    echo $((base + SITE_WORKERS + 24 + $1))
+  fi
+}
+
 site_settings () { # HOST
   port=$(site_port "$1")
   cat >"$work/host$1.json" <<END
 {"node_name":"host$1","zone":"z$1","region":"r","ip":"127.0.0.1",
 "port_range":[$((port + 2)),$((port + 3))],"heartbeat_ms":500,
 "listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$((port + 1))"},
-"platform":{"addr":"127.0.0.1:$base","record_bytes":$SITE_RECORD_BYTES},
+"platform":{"addr":"127.0.0.1:$(site_store_port "$1")","record_bytes":$SITE_RECORD_BYTES},
 "limits":{"cpu_share":1.0,"cores":1},
 "bounds":{"hold_max_ms":10000,"grace_s":6,"evac_ms":5000,"warmup_excess":1.5}}
 END
@@ -31,9 +39,12 @@
 site_start_host () { # HOST
   metrics_port=0
   [ -z "${SITE_METRICS:-}" ] || metrics_port=$(site_metrics_port "$1")
+  # With SITE_SKEWS, HOST has a time of day that is as many ms ahead as its
+  # word there says.
+  skew_ms=$(echo "${SITE_SKEWS:-}" | awk -v host="$1" '{ print $host + 0 }')
   KUMQUATRACK_NODE_FILE="$work/host$1.json" \
-    KUMQUATRACK_METRICS_PORT=$metrics_port \
-    "$BUILD/kumquatrackd" >>"$work/host$1.log" 2>&1 &
+    KUMQUATRACK_METRICS_PORT=$metrics_port KUMQUATRACK_TEST_SKEW_MS=$skew_ms \
+    "$BUILD/${SITE_SKEWS:+standin/}kumquatrackd" >>"$work/host$1.log" 2>&1 &
   echo $! >"$work/host$1.pid"
   pids="$pids $!"
 }
@@ -44,10 +55,22 @@
   pids="$pids $!"
   for host in 1 2 3; do
     site_settings $host
+    [ -z "${SITE_LINKS:-}" ] || site_start_link $host
     site_start_host $host
   done
 }
 
+site_start_link () { # HOST
+  "$BUILD/standin/link" --port "$(site_store_port "$1")" --to "$base" \
+    >>"$work/link$1.log" 2>&1 &
+  echo $! >"$work/link$1.pid"
+  pids="$pids $!"
+}
+
+site_signal () { # PROCESS SIGNAL: "host1", "link1" and so on
+  kill "-$2" "$(cat "$work/$1.pid")" 2>/dev/null
+}
+
 site_ready () { # HOST
   curl -sf -m 1 "http://127.0.0.1:$(($(site_port "$1") + 1))/-/readyz"
 }
--- a/t/standin/si-crash.c
+++ b/t/standin/si-crash.c
@@ -61,6 +61,29 @@
   worker->unregisters_at = unregistered ? si_now () + REGISTRATION_SEC : 0;
 }
 
+void
+si_silence_after_start (struct worker *worker, enum silence silence,
+                        int64_t delay_ms, int64_t ms)
+{
+  worker->next_silence = silence;
+  worker->next_silence_at = worker->silent_until + (double)delay_ms / 1000;
+  worker->next_silence_ms = ms;
+}
+
+void
+si_make_lossy (struct worker *worker, int64_t permille, int64_t ms)
+{
+  worker->lossy_permille = permille;
+  worker->lossy_until = si_now () + (double)ms / 1000;
+}
+
+void
+si_bar_later_owners (struct worker *worker, int64_t ms)
+{
+  worker->highest_fence = worker->fence;
+  worker->barred_until = si_now () + (double)ms / 1000;
+}
+
 static void
 add_stale_entry (const struct worker *worker)
 {
@@ -77,6 +100,9 @@
   if (worker->silence == SILENCE_NONE || worker->silence == SILENCE_DOWN)
     return;
   worker->silence = SILENCE_NONE;
+  worker->next_silence = SILENCE_NONE;
+  worker->lossy_until = 0;
+  worker->barred_until = 0;
   worker->unregisters_at = 0;
   si_drop_suspended (worker->server);
 }
@@ -96,9 +122,22 @@
   si_start_incarnation (worker);
 }
 
+/* Begins the silence that follows a restart of WORKER. */
+static void
+begin_next_silence (struct worker *worker)
+{
+  if (worker->next_silence == SILENCE_NONE
+      || si_now () < worker->next_silence_at)
+    return;
+  si_silence (worker, worker->next_silence_ms, worker->next_silence, false);
+  worker->next_silence = SILENCE_NONE;
+}
+
 static void
 advance_fault (struct worker *worker, bool store_up)
 {
+  if (worker->silence == SILENCE_NONE)
+    begin_next_silence (worker);
   if (worker->silence == SILENCE_NONE)
     return;
   si_note_disturbance ();
--- a/t/standin/si-crash.h
+++ b/t/standin/si-crash.h
@@ -21,6 +21,17 @@
 void si_silence (struct worker *worker, int64_t ms, enum silence silence,
                  bool unregistered);
 
+/** Makes WORKER silent for MS, DELAY_MS after its next start; it registers
+ *  on. */
+void si_silence_after_start (struct worker *worker, enum silence silence,
+                             int64_t delay_ms, int64_t ms);
+
+/** Lets WORKER lose PERMILLE of its calls, and of its replies, for MS. */
+void si_make_lossy (struct worker *worker, int64_t permille, int64_t ms);
+
+/** Lets WORKER hear only owners up to the present one's fence for MS. */
+void si_bar_later_owners (struct worker *worker, int64_t ms);
+
 /** Ends the silence of WORKER, but not the time for which it is down.  */
 void si_end_silence (struct worker *worker);
 
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "t/standin/si-store.h"
+#include "t/standin/si-twice.h"
 #include "t/standin/si-zones.h"
 
 #define STOP_DELAY_MS 100
@@ -18,6 +19,9 @@
 /* A worker's clock may be so slow. */
 #define SLOW_CLOCK_RATE 0.98
 
+/* While a worker is down, calls to its next life are tried again so often. */
+#define CARRY_INTERVAL_SEC 0.002
+
 /* Setting bounds.warmup_excess of the entry hosts. */
 #define WARMUP_EXCESS 1.5
 
@@ -123,6 +127,8 @@
   ended->run = run->number;
   ended->outcome = outcome;
   ended->ended_at = si_now ();
+  ended->record = run->record;
+  si_twice_end (run->record, outcome);
   DL_APPEND (worker->ended, ended);
   note_highest_run (worker, run->task, run->number);
   note_run_gone (run->task);
@@ -144,6 +150,7 @@
   DL_FOREACH_SAFE (worker->runs, run, next_run)
   {
     note_run_gone (run->task);
+    si_twice_end (run->record, "died");
     DL_DELETE (worker->runs, run);
     free (run);
   }
@@ -198,12 +205,20 @@
   return NULL;
 }
 
+/* Whether a call to WORKER, or the reply to it, is lost now. */
+static bool
+loses_call (const struct worker *worker)
+{
+  return si_now () < worker->lossy_until
+         && si_draw_permille () < worker->lossy_permille;
+}
+
 /* Sends the reply, unless the worker is silent or the reply is lost. */
 static void
 reply (struct si_request *request, const struct worker *worker,
        unsigned status, json_t *body)
 {
-  if (worker->silence == SILENCE_NONE)
+  if (worker->silence == SILENCE_NONE && !loses_call (worker))
     {
       si_respond_or_lose (request, status, body);
       return;
@@ -311,6 +326,7 @@
       run->number = number;
       run->started_at = si_now ();
       run->ends_at = end_of_run (worker, body);
+      run->record = si_twice_start (worker, task, number, worker->fence);
       DL_APPEND (worker->runs, run);
       note_run (task, isinf (run->ends_at));
       si_start_count++;
@@ -379,6 +395,8 @@
 {
   struct task *task = find_or_create_task (ended->task);
 
+  if (worker->lapsed_at < ended->ended_at)
+    si_twice_note (ended->record);
   task->end_acked = true;
   if (task->started_at > ended->ended_at && worker->lapsed_at < ended->ended_at
       && si_violation[0] == '\0')
@@ -463,7 +481,13 @@
   const char *intended_id = si_header (request, "Expect-Instance");
   json_t *body;
 
-  if (worker->silence == SILENCE_LOST || worker->silence == SILENCE_DOWN)
+  if (worker->silence == SILENCE_DOWN && worker->carries)
+    {
+      si_defer (request, CARRY_INTERVAL_SEC, si_on_run_request, worker);
+      return;
+    }
+  if (worker->silence == SILENCE_LOST || worker->silence == SILENCE_DOWN
+      || loses_call (worker))
     {
       si_suspend (request);
       return;
@@ -471,6 +495,13 @@
   body = si_parse_body (request);
   if (body == NULL)
     return;
+  if (si_now () < worker->barred_until
+      && si_number (body, "fence", 0) > worker->highest_fence)
+    {
+      json_decref (body);
+      si_suspend (request);
+      return;
+    }
   si_advance_worker (worker);
   if (intended_id != NULL && strcmp (intended_id, worker->id) != 0)
     refuse_other_id (request, worker);
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -12,12 +12,15 @@
 
 #define SI_LASTING_SPEC "lasting"
 
+struct twice_run;
+
 struct run
 {
   char task[64];
   int64_t number;
   double started_at;
   double ends_at;
+  struct twice_run *record;
   bool stopped; /* ends with outcome "stopped" */
   struct run *next, *prev;
 };
@@ -29,6 +32,7 @@
   int64_t run;
   const char *outcome;
   double ended_at;
+  struct twice_run *record;
   struct ended_run *next, *prev;
 };
 
@@ -69,6 +73,14 @@
   double warm_at;
   enum silence silence;
   double silent_until;
+  enum silence next_silence; /* after a restart; SILENCE_NONE: none */
+  double next_silence_at;
+  int64_t next_silence_ms;
+  bool carries;           /* calls wait while it is down, for its next life */
+  int64_t lossy_permille; /* of its calls, until lossy_until */
+  double lossy_until;
+  int64_t highest_fence; /* that it hears, until barred_until */
+  double barred_until;
   bool replaced;     /* another process takes its address after the crash */
   bool unregistered; /* it does not register while it is silent */
   double unregisters_at; /* 0: it is registered or its entry is removed */
--- a/t/standin/si-store.c
+++ b/t/standin/si-store.c
@@ -48,11 +48,17 @@
   return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
 }
 
+int64_t
+si_draw_permille (void)
+{
+  random_state = random_state * 1103515245u + 12345u;
+  return (random_state >> 16) % 1000;
+}
+
 bool
 si_loses_response (void)
 {
-  random_state = random_state * 1103515245u + 12345u;
-  return (random_state >> 16) % 1000 < (unsigned)si_lose_permille;
+  return si_draw_permille () < si_lose_permille;
 }
 
 void
--- a/t/standin/si-store.h
+++ b/t/standin/si-store.h
@@ -22,6 +22,9 @@
 /** Sets the seed that decides which responses are lost. */
 void si_seed_losses (unsigned seed);
 
+/** Returns a random number from 0 to 999. */
+int64_t si_draw_permille (void);
+
 /** Returns whether the next response is lost. */
 bool si_loses_response (void);
 
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -18,12 +18,19 @@
  * which that worker starts anew or, without same_id, another one at its
  * address, cold for warmup_ms, or {"evacuate":ZONE, "ms":N}, for which the
  * operator requests the evacuation of that zone, or
+ * address, cold for warmup_ms; with "carries", calls wait meanwhile and reach
+ * its next life, which with "quiet_ms" is silent for so long, "quiet_after_ms"
+ * after its start, with "quiet_replies" although it carries orders out; or
  * {"silence":WORKER, "ms":N, "replies":BOOL, "unregistered":BOOL}, for which
  * it answers nothing, with "replies" although it carries orders out, or
+ * {"lossy":WORKER, "permille":N, "ms":N}, for which calls and replies are
+ * lost, or {"bar":WORKER, "ms":N}, for which it hears no owner later than the
+ * present one, or
  * {"end_silence":BOOL}; each is a disturbance, also {}.  {"cancelled":ID}
  * tells of a job that is cancelled next, {"refused":ID} of one that a caller
  * was refused (429 or 503) and never accepted with; these are none.  GET
- * /facts returns the counters and the first violation found ("broken").
+ * /facts returns the counters and the first violation found ("broken"), GET
+ * /twice all pairs of runs of which the second one must not have started.
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -31,6 +38,7 @@
 
 #include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
+#include "t/standin/si-twice.h"
 #include "t/standin/si-zones.h"
 
 #define MAX_WORKERS 512
@@ -54,6 +62,15 @@
 
       si_crash (worker, si_number (body, "ms", 1000), same_id);
       worker->warmup_ms = si_number (body, "warmup_ms", 0);
+      worker->carries = json_is_true (json_object_get (body, "carries"));
+      if (si_number (body, "quiet_ms", 0) > 0)
+        si_silence_after_start (
+            worker,
+            json_is_true (json_object_get (body, "quiet_replies"))
+                ? SILENCE_REPLIES
+                : SILENCE_LOST,
+            si_number (body, "quiet_after_ms", 0),
+            si_number (body, "quiet_ms", 0));
     }
 }
 
@@ -81,6 +98,13 @@
     apply_crash (body);
   if (si_number (body, "silence", -1) >= 0)
     apply_silence (body);
+  if (si_number (body, "lossy", -1) >= 0)
+    si_make_lossy (&workers[si_number (body, "lossy", 0) % worker_count],
+                   si_number (body, "permille", 0),
+                   si_number (body, "ms", 1000));
+  if (si_number (body, "bar", -1) >= 0)
+    si_bar_later_owners (&workers[si_number (body, "bar", 0) % worker_count],
+                         si_number (body, "ms", 1000));
   for (int i = 0; i < worker_count; i++)
     if (json_is_true (json_object_get (body, "end_silence")))
       si_end_silence (&workers[i]);
@@ -171,6 +195,8 @@
     handle_admin_request (request);
   else if (si_request_matches (request, "GET", "/facts"))
     respond_facts (request);
+  else if (si_request_matches (request, "GET", "/twice"))
+    si_respond_json (request, MHD_HTTP_OK, si_twice_to_json ());
   else if (strcmp (store_state, "hang") == 0)
     si_suspend (request);
   else if (strcmp (store_state, "refuse") == 0)
