t/soak-machines: a soak that looks for runs that are given up while they go on

The new one draws all faults of a run with their times from the seed, so that they overlap: hosts stopped for 0.05 to 8 s, killed, terminated and cut off from the store around their release; workers that restart in series, with an order to start in flight, and then fall silent; lossy ones, and ones that hear no later owner.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
-.PHONY: all deps format-check lint test check demo soak soak-site bench fuzz clean \
+.PHONY: all deps format-check lint test check demo soak soak-site soak-machines bench fuzz clean \
         install programs generated tests thread-tests \
         doxygen
 all: programs
@@ -152,6 +152,11 @@
 	@seq $(FROM) $$(($(FROM) + $(SEEDS) - 1)) \
 	  | BUILD=$(BUILD) xargs -P 3 -I{} t/soak-site {}
 
+# The same with t/soak-machines, two at a time.
+soak-machines: programs
+	@seq $(FROM) $$(($(FROM) + $(SEEDS) - 1)) \
+	  | BUILD=$(BUILD) xargs -P 2 -I{} t/soak-machines {}
+
 bench: programs
 	@BUILD=$(BUILD) bench/run
 
--- a/t/standin/link.c
+++ b/t/standin/link.c
@@ -2,7 +2,8 @@
  * Test double for the network between one host and the store: a relay of TCP
  * connections.  Tests control it by signals.  SIGSTOP holds all bytes until
  * SIGCONT.  SIGUSR1 cuts it: open connections go silent for good, new ones
- * are silent from the start.  SIGUSR2 ends that: silent ones are closed.
+ * are silent from the start.  SIGHUP does so only with what the store sends,
+ * so that requests are carried out.  SIGUSR2 ends both: all are closed.
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -38,22 +39,20 @@
 static struct ev_loop *loop;
 static struct connection *connections;
 static struct sockaddr_in target;
-static bool is_cut;
+static bool is_cut[2]; /* pipes with that number are silent */
 
 static void
-stop_pipes (struct connection *connection)
+stop_pipe (struct pipe *pipe)
 {
-  for (int i = 0; i < 2; i++)
-    {
-      ev_io_stop (loop, &connection->pipes[i].read_io);
-      ev_io_stop (loop, &connection->pipes[i].write_io);
-    }
+  ev_io_stop (loop, &pipe->read_io);
+  ev_io_stop (loop, &pipe->write_io);
 }
 
 static void
 close_connection (struct connection *connection)
 {
-  stop_pipes (connection);
+  stop_pipe (&connection->pipes[0]);
+  stop_pipe (&connection->pipes[1]);
   close (connection->sockets[0]);
   close (connection->sockets[1]);
   DL_DELETE (connections, connection);
@@ -149,7 +148,7 @@
                   EV_WRITE);
       pipe->read_io.data = connection;
       pipe->write_io.data = connection;
-      if (!is_cut)
+      if (!is_cut[i])
         ev_io_start (loop, &pipe->read_io);
     }
 }
@@ -159,9 +158,14 @@
 {
   struct connection *connection;
 
-  is_cut = true;
+  is_cut[0] = is_cut[0] || watcher->signum == SIGUSR1;
+  is_cut[1] = true;
   DL_FOREACH (connections, connection)
-  stop_pipes (connection);
+  {
+    if (is_cut[0])
+      stop_pipe (&connection->pipes[0]);
+    stop_pipe (&connection->pipes[1]);
+  }
 }
 
 static void
@@ -170,7 +174,8 @@
   struct connection *connection;
   struct connection *next;
 
-  is_cut = false;
+  is_cut[0] = false;
+  is_cut[1] = false;
   DL_FOREACH_SAFE (connections, connection, next)
   close_connection (connection);
 }
@@ -204,6 +209,7 @@
   void *table[] = { port, to, end };
   static ev_io listen_io;
   static ev_signal cut;
+  static ev_signal cut_replies;
   static ev_signal end_of_cut;
 
   if (arg_parse (argc, argv, table) > 0)
@@ -219,6 +225,8 @@
   ev_io_start (loop, &listen_io);
   ev_signal_init (&cut, on_cut, SIGUSR1);
   ev_signal_start (loop, &cut);
+  ev_signal_init (&cut_replies, on_cut, SIGHUP);
+  ev_signal_start (loop, &cut_replies);
   ev_signal_init (&end_of_cut, on_end_of_cut, SIGUSR2);
   ev_signal_start (loop, &end_of_cut);
   arg_freetable (table, sizeof table / sizeof table[0]);
--- a/t/standin/si-crash.c
+++ b/t/standin/si-crash.c
@@ -40,6 +40,7 @@
   if (worker->silence == SILENCE_DOWN)
     return;
   si_crash_count++;
+  worker->crash_on_start_ms = 0;
   si_lose_runs (worker);
   worker->life++;
   worker->silence = SILENCE_DOWN;
@@ -66,7 +67,7 @@
                         int64_t delay_ms, int64_t ms)
 {
   worker->next_silence = silence;
-  worker->next_silence_at = worker->silent_until + (double)delay_ms / 1000;
+  worker->next_silence_after_ms = delay_ms;
   worker->next_silence_ms = ms;
 }
 
@@ -101,12 +102,25 @@
     return;
   worker->silence = SILENCE_NONE;
   worker->next_silence = SILENCE_NONE;
+  worker->crash_on_start_ms = 0;
   worker->lossy_until = 0;
   worker->barred_until = 0;
   worker->unregisters_at = 0;
   si_drop_suspended (worker->server);
 }
 
+/* Begins the silence that follows a restart of WORKER. */
+static void
+begin_next_silence (struct worker *worker)
+{
+  if (worker->next_silence == SILENCE_NONE || worker->crash_on_start_ms != 0
+      || (si_now () - worker->started_at) * 1000
+             < (double)worker->next_silence_after_ms)
+    return;
+  si_silence (worker, worker->next_silence_ms, worker->next_silence, false);
+  worker->next_silence = SILENCE_NONE;
+}
+
 /* Starts a crashed WORKER again, or another one at its address. */
 static void
 end_crash (struct worker *worker)
@@ -120,17 +134,7 @@
     }
   si_drop_suspended (worker->server);
   si_start_incarnation (worker);
-}
-
-/* Begins the silence that follows a restart of WORKER. */
-static void
-begin_next_silence (struct worker *worker)
-{
-  if (worker->next_silence == SILENCE_NONE
-      || si_now () < worker->next_silence_at)
-    return;
-  si_silence (worker, worker->next_silence_ms, worker->next_silence, false);
-  worker->next_silence = SILENCE_NONE;
+  begin_next_silence (worker);
 }
 
 static void
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -7,6 +7,7 @@
 #include <time.h>
 #include <utlist.h>
 
+#include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
 #include "t/standin/si-twice.h"
 #include "t/standin/si-zones.h"
@@ -481,6 +482,9 @@
   const char *intended_id = si_header (request, "Expect-Instance");
   json_t *body;
 
+  if (worker->crash_on_start_ms != 0 && worker->silence == SILENCE_NONE
+      && si_request_matches (request, "POST", "/-/run-start"))
+    si_crash (worker, worker->crash_on_start_ms, true);
   if (worker->silence == SILENCE_DOWN && worker->carries)
     {
       si_defer (request, CARRY_INTERVAL_SEC, si_on_run_request, worker);
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -73,9 +73,11 @@
   double warm_at;
   enum silence silence;
   double silent_until;
-  enum silence next_silence; /* after a restart; SILENCE_NONE: none */
-  double next_silence_at;
+  enum silence next_silence;     /* after a restart; SILENCE_NONE: none */
+  int64_t next_silence_after_ms; /* its start */
   int64_t next_silence_ms;
+  int64_t crash_on_start_ms; /* how long it is down from the next start order
+                                on; 0: no crash then */
   bool carries;           /* calls wait while it is down, for its next life */
   int64_t lossy_permille; /* of its calls, until lossy_until */
   double lossy_until;
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -18,9 +18,11 @@
  * which that worker starts anew or, without same_id, another one at its
  * address, cold for warmup_ms, or {"evacuate":ZONE, "ms":N}, for which the
  * operator requests the evacuation of that zone, or
- * address, cold for warmup_ms; with "carries", calls wait meanwhile and reach
- * its next life, which with "quiet_ms" is silent for so long, "quiet_after_ms"
- * after its start, with "quiet_replies" although it carries orders out; or
+ * address, cold for warmup_ms; with "on_start", it crashes as the next order
+ * to start comes, and starts anew; with "carries", calls wait meanwhile and
+ * reach its next life, which with "quiet_ms" is silent for so long,
+ * "quiet_after_ms" after its start, with "quiet_replies" although it carries
+ * orders out; or
  * {"silence":WORKER, "ms":N, "replies":BOOL, "unregistered":BOOL}, for which
  * it answers nothing, with "replies" although it carries orders out, or
  * {"lossy":WORKER, "permille":N, "ms":N}, for which calls and replies are
@@ -60,7 +62,10 @@
     {
       struct worker *worker = &workers[(first + i) % worker_count];
 
-      si_crash (worker, si_number (body, "ms", 1000), same_id);
+      if (json_is_true (json_object_get (body, "on_start")))
+        worker->crash_on_start_ms = si_number (body, "ms", 1000);
+      else
+        si_crash (worker, si_number (body, "ms", 1000), same_id);
       worker->warmup_ms = si_number (body, "warmup_ms", 0);
       worker->carries = json_is_true (json_object_get (body, "carries"));
       if (si_number (body, "quiet_ms", 0) > 0)
