--- a/Makefile
+++ b/Makefile
@@ -47,8 +47,8 @@
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
-.PHONY: all deps format-check lint test check demo soak soak-site soak-machines bench fuzz clean \
-        install programs generated tests thread-tests \
+.PHONY: all deps format-check lint test check demo soak soak-site \
+        soak-machines bench fuzz clean install programs generated tests thread-tests \
         doxygen
 all: programs
 programs: $(LIB) $(DAEMON) $(TOOL) $(STANDINS) $(TESTS) $(EXAMPLES) $(BENCHES)
@@ -153,7 +153,7 @@
 	  | BUILD=$(BUILD) xargs -P 3 -I{} t/soak-site {}
 
 # The same with t/soak-machines, two at a time.
-soak-machines: programs
+soak-machines: $(addprefix $(BUILD)/standin/,kumquatrackd link site)
 	@seq $(FROM) $$(($(FROM) + $(SEEDS) - 1)) \
 	  | BUILD=$(BUILD) xargs -P 2 -I{} t/soak-machines {}
 
