--- a/t/test-deadly-late.c
+++ b/t/test-deadly-late.c
@@ -21,40 +21,38 @@
 static const unsigned long open_order_seeds[] = { 62, 155, 245, 793 };
 
 static void
-test_seconds_late (void)
+check_seeds (const unsigned long *seeds, size_t count, int64_t late_ms)
 {
-  for (size_t i = 0;
-       i < sizeof seconds_late_seeds / sizeof seconds_late_seeds[0]; i++)
-    CU_ASSERT (deadly_most_starts_late (seconds_late_seeds[i], 4000)
+  for (size_t i = 0; i < count; i++)
+    CU_ASSERT (deadly_most_starts_late (seeds[i], late_ms)
                <= DEADLY_MAX_STARTS);
 }
 
+#define CHECK_SEEDS(seeds, late_ms)                                           \
+  check_seeds (seeds, sizeof (seeds) / sizeof (seeds)[0], late_ms)
+
+static void
+test_seconds_late (void)
+{
+  CHECK_SEEDS (seconds_late_seeds, 4000);
+}
+
 static void
 test_many_seconds_late (void)
 {
-  for (size_t i = 0;
-       i < sizeof many_seconds_late_seeds / sizeof many_seconds_late_seeds[0];
-       i++)
-    CU_ASSERT (deadly_most_starts_late (many_seconds_late_seeds[i], 12000)
-               <= DEADLY_MAX_STARTS);
+  CHECK_SEEDS (many_seconds_late_seeds, 12000);
 }
 
 static void
 test_two_open_orders (void)
 {
-  for (size_t i = 0; i < sizeof two_orders_seeds / sizeof two_orders_seeds[0];
-       i++)
-    CU_ASSERT (deadly_most_starts_late (two_orders_seeds[i], 12000)
-               <= DEADLY_MAX_STARTS);
+  CHECK_SEEDS (two_orders_seeds, 12000);
 }
 
 static void
 test_open_orders (void)
 {
-  for (size_t i = 0; i < sizeof open_order_seeds / sizeof open_order_seeds[0];
-       i++)
-    CU_ASSERT (deadly_most_starts_late (open_order_seeds[i], 12000)
-               <= DEADLY_MAX_STARTS);
+  CHECK_SEEDS (open_order_seeds, 12000);
 }
 
 static const struct kq_test tests[] = {
--- a/t/test-silent-restart.c
+++ b/t/test-silent-restart.c
@@ -76,6 +76,16 @@
   CU_ASSERT_STRING_EQUAL (last_start (cell).worker, "b");
 }
 
+/* Worker "a" lists the run of the task. */
+static void
+list_run (struct ts_cell *cell)
+{
+  struct ts_order start = last_start (cell);
+  struct kq_sched_running row = ts_running (&start, 5);
+
+  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+}
+
 static void
 test_accepted_start (void)
 {
@@ -113,6 +123,18 @@
   ts_destroy (cell);
 }
 
+/* The same; the successor reads the registration before it reads what the
+   earlier owner has stored, as is usual. */
+static void
+test_registration_read_first (void)
+{
+  struct ts_cell *cell = start_cell ();
+
+  ts_take_over_registered (cell, "a", 4000, 4000, 2);
+  assert_longest_lease (cell, ACT_LIMIT_MS);
+  ts_destroy (cell);
+}
+
 /* Lets the second incarnation of worker "a", which runs nothing, accept the
    next start of the task of OF_JOB, and fall silent.  What an order that was
    late has extended there lasts for the longest lease from when it lists its
@@ -146,13 +168,11 @@
 test_renewal_that_was_late (void)
 {
   struct ts_cell *cell = start_cell ();
-  struct ts_order start = last_start (cell);
-  struct kq_sched_running row = ts_running (&start, 5);
 
   ts_advance (cell, 100);
   ts_fail_poll (cell, "a");
   ts_advance (cell, 300);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   assert_longest_lease_of_next_run (cell, JOB);
   ts_destroy (cell);
@@ -163,15 +183,13 @@
 test_late_renewal_of_the_earlier_owner (void)
 {
   struct ts_cell *cell = start_cell ();
-  struct ts_order start = last_start (cell);
-  struct kq_sched_running row = ts_running (&start, 5);
 
   ts_advance (cell, 100);
   ts_fail_poll (cell, "a");
   ts_take_over (cell);
   ts_register_worker (cell, "a", 4000, 4000);
   ts_advance (cell, 300);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   assert_longest_lease_of_next_run (cell, JOB);
   ts_destroy (cell);
@@ -205,29 +223,17 @@
   ts_destroy (cell);
 }
 
-/* The same; the successor reads the registration before it reads what the
-   earlier owner has stored, as is usual. */
-static void
-test_registration_read_first (void)
-{
-  struct ts_cell *cell = start_cell ();
-
-  ts_take_over_registered (cell, "a", 4000, 4000, 2);
-  assert_longest_lease (cell, ACT_LIMIT_MS);
-  ts_destroy (cell);
-}
-
-/* The same for a renewal that is under way while the worker restarts twice,
-   without a reply in between: the last incarnation may have carried it out. */
+/* Guards against the same where a renewal is under way while the worker
+   restarts twice, without a reply in between: the last incarnation may have
+   carried it out. */
 static void
 test_two_restarts (void)
 {
   struct ts_cell *cell = start_cell ();
-  struct ts_order start = last_start (cell);
-  struct kq_sched_running row = ts_running (&start, 5);
+  struct ts_order start;
 
   ts_advance (cell, 100);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   ts_advance (cell, 100);
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   ts_advance (cell, 100);
@@ -242,24 +248,24 @@
   ts_destroy (cell);
 }
 
-/* The same for a renewal without a reply, where a later poll was answered
-   before the restart: an order may be carried out after newer ones. */
+/* Guards against the same where a renewal had no reply and a later poll was
+   answered before the restart: an order may be carried out after newer ones.
+ */
 static void
 test_lost_renewal (void)
 {
   struct ts_cell *cell = start_cell ();
-  struct ts_order start = last_start (cell);
-  struct kq_sched_running row = ts_running (&start, 5);
+  struct ts_order start;
   kq_usec sent_at;
 
   ts_advance (cell, 100);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   ts_advance (cell, 1000);
   sent_at = cell->now.mono;
   ts_advance (cell, 300);
   ts_refuse_poll (cell, "a", sent_at, KQ_SCHED_NO_REPLY);
   ts_advance (cell, 300);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   /* The new incarnation replies to the next poll, which renews nothing. */
   ts_register_incarnation (cell, "a", 4000, 4000, 2);
   ts_advance (cell, 100);
@@ -278,11 +284,9 @@
 test_no_restart (void)
 {
   struct ts_cell *cell = start_cell ();
-  struct ts_order start = last_start (cell);
-  struct kq_sched_running row = ts_running (&start, 5);
 
   ts_advance (cell, 100);
-  ts_reply_poll (cell, "a", &row, 1, NULL, 0);
+  list_run (cell);
   ts_add_idle_worker (cell, "b", 4000);
   /* Renewals go on for 2.2 s after the last reply. */
   advance_without_a (cell, 2200 + LAPSE_MS);
@@ -295,11 +299,11 @@
   { "an accepted start of the earlier owner",
     test_accepted_start_of_the_earlier_owner },
   { "a restart after a takeover", test_restart_after_a_takeover },
+  { "the registration is read first", test_registration_read_first },
   { "a renewal that was late", test_renewal_that_was_late },
   { "a late renewal of the earlier owner",
     test_late_renewal_of_the_earlier_owner },
   { "a start that was late", test_start_that_was_late },
-  { "the registration is read first", test_registration_read_first },
   { "two restarts", test_two_restarts },
   { "a lost renewal", test_lost_renewal },
   { "no restart", test_no_restart },
