t: copies of test-dispatch may run side by side

The program had two fixed ports, so that all of its cases failed while another copy ran on the machine (11 of 11 twice today, and 0 of 11 right after). It now takes two free ports for each case.

--- a/t/test-dispatch.c
+++ b/t/test-dispatch.c
@@ -14,10 +14,11 @@
 #include "t/lib-port.h"
 
 #define WORKERS 200
-#define OWNER_ADDRESS "127.0.0.1:24871"
-#define RELAY_ADDRESS "127.0.0.1:24872"
 #define FENCE 7
 
+static char owner_address[KQ_HOST_TEXT_SIZE];
+static char relay_address[KQ_HOST_TEXT_SIZE];
+
 /* A host that acts as relay, and an owner that dispatches orders. */
 struct cell
 {
@@ -89,7 +90,7 @@
 {
   struct cell *cell = arg;
 
-  CU_ASSERT_STRING_EQUAL (address, RELAY_ADDRESS);
+  CU_ASSERT_STRING_EQUAL (address, relay_address);
   kq_dispatch_handle_results (cell->dispatch, address, message->results.data,
                               message->results.len);
 }
@@ -123,11 +124,31 @@
   ((struct cell *)arg)->fenced = true;
 }
 
+/* Copies of this program may run side by side. */
+static void
+choose_addresses (void)
+{
+  int owner = port_open (owner_address, sizeof owner_address);
+  int relay = port_open (relay_address, sizeof relay_address);
+
+  close (owner);
+  close (relay);
+}
+
+static struct kq_host
+host_at (const char *name, const char *address)
+{
+  struct kq_host host = { .zone = "z", .cores = 1 };
+
+  snprintf (host.name, sizeof host.name, "%s", name);
+  snprintf (host.address, sizeof host.address, "%s", address);
+  return host;
+}
+
 static void
 announce_relay (struct kq_hosts *hosts)
 {
-  struct kq_host self
-      = { .name = "relay", .address = RELAY_ADDRESS, .zone = "z", .cores = 1 };
+  struct kq_host self = host_at ("relay", relay_address);
   struct kq_hosts *other = kq_hosts_create (&self);
   uint8_t bytes[KQ_HOSTS_MAX_BYTES];
   size_t size;
@@ -141,8 +162,7 @@
 static struct cell *
 start_cell (void)
 {
-  static const struct kq_host self
-      = { .name = "owner", .address = OWNER_ADDRESS, .zone = "z", .cores = 1 };
+  struct kq_host self;
   struct cell *cell = calloc (1, sizeof *cell);
   struct kq_hop_handler owner
       = { .arg = cell, .on_request = ignore_request, .on_reply = on_reply };
@@ -152,10 +172,12 @@
       = { .arg = cell, .on_result = on_result, .on_fenced = on_fenced };
   int err = 0;
 
+  choose_addresses ();
+  self = host_at ("owner", owner_address);
   cell->loop = ev_loop_new (EVFLAG_AUTO);
-  cell->owner_hop = kq_hop_create (cell->loop, OWNER_ADDRESS, &owner, &err);
+  cell->owner_hop = kq_hop_create (cell->loop, owner_address, &owner, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (cell->owner_hop);
-  cell->relay_hop = kq_hop_create (cell->loop, RELAY_ADDRESS, &relay, &err);
+  cell->relay_hop = kq_hop_create (cell->loop, relay_address, &relay, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (cell->relay_hop);
   cell->http = kq_http_client_create (cell->loop, cell);
   cell->hosts = kq_hosts_create (&self);
@@ -327,7 +349,7 @@
   message.verb = KQ_HOP_ORDERS;
   message.body.data = batch.bytes;
   message.body.len = batch.size;
-  kq_hop_send_request (cell->owner_hop, RELAY_ADDRESS, &message);
+  kq_hop_send_request (cell->owner_hop, relay_address, &message);
   run_for (cell, 0.2);
   send_stops (cell, 5);
   run_until_fenced (cell);
@@ -451,7 +473,7 @@
   message.verb = KQ_HOP_ORDERS;
   message.body.data = batch.bytes;
   message.body.len = batch.size;
-  kq_hop_send_request (cell->owner_hop, RELAY_ADDRESS, &message);
+  kq_hop_send_request (cell->owner_hop, relay_address, &message);
   run_for (cell, 1.0);
   CU_ASSERT (port_was_called (fd));
   kq_relay_batch_clear (&batch);
@@ -469,8 +491,8 @@
   message.verb = KQ_HOP_ORDERS;
   message.body.data = garbage;
   message.body.len = sizeof garbage;
-  kq_hop_send_request (cell->owner_hop, RELAY_ADDRESS, &message);
-  kq_dispatch_handle_results (cell->dispatch, RELAY_ADDRESS, garbage,
+  kq_hop_send_request (cell->owner_hop, relay_address, &message);
+  kq_dispatch_handle_results (cell->dispatch, relay_address, garbage,
                               sizeof garbage);
   kq_dispatch_handle_results (cell->dispatch, "nobody", garbage,
                               sizeof garbage);
