t/standin: one list of tasks, and one clock

Runs now hang on the task of si-runs, and the linker puts a function of the test around kq_clock_wall (--wrap).

Ruled out: compiling base/clock.c with the function's name redefined, which builds a file of the product in another way for a test.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 # The daemon with a time of day of its own, for t/soak-machines.
 $(BUILD)/standin/kumquatrackd: $(call obj,$(DAEMON_SRC) t/standin/skew/clock.c) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+	$(CC) $(LDFLAGS) -Wl,--wrap=kq_clock_wall $^ $(LIBS) -o $@
 
 # The daemon without its main(), for tests and benchmarks.
 $(BUILD)/daemon-parts.a: $(call obj,$(DAEMON_PARTS))
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -32,8 +32,8 @@
 char si_violation[256];
 struct task *si_tasks;
 
-static struct task *
-find_or_create_task (const char *name)
+struct task *
+si_find_task (const char *name)
 {
   struct task *task;
 
@@ -50,7 +50,7 @@
 static void
 note_run_gone (const char *name)
 {
-  struct task *task = find_or_create_task (name);
+  struct task *task = si_find_task (name);
 
   if (--task->running_count == 0 && task->lasting)
     task->down_since = si_now ();
@@ -249,7 +249,7 @@
 static void
 check_start_allowed (const struct worker *worker, const char *name)
 {
-  const struct task *task = find_or_create_task (name);
+  const struct task *task = si_find_task (name);
 
   si_check_zone_and_job (worker, name);
   if (si_violation[0] != '\0')
@@ -278,7 +278,7 @@
 static void
 note_run (const char *name, bool lasting)
 {
-  struct task *task = find_or_create_task (name);
+  struct task *task = si_find_task (name);
 
   task->running_count++;
   task->lasting = lasting;
@@ -394,7 +394,7 @@
 static void
 acknowledge_done (const struct worker *worker, const struct ended_run *ended)
 {
-  struct task *task = find_or_create_task (ended->task);
+  struct task *task = si_find_task (ended->task);
 
   if (worker->lapsed_at < ended->ended_at)
     si_twice_note (ended->record);
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -100,8 +100,9 @@
   bool end_acked; /* a host acknowledged that it is done */
   bool lasting;
   bool cancelled;
-  double started_at; /* latest start */
-  double down_since; /* of a lasting task; 0: it runs */
+  double started_at;      /* latest start */
+  double down_since;      /* of a lasting task; 0: it runs */
+  struct twice_run *runs; /* all, in the order of their starts */
   UT_hash_handle hh;
 };
 
@@ -113,6 +114,9 @@
 /** First violation found; "": none. */
 extern char si_violation[256];
 
+/** Returns the task NAME, which begins to be known with the first call. */
+struct task *si_find_task (const char *name);
+
 void si_register_worker (const struct worker *worker);
 void si_start_incarnation (struct worker *worker);
 
--- a/t/standin/si-twice.c
+++ b/t/standin/si-twice.c
@@ -16,17 +16,10 @@
   int64_t ended_ms;   /* 0: it goes on */
   int64_t noted_ms;   /* 0: the end does not count, or was not noted so far */
   const char *outcome;
-  struct twice_task *task;
+  struct task *task;
   struct twice_run *next, *prev;
 };
 
-struct twice_task
-{
-  char name[64];
-  struct twice_run *runs; /* in the order of their starts */
-  UT_hash_handle hh;
-};
-
 /* Two runs of a task of which the second one must not have started. */
 struct twice_pair
 {
@@ -35,7 +28,6 @@
   struct twice_pair *next, *prev;
 };
 
-static struct twice_task *tasks;
 static struct twice_pair *pairs;
 
 static int64_t
@@ -59,20 +51,6 @@
   DL_APPEND (pairs, pair);
 }
 
-static struct twice_task *
-find_or_create_task (const char *name)
-{
-  struct twice_task *task;
-
-  HASH_FIND_STR (tasks, name, task);
-  if (task != NULL)
-    return task;
-  task = calloc (1, sizeof *task);
-  snprintf (task->name, sizeof task->name, "%s", name);
-  HASH_ADD_STR (tasks, name, task);
-  return task;
-}
-
 struct twice_run *
 si_twice_start (const struct worker *worker, const char *task, int64_t number,
                 int64_t fence)
@@ -80,7 +58,7 @@
   struct twice_run *run = calloc (1, sizeof *run);
   const struct twice_run *earlier;
 
-  run->task = find_or_create_task (task);
+  run->task = si_find_task (task);
   snprintf (run->worker, sizeof run->worker, "%s", worker->id);
   run->number = number;
   run->fence = fence;
