--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -154,6 +154,8 @@
     int run;
   } highest[4096];
   int highest_count;
+  int hold_starts;    /* so many start orders are kept, and not answered */
+  json_t *held_start; /* the last one of these */
   struct server server;
 };
 
@@ -183,7 +185,10 @@
 void worker_crash (struct worker *worker);
 /** It starts again, under its ID. */
 void worker_restart (struct worker *worker);
-/** The same with WORLD held by the caller. */
+/** Carries out the start order that WORKER has kept, whose caller gets no
+ *  answer; returns whether it was accepted. */
+bool worker_carry_out_held (struct worker *worker);
+/** As worker_crash(), with WORLD held by the caller. */
 void worker_crash_locked (struct worker *worker);
 
 /* ---- entry hosts ---- */
--- a/review/standin-2/workers.c
+++ b/review/standin-2/workers.c
@@ -14,6 +14,9 @@
 #define GANG_S 3.0
 #define TICK_S 0.01
 
+/* The connection of an order that is kept is closed after this time. */
+#define HELD_ANSWER_S 3.0
+
 struct worker workers[MAX_WORKERS];
 int worker_count;
 pthread_mutex_t world = PTHREAD_MUTEX_INITIALIZER;
@@ -521,6 +524,19 @@
       sleep_s (2 + rand () % 10000 / 1000.0);
     }
   pthread_mutex_lock (&world);
+  if (worker->hold_starts > 0 && worker->up
+      && strcmp (request->path, "/-/run-start") == 0)
+    {
+      worker->hold_starts--;
+      record ("worker %s: a start order of %s run %d is kept, unanswered",
+              worker->id, json_string_value (json_object_get (body, "task")),
+              (int)json_integer_value (json_object_get (body, "run_id")));
+      json_decref (worker->held_start);
+      worker->held_start = body;
+      pthread_mutex_unlock (&world);
+      sleep_s (HELD_ANSWER_S);
+      return;
+    }
   if (late && worker->up)
     record ("worker %s: an order is carried out late", worker->id);
   if (!worker->up)
@@ -551,6 +567,31 @@
     }
 }
 
+bool
+worker_carry_out_held (struct worker *worker)
+{
+  struct reply reply = { 0 };
+  int runs;
+
+  pthread_mutex_lock (&world);
+  runs = worker->run_count;
+  if (worker->held_start != NULL
+      && json_integer_value (json_object_get (worker->held_start, "fence"))
+             >= worker->fence)
+    {
+      record ("worker %s: the start order that was kept is carried out",
+              worker->id);
+      start (worker, worker->held_start, &reply);
+    }
+  else
+    record ("worker %s: the start order that was kept is refused (fence)",
+            worker->id);
+  runs = worker->run_count - runs;
+  pthread_mutex_unlock (&world);
+  free (reply.body);
+  return runs > 0;
+}
+
 static void
 begin_life (struct worker *worker)
 {
