sched: a cancelled ID is refused although no job had it

Cause: the answer "no such job" was given from what the owner knew at that moment, and nothing was kept of it. A submission that was under way then, at a host that stood still, as a copy, or on its way to the next owner, was accepted as new.

Change: the owner stores the ID before it answers 410 (sched/tombstone.c), and refuses submissions of it with 429 for as long as an ended job is remembered, by the age of the cell. A successor restores it. No more than 8,192 IDs are remembered; a cancellation beyond that is refused with 503, so that no answer is given that would not be kept. A 429 for such an ID has no Retry-After. The same for an ID whose job has expired. Log lines "unknown job cancelled" and "submission refused" tell the course from the ID; new metrics kq_cancelled_ids and kq_late_submissions_total.

Ruled out: a fault of the host that stands still alone. The same happens with a copy and with a change of owner, without any host that stands still (the cases of the test).

--- a/node/desk.c
+++ b/node/desk.c
@@ -181,8 +181,10 @@
       snprintf (text, sizeof text, "{\"error\":\"%s\"}", kq_err_name (err));
       response.body = text;
     }
-  if (status == MHD_HTTP_SERVICE_UNAVAILABLE
-      || status == MHD_HTTP_TOO_MANY_REQUESTS)
+  /* The caller of a job that was cancelled need not return. */
+  if ((status == MHD_HTTP_SERVICE_UNAVAILABLE
+       || status == MHD_HTTP_TOO_MANY_REQUESTS)
+      && err != KQ_EJOB_CANCELLED)
     response.retry_s = retry_after_s (request, status, retry_ms);
   response.body_size = strlen (response.body);
   log_response (request, job, status, err);
--- a/node/gauges.c
+++ b/node/gauges.c
@@ -48,6 +48,8 @@
   GAUGE_OUTAGES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
+  GAUGE_TOMBSTONES,
+  GAUGE_LATE_SUBMISSIONS,
   GAUGE_UNREAD_ENDS,
   GAUGE_LATE_STARTS,
   GAUGE_SECOND_RUNS,
@@ -122,6 +124,10 @@
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
     .help = "Replies of another incarnation than the order was for." },
+  { .name = "kq_cancelled_ids",
+    .help = "IDs that were cancelled while no job had them." },
+  { .name = "kq_late_submissions_total",
+    .help = "Submissions refused since their ID was cancelled before." },
   { .name = "kq_unread_ends_total",
     .help = "Ended runs that workers forgot before they were read." },
   { .name = "kq_late_starts_total",
@@ -211,6 +217,8 @@
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
+  kq_metric_set (&gauges[GAUGE_TOMBSTONES], counts->tombstones);
+  kq_metric_set (&gauges[GAUGE_LATE_SUBMISSIONS], counts->late_submissions);
   kq_metric_set (&gauges[GAUGE_UNREAD_ENDS], counts->unread_ends);
   kq_metric_set (&gauges[GAUGE_LATE_STARTS], counts->late_starts);
   kq_metric_set (&gauges[GAUGE_SECOND_RUNS], counts->second_runs);
--- a/node/restore.c
+++ b/node/restore.c
@@ -203,6 +203,20 @@
   return keep_record (&stored_job->state, &stored_job->state_size, row);
 }
 
+/* Restores ROW if it is of a cancelled ID. */
+static int
+restore_tombstone (struct kq_restore *restore, const char *key,
+                   const struct kq_store_row *row)
+{
+  uint64_t id;
+
+  if (key[0] != KQ_SCHED_TOMBSTONE_KEY
+      || !kq_submission_id_read (key + 1, &id))
+    return 0;
+  return kq_sched_restore_tombstone (
+      restore->sched, id, row->undecoded ? NULL : row->value, row->size);
+}
+
 /* Returns KQ_ENOMEM if ROW was not collected for lack of memory, else 0. */
 static int
 collect_row (struct kq_restore *restore, const struct kq_store_row *row)
@@ -218,6 +232,8 @@
   if (row->undecoded || err == KQ_ESYNTAX)
     kq_log (KQ_LOG_WARN, "restore", "malformed record ignored", KQ_ESYNTAX,
             "key", key, NULL);
+  if (err != KQ_ENOMEM)
+    err = restore_tombstone (restore, key, row);
   if (err != KQ_ENOMEM)
     err = collect_job_row (restore, key, row);
   if (err != 0)
--- a/sched/count.c
+++ b/sched/count.c
@@ -4,6 +4,7 @@
 
 #include "sched/disruption.h"
 #include "sched/internal.h"
+#include "sched/tombstone.h"
 
 bool
 kq_sched_has_job (const struct kq_sched *sched, uint64_t id)
@@ -31,6 +32,7 @@
 
   *counts = sched->counts;
   counts->jobs = (int)HASH_COUNT (sched->jobs);
+  counts->tombstones = tombstone_count (sched);
   counts->workers = (int)HASH_COUNT (sched->workers);
   counts->open_jobs = 0;
   counts->usable_workers = 0;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -494,7 +494,10 @@
   uint32_t dirty_grants;          /* bit set of the buckets to be stored */
   struct job *jobs;               /* by id */
   struct unread_job *unread_jobs; /* by id (unread.c) */
-  struct worker *workers;         /* by id */
+  struct tombstone *tombstones;   /* by id (tombstone.c) */
+  struct tombstone *tombstone_list;
+  struct tombstone *changed_tombstones; /* not encoded yet */
+  struct worker *workers;               /* by id */
   struct worker *worker_list;
   struct worker **worker_array; /* the same workers */
   size_t worker_count;
--- a/sched/job.c
+++ b/sched/job.c
@@ -11,6 +11,7 @@
 #include "sched/internal.h"
 #include "sched/late.h"
 #include "sched/retention.h"
+#include "sched/tombstone.h"
 
 /* Of so many last runs of a task it is known which have failed; an end of an
    earlier one that is reported now has been counted. */
@@ -596,7 +597,8 @@
     mark_expired (sched, job, now);
     any_ended |= job_has_ended (job);
   }
-  if (any_ended)
+  tombstone_tick (sched, now);
+  if (any_ended || tombstone_count (sched) > 0)
     retention_tick (sched, now);
   admission_end_tick (sched, now);
   task_update_lateness (sched, now);
--- a/sched/record.c
+++ b/sched/record.c
@@ -12,6 +12,7 @@
 #include "sched/record.pb-c.h"
 #include "sched/retention.h"
 #include "sched/state.h"
+#include "sched/tombstone.h"
 
 void
 record_clear_dirty (struct kq_sched *sched, struct job *job)
@@ -170,8 +171,9 @@
   size_t largest = 0;
 
   if (sched->dirty == NULL && !sched->interference_due
-      && sched->dirty_grants == 0)
+      && sched->dirty_grants == 0 && sched->changed_tombstones == NULL)
     return 0;
+  max_count += (size_t)tombstone_max_records (sched);
   DL_FOREACH2 (sched->dirty, job, dirty_next)
   {
     max_count += 1 + (size_t)state_max_records (job, max_bytes);
@@ -184,6 +186,7 @@
   sched->interference_due = false;
   count += retention_encode (sched, &collected[count]);
   count += grant_encode (sched, &collected[count]);
+  count += tombstone_encode (sched, &collected[count]);
   if (sched->dirty == NULL && count == 0)
     {
       free (collected);
@@ -305,6 +308,7 @@
   retention_begin (sched, now.mono);
   for (job = sched->jobs; job != NULL; job = job->hh.next)
     resume_job (sched, job, now);
+  tombstone_finish_restore (sched, now);
   log_restored (sched);
   grant_set_lapses (sched, now.mono);
 }
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &kq_sched__pressure_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_sched__tombstone_record__init
+                     (KqSched__TombstoneRecord         *message)
+{
+  static const KqSched__TombstoneRecord init_value = KQ_SCHED__TOMBSTONE_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__tombstone_record__get_packed_size
+                     (const KqSched__TombstoneRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__tombstone_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__tombstone_record__pack
+                     (const KqSched__TombstoneRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__tombstone_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__tombstone_record__pack_to_buffer
+                     (const KqSched__TombstoneRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__tombstone_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__TombstoneRecord *
+       kq_sched__tombstone_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__TombstoneRecord *)
+     protobuf_c_message_unpack (&kq_sched__tombstone_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__tombstone_record__free_unpacked
+                     (KqSched__TombstoneRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__tombstone_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_sched__age_record__init
                      (KqSched__AgeRecord         *message)
 {
@@ -768,6 +813,44 @@
   (ProtobufCMessageInit) kq_sched__pressure_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_sched__tombstone_record__field_descriptors[1] =
+{
+  {
+    "age_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__TombstoneRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__tombstone_record__field_indices_by_name[] = {
+  0,   /* field[0] = age_ms */
+};
+static const ProtobufCIntRange kq_sched__tombstone_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor kq_sched__tombstone_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.TombstoneRecord",
+  "TombstoneRecord",
+  "KqSched__TombstoneRecord",
+  "kq_sched",
+  sizeof(KqSched__TombstoneRecord),
+  1,
+  kq_sched__tombstone_record__field_descriptors,
+  kq_sched__tombstone_record__field_indices_by_name,
+  1,  kq_sched__tombstone_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__tombstone_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kq_sched__age_record__field_descriptors[1] =
 {
   {
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
 typedef struct KqSched__StateRecord KqSched__StateRecord;
 typedef struct KqSched__PressureRecord KqSched__PressureRecord;
+typedef struct KqSched__TombstoneRecord KqSched__TombstoneRecord;
 typedef struct KqSched__AgeRecord KqSched__AgeRecord;
 typedef struct KqSched__GrantRecord KqSched__GrantRecord;
 
@@ -182,9 +183,25 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * A cancelled ID that no job had; written before the cancellation is answered.
+ */
+struct  KqSched__TombstoneRecord
+{
+  ProtobufCMessage base;
+  /*
+   * age of the cell then
+   */
+  int64_t age_ms;
+};
+#define KQ_SCHED__TOMBSTONE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__tombstone_record__descriptor) \
+    , 0 }
+
+
 /*
  * How long the cell has had an owner, at least; written every 2 s while it
- * remembers ended jobs.
+ * remembers ended jobs or cancelled IDs.
  */
 struct  KqSched__AgeRecord
 {
@@ -302,6 +319,25 @@
 void   kq_sched__pressure_record__free_unpacked
                      (KqSched__PressureRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqSched__TombstoneRecord methods */
+void   kq_sched__tombstone_record__init
+                     (KqSched__TombstoneRecord         *message);
+size_t kq_sched__tombstone_record__get_packed_size
+                     (const KqSched__TombstoneRecord   *message);
+size_t kq_sched__tombstone_record__pack
+                     (const KqSched__TombstoneRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__tombstone_record__pack_to_buffer
+                     (const KqSched__TombstoneRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__TombstoneRecord *
+       kq_sched__tombstone_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__tombstone_record__free_unpacked
+                     (KqSched__TombstoneRecord *message,
+                      ProtobufCAllocator *allocator);
 /* KqSched__AgeRecord methods */
 void   kq_sched__age_record__init
                      (KqSched__AgeRecord         *message);
@@ -354,6 +390,9 @@
 typedef void (*KqSched__PressureRecord_Closure)
                  (const KqSched__PressureRecord *message,
                   void *closure_data);
+typedef void (*KqSched__TombstoneRecord_Closure)
+                 (const KqSched__TombstoneRecord *message,
+                  void *closure_data);
 typedef void (*KqSched__AgeRecord_Closure)
                  (const KqSched__AgeRecord *message,
                   void *closure_data);
@@ -370,6 +409,7 @@
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__state_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_sched__tombstone_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__age_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__grant_record__descriptor;
 
--- a/sched/retention.c
+++ b/sched/retention.c
@@ -30,11 +30,11 @@
 /* An age of 0 means an end that is not dated. */
 #define FIRST_AGE_MS 1
 
-static int64_t
-age_ms (const struct kq_sched *sched, kq_usec mono)
+int64_t
+retention_age_ms (const struct kq_sched *sched, struct kq_sched_now now)
 {
   return sched->first_age_ms
-         + (mono - sched->age_counted_from) / KQ_USEC_PER_MSEC;
+         + (now.mono - sched->age_counted_from) / KQ_USEC_PER_MSEC;
 }
 
 void
@@ -49,7 +49,7 @@
 retention_note_end (const struct kq_sched *sched, struct job *job,
                     struct kq_sched_now now)
 {
-  job->ended_age_ms = age_ms (sched, now.mono);
+  job->ended_age_ms = retention_age_ms (sched, now);
 }
 
 /* The end is not dated in records of earlier versions, and is later than the
@@ -60,18 +60,24 @@
 {
   if (!job_has_ended (job)
       || (job->ended_age_ms >= FIRST_AGE_MS
-          && job->ended_age_ms <= age_ms (sched, now.mono)))
+          && job->ended_age_ms <= retention_age_ms (sched, now)))
     return;
   retention_note_end (sched, job, now);
   job_mark_dirty (sched, job);
 }
 
+bool
+retention_has_passed (const struct kq_sched *sched, int64_t age_ms,
+                      struct kq_sched_now now)
+{
+  return retention_age_ms (sched, now) - age_ms >= ENDED_JOB_RETENTION_MS;
+}
+
 bool
 retention_is_over (const struct kq_sched *sched, const struct job *job,
                    struct kq_sched_now now)
 {
-  return age_ms (sched, now.mono) - job->ended_age_ms
-         >= ENDED_JOB_RETENTION_MS;
+  return retention_has_passed (sched, job->ended_age_ms, now);
 }
 
 void
@@ -81,7 +87,7 @@
       && now.mono - sched->age_stored_at < STORING_INTERVAL_US)
     return;
   sched->age_stored_at = now.mono;
-  sched->due_age_ms = age_ms (sched, now.mono);
+  sched->due_age_ms = retention_age_ms (sched, now);
 }
 
 int
--- a/sched/retention.h
+++ b/sched/retention.h
@@ -22,6 +22,15 @@
 void retention_note_restored (struct kq_sched *sched, struct job *job,
                               struct kq_sched_now now);
 
+/** Returns the age of the cell in ms, at least 1.  */
+int64_t retention_age_ms (const struct kq_sched *sched,
+                          struct kq_sched_now now);
+
+/** Returns whether what ended at the age AGE_MS of the cell need not be
+ *  remembered any more.  */
+bool retention_has_passed (const struct kq_sched *sched, int64_t age_ms,
+                           struct kq_sched_now now);
+
 /** Returns whether JOB ended longer ago than it must be remembered.  */
 bool retention_is_over (const struct kq_sched *sched, const struct job *job,
                         struct kq_sched_now now);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -13,6 +13,7 @@
 #include "sched/internal.h"
 #include "sched/late.h"
 #include "sched/overdue.h"
+#include "sched/tombstone.h"
 #include "sched/unread.h"
 
 /* Interval at which the interference model is stored: a new owner that had
@@ -22,6 +23,7 @@
 #define STATUS_OK 200
 #define STATUS_GONE 410
 #define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_UNAVAILABLE 503
 
 struct kq_sched *
 kq_sched_create (void)
@@ -64,6 +66,7 @@
       job_destroy (sched, job);
     }
   unread_clear (sched);
+  tombstone_clear (sched);
   worker = sched->workers;
   HASH_CLEAR (hh, sched->workers);
   for (; worker != NULL; worker = next_worker)
@@ -187,6 +190,8 @@
   struct job *job = job_find (sched, event->u.call.job);
   int64_t retry_ms;
 
+  if ((job == NULL || job->expired) && tombstone_answer (sched, now, event))
+    return;
   if (job != NULL)
     {
       /* A job ID that arrives again denotes the same job. */
@@ -209,7 +214,8 @@
     {
       if (job != NULL)
         job_destroy (sched, job);
-      add_result (sched, event->u.call.token, 503, KQ_ENOMEM, NULL, 0);
+      add_result (sched, event->u.call.token, STATUS_UNAVAILABLE, KQ_ENOMEM,
+                  NULL, 0);
       return;
     }
   memcpy (job->body, event->u.call.body, event->u.call.body_size);
@@ -248,17 +254,39 @@
                                   : job->accepted_position);
 }
 
+/* The job may be submitted by a request that is under way. */
+static void
+cancel_unknown (struct kq_sched *sched, struct kq_sched_now now,
+                const struct kq_sched_event *event, int why)
+{
+  uint64_t position;
+  int err = tombstone_add (sched, now, event->u.call.job, &position);
+  char id[24];
+
+  snprintf (id, sizeof id, "%016" PRIx64, event->u.call.job);
+  kq_log (KQ_LOG_INFO, "sched", "unknown job cancelled", err, "job", id,
+          "why", kq_err_name (why), NULL);
+  if (err != 0)
+    add_result (sched, event->u.call.token, STATUS_UNAVAILABLE, err, NULL, 0);
+  else
+    add_result (sched, event->u.call.token, STATUS_GONE, why, NULL, position);
+}
+
 static void
 cancel (struct kq_sched *sched, struct kq_sched_now now,
         const struct kq_sched_event *event)
 {
   struct job *job = job_find (sched, event->u.call.job);
 
-  if (job == NULL || job->expired
-      || (job_has_ended (job) && job->state != KQ_SCHED_CANCELLED))
+  if (job == NULL || job->expired)
+    {
+      cancel_unknown (sched, now, event, gone_err (job));
+      return;
+    }
+  if (job_has_ended (job) && job->state != KQ_SCHED_CANCELLED)
     {
       add_result (sched, event->u.call.token, STATUS_GONE, gone_err (job),
-                  NULL, job == NULL ? 0 : job->changed_position);
+                  NULL, job->changed_position);
       return;
     }
   if (!job_has_ended (job))
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -183,6 +183,9 @@
  *  renewed leases at each worker.  */
 #define KQ_SCHED_GRANT_KEY 'g'
 
+/** First character of the keys of records of cancelled IDs that no job had. */
+#define KQ_SCHED_TOMBSTONE_KEY 'x'
+
 /** Maximum number of earlier terms that a restore takes into account. */
 #define KQ_SCHED_MAX_PAST_TERMS 8
 
@@ -372,6 +375,13 @@
 int kq_sched_restore_age (struct kq_sched *sched, const uint8_t *value,
                           size_t size);
 
+/** Restores that ID was cancelled while no job had it, from a record whose key
+ *  begins with KQ_SCHED_TOMBSTONE_KEY; before kq_sched_finish_restore().
+ *  @param value may be NULL: it could not be decoded.
+ *  @return 0 or KQ_ENOMEM.  */
+int kq_sched_restore_tombstone (struct kq_sched *sched, uint64_t id,
+                                const uint8_t *value, size_t size);
+
 /** Decoded JobRecord. */
 struct kq_sched_job_record
 {
@@ -601,6 +611,8 @@
   int64_t evacuated_starts; /**< starts dropped because their zone was to be
                                evacuated */
   int64_t withdrawals; /**< new jobs taken back because the store was away */
+  int tombstones;      /**< cancelled IDs that no job had */
+  int64_t late_submissions; /**< of such IDs, refused */
   int64_t unread_ends; /**< ended runs that workers forgot before this owner
                           read them */
   int64_t second_runs; /**< runs listed by a worker while another run of their
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -180,6 +180,11 @@
         CU_ASSERT_EQUAL (
             kq_sched_restore_age (cell->sched, record->value, record->size),
             0);
+      if (record->key[0] == KQ_SCHED_TOMBSTONE_KEY && record->size > 0)
+        CU_ASSERT_EQUAL (kq_sched_restore_tombstone (
+                             cell->sched, strtoull (record->key + 1, NULL, 16),
+                             record->value, record->size),
+                         0);
       if (record->key[0] == KQ_SCHED_GRANT_KEY)
         CU_ASSERT_EQUAL (
             kq_sched_restore_grants (cell->sched, record->value, record->size),
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -1007,6 +1007,10 @@
       kq_sched_restore_age (sim->sched, record->value, record->size);
     else if (record->key[0] == KQ_SCHED_GRANT_KEY)
       kq_sched_restore_grants (sim->sched, record->value, record->size);
+    else if (record->key[0] == KQ_SCHED_TOMBSTONE_KEY && record->size > 0)
+      kq_sched_restore_tombstone (sim->sched,
+                                  strtoull (record->key + 1, NULL, 16),
+                                  record->value, record->size);
     else if (record->key[0] == 'j' && record->size > 0)
       restore_job (sim, record);
   kq_sched_finish_restore (sim->sched, now_of (sim));
