node: a host that stood still refuses submissions of callers that left

Cause: the time of arrival is when a request is read, so that a request from before a standstill counts as fresh; nothing looked at the connection.

Change: the server notes a gap of over 2 s between two looks at its sockets (log line "process stood still"), and a submission that is read within 1 s after it is refused with a true 503 if its caller has closed the connection ("abandoned submission", kq_desk_abandoned_total). A caller that still waits is served, and so is one that closes only its own end at other times.

Before: test-desk 5 passed, 1 failed ("a host that stood still refuses callers that left": 2 forwarded instead of 1). After: 6 passed, 0 failed.

--- a/node/desk.c
+++ b/node/desk.c
@@ -64,6 +64,10 @@
 static struct kq_metric bad_input_count
     = { .name = "kq_desk_bad_input_total",
         .help = "Requests answered with 400, 405 or 413." };
+static struct kq_metric abandoned_count
+    = { .name = "kq_desk_abandoned_total",
+        .help
+        = "Submissions read after a standstill, whose caller had left." };
 static struct kq_metric resent_count
     = { .name = "kq_desk_asked_again_total",
         .help = "Questions to the owner that were repeated." };
@@ -150,6 +154,7 @@
   kq_metric_register (&unknown_outcome_count);
   kq_metric_register (&no_queue_count);
   kq_metric_register (&bad_input_count);
+  kq_metric_register (&abandoned_count);
   kq_metric_register (&resent_count);
   kq_histogram_register (&response_times);
 }
@@ -319,6 +324,27 @@
   return true;
 }
 
+/* Refuses a submission that was read after a standstill, and whose caller has
+   left meanwhile: it may have cancelled the job, or submitted it elsewhere. */
+static bool
+refuse_abandoned (struct kq_job_api *api, struct kq_http_request *request,
+                  const char *job_text)
+{
+  char standstill[24];
+
+  if (strcmp (request->method, MHD_HTTP_METHOD_POST) != 0
+      || request->standstill == 0 || !kq_http_caller_has_left (request))
+    return false;
+  snprintf (standstill, sizeof standstill, "%" PRId64,
+            request->standstill / KQ_USEC_PER_MSEC);
+  kq_log (KQ_LOG_INFO, "desk", "abandoned submission", 0, "job", job_text,
+          "standstill_ms", standstill, NULL);
+  kq_metric_add (&abandoned_count, 1);
+  respond (api, request, job_text, MHD_HTTP_SERVICE_UNAVAILABLE, KQ_ECLOSED,
+           NULL);
+  return true;
+}
+
 /* The path continues with a job's ID after the prefix, or ends there in a
    request for the number of jobs of a queue that have not started. */
 static bool
@@ -356,7 +382,8 @@
              NULL);
   else if (!read_job_id (request, job_text, &job))
     respond (api, request, job_text, MHD_HTTP_BAD_REQUEST, KQ_ESYNTAX, NULL);
-  else if (!refuse_closed (api, request, queue, job, job_text))
+  else if (!refuse_abandoned (api, request, job_text)
+           && !refuse_closed (api, request, queue, job, job_text))
     forward (api, request, queue, job, job_text[0] != '\0');
 }
 
--- a/node/guard.c
+++ b/node/guard.c
@@ -251,10 +251,10 @@
   kq_metric_set (&body_gauge, (int64_t)guard->body_bytes);
 }
 
-/* Whether the caller of CLIENT has closed the connection.  libmicrohttpd does
-   not notice it if that came together with the last bytes. */
-static bool
-has_left (const struct kq_guard_client *client)
+/* libmicrohttpd does not notice it if that came together with the last
+   bytes. */
+bool
+kq_guard_has_left (const struct kq_guard_client *client)
 {
   char byte;
   ssize_t size
@@ -268,7 +268,8 @@
 static bool
 is_over (const struct kq_guard_client *client, kq_usec now)
 {
-  return now - client->since > KQ_GUARD_REQUEST_US || has_left (client);
+  return now - client->since > KQ_GUARD_REQUEST_US
+         || kq_guard_has_left (client);
 }
 
 bool
--- a/node/guard.h
+++ b/node/guard.h
@@ -104,6 +104,10 @@
  *  more often while it is crowded.  */
 void kq_guard_sweep (struct kq_guard_server *server);
 
+/** Returns whether the caller of CLIENT has closed the connection, or its end
+ *  of it.  */
+bool kq_guard_has_left (const struct kq_guard_client *client);
+
 /** Counts a request that was refused since its body was too large, or since
  *  there was no room for it.  */
 void kq_guard_count_refusal (bool too_large);
--- a/node/http.c
+++ b/node/http.c
@@ -1,5 +1,6 @@
 #include "node/http.h"
 
+#include <inttypes.h>
 #include <microhttpd.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -27,6 +28,12 @@
 #define SWEEP_SEC 1.0
 #define CROWDED_SWEEP_SEC 0.05
 
+/* A process that has not looked at its sockets for twice the time between two
+   sweeps has stood still.  Requests from before are read within the second
+   time afterwards. */
+#define STANDSTILL_US (2 * KQ_USEC_PER_SEC)
+#define CATCH_UP_US (1 * KQ_USEC_PER_SEC)
+
 #define DEFAULT_MAX_BODY_BYTES ((size_t)256 * 1024)
 
 /* First size of the buffer of a body, which doubles as the body grows. */
@@ -61,6 +68,9 @@
   bool stopping;
   size_t body_limit;
   size_t unsent_responses;
+  kq_usec last_run_at;
+  kq_usec resumed_at; /* end of the last standstill; 0: none yet */
+  kq_usec standstill; /* how long that was */
 };
 
 struct request
@@ -138,6 +148,12 @@
     }
 }
 
+bool
+kq_http_caller_has_left (const struct kq_http_request *base)
+{
+  return kq_guard_has_left (((const struct request *)base)->client);
+}
+
 const char *
 kq_http_argument (const struct kq_http_request *base, const char *name)
 {
@@ -170,6 +186,32 @@
     }
 }
 
+/* Notes if this process has stood still since its last look at the sockets. */
+static void
+note_standstill (struct kq_http *http, kq_usec now)
+{
+  char lasted[24];
+
+  if (now - http->last_run_at <= STANDSTILL_US)
+    return;
+  http->standstill = now - http->last_run_at;
+  http->resumed_at = now;
+  http->last_run_at = now;
+  snprintf (lasted, sizeof lasted, "%" PRId64,
+            http->standstill / KQ_USEC_PER_MSEC);
+  kq_log (KQ_LOG_WARN, "http", "process stood still", 0, "for_ms", lasted,
+          NULL);
+}
+
+static kq_usec
+recent_standstill (struct kq_http *http, kq_usec now)
+{
+  note_standstill (http, now);
+  return http->resumed_at != 0 && now - http->resumed_at <= CATCH_UP_US
+             ? http->standstill
+             : 0;
+}
+
 static struct kq_guard_client *
 client_of (struct MHD_Connection *connection)
 {
@@ -196,6 +238,8 @@
   request->base.path = request->path != NULL ? request->path : "";
   request->base.body = "";
   request->base.arrived_at = kq_clock_now ();
+  request->base.standstill
+      = recent_standstill (http, request->base.arrived_at);
   read_headers (request, connection);
   return request;
 }
@@ -424,6 +468,8 @@
     return;
   http->running = true;
   http->run_pending = false;
+  note_standstill (http, kq_clock_now ());
+  http->last_run_at = kq_clock_now ();
   MHD_run (http->daemon);
   http->running = false;
   delay = kq_guard_is_crowded (&http->guarded) ? CROWDED_SWEEP_SEC : SWEEP_SEC;
@@ -502,6 +548,7 @@
   if (http == NULL)
     return NULL;
   http->loop = loop;
+  http->last_run_at = kq_clock_now ();
   http->handler = *handler;
   http->guarded
       = (struct kq_guard_server){ .guard = guard,
--- a/node/http.h
+++ b/node/http.h
@@ -29,6 +29,8 @@
                             was not read at all */
   kq_usec arrived_at;
   kq_usec timeout;    /**< how long the caller waits; 0 if it set no limit */
+  kq_usec standstill; /**< how long the process stood still before it read the
+                         request; 0: not lately */
   void *handler_data; /**< for use by the handler */
 };
 
@@ -71,6 +73,10 @@
 const char *kq_http_argument (const struct kq_http_request *request,
                               const char *name);
 
+/** Returns whether the caller of REQUEST has closed the connection, or its end
+ *  of it.  */
+bool kq_http_caller_has_left (const struct kq_http_request *request);
+
 /** Sends RESPONSE to REQUEST; ignored if REQUEST already has a response. */
 void kq_http_respond (struct kq_http *http, struct kq_http_request *request,
                       const struct kq_http_response *response);
--- a/t/test-desk.c
+++ b/t/test-desk.c
@@ -1,5 +1,6 @@
 /* Guards against callers' requests that are cut without an answer as a host
-   stops: what the job API answers then was never written. */
+   stops: what the job API answers then was never written; and against jobs
+   that nobody waits for, which a host accepts after it stood still. */
 #include <arpa/inet.h>
 #include <ev.h>
 #include <stdio.h>
@@ -19,6 +20,9 @@
 #define MAX_STOP_US (700 * KQ_USEC_PER_MSEC / 3)
 
 #define READ_TIMEOUT_SEC 2
+
+/* As long as a caller waits. */
+#define STANDSTILL_SEC 3
 #define BODY "{\"spec\":\"1\",\"steps\":[{\"count\":1,\"cpu\":1}]}"
 
 /* More than the buffers of a connection hold. */
@@ -275,7 +279,49 @@
   free (body);
 }
 
+/* A host that stood still reads the submission of a caller that has left: the
+   job may have been cancelled elsewhere.  One that still waits is served. */
+static void
+test_standstill_refuses_callers_that_left (void)
+{
+  struct kq_sched_config *config = NULL;
+  struct kq_job_api *api = start_job_api (&config);
+  int waiting = connect_to_server ();
+  int left = connect_to_server ();
+
+  owner_takes_requests = true;
+  run_loop_for (0.1);
+  send_submission (waiting, 1);
+  send_submission (left, 2);
+  close (left);
+  sleep (STANDSTILL_SEC);
+  run_loop_for (0.3);
+  CU_ASSERT_EQUAL (forwarded, 1);
+  stop_job_api (api, config);
+  CU_ASSERT_EQUAL (read_status (waiting), 504);
+}
+
+/* A caller that closes its own end after its request is served otherwise. */
+static void
+test_half_closed_connection (void)
+{
+  struct kq_sched_config *config = NULL;
+  struct kq_job_api *api = start_job_api (&config);
+  int fd = connect_to_server ();
+
+  owner_takes_requests = true;
+  send_submission (fd, 1);
+  shutdown (fd, SHUT_WR);
+  run_loop_for (0.3);
+  CU_ASSERT_EQUAL (forwarded, 1);
+  stop_job_api (api, config);
+  close (fd);
+}
+
 static const struct kq_test tests[] = {
+  { "a host that stood still refuses callers that left",
+    test_standstill_refuses_callers_that_left },
+  { "a connection that is half closed", test_half_closed_connection },
   { "a stop answers requests that are pending",
     test_stop_answers_pending_requests },
   { "a stop refuses requests that no owner has taken",
