sched: checkpoints of any length are carried unchanged

Cause: a checkpoint was kept like a name, in 64 bytes, on its whole way (worker's reply, relay, task, record, start order), and snprintf() cut what was longer. Names are refused where they are too long; this text was not.

Change: the rows of a worker's reply point to the text in that reply, and a task holds a reference-counted copy of its own size, which a gang shares (sched/checkpoint.c). Up to 63 bytes it is part of the task's record, as before. A longer one has a record of its own, written before the state and only when it changes; deleted when the task is done or its job over. What cannot be kept, over 64 KiB, beyond 16 MiB in sum or larger than a record, is left out as a whole: the task keeps the last one that could be ("checkpoint refused", kq_checkpoints_refused_total). Gangs compare by 64 bits instead of 32, so that a changed value is not passed over.

Ruled out: a cut by the worker or the store; the record had 63 bytes too.

--- a/node/gauges.c
+++ b/node/gauges.c
@@ -48,6 +48,8 @@
   GAUGE_OUTAGES,
   GAUGE_LAPSED_WORKERS,
   GAUGE_OTHER_INCARNATION,
+  GAUGE_CHECKPOINT_BYTES,
+  GAUGE_CHECKPOINTS_REFUSED,
   GAUGE_TOMBSTONES,
   GAUGE_LATE_SUBMISSIONS,
   GAUGE_UNREAD_ENDS,
@@ -124,6 +126,10 @@
     .help = "Workers whose runs ended with their leases." },
   { .name = "kq_other_incarnation_replies_total",
     .help = "Replies of another incarnation than the order was for." },
+  { .name = "kq_checkpoint_bytes",
+    .help = "Checkpoints that are longer than 63 bytes." },
+  { .name = "kq_checkpoints_refused_total",
+    .help = "Checkpoints that were too long or without room." },
   { .name = "kq_cancelled_ids",
     .help = "IDs that were cancelled while no job had them." },
   { .name = "kq_late_submissions_total",
@@ -217,6 +223,9 @@
   kq_metric_set (&gauges[GAUGE_LAPSED_WORKERS], counts->lapsed_workers);
   kq_metric_set (&gauges[GAUGE_OTHER_INCARNATION],
                  counts->other_incarnation_replies);
+  kq_metric_set (&gauges[GAUGE_CHECKPOINT_BYTES], counts->checkpoint_bytes);
+  kq_metric_set (&gauges[GAUGE_CHECKPOINTS_REFUSED],
+                 counts->checkpoints_refused);
   kq_metric_set (&gauges[GAUGE_TOMBSTONES], counts->tombstones);
   kq_metric_set (&gauges[GAUGE_LATE_SUBMISSIONS], counts->late_submissions);
   kq_metric_set (&gauges[GAUGE_UNREAD_ENDS], counts->unread_ends);
--- a/node/restore.c
+++ b/node/restore.c
@@ -14,7 +14,7 @@
 /* Delay before a failed read of a page is repeated. */
 #define RETRY_DELAY_SEC 0.05
 
-/* A further part of the state of a job. */
+/* A further part of the state of a job, or a long checkpoint of a task. */
 struct stored_part
 {
   int number;
@@ -32,6 +32,7 @@
   uint8_t *state;
   size_t state_size;
   struct stored_part *parts;
+  struct stored_part *checkpoints;
   /* The store has a value of these that could not be decoded. */
   bool job_undecoded;
   bool state_undecoded;
@@ -68,13 +69,24 @@
   return restore;
 }
 
+static void
+clear_parts (struct stored_part *parts)
+{
+  struct stored_part *part;
+  struct stored_part *next;
+
+  LL_FOREACH_SAFE (parts, part, next)
+  {
+    free (part->value);
+    free (part);
+  }
+}
+
 static void
 clear_jobs (struct kq_restore *restore)
 {
   struct stored_job *stored_job = restore->stored_jobs;
   struct stored_job *next;
-  struct stored_part *part;
-  struct stored_part *next_part;
 
   HASH_CLEAR (hh, restore->stored_jobs);
   for (; stored_job != NULL; stored_job = next)
@@ -82,11 +94,8 @@
       next = stored_job->hh.next;
       free (stored_job->job);
       free (stored_job->state);
-      LL_FOREACH_SAFE (stored_job->parts, part, next_part)
-      {
-        free (part->value);
-        free (part);
-      }
+      clear_parts (stored_job->parts);
+      clear_parts (stored_job->checkpoints);
       free (stored_job);
     }
 }
@@ -153,21 +162,21 @@
   return a->number - b->number;
 }
 
-/* The same for a part. */
+/* The same for a record with a NUMBER. */
 static int
-keep_part (struct stored_job *stored_job, int number,
+keep_part (struct stored_part **parts, int number,
            const struct kq_store_row *row)
 {
   struct stored_part *part;
 
-  LL_SEARCH_SCALAR (stored_job->parts, part, number, number);
+  LL_SEARCH_SCALAR (*parts, part, number, number);
   if (part == NULL)
     {
       part = calloc (1, sizeof *part);
       if (part == NULL)
         return KQ_ENOMEM;
       part->number = number;
-      LL_INSERT_INORDER (stored_job->parts, part, compare_parts);
+      LL_INSERT_INORDER (*parts, part, compare_parts);
     }
   return keep_record (&part->value, &part->size, row);
 }
@@ -181,13 +190,19 @@
   uint64_t id;
   int part = 0;
 
-  if (!kq_sched_part_key_read (key, &id, &part)
+  bool is_checkpoint = kq_sched_checkpoint_key_read (key, &id, &part);
+
+  if (!is_checkpoint && !kq_sched_part_key_read (key, &id, &part)
       && ((key[0] != 'j' && key[0] != 's')
           || !kq_submission_id_read (key + 1, &id)))
     return 0;
   stored_job = find_or_add_job (restore, id);
   if (stored_job == NULL)
     return KQ_ENOMEM;
+  /* Without it the task resumes from an earlier point. */
+  if (is_checkpoint)
+    return row->undecoded ? 0
+                          : keep_part (&stored_job->checkpoints, part, row);
   if (row->undecoded)
     {
       if (key[0] == 'j')
@@ -197,7 +212,7 @@
       return 0;
     }
   if (part > 0)
-    return keep_part (stored_job, part, row);
+    return keep_part (&stored_job->parts, part, row);
   if (key[0] == 'j')
     return keep_record (&stored_job->job, &stored_job->job_size, row);
   return keep_record (&stored_job->state, &stored_job->state_size, row);
@@ -268,6 +283,29 @@
   return first_err;
 }
 
+/* Returns 0 or KQ_ENOMEM. */
+static int
+restore_checkpoints (struct kq_restore *restore,
+                     const struct stored_job *stored_job)
+{
+  const struct stored_part *part;
+  char id[24];
+
+  snprintf (id, sizeof id, "%016" PRIx64, stored_job->id);
+  LL_FOREACH (stored_job->checkpoints, part)
+  {
+    int err = kq_sched_restore_checkpoint (restore->sched, stored_job->id,
+                                           part->value, part->size);
+
+    if (err != 0)
+      kq_log (KQ_LOG_ERROR, "restore", "checkpoint not restored", err, "job",
+              id, NULL);
+    if (err == KQ_ENOMEM)
+      return err;
+  }
+  return 0;
+}
+
 static int
 restore_job (struct kq_restore *restore, const struct stored_job *stored_job)
 {
@@ -291,6 +329,8 @@
                                 stored_job->state, stored_job->state_size);
   if (err == 0)
     err = restore_parts (restore, now, stored_job);
+  if (err == 0)
+    err = restore_checkpoints (restore, stored_job);
   free (record);
   return err;
 }
--- a/relay/message.c
+++ b/relay/message.c
@@ -5,7 +5,6 @@
  */
 #include "relay/message.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -215,7 +214,7 @@
   columns->steps[i] = (uint32_t)run->step;
   columns->indices[i] = (uint32_t)run->index;
   columns->runs[i] = (uint32_t)run->run;
-  columns->checkpoints[i] = (char *)checkpoint;
+  columns->checkpoints[i] = (char *)(checkpoint != NULL ? checkpoint : "");
 }
 
 static void
@@ -381,8 +380,7 @@
       running->run = run_of_row (rows, i);
       running->percent = rows->percents[i];
       running->sample = rows->samples[i];
-      snprintf (running->checkpoint, sizeof running->checkpoint, "%s",
-                rows->checkpoints[i]);
+      running->checkpoint = rows->checkpoints[i];
     }
   status->running_count = rows->n_jobs;
   return true;
@@ -408,8 +406,7 @@
       ended->run = run_of_row (rows, i);
       ended->number = rows->numbers[i];
       ended->how = (enum kq_sched_end)rows->ends[i];
-      snprintf (ended->checkpoint, sizeof ended->checkpoint, "%s",
-                rows->checkpoints[i]);
+      ended->checkpoint = rows->checkpoints[i];
     }
   status->ended_count = rows->n_jobs;
   return true;
--- a/sched/answers.c
+++ b/sched/answers.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/checkpoint.h"
 #include "sched/crash.h"
 #include "sched/evacuate.h"
 #include "sched/internal.h"
@@ -437,7 +438,7 @@
       = worker_clock (worker, now.mono) + evacuate_start_lease_ms (sched, now);
   worker_note_lease (worker, start->lease_end_ms);
   start->text = task->stage->job->spec.text;
-  start->checkpoint = task->checkpoint;
+  start->checkpoint = checkpoint_text (task);
   start->ticket = "";
   if (task->stage->job->queue.advised)
     start->ticket = advice_ticket (task->stage, worker, now);
--- a/sched/count.c
+++ b/sched/count.c
@@ -2,6 +2,7 @@
 #include <assert.h>
 #include <string.h>
 
+#include "sched/checkpoint.h"
 #include "sched/disruption.h"
 #include "sched/internal.h"
 #include "sched/tombstone.h"
@@ -32,6 +33,7 @@
 
   *counts = sched->counts;
   counts->jobs = (int)HASH_COUNT (sched->jobs);
+  counts->checkpoint_bytes = (int64_t)sched->checkpoint_bytes;
   counts->tombstones = tombstone_count (sched);
   counts->workers = (int)HASH_COUNT (sched->workers);
   counts->open_jobs = 0;
@@ -90,7 +92,8 @@
   DL_FOREACH (sched->queue, stage)
   {
     for (int i = 1; stage->step->gang && i < stage->step->count; i++)
-      assert (strcmp (stage->tasks[i].checkpoint, stage->tasks[0].checkpoint)
+      assert (strcmp (checkpoint_text (&stage->tasks[i]),
+                      checkpoint_text (&stage->tasks[0]))
               == 0);
   }
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -142,8 +142,11 @@
   int silent_losses;
   int cut_losses;
   struct crash_history *crash_history; /* these losses (crash.c), or NULL */
-  char checkpoint[KQ_SCHED_NAME_SIZE]; /* the same for all members of a gang */
-  uint32_t listed_checkpoint; /* hash of the one that a member listed last */
+  struct checkpoint *checkpoint; /* the same for all members of a gang; NULL:
+                                    none */
+  struct checkpoint *stored_checkpoint; /* in a record of its own, or NULL */
+  uint64_t listed_checkpoint; /* hash of the one that a member listed last */
+  int checkpoint_refused_run; /* the last run of which one was not kept */
   struct worker *worker;      /* while bound */
   struct worker *avoided_worker;  /* worker where it last failed or stalled */
   kq_usec avoided_until;          /* it does not return there before */
@@ -281,6 +284,7 @@
   bool record_due;        /* its JobRecord is not encoded yet */
   bool has_new_end; /* a task of it has ended since its state was encoded */
   bool expired;     /* its records are to be deleted */
+  bool has_long_checkpoint;   /* a task of it has or had one */
   uint64_t *part_hashes;      /* of the stored parts of its state (state.c) */
   int part_count;             /* of these, with part 0, or 0 */
   uint64_t changed_position;  /* journal position of its last change */
@@ -497,6 +501,7 @@
   struct tombstone *tombstones;   /* by id (tombstone.c) */
   struct tombstone *tombstone_list;
   struct tombstone *changed_tombstones; /* not encoded yet */
+  size_t checkpoint_bytes;              /* of long checkpoints */
   struct worker *workers;               /* by id */
   struct worker *worker_list;
   struct worker **worker_array; /* the same workers */
--- a/sched/job.c
+++ b/sched/job.c
@@ -8,6 +8,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/checkpoint.h"
 #include "sched/internal.h"
 #include "sched/late.h"
 #include "sched/retention.h"
@@ -150,7 +151,7 @@
   double factor;
 
   if (task->state != TASK_BOUND || task->phase != PHASE_RUNNING
-      || task->checkpoint[0] != '\0' || !has_learnable_length (stage->step))
+      || task->checkpoint != NULL || !has_learnable_length (stage->step))
     return;
   admission_note_done (sched, task, now);
   /* What is learned is the length of a run near its data. */
@@ -289,6 +290,7 @@
         {
           crash_forget (sched, &job->stages[i].tasks[j]);
           late_forget_earlier (&job->stages[i].tasks[j]);
+          checkpoint_clear (sched, &job->stages[i].tasks[j]);
         }
       free (job->stages[i].tasks);
     }
--- a/sched/listing.c
+++ b/sched/listing.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "log/log.h"
+#include "sched/checkpoint.h"
 #include "sched/crash.h"
 #include "sched/disruption.h"
 #include "sched/internal.h"
@@ -71,10 +72,11 @@
    member may resume from it, but all must resume from the same.  The starts of
    a run are sent together, so that it does not change between them. */
 static void
-update_gang_checkpoint (struct task *task, const char *checkpoint)
+update_gang_checkpoint (struct kq_sched *sched, struct task *task,
+                        const char *checkpoint)
 {
   struct stage *stage = task->stage;
-  uint32_t hash = XXH32 (checkpoint, strlen (checkpoint), 0);
+  uint64_t hash = XXH64 (checkpoint, strlen (checkpoint), 0);
 
   if (hash == task->listed_checkpoint)
     return;
@@ -83,22 +85,24 @@
       || (task->run == stage->checkpoint_run
           && task->percent < stage->checkpoint_percent))
     return;
+  if (!checkpoint_set (sched, task, checkpoint))
+    return;
   stage->checkpoint_run = task->run;
   stage->checkpoint_percent = task->percent;
   for (int i = 0; i < stage->step->count; i++)
-    snprintf (stage->tasks[i].checkpoint, sizeof stage->tasks[i].checkpoint,
-              "%s", checkpoint);
+    checkpoint_share (sched, &stage->tasks[i], task);
 }
 
 static void
-update_checkpoint (struct task *task, const char *checkpoint)
+update_checkpoint (struct kq_sched *sched, struct task *task,
+                   const char *checkpoint)
 {
-  if (checkpoint[0] == '\0')
+  if (checkpoint == NULL || checkpoint[0] == '\0')
     return;
   if (task->stage->step->gang)
-    update_gang_checkpoint (task, checkpoint);
+    update_gang_checkpoint (sched, task, checkpoint);
   else
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s", checkpoint);
+    checkpoint_set (sched, task, checkpoint);
 }
 
 /* Ends a run without completing its task; the task becomes ready again. */
@@ -107,7 +111,7 @@
                      const struct kq_sched_ended *ended,
                      struct kq_sched_now now)
 {
-  update_checkpoint (task, ended->checkpoint);
+  update_checkpoint (sched, task, ended->checkpoint);
   task_end_run (sched, task, now, end_names[ended->how]);
 }
 
@@ -264,7 +268,7 @@
   task->percent = row->percent;
   task->sample = row->sample;
   disruption_update (task);
-  update_checkpoint (task, row->checkpoint);
+  update_checkpoint (sched, task, row->checkpoint);
   crash_note_listed (sched, task, sent_at, now);
   if (is_stalled (task, now))
     {
--- a/sched/place.c
+++ b/sched/place.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "sched/checkpoint.h"
 #include "sched/crash.h"
 #include "sched/evacuate.h"
 #include "sched/late.h"
@@ -102,14 +103,17 @@
   char id[24];
   char step[16];
   char number[16];
+  char size[24];
 
-  if (stage->tasks[0].checkpoint[0] == '\0')
+  if (stage->tasks[0].checkpoint == NULL)
     return;
   snprintf (id, sizeof id, "%016" PRIx64, stage->job->id);
   snprintf (step, sizeof step, "%d", stage->number);
   snprintf (number, sizeof number, "%d", run);
+  snprintf (size, sizeof size, "%zu", checkpoint_size (&stage->tasks[0]));
   kq_log (KQ_LOG_INFO, "sched", "gang resumes", 0, "job", id, "step", step,
-          "run", number, "checkpoint", stage->tasks[0].checkpoint, NULL);
+          "run", number, "checkpoint", checkpoint_text (&stage->tasks[0]),
+          "checkpoint_bytes", size, NULL);
 }
 
 /* Places all members of a gang or none. */
--- a/sched/record.c
+++ b/sched/record.c
@@ -8,6 +8,7 @@
 
 #include "base/err.h"
 #include "log/log.h"
+#include "sched/checkpoint.h"
 #include "sched/internal.h"
 #include "sched/record.pb-c.h"
 #include "sched/retention.h"
@@ -67,7 +68,7 @@
 
 /* Returns the number of records, or KQ_ENOMEM. */
 static int
-encode_changed_job (struct job *job, size_t max_bytes,
+encode_changed_job (struct kq_sched *sched, struct job *job, size_t max_bytes,
                     struct kq_sched_record *records)
 {
   int count = 0;
@@ -75,8 +76,9 @@
 
   if (job->expired)
     {
-      set_job_key (&records[0], job);
-      return 1 + state_delete (job, &records[1]);
+      set_job_key (&records[count++], job);
+      count += state_delete (job, &records[count]);
+      return count + checkpoint_delete (job, &records[count]);
     }
   if (job->record_due)
     {
@@ -89,6 +91,10 @@
       job->body = NULL;
     }
   job->has_new_end = false;
+  more = checkpoint_encode (sched, job, max_bytes, &records[count]);
+  if (more < 0)
+    return more;
+  count += more;
   more = state_encode (job, max_bytes, &records[count]);
   return more < 0 ? more : count + more;
 }
@@ -176,7 +182,8 @@
   max_count += (size_t)tombstone_max_records (sched);
   DL_FOREACH2 (sched->dirty, job, dirty_next)
   {
-    max_count += 1 + (size_t)state_max_records (job, max_bytes);
+    max_count += 1 + (size_t)state_max_records (job, max_bytes)
+                 + (size_t)checkpoint_max_records (job);
   }
   collected = calloc (max_count, sizeof *collected);
   if (collected == NULL)
@@ -195,7 +202,7 @@
   DL_SORT2 (sched->dirty, compare_storing_order, dirty_prev, dirty_next);
   while ((job = sched->dirty) != NULL)
     {
-      int more = encode_changed_job (job, max_bytes, &collected[count]);
+      int more = encode_changed_job (sched, job, max_bytes, &collected[count]);
 
       if (more < 0)
         kq_log (KQ_LOG_ERROR, "sched", "job record not encoded", more, NULL);
@@ -249,16 +256,14 @@
    were written.  The first one is the newest, since the parts of a job are
    written in ascending order. */
 static void
-share_checkpoint (struct stage *stage)
+share_checkpoint (struct kq_sched *sched, struct stage *stage)
 {
-  const char *checkpoint = "";
+  const struct task *source = &stage->tasks[0];
 
-  for (int i = 0; i < stage->step->count && checkpoint[0] == '\0'; i++)
-    checkpoint = stage->tasks[i].checkpoint;
+  for (int i = 1; i < stage->step->count && source->checkpoint == NULL; i++)
+    source = &stage->tasks[i];
   for (int i = 0; i < stage->step->count; i++)
-    if (stage->tasks[i].checkpoint != checkpoint)
-      snprintf (stage->tasks[i].checkpoint, sizeof stage->tasks[i].checkpoint,
-                "%s", checkpoint);
+    checkpoint_share (sched, &stage->tasks[i], source);
 }
 
 static void
@@ -269,7 +274,7 @@
       job->stages_done
           += job->stages[i].done_count == job->stages[i].step->count;
       if (job->stages[i].step->gang)
-        share_checkpoint (&job->stages[i]);
+        share_checkpoint (sched, &job->stages[i]);
     }
   for (int i = 0; i < job->stage_count && job_has_ended (job); i++)
     for (int j = 0; j < job->stages[i].step->count; j++)
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &kq_sched__task_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kq_sched__checkpoint_record__init
+                     (KqSched__CheckpointRecord         *message)
+{
+  static const KqSched__CheckpointRecord init_value = KQ_SCHED__CHECKPOINT_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__checkpoint_record__get_packed_size
+                     (const KqSched__CheckpointRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__checkpoint_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__checkpoint_record__pack
+                     (const KqSched__CheckpointRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__checkpoint_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__checkpoint_record__pack_to_buffer
+                     (const KqSched__CheckpointRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__checkpoint_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__CheckpointRecord *
+       kq_sched__checkpoint_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__CheckpointRecord *)
+     protobuf_c_message_unpack (&kq_sched__checkpoint_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__checkpoint_record__free_unpacked
+                     (KqSched__CheckpointRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__checkpoint_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_sched__state_record__init
                      (KqSched__StateRecord         *message)
 {
@@ -659,6 +704,83 @@
   (ProtobufCMessageInit) kq_sched__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kq_sched__checkpoint_record__field_descriptors[4] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__CheckpointRecord, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__CheckpointRecord, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__CheckpointRecord, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__CheckpointRecord, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__checkpoint_record__field_indices_by_name[] = {
+  2,   /* field[2] = index */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+  3,   /* field[3] = text */
+};
+static const ProtobufCIntRange kq_sched__checkpoint_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor kq_sched__checkpoint_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.CheckpointRecord",
+  "CheckpointRecord",
+  "KqSched__CheckpointRecord",
+  "kq_sched",
+  sizeof(KqSched__CheckpointRecord),
+  4,
+  kq_sched__checkpoint_record__field_descriptors,
+  kq_sched__checkpoint_record__field_indices_by_name,
+  1,  kq_sched__checkpoint_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__checkpoint_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[5] =
 {
   {
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct KqSched__JobRecord KqSched__JobRecord;
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
+typedef struct KqSched__CheckpointRecord KqSched__CheckpointRecord;
 typedef struct KqSched__StateRecord KqSched__StateRecord;
 typedef struct KqSched__PressureRecord KqSched__PressureRecord;
 typedef struct KqSched__TombstoneRecord KqSched__TombstoneRecord;
@@ -91,6 +92,9 @@
    * number of failed runs up to failed_base
    */
   uint32_t failed_before;
+  /*
+   * empty if it has a record of its own
+   */
   char *checkpoint;
   /*
    * workers lost under its runs since one settled,
@@ -129,6 +133,23 @@
     , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A checkpoint that is too long for the record of its task; written before it
+ * when it has changed.  Of a gang, that of its first member.
+ */
+struct  KqSched__CheckpointRecord
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  char *text;
+};
+#define KQ_SCHED__CHECKPOINT_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__checkpoint_record__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * Written after each change of the job's state.
  */
@@ -281,6 +302,25 @@
 void   kq_sched__task_record__free_unpacked
                      (KqSched__TaskRecord *message,
                       ProtobufCAllocator *allocator);
+/* KqSched__CheckpointRecord methods */
+void   kq_sched__checkpoint_record__init
+                     (KqSched__CheckpointRecord         *message);
+size_t kq_sched__checkpoint_record__get_packed_size
+                     (const KqSched__CheckpointRecord   *message);
+size_t kq_sched__checkpoint_record__pack
+                     (const KqSched__CheckpointRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__checkpoint_record__pack_to_buffer
+                     (const KqSched__CheckpointRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__CheckpointRecord *
+       kq_sched__checkpoint_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__checkpoint_record__free_unpacked
+                     (KqSched__CheckpointRecord *message,
+                      ProtobufCAllocator *allocator);
 /* KqSched__StateRecord methods */
 void   kq_sched__state_record__init
                      (KqSched__StateRecord         *message);
@@ -384,6 +424,9 @@
 typedef void (*KqSched__TaskRecord_Closure)
                  (const KqSched__TaskRecord *message,
                   void *closure_data);
+typedef void (*KqSched__CheckpointRecord_Closure)
+                 (const KqSched__CheckpointRecord *message,
+                  void *closure_data);
 typedef void (*KqSched__StateRecord_Closure)
                  (const KqSched__StateRecord *message,
                   void *closure_data);
@@ -407,6 +450,7 @@
 
 extern const ProtobufCMessageDescriptor kq_sched__job_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
+extern const ProtobufCMessageDescriptor kq_sched__checkpoint_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__state_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__pressure_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__tombstone_record__descriptor;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -346,6 +346,21 @@
  *  @return whether it is such a key.  */
 bool kq_sched_part_key_read (const char *key, uint64_t *job, int *part);
 
+/** First character of the keys of records with long checkpoints. */
+#define KQ_SCHED_CHECKPOINT_KEY 'c'
+
+/** Reads the job and the number of a task, from 1 on, from the KEY of a
+ *  checkpoint.
+ *  @return whether it is such a key.  */
+bool kq_sched_checkpoint_key_read (const char *key, uint64_t *job,
+                                   int *number);
+
+/** Restores a long checkpoint of a task of JOB, which must be restored with
+ *  all its parts; before kq_sched_finish_restore().
+ *  @return 0, KQ_ENOENT, KQ_ENOMEM or KQ_ESYNTAX.  */
+int kq_sched_restore_checkpoint (struct kq_sched *sched, uint64_t job,
+                                 const uint8_t *value, size_t size);
+
 /** Restores a further PART of the state of JOB, which must be restored; before
  *  kq_sched_finish_restore().
  *  @return 0, KQ_ENOENT, KQ_EINVAL, KQ_ENOMEM or KQ_ESYNTAX.  */
@@ -611,8 +626,10 @@
   int64_t evacuated_starts; /**< starts dropped because their zone was to be
                                evacuated */
   int64_t withdrawals; /**< new jobs taken back because the store was away */
-  int tombstones;      /**< cancelled IDs that no job had */
-  int64_t late_submissions; /**< of such IDs, refused */
+  int64_t checkpoint_bytes;    /**< of the checkpoints that are stored apart */
+  int64_t checkpoints_refused; /**< too long, or without room */
+  int tombstones;              /**< cancelled IDs that no job had */
+  int64_t late_submissions;    /**< of such IDs, refused */
   int64_t unread_ends; /**< ended runs that workers forgot before this owner
                           read them */
   int64_t second_runs; /**< runs listed by a worker while another run of their
--- a/sched/state.c
+++ b/sched/state.c
@@ -18,6 +18,7 @@
 #include <xxhash.h>
 
 #include "base/err.h"
+#include "sched/checkpoint.h"
 #include "sched/internal.h"
 #include "sched/late.h"
 
@@ -84,7 +85,7 @@
   record->losses_set_aside = (uint32_t)task->losses_set_aside;
   record->silent_losses = (uint32_t)task->silent_losses;
   record->cut_losses = (uint32_t)task->cut_losses;
-  record->checkpoint = task->checkpoint;
+  record->checkpoint = (char *)checkpoint_inline (task);
   if (task->state == TASK_BOUND)
     {
       record->bound = true;
@@ -170,17 +171,32 @@
               KQ_SCHED_PART_KEY, job, part);
 }
 
-bool
-kq_sched_part_key_read (const char *key, uint64_t *job, int *part)
+/* Reads a key of KIND with the ID of a job and a number. */
+static bool
+read_numbered_key (const char *key, char kind, uint64_t *job, int *number)
 {
   char expected[KQ_SCHED_KEY_SIZE];
-  unsigned number;
+  unsigned value;
 
-  if (sscanf (key, "t%16" SCNx64 ".%5x", job, &number) != 2)
+  if (key[0] != kind
+      || sscanf (key + 1, "%16" SCNx64 ".%5x", job, &value) != 2)
     return false;
-  *part = (int)number;
-  format_part_key (expected, *job, number);
-  return number > 0 && strcmp (expected, key) == 0;
+  *number = (int)value;
+  snprintf (expected, sizeof expected, "%c%016" PRIx64 ".%05x", kind, *job,
+            value);
+  return value > 0 && strcmp (expected, key) == 0;
+}
+
+bool
+kq_sched_part_key_read (const char *key, uint64_t *job, int *part)
+{
+  return read_numbered_key (key, KQ_SCHED_PART_KEY, job, part);
+}
+
+bool
+kq_sched_checkpoint_key_read (const char *key, uint64_t *job, int *number)
+{
+  return read_numbered_key (key, KQ_SCHED_CHECKPOINT_KEY, job, number);
 }
 
 static void
@@ -346,9 +362,8 @@
   task->losses_set_aside = restored_losses (record->losses_set_aside);
   task->silent_losses = restored_losses (record->silent_losses);
   task->cut_losses = restored_losses (record->cut_losses);
-  if (record->checkpoint != NULL)
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
-              record->checkpoint);
+  if (record->checkpoint != NULL && record->checkpoint[0] != '\0')
+    checkpoint_set (sched, task, record->checkpoint);
   if (has_begun (record))
     task->stage->job->started = true;
   worker = record->worker != NULL && record->worker[0] != '\0'
--- a/sched/types.h
+++ b/sched/types.h
@@ -205,7 +205,7 @@
 struct kq_sched_running
 {
   struct kq_sched_run run;
-  char checkpoint[KQ_SCHED_NAME_SIZE];
+  const char *checkpoint; /**< NULL or "" if none; belongs to the reply */
   int percent;
   int64_t sample; /**< tail latency in ms if it serves, else CPU used */
 };
@@ -216,7 +216,7 @@
   int64_t number; /**< from 1 in each incarnation of the worker */
   struct kq_sched_run run;
   enum kq_sched_end how;
-  char checkpoint[KQ_SCHED_NAME_SIZE];
+  const char *checkpoint; /**< NULL or "" if none; belongs to the reply */
 };
 
 /** Status that a worker returns to a poll. */
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -88,6 +88,8 @@
   kq_sched_destroy (cell->sched);
   for (int i = 0; i < cell->record_count; i++)
     free (cell->records[i].value);
+  for (int i = 0; i < cell->order_count; i++)
+    free (cell->orders[i].checkpoint);
 }
 
 struct ts_cell *
@@ -215,6 +217,11 @@
                                                 part, record->value,
                                                 record->size),
                          0);
+      if (record->size > 0
+          && kq_sched_checkpoint_key_read (record->key, &job, &part))
+        CU_ASSERT_EQUAL (kq_sched_restore_checkpoint (
+                             cell->sched, job, record->value, record->size),
+                         0);
     }
   kq_sched_finish_restore (cell->sched, cell->now);
 }
@@ -298,8 +305,7 @@
     {
       if (kq_sched_start_order (cell->sched, cell->now, effect, &start) != 0)
         return;
-      snprintf (order.checkpoint, sizeof order.checkpoint, "%s",
-                start.checkpoint);
+      order.checkpoint = strdup (start.checkpoint);
       order.lease_end_ms = start.lease_end_ms;
       if (start.ticket != NULL)
         snprintf (order.ticket, sizeof order.ticket, "%s", start.ticket);
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -20,7 +20,7 @@
   char worker[KQ_SCHED_NAME_SIZE];
   struct kq_sched_run run;
   int percent;
-  char checkpoint[KQ_SCHED_NAME_SIZE];
+  char *checkpoint; /* of a start; freed with the cell */
   char ticket[KQ_SCHED_NAME_SIZE];
   int64_t lease_end_ms;
   int64_t fence;
--- a/t/lib-sim-internal.h
+++ b/t/lib-sim-internal.h
@@ -46,6 +46,7 @@
   int64_t lease_end_ms;
   struct sim_run_state runs[SIM_RUNS];
   struct kq_sched_ended ends[SIM_ENDS];
+  char checkpoints[SIM_ENDS][KQ_SCHED_NAME_SIZE]; /* of these */
   int64_t ended_at[SIM_ENDS];
   int end_count;
   int64_t acked;
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -323,7 +323,13 @@
                                   .run = state->run,
                                   .how = how };
   if (state->step->checkpointable && how != KQ_SCHED_DONE)
-    snprintf (end->checkpoint, sizeof end->checkpoint, "%.0f", state->work_ms);
+    {
+      char *checkpoint = worker->checkpoints[end - worker->ends];
+
+      snprintf (checkpoint, sizeof worker->checkpoints[0], "%.0f",
+                state->work_ms);
+      end->checkpoint = checkpoint;
+    }
   if (how != KQ_SCHED_DONE)
     sim->discarded_ms += state->work_ms * (double)state->step->demand.cpu;
   refuse_run (worker, &state->run);
--- a/t/lib-zones.c
+++ b/t/lib-zones.c
@@ -78,7 +78,7 @@
       worker->ended[worker->ended_count]
           = ts_ended (&run->order, ++worker->last_end,
                       stopped ? KQ_SCHED_STOPPED : KQ_SCHED_DONE);
-      worker->ended[worker->ended_count++].checkpoint[0] = 'c';
+      worker->ended[worker->ended_count++].checkpoint = "c";
       worker->runs[i--] = worker->runs[--worker->run_count];
     }
   ts_reply_poll (&site->cell, worker->report.id, rows,
--- a/t/test-gang.c
+++ b/t/test-gang.c
@@ -65,7 +65,7 @@
 {
   struct kq_sched_running row = ts_running (start_of (cell, member), percent);
 
-  snprintf (row.checkpoint, sizeof row.checkpoint, "%s", checkpoint);
+  row.checkpoint = checkpoint;
   ts_reply_poll (cell, start_of (cell, member)->worker, &row, 1, NULL, 0);
 }
 
@@ -76,7 +76,7 @@
 {
   struct kq_sched_ended row = ts_ended (start_of (cell, member), 1, how);
 
-  snprintf (row.checkpoint, sizeof row.checkpoint, "%s", checkpoint);
+  row.checkpoint = checkpoint;
   ts_reply_poll (cell, start_of (cell, member)->worker, NULL, 0, &row, 1);
 }
 
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -241,12 +241,18 @@
 
 /* Batches. */
 
+/* Longer than a name may be. */
+#define LONG_CHECKPOINT                                                       \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"
+
 struct received
 {
   int orders;
   struct kq_order last;
   char text[64];
   char checkpoint[64];
+  char running_checkpoint[128];
+  char ended_checkpoint[128];
   int results;
   struct kq_order_result result;
   struct kq_sched_running running;
@@ -280,9 +286,18 @@
   received->running_count = status->running_count;
   received->ended_count = status->ended_count;
   if (status->running_count > 0)
-    received->running = status->running[0];
+    {
+      received->running = status->running[0];
+      snprintf (received->running_checkpoint,
+                sizeof received->running_checkpoint, "%s",
+                status->running[0].checkpoint);
+    }
   if (status->ended_count > 0)
-    received->ended = status->ended[0];
+    {
+      received->ended = status->ended[0];
+      snprintf (received->ended_checkpoint, sizeof received->ended_checkpoint,
+                "%s", status->ended[0].checkpoint);
+    }
 }
 
 static const struct kq_order start = { .tag = 77,
@@ -362,8 +377,8 @@
                                     .worker_clock_ms = 5,
                                     .worker_status = &status };
 
-  strcpy (running.checkpoint, "0000aa");
-  strcpy (ended.checkpoint, "0000bb");
+  running.checkpoint = LONG_CHECKPOINT;
+  ended.checkpoint = "0000bb";
   CU_ASSERT_EQUAL (kq_relay_add_result (batch, &result), 0);
 }
 
@@ -394,10 +409,10 @@
   CU_ASSERT_EQUAL (received.running.percent, -1);
   CU_ASSERT_EQUAL (received.running.sample, 4000000000);
   CU_ASSERT_EQUAL (received.running.run.job, 5);
-  CU_ASSERT_STRING_EQUAL (received.running.checkpoint, "0000aa");
+  CU_ASSERT_STRING_EQUAL (received.running_checkpoint, LONG_CHECKPOINT);
   CU_ASSERT_EQUAL (received.ended.number, 17);
   CU_ASSERT_EQUAL (received.ended.how, KQ_SCHED_LAPSED);
-  CU_ASSERT_STRING_EQUAL (received.ended.checkpoint, "0000bb");
+  CU_ASSERT_STRING_EQUAL (received.ended_checkpoint, "0000bb");
   kq_relay_batch_clear (&batch);
 }
 
--- a/t/test-unread.c
+++ b/t/test-unread.c
@@ -17,6 +17,7 @@
 #define JOB UINT64_C (0x11)
 #define OTHER_JOB UINT64_C (0x12)
 #define STATUS_OK 200
+#define STATUS_REFUSED 429
 #define STATUS_UNAVAILABLE 503
 #define MAX_ROWS 8
 #define MAX_BYTES 512
@@ -309,6 +310,50 @@
     }
 }
 
+/* A cancelled ID stays refused, whether or not its record can be read. */
+static void
+test_cancelled_id (void)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      struct kq_store_row *row;
+
+      begin ();
+      add_job (OTHER_JOB, BODY);
+      row = add_row (job_key ("x", JOB, ""), i == 0 ? "\x08\x01" : "\xff",
+                     i == 0 ? 2 : 1);
+      row->undecoded = i == 2;
+      answer (false);
+      CU_ASSERT_EQUAL (cell.restored, 1);
+      CU_ASSERT_EQUAL (call (KQ_SCHED_EV_SUBMIT, JOB), STATUS_REFUSED);
+      CU_ASSERT_EQUAL (call (KQ_SCHED_EV_SUBMIT, OTHER_JOB), STATUS_OK);
+      end ();
+    }
+}
+
+/* A checkpoint that cannot be read costs its job only the checkpoint; the
+   pages may have it before its job. */
+static void
+test_checkpoint (void)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      struct kq_store_row *row;
+
+      begin ();
+      row = add_row (job_key ("c", JOB, ".00001"),
+                     i == 0 ? "\x22\x02\x63\x70" : "\xff", i == 0 ? 4 : 1);
+      row->undecoded = i == 2;
+      answer (true);
+      add_job (JOB, BODY);
+      add_state (JOB, 0);
+      answer (false);
+      CU_ASSERT_EQUAL (cell.restored, 1);
+      CU_ASSERT_EQUAL (call (KQ_SCHED_EV_QUERY, JOB), STATUS_OK);
+      end ();
+    }
+}
+
 /* A page whose last key is longer than those of this project: the next page
    begins after it. */
 static void
@@ -330,6 +375,8 @@
 }
 
 static const struct kq_test tests[] = {
+  { "a cancelled ID", test_cancelled_id },
+  { "a checkpoint", test_checkpoint },
   { "a malformed job", test_malformed_job },
   { "a malformed body", test_malformed_body },
   { "a malformed state", test_malformed_state },
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -343,6 +343,31 @@
   json_decref (response);
 }
 
+/* Guards against a checkpoint that is cut. */
+static void
+test_long_checkpoints (void)
+{
+  enum
+  {
+    LENGTH = 5000
+  };
+  char text[LENGTH + 1];
+  json_t *response;
+  struct kq_sched_status status = { 0 };
+
+  memset (text, 'x', LENGTH);
+  text[LENGTH] = '\0';
+  response = json_pack ("{s:i,s:i,s:[[s,i,s,i,i]],s:[[i,s,i,s,s]]}",
+                        "clock_ms", 5, "born", 9, "running",
+                        "00000000000000ff.0.1.17", 2, text, 41, 300, "ended",
+                        58, "00000000000000ff.0.1.9", 1, "stopped", text);
+  CU_ASSERT_EQUAL (kq_wire_status_read (response, &status), 0);
+  CU_ASSERT_STRING_EQUAL (status.running[0].checkpoint, text);
+  CU_ASSERT_STRING_EQUAL (status.ended[0].checkpoint, text);
+  kq_wire_status_clear (&status);
+  json_decref (response);
+}
+
 /* Guards against taking a list that is missing for an empty one: all runs of
    the worker were given up while they went on. */
 static void
@@ -672,6 +697,7 @@
   { "IDs of workers", test_worker_ids },
   { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
+  { "long checkpoints", test_long_checkpoints },
   { "a worker status without a list", test_worker_status_without_a_list },
   { "evacuations", test_evacuations },
   { "run names", test_run_names },
