relay: a batch is sent before it outgrows a message

Starts through a relay are not carried out, again and again, where those of one round carry more than a host accepts in one message: ZeroMQ drops the message and closes the connection, and the relay counts as silent. Since checkpoints may have 64 KiB, 300 starts are enough; the replies of workers that a relay collects can do the same in the other direction.

Change: a batch of orders or results that has reached 1 MiB is sent at once. Hosts accept 18 MiB: the reply of one worker, up to 16 MiB, behind a batch.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -313,6 +313,42 @@
   return link->clock_known || order->kind != KQ_ORDER_START;
 }
 
+/* A batch that is read later than it counts as unacknowledged would act on
+   runs that are taken for over.  This process may have been paused before it
+   sends the batch. */
+static void
+set_expiry (struct relay_link *link)
+{
+  kq_usec expires_at
+      = link->batch_begun_at + link->clock_offset + RELAY_SILENCE_US;
+
+  if (link->clock_known
+      && kq_relay_set_expiry (&link->batch, expires_at / KQ_USEC_PER_MSEC)
+             != 0)
+    kq_log (KQ_LOG_ERROR, "dispatch", "expiry of orders not set", KQ_ENOMEM,
+            "relay", link->address, NULL);
+}
+
+static void
+flush_link (struct kq_dispatch *dispatch, struct relay_link *link)
+{
+  KqNode__Ask message = KQ_NODE__ASK__INIT;
+  kq_usec now = kq_clock_now ();
+
+  set_expiry (link);
+  message.number = ++link->sent;
+  message.verb = KQ_HOP_ORDERS;
+  message.body.data = link->batch.bytes;
+  message.body.len = link->batch.size;
+  if (link->silent_since == 0)
+    link->silent_since = now;
+  /* A batch that cannot be sent is not acknowledged either. */
+  if (kq_hop_send_request (dispatch->hop, link->address, &message) != 0)
+    kq_log (KQ_LOG_WARN, "dispatch", "orders not sent to relay", KQ_EIO,
+            "relay", link->address, NULL);
+  kq_relay_batch_clear (&link->batch);
+}
+
 /* Adds ORDER to the batch for the relay at ADDRESS.  Returns whether it was
    added. */
 static bool
@@ -345,6 +381,8 @@
       free (flight);
       return false;
     }
+  if (link->batch.size >= KQ_RELAY_BATCH_BYTES)
+    flush_link (dispatch, link);
   DL_APPEND (dispatch->flights, flight);
   HASH_ADD (hh, dispatch->flights_by_tag, tag, sizeof flight->tag, flight);
   kq_metric_add (&relayed_count, 1);
@@ -361,42 +399,6 @@
     kq_orders_send (dispatch->orders, order);
 }
 
-/* A batch that is read later than it counts as unacknowledged would act on
-   runs that are taken for over.  This process may have been paused before it
-   sends the batch. */
-static void
-set_expiry (struct relay_link *link)
-{
-  kq_usec expires_at
-      = link->batch_begun_at + link->clock_offset + RELAY_SILENCE_US;
-
-  if (link->clock_known
-      && kq_relay_set_expiry (&link->batch, expires_at / KQ_USEC_PER_MSEC)
-             != 0)
-    kq_log (KQ_LOG_ERROR, "dispatch", "expiry of orders not set", KQ_ENOMEM,
-            "relay", link->address, NULL);
-}
-
-static void
-flush_link (struct kq_dispatch *dispatch, struct relay_link *link)
-{
-  KqNode__Ask message = KQ_NODE__ASK__INIT;
-  kq_usec now = kq_clock_now ();
-
-  set_expiry (link);
-  message.number = ++link->sent;
-  message.verb = KQ_HOP_ORDERS;
-  message.body.data = link->batch.bytes;
-  message.body.len = link->batch.size;
-  if (link->silent_since == 0)
-    link->silent_since = now;
-  /* A batch that cannot be sent is not acknowledged either. */
-  if (kq_hop_send_request (dispatch->hop, link->address, &message) != 0)
-    kq_log (KQ_LOG_WARN, "dispatch", "orders not sent to relay", KQ_EIO,
-            "relay", link->address, NULL);
-  kq_relay_batch_clear (&link->batch);
-}
-
 void
 kq_dispatch_flush (struct kq_dispatch *dispatch)
 {
--- a/node/hop.c
+++ b/node/hop.c
@@ -27,8 +27,9 @@
 #define DEFAULT_QUEUED_BYTES ((size_t)32 * 1024 * 1024)
 
 /* Largest message that is accepted.  The largest ones that hosts send have
-   configurations or batches of start orders. */
-#define MAX_MESSAGE_BYTES (INT64_C (16) * 1024 * 1024)
+   configurations, batches of start orders, or the reply of a worker, of up to
+   16 MiB, behind a batch of others. */
+#define MAX_MESSAGE_BYTES (INT64_C (18) * 1024 * 1024)
 
 /* Maximum number of open connections to other hosts; the oldest one is closed
    for a new one. */
--- a/node/relay.c
+++ b/node/relay.c
@@ -84,7 +84,10 @@
   if (kq_relay_add_result (&relay->results, result) != 0)
     kq_log (KQ_LOG_ERROR, "relay", "result not sent", KQ_ENOMEM, "worker",
             result->worker, NULL);
-  schedule_flush (relay);
+  if (relay->results.size >= KQ_RELAY_BATCH_BYTES && relay->owner.size > 0)
+    send_state (relay, &relay->owner);
+  else
+    schedule_flush (relay);
 }
 
 struct kq_relay *
--- a/relay/message.h
+++ b/relay/message.h
@@ -7,6 +7,10 @@
 
 #include "sched/order.h"
 
+/** A batch that has reached this size in bytes is sent before more is added:
+ *  hosts take messages of 18 MiB, and the reply of one worker may have 16.  */
+#define KQ_RELAY_BATCH_BYTES ((size_t)1024 * 1024)
+
 /** A batch under construction. */
 struct kq_relay_batch
 {
--- a/t/test-dispatch.c
+++ b/t/test-dispatch.c
@@ -452,6 +452,43 @@
   stop_cell (cell);
 }
 
+/* Guards against a batch of starts with long checkpoints that outgrows what a
+   relay accepts: it would be dropped as a whole, each time. */
+static void
+test_long_checkpoints (void)
+{
+  enum
+  {
+    STARTS = 320,
+    LENGTH = 64 * 1024
+  };
+  struct cell *cell = start_cell ();
+  char *text = malloc (LENGTH + 1);
+  struct kq_order order = { .kind = KQ_ORDER_START,
+                            .worker = "w1",
+                            .address = "127.0.0.1:1",
+                            .text = "",
+                            .checkpoint = text,
+                            .ticket = "" };
+
+  memset (text, 'x', LENGTH);
+  text[LENGTH] = '\0';
+  cell->relay_time_ms = kq_clock_now () / KQ_USEC_PER_MSEC;
+  send_stops (cell, 1);
+  run_until_ended (cell, 1);
+  for (int i = 0; i < STARTS; i++)
+    {
+      order.run = (struct kq_sched_run){ 1, 0, 0, i, 1 };
+      kq_dispatch_send (cell->dispatch, &order);
+    }
+  kq_dispatch_flush (cell->dispatch);
+  run_until_ended (cell, STARTS + 1);
+  CU_ASSERT_EQUAL (cell->orders, STARTS + 1);
+  CU_ASSERT_EQUAL (cell->unanswered, 0);
+  stop_cell (cell);
+  free (text);
+}
+
 /* Guards against an expiry that drops orders which arrive in time. */
 static void
 test_relay_carries_out_prompt_orders (void)
@@ -516,6 +553,7 @@
     test_start_awaits_clock_of_relay },
   { "a relay carries out prompt orders",
     test_relay_carries_out_prompt_orders },
+  { "starts with long checkpoints", test_long_checkpoints },
   { "malformed messages", test_malformed_messages },
 };
 
