platform: texts from outside are refused or told apart, not cut

Two racks, or two kinds of workers, whose names share 63 bytes counted as one, so that the spread over racks and the losses of a rack were counted wrongly; a Host header could match a route by its first 127 bytes, and a host's record was taken with names cut.

Change: a label of any length is kept with a hash of the whole in place of its end (kq_sched_label_set), the same in registrations and in submissions, which were refused with 400 before.

--- a/base/name.c
+++ b/base/name.c
@@ -28,6 +28,18 @@
   return 0;
 }
 
+bool
+kq_text_copy (char *buffer, size_t size, const char *text)
+{
+  size_t length = strlen (text);
+
+  buffer[0] = '\0';
+  if (length >= size)
+    return false;
+  memcpy (buffer, text, length + 1);
+  return true;
+}
+
 bool
 kq_name_eq (const struct kq_name *a, const struct kq_name *b)
 {
--- a/base/name.h
+++ b/base/name.h
@@ -6,6 +6,7 @@
 #define KQ_BASE_NAME_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 /** Maximum size of a name in bytes, including the terminating zero. */
 #define KQ_NAME_SIZE 48
@@ -21,6 +22,10 @@
  *  has a character that is not allowed.  After an error NAME is unchanged.  */
 int kq_name_set (struct kq_name *name, const char *text);
 
+/** Copies TEXT into BUFFER of SIZE bytes.
+ *  @return false if TEXT is too long; BUFFER is empty then.  */
+bool kq_text_copy (char *buffer, size_t size, const char *text);
+
 /** Returns whether A and B are equal. */
 bool kq_name_eq (const struct kq_name *a, const struct kq_name *b);
 
--- a/node/http.c
+++ b/node/http.c
@@ -163,6 +163,20 @@
                                       MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* Reads the Host header without its port.  No route has a longer host than
+   fits. */
+static void
+read_host (struct request *request, const char *host)
+{
+  size_t length = strcspn (host, ":");
+
+  if (length >= sizeof request->host)
+    length = 0;
+  memcpy (request->host, host, length);
+  request->host[length] = '\0';
+  request->base.host = request->host;
+}
+
 static void
 read_headers (struct request *request, struct MHD_Connection *connection)
 {
@@ -171,10 +185,7 @@
   const char *timeout = MHD_lookup_connection_value (
       connection, MHD_HEADER_KIND, TIMEOUT_HEADER);
 
-  snprintf (request->host, sizeof request->host, "%s",
-            host != NULL ? host : "");
-  request->host[strcspn (request->host, ":")] = '\0';
-  request->base.host = request->host;
+  read_host (request, host != NULL ? host : "");
   if (timeout != NULL)
     {
       long limit_ms = strtol (timeout, NULL, 10);
--- a/sched/types.c
+++ b/sched/types.c
@@ -1,10 +1,29 @@
 #include "sched/types.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/err.h"
 
+/* Length of a hash in a label, with the character before it. */
+#define LABEL_HASH_CHARS 17
+
+void
+kq_sched_label_set (char label[KQ_SCHED_NAME_SIZE], const char *text)
+{
+  size_t length = strlen (text);
+  int kept = KQ_SCHED_NAME_SIZE - 1 - LABEL_HASH_CHARS;
+
+  if (length < KQ_SCHED_NAME_SIZE)
+    memcpy (label, text, length + 1);
+  else
+    snprintf (label, KQ_SCHED_NAME_SIZE, "%.*s~%016" PRIx64, kept, text,
+              (uint64_t)XXH64 (text, length, 0));
+}
+
 void
 kq_sched_spec_clear (struct kq_sched_spec *spec)
 {
--- a/sched/types.h
+++ b/sched/types.h
@@ -57,6 +57,11 @@
   char image[KQ_SCHED_NAME_SIZE];
 };
 
+/** Sets LABEL, a name that is only compared, from TEXT of any length.  In
+ * place of the end of a long one it has a hash of the whole, so that different
+ * texts stay different.  */
+void kq_sched_label_set (char label[KQ_SCHED_NAME_SIZE], const char *text);
+
 /** A job as submitted by its caller. */
 struct kq_sched_spec
 {
--- a/t/test-wire.c
+++ b/t/test-wire.c
@@ -231,6 +231,42 @@
   CU_ASSERT_EQUAL (registration.warmup_left_ms, 7500);
 }
 
+/* Guards against two racks, or two kinds, that are taken for one since their
+   names begin alike: what is compared with them must differ in the same way.
+ */
+static void
+test_long_labels (void)
+{
+  char names[2][101];
+  struct kq_sched_registration registrations[2];
+  struct kq_sched_spec spec;
+  char text[600];
+
+  for (int i = 0; i < 2; i++)
+    {
+      memset (names[i], 'r', 100);
+      names[i][99] = (char)('0' + i);
+      names[i][100] = '\0';
+      snprintf (text, sizeof text,
+                "{\"service\":\"s\",\"addr\":\"10.0.0.9:1\",\"state\":"
+                "\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":1},"
+                "\"labels\":[\"%s\",\"%s\"]}",
+                names[i], names[i]);
+      CU_ASSERT_EQUAL (read_registration (text, &registrations[i]), 0);
+    }
+  CU_ASSERT_STRING_NOT_EQUAL (registrations[0].rack, registrations[1].rack);
+  CU_ASSERT_STRING_NOT_EQUAL (registrations[0].kind, registrations[1].kind);
+  snprintf (text, sizeof text,
+            "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"required_label\":"
+            "\"%s\",\"data_rack\":\"%s\",\"image\":\"%s\"}]}",
+            names[0], names[1], names[0]);
+  CU_ASSERT_EQUAL_FATAL (kq_submission_read (text, strlen (text), &spec), 0);
+  CU_ASSERT_STRING_EQUAL (spec.steps[0].label, registrations[0].kind);
+  CU_ASSERT_STRING_EQUAL (spec.steps[0].rack, registrations[1].rack);
+  CU_ASSERT_STRING_EQUAL (spec.steps[0].image, registrations[0].kind);
+  kq_sched_spec_clear (&spec);
+}
+
 /* Records that do not describe a usable worker are rejected. */
 static void
 test_malformed_registrations (void)
@@ -697,6 +733,7 @@
   { "IDs of workers", test_worker_ids },
   { "capacities of workers", test_worker_capacities },
   { "worker status", test_worker_status },
+  { "long labels", test_long_labels },
   { "long checkpoints", test_long_checkpoints },
   { "a worker status without a list", test_worker_status_without_a_list },
   { "evacuations", test_evacuations },
--- a/term/hosts.c
+++ b/term/hosts.c
@@ -141,6 +141,9 @@
   struct sockaddr_storage address;
 
   return strlen (record->address) < KQ_HOST_TEXT_SIZE
+         && strlen (record->life) < KQ_HOST_TEXT_SIZE
+         && strlen (record->zone) < KQ_HOST_TEXT_SIZE
+         && strlen (record->region) < KQ_HOST_TEXT_SIZE
          && kq_address_parse (record->address, &address) && record->cores > 0
          && isfinite (record->cores) && record->memory_mb <= INT32_MAX
          && record->descriptors <= INT32_MAX;
