t/soak-machines: late submissions, and checkpoints of drawn lengths

Now a host stands still while a job is submitted there and cancelled at another host, and a copy follows at the third; a start later than cancel_ms after the acknowledged cancellation is a violation. Workers return checkpoints of up to 5,000 bytes, half of them no longer than a name, and a start with one that no worker returned for its task is a violation.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -264,8 +264,8 @@
   char id[24];
 
   snprintf (id, sizeof id, "%016" PRIx64, event->u.call.job);
-  kq_log (KQ_LOG_INFO, "sched", "unknown job cancelled", err, "job", id,
-          "why", kq_err_name (why), NULL);
+  kq_log (KQ_LOG_INFO, "sched", "unknown job cancelled", err, "job", id, "why",
+          kq_err_name (why), NULL);
   if (err != 0)
     add_result (sched, event->u.call.token, STATUS_UNAVAILABLE, err, NULL, 0);
   else
--- a/t/lib-site.sh
+++ b/t/lib-site.sh
@@ -8,6 +8,7 @@
 SITE_LARGE_WORKERS=140
 SITE_HOSTS=3
 SITE_RECORD_BYTES=262144
+SITE_CHECKPOINT_BYTES=0
 
 # Ports from $base on: the store, its workers, then five for each host, then
 # with SITE_LINKS one for the link of each host to the store.
@@ -51,7 +52,8 @@
 
 site_start () { # SEED
   "$BUILD/standin/site" --port "$base" --workers $SITE_WORKERS \
-    --record-bytes $SITE_RECORD_BYTES --seed "$1" >"$work/site.log" 2>&1 &
+    --record-bytes $SITE_RECORD_BYTES \
+    --checkpoint-bytes $SITE_CHECKPOINT_BYTES --seed "$1" >"$work/site.log" 2>&1 &
   pids="$pids $!"
   for host in 1 2 3; do
     site_settings $host
--- a/t/standin/si-runs.c
+++ b/t/standin/si-runs.c
@@ -10,6 +10,7 @@
 #include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
 #include "t/standin/si-twice.h"
+#include "t/standin/si-unasked.h"
 #include "t/standin/si-zones.h"
 
 #define STOP_DELAY_MS 100
@@ -127,6 +128,7 @@
   snprintf (ended->task, sizeof ended->task, "%s", run->task);
   ended->run = run->number;
   ended->outcome = outcome;
+  ended->checkpoint = si_return_checkpoint (run);
   ended->ended_at = si_now ();
   ended->record = run->record;
   si_twice_end (run->record, outcome);
@@ -158,6 +160,7 @@
   DL_FOREACH_SAFE (worker->ended, ended, next_ended)
   {
     DL_DELETE (worker->ended, ended);
+    json_decref (ended->checkpoint);
     free (ended);
   }
   HASH_CLEAR (hh, worker->highest_run);
@@ -322,6 +325,7 @@
   else
     {
       check_start_allowed (worker, task);
+      si_check_asked (task, si_string (body, "checkpointed"));
       run = calloc (1, sizeof *run);
       snprintf (run->task, sizeof run->task, "%s", task);
       run->number = number;
@@ -367,9 +371,9 @@
                           : (si_now () - run->started_at)
                                 / (run->ends_at - run->started_at);
 
-    json_array_append_new (rows, json_pack ("[s I s i]", run->task,
-                                            (json_int_t)run->number, "",
-                                            (int)(progress * 100)));
+    json_array_append_new (
+        rows, json_pack ("[s I o i]", run->task, (json_int_t)run->number,
+                         si_return_checkpoint (run), (int)(progress * 100)));
   }
   return rows;
 }
@@ -382,9 +386,10 @@
 
   DL_FOREACH (worker->ended, ended)
   {
-    json_array_append_new (
-        rows, json_pack ("[I s I s s]", (json_int_t)ended->number, ended->task,
-                         (json_int_t)ended->run, ended->outcome, ""));
+    json_array_append_new (rows,
+                           json_pack ("[I s I s O]", (json_int_t)ended->number,
+                                      ended->task, (json_int_t)ended->run,
+                                      ended->outcome, ended->checkpoint));
   }
   return rows;
 }
@@ -419,6 +424,7 @@
     if (strcmp (ended->outcome, "done") == 0)
       acknowledge_done (worker, ended);
     DL_DELETE (worker->ended, ended);
+    json_decref (ended->checkpoint);
     free (ended);
   }
 }
--- a/t/standin/si-runs.h
+++ b/t/standin/si-runs.h
@@ -31,6 +31,7 @@
   char task[64];
   int64_t run;
   const char *outcome;
+  json_t *checkpoint;
   double ended_at;
   struct twice_run *record;
   struct ended_run *next, *prev;
--- a/t/standin/site.c
+++ b/t/standin/site.c
@@ -30,7 +30,8 @@
  * present one, or
  * {"end_silence":BOOL}; each is a disturbance, also {}.  {"cancelled":ID}
  * tells of a job that is cancelled next, {"refused":ID} of one that a caller
- * was refused (429 or 503) and never accepted with; these are none.  GET
+ * was refused (429 or 503) and never accepted with, {"unwanted":ID} of one
+ * whose cancellation a host has just acknowledged; these are none.  GET
  * /facts returns the counters and the first violation found ("broken"), GET
  * /twice all pairs of runs of which the second one must not have started.
  */
@@ -41,6 +42,7 @@
 #include "t/standin/si-crash.h"
 #include "t/standin/si-store.h"
 #include "t/standin/si-twice.h"
+#include "t/standin/si-unasked.h"
 #include "t/standin/si-zones.h"
 
 #define MAX_WORKERS 512
@@ -157,6 +159,8 @@
     return;
   if (si_string (body, "cancelled")[0] != '\0')
     si_note_cancel (si_string (body, "cancelled"));
+  else if (si_string (body, "unwanted")[0] != '\0')
+    si_note_acknowledged_cancel (si_string (body, "unwanted"));
   else if (si_string (body, "refused")[0] != '\0')
     si_note_refused (si_string (body, "refused"));
   else
@@ -180,7 +184,7 @@
 {
   si_respond_json (
       request, MHD_HTTP_OK,
-      json_pack ("{sI sI sI sI sI sI sI sI sI sI si ss}", "read_bytes",
+      json_pack ("{sI sI sI sI sI sI sI sI sI sI si ss sI ss}", "read_bytes",
                  (json_int_t)si_shared_bytes (), "starts",
                  (json_int_t)si_start_count, "done", (json_int_t)si_done_count,
                  "crashes", (json_int_t)si_crash_count, "other_id",
@@ -190,7 +194,8 @@
                  (json_int_t)si_cold_start_count, "refused_jobs",
                  (json_int_t)si_refused_job_count, "latest_zone_start_ms",
                  (json_int_t)si_latest_zone_start_ms, "lasting_running",
-                 si_lasting_running (), "broken", si_violation));
+                 si_lasting_running (), "broken", si_violation, "unasked",
+                 (json_int_t)si_unasked_count, "first_unasked", si_unasked));
 }
 
 static void
@@ -247,13 +252,17 @@
       = arg_int0 (NULL, "seed", "N", "random seed of lost responses");
   struct arg_int *record_bytes
       = arg_int0 (NULL, "record-bytes", "N", "limit of a record");
+  struct arg_int *checkpoint_bytes
+      = arg_int0 (NULL, "checkpoint-bytes", "N",
+                  "longest checkpoint that workers return; 0: none");
   struct arg_end *end = arg_end (8);
-  void *table[] = { port, count, seed, record_bytes, end };
+  void *table[] = { port, count, seed, record_bytes, checkpoint_bytes, end };
   ev_timer advance_timer;
   ev_timer register_timer;
 
   seed->ival[0] = 1;
   record_bytes->ival[0] = (int)si_record_bytes;
+  checkpoint_bytes->ival[0] = 0;
   if (arg_parse (argc, argv, table) > 0 || count->ival[0] < 1
       || count->ival[0] > MAX_WORKERS)
     {
@@ -262,6 +271,7 @@
     }
   si_seed_losses ((unsigned)seed->ival[0]);
   si_record_bytes = (uint32_t)record_bytes->ival[0];
+  si_checkpoint_bytes = checkpoint_bytes->ival[0];
   worker_count = count->ival[0];
   loop = ev_default_loop (0);
   put_configuration (0);
