sched: a job keeps the settings of a queue that was removed

Cause: a job's record held the name of its queue alone. An owner that restored the job looked its service and figures up in the configuration in force, and found none; only the owner that had known the queue kept them.

Change: the JobRecord has the queue's settings, and the StateRecord those that have changed since (sched/queue.c). The configuration goes before them where it has the queue. An owner that does not have the queue of a submission, as its version is another one than the front's, refuses it with 503 instead of accepting what it would not run.

test-budget, "the last failure before the queue is known", let a worker say that it ran nothing and then tell of the end of a run. An owner that knows the service starts the task in between, rightly. The worker's first reply now tells of the end, and the case is played as before too, with a record of an earlier version.

Ruled out: the fronts; a restored job matched no worker until the queue was added again.

--- a/node/restore.c
+++ b/node/restore.c
@@ -325,7 +325,7 @@
   err = kq_submission_read (record->body, record->body_size, &spec);
   if (err == 0)
     err = kq_sched_restore_job (restore->sched, now, stored_job->id,
-                                record->queue, record->accepted_ms, &spec,
+                                &record->queue, record->accepted_ms, &spec,
                                 stored_job->state, stored_job->state_size);
   if (err == 0)
     err = restore_parts (restore, now, stored_job);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -262,7 +262,8 @@
 {
   uint64_t id;
   char queue_name[KQ_SCHED_NAME_SIZE];
-  struct kq_sched_queue queue; /* copy of the current configuration */
+  struct kq_sched_queue queue; /* its last configured settings */
+  bool queue_changed;          /* these are others than in its JobRecord */
   int service;                 /* index of the queue's service */
   struct kq_sched_spec spec;
   uint8_t *body; /* NULL once its JobRecord is encoded */
@@ -568,9 +569,10 @@
                                           enum kq_sched_effect_kind kind,
                                           uint64_t after);
 
+/* Adds a job of QUEUE, whose settings count if it is not configured. */
 struct job *sched_new_job (struct kq_sched *sched, uint64_t id,
-                           const char *queue, int64_t accepted_ms,
-                           struct kq_sched_spec *spec);
+                           const struct kq_sched_queue *queue,
+                           int64_t accepted_ms, struct kq_sched_spec *spec);
 
 /* service.c */
 
--- a/sched/record.c
+++ b/sched/record.c
@@ -10,6 +10,7 @@
 #include "log/log.h"
 #include "sched/checkpoint.h"
 #include "sched/internal.h"
+#include "sched/queue.h"
 #include "sched/record.pb-c.h"
 #include "sched/retention.h"
 #include "sched/state.h"
@@ -53,6 +54,10 @@
 {
   KqSched__JobRecord message = KQ_SCHED__JOB_RECORD__INIT;
 
+  KqSched__QueueRecord settings;
+
+  queue_to_record (&job->queue, &settings);
+  message.settings = &settings;
   message.queue = (char *)job->queue_name;
   message.body.data = job->body;
   message.body.len = job->body_size;
@@ -221,12 +226,23 @@
   return count;
 }
 
+/* The settings that are in force now are stored if others are. */
+static void
+note_restored_queue (struct kq_sched *sched, struct job *job,
+                     const KqSched__StateRecord *message)
+{
+  if (job->queue_changed && !job_has_ended (job))
+    job_mark_dirty (sched, job);
+  job->queue_changed |= message != NULL && message->settings != NULL;
+}
+
 int
 kq_sched_restore_job (struct kq_sched *sched, struct kq_sched_now now,
-                      uint64_t id, const char *queue, int64_t accepted_ms,
-                      struct kq_sched_spec *spec, const uint8_t *state,
-                      size_t state_size)
+                      uint64_t id, const struct kq_sched_queue *queue,
+                      int64_t accepted_ms, struct kq_sched_spec *spec,
+                      const uint8_t *state, size_t state_size)
 {
+  struct kq_sched_queue stored = *queue;
   KqSched__StateRecord *message = NULL;
   struct job *job;
   int err = 0;
@@ -242,11 +258,15 @@
           return KQ_ESYNTAX;
         }
     }
-  job = sched_new_job (sched, id, queue, accepted_ms, spec);
+  if (message != NULL && message->settings != NULL)
+    queue_from_record (&stored, message->settings);
+  job = sched_new_job (sched, id, &stored, accepted_ms, spec);
   if (job == NULL)
     err = KQ_ENOMEM;
   else if (message != NULL)
     err = state_restore (sched, now, job, message);
+  if (err == 0)
+    note_restored_queue (sched, job, message);
   if (message != NULL)
     kq_sched__state_record__free_unpacked (message, NULL);
   return err;
@@ -330,7 +350,9 @@
   record = calloc (1, sizeof *record + message->body.len + 1);
   if (record != NULL)
     {
-      snprintf (record->queue, sizeof record->queue, "%s", message->queue);
+      queue_from_record (&record->queue, message->settings);
+      snprintf (record->queue.name, sizeof record->queue.name, "%s",
+                message->queue);
       record->accepted_ms = message->accepted_ms;
       record->body_size = message->body.len;
       memcpy (record->body, message->body.data, message->body.len);
--- a/sched/record.pb-c.c
+++ b/sched/record.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "sched/record.pb-c.h"
+void   kq_sched__queue_record__init
+                     (KqSched__QueueRecord         *message)
+{
+  static const KqSched__QueueRecord init_value = KQ_SCHED__QUEUE_RECORD__INIT;
+  *message = init_value;
+}
+size_t kq_sched__queue_record__get_packed_size
+                     (const KqSched__QueueRecord *message)
+{
+  assert(message->base.descriptor == &kq_sched__queue_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kq_sched__queue_record__pack
+                     (const KqSched__QueueRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kq_sched__queue_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kq_sched__queue_record__pack_to_buffer
+                     (const KqSched__QueueRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kq_sched__queue_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+KqSched__QueueRecord *
+       kq_sched__queue_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (KqSched__QueueRecord *)
+     protobuf_c_message_unpack (&kq_sched__queue_record__descriptor,
+                                allocator, len, data);
+}
+void   kq_sched__queue_record__free_unpacked
+                     (KqSched__QueueRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kq_sched__queue_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kq_sched__job_record__init
                      (KqSched__JobRecord         *message)
 {
@@ -367,7 +412,123 @@
   assert(message->base.descriptor == &kq_sched__grant_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kq_sched__job_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kq_sched__queue_record__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slo_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, slo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advised",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advise_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__QueueRecord, advise_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kq_sched__queue_record__field_indices_by_name[] = {
+  6,   /* field[6] = advise_ms */
+  5,   /* field[5] = advised */
+  2,   /* field[2] = attempts */
+  1,   /* field[1] = priority */
+  0,   /* field[0] = service */
+  4,   /* field[4] = slo_ms */
+  3,   /* field[3] = stretch */
+};
+static const ProtobufCIntRange kq_sched__queue_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor kq_sched__queue_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kq_sched.QueueRecord",
+  "QueueRecord",
+  "KqSched__QueueRecord",
+  "kq_sched",
+  sizeof(KqSched__QueueRecord),
+  7,
+  kq_sched__queue_record__field_descriptors,
+  kq_sched__queue_record__field_indices_by_name,
+  1,  kq_sched__queue_record__number_ranges,
+  (ProtobufCMessageInit) kq_sched__queue_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kq_sched__job_record__field_descriptors[4] =
 {
   {
     "queue",
@@ -405,16 +566,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settings",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__JobRecord, settings),
+    &kq_sched__queue_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__job_record__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
   1,   /* field[1] = body */
   0,   /* field[0] = queue */
+  3,   /* field[3] = settings */
 };
 static const ProtobufCIntRange kq_sched__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kq_sched__job_record__descriptor =
 {
@@ -424,7 +598,7 @@
   "KqSched__JobRecord",
   "kq_sched",
   sizeof(KqSched__JobRecord),
-  3,
+  4,
   kq_sched__job_record__field_descriptors,
   kq_sched__job_record__field_indices_by_name,
   1,  kq_sched__job_record__number_ranges,
@@ -781,7 +955,7 @@
   (ProtobufCMessageInit) kq_sched__checkpoint_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kq_sched__state_record__field_descriptors[6] =
 {
   {
     "outcome",
@@ -843,18 +1017,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settings",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(KqSched__StateRecord, settings),
+    &kq_sched__queue_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kq_sched__state_record__field_indices_by_name[] = {
   4,   /* field[4] = ended_age_ms */
   1,   /* field[1] = ended_ms */
   0,   /* field[0] = outcome */
+  5,   /* field[5] = settings */
   3,   /* field[3] = started */
   2,   /* field[2] = tasks */
 };
 static const ProtobufCIntRange kq_sched__state_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor kq_sched__state_record__descriptor =
 {
@@ -864,7 +1051,7 @@
   "KqSched__StateRecord",
   "kq_sched",
   sizeof(KqSched__StateRecord),
-  5,
+  6,
   kq_sched__state_record__field_descriptors,
   kq_sched__state_record__field_indices_by_name,
   1,  kq_sched__state_record__number_ranges,
--- a/sched/record.pb-c.h
+++ b/sched/record.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct KqSched__QueueRecord KqSched__QueueRecord;
 typedef struct KqSched__JobRecord KqSched__JobRecord;
 typedef struct KqSched__TaskRecord KqSched__TaskRecord;
 typedef struct KqSched__CheckpointRecord KqSched__CheckpointRecord;
@@ -30,6 +31,25 @@
 
 /* --- messages --- */
 
+/*
+ * What a queue sets for its jobs.
+ */
+struct  KqSched__QueueRecord
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t priority;
+  uint32_t attempts;
+  double stretch;
+  int64_t slo_ms;
+  protobuf_c_boolean advised;
+  int64_t advise_ms;
+};
+#define KQ_SCHED__QUEUE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kq_sched__queue_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
 /*
  * Written once, when the job is accepted.
  */
@@ -45,10 +65,14 @@
    * wall clock
    */
   int64_t accepted_ms;
+  /*
+   * left out by earlier versions
+   */
+  KqSched__QueueRecord *settings;
 };
 #define KQ_SCHED__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__job_record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL }
 
 
 /*
@@ -174,10 +198,14 @@
    * age of the cell then; left out by earlier versions
    */
   int64_t ended_age_ms;
+  /*
+   * if they have changed since the job was accepted
+   */
+  KqSched__QueueRecord *settings;
 };
 #define KQ_SCHED__STATE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kq_sched__state_record__descriptor) \
-    , 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, NULL }
 
 
 /*
@@ -264,6 +292,25 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/* KqSched__QueueRecord methods */
+void   kq_sched__queue_record__init
+                     (KqSched__QueueRecord         *message);
+size_t kq_sched__queue_record__get_packed_size
+                     (const KqSched__QueueRecord   *message);
+size_t kq_sched__queue_record__pack
+                     (const KqSched__QueueRecord   *message,
+                      uint8_t             *out);
+size_t kq_sched__queue_record__pack_to_buffer
+                     (const KqSched__QueueRecord   *message,
+                      ProtobufCBuffer     *buffer);
+KqSched__QueueRecord *
+       kq_sched__queue_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kq_sched__queue_record__free_unpacked
+                     (KqSched__QueueRecord *message,
+                      ProtobufCAllocator *allocator);
 /* KqSched__JobRecord methods */
 void   kq_sched__job_record__init
                      (KqSched__JobRecord         *message);
@@ -418,6 +465,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*KqSched__QueueRecord_Closure)
+                 (const KqSched__QueueRecord *message,
+                  void *closure_data);
 typedef void (*KqSched__JobRecord_Closure)
                  (const KqSched__JobRecord *message,
                   void *closure_data);
@@ -448,6 +498,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor kq_sched__queue_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__job_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__task_record__descriptor;
 extern const ProtobufCMessageDescriptor kq_sched__checkpoint_record__descriptor;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -2,7 +2,6 @@
 #include "sched/sched.h"
 
 #include <inttypes.h>
-#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +12,7 @@
 #include "sched/internal.h"
 #include "sched/late.h"
 #include "sched/overdue.h"
+#include "sched/queue.h"
 #include "sched/tombstone.h"
 #include "sched/unread.h"
 
@@ -151,11 +151,12 @@
 }
 
 struct job *
-sched_new_job (struct kq_sched *sched, uint64_t id, const char *queue,
-               int64_t accepted_ms, struct kq_sched_spec *spec)
+sched_new_job (struct kq_sched *sched, uint64_t id,
+               const struct kq_sched_queue *queue, int64_t accepted_ms,
+               struct kq_sched_spec *spec)
 {
   const struct kq_sched_queue *known
-      = kq_sched_config_queue (sched->config, queue);
+      = kq_sched_config_queue (sched->config, queue->name);
   struct job *job = calloc (1, sizeof *job);
 
   if (job == NULL)
@@ -167,12 +168,9 @@
   job->accepted_ms = accepted_ms;
   job->spec = *spec;
   memset (spec, 0, sizeof *spec);
-  snprintf (job->queue_name, sizeof job->queue_name, "%s", queue);
-  /* A job of a queue that is no longer configured matches no worker, and must
-     not fail for lack of attempts meanwhile. */
-  job->queue.attempts = INT_MAX;
-  if (known != NULL)
-    job->queue = *known;
+  snprintf (job->queue_name, sizeof job->queue_name, "%s", queue->name);
+  job->queue = known != NULL ? *known : *queue;
+  job->queue_changed = !queue_is_equal (&job->queue, queue);
   job->service = service_index (sched, job->queue.service);
   HASH_ADD (hh, sched->jobs, id, sizeof job->id, job);
   if (job_build (sched, job) != 0)
@@ -188,6 +186,8 @@
         const struct kq_sched_event *event)
 {
   struct job *job = job_find (sched, event->u.call.job);
+  const struct kq_sched_queue *queue
+      = kq_sched_config_queue (sched->config, event->u.call.queue);
   int64_t retry_ms;
 
   if ((job == NULL || job->expired) && tombstone_answer (sched, now, event))
@@ -200,8 +200,16 @@
                   job->accepted_position);
       return;
     }
-  job = sched_new_job (sched, event->u.call.job, event->u.call.queue,
-                       now.wall_ms, event->u.call.spec);
+  /* The host that passed it on has another version of the configuration. */
+  if (queue == NULL)
+    {
+      kq_sched_spec_clear (event->u.call.spec);
+      add_result (sched, event->u.call.token, STATUS_UNAVAILABLE,
+                  KQ_EREQ_NO_SERVICE, NULL, 0);
+      return;
+    }
+  job = sched_new_job (sched, event->u.call.job, queue, now.wall_ms,
+                       event->u.call.spec);
   if (job != NULL && admission_refuses (sched, job, now, &retry_ms))
     {
       job_destroy (sched, job);
@@ -330,6 +338,11 @@
     if (queue == NULL)
       continue;
     fewer_attempts = queue->attempts < job->queue.attempts;
+    if (!job_has_ended (job) && !queue_is_equal (queue, &job->queue))
+      {
+        job->queue_changed = true;
+        job_mark_dirty (sched, job);
+      }
     job->queue = *queue;
     job->service = service_index (sched, queue->service);
     if (fewer_attempts)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -333,11 +333,12 @@
 
 /** Restores a job from the store. Ownership of SPEC passes to the scheduler;
  *  STATE may be NULL.
+ *  @param queue as stored; the configuration's settings go before its own.
  *  @return 0, KQ_ENOMEM or KQ_ESYNTAX.  */
 int kq_sched_restore_job (struct kq_sched *sched, struct kq_sched_now now,
-                          uint64_t job, const char *queue, int64_t accepted_ms,
-                          struct kq_sched_spec *spec, const uint8_t *state,
-                          size_t state_size);
+                          uint64_t job, const struct kq_sched_queue *queue,
+                          int64_t accepted_ms, struct kq_sched_spec *spec,
+                          const uint8_t *state, size_t state_size);
 
 /** First character of the keys of the further parts of a job's state. */
 #define KQ_SCHED_PART_KEY 't'
@@ -400,7 +401,7 @@
 /** Decoded JobRecord. */
 struct kq_sched_job_record
 {
-  char queue[KQ_SCHED_NAME_SIZE];
+  struct kq_sched_queue queue; /**< name and stored settings */
   int64_t accepted_ms;
   size_t body_size;
   char body[]; /**< as sent by the caller, with a terminating zero */
--- a/sched/state.c
+++ b/sched/state.c
@@ -21,11 +21,12 @@
 #include "sched/checkpoint.h"
 #include "sched/internal.h"
 #include "sched/late.h"
+#include "sched/queue.h"
 
 /* Limits of the encoded sizes in bytes of a TaskRecord with its header, which
    has two names and 13 numbers, and of the other fields of a StateRecord. */
 #define MAX_TASK_BYTES 256
-#define MAX_HEAD_BYTES 32
+#define MAX_HEAD_BYTES 160
 
 /* Maximum number of tasks in a part: a change writes few others again. */
 #define MAX_PART_TASKS 1000
@@ -250,7 +251,13 @@
              struct kq_sched_record *record)
 {
   KqSched__StateRecord message = KQ_SCHED__STATE_RECORD__INIT;
+  KqSched__QueueRecord settings;
 
+  if (part == 0 && job->queue_changed)
+    {
+      queue_to_record (&job->queue, &settings);
+      message.settings = &settings;
+    }
   if (part == 0)
     {
       message.outcome = job_has_ended (job) ? job->state : 0;
--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -166,6 +166,30 @@
   kq_sched_event (cell->sched, cell->now, &event);
 }
 
+/* Restores what belongs to jobs that are restored. */
+static void
+restore_numbered_records (struct ts_cell *cell)
+{
+  for (int i = 0; i < cell->record_count; i++)
+    {
+      const struct kq_sched_record *record = &cell->records[i];
+      uint64_t job;
+      int part;
+
+      if (record->size > 0
+          && kq_sched_part_key_read (record->key, &job, &part))
+        CU_ASSERT_EQUAL (kq_sched_restore_part (cell->sched, cell->now, job,
+                                                part, record->value,
+                                                record->size),
+                         0);
+      if (record->size > 0
+          && kq_sched_checkpoint_key_read (record->key, &job, &part))
+        CU_ASSERT_EQUAL (kq_sched_restore_checkpoint (
+                             cell->sched, job, record->value, record->size),
+                         0);
+    }
+}
+
 static void
 restore_records (struct ts_cell *cell)
 {
@@ -199,30 +223,13 @@
       memcpy (&body, job->body, sizeof body);
       build_spec (&body, &spec);
       kq_sched_restore_job (cell->sched, cell->now,
-                            strtoull (record->key + 1, NULL, 16), job->queue,
+                            strtoull (record->key + 1, NULL, 16), &job->queue,
                             job->accepted_ms, &spec,
                             state != NULL ? state->value : NULL,
                             state != NULL ? state->size : 0);
       free (job);
     }
-  for (int i = 0; i < cell->record_count; i++)
-    {
-      const struct kq_sched_record *record = &cell->records[i];
-      uint64_t job;
-      int part;
-
-      if (record->size > 0
-          && kq_sched_part_key_read (record->key, &job, &part))
-        CU_ASSERT_EQUAL (kq_sched_restore_part (cell->sched, cell->now, job,
-                                                part, record->value,
-                                                record->size),
-                         0);
-      if (record->size > 0
-          && kq_sched_checkpoint_key_read (record->key, &job, &part))
-        CU_ASSERT_EQUAL (kq_sched_restore_checkpoint (
-                             cell->sched, job, record->value, record->size),
-                         0);
-    }
+  restore_numbered_records (cell);
   kq_sched_finish_restore (cell->sched, cell->now);
 }
 
--- a/t/lib-sim.c
+++ b/t/lib-sim.c
@@ -995,7 +995,7 @@
   state = find_record (sim, key);
   build_spec (job_of (sim, id), &spec);
   kq_sched_restore_job (
-      sim->sched, now_of (sim), id, job->queue, job->accepted_ms, &spec,
+      sim->sched, now_of (sim), id, &job->queue, job->accepted_ms, &spec,
       state != NULL ? state->value : NULL, state != NULL ? state->size : 0);
   free (job);
 }
--- a/t/test-budget.c
+++ b/t/test-budget.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "sched/record.pb-c.h"
 #include "t/kqtest.h"
 #include "t/lib-sched.h"
 
@@ -126,9 +127,29 @@
   ts_destroy (cell);
 }
 
-/* A new owner reads the last failure before it knows the queue. */
+/* Rewrites the record of the job as earlier versions do, which do not store
+   the settings of its queue. */
 static void
-test_failure_before_the_queue_is_known (void)
+remove_settings (struct ts_cell *cell)
+{
+  struct kq_sched_record *record = cell->records;
+  KqSched__JobRecord *job;
+  KqSched__QueueRecord *settings;
+
+  while (record->key[0] != 'j')
+    record++;
+  job = kq_sched__job_record__unpack (NULL, record->size, record->value);
+  settings = job->settings;
+  job->settings = NULL;
+  record->size = kq_sched__job_record__pack (job, record->value);
+  job->settings = settings;
+  kq_sched__job_record__free_unpacked (job, NULL);
+}
+
+/* A new owner reads the last failure before it knows the queue, of which
+   settings are STORED or not. */
+static void
+check_failure_before_the_queue_is_known (bool stored)
 {
   struct ts_cell *cell = ts_create ();
   struct kq_sched_event event = { .kind = KQ_SCHED_EV_CONFIG };
@@ -144,10 +165,16 @@
       idle_for (cell, WORKERS, 8000);
     }
   CU_ASSERT_EQUAL (count_starts (cell, 0), ATTEMPTS);
+  if (!stored)
+    remove_settings (cell);
   cell->config.queue_count = 0;
   ts_take_over (cell);
+  /* The first reply of the worker tells of the failure. */
   for (int i = 0; i < WORKERS; i++)
-    add_worker (cell, i);
+    if (!stored || last_start (cell, 0).worker[0] - '0' != i)
+      add_worker (cell, i);
+    else
+      ts_register_worker (cell, last_start (cell, 0).worker, 1000, 4000);
   fail_run (cell, ends);
   ts_advance (cell, 100);
   cell->config.queue_count = queues;
@@ -159,6 +186,13 @@
   ts_destroy (cell);
 }
 
+static void
+test_failure_before_the_queue_is_known (void)
+{
+  check_failure_before_the_queue_is_known (true);
+  check_failure_before_the_queue_is_known (false);
+}
+
 /* Lets 3 s pass in which COUNT workers but LOST answer that they run nothing.
  */
 static void
