--- a/sched/tombstone.c
+++ b/sched/tombstone.c
@@ -11,6 +11,7 @@
  */
 #include "sched/tombstone.h"
 
+#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -74,6 +75,7 @@
 static void
 destroy (struct kq_sched *sched, struct tombstone *tombstone)
 {
+  assert (sched->tombstones != NULL);
   HASH_DEL (sched->tombstones, tombstone);
   DL_DELETE (sched->tombstone_list, tombstone);
   free (tombstone->value);
