sched: one worker's crash loop does not end a job that lasts

No run had ended as failed, and nobody had cancelled the job.

Cause: each loss of a worker under a start counted against the task, also where it was the same worker each time, and three gave the job up.

Change: after a loss a task that lasts avoids that worker for 3 s. If it comes back there, it has no other place, and the loss replaces the one before. A task that crashes each of several workers is given up as before. Counting each worker once was tried first: such a task then went to and fro between two workers for ever, which a new case of test-crash showed.

Ruled out: an outage that should have explained the losses.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -76,9 +76,9 @@
 struct crash_loss
 {
   kq_usec at;
-  uint64_t number;             /* of the loss in sched->evidence */
-  const struct worker *worker; /* workers are never destroyed before jobs */
-  int64_t incarnation_ms;      /* the one that was lost */
+  uint64_t number;        /* of the loss in sched->evidence */
+  struct worker *worker;  /* workers are never destroyed before jobs */
+  int64_t incarnation_ms; /* the one that was lost */
   enum loss_kind kind;
   bool proven;
   bool accepted;
@@ -558,6 +558,30 @@
   hold (sched, history, now.mono + LAST_CALM_US, 0);
 }
 
+/* Has the task of HISTORY, which lasts, tried elsewhere first after LOSS.  If
+   it comes back to the worker that was lost under it last, it has no other
+   place: a worker that is lost again and again is one piece of evidence, and
+   LOSS replaces the one before. */
+static void
+note_loss_of_lasting (struct crash_history *history,
+                      const struct crash_loss *loss)
+{
+  const struct kq_sched_now now = { .mono = loss->at };
+  const struct crash_loss *last;
+  int *counter;
+
+  place_avoid_worker (history->task, loss->worker, now);
+  if (history->count == 0)
+    return;
+  last = &history->losses[history->count - 1];
+  if (last->worker != loss->worker)
+    return;
+  counter = counter_of (history->task, last->kind);
+  if (counter != NULL)
+    --*counter;
+  history->count--;
+}
+
 /* Counts LOSS under TASK, which goes on or is given up by what it knows now.
  */
 static void
@@ -569,6 +593,8 @@
 
   if (history == NULL)
     return;
+  if (task->stage->step->long_running)
+    note_loss_of_lasting (history, loss);
   if (history->count == MAX_STARTS_THAT_CRASH)
     history->count--;
   history->losses[history->count++] = *loss;
--- a/t/test-crash.c
+++ b/t/test-crash.c
@@ -45,6 +45,11 @@
 /* Time after which the lease of a silent worker has lapsed. */
 #define LONGEST_LAPSE_MS 8000
 
+/* Crashes of one worker after so many starts, and the time by which a lasting
+   task must run again. */
+#define CRASH_LOOP 8
+#define LASTING_MS 6000
+
 #define MAX_WORKERS 32
 
 static const struct kq_sched_step one_task
@@ -660,6 +665,89 @@
   stop_site (site);
 }
 
+/* Starts and crashes the first task of JOB, a lasting one, at WORKERS that
+   keep their IDs, CRASHES times or until it is not started for 9 s. Returns
+   the number of crashes; *LONGEST_MS is the longest time between two starts.
+ */
+static int
+crash_workers_that_keep_ids (struct site *site, uint64_t job, int workers,
+                             int crashes, int64_t *longest_ms)
+{
+  int64_t incarnations[MAX_WORKERS];
+  kq_usec crashed_at = 0;
+  int count = 0;
+  int run = 0;
+
+  *longest_ms = 0;
+  for (int i = 0; i < workers; i++)
+    incarnations[i] = 1;
+  for (int quiet = 0; count < crashes && quiet < 90; quiet++)
+    {
+      struct ts_order start = last_start (&site->cell, job);
+
+      if (start.run.run != run && start.worker[0] != '\0')
+        {
+          int number = atoi (start.worker);
+          int64_t waited_ms
+              = (site->cell.now.mono - crashed_at) / KQ_USEC_PER_MSEC;
+
+          if (crashed_at != 0 && waited_ms > *longest_ms)
+            *longest_ms = waited_ms;
+          crashed_at = site->cell.now.mono;
+          quiet = 0;
+          run = start.run.run;
+          count++;
+          ts_reply_order (&site->cell, &start, KQ_SCHED_OK);
+          ts_register_incarnation (&site->cell, start.worker, 8000, 8000,
+                                   ++incarnations[number]);
+        }
+      ts_advance (&site->cell, 100);
+      for (int i = 0; i < workers; i++)
+        {
+          char id[16];
+
+          snprintf (id, sizeof id, "%d", i);
+          ts_reply_poll_sent_at (&site->cell, id, site->cell.now.mono,
+                                 incarnations[i], NULL, 0, NULL, 0);
+        }
+    }
+  return count;
+}
+
+/* One worker that crashes again and again proves nothing against a task that
+   lasts and may run nowhere else: its job goes on, and it is tried again
+   before the 6 s are over. */
+static void
+test_one_worker_in_a_crash_loop (void)
+{
+  struct site *site = start_site (1);
+  int64_t longest_ms;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &lasting_task, 1);
+  CU_ASSERT_EQUAL (crash_workers_that_keep_ids (site, DEADLY_JOB, 1,
+                                                CRASH_LOOP, &longest_ms),
+                   CRASH_LOOP);
+  CU_ASSERT (longest_ms < LASTING_MS);
+  CU_ASSERT_NOT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
+/* A lasting task that crashes each worker where it may run is given up,
+   although the workers keep their IDs. */
+static void
+test_lasting_task_at_workers_that_keep_ids (void)
+{
+  struct site *site = start_site (4);
+  int64_t longest_ms;
+
+  ts_submit (&site->cell, DEADLY_JOB, "urgent", &lasting_task, 1);
+  CU_ASSERT (crash_workers_that_keep_ids (site, DEADLY_JOB, 4, CRASH_LOOP,
+                                          &longest_ms)
+             <= MAX_STARTS);
+  CU_ASSERT_EQUAL (state_of (site, DEADLY_JOB), KQ_SCHED_FAILED_JOB);
+  stop_site (site);
+}
+
 /* A worker that announced its end has not crashed. */
 static void
 test_end_of_a_draining_worker (void)
@@ -701,6 +789,9 @@
   { "a settled run clears the count", test_settled_run_clears_the_count },
   { "crash of a worker that keeps its ID",
     test_crash_of_a_worker_that_keeps_its_id },
+  { "one worker in a crash loop", test_one_worker_in_a_crash_loop },
+  { "a lasting task at workers that keep their IDs",
+    test_lasting_task_at_workers_that_keep_ids },
   { "end of a draining worker", test_end_of_a_draining_worker },
 };
 
