--- a/sched/crash.c
+++ b/sched/crash.c
@@ -558,24 +558,24 @@
   hold (sched, history, now.mono + LAST_CALM_US, 0);
 }
 
-/* Has the task of HISTORY, which lasts, tried elsewhere first after LOSS.  If
-   it comes back to the worker that was lost under it last, it has no other
-   place: a worker that is lost again and again is one piece of evidence, and
-   LOSS replaces the one before. */
+/* If LOSS is of the worker that was lost last under the task of HISTORY, which
+   lasts, it replaces that loss: a worker that is lost again and again is one
+   piece of evidence, since the task may have no other place.  It is tried
+   elsewhere first. */
 static void
-note_loss_of_lasting (struct crash_history *history,
-                      const struct crash_loss *loss)
+replace_repeated_loss (struct crash_history *history,
+                       const struct crash_loss *loss)
 {
   const struct kq_sched_now now = { .mono = loss->at };
   const struct crash_loss *last;
   int *counter;
 
-  place_avoid_worker (history->task, loss->worker, now);
   if (history->count == 0)
     return;
   last = &history->losses[history->count - 1];
   if (last->worker != loss->worker)
     return;
+  place_avoid_worker (history->task, loss->worker, now);
   counter = counter_of (history->task, last->kind);
   if (counter != NULL)
     --*counter;
@@ -594,7 +594,7 @@
   if (history == NULL)
     return;
   if (task->stage->step->long_running)
-    note_loss_of_lasting (history, loss);
+    replace_repeated_loss (history, loss);
   if (history->count == MAX_STARTS_THAT_CRASH)
     history->count--;
   history->losses[history->count++] = *loss;
