--- a/t/lib-sched.c
+++ b/t/lib-sched.c
@@ -88,8 +88,9 @@
   kq_sched_destroy (cell->sched);
   for (int i = 0; i < cell->record_count; i++)
     free (cell->records[i].value);
-  for (int i = 0; i < cell->order_count; i++)
-    free (cell->orders[i].checkpoint);
+  for (int i = 0; i < cell->checkpoint_count; i++)
+    free (cell->checkpoints[i]);
+  free (cell->checkpoints);
 }
 
 struct ts_cell *
@@ -298,6 +299,18 @@
   kq_sched_event (cell->sched, cell->now, &event);
 }
 
+/* Returns a copy of TEXT that lasts as long as CELL: tests drop orders. */
+static char *
+keep_checkpoint (struct ts_cell *cell, const char *text)
+{
+  size_t size = (size_t)cell->checkpoint_count + 1;
+
+  cell->checkpoints
+      = realloc (cell->checkpoints, size * sizeof *cell->checkpoints);
+  cell->checkpoints[cell->checkpoint_count] = strdup (text);
+  return cell->checkpoints[cell->checkpoint_count++];
+}
+
 static void
 add_order (struct ts_cell *cell, const struct kq_sched_effect *effect)
 {
@@ -312,7 +325,7 @@
     {
       if (kq_sched_start_order (cell->sched, cell->now, effect, &start) != 0)
         return;
-      order.checkpoint = strdup (start.checkpoint);
+      order.checkpoint = keep_checkpoint (cell, start.checkpoint);
       order.lease_end_ms = start.lease_end_ms;
       if (start.ticket != NULL)
         snprintf (order.ticket, sizeof order.ticket, "%s", start.ticket);
--- a/t/lib-sched.h
+++ b/t/lib-sched.h
@@ -20,7 +20,7 @@
   char worker[KQ_SCHED_NAME_SIZE];
   struct kq_sched_run run;
   int percent;
-  char *checkpoint; /* of a start; freed with the cell */
+  char *checkpoint; /* of a start; the cell owns it */
   char ticket[KQ_SCHED_NAME_SIZE];
   int64_t lease_end_ms;
   int64_t fence;
@@ -44,6 +44,8 @@
   struct kq_sched_queue queues[4];
   struct ts_order orders[TS_MAX_ORDERS];
   int order_count;
+  char **checkpoints; /* of all starts */
+  int checkpoint_count;
   struct ts_result results[TS_MAX_ORDERS];
   int result_count;
   struct kq_sched_effect pending_effects[TS_MAX_ORDERS];
