--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -9,7 +9,6 @@
 TROUBLE=${TROUBLE:-1}
 HOSTS="1 2 3"
 pids=
-began=$(date +%s)
 
 cannot_run () { echo "cannot run: $*"; exit 2; }
 
@@ -33,10 +32,9 @@
   base=$("$rv" free 60 $net.1 $net.2 $net.3 $net.9) \
     || cannot_run "no free ports"
   store=$net.9:$base
-  "$rv" store --ip $net.9 --port "$base" --record "$record" --slow-file "$work/slow" \
+  "$rv" store --ip $net.9 --port "$base" --record "$record" \
     2>"$work/store.log" &
   pids="$pids $!"
-  store_pid=$!
   sleep 0.2
   site_configure 1 "$routes"
   for i in $(seq 1 "$1"); do worker_start "$i"; done
@@ -84,18 +82,10 @@
   (cd "$root" && exec env -i PATH="$PATH" HOME="${HOME:-/}" LANG=C \
     KUMQUATRACK_NODE_FILE="$work/host$1.json" target/kumquatrackd) \
     >>"$work/host$1.log" 2>&1 &
-  eval "host_pid_$1=$!"
   pids="$pids $!"
   say "host edge-$1 started"
 }
 
-host_pid () { eval "echo \$host_pid_$1"; } # HOST
-
-host_signal () { # HOST SIGNAL
-  say "host edge-$1 SIG$2"
-  kill "-$2" "$(host_pid "$1")"
-}
-
 front () { echo "$net.$1:$((base + 56))"; } # HOST
 
 host_await () { # HOST
@@ -119,10 +109,16 @@
   pids="$pids $!"
 }
 
+# Takes PID, a process that has ended, from those that end_all ends.
+forget_pid () { # PID
+  pids=$(echo " $pids " | sed "s/ $1 / /")
+}
+
 worker_kill () { # NUMBER
   eval "pid=\$worker_pid_$1"
   kill -KILL "$pid" 2>/dev/null
   wait "$pid" 2>/dev/null
+  forget_pid "$pid"
   say "worker w$1 - crash"
 }
 
@@ -183,14 +179,6 @@
 
 id_of () { printf '%016x' "$1"; }
 
-# Returns the number of the host that acted as the owner last, by its log.
-owner () {
-  for host in $HOSTS; do
-    grep -h '"event":"active"\|"event":"stopped"' "$work/host$host.log" /dev/null \
-      | tail -n 1 | sed -n "s/.*\"time_us\":\"\([0-9]*\)\".*\"event\":\"active\".*/\1 $host/p"
-  done | sort -n | tail -n 1 | cut -d ' ' -f 2
-}
-
 # Submits job ID until it is accepted, to one host after the other; each try is
 # recorded.
 submit () { # ID BODY [PREFIX]
--- a/review/standin-3/rv-http.c
+++ b/review/standin-3/rv-http.c
@@ -168,7 +168,6 @@
   conn->has_request = true;
   conn->seen = false;
   conn->deadline = 0;
-  conn->held_until = 0;
 }
 
 /* Returns whether the connection is still open. */
--- a/review/standin-3/rv-store.c
+++ b/review/standin-3/rv-store.c
@@ -333,34 +333,11 @@
   return true;
 }
 
-/* Whether the call waits: while the file of --slow-file is there, each call
-   takes --slow-ms longer. */
-static bool
-is_held (struct conn *conn)
-{
-  if (conn->held_until == 0)
-    conn->held_until
-        = access (option ("--slow-file", "/nonexistent"), F_OK) == 0
-              ? now_ms () + number_option ("--slow-ms", 240)
-              : 1;
-  if (now_ms () < conn->held_until)
-    return true;
-  if (conn->held_until > 1)
-    {
-      conn->held_until = 1;
-      conn->seen = false;
-    }
-  return false;
-}
-
 static bool
 handle_store (struct conn *conn)
 {
   char name[64];
 
-  if (strcmp (conn->path, "/put") != 0 && is_held (conn))
-    return false;
-
   if (strcmp (conn->path, "/put") == 0)
     return handle_put (conn);
   if (query_text (conn, "topic", name, sizeof name) < 0)
--- a/review/standin-3/rv-worker.c
+++ b/review/standin-3/rv-worker.c
@@ -31,7 +31,6 @@
   int64_t end_number; /* 0: it runs */
   char how[12];
   bool listed; /* its end was, once */
-  int members; /* of its gang; 0: none */
   struct run *next;
 };
 
@@ -67,85 +66,6 @@
   return &highest[highest_count++].number;
 }
 
-/* A gang's members, on any workers, tell each other in the folder of --gangs:
-   PATH of KIND for RUN's gang. */
-static void
-gang_path (const struct run *run, const char *kind, char path[256])
-{
-  char base[80];
-  char *dot;
-
-  snprintf (base, sizeof base, "%s", run->task);
-  dot = strrchr (base, '.');
-  *dot = '\0';
-  snprintf (path, 256, "%s/%s-%lld-%s", option ("--gangs", "."), base,
-            (long long)run->number, kind);
-}
-
-static void
-gang_touch (const struct run *run, const char *kind, int64_t number)
-{
-  char path[256];
-  FILE *file;
-
-  gang_path (run, kind, path);
-  file = fopen (path, "w");
-  if (file == NULL)
-    return;
-  fprintf (file, "%lld", (long long)number);
-  fclose (file);
-}
-
-/* Returns the number in the file of KIND, or -1. */
-static int64_t
-gang_read (const struct run *run, const char *kind)
-{
-  char path[256];
-  long long number = -1;
-  FILE *file;
-
-  gang_path (run, kind, path);
-  file = fopen (path, "r");
-  if (file == NULL)
-    return -1;
-  if (fscanf (file, "%lld", &number) != 1)
-    number = -1;
-  fclose (file);
-  return number;
-}
-
-/* Returns how the run of a gang's member ends now, or NULL; sets *WORKS. */
-static const char *
-look_at_gang (const struct run *run, bool *works)
-{
-  int present = 0;
-
-  *works = false;
-  if (gang_read (run, "done") >= 0)
-    return "done";
-  if (gang_read (run, "broken") >= 0)
-    return "broken";
-  for (int i = 0; i < run->members; i++)
-    {
-      char kind[16];
-      int64_t pid;
-
-      snprintf (kind, sizeof kind, "m%d", i);
-      pid = gang_read (run, kind);
-      if (pid > 0 && kill ((pid_t)pid, 0) == 0)
-        present++;
-      else if (pid > 0)
-        gang_touch (run, "broken", 1);
-    }
-  *works = present == run->members;
-  if (*works && gang_read (run, "go") < 0)
-    gang_touch (run, "go", now_ms ());
-  if (!*works && gang_read (run, "go") < 0
-      && now_ms () - run->began > number_option ("--gang-ms", 3000))
-    return "alone";
-  return NULL;
-}
-
 static struct run *
 find_run (const char *task, int64_t number)
 {
@@ -170,8 +90,6 @@
   run->next = NULL;
   run->end_number = ++end_count;
   snprintf (run->how, sizeof run->how, "%s", how);
-  if (run->members > 0)
-    gang_touch (run, strcmp (how, "done") == 0 ? "done" : "broken", 1);
   if (run->number > *most)
     *most = run->number;
   note ("worker %s %lld end %s %lld %s", id, (long long)born, run->task,
@@ -200,20 +118,6 @@
   json_decref (entry);
 }
 
-static void late_tick (void);
-
-static void
-late_pass (void)
-{
-  static bool inside;
-
-  if (inside)
-    return;
-  inside = true;
-  late_tick ();
-  inside = false;
-}
-
 static void
 worker_tick (void)
 {
@@ -223,15 +127,10 @@
     {
       struct run *next = run->next;
       int64_t now = now_ms ();
-      bool works = true;
-      const char *how = run->members > 0 ? look_at_gang (run, &works) : NULL;
 
-      if (works)
-        run->done_ms += (double)(now - run->looked_at) * run->pace / 100;
+      run->done_ms += (double)(now - run->looked_at) * run->pace / 100;
       run->looked_at = now;
-      if (how != NULL)
-        end_run (run, how);
-      else if (worker_clock () > until)
+      if (worker_clock () > until)
         end_run (run, "lapsed");
       else if (run->stops_at != 0 && now >= run->stops_at)
         end_run (run, "stopped");
@@ -239,7 +138,6 @@
         end_run (run, "done");
       run = next;
     }
-  late_pass ();
   if (now_ms () - last_beat >= BEAT_MS)
     {
       last_beat = now_ms ();
@@ -304,14 +202,6 @@
       run->began = run->looked_at = now_ms ();
       run->pace = 100;
       run->work_ms = strcmp (spec, "lasting") == 0 ? -1 : atoll (spec);
-      if (strstr (spec, "gang") != NULL)
-        {
-          char kind[16];
-
-          run->members = atoi (strstr (spec, "gang") + 4);
-          snprintf (kind, sizeof kind, "m%s", strrchr (task, '.') + 1);
-          gang_touch (run, kind, getpid ());
-        }
       run->next = runs;
       runs = run;
       note ("worker %s %lld start %s %lld fence=%lld", id, (long long)born,
@@ -448,87 +338,12 @@
   _exit (9);
 }
 
-/* An order that gets no answer and is carried out late. */
-struct late
-{
-  struct conn conn;
-  json_t *body;
-  int64_t due;
-  struct late *next;
-};
-
-static struct late *late_orders;
-
-static bool handle_order (struct conn *conn, const json_t *body);
-
-static void
-late_tick (void)
-{
-  struct late **at = &late_orders;
-
-  while (*at != NULL)
-    {
-      struct late *late = *at;
-
-      if (now_ms () < late->due)
-        {
-          at = &late->next;
-          continue;
-        }
-      *at = late->next;
-      note ("worker %s %lld late %s", id, (long long)born, late->conn.path);
-      if (strcmp (late->conn.path, "/-/hold") == 0)
-        {
-          if (field (late->body, "fence") >= fence)
-            {
-              fence = field (late->body, "fence");
-              extend (field (late->body, "until_ms"));
-              forget_ends (field (late->body, "last_seen"));
-            }
-        }
-      else
-        handle_order (&late->conn, late->body);
-      free (late->conn.out);
-      json_decref (late->body);
-      free (late);
-    }
-}
-
-/* Whether the order gets no answer: --late-permille of them, while the file of
-   --late-file is there. */
-static bool
-make_late (struct conn *conn, json_t *body)
-{
-  struct late *late;
-
-  if (conn->seen || number_option ("--late-permille", 0) <= rand () % 1000
-      || access (option ("--late-file", "/nonexistent"), F_OK) != 0
-      || (conn->instance[0] != '\0' && strcmp (conn->instance, id) != 0))
-    return false;
-  late = calloc (1, sizeof *late);
-  late->body = json_incref (body);
-  snprintf (late->conn.path, sizeof late->conn.path, "%s", conn->path);
-  late->due = now_ms () + 2000 + rand () % 10000;
-  late->next = late_orders;
-  late_orders = late;
-  note ("worker %s %lld withheld %s", id, (long long)born, conn->path);
-  return true;
-}
-
 static bool
 handle_worker (struct conn *conn)
 {
   json_t *body;
   bool answered;
 
-  if (conn->deadline == -1)
-    return false; /* it gets no answer */
-  /* While the file of --mute-file is there, what arrives is lost. */
-  if (access (option ("--mute-file", "/nonexistent"), F_OK) == 0)
-    {
-      conn->deadline = -1;
-      return false;
-    }
   die_on_start (conn);
   if (strcmp (conn->path, "/healthz") == 0)
     {
@@ -542,13 +357,6 @@
       return true;
     }
   worker_tick ();
-  late_tick ();
-  if (make_late (conn, body))
-    {
-      conn->deadline = -1;
-      json_decref (body);
-      return false;
-    }
   answered = handle_order (conn, body);
   json_decref (body);
   return answered;
@@ -570,7 +378,6 @@
   last_beat = began_at - BEAT_MS + number_option ("--first-beat-ms", 0);
   /* The time of day of its machine may differ from this one's. */
   born = clock_ms (CLOCK_REALTIME) + number_option ("--clock-ms", 0);
-  srand ((unsigned)(born ^ getpid ()));
   if (listener < 0)
     return 2;
   note ("worker %s %lld begin", id, (long long)born);
--- a/review/standin-3/rv.c
+++ b/review/standin-3/rv.c
@@ -1,7 +1,7 @@
 /* Stand-ins of the third review: the platform's store, one worker, and a
  * client's single call.  Each is a process of its own:
  *
- *   rv store  --ip A --port P --record F [--slow-file F --slow-ms N]
+ *   rv store  --ip A --port P --record F
  *   rv worker --ip A --port P --store A:P --id ID --record F [--service S]
  *             [--cpu N] [--first-beat-ms N] (its first entry in the store)
  *             [--mem N] [--clock-ms N] [--hold-max-ms N] [--stop-ms N]
--- a/review/standin-3/rv.h
+++ b/review/standin-3/rv.h
@@ -29,7 +29,6 @@
   size_t body_size;
   size_t request_size;
   int64_t deadline;
-  int64_t held_until; /* by a slow store; 0: not held */
 };
 
 typedef bool handler (struct conn *conn);
