--- a/review/standin-3/rv-worker.c
+++ b/review/standin-3/rv-worker.c
@@ -30,7 +30,7 @@
   int64_t stops_at;   /* 0: it is not being stopped */
   int64_t end_number; /* 0: it runs */
   char how[12];
-  bool listed; /* its end was, once */
+  int64_t listed_at; /* when its end was noted as listed last; 0: not yet */
   struct run *next;
 };
 
@@ -121,8 +121,14 @@
 static void
 worker_tick (void)
 {
+  static int64_t lapsed_until;
   struct run *run = runs;
 
+  if (worker_clock () > until && until != lapsed_until)
+    {
+      note ("worker %s %lld lapse", id, (long long)born);
+      lapsed_until = until;
+    }
   while (run != NULL)
     {
       struct run *next = run->next;
@@ -234,7 +240,7 @@
 
       note ("worker %s %lld noted %s %lld %s%s", id, (long long)born,
             run->task, (long long)run->number, run->how,
-            run->listed ? "" : " unlisted");
+            run->listed_at != 0 ? "" : " unlisted");
       ended = run->next;
       free (run);
     }
@@ -257,10 +263,13 @@
   for (struct run *run = ended; run != NULL && json_array_size (ends) < 500;
        run = run->next)
     {
-      if (!run->listed)
-        note ("worker %s %lld listed %s %lld %s", id, (long long)born,
-              run->task, (long long)run->number, run->how);
-      run->listed = true;
+      if (run->listed_at == 0 || now_ms () - run->listed_at >= 1000)
+        {
+          note ("worker %s %lld listed %s %lld %s %s", id, (long long)born,
+                run->task, (long long)run->number, run->how,
+                worker_clock () <= until ? "leased" : "lapsed");
+          run->listed_at = now_ms ();
+        }
       json_array_append_new (
           ends, json_pack ("[I s I s s]", (json_int_t)run->end_number,
                            run->task, (json_int_t)run->number, run->how, ""));
--- a/review/standin-3/twice.awk
+++ b/review/standin-3/twice.awk
@@ -1,12 +1,14 @@
 # Judges the record by TWICE: two runs of a task at the same time on workers
 # that are up, or a start after a run has ended "done" whose end is taken note
-# of: when last_seen has reached it, unless the worker's lease lapsed between
-# the two, or 100 ms after the worker has listed it later than CALM_FROM ms
-# after the first line, when no disruption is near.  Prints each break and sets
-# the exit status to 1 if there is one.
+# of: when last_seen has reached it, or 100 ms after the worker has listed it
+# with no disruption near (none in the 3 s before), in both cases unless the
+# worker's lease lapsed before.  Prints the first breaks and sets the exit status
+# to 1 if there is one.
 { if (NR == 1) zero = $1; t = $1 - zero }
+/time of day|SIG/ { trouble = t }
 $2 != "worker" { next }
 { life = $3 " " $4 }
+$5 == "begin" || $5 == "crash" { trouble = t }
 $5 == "crash" {
   for (k in open) { split (open[k], p, "|"); split (p[2], q, " ")
     if (q[1] == $3) delete open[k] }
@@ -19,10 +21,10 @@
   starts[$6] = starts[$6] " " t ":" $7 ":" $3
   open[$6, $7] = t "|" life
 }
-$5 == "end" { delete open[$6, $7]; if ($8 == "done") done_at[$6, $7] = t
-  if ($8 == "lapsed") lapsed[life] = t }
-$5 == "listed" && $8 == "done" && calm_from > 0 && t > calm_from {
-  if (!(($6, $7) in noted)) noted[$6, $7] = "listed " t " by " life }
+$5 == "end" { delete open[$6, $7]; if ($8 == "done") done_at[$6, $7] = t }
+$5 == "lapse" { lapsed[life] = t }
+$5 == "listed" && $8 == "done" && $9 == "leased" && t > trouble + 3100 {
+  if (!(($6, $7) in noted)) noted[$6, $7] = "listed at " t " by " life }
 $5 == "noted" && $8 ~ /^done/ {
   if (!(life in lapsed) || lapsed[life] < done_at[$6, $7])
     noted[$6, $7] = "acknowledged " t " at " life }
