--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,6 +2,7 @@
 # A worker is lost for good as an order to start reaches it: see claim.txt.
 # TROUBLE=0: it is not lost.
 folder=$(cd "$(dirname "$0")" && pwd)
+record=$folder/record.txt
 . "$folder/../standin-3/lib.sh"
 routes=$(route jobs /jobs/)
 site_begin 8
--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -5,7 +5,6 @@
 root=$(cd "$folder/../.." && pwd)
 rv=$root/target/review-3/rv
 daemon=$root/target/kumquatrackd
-record=$folder/record.txt
 TROUBLE=${TROUBLE:-1}
 HOSTS="1 2 3"
 pids=
